--- /dev/null
+++ b/figspan-bench/src/main/java/io/figspan/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Benchmarks: policy, faults, slopes and micro. */
+package io.figspan.bench;
--- /dev/null
+++ b/figspan-cli/src/main/java/io/figspan/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command line of the operator: figspan. */
+package io.figspan.cli;
--- /dev/null
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/package-info.java
@@ -0,0 +1,2 @@
+/** Pure protocols between hosts: membership, settings spread and limit loans. */
+package io.figspan.cluster;
--- /dev/null
+++ b/figspan-control/src/main/java/io/figspan/control/package-info.java
@@ -0,0 +1,2 @@
+/** Pure protocols towards backend servers: tickets, holds, groups, leaving and model orders. */
+package io.figspan.control;
--- /dev/null
+++ b/figspan-host/src/main/java/io/figspan/host/package-info.java
@@ -0,0 +1,2 @@
+/** The process on every entry host: figspand. */
+package io.figspan.host;
--- /dev/null
+++ b/figspan-policy/src/main/java/io/figspan/policy/package-info.java
@@ -0,0 +1,2 @@
+/** Pure decisions on placement, admission, limits, fairness and retries. */
+package io.figspan.policy;
--- /dev/null
+++ b/figspan-settings/src/main/java/io/figspan/settings/package-info.java
@@ -0,0 +1,2 @@
+/** The tree of settings: reading, validation, inheritance and publication. */
+package io.figspan.settings;
--- /dev/null
+++ b/figspan-wire/src/main/java/io/figspan/wire/package-info.java
@@ -0,0 +1,2 @@
+/** MessagePack frames over TCP between hosts. */
+package io.figspan.wire;
