--- /dev/null
+++ b/figspan-core/src/main/java/io/figspan/core/chart/package-info.java
@@ -0,0 +1,2 @@
+/** State charts read from files. */
+package io.figspan.core.chart;
--- /dev/null
+++ b/figspan-core/src/main/java/io/figspan/core/error/package-info.java
@@ -0,0 +1,2 @@
+/** The exception root, problem documents and results. */
+package io.figspan.core.error;
--- /dev/null
+++ b/figspan-core/src/main/java/io/figspan/core/event/package-info.java
@@ -0,0 +1,2 @@
+/** Events of the time line. */
+package io.figspan.core.event;
--- /dev/null
+++ b/figspan-core/src/main/java/io/figspan/core/id/AvailabilityZoneId.java
@@ -0,0 +1,22 @@
+package io.figspan.core.id;
+
+/** Names an availability zone. */
+public record AvailabilityZoneId(String value) implements Comparable<AvailabilityZoneId> {
+    public AvailabilityZoneId {
+        Ids.requireName("availability zone id", value);
+    }
+
+    public static AvailabilityZoneId of(String value) {
+        return new AvailabilityZoneId(value);
+    }
+
+    @Override
+    public int compareTo(AvailabilityZoneId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/figspan-core/src/main/java/io/figspan/core/id/OrganisationId.java
@@ -0,0 +1,22 @@
+package io.figspan.core.id;
+
+/** Names an organisation, the unit of entitlement, limits and isolation. */
+public record OrganisationId(String value) implements Comparable<OrganisationId> {
+    public OrganisationId {
+        Ids.requireName("organisation id", value);
+    }
+
+    public static OrganisationId of(String value) {
+        return new OrganisationId(value);
+    }
+
+    @Override
+    public int compareTo(OrganisationId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/figspan-core/src/main/java/io/figspan/core/id/StreamId.java
@@ -0,0 +1,22 @@
+package io.figspan.core.id;
+
+/** Names one answer stream on an engine; made by a host and never reused. */
+public record StreamId(String value) implements Comparable<StreamId> {
+    public StreamId {
+        Ids.requireName("stream id", value);
+    }
+
+    public static StreamId of(String value) {
+        return new StreamId(value);
+    }
+
+    @Override
+    public int compareTo(StreamId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/figspan-core/src/main/java/io/figspan/core/id/package-info.java
@@ -0,0 +1,2 @@
+/** Value types for ids. */
+package io.figspan.core.id;
--- /dev/null
+++ b/figspan-core/src/main/java/io/figspan/core/time/package-info.java
@@ -0,0 +1,2 @@
+/** Clocks, deadlines and timestamps. */
+package io.figspan.core.time;
--- /dev/null
+++ b/figspan-core/src/main/java/io/figspan/core/util/package-info.java
@@ -0,0 +1,2 @@
+/** Hashing and name helpers. */
+package io.figspan.core.util;
