Add the messages between hosts, the frame codec, PeerServer and PeerClient

Cause: hosts have no authenticated way to talk, and the drivers of orders and of the cluster protocols need one.

Each connection opens with a hello in each direction that carries a nonce and the sender's incarnation; the HMAC of later frames covers both nonces, the incarnation and the number of the frame, none of which is sent again.

--- /dev/null
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/message/Bytes.java
@@ -0,0 +1,56 @@
+package io.figspan.cluster.message;
+
+import java.util.Arrays;
+import java.util.HexFormat;
+
+/** Immutable byte string, for digests and bodies in records. */
+public final class Bytes {
+    public static final Bytes EMPTY = new Bytes(new byte[0]);
+
+    private static final int SHOWN_BYTES = 8;
+
+    private final byte[] content;
+
+    private Bytes(byte[] content) {
+        this.content = content;
+    }
+
+    public static Bytes copyOf(byte[] content) {
+        return new Bytes(content.clone());
+    }
+
+    /** Takes over the array without a copy; the caller must not change it afterwards. */
+    public static Bytes wrap(byte[] content) {
+        return new Bytes(content);
+    }
+
+    public int size() {
+        return content.length;
+    }
+
+    public byte[] toArray() {
+        return content.clone();
+    }
+
+    /** The content without a copy, for readers that don't change it. */
+    public byte[] shared() {
+        return content;
+    }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Bytes bytes && Arrays.equals(content, bytes.content);
+    }
+
+    @Override
+    public int hashCode() {
+        return Arrays.hashCode(content);
+    }
+
+    /** The first bytes in hexadecimal and the length. */
+    @Override
+    public String toString() {
+        String start = HexFormat.of().formatHex(content, 0, Math.min(SHOWN_BYTES, content.length));
+        return content.length > SHOWN_BYTES ? start + "..(" + content.length + " bytes)" : start;
+    }
+}
--- /dev/null
+++ b/figspan-wire/src/main/java/io/figspan/wire/MessageReader.java
@@ -0,0 +1,162 @@
+package io.figspan.wire;
+
+import io.figspan.cluster.message.Bytes;
+import io.figspan.cluster.message.MemberUpdate;
+import io.figspan.cluster.message.PartChange;
+import io.figspan.cluster.message.PartDigest;
+import io.figspan.cluster.message.Peer;
+import io.figspan.cluster.message.PeerAddress;
+import io.figspan.cluster.message.PeerMessage;
+import io.figspan.cluster.message.Piggyback;
+import io.figspan.core.id.AvailabilityZoneId;
+import io.figspan.core.id.BackendIncarnation;
+import io.figspan.core.id.BackendServerId;
+import io.figspan.core.id.HostId;
+import io.figspan.core.id.HostIncarnation;
+import io.figspan.core.id.OrganisationId;
+import io.figspan.core.id.SettingsVersion;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.msgpack.core.MessageUnpacker;
+
+/** Reads the fields of messages in the order of their records. Each length is checked before it is allocated. */
+final class MessageReader {
+    private final MessageUnpacker unpacker;
+    private final int bodyBytes;
+
+    MessageReader(MessageUnpacker unpacker, int bodyBytes) {
+        this.unpacker = unpacker;
+        this.bodyBytes = bodyBytes;
+    }
+
+    PeerMessage read(MessageKind kind) throws IOException {
+        return switch (kind) {
+            case PING -> new PeerMessage.Ping(unpacker.unpackLong(), readPiggyback());
+            case ACK -> new PeerMessage.Ack(unpacker.unpackLong(), unpacker.unpackBoolean(), readPiggyback());
+            case PING_REQUEST -> new PeerMessage.PingRequest(unpacker.unpackLong(), readIncarnation(), readPiggyback());
+            case MEMBERS_PULL -> new PeerMessage.MembersPull(readString());
+            case MEMBERS_PAGE -> new PeerMessage.MembersPage(readUpdates(), unpacker.unpackBoolean());
+            case LEAVING_NOTICE -> new PeerMessage.LeavingNotice(readLeaving());
+            case SETTINGS_OFFER -> new PeerMessage.SettingsOffer(readVersion());
+            case SETTINGS_PULL -> new PeerMessage.SettingsPull(readVersion());
+            case SETTINGS_MANIFEST ->
+                new PeerMessage.SettingsManifest(readVersion(), readVersion(), readDigests(), readNames());
+            case SETTINGS_PART ->
+                new PeerMessage.SettingsPart(
+                        readVersion(), new PartChange(readString(), readBytes(), readBytes(), readBytes()));
+            case SETTINGS_PART_PULL -> new PeerMessage.SettingsPartPull(readVersion(), readString(), readBytes());
+            case LOAN_REQUEST ->
+                new PeerMessage.LoanRequest(
+                        unpacker.unpackLong(), OrganisationId.of(readString()), unpacker.unpackLong());
+            case LOAN_GRANT ->
+                new PeerMessage.LoanGrant(
+                        unpacker.unpackLong(),
+                        HostId.of(readString()),
+                        OrganisationId.of(readString()),
+                        unpacker.unpackLong(),
+                        unpacker.unpackLong());
+            case FORWARD_ORDER ->
+                new PeerMessage.ForwardOrder(
+                        unpacker.unpackLong(),
+                        readString(),
+                        readString(),
+                        readString(),
+                        unpacker.unpackLong(),
+                        readBytes());
+            case OUTCOME_QUERY -> new PeerMessage.OutcomeQuery(unpacker.unpackLong(), readString(), readString());
+            case ORDER_OUTCOME ->
+                new PeerMessage.OrderOutcome(unpacker.unpackLong(), unpacker.unpackInt(), readString(), readBytes());
+        };
+    }
+
+    private Piggyback readPiggyback() throws IOException {
+        return new Piggyback(readVersion(), readUpdates(), readLeaving());
+    }
+
+    private SettingsVersion readVersion() throws IOException {
+        return new SettingsVersion(unpacker.unpackLong());
+    }
+
+    private List<MemberUpdate> readUpdates() throws IOException {
+        int count = readCount();
+        List<MemberUpdate> updates = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            updates.add(readUpdate());
+        }
+        return updates;
+    }
+
+    private MemberUpdate readUpdate() throws IOException {
+        int state = unpacker.unpackInt();
+        int refutation = unpacker.unpackInt();
+        return switch (state) {
+            case MessageWriter.UPDATE_ALIVE -> new MemberUpdate.Alive(readPeer(), refutation);
+            case MessageWriter.UPDATE_SUSPECT ->
+                new MemberUpdate.Suspect(readIncarnation(), refutation, HostId.of(readString()));
+            case MessageWriter.UPDATE_DEAD -> new MemberUpdate.Gone(readIncarnation(), refutation, false);
+            case MessageWriter.UPDATE_LEFT -> new MemberUpdate.Gone(readIncarnation(), refutation, true);
+            default -> throw new IOException("unknown member state " + state);
+        };
+    }
+
+    private List<BackendIncarnation> readLeaving() throws IOException {
+        int count = readCount();
+        List<BackendIncarnation> leaving = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            leaving.add(new BackendIncarnation(BackendServerId.of(readString()), unpacker.unpackLong()));
+        }
+        return leaving;
+    }
+
+    private List<PartDigest> readDigests() throws IOException {
+        int count = readCount();
+        List<PartDigest> digests = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            digests.add(new PartDigest(readString(), readBytes()));
+        }
+        return digests;
+    }
+
+    private List<String> readNames() throws IOException {
+        int count = readCount();
+        List<String> names = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            names.add(readString());
+        }
+        return names;
+    }
+
+    Peer readPeer() throws IOException {
+        return new Peer(
+                readIncarnation(),
+                AvailabilityZoneId.of(readString()),
+                new PeerAddress(readString(), unpacker.unpackInt()));
+    }
+
+    private HostIncarnation readIncarnation() throws IOException {
+        return new HostIncarnation(HostId.of(readString()), unpacker.unpackLong());
+    }
+
+    private String readString() throws IOException {
+        int length = requireRemaining(unpacker.unpackRawStringHeader());
+        return new String(unpacker.readPayload(length), StandardCharsets.UTF_8);
+    }
+
+    Bytes readBytes() throws IOException {
+        int length = requireRemaining(unpacker.unpackBinaryHeader());
+        return Bytes.wrap(unpacker.readPayload(length));
+    }
+
+    private int readCount() throws IOException {
+        return requireRemaining(unpacker.unpackArrayHeader());
+    }
+
+    private int requireRemaining(int length) throws IOException {
+        if (length > bodyBytes - unpacker.getTotalReadBytes()) {
+            throw new IOException("a length of " + length + " is longer than the rest of the frame");
+        }
+        return length;
+    }
+}
--- /dev/null
+++ b/figspan-wire/src/main/java/io/figspan/wire/MessageWriter.java
@@ -0,0 +1,181 @@
+package io.figspan.wire;
+
+import io.figspan.cluster.message.Bytes;
+import io.figspan.cluster.message.MemberUpdate;
+import io.figspan.cluster.message.PartChange;
+import io.figspan.cluster.message.PartDigest;
+import io.figspan.cluster.message.Peer;
+import io.figspan.cluster.message.PeerMessage;
+import io.figspan.cluster.message.Piggyback;
+import io.figspan.core.id.BackendIncarnation;
+import io.figspan.core.id.HostIncarnation;
+import java.io.IOException;
+import java.util.List;
+import org.msgpack.core.MessagePacker;
+
+/** Writes the fields of messages in the order of their records. */
+final class MessageWriter {
+    static final int UPDATE_ALIVE = 0;
+    static final int UPDATE_SUSPECT = 1;
+    static final int UPDATE_DEAD = 2;
+    static final int UPDATE_LEFT = 3;
+
+    private final MessagePacker packer;
+
+    MessageWriter(MessagePacker packer) {
+        this.packer = packer;
+    }
+
+    void write(PeerMessage message) throws IOException {
+        switch (MessageKind.of(message)) {
+            case PING, ACK, PING_REQUEST, MEMBERS_PULL, MEMBERS_PAGE, LEAVING_NOTICE -> writeMembership(message);
+            case SETTINGS_OFFER, SETTINGS_PULL, SETTINGS_MANIFEST, SETTINGS_PART, SETTINGS_PART_PULL ->
+                writeSettings(message);
+            case LOAN_REQUEST, LOAN_GRANT -> writeLoan(message);
+            case FORWARD_ORDER, OUTCOME_QUERY, ORDER_OUTCOME -> writeOrder(message);
+            default -> throw new IOException("message kind has no encoding: " + message.getClass());
+        }
+    }
+
+    private void writeMembership(PeerMessage message) throws IOException {
+        if (message instanceof PeerMessage.Ping ping) {
+            packer.packLong(ping.probe());
+            writePiggyback(ping.piggyback());
+        } else if (message instanceof PeerMessage.Ack ack) {
+            packer.packLong(ack.probe());
+            packer.packBoolean(ack.reached());
+            writePiggyback(ack.piggyback());
+        } else if (message instanceof PeerMessage.PingRequest request) {
+            packer.packLong(request.probe());
+            writeIncarnation(request.target());
+            writePiggyback(request.piggyback());
+        } else if (message instanceof PeerMessage.MembersPull pull) {
+            packer.packString(pull.after());
+        } else if (message instanceof PeerMessage.MembersPage page) {
+            writeUpdates(page.updates());
+            packer.packBoolean(page.more());
+        } else if (message instanceof PeerMessage.LeavingNotice notice) {
+            writeLeaving(notice.leaving());
+        }
+    }
+
+    private void writeSettings(PeerMessage message) throws IOException {
+        if (message instanceof PeerMessage.SettingsOffer offer) {
+            packer.packLong(offer.version().number());
+        } else if (message instanceof PeerMessage.SettingsPull pull) {
+            packer.packLong(pull.have().number());
+        } else if (message instanceof PeerMessage.SettingsManifest manifest) {
+            packer.packLong(manifest.version().number());
+            packer.packLong(manifest.base().number());
+            packer.packArrayHeader(manifest.changed().size());
+            for (PartDigest part : manifest.changed()) {
+                packer.packString(part.name());
+                writeBytes(part.digest());
+            }
+            packer.packArrayHeader(manifest.removed().size());
+            for (String name : manifest.removed()) {
+                packer.packString(name);
+            }
+        } else if (message instanceof PeerMessage.SettingsPartPull pull) {
+            packer.packLong(pull.version().number());
+            packer.packString(pull.name());
+            writeBytes(pull.base());
+        } else if (message instanceof PeerMessage.SettingsPart part) {
+            PartChange change = part.change();
+            packer.packLong(part.version().number());
+            packer.packString(change.name());
+            writeBytes(change.digest());
+            writeBytes(change.base());
+            writeBytes(change.content());
+        }
+    }
+
+    private void writeLoan(PeerMessage message) throws IOException {
+        if (message instanceof PeerMessage.LoanRequest request) {
+            packer.packLong(request.requestId());
+            packer.packString(request.organisation().value());
+            packer.packLong(request.tokens());
+        } else if (message instanceof PeerMessage.LoanGrant grant) {
+            packer.packLong(grant.requestId());
+            packer.packString(grant.lender().value());
+            packer.packString(grant.organisation().value());
+            packer.packLong(grant.tokens());
+            packer.packLong(grant.leaseMs());
+        }
+    }
+
+    private void writeOrder(PeerMessage message) throws IOException {
+        if (message instanceof PeerMessage.ForwardOrder order) {
+            packer.packLong(order.correlationId());
+            packer.packString(order.ticket());
+            packer.packString(order.organisation());
+            packer.packString(order.requestId());
+            packer.packLong(order.leftMs());
+            writeBytes(order.body());
+        } else if (message instanceof PeerMessage.OutcomeQuery query) {
+            packer.packLong(query.correlationId());
+            packer.packString(query.ticket());
+            packer.packString(query.organisation());
+        } else if (message instanceof PeerMessage.OrderOutcome outcome) {
+            packer.packLong(outcome.correlationId());
+            packer.packInt(outcome.httpStatus());
+            packer.packString(outcome.contentType());
+            writeBytes(outcome.body());
+        }
+    }
+
+    private void writePiggyback(Piggyback piggyback) throws IOException {
+        packer.packLong(piggyback.settings().number());
+        writeUpdates(piggyback.updates());
+        writeLeaving(piggyback.leaving());
+    }
+
+    private void writeUpdates(List<MemberUpdate> updates) throws IOException {
+        packer.packArrayHeader(updates.size());
+        for (MemberUpdate update : updates) {
+            writeUpdate(update);
+        }
+    }
+
+    private void writeUpdate(MemberUpdate update) throws IOException {
+        if (update instanceof MemberUpdate.Alive alive) {
+            packer.packInt(UPDATE_ALIVE);
+            packer.packInt(alive.refutation());
+            writePeer(alive.peer());
+        } else if (update instanceof MemberUpdate.Suspect suspect) {
+            packer.packInt(UPDATE_SUSPECT);
+            packer.packInt(suspect.refutation());
+            writeIncarnation(suspect.incarnation());
+            packer.packString(suspect.by().value());
+        } else if (update instanceof MemberUpdate.Gone gone) {
+            packer.packInt(gone.left() ? UPDATE_LEFT : UPDATE_DEAD);
+            packer.packInt(gone.refutation());
+            writeIncarnation(gone.incarnation());
+        }
+    }
+
+    private void writeLeaving(List<BackendIncarnation> leaving) throws IOException {
+        packer.packArrayHeader(leaving.size());
+        for (BackendIncarnation backend : leaving) {
+            packer.packString(backend.server().value());
+            packer.packLong(backend.number());
+        }
+    }
+
+    void writePeer(Peer peer) throws IOException {
+        writeIncarnation(peer.incarnation());
+        packer.packString(peer.zone().value());
+        packer.packString(peer.address().address());
+        packer.packInt(peer.address().port());
+    }
+
+    private void writeIncarnation(HostIncarnation incarnation) throws IOException {
+        packer.packString(incarnation.host().value());
+        packer.packLong(incarnation.number());
+    }
+
+    void writeBytes(Bytes bytes) throws IOException {
+        packer.packBinaryHeader(bytes.size());
+        packer.writePayload(bytes.shared());
+    }
+}
--- /dev/null
+++ b/figspan-wire/src/main/java/io/figspan/wire/OutboundLink.java
@@ -0,0 +1,147 @@
+package io.figspan.wire;
+
+import io.figspan.cluster.message.PeerAddress;
+import io.figspan.cluster.message.PeerMessage;
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetSocket;
+import java.util.ArrayDeque;
+import java.util.Queue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The connection to one address: connects on demand, holds a bounded queue meanwhile, backs off after a failure. */
+final class OutboundLink {
+    /** Messages held while connecting. */
+    static final int MAX_WAITING_MESSAGES = 64;
+
+    private static final long FIRST_BACKOFF_MS = 100;
+
+    /** A returned host is reached again within this time, below the 3 s bounds of the guarantees. */
+    private static final long MAX_BACKOFF_MS = 1_000;
+
+    private static final Logger LOG = LoggerFactory.getLogger(OutboundLink.class);
+
+    private final Vertx vertx;
+    private final NetClient client;
+    private final PeerAddress address;
+    private final PeerIdentity identity;
+    private final WireStats stats;
+    private final RandomGenerator random;
+    private final Consumer<Inbound> received;
+    private final Queue<PeerMessage> waiting = new ArrayDeque<>();
+    private PeerConnection connection;
+    private boolean connecting;
+    private boolean closed;
+    private long backoffMs = FIRST_BACKOFF_MS;
+    private long retryAtNanos = System.nanoTime();
+
+    OutboundLink(
+            Vertx vertx,
+            NetClient client,
+            PeerAddress address,
+            PeerIdentity identity,
+            WireStats stats,
+            RandomGenerator random,
+            Consumer<Inbound> received) {
+        this.vertx = vertx;
+        this.client = client;
+        this.address = address;
+        this.identity = identity;
+        this.stats = stats;
+        this.random = random;
+        this.received = received;
+    }
+
+    /** Sends or queues the message; false when it was dropped. */
+    boolean send(PeerMessage message) {
+        if (connection != null && connection.isOpen()) {
+            return connection.send(message);
+        }
+        boolean backingOff = !connecting && System.nanoTime() - retryAtNanos < 0;
+        if (closed || backingOff || waiting.size() >= MAX_WAITING_MESSAGES) {
+            stats.dropped();
+            return false;
+        }
+        waiting.add(message);
+        if (!connecting) {
+            connect();
+        }
+        return true;
+    }
+
+    void close() {
+        closed = true;
+        dropWaiting();
+        if (connection != null) {
+            connection.closeQuietly();
+        }
+    }
+
+    private void connect() {
+        connecting = true;
+        client.connect(address.port(), address.address()).onComplete(result -> {
+            if (result.failed()) {
+                LOG.debug(
+                        "[wire] cannot connect to {}: {}",
+                        address,
+                        result.cause().getMessage());
+                fail();
+            } else if (closed) {
+                result.result().close();
+            } else {
+                start(result.result());
+            }
+        });
+    }
+
+    private void start(NetSocket socket) {
+        connection = PeerConnection.start(socket, identity, stats, false, new PeerConnection.Listener() {
+            @Override
+            public void opened(PeerConnection opened) {
+                flush();
+            }
+
+            @Override
+            public void received(PeerConnection from, Inbound inbound) {
+                received.accept(inbound);
+            }
+
+            @Override
+            public void closed(PeerConnection gone) {
+                connection = null;
+                fail();
+            }
+        });
+        PeerConnection started = connection;
+        vertx.setTimer(PeerServer.HELLO_DEADLINE_MS, ignored -> {
+            if (!started.isOpen()) {
+                started.close("no hello within " + PeerServer.HELLO_DEADLINE_MS + " ms");
+            }
+        });
+    }
+
+    private void flush() {
+        connecting = false;
+        backoffMs = FIRST_BACKOFF_MS;
+        while (!waiting.isEmpty() && connection != null) {
+            connection.send(waiting.poll());
+        }
+    }
+
+    private void fail() {
+        connecting = false;
+        dropWaiting();
+        long jitteredMs = backoffMs / 2 + random.nextLong(backoffMs / 2 + 1);
+        retryAtNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(jitteredMs);
+        backoffMs = Math.min(MAX_BACKOFF_MS, backoffMs * 2);
+    }
+
+    private void dropWaiting() {
+        waiting.forEach(ignored -> stats.dropped());
+        waiting.clear();
+    }
+}
--- /dev/null
+++ b/figspan-wire/src/main/java/io/figspan/wire/PeerClient.java
@@ -0,0 +1,175 @@
+package io.figspan.wire;
+
+import io.figspan.cluster.message.PeerAddress;
+import io.figspan.cluster.message.PeerMessage;
+import io.figspan.core.error.FigspanException;
+import io.figspan.core.error.Location;
+import io.figspan.core.error.ProblemKind;
+import io.reactivex.rxjava3.core.Completable;
+import io.reactivex.rxjava3.core.Flowable;
+import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.core.SingleEmitter;
+import io.reactivex.rxjava3.processors.PublishProcessor;
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.LongFunction;
+import java.util.random.RandomGenerator;
+
+/**
+ * Sends messages to other hosts over one kept connection each, opened on first use. After a failed connect, further
+ * messages are dropped until a jittered time has passed. Messages are sent and answers delivered on the context given;
+ * the methods may be called from any thread.
+ */
+public final class PeerClient {
+    /** The bound of the membership table; the least recently used connection is closed for a further one. */
+    static final int MAX_CONNECTIONS = 1_024;
+
+    /** Bounds the requests that wait for an answer; each is one order in flight. */
+    static final int MAX_REQUESTS = 4_096;
+
+    /** Far above a connect on the same site; a peer that takes longer is dead or paused. */
+    private static final int CONNECT_TIMEOUT_MS = 1_000;
+
+    private final Vertx vertx;
+    private final Context context;
+    private final PeerIdentity identity;
+    private final WireStats stats;
+    private final RandomGenerator random;
+    private final PublishProcessor<Inbound> inbound = PublishProcessor.create();
+    private final Map<PeerAddress, OutboundLink> links = new LinkedHashMap<>(16, 0.75f, true);
+    private final Map<Long, PendingRequest> requests = new HashMap<>();
+    private final NetClient client;
+    private long nextCorrelationId = 1;
+    private boolean closed;
+
+    private record PendingRequest(SingleEmitter<PeerMessage.OrderOutcome> emitter, long timer) {}
+
+    public PeerClient(Vertx vertx, Context context, PeerIdentity identity, WireStats stats, RandomGenerator random) {
+        this.vertx = vertx;
+        this.context = context;
+        this.identity = identity;
+        this.stats = stats;
+        this.random = random;
+        this.client =
+                vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true).setConnectTimeout(CONNECT_TIMEOUT_MS));
+    }
+
+    /** Messages that peers sent on connections of this client, other than answers to requests. */
+    public Flowable<Inbound> inbound() {
+        return inbound;
+    }
+
+    /** Sends a message without waiting for an answer. It is dropped when the peer can't be reached. */
+    public void send(PeerAddress to, PeerMessage message) {
+        onContext(() -> sendNow(to, message));
+    }
+
+    /**
+     * Sends a request and waits for its outcome. Fails with {@code OWNER_UNREACHABLE} when no answer arrives in time;
+     * the peer may then have carried out the request or not.
+     *
+     * @param message makes the message from the correlation id that the answer repeats
+     */
+    public Single<PeerMessage.OrderOutcome> request(PeerAddress to, LongFunction<PeerMessage> message, long timeoutMs) {
+        return Single.create(emitter -> onContext(() -> requestNow(to, message, timeoutMs, emitter)));
+    }
+
+    /** Closes the connection to a peer that has left or died; a later send opens a new one. */
+    public void forget(PeerAddress address) {
+        onContext(() -> {
+            OutboundLink link = links.remove(address);
+            if (link != null) {
+                link.close();
+            }
+        });
+    }
+
+    public Completable close() {
+        return Completable.create(emitter -> onContext(() -> {
+            closed = true;
+            new ArrayList<>(links.values()).forEach(OutboundLink::close);
+            links.clear();
+            new ArrayList<>(requests.keySet()).forEach(id -> failRequest(id, "this host is shutting down"));
+            client.close().onComplete(ignored -> emitter.onComplete());
+        }));
+    }
+
+    private void onContext(Runnable action) {
+        if (Vertx.currentContext() == context) {
+            action.run();
+        } else {
+            context.runOnContext(ignored -> action.run());
+        }
+    }
+
+    private boolean sendNow(PeerAddress to, PeerMessage message) {
+        if (closed) {
+            return false;
+        }
+        OutboundLink link = links.get(to);
+        if (link == null) {
+            dropOldestLink();
+            link = new OutboundLink(vertx, client, to, identity, stats, random, this::deliver);
+            links.put(to, link);
+        }
+        return link.send(message);
+    }
+
+    private void dropOldestLink() {
+        if (links.size() >= MAX_CONNECTIONS) {
+            PeerAddress oldest = links.keySet().iterator().next();
+            links.remove(oldest).close();
+        }
+    }
+
+    private void requestNow(
+            PeerAddress to,
+            LongFunction<PeerMessage> message,
+            long timeoutMs,
+            SingleEmitter<PeerMessage.OrderOutcome> emitter) {
+        if (requests.size() >= MAX_REQUESTS) {
+            emitter.tryOnError(unreachable(to + " has " + MAX_REQUESTS + " requests of this host in flight"));
+            return;
+        }
+        long correlationId = nextCorrelationId++;
+        long timer = vertx.setTimer(
+                Math.max(1, timeoutMs),
+                ignored -> failRequest(correlationId, "no answer from " + to + " within " + timeoutMs + " ms"));
+        requests.put(correlationId, new PendingRequest(emitter, timer));
+        if (!sendNow(to, message.apply(correlationId))) {
+            failRequest(correlationId, "no connection to " + to);
+        }
+    }
+
+    private void failRequest(long correlationId, String reason) {
+        PendingRequest request = requests.remove(correlationId);
+        if (request != null) {
+            vertx.cancelTimer(request.timer());
+            request.emitter().tryOnError(unreachable(reason));
+        }
+    }
+
+    private void deliver(Inbound message) {
+        if (message.message() instanceof PeerMessage.OrderOutcome outcome) {
+            PendingRequest request = requests.remove(outcome.correlationId());
+            if (request != null) {
+                vertx.cancelTimer(request.timer());
+                request.emitter().onSuccess(outcome);
+            }
+            return;
+        }
+        if (!inbound.offer(message)) {
+            stats.dropped();
+        }
+    }
+
+    private static FigspanException unreachable(String detail) {
+        return new FigspanException(ProblemKind.OWNER_UNREACHABLE, detail, Location.of("peer request"));
+    }
+}
--- /dev/null
+++ b/figspan-wire/src/main/java/io/figspan/wire/PeerConnection.java
@@ -0,0 +1,175 @@
+package io.figspan.wire;
+
+import io.figspan.cluster.message.Bytes;
+import io.figspan.cluster.message.Peer;
+import io.figspan.cluster.message.PeerMessage;
+import io.figspan.core.error.FigspanException;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetSocket;
+import java.security.SecureRandom;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One TCP connection with its frame channel. All methods run on the event loop of the socket. */
+final class PeerConnection implements PeerLink {
+    /** Room for one settings part of the largest size and control messages behind it. */
+    static final int MAX_QUEUED_BYTES = MessageKind.MAX_PART_BYTES + 1024 * 1024;
+
+    private static final Logger LOG = LoggerFactory.getLogger(PeerConnection.class);
+    private static final SecureRandom NONCES = new SecureRandom();
+
+    private final NetSocket socket;
+    private final PeerIdentity identity;
+    private final WireStats stats;
+    private final FrameChannel channel;
+    private final boolean acceptor;
+    private final Listener listener;
+    private int queuedBytes;
+    private boolean closed;
+    private long lastUseNanos = System.nanoTime();
+
+    /** Receives what happens on a connection. */
+    interface Listener {
+        void opened(PeerConnection connection);
+
+        void received(PeerConnection connection, Inbound inbound);
+
+        void closed(PeerConnection connection);
+    }
+
+    private PeerConnection(
+            NetSocket socket, PeerIdentity identity, WireStats stats, boolean acceptor, Listener listener) {
+        this.socket = socket;
+        this.identity = identity;
+        this.stats = stats;
+        this.acceptor = acceptor;
+        this.listener = listener;
+        byte[] nonce = new byte[Hello.NONCE_BYTES];
+        NONCES.nextBytes(nonce);
+        Hello hello = new Hello(Hello.PROTOCOL, Bytes.wrap(nonce), identity.self());
+        this.channel = new FrameChannel(identity.key(), acceptor, hello);
+    }
+
+    static PeerConnection start(
+            NetSocket socket, PeerIdentity identity, WireStats stats, boolean acceptor, Listener listener) {
+        PeerConnection connection = new PeerConnection(socket, identity, stats, acceptor, listener);
+        socket.handler(connection::receive);
+        socket.exceptionHandler(error -> connection.close("connection failed: " + error.getMessage()));
+        socket.closeHandler(ignored -> connection.markClosed());
+        if (acceptor) {
+            connection.write(connection.channel.sealHello());
+        }
+        return connection;
+    }
+
+    boolean isOpen() {
+        return channel.isOpen() && !closed;
+    }
+
+    Peer peer() {
+        return channel.remotePeer();
+    }
+
+    long lastUseNanos() {
+        return lastUseNanos;
+    }
+
+    @Override
+    public boolean send(PeerMessage message) {
+        if (!isOpen()) {
+            stats.dropped();
+            return false;
+        }
+        byte[] body = FrameCodec.encode(message, identity.clock().tick());
+        if (queuedBytes + body.length > MAX_QUEUED_BYTES) {
+            stats.dropped();
+            return false;
+        }
+        write(channel.seal(body));
+        return true;
+    }
+
+    void close(String reason) {
+        if (!closed) {
+            LOG.info("[wire] closed connection with {}: {}", socket.remoteAddress(), reason);
+            socket.close();
+            markClosed();
+        }
+    }
+
+    /** Closes without a log line, for connections that ended as planned. */
+    void closeQuietly() {
+        if (!closed) {
+            socket.close();
+            markClosed();
+        }
+    }
+
+    private void receive(Buffer buffer) {
+        if (closed) {
+            return;
+        }
+        stats.receivedBytes(buffer.length());
+        lastUseNanos = System.nanoTime();
+        try {
+            boolean wasOpen = channel.isOpen();
+            channel.receive(buffer.getBytes(), this::deliver);
+            if (!wasOpen && channel.isOpen() && !closed) {
+                open();
+            }
+        } catch (FigspanException e) {
+            stats.refused();
+            close(e.detail());
+        }
+    }
+
+    private void open() {
+        if (!acceptor) {
+            write(channel.sealHello());
+        }
+        stats.opened();
+        listener.opened(this);
+    }
+
+    private void deliver(byte[] body) {
+        FrameCodec.Decoded decoded = FrameCodec.decode(body);
+        identity.clock().observe(decoded.timestamp());
+        stats.receivedFrames(1);
+        if (!closed) {
+            listener.received(this, new Inbound(peer(), decoded.timestamp(), decoded.message(), this));
+        }
+    }
+
+    private void write(byte[] frame) {
+        queuedBytes += frame.length;
+        stats.sent(frame.length);
+        lastUseNanos = System.nanoTime();
+        socket.write(Buffer.buffer(frame)).onComplete(ignored -> queuedBytes -= frame.length);
+    }
+
+    private void markClosed() {
+        if (!closed) {
+            closed = true;
+            listener.closed(this);
+        }
+    }
+
+    /** Adapts callbacks of a connection whose opening does not matter. */
+    static Listener listener(Consumer<Inbound> received, Consumer<PeerConnection> closed) {
+        return new Listener() {
+            @Override
+            public void opened(PeerConnection connection) {}
+
+            @Override
+            public void received(PeerConnection connection, Inbound inbound) {
+                received.accept(inbound);
+            }
+
+            @Override
+            public void closed(PeerConnection connection) {
+                closed.accept(connection);
+            }
+        };
+    }
+}
--- /dev/null
+++ b/figspan-wire/src/test/java/io/figspan/wire/FrameCodecProperties.java
@@ -0,0 +1,93 @@
+package io.figspan.wire;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.figspan.cluster.message.Bytes;
+import io.figspan.cluster.message.MemberUpdate;
+import io.figspan.cluster.message.PartChange;
+import io.figspan.cluster.message.PartDigest;
+import io.figspan.cluster.message.Peer;
+import io.figspan.cluster.message.PeerAddress;
+import io.figspan.cluster.message.PeerMessage;
+import io.figspan.cluster.message.Piggyback;
+import io.figspan.core.error.FigspanException;
+import io.figspan.core.error.ProblemKind;
+import io.figspan.core.id.AvailabilityZoneId;
+import io.figspan.core.id.BackendIncarnation;
+import io.figspan.core.id.BackendServerId;
+import io.figspan.core.id.HostId;
+import io.figspan.core.id.HostIncarnation;
+import io.figspan.core.id.OrganisationId;
+import io.figspan.core.id.SettingsVersion;
+import io.figspan.core.time.HybridTimestamp;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+/** Guards against messages that change on the way and against bytes that crash the reader. */
+class FrameCodecProperties {
+    private static final HostIncarnation HOST = new HostIncarnation(HostId.of("host-17"), 1_790_000_000_123L);
+    private static final Bytes SOME = Bytes.wrap(new byte[] {1, 2, 3});
+    private static final SettingsVersion V9 = new SettingsVersion(9);
+    private static final Piggyback PIGGYBACK = new Piggyback(
+            V9,
+            List.of(
+                    new MemberUpdate.Alive(
+                            new Peer(HOST, AvailabilityZoneId.of("az-b"), new PeerAddress("127.0.0.1", 65_535)), 3),
+                    new MemberUpdate.Suspect(HOST, 4, HostId.of("host-3")),
+                    new MemberUpdate.Gone(HOST, 5, true),
+                    new MemberUpdate.Gone(HOST, 5, false)),
+            List.of(new BackendIncarnation(BackendServerId.of("engine-1"), 2)));
+    private static final List<PeerMessage> ONE_OF_EACH = List.of(
+            new PeerMessage.Ping(1, PIGGYBACK),
+            new PeerMessage.Ack(1, true, PIGGYBACK),
+            new PeerMessage.PingRequest(2, HOST, Piggyback.NONE),
+            new PeerMessage.MembersPull("host-2"),
+            new PeerMessage.MembersPage(PIGGYBACK.updates(), true),
+            new PeerMessage.LeavingNotice(PIGGYBACK.leaving()),
+            new PeerMessage.SettingsOffer(V9),
+            new PeerMessage.SettingsPull(V9),
+            new PeerMessage.SettingsManifest(V9, V9, List.of(new PartDigest("fleet", SOME)), List.of("gone")),
+            new PeerMessage.SettingsPartPull(V9, "fleet", SOME),
+            new PeerMessage.SettingsPart(V9, new PartChange("fleet", SOME, Bytes.EMPTY, SOME)),
+            new PeerMessage.LoanRequest(3, OrganisationId.of("org"), 500),
+            new PeerMessage.LoanGrant(3, HostId.of("host-4"), OrganisationId.of("org"), 500, 2_000),
+            new PeerMessage.ForwardOrder(4, "ticket", "org", "request", 1_500, SOME),
+            new PeerMessage.OutcomeQuery(5, "ticket", "org"),
+            new PeerMessage.OrderOutcome(5, 200, "application/json", SOME));
+
+    @Test
+    void eachKindOfMessageIsReadAsItWasWritten() {
+        assertEquals(MessageKind.values().length, ONE_OF_EACH.size());
+        HybridTimestamp timestamp = new HybridTimestamp(1_790_000_000_500L, 12);
+        for (PeerMessage message : ONE_OF_EACH) {
+            FrameCodec.Decoded decoded = FrameCodec.decode(FrameCodec.encode(message, timestamp));
+            assertEquals(message, decoded.message());
+            assertEquals(timestamp, decoded.timestamp());
+        }
+    }
+
+    @Property(seed = "11")
+    void randomBytesAreOnlyEverRefused(@ForAll @Size(min = 1, max = 200) byte[] body) {
+        decodeOrRefuse(body);
+    }
+
+    @Property(seed = "12")
+    void messagesWithChangedBytesAreReadOrRefused(
+            @ForAll @IntRange(max = 15) int kind, @ForAll @IntRange(max = 400) int position, @ForAll byte value) {
+        byte[] body = FrameCodec.encode(ONE_OF_EACH.get(kind), HybridTimestamp.ZERO);
+        body[position % body.length] = value;
+        decodeOrRefuse(body);
+    }
+
+    private static void decodeOrRefuse(byte[] body) {
+        try {
+            FrameCodec.decode(body);
+        } catch (FigspanException refusal) {
+            assertEquals(ProblemKind.FRAME_REFUSED, refusal.kind());
+        }
+    }
+}
--- /dev/null
+++ b/figspan-wire/src/test/java/io/figspan/wire/PeerPortTest.java
@@ -0,0 +1,120 @@
+package io.figspan.wire;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.figspan.cluster.message.Bytes;
+import io.figspan.cluster.message.Peer;
+import io.figspan.cluster.message.PeerAddress;
+import io.figspan.cluster.message.PeerMessage;
+import io.figspan.core.error.FigspanException;
+import io.figspan.core.error.ProblemKind;
+import io.figspan.core.id.AvailabilityZoneId;
+import io.figspan.core.id.HostId;
+import io.figspan.core.id.HostIncarnation;
+import io.figspan.core.time.HybridClock;
+import io.reactivex.rxjava3.disposables.Disposable;
+import io.vertx.core.Vertx;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a peer port that foreign bytes can disturb, and against requests that never end. */
+class PeerPortTest {
+    private static final String LOOPBACK = "127.0.0.1";
+    private static final int LIMIT_SECONDS = 20;
+
+    private final Vertx vertx = Vertx.vertx();
+    private final WireStats serverStats = new WireStats();
+    private PeerServer server;
+    private Disposable echoes;
+    private PeerClient client;
+    private PeerAddress serverAddress;
+
+    @BeforeEach
+    void start() {
+        server = new PeerServer(vertx, vertx.getOrCreateContext(), identity("server"), serverStats);
+        echoes = server.inbound().subscribe(PeerPortTest::echo);
+        assertTrue(server.listen(LOOPBACK, 0).blockingAwait(LIMIT_SECONDS, TimeUnit.SECONDS));
+        serverAddress = new PeerAddress(LOOPBACK, server.actualPort());
+        client = new PeerClient(vertx, vertx.getOrCreateContext(), identity("client"), new WireStats(), new Random(1));
+    }
+
+    @AfterEach
+    void stop() {
+        assertTrue(client.close().blockingAwait(LIMIT_SECONDS, TimeUnit.SECONDS));
+        assertTrue(server.close().blockingAwait(LIMIT_SECONDS, TimeUnit.SECONDS));
+        echoes.dispose();
+        vertx.close().toCompletionStage().toCompletableFuture().join();
+    }
+
+    @Test
+    void aRequestGetsTheOutcomeOfItsOwnCorrelation() {
+        for (String body : new String[] {"one", "two"}) {
+            assertEquals(body, new String(forward(body).body().toArray(), StandardCharsets.UTF_8));
+        }
+    }
+
+    @Test
+    void garbageClosesItsOwnConnectionAndNothingElse() throws IOException {
+        forward("before");
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), server.actualPort())) {
+            socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(LIMIT_SECONDS));
+            byte[] garbage = new byte[10_000];
+            new Random(2).nextBytes(garbage);
+            socket.getOutputStream().write(garbage);
+            readUntilClosed(socket);
+        }
+        assertEquals(1, serverStats.snapshot().refusedFrames());
+        assertEquals("after", new String(forward("after").body().toArray(), StandardCharsets.UTF_8));
+        assertEquals(1, serverStats.snapshot().openedConnections());
+    }
+
+    @Test
+    void aRequestToAnAddressWithoutAListenerFailsAsUnreachable() {
+        PeerAddress nobody = new PeerAddress(LOOPBACK, 1);
+        FigspanException failure =
+                assertThrows(FigspanException.class, () -> client.request(nobody, id -> order(id, "x"), 200)
+                        .blockingGet());
+        assertEquals(ProblemKind.OWNER_UNREACHABLE, failure.kind());
+    }
+
+    private PeerMessage.OrderOutcome forward(String body) {
+        return client.request(serverAddress, id -> order(id, body), TimeUnit.SECONDS.toMillis(LIMIT_SECONDS))
+                .blockingGet();
+    }
+
+    private static PeerMessage.ForwardOrder order(long correlationId, String body) {
+        Bytes bytes = Bytes.wrap(body.getBytes(StandardCharsets.UTF_8));
+        return new PeerMessage.ForwardOrder(correlationId, "ticket", "org", "request", 1_000, bytes);
+    }
+
+    private static void echo(Inbound inbound) {
+        if (inbound.message() instanceof PeerMessage.ForwardOrder order) {
+            inbound.link().send(new PeerMessage.OrderOutcome(order.correlationId(), 200, "text/plain", order.body()));
+        }
+    }
+
+    private static void readUntilClosed(Socket socket) throws IOException {
+        try {
+            socket.getInputStream().readAllBytes();
+        } catch (SocketException reset) {
+            assertEquals("Connection reset", reset.getMessage());
+        }
+    }
+
+    private static PeerIdentity identity(String host) {
+        Peer self = new Peer(
+                new HostIncarnation(HostId.of(host), 1), AvailabilityZoneId.of("az1"), new PeerAddress(LOOPBACK, 7000));
+        PeerKey key = PeerKey.of("0123456789abcdef".getBytes(StandardCharsets.UTF_8));
+        return new PeerIdentity(self, key, new HybridClock(System::currentTimeMillis));
+    }
+}
