Add membership, the spread of settings and loans of limit shares

Cause: hosts know nothing of each other, so settings, limits and entry lists cannot be shared between them.

Change: pure classes in figspan-cluster. A digest of the live set in each frame starts a comparison of the member lists when it differs for long, and a member that a peer reports alive is probed early.

Found by the tests: a pull whose first parts were lost waited for them until its peer was given up; it now asks for single parts.

--- /dev/null
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/loan/package-info.java
@@ -0,0 +1,2 @@
+/** Loans of unused limit shares between hosts. */
+package io.figspan.cluster.loan;
--- a/figspan-cluster/src/main/java/io/figspan/cluster/message/PeerMessage.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/message/PeerMessage.java
@@ -22,7 +22,13 @@
     record PingRequest(long probe, HostIncarnation target, Piggyback piggyback) implements PeerMessage {}
 
     /** Asks for the members whose host ids come after {@code after}; an empty text asks from the start. */
-    record MembersPull(String after) implements PeerMessage {}
+    record MembersPull(String after) implements PeerMessage {
+        public MembersPull {
+            if (!after.isEmpty()) {
+                HostId.of(after);
+            }
+        }
+    }
 
     /** One page of the sender's live members in the order of their host ids. */
     record MembersPage(List<MemberUpdate> updates, boolean more) implements PeerMessage {
@@ -46,9 +52,16 @@
     /** Asks for what changed from {@code have} to the receiver's version, or for everything from version 0. */
     record SettingsPull(SettingsVersion have) implements PeerMessage {}
 
-    /** Start of the answer to a pull: the parts that changed or went, relative to {@code base}. Small parts follow. */
+    /**
+     * Start of the answer to a pull: the parts that changed or went, relative to {@code base}. The first
+     * {@code inlineParts} of them follow unasked; the others are to be asked for one by one.
+     */
     record SettingsManifest(
-            SettingsVersion version, SettingsVersion base, List<PartDigest> changed, List<String> removed)
+            SettingsVersion version,
+            SettingsVersion base,
+            int inlineParts,
+            List<PartDigest> changed,
+            List<String> removed)
             implements PeerMessage {
         public SettingsManifest {
             changed = List.copyOf(changed);
@@ -64,11 +77,14 @@
 
     // Limits
 
-    /** Asks a home host of the organisation for unused tokens of work. */
-    record LoanRequest(long requestId, OrganisationId organisation, long tokens) implements PeerMessage {}
+    /** Asks a home host of the organisation for a part of its unused share. */
+    record LoanRequest(long requestId, OrganisationId organisation, long tokensPerSecond) implements PeerMessage {}
 
-    /** Lends tokens; the borrower may use them until {@code leaseMs} after it sent the request. */
-    record LoanGrant(long requestId, HostId lender, OrganisationId organisation, long tokens, long leaseMs)
+    /**
+     * Lends a part of the sender's share; 0 refuses. The borrower may use it until {@code leaseMs} after it sent the
+     * request, on its own clock.
+     */
+    record LoanGrant(long requestId, OrganisationId organisation, long tokensPerSecond, long leaseMs)
             implements PeerMessage {}
 
     // Orders; their fields are opaque here
--- a/figspan-cluster/src/main/java/io/figspan/cluster/message/Piggyback.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/message/Piggyback.java
@@ -4,9 +4,15 @@
 import io.figspan.core.id.SettingsVersion;
 import java.util.List;
 
-/** What each membership frame carries besides its own purpose. */
-public record Piggyback(SettingsVersion settings, List<MemberUpdate> updates, List<BackendIncarnation> leaving) {
-    public static final Piggyback NONE = new Piggyback(SettingsVersion.NONE, List.of(), List.of());
+/**
+ * What each membership frame carries besides its own purpose.
+ *
+ * @param settings version in force at the sender
+ * @param viewDigest digest of the sender's set of live members; a lasting difference starts a comparison of the lists
+ */
+public record Piggyback(
+        SettingsVersion settings, int viewDigest, List<MemberUpdate> updates, List<BackendIncarnation> leaving) {
+    public static final Piggyback NONE = new Piggyback(SettingsVersion.NONE, 0, List.of(), List.of());
 
     public Piggyback {
         updates = List.copyOf(updates);
--- /dev/null
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/spread/package-info.java
@@ -0,0 +1,2 @@
+/** Dissemination of settings versions between hosts. */
+package io.figspan.cluster.spread;
--- /dev/null
+++ b/figspan-cluster/src/test/java/io/figspan/cluster/LogicalFleet.java
@@ -0,0 +1,297 @@
+package io.figspan.cluster;
+
+import io.figspan.cluster.action.ClusterAction;
+import io.figspan.cluster.loan.OwnShares;
+import io.figspan.cluster.membership.MembershipTuning;
+import io.figspan.cluster.message.Bytes;
+import io.figspan.cluster.message.Peer;
+import io.figspan.cluster.message.PeerAddress;
+import io.figspan.cluster.message.PeerMessage;
+import io.figspan.cluster.spread.SettingsContent;
+import io.figspan.core.id.AvailabilityZoneId;
+import io.figspan.core.id.BackendIncarnation;
+import io.figspan.core.id.HostId;
+import io.figspan.core.id.HostIncarnation;
+import io.figspan.core.id.OrganisationId;
+import io.figspan.core.id.SettingsVersion;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiPredicate;
+
+/** Runs cluster hosts in logical time over links that lose, delay, double and cut messages, from one seed. */
+public final class LogicalFleet {
+    private static final int ZONES = 3;
+    private static final long MAX_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
+
+    public final List<Node> nodes = new ArrayList<>();
+    public long nowNanos;
+    public double lossShare;
+    public double doubleShare;
+    public long extraDelayNanos;
+    public BiPredicate<Integer, Integer> cut = (from, to) -> false;
+    /** What the configuration service answers; null while it is down. */
+    public SettingsContent service = SettingsContent.NONE;
+
+    private final SplittableRandom random;
+    private final List<PeerAddress> seeds;
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(Comparator.comparingLong(Event::atNanos).thenComparingLong(Event::order));
+    private final Map<Long, Long> lastArrivals = new HashMap<>();
+    private long nextOrder;
+
+    private record Event(long atNanos, long order, Runnable action) {}
+
+    /** One seat with its current process. */
+    public final class Node {
+        public final int index;
+        public ClusterHost host;
+        public boolean alive;
+        public boolean watching;
+        public boolean superseded;
+        public SettingsVersion inForce = SettingsVersion.NONE;
+        public final Set<BackendIncarnation> leaving = new HashSet<>();
+        private long incarnation;
+        private long pausedUntilNanos;
+        private final List<Runnable> whilePaused = new ArrayList<>();
+
+        Node(int index) {
+            this.index = index;
+        }
+
+        public Peer peer() {
+            return host.membership().self();
+        }
+
+        public void start() {
+            incarnation = 1_000 + TimeUnit.NANOSECONDS.toMillis(nowNanos);
+            Peer self = new Peer(
+                    new HostIncarnation(HostId.of("h" + index), incarnation),
+                    AvailabilityZoneId.of("az" + index % ZONES),
+                    address(index));
+            host = new ClusterHost(self, seeds, MembershipTuning.DEFAULTS, new NoShares(), random.split(), nowNanos);
+            alive = true;
+            watching = false;
+            superseded = false;
+            inForce = SettingsVersion.NONE;
+            leaving.clear();
+            schedule(random.nextLong(ClusterHost.TICK_NANOS), ticker(incarnation));
+        }
+
+        public void kill() {
+            alive = false;
+        }
+
+        public void pause(long nanos) {
+            pausedUntilNanos = nowNanos + nanos;
+            schedule(nanos, () -> {
+                List<Runnable> waiting = new ArrayList<>(whilePaused);
+                whilePaused.clear();
+                waiting.forEach(Runnable::run);
+            });
+        }
+
+        public boolean isPaused() {
+            return nowNanos < pausedUntilNanos;
+        }
+
+        public Set<String> liveView() {
+            Set<String> view = new TreeSet<>();
+            host.membership().live().forEach(peer -> view.add(peer.incarnation().toString()));
+            return view;
+        }
+
+        public void carryOut(List<ClusterAction> actions, int repliesTo) {
+            for (ClusterAction action : actions) {
+                if (action instanceof ClusterAction.Send send) {
+                    deliver(index, send.to().port() - 1, send.message());
+                } else if (action instanceof ClusterAction.Reply reply) {
+                    deliver(index, repliesTo, reply.message());
+                } else if (action instanceof ClusterAction.BackendLeaving backend) {
+                    leaving.add(backend.backend());
+                } else if (action instanceof ClusterAction.Superseded) {
+                    superseded = true;
+                } else if (action instanceof ClusterAction.WatchService watch) {
+                    watching = watch.watch();
+                    readService();
+                } else if (action instanceof ClusterAction.ReadService) {
+                    readService();
+                } else if (action instanceof ClusterAction.AdoptSettings adopt) {
+                    adopt(adopt.content());
+                }
+            }
+        }
+
+        void readService() {
+            if (service != null && service.version().isNewerThan(SettingsVersion.NONE)) {
+                carryOut(host.readFromService(service, nowNanos), index);
+            }
+        }
+
+        private void adopt(SettingsContent content) {
+            if (content.parts().containsKey("invalid")) {
+                host.rejected(content.version());
+                return;
+            }
+            if (!content.version().isNewerThan(inForce)) {
+                throw new AssertionError("h" + index + " went from " + inForce + " to " + content.version());
+            }
+            inForce = content.version();
+            carryOut(host.adopted(content.version(), nowNanos), index);
+        }
+
+        private Runnable ticker(long ofIncarnation) {
+            return () -> {
+                if (!alive || incarnation != ofIncarnation) {
+                    return;
+                }
+                if (isPaused()) {
+                    whilePaused.add(ticker(ofIncarnation));
+                    return;
+                }
+                carryOut(host.tick(nowNanos), index);
+                schedule(ClusterHost.TICK_NANOS, ticker(ofIncarnation));
+            };
+        }
+
+        private void receive(Peer from, PeerMessage message) {
+            if (!alive) {
+                return;
+            }
+            if (isPaused()) {
+                whilePaused.add(() -> receive(from, message));
+                return;
+            }
+            carryOut(host.receive(from, message, nowNanos), from.address().port() - 1);
+        }
+    }
+
+    private static final class NoShares implements OwnShares {
+        @Override
+        public double ownTokensPerSecond(OrganisationId organisation, long atNanos) {
+            return 0;
+        }
+
+        @Override
+        public double usedTokensPerSecond(OrganisationId organisation, long atNanos) {
+            return 0;
+        }
+    }
+
+    public LogicalFleet(int size, long seed) {
+        random = new SplittableRandom(seed);
+        seeds = List.of(address(0), address(1), address(2));
+        for (int i = 0; i < size; i++) {
+            nodes.add(new Node(i));
+        }
+        nodes.forEach(Node::start);
+    }
+
+    /** Publishes a version with a large shared part and a small one that changes. */
+    public static SettingsContent content(long version) {
+        String shared = "[fleet]\n" + "runner = \"engine group with some text\"\n".repeat(200);
+        String small = "version = " + version + "\n";
+        return SettingsContent.of(
+                new SettingsVersion(version), Map.of("fleet", bytes(shared + small), "small", bytes(small)));
+    }
+
+    public static Bytes bytes(String text) {
+        return Bytes.wrap(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    public void publish(SettingsContent content) {
+        service = content;
+        nodes.stream()
+                .filter(node -> node.alive && node.watching && !node.isPaused())
+                .forEach(Node::readService);
+    }
+
+    public void run(long seconds) {
+        runUntil(nowNanos + TimeUnit.SECONDS.toNanos(seconds));
+    }
+
+    public void runUntil(long endNanos) {
+        while (!events.isEmpty() && events.peek().atNanos() <= endNanos) {
+            Event event = events.poll();
+            nowNanos = event.atNanos();
+            event.action().run();
+        }
+        nowNanos = endNanos;
+    }
+
+    /** Live processes as an observer with perfect knowledge sees them. */
+    public Set<String> reference() {
+        Set<String> live = new TreeSet<>();
+        nodes.stream()
+                .filter(node -> node.alive
+                        && !node.superseded
+                        && !node.host.membership().isStopped())
+                .forEach(node -> live.add(node.peer().incarnation().toString()));
+        return live;
+    }
+
+    /** Runs until each running process sees exactly the reference; fails after the limit. */
+    public void requireReferenceWithin(long limitSeconds) {
+        for (long second = 0; second < limitSeconds; second++) {
+            run(1);
+            if (running().allMatch(node -> node.liveView().equals(reference()))) {
+                return;
+            }
+        }
+        StringBuilder wrong = new StringBuilder();
+        running()
+                .filter(node -> !node.liveView().equals(reference()))
+                .forEach(node ->
+                        wrong.append("h").append(node.index).append(" sees ").append(node.liveView()));
+        throw new AssertionError("after " + limitSeconds + " s " + wrong + " instead of " + reference());
+    }
+
+    public java.util.stream.Stream<Node> running() {
+        return nodes.stream()
+                .filter(node -> node.alive
+                        && !node.isPaused()
+                        && !node.host.membership().isStopped());
+    }
+
+    private void schedule(long delayNanos, Runnable action) {
+        events.add(new Event(nowNanos + delayNanos, nextOrder++, action));
+    }
+
+    private void deliver(int from, int to, PeerMessage message) {
+        if (cut.test(from, to) || random.nextDouble() < lossShare) {
+            return;
+        }
+        Peer sender = nodes.get(from).peer();
+        int copies = random.nextDouble() < doubleShare ? 2 : 1;
+        for (int i = 0; i < copies; i++) {
+            long delayNanos = arrivalNanos(from, to) - nowNanos;
+            schedule(delayNanos, () -> {
+                if (!cut.test(from, to)) {
+                    nodes.get(to).receive(sender, message);
+                }
+            });
+        }
+    }
+
+    /** Keeps the order of a connection, unless extra delay is on, which reorders messages. */
+    private long arrivalNanos(int from, int to) {
+        long atNanos = nowNanos + 1 + random.nextLong(MAX_DELAY_NANOS + extraDelayNanos);
+        if (extraDelayNanos > 0) {
+            return atNanos;
+        }
+        return lastArrivals.merge((long) from * nodes.size() + to, atNanos, (last, next) -> Math.max(last + 1, next));
+    }
+
+    private static PeerAddress address(int index) {
+        return new PeerAddress("127.0.0.1", index + 1);
+    }
+}
--- a/figspan-wire/src/main/java/io/figspan/wire/MessageReader.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/MessageReader.java
@@ -42,7 +42,8 @@
             case SETTINGS_OFFER -> new PeerMessage.SettingsOffer(readVersion());
             case SETTINGS_PULL -> new PeerMessage.SettingsPull(readVersion());
             case SETTINGS_MANIFEST ->
-                new PeerMessage.SettingsManifest(readVersion(), readVersion(), readDigests(), readNames());
+                new PeerMessage.SettingsManifest(
+                        readVersion(), readVersion(), unpacker.unpackInt(), readDigests(), readNames());
             case SETTINGS_PART ->
                 new PeerMessage.SettingsPart(
                         readVersion(), new PartChange(readString(), readBytes(), readBytes(), readBytes()));
@@ -53,7 +54,6 @@
             case LOAN_GRANT ->
                 new PeerMessage.LoanGrant(
                         unpacker.unpackLong(),
-                        HostId.of(readString()),
                         OrganisationId.of(readString()),
                         unpacker.unpackLong(),
                         unpacker.unpackLong());
@@ -72,7 +72,7 @@
     }
 
     private Piggyback readPiggyback() throws IOException {
-        return new Piggyback(readVersion(), readUpdates(), readLeaving());
+        return new Piggyback(readVersion(), unpacker.unpackInt(), readUpdates(), readLeaving());
     }
 
     private SettingsVersion readVersion() throws IOException {
--- a/figspan-wire/src/main/java/io/figspan/wire/MessageWriter.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/MessageWriter.java
@@ -67,6 +67,7 @@
         } else if (message instanceof PeerMessage.SettingsManifest manifest) {
             packer.packLong(manifest.version().number());
             packer.packLong(manifest.base().number());
+            packer.packInt(manifest.inlineParts());
             packer.packArrayHeader(manifest.changed().size());
             for (PartDigest part : manifest.changed()) {
                 packer.packString(part.name());
@@ -94,12 +95,11 @@
         if (message instanceof PeerMessage.LoanRequest request) {
             packer.packLong(request.requestId());
             packer.packString(request.organisation().value());
-            packer.packLong(request.tokens());
+            packer.packLong(request.tokensPerSecond());
         } else if (message instanceof PeerMessage.LoanGrant grant) {
             packer.packLong(grant.requestId());
-            packer.packString(grant.lender().value());
             packer.packString(grant.organisation().value());
-            packer.packLong(grant.tokens());
+            packer.packLong(grant.tokensPerSecond());
             packer.packLong(grant.leaseMs());
         }
     }
@@ -126,6 +126,7 @@
 
     private void writePiggyback(Piggyback piggyback) throws IOException {
         packer.packLong(piggyback.settings().number());
+        packer.packInt(piggyback.viewDigest());
         writeUpdates(piggyback.updates());
         writeLeaving(piggyback.leaving());
     }
--- a/figspan-wire/src/test/java/io/figspan/wire/FrameCodecProperties.java
+++ b/figspan-wire/src/test/java/io/figspan/wire/FrameCodecProperties.java
@@ -34,6 +34,7 @@
     private static final SettingsVersion V9 = new SettingsVersion(9);
     private static final Piggyback PIGGYBACK = new Piggyback(
             V9,
+            -77,
             List.of(
                     new MemberUpdate.Alive(
                             new Peer(HOST, AvailabilityZoneId.of("az-b"), new PeerAddress("127.0.0.1", 65_535)), 3),
@@ -50,11 +51,11 @@
             new PeerMessage.LeavingNotice(PIGGYBACK.leaving()),
             new PeerMessage.SettingsOffer(V9),
             new PeerMessage.SettingsPull(V9),
-            new PeerMessage.SettingsManifest(V9, V9, List.of(new PartDigest("fleet", SOME)), List.of("gone")),
+            new PeerMessage.SettingsManifest(V9, V9, 1, List.of(new PartDigest("fleet", SOME)), List.of("gone")),
             new PeerMessage.SettingsPartPull(V9, "fleet", SOME),
             new PeerMessage.SettingsPart(V9, new PartChange("fleet", SOME, Bytes.EMPTY, SOME)),
             new PeerMessage.LoanRequest(3, OrganisationId.of("org"), 500),
-            new PeerMessage.LoanGrant(3, HostId.of("host-4"), OrganisationId.of("org"), 500, 2_000),
+            new PeerMessage.LoanGrant(3, OrganisationId.of("org"), 500, 2_000),
             new PeerMessage.ForwardOrder(4, "ticket", "org", "request", 1_500, SOME),
             new PeerMessage.OutcomeQuery(5, "ticket", "org"),
             new PeerMessage.OrderOutcome(5, 200, "application/json", SOME));
