--- /dev/null
+++ b/figspan-settings/src/main/java/io/figspan/settings/SettingFault.java
@@ -0,0 +1,31 @@
+package io.figspan.settings;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.figspan.core.error.FigspanException;
+import io.figspan.core.error.Location;
+import io.figspan.core.error.ProblemKind;
+import java.util.Optional;
+
+/** A value that its key refuses. The reader adds the location of the key. */
+final class SettingFault extends FigspanException {
+    private static final long serialVersionUID = 1L;
+
+    SettingFault(String detail) {
+        super(ProblemKind.SETTINGS_INVALID, detail, Location.of("settings"));
+    }
+
+    static String suggestion(Optional<String> nearest) {
+        return nearest.map(name -> "; did you mean '" + name + "'?").orElse("");
+    }
+
+    static String describe(JsonNode node) {
+        return switch (node.getNodeType()) {
+            case OBJECT -> "a table";
+            case ARRAY -> "an array";
+            case STRING -> "the string \"" + node.textValue() + "\"";
+            case NUMBER -> "the number " + node.asText();
+            case BOOLEAN -> node.asText();
+            default -> "a value of another type";
+        };
+    }
+}
--- /dev/null
+++ b/figspan-settings/src/main/java/io/figspan/settings/SettingsSnapshot.java
@@ -0,0 +1,112 @@
+package io.figspan.settings;
+
+import io.figspan.core.error.FigspanException;
+import io.figspan.core.error.Location;
+import io.figspan.core.error.Problem;
+import io.figspan.core.error.ProblemKind;
+import io.figspan.core.error.Result;
+import io.figspan.core.id.SettingsVersion;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** One whole version of the settings: the manifest, its parts with checked digests, and the tree read from them. */
+public final class SettingsSnapshot {
+    private final SettingsManifest manifest;
+    private final List<SettingsPart> parts;
+    private final SettingsTree tree;
+
+    private SettingsSnapshot(SettingsManifest manifest, List<SettingsPart> parts, SettingsTree tree) {
+        this.manifest = manifest;
+        this.parts = parts;
+        this.tree = tree;
+    }
+
+    /**
+     * Checks that each part of the manifest is there with the digest and size it should have and that the tree is
+     * valid. Parts that the manifest does not name are ignored.
+     */
+    public static Result<SettingsSnapshot> assemble(SettingsManifest manifest, Collection<SettingsPart> available) {
+        Map<String, SettingsPart> byName = new HashMap<>();
+        available.forEach(part -> byName.put(part.name(), part));
+        List<SettingsPart> parts = new ArrayList<>();
+        for (SettingsManifest.PartDigest wanted : manifest.parts()) {
+            SettingsPart part = byName.get(wanted.name());
+            Optional<String> fault = findFault(wanted, part);
+            if (fault.isPresent()) {
+                return refused(manifest, fault.get());
+            }
+            parts.add(part);
+        }
+        try {
+            SettingsTree tree = SettingsTreeReader.read(parts);
+            return Result.ok(new SettingsSnapshot(manifest, List.copyOf(parts), tree));
+        } catch (FigspanException e) {
+            return refused(manifest, e.location() + ": " + e.detail());
+        }
+    }
+
+    /** Makes the snapshot that publishing these parts gives; throws when they are invalid. */
+    public static SettingsSnapshot of(long version, List<SettingsPart> parts) {
+        return assemble(SettingsManifest.of(version, parts), parts).orThrow(Location.of("settings"));
+    }
+
+    public SettingsVersion version() {
+        return manifest.version();
+    }
+
+    public SettingsManifest manifest() {
+        return manifest;
+    }
+
+    /** The parts in the order of the manifest. */
+    public List<SettingsPart> parts() {
+        return parts;
+    }
+
+    public Optional<SettingsPart> part(String name) {
+        return parts.stream().filter(part -> part.name().equals(name)).findFirst();
+    }
+
+    /**
+     * The parts of this snapshot whose digests another manifest asks for; what remains to be fetched is the rest of
+     * that manifest.
+     */
+    public List<SettingsPart> partsSharedWith(SettingsManifest other) {
+        return parts.stream()
+                .filter(part -> other.parts().contains(new SettingsManifest.PartDigest(part.name(), part.sha256())))
+                .toList();
+    }
+
+    public SettingsTree tree() {
+        return tree;
+    }
+
+    @Override
+    public String toString() {
+        return "SettingsSnapshot[version " + version() + ", " + parts.size() + " parts]";
+    }
+
+    private static Optional<String> findFault(SettingsManifest.PartDigest wanted, SettingsPart part) {
+        if (part == null) {
+            return Optional.of("part " + wanted.name() + " is missing");
+        }
+        if (part.sizeBytes() > SettingsPart.MAX_BYTES) {
+            return Optional.of("part " + wanted.name() + " has " + part.sizeBytes() + " bytes, more than "
+                    + SettingsPart.MAX_BYTES);
+        }
+        if (!part.sha256().equals(wanted.sha256())) {
+            return Optional.of("part " + wanted.name() + " has the digest " + part.sha256() + ", the manifest says "
+                    + wanted.sha256());
+        }
+        return Optional.empty();
+    }
+
+    private static Result<SettingsSnapshot> refused(SettingsManifest manifest, String fault) {
+        String detail = "version " + manifest.version() + " is refused: " + fault;
+        return Result.failed(Problem.notRun(ProblemKind.SETTINGS_INVALID, detail));
+    }
+}
--- /dev/null
+++ b/figspan-settings/src/main/java/io/figspan/settings/cfg/HostConfig.java
@@ -0,0 +1,294 @@
+package io.figspan.settings.cfg;
+
+import io.figspan.core.error.FigspanException;
+import io.figspan.core.error.Location;
+import io.figspan.core.error.ProblemKind;
+import io.figspan.core.id.AvailabilityZoneId;
+import io.figspan.core.id.HostId;
+import io.figspan.core.id.RegionId;
+import io.figspan.settings.Secret;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Configuration of one {@code figspand} process. Immutable; the {@code with} methods return changed copies.
+ *
+ * @param bindAddress IP address that all ports bind to and that other processes use
+ * @param callerPort port of the callers' HTTP interface; 0 lets the system choose
+ * @param operatorPort port of the operator's HTTP interface; 0 lets the system choose
+ * @param peerPort TCP port for other hosts; 0 lets the system choose
+ * @param seedPeers peer addresses asked first at startup
+ * @param peerKey key of the HMAC on frames between hosts
+ * @param tokenKey key of tickets and resume tokens; when absent, the setting {@code tokenKey} of the fleet is used
+ * @param configurationService address of the configuration service, if there is one
+ * @param hostList address of the platform's host list, if there is one
+ * @param keepSeconds how long callers may keep an entry list
+ * @param shutdownMarginSeconds how long a leaving host serves on after {@code keepSeconds}
+ */
+public record HostConfig(
+        HostId hostId,
+        RegionId region,
+        AvailabilityZoneId availabilityZone,
+        String bindAddress,
+        int callerPort,
+        int operatorPort,
+        int peerPort,
+        List<PeerAddress> seedPeers,
+        Secret peerKey,
+        Secret tokenKey,
+        Optional<PeerAddress> configurationService,
+        Optional<PeerAddress> hostList,
+        int keepSeconds,
+        int shutdownMarginSeconds) {
+    public static final int DEFAULT_CALLER_PORT = 7400;
+    public static final int DEFAULT_OPERATOR_PORT = 7401;
+    public static final int DEFAULT_PEER_PORT = 7402;
+
+    /** Callers are sent to the next address after a failure, so a minute bounds only the use of a stale list. */
+    public static final int DEFAULT_KEEP_SECONDS = 60;
+
+    /** Covers the network and the scheduling delay of a caller that used its list at the last moment. */
+    public static final int DEFAULT_SHUTDOWN_MARGIN_SECONDS = 5;
+
+    public HostConfig {
+        seedPeers = List.copyOf(seedPeers);
+        requirePort("callerPort", callerPort);
+        requirePort("operatorPort", operatorPort);
+        requirePort("peerPort", peerPort);
+        requireAtLeastZero("keepSeconds", keepSeconds);
+        requireAtLeastZero("shutdownMarginSeconds", shutdownMarginSeconds);
+    }
+
+    /** A configuration with default ports on the loopback address, without seeds, keys or platform addresses. */
+    public static HostConfig of(HostId hostId, RegionId region, AvailabilityZoneId availabilityZone) {
+        return new HostConfig(
+                hostId,
+                region,
+                availabilityZone,
+                "127.0.0.1",
+                DEFAULT_CALLER_PORT,
+                DEFAULT_OPERATOR_PORT,
+                DEFAULT_PEER_PORT,
+                List.of(),
+                Secret.NONE,
+                Secret.NONE,
+                Optional.empty(),
+                Optional.empty(),
+                DEFAULT_KEEP_SECONDS,
+                DEFAULT_SHUTDOWN_MARGIN_SECONDS);
+    }
+
+    public HostConfig withBindAddress(String newBindAddress) {
+        return new HostConfig(
+                hostId,
+                region,
+                availabilityZone,
+                newBindAddress,
+                callerPort,
+                operatorPort,
+                peerPort,
+                seedPeers,
+                peerKey,
+                tokenKey,
+                configurationService,
+                hostList,
+                keepSeconds,
+                shutdownMarginSeconds);
+    }
+
+    public HostConfig withCallerPort(int newCallerPort) {
+        return new HostConfig(
+                hostId,
+                region,
+                availabilityZone,
+                bindAddress,
+                newCallerPort,
+                operatorPort,
+                peerPort,
+                seedPeers,
+                peerKey,
+                tokenKey,
+                configurationService,
+                hostList,
+                keepSeconds,
+                shutdownMarginSeconds);
+    }
+
+    public HostConfig withOperatorPort(int newOperatorPort) {
+        return new HostConfig(
+                hostId,
+                region,
+                availabilityZone,
+                bindAddress,
+                callerPort,
+                newOperatorPort,
+                peerPort,
+                seedPeers,
+                peerKey,
+                tokenKey,
+                configurationService,
+                hostList,
+                keepSeconds,
+                shutdownMarginSeconds);
+    }
+
+    public HostConfig withPeerPort(int newPeerPort) {
+        return new HostConfig(
+                hostId,
+                region,
+                availabilityZone,
+                bindAddress,
+                callerPort,
+                operatorPort,
+                newPeerPort,
+                seedPeers,
+                peerKey,
+                tokenKey,
+                configurationService,
+                hostList,
+                keepSeconds,
+                shutdownMarginSeconds);
+    }
+
+    public HostConfig withSeedPeers(List<PeerAddress> newSeedPeers) {
+        return new HostConfig(
+                hostId,
+                region,
+                availabilityZone,
+                bindAddress,
+                callerPort,
+                operatorPort,
+                peerPort,
+                newSeedPeers,
+                peerKey,
+                tokenKey,
+                configurationService,
+                hostList,
+                keepSeconds,
+                shutdownMarginSeconds);
+    }
+
+    public HostConfig withPeerKey(Secret newPeerKey) {
+        return new HostConfig(
+                hostId,
+                region,
+                availabilityZone,
+                bindAddress,
+                callerPort,
+                operatorPort,
+                peerPort,
+                seedPeers,
+                newPeerKey,
+                tokenKey,
+                configurationService,
+                hostList,
+                keepSeconds,
+                shutdownMarginSeconds);
+    }
+
+    public HostConfig withTokenKey(Secret newTokenKey) {
+        return new HostConfig(
+                hostId,
+                region,
+                availabilityZone,
+                bindAddress,
+                callerPort,
+                operatorPort,
+                peerPort,
+                seedPeers,
+                peerKey,
+                newTokenKey,
+                configurationService,
+                hostList,
+                keepSeconds,
+                shutdownMarginSeconds);
+    }
+
+    public HostConfig withConfigurationService(PeerAddress newConfigurationService) {
+        return new HostConfig(
+                hostId,
+                region,
+                availabilityZone,
+                bindAddress,
+                callerPort,
+                operatorPort,
+                peerPort,
+                seedPeers,
+                peerKey,
+                tokenKey,
+                Optional.of(newConfigurationService),
+                hostList,
+                keepSeconds,
+                shutdownMarginSeconds);
+    }
+
+    public HostConfig withHostList(PeerAddress newHostList) {
+        return new HostConfig(
+                hostId,
+                region,
+                availabilityZone,
+                bindAddress,
+                callerPort,
+                operatorPort,
+                peerPort,
+                seedPeers,
+                peerKey,
+                tokenKey,
+                configurationService,
+                Optional.of(newHostList),
+                keepSeconds,
+                shutdownMarginSeconds);
+    }
+
+    public HostConfig withKeepSeconds(int newKeepSeconds) {
+        return new HostConfig(
+                hostId,
+                region,
+                availabilityZone,
+                bindAddress,
+                callerPort,
+                operatorPort,
+                peerPort,
+                seedPeers,
+                peerKey,
+                tokenKey,
+                configurationService,
+                hostList,
+                newKeepSeconds,
+                shutdownMarginSeconds);
+    }
+
+    public HostConfig withShutdownMarginSeconds(int newShutdownMarginSeconds) {
+        return new HostConfig(
+                hostId,
+                region,
+                availabilityZone,
+                bindAddress,
+                callerPort,
+                operatorPort,
+                peerPort,
+                seedPeers,
+                peerKey,
+                tokenKey,
+                configurationService,
+                hostList,
+                keepSeconds,
+                newShutdownMarginSeconds);
+    }
+
+    private static void requirePort(String name, int port) {
+        if (port < 0 || port > 65_535) {
+            throw invalid(name, "port " + port + " is outside 0 to 65535");
+        }
+    }
+
+    private static void requireAtLeastZero(String name, int value) {
+        if (value < 0) {
+            throw invalid(name, value + " is below 0");
+        }
+    }
+
+    private static FigspanException invalid(String name, String detail) {
+        return new FigspanException(ProblemKind.INVALID_VALUE, name + ": " + detail, Location.of("host file"));
+    }
+}
--- /dev/null
+++ b/figspan-settings/src/main/java/io/figspan/settings/cfg/package-info.java
@@ -0,0 +1,2 @@
+/** The configuration of one process, read from its host file. */
+package io.figspan.settings.cfg;
