Add the stand-ins for the platform

Cause: hosts need a configuration service, a host list and a weight store to run against. Change: PlatformStandins serves all three on one port, with control routes that make the service down, stale or back at an older version, change the lag of the list and the rate of the weight store; each call is counted. Conclusion: StandinsMain can start it with PlatformStandins.start.

--- /dev/null
+++ b/figspan-standin/src/main/java/io/figspan/standin/platform/PlatformStandins.java
@@ -0,0 +1,209 @@
+package io.figspan.standin.platform;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.figspan.core.event.Part;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.json.JsonObject;
+import io.vertx.ext.web.Router;
+import io.vertx.ext.web.RoutingContext;
+import io.vertx.ext.web.handler.BodyHandler;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * One HTTP server with the stand-ins for the platform: the configuration service (see {@link ConfigurationService}),
+ * the host list and the weight store.
+ *
+ * <p>{@code GET /hosts} gives the list. {@code GET /weights/MODEL/VERSION?megabytes=N} answers when the load is done,
+ * or 503 with {@code Retry-After}.
+ *
+ * <p>Control: {@code POST /control/hosts} replaces or adds the entries of a list in the body;
+ * {@code POST /control/hosts/state?id=ID&state=live|leaving}; {@code POST /control/hosts/remove?id=ID};
+ * {@code POST /control/hosts/lag?ms=N}; {@code POST /control/weights/rate?megabytesPerSecond=N};
+ * {@code GET /control/weights/counts}.
+ */
+public final class PlatformStandins {
+    /** Lag of the host list at the start, in ms; one second is shorter than the bound of 3 s for leaving servers. */
+    public static final long DEFAULT_LAG_MS = 1_000;
+
+    /** Rate of the weight store at the start. */
+    public static final long DEFAULT_MEGABYTES_PER_SECOND = 2_000;
+
+    private static final Logger LOG = LoggerFactory.getLogger(PlatformStandins.class);
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final int MAX_BODY_BYTES = 8 << 20;
+
+    private final Vertx vertx;
+    private final ConfigurationStore configuration = new ConfigurationStore();
+    private final LaggingHostList hostList = new LaggingHostList(TimeUnit.MILLISECONDS.toNanos(DEFAULT_LAG_MS));
+    private final WeightStore weights = new WeightStore(DEFAULT_MEGABYTES_PER_SECOND);
+    private final ConfigurationService configurationService;
+    private HttpServer server;
+
+    private PlatformStandins(Vertx vertx) {
+        this.vertx = vertx;
+        this.configurationService = new ConfigurationService(vertx, configuration);
+    }
+
+    /** Starts the stand-ins on one port; port 0 takes a free one, see {@link #port()}. */
+    public static Future<PlatformStandins> start(Vertx vertx, String address, int port) {
+        PlatformStandins standins = new PlatformStandins(vertx);
+        return vertx.createHttpServer()
+                .requestHandler(standins.router())
+                .listen(port, address)
+                .map(listening -> {
+                    standins.server = listening;
+                    LOG.info("{} platform listens on {}:{}", Part.STANDIN.logPrefix(), address, standins.port());
+                    return standins;
+                });
+    }
+
+    public int port() {
+        return server.actualPort();
+    }
+
+    public LaggingHostList hostList() {
+        return hostList;
+    }
+
+    public WeightStore weights() {
+        return weights;
+    }
+
+    public ConfigurationStore configuration() {
+        return configuration;
+    }
+
+    /** Answers pending watches after the store was changed without the control routes. */
+    public void wakeWatches() {
+        configurationService.wakeWatches();
+    }
+
+    public Future<Void> close() {
+        return server.close();
+    }
+
+    private Router router() {
+        Router router = Router.router(vertx);
+        router.post().handler(BodyHandler.create(false).setBodyLimit(MAX_BODY_BYTES));
+        configurationService.addRoutes(router);
+        router.get("/hosts").handler(this::readHosts);
+        router.post("/control/hosts").handler(this::writeHosts);
+        router.post("/control/hosts/state").handler(this::setState);
+        router.post("/control/hosts/remove").handler(this::removeHost);
+        router.post("/control/hosts/lag").handler(this::setLag);
+        router.get("/weights/:model/:version").handler(this::loadWeights);
+        router.post("/control/weights/rate").handler(this::setRate);
+        router.get("/control/weights/counts").handler(this::countWeights);
+        return router;
+    }
+
+    // --- Host list
+
+    private void readHosts(RoutingContext context) {
+        context.response()
+                .putHeader("Content-Type", "application/json")
+                .end(hostList.read(System.nanoTime()).toString());
+    }
+
+    private void writeHosts(RoutingContext context) {
+        JsonNode document;
+        try {
+            document = MAPPER.readTree(
+                    Optional.ofNullable(context.body().asString()).orElse(""));
+        } catch (JsonProcessingException e) {
+            ConfigurationService.refuse(context, "the body is not JSON");
+            return;
+        }
+        int written = 0;
+        for (LaggingHostList.Section section : LaggingHostList.Section.values()) {
+            for (JsonNode entry : document.path(section.wireName())) {
+                if (entry instanceof ObjectNode object && object.path("id").isTextual()) {
+                    hostList.upsert(section, object, System.nanoTime());
+                    written++;
+                }
+            }
+        }
+        context.json(new JsonObject().put("entries", written));
+    }
+
+    private void setState(RoutingContext context) {
+        String state = context.request().getParam("state", "");
+        if (!state.equals("live") && !state.equals("leaving")) {
+            ConfigurationService.refuse(context, "state is neither live nor leaving");
+            return;
+        }
+        answerFound(context, hostList.setState(context.request().getParam("id", ""), state, System.nanoTime()));
+    }
+
+    private void removeHost(RoutingContext context) {
+        answerFound(context, hostList.remove(context.request().getParam("id", ""), System.nanoTime()));
+    }
+
+    private static void answerFound(RoutingContext context, boolean found) {
+        context.response().setStatusCode(found ? 200 : 404);
+        context.json(new JsonObject().put("found", found));
+    }
+
+    private void setLag(RoutingContext context) {
+        Optional<Long> lagMs = ConfigurationService.number(context, "ms").filter(ms -> ms >= 0);
+        if (lagMs.isEmpty()) {
+            ConfigurationService.refuse(context, "needs the parameter ms of at least 0");
+            return;
+        }
+        hostList.setLagNanos(TimeUnit.MILLISECONDS.toNanos(lagMs.get()));
+        context.json(new JsonObject().put("lagMs", lagMs.get()));
+    }
+
+    // --- Weight store
+
+    private void loadWeights(RoutingContext context) {
+        Optional<Long> megabytes =
+                ConfigurationService.number(context, "megabytes").filter(size -> size > 0);
+        if (megabytes.isEmpty()) {
+            ConfigurationService.refuse(context, "needs the parameter megabytes above 0");
+            return;
+        }
+        OptionalLong durationNanos = weights.reserve(megabytes.get(), System.nanoTime());
+        if (durationNanos.isEmpty()) {
+            long retryAfterSeconds = TimeUnit.NANOSECONDS.toSeconds(WeightStore.MAX_WAIT_NANOS);
+            context.response()
+                    .setStatusCode(503)
+                    .putHeader("Retry-After", Long.toString(retryAfterSeconds))
+                    .end();
+            return;
+        }
+        long waitMs = Math.max(1, TimeUnit.NANOSECONDS.toMillis(durationNanos.getAsLong()));
+        vertx.setTimer(waitMs, unused -> {
+            if (!context.response().closed()) {
+                context.json(new JsonObject()
+                        .put("model", context.pathParam("model"))
+                        .put("version", context.pathParam("version"))
+                        .put("megabytes", megabytes.get()));
+            }
+        });
+    }
+
+    private void setRate(RoutingContext context) {
+        Optional<Long> rate =
+                ConfigurationService.number(context, "megabytesPerSecond").filter(value -> value > 0);
+        if (rate.isEmpty()) {
+            ConfigurationService.refuse(context, "needs the parameter megabytesPerSecond above 0");
+            return;
+        }
+        weights.setMegabytesPerSecond(rate.get());
+        context.json(new JsonObject().put("megabytesPerSecond", rate.get()));
+    }
+
+    private void countWeights(RoutingContext context) {
+        context.json(new JsonObject().put("loads", weights.loads()).put("megabytes", weights.loadedMegabytes()));
+    }
+}
