--- a/figspan-cli/src/main/java/io/figspan/cli/Main.java
+++ b/figspan-cli/src/main/java/io/figspan/cli/Main.java
@@ -179,7 +179,7 @@
     }
 
     private static String suggestion(Optional<String> nearest) {
-        return nearest.map(name -> "; did you mean '" + name + "'?").orElse("");
+        return nearest.map(name -> "; the nearest is '" + name + "'").orElse("");
     }
 
     private static FigspanException usage(String detail) {
--- a/figspan-core/src/main/java/io/figspan/core/error/ProblemKind.java
+++ b/figspan-core/src/main/java/io/figspan/core/error/ProblemKind.java
@@ -27,6 +27,7 @@
     SHUTTING_DOWN(503, "Host is shutting down", "Use another host of the entry list."),
     SETTINGS_INVALID(422, "Settings are invalid", "Correct the named key and publish a higher version."),
     SETTINGS_OUTDATED(409, "Settings version is older than the one in force", "Publish a higher version."),
+    HOST_FILE_INVALID(500, "Host file is invalid", "Correct the named key and start the process again."),
     CHART_INVALID(500, "State chart is invalid", "Correct the chart file."),
     UNEXPECTED_EVENT(500, "Event is not expected in this state", "Report the event and the state as a fault."),
     FRAME_REFUSED(400, "Frame refused", "Check that both processes share the peer key and the version."),
--- a/figspan-settings/src/main/java/io/figspan/settings/SettingFault.java
+++ b/figspan-settings/src/main/java/io/figspan/settings/SettingFault.java
@@ -15,7 +15,7 @@
     }
 
     static String suggestion(Optional<String> nearest) {
-        return nearest.map(name -> "; did you mean '" + name + "'?").orElse("");
+        return nearest.map(name -> "; the nearest is '" + name + "'").orElse("");
     }
 
     static String describe(JsonNode node) {
--- a/figspan-settings/src/main/java/io/figspan/settings/SettingsTreeReader.java
+++ b/figspan-settings/src/main/java/io/figspan/settings/SettingsTreeReader.java
@@ -12,6 +12,7 @@
 import io.figspan.core.util.NearestName;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -19,8 +20,9 @@
 import java.util.Set;
 
 /**
- * Reads part files and merges them to a {@link SettingsTree}. Each fault is an exception of kind
- * {@link ProblemKind#SETTINGS_INVALID} with the file, line and column as far as they are known.
+ * Reads part files and merges them to a {@link SettingsTree}. The keys of one node (the fleet, an organisation, a
+ * service or a place) stand in one part; only the roster and the models may stand in a part of their own. Each fault is
+ * an exception of kind {@link ProblemKind#SETTINGS_INVALID} with the file, line and column as far as they are known.
  */
 public final class SettingsTreeReader {
     /** Faults after this number are not listed, which bounds the size of a report. */
@@ -74,7 +76,7 @@
             return;
         }
         for (Map.Entry<String, JsonNode> field : document.properties()) {
-            Cursor cursor = new Cursor(part, field.getKey(), SettingsLevel.FLEET);
+            Cursor cursor = new Cursor(part, field.getKey(), field.getKey(), SettingsLevel.FLEET);
             if (!field.getValue().isObject()) {
                 fault(cursor, "key '" + field.getKey() + "' stands outside a table" + nearestTable(field.getKey()));
                 continue;
@@ -97,14 +99,15 @@
                             part.name(),
                             e.getLocation().getLineNr(),
                             e.getLocation().getColumnNr());
-            add(location, firstLine(e.getOriginalMessage()));
+            add(location, "not a TOML document: " + firstLine(e.getOriginalMessage()));
             return null;
         }
     }
 
     private void readChildren(Cursor parent, SettingsLevel level, JsonNode tables, SettingsNode node) {
         for (Map.Entry<String, JsonNode> field : tables.properties()) {
-            Cursor cursor = new Cursor(parent.part, TomlIndex.join(parent.path, field.getKey()), level);
+            String path = TomlIndex.join(parent.path, field.getKey());
+            Cursor cursor = new Cursor(parent.part, path, path, level);
             if (!field.getValue().isObject()) {
                 fault(cursor, "'" + cursor.path + "' is not a table");
                 continue;
@@ -112,7 +115,7 @@
             try {
                 requireName(level, field.getKey());
             } catch (FigspanException e) {
-                fault(cursor, e.detail());
+                fault(cursor, "'" + field.getKey() + "': " + e.detail());
                 continue;
             }
             readTable(cursor, "", field.getValue(), node.childForBuilding(field.getKey()));
@@ -122,7 +125,7 @@
     private void readTable(Cursor cursor, String prefix, JsonNode table, SettingsNode node) {
         for (Map.Entry<String, JsonNode> field : table.properties()) {
             String keyPath = TomlIndex.join(prefix, field.getKey());
-            Cursor at = new Cursor(cursor.part, TomlIndex.join(cursor.path, field.getKey()), cursor.level);
+            Cursor at = cursor.below(field.getKey());
             JsonNode value = field.getValue();
             Optional<SettingsLevel> childLevel = childLevel(cursor.level, keyPath);
             if (childLevel.isPresent() && value.isObject()) {
@@ -134,11 +137,13 @@
                 readValue(at, key.get(), value, node);
                 continue;
             }
-            if (value.isObject() && isKeyPrefix(keyPath)) {
+            if (!isKeyPrefix(keyPath)) {
+                fault(at, "unknown key '" + keyPath + "'" + nearestKey(keyPath, cursor.level));
+            } else if (value.isObject()) {
                 readTable(at, keyPath, value, node);
-                continue;
+            } else {
+                fault(at, "'" + keyPath + "' is a table of keys, found " + SettingFault.describe(value));
             }
-            fault(at, "unknown key '" + keyPath + "'" + nearestKey(keyPath, cursor.level));
         }
     }
 
@@ -151,7 +156,7 @@
                     "key '" + key.path() + "' may not stand at level " + at.level.wireName() + ", only at " + allowed);
             return;
         }
-        String table = key.type().isTable() ? at.path : parentOf(at.path);
+        String table = key.type().isTable() ? at.path : at.nodePath;
         SettingsPart owner = tableOwners.putIfAbsent(table, at.part);
         if (owner != null && !owner.name().equals(at.part.name())) {
             fault(at, "table [" + table + "] also stands in part " + owner.name());
@@ -170,48 +175,44 @@
         SettingsTree tree = new SettingsTree(root);
         Set<String> models = Set.copyOf(
                 tree.models().stream().map(model -> model.model().value()).toList());
-        checkModel(FLEET, tree.fleet(), models);
+        checkModel(FLEET, SettingsLevel.FLEET, tree.fleet(), models);
         for (OrganisationId organisation : tree.organisations()) {
+            if (faults.size() >= MAX_FAULTS) {
+                return;
+            }
             String path = ORGANISATION + "." + organisation;
             if (root.child(organisation.value()).values().isEmpty()) {
-                faultAtTable(
+                faultInMerged(
                         path,
                         "organisation '" + organisation + "' is named but no part sets a key of [" + path + "]"
                                 + nearestOrganisation(tree, organisation));
             }
-            checkModel(path, tree.resolve(organisation), models);
+            checkModel(path, SettingsLevel.ORGANISATION, tree.resolve(organisation), models);
             for (ServiceId service : tree.services(organisation)) {
-                checkModel(path + ".service." + service, tree.resolve(organisation, service), models);
+                ResolvedSettings settings = tree.resolve(organisation, service);
+                checkModel(path + ".service." + service, SettingsLevel.SERVICE, settings, models);
             }
         }
     }
 
-    private void checkModel(String path, ResolvedSettings settings, Set<String> models) {
+    private void checkModel(String path, SettingsLevel level, ResolvedSettings settings, Set<String> models) {
         String model = settings.text(SettingKey.MODEL);
-        boolean setHere = settings.level(SettingKey.MODEL) == levelOf(path);
+        boolean setHere = settings.level(SettingKey.MODEL) == level;
         if (setHere && !model.isEmpty() && !models.contains(model)) {
-            faultAtTable(
-                    path + ".model",
-                    "model '" + model + "' is not a table of [fleet.models]"
-                            + SettingFault.suggestion(NearestName.suggest(model, models)));
-        }
-    }
-
-    private static SettingsLevel levelOf(String path) {
-        if (path.equals(FLEET)) {
-            return SettingsLevel.FLEET;
+            String nearest = SettingFault.suggestion(NearestName.suggest(model, models));
+            faultInMerged(path + ".model", "model '" + model + "' is not a table of [fleet.models]" + nearest);
         }
-        return path.contains(".service.") ? SettingsLevel.SERVICE : SettingsLevel.ORGANISATION;
     }
 
-    private void faultAtTable(String path, String detail) {
+    /** Records a fault of the merged tree in the part that holds the table of the path or a table below it. */
+    private void faultInMerged(String path, String detail) {
         SettingsPart part = tableOwners.entrySet().stream()
                 .filter(entry ->
                         path.startsWith(entry.getKey() + ".") || entry.getKey().startsWith(path + "."))
-                .min(Map.Entry.comparingByKey())
+                .max(Comparator.comparingInt(entry -> entry.getKey().length()))
                 .map(Map.Entry::getValue)
                 .orElse(new SettingsPart("settings", ""));
-        fault(new Cursor(part, path, SettingsLevel.FLEET), detail);
+        fault(new Cursor(part, path, path, SettingsLevel.FLEET), detail);
     }
 
     // --- Names
@@ -260,13 +261,14 @@
         return SettingFault.suggestion(NearestName.suggest(organisation.value(), known));
     }
 
-    private static String parentOf(String path) {
-        return path.substring(0, path.lastIndexOf('.'));
-    }
-
     // --- Faults
 
-    private record Cursor(SettingsPart part, String path, SettingsLevel level) {}
+    /** A place in a part: the path of a key or table, and the path and level of the node that it belongs to. */
+    private record Cursor(SettingsPart part, String path, String nodePath, SettingsLevel level) {
+        Cursor below(String name) {
+            return new Cursor(part, TomlIndex.join(path, name), nodePath, level);
+        }
+    }
 
     private void fault(Cursor at, String detail) {
         TomlIndex index = indexes.computeIfAbsent(at.part.name(), name -> new TomlIndex(name, at.part.text()));
@@ -280,8 +282,6 @@
     }
 
     private static String firstLine(String message) {
-        return message == null
-                ? "not a TOML document"
-                : message.lines().findFirst().orElse("not a TOML document");
+        return message == null ? "no reason given" : message.lines().findFirst().orElse("no reason given");
     }
 }
--- a/figspan-settings/src/main/java/io/figspan/settings/TomlIndex.java
+++ b/figspan-settings/src/main/java/io/figspan/settings/TomlIndex.java
@@ -1,6 +1,7 @@
 package io.figspan.settings;
 
 import io.figspan.core.error.Location;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.regex.Matcher;
@@ -37,25 +38,37 @@
         }
     }
 
-    /** Location of a dotted path or of its nearest enclosing table. */
+    /** Location of a dotted path, else of the first key or table below it, else of the nearest enclosing table. */
     Location locate(String path) {
+        Location first = firstBelow(path);
         String candidate = path;
         while (!candidate.isEmpty()) {
             Location found = locations.get(candidate);
             if (found != null) {
                 return found;
             }
+            if (first != null) {
+                return first;
+            }
             int dot = candidate.lastIndexOf('.');
             candidate = dot < 0 ? "" : candidate.substring(0, dot);
         }
         return Location.of(source);
     }
 
+    private Location firstBelow(String path) {
+        return locations.entrySet().stream()
+                .filter(entry -> entry.getKey().startsWith(path + "."))
+                .map(Map.Entry::getValue)
+                .min(Comparator.comparingInt(Location::line))
+                .orElse(null);
+    }
+
     static String join(String table, String key) {
         return table.isEmpty() ? key : table + "." + key;
     }
 
     private static String plain(String written) {
-        return written.replaceAll("[\"'\\s]", "");
+        return written.replaceAll("[\"']", "").replaceAll("\\s*\\.\\s*", ".").strip();
     }
 }
--- a/figspan-settings/src/main/java/io/figspan/settings/cfg/HostConfigReader.java
+++ b/figspan-settings/src/main/java/io/figspan/settings/cfg/HostConfigReader.java
@@ -61,7 +61,7 @@
             return read(file.toString(), file.toAbsolutePath().getParent(), Files.readString(file));
         } catch (IOException e) {
             throw new FigspanException(
-                    ProblemKind.SETTINGS_INVALID, "the file cannot be read", Location.of(file.toString()), e);
+                    ProblemKind.HOST_FILE_INVALID, "the file cannot be read", Location.of(file.toString()), e);
         }
     }
 
@@ -75,7 +75,7 @@
                     ? Location.of(source)
                     : new Location(
                             source, e.getLocation().getLineNr(), e.getLocation().getColumnNr());
-            throw new FigspanException(ProblemKind.SETTINGS_INVALID, "not a TOML document", location, e);
+            throw new FigspanException(ProblemKind.HOST_FILE_INVALID, "not a TOML document", location, e);
         }
     }
 
@@ -103,7 +103,7 @@
             String name = names.next();
             if (!KEYS.contains(name)) {
                 String suggestion = NearestName.suggest(name, KEYS)
-                        .map(near -> "; did you mean '" + near + "'?")
+                        .map(near -> "; the nearest is '" + near + "'")
                         .orElse("");
                 throw invalid("unknown key '" + name + "'" + suggestion);
             }
@@ -201,6 +201,6 @@
     }
 
     private FigspanException invalid(String detail) {
-        return new FigspanException(ProblemKind.SETTINGS_INVALID, detail, Location.of(source));
+        return new FigspanException(ProblemKind.HOST_FILE_INVALID, detail, Location.of(source));
     }
 }
