Add the pure policy API

Subsets, entry lists, load views, placement, admission, limits, fair queueing, retry budget, prefix affinity and recovery.

--- /dev/null
+++ b/figspan-policy/src/main/java/io/figspan/policy/admission/package-info.java
@@ -0,0 +1,2 @@
+/** Predicted times and refusals against a deadline. */
+package io.figspan.policy.admission;
--- /dev/null
+++ b/figspan-policy/src/main/java/io/figspan/policy/affinity/package-info.java
@@ -0,0 +1,2 @@
+/** Prefix affinity with bounded loads. */
+package io.figspan.policy.affinity;
--- /dev/null
+++ b/figspan-policy/src/main/java/io/figspan/policy/entry/package-info.java
@@ -0,0 +1,2 @@
+/** Choice of the entry hosts that one organisation uses. */
+package io.figspan.policy.entry;
--- /dev/null
+++ b/figspan-policy/src/main/java/io/figspan/policy/fair/PriorityClass.java
@@ -0,0 +1,19 @@
+package io.figspan.policy.fair;
+
+/** Priority classes that callers choose from, most urgent first. */
+public enum PriorityClass {
+    INTERACTIVE(0),
+    STANDARD(1),
+    BATCH(2);
+
+    private final int level;
+
+    PriorityClass(int level) {
+        this.level = level;
+    }
+
+    /** Urgency: 0 is the most urgent. */
+    public int level() {
+        return level;
+    }
+}
--- /dev/null
+++ b/figspan-policy/src/main/java/io/figspan/policy/fair/package-info.java
@@ -0,0 +1,2 @@
+/** Weighted fair queueing by organisation. */
+package io.figspan.policy.fair;
--- /dev/null
+++ b/figspan-policy/src/main/java/io/figspan/policy/limit/package-info.java
@@ -0,0 +1,2 @@
+/** Rate limits divided over the home hosts of an organisation. */
+package io.figspan.policy.limit;
--- /dev/null
+++ b/figspan-policy/src/main/java/io/figspan/policy/placement/LoadView.java
@@ -0,0 +1,270 @@
+package io.figspan.policy.placement;
+
+import io.figspan.core.id.AvailabilityZoneId;
+import io.figspan.core.id.BackendServerId;
+import io.figspan.policy.subset.Runner;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * One host's view of the load of its runners: the last report of each, and what this host itself has sent there and
+ * when. Other hosts' sends since the report are unknown.
+ *
+ * <p>Not thread-safe; times are on the host's monotonic clock.
+ */
+public final class LoadView {
+    /** Largest number of runners; further ones are not added. */
+    public static final int MAX_RUNNERS = 64;
+
+    /** Largest number of sends tracked per runner; the oldest is forgotten first. */
+    public static final int MAX_SENDS_PER_RUNNER = 1_024;
+
+    private final EngineSpeed speed;
+    private final List<RunnerLoad> loads = new ArrayList<>();
+    private final Map<BackendServerId, RunnerLoad> byServer = new HashMap<>();
+    private int roundRobinNext;
+
+    public LoadView(EngineSpeed speed) {
+        this.speed = speed;
+    }
+
+    public EngineSpeed speed() {
+        return speed;
+    }
+
+    // ---- Runners ----
+
+    /** Adds a runner; answers false when it is known or the view is full. */
+    public boolean add(Runner runner) {
+        if (loads.size() >= MAX_RUNNERS || byServer.containsKey(runner.server())) {
+            return false;
+        }
+        RunnerLoad load = new RunnerLoad(runner);
+        loads.add(load);
+        byServer.put(runner.server(), load);
+        return true;
+    }
+
+    /** Forgets a runner, also when its engine was replaced by a new incarnation. */
+    public void remove(BackendServerId server) {
+        RunnerLoad load = byServer.remove(server);
+        if (load != null) {
+            loads.remove(load);
+        }
+    }
+
+    /** Marks a runner as leaving or as available; a leaving one gets no new work. */
+    public void setLeaving(BackendServerId server, boolean leaving) {
+        RunnerLoad load = byServer.get(server);
+        if (load != null) {
+            load.leaving = leaving;
+        }
+    }
+
+    /** All runners in the order in which they were added. */
+    public List<RunnerLoad> runners() {
+        return Collections.unmodifiableList(loads);
+    }
+
+    public RunnerLoad get(BackendServerId server) {
+        return byServer.get(server);
+    }
+
+    /** Position of the next round-robin choice. */
+    int nextRoundRobin() {
+        roundRobinNext = loads.isEmpty() ? 0 : (roundRobinNext + 1) % loads.size();
+        return roundRobinNext;
+    }
+
+    // ---- Reports and sends ----
+
+    /** Takes a report that was measured at {@code measuredAtNanos}. One that is not newer than the last is ignored. */
+    public void report(BackendServerId server, LoadReport report, long measuredAtNanos) {
+        RunnerLoad load = byServer.get(server);
+        if (load == null || (load.report != null && report.sequence() <= load.report.sequence())) {
+            return;
+        }
+        load.report = report;
+        load.measuredAtNanos = measuredAtNanos;
+        load.recount();
+    }
+
+    /** Records that this host sends a prompt. {@code sendId} is unique on this host. */
+    public void sent(BackendServerId server, long sendId, long prefillTokens, long kvTokens, long nowNanos) {
+        RunnerLoad load = byServer.get(server);
+        if (load != null) {
+            load.add(sendId, new Send(nowNanos, prefillTokens, kvTokens));
+        }
+    }
+
+    /** Records the first token of a prompt that this host sent: its prompt has left the engine's queue. */
+    public void firstToken(BackendServerId server, long sendId) {
+        RunnerLoad load = byServer.get(server);
+        Send send = load == null ? null : load.sends.get(sendId);
+        if (send != null) {
+            load.prefillDone(sendId, send);
+        }
+    }
+
+    /** Records the end of a prompt that this host sent, whatever its outcome. */
+    public void finished(BackendServerId server, long sendId) {
+        RunnerLoad load = byServer.get(server);
+        if (load != null) {
+            load.finish(sendId);
+        }
+    }
+
+    // ---- Estimates ----
+
+    /** Mean of the estimated backlog over all runners that are not leaving, in prefill tokens. */
+    public double meanBacklogTokens(long nowNanos) {
+        long sum = 0;
+        int count = 0;
+        for (int i = 0; i < loads.size(); i++) {
+            RunnerLoad load = loads.get(i);
+            if (!load.leaving) {
+                sum += load.backlogTokens(nowNanos);
+                count++;
+            }
+        }
+        return count == 0 ? 0 : (double) sum / count;
+    }
+
+    /** Share of the memory of all runners that is in use, 0 to 1. */
+    public double kvUsedShare() {
+        long used = 0;
+        long total = 0;
+        for (int i = 0; i < loads.size(); i++) {
+            total += speed.kvTotalTokens();
+            used += speed.kvTotalTokens() - loads.get(i).kvFreeTokens();
+        }
+        return total == 0 ? 0 : (double) used / total;
+    }
+
+    private record Send(long atNanos, long prefillTokens, long kvTokens) {}
+
+    /** What is known of one runner. */
+    public final class RunnerLoad {
+        private final Runner runner;
+        private final Map<Long, Send> sends = new LinkedHashMap<>();
+        private boolean leaving;
+        private LoadReport report;
+        private long measuredAtNanos;
+        private long ownPendingTokens;
+        private long sinceReportTokens;
+        private long sinceReportKvTokens;
+
+        private RunnerLoad(Runner runner) {
+            this.runner = runner;
+        }
+
+        public BackendServerId server() {
+            return runner.server();
+        }
+
+        public AvailabilityZoneId zone() {
+            return runner.zone();
+        }
+
+        public boolean leaving() {
+            return leaving;
+        }
+
+        /** Requests of this host that have not ended. */
+        public int outstanding() {
+            return sends.size();
+        }
+
+        /** Age of the last report; {@link Long#MAX_VALUE} when there is none. */
+        public long reportAgeNanos(long nowNanos) {
+            return report == null ? Long.MAX_VALUE : Math.max(0, nowNanos - measuredAtNanos);
+        }
+
+        /** Queued prompt tokens by the last report, less what the engine can have processed since. */
+        public long reportedBacklogTokens(long nowNanos) {
+            if (report == null) {
+                return 0;
+            }
+            long drained = speed.prefillTokens(Math.max(0, nowNanos - measuredAtNanos));
+            return Math.max(0, report.queuedPrefillTokens() - drained);
+        }
+
+        /**
+         * Estimated queued prompt tokens: the drained report plus what this host has sent since, and at least what this
+         * host knows to be unprocessed of its own.
+         */
+        public long backlogTokens(long nowNanos) {
+            return Math.max(ownPendingTokens, reportedBacklogTokens(nowNanos) + sinceReportTokens);
+        }
+
+        /** Prompt tokens of this host that have not produced a first token. */
+        public long ownPendingTokens() {
+            return ownPendingTokens;
+        }
+
+        /** Memory that is free by the last report, less what this host has sent since. */
+        public long kvFreeTokens() {
+            long free = report == null ? speed.kvTotalTokens() : report.kvFreeTokens();
+            return Math.max(0, free - sinceReportKvTokens);
+        }
+
+        public boolean mayHavePrefix(long prefixHash) {
+            return report != null && report.mayHavePrefix(prefixHash);
+        }
+
+        private void add(long sendId, Send send) {
+            if (sends.size() >= MAX_SENDS_PER_RUNNER) {
+                Iterator<Map.Entry<Long, Send>> oldest = sends.entrySet().iterator();
+                uncount(oldest.next().getValue());
+                oldest.remove();
+            }
+            sends.put(sendId, send);
+            ownPendingTokens += send.prefillTokens;
+            if (report == null || send.atNanos > measuredAtNanos) {
+                sinceReportTokens += send.prefillTokens;
+                sinceReportKvTokens += send.kvTokens;
+            }
+        }
+
+        private void finish(long sendId) {
+            Send send = sends.remove(sendId);
+            if (send != null) {
+                uncount(send);
+            }
+        }
+
+        private void prefillDone(long sendId, Send send) {
+            sends.put(sendId, new Send(send.atNanos, 0, send.kvTokens));
+            ownPendingTokens -= send.prefillTokens;
+            if (report == null || send.atNanos > measuredAtNanos) {
+                sinceReportTokens -= send.prefillTokens;
+            }
+        }
+
+        private void uncount(Send send) {
+            ownPendingTokens -= send.prefillTokens;
+            if (report == null || send.atNanos > measuredAtNanos) {
+                sinceReportTokens -= send.prefillTokens;
+                sinceReportKvTokens -= send.kvTokens;
+            }
+        }
+
+        private void recount() {
+            ownPendingTokens = 0;
+            sinceReportTokens = 0;
+            sinceReportKvTokens = 0;
+            for (Send send : sends.values()) {
+                ownPendingTokens += send.prefillTokens;
+                if (report == null || send.atNanos > measuredAtNanos) {
+                    sinceReportTokens += send.prefillTokens;
+                    sinceReportKvTokens += send.kvTokens;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/figspan-policy/src/main/java/io/figspan/policy/placement/PlacementPolicy.java
@@ -0,0 +1,55 @@
+package io.figspan.policy.placement;
+
+import io.figspan.policy.placement.LoadView.RunnerLoad;
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+/** Ways to choose the runner for a prompt that fits on one engine. */
+public enum PlacementPolicy {
+    /** Each runner in turn, whatever its load. */
+    ROUND_ROBIN {
+        @Override
+        public Optional<RunnerLoad> choose(PromptCost cost, LoadView view, RandomGenerator random, long nowNanos) {
+            List<RunnerLoad> loads = view.runners();
+            for (int tries = 0; tries < loads.size(); tries++) {
+                RunnerLoad load = loads.get(view.nextRoundRobin());
+                if (!load.leaving()) {
+                    return Optional.of(load);
+                }
+            }
+            return Optional.empty();
+        }
+    },
+
+    /** The runner with the fewest requests of this host; ties are broken at random. */
+    FEWEST_OUTSTANDING {
+        @Override
+        public Optional<RunnerLoad> choose(PromptCost cost, LoadView view, RandomGenerator random, long nowNanos) {
+            RunnerLoad best = null;
+            int ties = 0;
+            for (RunnerLoad load : view.runners()) {
+                if (load.leaving() || (best != null && load.outstanding() > best.outstanding())) {
+                    continue;
+                }
+                boolean better = best == null || load.outstanding() < best.outstanding();
+                ties = better ? 1 : ties + 1;
+                if (better || random.nextInt(ties) == 0) {
+                    best = load;
+                }
+            }
+            return Optional.ofNullable(best);
+        }
+    },
+
+    /** The cheapest of a few sampled runners; see {@link LengthAwarePlacement}. */
+    LENGTH_AWARE {
+        @Override
+        public Optional<RunnerLoad> choose(PromptCost cost, LoadView view, RandomGenerator random, long nowNanos) {
+            return LengthAwarePlacement.DEFAULT.choose(cost, view, random, nowNanos);
+        }
+    };
+
+    /** Chooses a runner; empty when none may take the prompt now. */
+    public abstract Optional<RunnerLoad> choose(PromptCost cost, LoadView view, RandomGenerator random, long nowNanos);
+}
--- /dev/null
+++ b/figspan-policy/src/main/java/io/figspan/policy/recovery/package-info.java
@@ -0,0 +1,2 @@
+/** Decisions after an engine or an availability zone failed. */
+package io.figspan.policy.recovery;
--- /dev/null
+++ b/figspan-policy/src/main/java/io/figspan/policy/retry/package-info.java
@@ -0,0 +1,2 @@
+/** Retry budget. */
+package io.figspan.policy.retry;
