--- a/figspan-policy/src/main/java/io/figspan/policy/limit/TokenBucket.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/limit/TokenBucket.java
@@ -57,7 +57,7 @@
     }
 
     private double required(long tokens) {
-        return Math.min(tokens, capacityTokens);
+        return Math.min((double) tokens, capacityTokens);
     }
 
     private void refill(long nowNanos) {
