--- a/figspan-policy/src/main/java/io/figspan/policy/limit/OrganisationLimits.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/limit/OrganisationLimits.java
@@ -58,8 +58,8 @@
 
     /**
      * Sets an organisation's limit and the roster that its share follows from. A share that shrinks is in force at
-     * once, one that grows after {@link #ROSTER_CHANGE_WAIT_NANOS}, so that the parts of old and new roster do not add up
-     * to more than the whole.
+     * once, one that grows after {@link #ROSTER_CHANGE_WAIT_NANOS}, so that the parts of the old and the new roster do
+     * not add up to more than the whole.
      */
     public void configure(
             OrganisationId organisation, OrganisationLimit limit, Collection<EntryHost> roster, long nowNanos) {
