--- a/figspan-policy/src/main/java/io/figspan/policy/placement/LengthAwarePlacement.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placement/LengthAwarePlacement.java
@@ -10,8 +10,8 @@
 
 /**
  * Length-aware placement by cost in prefill tokens of backlog. Short prompts take the cheapest of a few sampled
- * runners, so that hosts with the same stale reports do not all choose the same one. Long prompts stay off a share of the
- * runners; the order in which runners are kept free is the same on each host.
+ * runners, so that hosts with the same stale reports do not all choose the same one. Long prompts stay off a share of
+ * the runners; the order in which runners are kept free is the same on each host.
  *
  * @param samples runners to compare for one prompt
  * @param keptFreeShare share of the runners that get no long prompt
