--- /dev/null
+++ b/figspan-bench/src/main/java/io/figspan/bench/policy/package-info.java
@@ -0,0 +1,2 @@
+/** Driver for the decisions under load, in logical time. */
+package io.figspan.bench.policy;
--- /dev/null
+++ b/figspan-policy/src/main/java/io/figspan/policy/dispatch/DispatchSettings.java
@@ -0,0 +1,41 @@
+package io.figspan.policy.dispatch;
+
+import io.figspan.core.error.FigspanException;
+import io.figspan.core.error.Location;
+import io.figspan.core.error.ProblemKind;
+import io.figspan.policy.placement.LengthAwarePlacement;
+
+/**
+ * Parameters of the dispatcher.
+ *
+ * @param placement choice of the engine
+ * @param firstTokenMs predicted time to first token above which a prompt is refused, for a prompt of no length
+ * @param firstTokenStretch what is added to {@code firstTokenMs} for the length of the prompt, as a multiple of its
+ *     time on an idle engine
+ * @param urgencyStretch how much later, in multiples of its time on an idle engine, a prompt counts as arrived for the
+ *     engine's priority; 0 is first come, first served, and a waiting prompt ages at any value
+ * @param spareBacklogMs mean backlog of the engines up to which an organisation may exceed its share
+ * @param queueItems bound of each queue of prompts that wait on this host
+ */
+public record DispatchSettings(
+        LengthAwarePlacement placement,
+        long firstTokenMs,
+        double firstTokenStretch,
+        double urgencyStretch,
+        long spareBacklogMs,
+        int queueItems) {
+    public static final DispatchSettings DEFAULT =
+            new DispatchSettings(LengthAwarePlacement.DEFAULT, 1_400, 4, 4, 500, 1_024);
+
+    public DispatchSettings {
+        if (firstTokenMs < 1 || firstTokenStretch < 0 || urgencyStretch < 0 || spareBacklogMs < 0 || queueItems < 1) {
+            throw new FigspanException(
+                    ProblemKind.INVALID_VALUE, "a dispatch setting is out of range", Location.of("dispatch"));
+        }
+    }
+
+    public DispatchSettings withPlacement(LengthAwarePlacement newPlacement) {
+        return new DispatchSettings(
+                newPlacement, firstTokenMs, firstTokenStretch, urgencyStretch, spareBacklogMs, queueItems);
+    }
+}
--- /dev/null
+++ b/figspan-policy/src/main/java/io/figspan/policy/dispatch/PromptDispatcher.java
@@ -0,0 +1,237 @@
+package io.figspan.policy.dispatch;
+
+import io.figspan.core.error.Problem;
+import io.figspan.core.error.ProblemKind;
+import io.figspan.core.error.Result;
+import io.figspan.core.id.BackendServerId;
+import io.figspan.core.id.OrganisationId;
+import io.figspan.policy.admission.AdmissionDecision;
+import io.figspan.policy.admission.AdmissionPolicy;
+import io.figspan.policy.admission.AdmissionRequest;
+import io.figspan.policy.affinity.PrefixAffinity;
+import io.figspan.policy.fair.FairQueue;
+import io.figspan.policy.limit.OrganisationLimits;
+import io.figspan.policy.placement.GroupPlacement;
+import io.figspan.policy.placement.LengthAwarePlacement;
+import io.figspan.policy.placement.LoadView;
+import io.figspan.policy.placement.LoadView.RunnerLoad;
+import io.figspan.policy.placement.PromptCost;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.ToDoubleFunction;
+import java.util.random.RandomGenerator;
+
+/**
+ * Decides on one host what happens to each prompt: refuse, send to an engine or a group of engines, or wait in this
+ * host's queue for memory. Short and long prompts wait in queues of their own, so that a long prompt that finds no
+ * memory does not hold up short ones.
+ *
+ * <p>Not thread-safe; times are on the host's monotonic clock.
+ */
+public final class PromptDispatcher {
+    private static final long AGEING_NANOS = TimeUnit.SECONDS.toNanos(10);
+    private static final long OVERLOAD_RETRY_MS = 1_000;
+
+    private final DispatchSettings settings;
+    private final LoadView view;
+    private final PrefixAffinity affinity;
+    private final OrganisationLimits limits;
+    private final AdmissionPolicy admission;
+    private final GroupPlacement groups = GroupPlacement.DEFAULT;
+    private final RandomGenerator random;
+    private final FairQueue<Prompt> shortQueue;
+    private final FairQueue<Prompt> longQueue;
+
+    public PromptDispatcher(
+            DispatchSettings settings,
+            LoadView view,
+            PrefixAffinity affinity,
+            OrganisationLimits limits,
+            ToDoubleFunction<OrganisationId> weightOf,
+            RandomGenerator random) {
+        this.settings = settings;
+        this.view = view;
+        this.affinity = affinity;
+        this.limits = limits;
+        this.random = random;
+        this.admission = new AdmissionPolicy(view.speed(), AdmissionPolicy.DEFAULT_MARGIN);
+        this.shortQueue = new FairQueue<>(settings.queueItems(), AGEING_NANOS, weightOf);
+        this.longQueue = new FairQueue<>(settings.queueItems(), AGEING_NANOS, weightOf);
+    }
+
+    /** Takes a new prompt. The actions may also concern prompts that have waited. */
+    public List<DispatchAction> offer(Prompt prompt, long nowNanos) {
+        List<DispatchAction> actions = new ArrayList<>(1);
+        Optional<Problem> refusal = checkShare(prompt, nowNanos);
+        if (refusal.isPresent()) {
+            actions.add(new DispatchAction.Refuse(prompt, refusal.get()));
+            return actions;
+        }
+        enter(prompt, nowNanos, actions);
+        return actions;
+    }
+
+    /** Takes a prompt again whose group of engines could not be acquired. */
+    public List<DispatchAction> again(Prompt prompt, long nowNanos) {
+        List<DispatchAction> actions = new ArrayList<>(1);
+        enter(prompt, nowNanos, actions);
+        return actions;
+    }
+
+    private void enter(Prompt prompt, long nowNanos, List<DispatchAction> actions) {
+        FairQueue<Prompt> queue = queueOf(prompt);
+        if (queue.size() == 0 && place(prompt, nowNanos, actions)) {
+            return;
+        }
+        queue.offer(new FairQueue.Entry<>(
+                        prompt,
+                        prompt.organisation(),
+                        prompt.priority(),
+                        prompt.cost().kvTokens(),
+                        nowNanos))
+                .ifPresent(displaced -> actions.add(overloaded(displaced.item(), "the queue of this host is full")));
+    }
+
+    /** Places prompts that have waited, to be called when memory was freed, a report came or some time has passed. */
+    public List<DispatchAction> poll(long nowNanos) {
+        List<DispatchAction> actions = new ArrayList<>(0);
+        drain(shortQueue, nowNanos, actions);
+        drain(longQueue, nowNanos, actions);
+        return actions;
+    }
+
+    /** Number of prompts that wait on this host. */
+    public int waiting() {
+        return shortQueue.size() + longQueue.size();
+    }
+
+    private void drain(FairQueue<Prompt> queue, long nowNanos, List<DispatchAction> actions) {
+        while (true) {
+            Optional<FairQueue.Entry<Prompt>> head = queue.peek(nowNanos);
+            if (head.isEmpty() || !place(head.get().item(), nowNanos, actions)) {
+                return;
+            }
+            queue.poll(nowNanos);
+        }
+    }
+
+    private Optional<Problem> checkShare(Prompt prompt, long nowNanos) {
+        Result<Long> taken = limits.tryTake(prompt.organisation(), prompt.cost().kvTokens(), nowNanos);
+        if (taken instanceof Result.Failed<Long> failed) {
+            double spareTokens = view.speed().prefillTokens(TimeUnit.MILLISECONDS.toNanos(settings.spareBacklogMs()));
+            if (view.meanBacklogTokens(nowNanos) > spareTokens) {
+                return Optional.of(failed.problem());
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Decides on a prompt; answers false when it has to wait for memory. */
+    private boolean place(Prompt prompt, long nowNanos, List<DispatchAction> actions) {
+        PromptCost cost = prompt.cost();
+        if (!groups.fitsOneEngine(cost, view.speed())) {
+            return placeGroup(prompt, nowNanos, actions);
+        }
+        Optional<RunnerLoad> chosen = choose(cost, nowNanos);
+        if (chosen.isEmpty()) {
+            return refuseIfHopeless(prompt, nowNanos, actions);
+        }
+        RunnerLoad load = chosen.get();
+        boolean cached = cost.prefixTokens() > 0 && affinity.mayHold(cost.prefixHash(), load.server());
+        long prefillTokens = cost.prefillTokens(cached);
+        long aheadTokens = settings.placement().aheadTokens(cost, load, nowNanos);
+        Optional<Problem> refusal = checkTimes(prompt, prefillTokens, aheadTokens, nowNanos);
+        if (refusal.isPresent()) {
+            actions.add(new DispatchAction.Refuse(prompt, refusal.get()));
+            return true;
+        }
+        view.sent(load.server(), prompt.id(), prefillTokens, cost.kvTokens(), nowNanos);
+        if (cost.prefixTokens() > 0) {
+            affinity.sent(cost.prefixHash(), load.server());
+        }
+        actions.add(new DispatchAction.Send(prompt, load.server(), priorityDelayMs(prompt, prefillTokens, nowNanos)));
+        return true;
+    }
+
+    private Optional<RunnerLoad> choose(PromptCost cost, long nowNanos) {
+        LengthAwarePlacement placement = settings.placement();
+        if (cost.prefixTokens() > 0) {
+            Optional<RunnerLoad> preferred = affinity.preferred(
+                    cost.prefixHash(),
+                    placement.candidates(cost, view),
+                    load -> load.backlogTokens(nowNanos),
+                    cost.prefixTokens());
+            if (preferred.isPresent()) {
+                return preferred;
+            }
+        }
+        return placement.choose(cost, view, random, nowNanos);
+    }
+
+    private boolean placeGroup(Prompt prompt, long nowNanos, List<DispatchAction> actions) {
+        PromptCost cost = prompt.cost();
+        List<BackendServerId> servers =
+                groups.choose(cost, view, settings.placement().openToLongPrompts(view));
+        if (servers.isEmpty()) {
+            return refuseIfHopeless(prompt, nowNanos, actions);
+        }
+        long aheadTokens = 0;
+        for (BackendServerId server : servers) {
+            aheadTokens = Math.max(aheadTokens, view.get(server).backlogTokens(nowNanos));
+        }
+        Optional<Problem> refusal = checkTimes(prompt, cost.promptTokens(), aheadTokens, nowNanos);
+        if (refusal.isPresent()) {
+            actions.add(new DispatchAction.Refuse(prompt, refusal.get()));
+            return true;
+        }
+        long each = groups.kvTokensEach(cost, view.speed());
+        for (BackendServerId server : servers) {
+            view.sent(server, prompt.id(), cost.promptTokens() / servers.size(), each, nowNanos);
+        }
+        actions.add(new DispatchAction.SendGroup(
+                prompt, servers, each, priorityDelayMs(prompt, cost.promptTokens(), nowNanos)));
+        return true;
+    }
+
+    private boolean refuseIfHopeless(Prompt prompt, long nowNanos, List<DispatchAction> actions) {
+        Optional<Problem> refusal = checkTimes(prompt, prompt.cost().promptTokens(), 0, nowNanos);
+        refusal.ifPresent(problem -> actions.add(new DispatchAction.Refuse(prompt, problem)));
+        return refusal.isPresent();
+    }
+
+    private Optional<Problem> checkTimes(Prompt prompt, long prefillTokens, long aheadTokens, long nowNanos) {
+        PromptCost cost = prompt.cost();
+        AdmissionDecision decision = admission.decide(
+                new AdmissionRequest(prefillTokens, cost.maxOutputTokens(), aheadTokens, prompt.deadline()), nowNanos);
+        if (decision instanceof AdmissionDecision.Refused refused) {
+            return Optional.of(refused.problem());
+        }
+        long firstTokenNanos = ((AdmissionDecision.Admitted) decision).firstTokenNanos() - prompt.arrivedNanos();
+        long allowedNanos = TimeUnit.MILLISECONDS.toNanos(settings.firstTokenMs())
+                + (long) (settings.firstTokenStretch() * view.speed().prefillNanos(cost.promptTokens()));
+        if (firstTokenNanos > allowedNanos && !cost.isLong()) {
+            long lateMs = TimeUnit.NANOSECONDS.toMillis(firstTokenNanos - allowedNanos);
+            return Optional.of(
+                    Problem.notRun(ProblemKind.OVERLOADED, "the first token would come " + lateMs + " ms too late")
+                            .withRetryAfterMs(OVERLOAD_RETRY_MS + lateMs));
+        }
+        return Optional.empty();
+    }
+
+    /** Time that the prompt would have to itself on an idle engine, stretched, less what it has waited already. */
+    private long priorityDelayMs(Prompt prompt, long prefillTokens, long nowNanos) {
+        long stretchNanos = (long) (settings.urgencyStretch() * view.speed().prefillNanos(prefillTokens));
+        return TimeUnit.NANOSECONDS.toMillis(stretchNanos - (nowNanos - prompt.arrivedNanos()));
+    }
+
+    private FairQueue<Prompt> queueOf(Prompt prompt) {
+        return prompt.cost().isLong() ? longQueue : shortQueue;
+    }
+
+    private static DispatchAction overloaded(Prompt prompt, String detail) {
+        return new DispatchAction.Refuse(
+                prompt, Problem.notRun(ProblemKind.OVERLOADED, detail).withRetryAfterMs(OVERLOAD_RETRY_MS));
+    }
+}
--- /dev/null
+++ b/figspan-policy/src/main/java/io/figspan/policy/placement/GroupPlacement.java
@@ -0,0 +1,70 @@
+package io.figspan.policy.placement;
+
+import io.figspan.core.id.AvailabilityZoneId;
+import io.figspan.core.id.BackendServerId;
+import io.figspan.policy.placement.LoadView.RunnerLoad;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Choice of a group of engines in one availability zone for a prompt that is larger than one engine.
+ *
+ * @param fillShare largest part of one engine's memory that a prompt may take, 0 to 1
+ */
+public record GroupPlacement(double fillShare) {
+    /** Leaves a part of each engine of a group to short prompts. */
+    public static final GroupPlacement DEFAULT = new GroupPlacement(0.85);
+
+    public boolean fitsOneEngine(PromptCost cost, EngineSpeed speed) {
+        return cost.kvTokens() <= maxKvTokens(speed);
+    }
+
+    /** Number of engines that the prompt needs. */
+    public int size(PromptCost cost, EngineSpeed speed) {
+        return (int) ((cost.kvTokens() + maxKvTokens(speed) - 1) / maxKvTokens(speed));
+    }
+
+    /** Memory to hold on each engine of the group. */
+    public long kvTokensEach(PromptCost cost, EngineSpeed speed) {
+        int size = size(cost, speed);
+        return (cost.kvTokens() + size - 1) / size;
+    }
+
+    /**
+     * The group with the most free memory on its fullest engine, in ascending order of server ids so that two groups
+     * cannot deadlock; empty when no zone has enough runners with the memory.
+     *
+     * @param open runners that may take long prompts
+     */
+    public List<BackendServerId> choose(PromptCost cost, LoadView view, List<RunnerLoad> open) {
+        int size = size(cost, view.speed());
+        long each = kvTokensEach(cost, view.speed());
+        Map<AvailabilityZoneId, List<RunnerLoad>> byZone = new TreeMap<>();
+        for (RunnerLoad load : open) {
+            if (!load.leaving() && load.kvFreeTokens() >= each) {
+                byZone.computeIfAbsent(load.zone(), zone -> new ArrayList<>()).add(load);
+            }
+        }
+        List<RunnerLoad> best = List.of();
+        long bestFree = -1;
+        for (List<RunnerLoad> ofZone : byZone.values()) {
+            if (ofZone.size() < size) {
+                continue;
+            }
+            ofZone.sort(Comparator.comparingLong(RunnerLoad::kvFreeTokens).reversed());
+            long free = ofZone.get(size - 1).kvFreeTokens();
+            if (free > bestFree) {
+                best = ofZone.subList(0, size);
+                bestFree = free;
+            }
+        }
+        return best.stream().map(RunnerLoad::server).sorted().toList();
+    }
+
+    private long maxKvTokens(EngineSpeed speed) {
+        return (long) (speed.kvTotalTokens() * fillShare);
+    }
+}
--- a/figspan-policy/src/main/java/io/figspan/policy/placement/LengthAwarePlacement.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placement/LengthAwarePlacement.java
@@ -45,6 +45,11 @@
         return load.backlogTokens(nowNanos) + cost.prefillTokens(cached);
     }
 
+    /** Tokens that the engine is expected to process before the prompt. */
+    public long aheadTokens(PromptCost cost, RunnerLoad load, long nowNanos) {
+        return load.backlogTokens(nowNanos);
+    }
+
     /** Runners that may take the prompt: with the memory for it and, for long prompts, not kept free. */
     public List<RunnerLoad> candidates(PromptCost cost, LoadView view) {
         List<RunnerLoad> fitting = new ArrayList<>();
