--- /dev/null
+++ b/figspan-standin/src/main/java/io/figspan/standin/engine/StreamReader.java
@@ -0,0 +1,60 @@
+package io.figspan.standin.engine;
+
+import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.json.jackson.DatabindCodec;
+
+/** Writes the tokens of one stream as server-sent events, as fast as the connection takes them. */
+final class StreamReader implements EngineJob.Reader {
+    private final HttpServerResponse response;
+    private int nextOffset;
+    private boolean closed;
+
+    StreamReader(HttpServerResponse response, int nextOffset) {
+        this.response = response;
+        this.nextOffset = nextOffset;
+        response.exceptionHandler(cause -> closed = true);
+        response.closeHandler(nothing -> closed = true);
+    }
+
+    void begin(EngineJob job) {
+        response.setChunked(true);
+        response.putHeader("Content-Type", "text/event-stream");
+        response.putHeader("Figspan-Reader", Long.toString(job.readerNumber()));
+        response.drainHandler(nothing -> onProgress(job));
+        response.write(": open\n\n");
+        onProgress(job);
+    }
+
+    @Override
+    public void onProgress(EngineJob job) {
+        while (!closed && nextOffset < job.generatedEnd() && !response.writeQueueFull()) {
+            EngineMessages.Token token =
+                    new EngineMessages.Token(job.submission().streamId(), nextOffset, job.tokenAt(nextOffset));
+            nextOffset++;
+            response.write("data: " + json(token) + "\n\n");
+        }
+        if (!closed && job.isOver() && nextOffset >= job.generatedEnd()) {
+            closed = true;
+            boolean done = job.state() == EngineJob.State.FINISHED;
+            response.end("data: "
+                    + json(new EngineMessages.End(job.submission().streamId(), nextOffset, done, job.failure()))
+                    + "\n\n");
+        }
+    }
+
+    @Override
+    public void onSuperseded() {
+        if (!closed) {
+            closed = true;
+            response.reset();
+        }
+    }
+
+    private static String json(Object message) {
+        try {
+            return DatabindCodec.mapper().writeValueAsString(message);
+        } catch (com.fasterxml.jackson.core.JsonProcessingException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+}
--- /dev/null
+++ b/figspan-standin/src/main/java/io/figspan/standin/service/PlainService.java
@@ -0,0 +1,148 @@
+package io.figspan.standin.service;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import io.figspan.core.event.Part;
+import io.vertx.core.AbstractVerticle;
+import io.vertx.core.Promise;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.json.Json;
+import io.vertx.ext.web.Router;
+import io.vertx.ext.web.RoutingContext;
+import io.vertx.ext.web.handler.BodyHandler;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A plain service. {@code POST /v1/run} runs an order; the header {@code Figspan-Order-Id} names it in the record of runs,
+ * which {@code GET /control/runs} returns. {@code POST /control/mode} with the parameters {@code fail} (a
+ * {@link FailMode}), {@code count}, {@code delayMs} and {@code honourKey} changes the behaviour.
+ */
+public final class PlainService extends AbstractVerticle {
+    private static final Logger LOG = LoggerFactory.getLogger(PlainService.class);
+
+    /** Runs that are recorded; further ones are refused, so that the record is never incomplete. */
+    private static final int MAX_RUNS = 100_000;
+
+    /** How the service fails the next orders. */
+    public enum FailMode {
+        /** It runs each order. */
+        NONE,
+        /** It refuses before it runs the order, and its answer says so. */
+        REFUSE,
+        /** It breaks the connection before it runs the order. */
+        BREAK_BEFORE,
+        /** It runs the order, then breaks the connection. */
+        BREAK_AFTER
+    }
+
+    /** Record of the runs. */
+    public record Runs(@JsonProperty("service") String service, @JsonProperty("runs") Map<String, Integer> runs) {}
+
+    /** Answer to one order. */
+    public record Receipt(
+            @JsonProperty("order") String order,
+            @JsonProperty("service") String service,
+            @JsonProperty("run") String run) {}
+
+    private final String name;
+    private final String address;
+    private int port;
+    private boolean honourKey;
+    private FailMode failMode = FailMode.NONE;
+    private int failCount;
+    private long delayMs;
+    private final Map<String, Integer> runs = new TreeMap<>();
+    private final Map<String, Receipt> receiptsByKey = new LinkedHashMap<>();
+
+    public PlainService(String name, String address, int port, boolean honourKey) {
+        this.name = name;
+        this.address = address;
+        this.port = port;
+        this.honourKey = honourKey;
+    }
+
+    public String name() {
+        return name;
+    }
+
+    public int port() {
+        return port;
+    }
+
+    @Override
+    public void start(Promise<Void> started) {
+        Router router = Router.router(vertx);
+        router.route().handler(BodyHandler.create(false).setBodyLimit(1 << 20));
+        router.post("/v1/run").handler(this::receive);
+        router.get("/control/runs").handler(context -> reply(context, 200, new Runs(name, runs)));
+        router.post("/control/mode").handler(this::setMode);
+        vertx.createHttpServer(new HttpServerOptions())
+                .requestHandler(router)
+                .listen(port, address)
+                .onSuccess(listening -> {
+                    port = listening.actualPort();
+                    LOG.info("{} service {} listens on {}:{}", Part.STANDIN.logPrefix(), name, address, port);
+                })
+                .<Void>mapEmpty()
+                .onComplete(started);
+    }
+
+    private void setMode(RoutingContext context) {
+        failMode = FailMode.valueOf(context.request().getParam("fail", "NONE"));
+        failCount = Integer.parseInt(context.request().getParam("count", "1"));
+        delayMs = Long.parseLong(context.request().getParam("delayMs", "0"));
+        honourKey = Boolean.parseBoolean(context.request().getParam("honourKey", Boolean.toString(honourKey)));
+        reply(context, 200, Set.of());
+    }
+
+    private void receive(RoutingContext context) {
+        FailMode mode = failCount > 0 ? failMode : FailMode.NONE;
+        failCount = Math.max(0, failCount - 1);
+        if (delayMs > 0) {
+            vertx.setTimer(delayMs, id -> run(context, mode));
+            return;
+        }
+        run(context, mode);
+    }
+
+    private void run(RoutingContext context, FailMode mode) {
+        String order = context.request().getHeader("Figspan-Order-Id");
+        String key = context.request().getHeader("Idempotency-Key");
+        if (order == null || runs.size() >= MAX_RUNS || mode == FailMode.REFUSE) {
+            reply(context, 503, new Receipt(order, name, "notRun"));
+            return;
+        }
+        if (mode == FailMode.BREAK_BEFORE) {
+            context.request().connection().close();
+            return;
+        }
+        if (honourKey && key != null && receiptsByKey.containsKey(key)) {
+            reply(context, 200, receiptsByKey.get(key));
+            return;
+        }
+        runs.merge(order, 1, Integer::sum);
+        Receipt receipt = new Receipt(order, name, "ran");
+        if (key != null) {
+            receiptsByKey.put(key, receipt);
+        }
+        if (mode == FailMode.BREAK_AFTER) {
+            context.request().connection().close();
+            return;
+        }
+        reply(context, 200, receipt);
+    }
+
+    private static void reply(RoutingContext context, int status, Object body) {
+        if (context.response().closed()) {
+            return;
+        }
+        context.response()
+                .setStatusCode(status)
+                .putHeader("Content-Type", "application/json")
+                .end(Json.encode(body));
+    }
+}
