--- /dev/null
+++ b/figspan-host/src/main/java/io/figspan/host/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Readers of what the platform publishes: the host list and the configuration service. */
+package io.figspan.host.platform;
