--- /dev/null
+++ b/figspan-host/src/main/java/io/figspan/host/HostContext.java
@@ -0,0 +1,64 @@
+package io.figspan.host;
+
+import com.codahale.metrics.MetricRegistry;
+import io.figspan.core.id.HoldHandle;
+import io.figspan.core.id.HostIncarnation;
+import io.figspan.core.id.StreamId;
+import io.figspan.core.time.MonotonicClock;
+import io.figspan.host.backend.BackendTable;
+import io.figspan.host.backend.EngineClient;
+import io.figspan.host.operator.Timeline;
+import io.figspan.settings.SettingKey;
+import io.figspan.settings.SettingsHolder;
+import io.figspan.settings.SettingsTree;
+import io.figspan.settings.cfg.HostConfig;
+import io.vertx.core.Vertx;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.random.RandomGenerator;
+
+/**
+ * What the parts of one process share.
+ *
+ * @param clock monotonic clock of deadlines and load views
+ */
+public record HostContext(
+        HostConfig config,
+        HostIncarnation incarnation,
+        Vertx vertx,
+        MonotonicClock clock,
+        RandomGenerator random,
+        SettingsHolder settings,
+        Timeline timeline,
+        MetricRegistry metrics,
+        BackendTable backends,
+        EngineClient engines,
+        AtomicLong sequence) {
+    public long nowNanos() {
+        return clock.nowNanos();
+    }
+
+    public SettingsTree tree() {
+        return settings.tree();
+    }
+
+    /** A handle that no process has used before. */
+    public HoldHandle newHold() {
+        return new HoldHandle(incarnation, sequence.incrementAndGet());
+    }
+
+    /** A stream id that no process has used before. */
+    public StreamId newStream() {
+        return StreamId.of(incarnation.host() + "-" + incarnation.number() + "-" + sequence.incrementAndGet());
+    }
+
+    /** Key of resume tokens and tickets: the one of the host file, else the one of the settings. */
+    public byte[] tokenKey() {
+        return config.tokenKey().isPresent()
+                ? config.tokenKey().utf8()
+                : tree().fleet().secret(SettingKey.TOKEN_KEY).utf8();
+    }
+
+    public void count(String name) {
+        metrics.counter(name).inc();
+    }
+}
--- a/figspan-host/src/main/java/io/figspan/host/backend/BackendTable.java
+++ b/figspan-host/src/main/java/io/figspan/host/backend/BackendTable.java
@@ -1,72 +1,63 @@
 package io.figspan.host.backend;
 
-import io.figspan.core.id.AvailabilityZoneId;
 import io.figspan.core.id.BackendIncarnation;
 import io.figspan.core.id.BackendServerId;
+import io.figspan.core.id.ServiceId;
+import io.figspan.policy.placement.EngineSpeed;
+import io.figspan.policy.placement.LoadReport;
+import io.figspan.policy.placement.LoadView;
+import io.figspan.policy.subset.Runner;
+import io.figspan.settings.FleetList;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
 
-/** Backend servers that this host knows, with the newest load report of each. Used on the event loop only. */
+/**
+ * Backend servers that this host knows and its view of the engines' load. Used on the event loop only. Bounded by
+ * {@link #MAX_SERVERS}; further ones are ignored.
+ */
 public final class BackendTable {
-    /** Most backend servers in the table; further ones are ignored. */
-    public static final int MAX_SERVERS = 1_024;
+    public static final int MAX_SERVERS = 4_096;
 
     /** One backend server. */
     public static final class Server {
-        private final BackendServerId id;
-        private final boolean engine;
-        private final List<String> services;
-        private final String address;
-        private final int port;
-        private final AvailabilityZoneId availabilityZone;
+        private FleetList.BackendServer listed;
         private long incarnationNumber;
         private boolean leaving;
         private boolean suspect;
-        private long backlogTokens;
-        private long freeTokens;
         private long capacityTokens;
-        private long sentTokensSinceReport;
-        private long reportedAtNanos;
-        private boolean hasReport;
+        private long heardAtNanos;
 
-        Server(Listed listed) {
-            this.id = listed.id();
-            this.engine = listed.engine();
-            this.services = List.copyOf(listed.services());
-            this.address = listed.address();
-            this.port = listed.port();
-            this.availabilityZone = listed.availabilityZone();
+        Server(FleetList.BackendServer listed) {
+            this.listed = listed;
+            this.incarnationNumber = listed.incarnationNumber();
         }
 
         public BackendServerId id() {
-            return id;
+            return listed.id();
         }
 
-        public BackendIncarnation incarnation() {
-            return new BackendIncarnation(id, incarnationNumber);
+        public FleetList.BackendServer listed() {
+            return listed;
         }
 
-        public boolean isEngine() {
-            return engine;
+        public BackendIncarnation incarnation() {
+            return new BackendIncarnation(listed.id(), incarnationNumber);
         }
 
-        public List<String> services() {
-            return services;
+        public boolean isEngine() {
+            return listed.kind() == FleetList.BackendKind.MODEL_ENGINE;
         }
 
         public String address() {
-            return address;
+            return listed.address();
         }
 
         public int port() {
-            return port;
-        }
-
-        public AvailabilityZoneId availabilityZone() {
-            return availabilityZone;
+            return listed.port();
         }
 
         /** Whether new work may go there: it is not leaving and its last use did not fail. */
@@ -78,108 +69,155 @@
             return leaving;
         }
 
+        /** Whether the last use failed; it is polled until it answers. */
         public boolean isSuspect() {
             return suspect;
         }
 
-        public long backlogTokens() {
-            return backlogTokens + sentTokensSinceReport;
-        }
-
-        public long freeTokens() {
-            return freeTokens;
-        }
-
+        /** Memory that the engine has reported; 0 when it has not reported. */
         public long capacityTokens() {
             return capacityTokens;
         }
 
-        public long reportedAtNanos() {
-            return reportedAtNanos;
+        public boolean hasReported() {
+            return capacityTokens > 0;
         }
 
-        public boolean hasReport() {
-            return hasReport;
+        /** When the engine was last heard, on the monotonic clock; 0 for never. */
+        public long heardAtNanos() {
+            return heardAtNanos;
         }
     }
 
-    /** A backend server as the platform lists it. */
-    public record Listed(
-            BackendServerId id,
-            boolean engine,
-            List<String> services,
-            String address,
-            int port,
-            AvailabilityZoneId availabilityZone,
-            boolean leaving) {}
+    /** Told when a server is seen to leave for the first time. */
+    public interface LeavingListener {
+        void onLeaving(BackendIncarnation incarnation);
+    }
 
     private final Map<BackendServerId, Server> servers = new TreeMap<>();
+    private final LoadView loads;
+    private LeavingListener leavingListener = incarnation -> {};
+    private Runnable changeListener = () -> {};
+
+    public BackendTable(EngineSpeed speed) {
+        this.loads = new LoadView(speed);
+    }
+
+    public void setLeavingListener(LeavingListener listener) {
+        leavingListener = listener;
+    }
+
+    /** Sets the listener that is told when room for more work may have appeared. */
+    public void setChangeListener(Runnable listener) {
+        changeListener = listener;
+    }
+
+    public LoadView loads() {
+        return loads;
+    }
 
     public Collection<Server> all() {
         return List.copyOf(servers.values());
     }
 
-    public Optional<Server> find(BackendServerId id) {
-        return Optional.ofNullable(servers.get(id));
+    public List<Server> engines() {
+        return servers.values().stream().filter(Server::isEngine).toList();
     }
 
-    /** Takes over the platform's list. A server that it no longer names stays until it fails. */
-    public void update(Collection<Listed> listed) {
-        for (Listed server : listed) {
-            boolean room = servers.containsKey(server.id()) || servers.size() < MAX_SERVERS;
-            if (room) {
-                Server known = servers.computeIfAbsent(server.id(), id -> new Server(server));
-                known.leaving = known.leaving || server.leaving();
+    /** Servers of a plain service that take new work. */
+    public List<Server> servers(ServiceId service) {
+        List<Server> found = new ArrayList<>();
+        for (Server server : servers.values()) {
+            if (server.listed().services().contains(service) && !server.isLeaving()) {
+                found.add(server);
             }
         }
+        return found;
     }
 
-    /** Notes work that was sent to a server, until its next report counts it. */
-    public void onSent(Server server, long tokens) {
-        server.sentTokensSinceReport += tokens;
+    public Optional<Server> find(BackendServerId id) {
+        return Optional.ofNullable(servers.get(id));
+    }
+
+    /**
+     * Takes over the platform's list. A server that the lagging list no longer names stays until a use of it fails.
+     */
+    public void update(Collection<FleetList.BackendServer> listed) {
+        for (FleetList.BackendServer entry : listed) {
+            Server known = servers.get(entry.id());
+            if (known == null && servers.size() >= MAX_SERVERS) {
+                continue;
+            }
+            if (known == null) {
+                known = new Server(entry);
+                servers.put(entry.id(), known);
+            }
+            known.listed = entry;
+            if (known.isEngine()) {
+                loads.add(new Runner(entry.id(), entry.availabilityZone()));
+            }
+            observeIncarnation(known, entry.incarnationNumber());
+            boolean leaving = entry.state() == FleetList.LiveState.LEAVING
+                    && entry.incarnationNumber() == known.incarnationNumber;
+            if (leaving) {
+                onLeaving(known);
+            }
+        }
+        changeListener.run();
     }
 
     /** Notes a full report. */
     public void onReport(Server server, EngineMessages.Report report, long nowNanos) {
-        server.capacityTokens = report.capacityTokens();
-        note(
-                server,
-                report.incarnation(),
-                report.backlogTokens(),
-                report.freeTokens(),
-                "leaving".equals(report.state()),
-                nowNanos);
+        note(server, report.incarnation(), report.toLoad(), report.isLeaving(), nowNanos);
     }
 
-    /** Notes the compact report that rides on a response; a malformed one is ignored. */
+    /** Notes the report that rides on a response; a malformed one is ignored. */
     public void onCompactReport(Server server, String header, long nowNanos) {
-        Optional<CompactReport> report = CompactReport.parse(header);
-        report.ifPresent(parsed -> note(
-                server, parsed.incarnation(), parsed.backlogTokens(), parsed.freeTokens(), parsed.leaving(), nowNanos));
+        CompactReport.parse(header)
+                .ifPresent(report -> note(server, report.incarnation(), report.load(), report.leaving(), nowNanos));
     }
 
     /** Notes that a use of the server failed. It gets new work again after its next report. */
     public void onFailure(Server server) {
         server.suspect = true;
+        loads.setLeaving(server.id(), true);
     }
 
+    /** Marks a server as leaving; this stays until a later incarnation appears. */
     public void onLeaving(Server server) {
+        boolean isNew = !server.leaving;
         server.leaving = true;
+        loads.setLeaving(server.id(), true);
+        if (isNew) {
+            leavingListener.onLeaving(server.incarnation());
+        }
     }
 
-    private static void note(
-            Server server, long incarnation, long backlogTokens, long freeTokens, boolean leaving, long nowNanos) {
+    private void note(Server server, long incarnation, LoadReport load, boolean leaving, long nowNanos) {
         if (incarnation < server.incarnationNumber) {
             return;
         }
-        boolean restarted = incarnation > server.incarnationNumber;
-        server.incarnationNumber = incarnation;
-        server.leaving = leaving || (server.leaving && !restarted);
+        observeIncarnation(server, incarnation);
         server.suspect = false;
-        server.backlogTokens = backlogTokens;
-        server.freeTokens = freeTokens;
-        server.sentTokensSinceReport = 0;
-        server.reportedAtNanos = nowNanos;
-        server.hasReport = true;
+        server.capacityTokens = load.kvTotalTokens();
+        server.heardAtNanos = nowNanos;
+        loads.report(server.id(), load, nowNanos);
+        if (leaving) {
+            onLeaving(server);
+        }
+        loads.setLeaving(server.id(), !server.takesNewWork());
+        changeListener.run();
+    }
+
+    private void observeIncarnation(Server server, long incarnation) {
+        if (incarnation <= server.incarnationNumber) {
+            return;
+        }
+        server.incarnationNumber = incarnation;
+        server.leaving = false;
+        if (server.isEngine()) {
+            loads.remove(server.id());
+            loads.add(new Runner(server.id(), server.listed().availabilityZone()));
+        }
     }
 }
--- a/figspan-host/src/main/java/io/figspan/host/backend/EngineClient.java
+++ b/figspan-host/src/main/java/io/figspan/host/backend/EngineClient.java
@@ -129,8 +129,7 @@
                 });
     }
 
-    private Flowable<EngineEvent> stream(
-            BackendTable.Server server, HttpMethod method, String path, Buffer body) {
+    private Flowable<EngineEvent> stream(BackendTable.Server server, HttpMethod method, String path, Buffer body) {
         Single<HttpClientResponse> response = Single.create(emitter -> client.request(options(server, method, path))
                 .compose(request -> {
                     emitter.setCancellable(() -> request.reset());
--- a/figspan-host/src/main/java/io/figspan/host/backend/EngineMessages.java
+++ b/figspan-host/src/main/java/io/figspan/host/backend/EngineMessages.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
 import com.fasterxml.jackson.annotation.JsonProperty;
+import io.figspan.policy.placement.LoadReport;
 import java.util.List;
 
 /** JSON messages of the engines' protocol. */
@@ -26,9 +27,7 @@
             @JsonProperty("expires_in_ms") long expiresInMs) {}
 
     /** A segment to prefill into a hold. */
-    public record Segment(
-            @JsonProperty("text") String text,
-            @JsonProperty("priority") int priority) {}
+    public record Segment(@JsonProperty("text") String text, @JsonProperty("priority") int priority) {}
 
     /** Exported KV cache. */
     @JsonIgnoreProperties(ignoreUnknown = true)
@@ -62,15 +61,34 @@
     public record Report(
             @JsonProperty("server") String server,
             @JsonProperty("incarnation") long incarnation,
+            @JsonProperty("sequence") long sequence,
             @JsonProperty("state") String state,
             @JsonProperty("backlog_tokens") long backlogTokens,
             @JsonProperty("free_tokens") long freeTokens,
             @JsonProperty("capacity_tokens") long capacityTokens,
             @JsonProperty("running") int running,
+            @JsonProperty("cache_hint") String cacheHint,
             @JsonProperty("accepted") int accepted,
             @JsonProperty("fence") long fence,
             @JsonProperty("role") String role,
             @JsonProperty("models") List<String> models,
             @JsonProperty("holds") List<ReportedHold> holds,
-            @JsonProperty("cache_events") List<ReportedCacheEvent> cacheEvents) {}
+            @JsonProperty("cache_events") List<ReportedCacheEvent> cacheEvents) {
+        private static final int HEX = 16;
+
+        public boolean isLeaving() {
+            return "leaving".equals(state);
+        }
+
+        /** The part of the report that placement uses. */
+        public LoadReport toLoad() {
+            return new LoadReport(
+                    sequence,
+                    backlogTokens,
+                    running,
+                    capacityTokens - freeTokens,
+                    capacityTokens,
+                    Long.parseUnsignedLong(cacheHint, HEX));
+        }
+    }
 }
--- /dev/null
+++ b/figspan-host/src/main/java/io/figspan/host/backend/ReportPoller.java
@@ -0,0 +1,35 @@
+package io.figspan.host.backend;
+
+import io.vertx.core.Vertx;
+import java.util.concurrent.TimeUnit;
+
+/** Asks those engines for a report that have not been heard from for a while. */
+public final class ReportPoller {
+    /** Reports ride on responses; an engine in use is heard from more often than this. */
+    private static final long QUIET_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+
+    private static final long INTERVAL_MS = 250;
+
+    private final BackendTable table;
+    private final EngineClient engines;
+
+    public ReportPoller(BackendTable table, EngineClient engines) {
+        this.table = table;
+        this.engines = engines;
+    }
+
+    public void start(Vertx vertx) {
+        vertx.setPeriodic(INTERVAL_MS, id -> poll());
+    }
+
+    /** Polls the quiet engines once. */
+    public void poll() {
+        long nowNanos = System.nanoTime();
+        for (BackendTable.Server server : table.engines()) {
+            boolean quiet = server.heardAtNanos() == 0 || nowNanos - server.heardAtNanos() > QUIET_NANOS;
+            if (quiet || server.isSuspect()) {
+                engines.report(server).onFailure(cause -> table.onFailure(server));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/figspan-host/src/main/java/io/figspan/host/entry/EntryServer.java
@@ -0,0 +1,299 @@
+package io.figspan.host.entry;
+
+import io.figspan.core.error.Problem;
+import io.figspan.core.error.ProblemKind;
+import io.figspan.core.error.Result;
+import io.figspan.core.event.Part;
+import io.figspan.core.time.Deadline;
+import io.figspan.host.HostContext;
+import io.figspan.policy.fair.PriorityClass;
+import io.figspan.settings.ResolvedSettings;
+import io.figspan.settings.SettingKey;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.json.Json;
+import java.util.Locale;
+import java.util.function.BiConsumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The caller port. Bounds what one caller can cost: body and header size, connections and slow sending. */
+public final class EntryServer {
+    private static final Logger LOG = LoggerFactory.getLogger(EntryServer.class);
+    private static final String PREFIX = Part.ENTRY.logPrefix();
+
+    /** A million tokens of about 4 bytes, with room for JSON escapes. */
+    static final int MAX_PROMPT_BODY_BYTES = 16 << 20;
+
+    static final int MAX_ORDER_BODY_BYTES = 256 << 10;
+    static final int MAX_HEADER_BYTES = 16 << 10;
+    static final int MAX_CONNECTIONS = 4_096;
+
+    /** A body of 16 MB takes less than this at 1 MB per second. */
+    static final long MAX_BODY_MS = 20_000;
+
+    private static final long ORDER_BODY_MS = 5_000;
+    private static final int IDLE_SECONDS = 60;
+
+    /** Limits of one caller port; tests use smaller ones. */
+    public record Limits(int promptBodyBytes, int connections, long bodyMs) {
+        public static final Limits DEFAULT = new Limits(MAX_PROMPT_BODY_BYTES, MAX_CONNECTIONS, MAX_BODY_MS);
+    }
+
+    private final HostContext context;
+    private final Limits limits;
+    private final EntryDirectory directory;
+    private final OrderHandler orders;
+    private final Dispatcher dispatcher;
+    private HttpServer server;
+    private int connections;
+    private int inFlight;
+    private boolean refusing;
+    private Promise<Void> drained = Promise.promise();
+
+    public EntryServer(HostContext context, Limits limits, EntryDirectory directory, OrderHandler orders) {
+        this.context = context;
+        this.limits = limits;
+        this.directory = directory;
+        this.orders = orders == null ? new ThinOrders(context) : orders;
+        this.dispatcher = new Dispatcher(context);
+        context.backends().setChangeListener(dispatcher::pump);
+    }
+
+    /** Starts to listen and returns the port in use. */
+    public Future<Integer> listen() {
+        HttpServerOptions options = new HttpServerOptions()
+                .setMaxHeaderSize(MAX_HEADER_BYTES)
+                .setMaxInitialLineLength(MAX_HEADER_BYTES)
+                .setIdleTimeout(IDLE_SECONDS)
+                .setHandle100ContinueAutomatically(true)
+                .setTcpNoDelay(true);
+        server = context.vertx().createHttpServer(options);
+        return server.connectionHandler(this::onConnection)
+                .requestHandler(this::route)
+                .listen(context.config().callerPort(), context.config().bindAddress())
+                .map(HttpServer::actualPort);
+    }
+
+    public int inFlight() {
+        return inFlight;
+    }
+
+    public int queued() {
+        return dispatcher.queued();
+    }
+
+    /** Refuses new requests from now on; the future completes when none is in flight. */
+    public Future<Void> drain() {
+        refusing = true;
+        checkDrained();
+        return drained.future();
+    }
+
+    public Future<Void> close() {
+        return server.close();
+    }
+
+    // Routing
+
+    private void onConnection(HttpConnection connection) {
+        connections++;
+        connection.closeHandler(nothing -> connections--);
+        if (connections > limits.connections()) {
+            context.count("connections.refused");
+            connection.close();
+        }
+    }
+
+    private void route(HttpServerRequest request) {
+        if (refusing) {
+            Problems.write(
+                    request.response(),
+                    Problem.notRun(ProblemKind.SHUTTING_DOWN, "this host takes no new requests")
+                            .withRetryAfterMs(1));
+            return;
+        }
+        String route = request.method() + " " + request.path();
+        switch (route) {
+            case "GET /v1/hosts" -> listHosts(request);
+            case "POST /v1/completions" ->
+                withBody(
+                        request,
+                        limits.promptBodyBytes(),
+                        limits.bodyMs(),
+                        (head, body) -> complete(request, head, body));
+            case "GET /v1/completions/stream" -> withHead(request, head -> resume(request, head));
+            case "POST /v1/tickets" ->
+                withBody(
+                        request,
+                        MAX_ORDER_BODY_BYTES,
+                        ORDER_BODY_MS,
+                        (head, body) -> orders.issue(request, head, body));
+            case "POST /v1/orders" ->
+                withBody(request, MAX_ORDER_BODY_BYTES, ORDER_BODY_MS, (head, body) -> orders.run(request, head, body));
+            default -> routeOther(request);
+        }
+    }
+
+    private void routeOther(HttpServerRequest request) {
+        String prefix = "/v1/orders/";
+        boolean isOutcome = request.method() == HttpMethod.GET && request.path().startsWith(prefix);
+        if (isOutcome) {
+            withHead(
+                    request,
+                    head -> orders.outcome(request, head, request.path().substring(prefix.length())));
+            return;
+        }
+        Problems.write(
+                request.response(),
+                Problem.notRun(ProblemKind.NOT_FOUND, request.method() + " " + request.path() + " is not served"));
+    }
+
+    private void withHead(HttpServerRequest request, java.util.function.Consumer<RequestHead> action) {
+        Result<RequestHead> head =
+                RequestHead.parse(request.headers(), context.newStream().value());
+        if (head instanceof Result.Failed<RequestHead> failed) {
+            Problems.write(request.response(), failed.problem());
+            return;
+        }
+        action.accept(((Result.Ok<RequestHead>) head).value());
+    }
+
+    private void withBody(HttpServerRequest request, int maxBytes, long maxMs, BiConsumer<RequestHead, Buffer> action) {
+        Future<Result<Buffer>> body = BodyCollector.collect(context.vertx(), request, maxBytes, maxMs);
+        withHead(
+                request,
+                head -> body.onSuccess(collected -> {
+                    if (collected instanceof Result.Failed<Buffer> failed) {
+                        // The rest of the body is not read, so the connection cannot carry another request.
+                        request.response().putHeader("Connection", "close");
+                        Problems.write(request.response(), failed.problem());
+                        return;
+                    }
+                    track(request);
+                    action.accept(head, ((Result.Ok<Buffer>) collected).value());
+                }));
+    }
+
+    /** Counts a request as in flight until its response ends or its connection closes. */
+    private void track(HttpServerRequest request) {
+        inFlight++;
+        boolean[] counted = {true};
+        Runnable end = () -> {
+            if (counted[0]) {
+                counted[0] = false;
+                inFlight--;
+                checkDrained();
+            }
+        };
+        request.response().endHandler(nothing -> end.run());
+        request.connection().closeHandler(nothing -> {
+            connections--;
+            end.run();
+        });
+    }
+
+    private void checkDrained() {
+        if (refusing && inFlight == 0) {
+            drained.tryComplete();
+        }
+    }
+
+    // Entry list and prompts
+
+    private void listHosts(HttpServerRequest request) {
+        String organisation = request.getParam("organisation");
+        try {
+            io.figspan.core.id.OrganisationId id = io.figspan.core.id.OrganisationId.of(organisation);
+            request.response().putHeader("Content-Type", "application/json").end(Json.encode(directory.answer(id)));
+        } catch (io.figspan.core.error.FigspanException e) {
+            Problems.write(request.response(), Problem.notRun(e.kind(), e.detail()));
+        }
+    }
+
+    private void complete(HttpServerRequest request, RequestHead head, Buffer body) {
+        Result<CompletionRequest> parsed = CompletionRequest.parse(body);
+        if (parsed instanceof Result.Failed<CompletionRequest> failed) {
+            Problems.write(request.response(), failed.problem());
+            return;
+        }
+        CompletionRequest prompt = ((Result.Ok<CompletionRequest>) parsed).value();
+        ResolvedSettings settings = context.tree().resolve(head.organisation(), head.service());
+        boolean tooLong = prompt.promptTokens() > settings.integer(SettingKey.PROMPTS_MAX_TOKENS)
+                || prompt.outputTokens() > settings.integer(SettingKey.PROMPTS_MAX_OUTPUT_TOKENS);
+        if (tooLong) {
+            Problems.write(
+                    request.response(),
+                    Problem.notRun(
+                            ProblemKind.INVALID_VALUE,
+                            "the prompt has " + prompt.promptTokens() + " tokens and asks for "
+                                    + prompt.outputTokens() + "; the settings allow "
+                                    + settings.integer(SettingKey.PROMPTS_MAX_TOKENS) + " and "
+                                    + settings.integer(SettingKey.PROMPTS_MAX_OUTPUT_TOKENS)));
+            return;
+        }
+        Deadline deadline = Deadline.after(context.nowNanos(), deadlineMs(head, settings, prompt.promptTokens()));
+        CallerStream caller =
+                new CallerStream(request.response(), head.request().value());
+        new CompletionCall(
+                        context,
+                        dispatcher,
+                        tokens(),
+                        head,
+                        prompt,
+                        caller,
+                        priority(head, settings),
+                        deadline,
+                        () -> {})
+                .start();
+    }
+
+    private void resume(HttpServerRequest request, RequestHead head) {
+        StreamTokens tokens = tokens();
+        Result<StreamTokens.Position> position =
+                tokens.decode(head.organisation(), request.getHeader(CallerHeaders.LAST_EVENT_ID));
+        boolean otherRequest = position instanceof Result.Ok<StreamTokens.Position> ok
+                && request.getHeader(CallerHeaders.REQUEST_ID) != null
+                && !ok.value().request().equals(head.request());
+        if (otherRequest || !position.isOk()) {
+            context.count("tokens.refused");
+            LOG.warn("{} request {}: resume token refused", PREFIX, head.request());
+            Problems.write(
+                    request.response(),
+                    Problem.notRun(ProblemKind.TOKEN_REFUSED, "the resume token is not one of this request"));
+            return;
+        }
+        track(request);
+        ResolvedSettings settings = context.tree().resolve(head.organisation(), head.service());
+        Deadline deadline = Deadline.after(context.nowNanos(), deadlineMs(head, settings, 0));
+        CallerStream caller =
+                new CallerStream(request.response(), head.request().value());
+        new ResumeCall(context, caller, head, deadline, () -> {})
+                .start(tokens, ((Result.Ok<StreamTokens.Position>) position).value());
+    }
+
+    private static long deadlineMs(RequestHead head, ResolvedSettings settings, int promptTokens) {
+        long perThousandMs = settings.integer(SettingKey.PROMPTS_DEADLINE_MS_PER_THOUSAND_TOKENS);
+        return head.deadlineMs()
+                .orElse(settings.integer(SettingKey.PROMPTS_DEADLINE_MS) + promptTokens * perThousandMs / 1_000);
+    }
+
+    private static PriorityClass priority(RequestHead head, ResolvedSettings settings) {
+        PriorityClass wanted = head.priority()
+                .orElse(PriorityClass.valueOf(
+                        settings.text(SettingKey.PRIORITIES_DEFAULT).toUpperCase(Locale.ROOT)));
+        PriorityClass highest = PriorityClass.valueOf(
+                settings.text(SettingKey.PRIORITIES_HIGHEST).toUpperCase(Locale.ROOT));
+        return wanted.level() < highest.level() ? highest : wanted;
+    }
+
+    private StreamTokens tokens() {
+        return new StreamTokens(context.tokenKey());
+    }
+}
--- /dev/null
+++ b/figspan-host/src/main/java/io/figspan/host/entry/ResumeCall.java
@@ -0,0 +1,106 @@
+package io.figspan.host.entry;
+
+import io.figspan.core.error.Problem;
+import io.figspan.core.error.ProblemKind;
+import io.figspan.core.event.Part;
+import io.figspan.core.time.Deadline;
+import io.figspan.host.HostContext;
+import io.figspan.host.backend.BackendTable;
+import java.util.Optional;
+
+/** A caller that goes on reading an answer, after a break or at another host. */
+final class ResumeCall {
+    private final HostContext context;
+    private final CallerStream caller;
+    private final RequestHead head;
+    private final Runnable onEnd;
+    private final long deadlineTimer;
+    private Optional<AnswerRelay> relay = Optional.empty();
+    private boolean over;
+
+    ResumeCall(HostContext context, CallerStream caller, RequestHead head, Deadline deadline, Runnable onEnd) {
+        this.context = context;
+        this.caller = caller;
+        this.head = head;
+        this.onEnd = onEnd;
+        long leftMs = Math.max(1, deadline.leftMs(context.nowNanos()));
+        this.deadlineTimer = context.vertx()
+                .setTimer(
+                        leftMs,
+                        id -> fail(
+                                Problem.unknown(ProblemKind.DEADLINE_PASSED, "the answer was not complete in time")));
+    }
+
+    void start(StreamTokens tokens, StreamTokens.Position position) {
+        caller.setGoneListener(this::end);
+        context.count("prompts.resumed");
+        context.timeline()
+                .add(
+                        Part.ENTRY,
+                        "resume",
+                        head.request().value(),
+                        position.engine() + " stream " + position.stream() + " offset " + position.offset());
+        Optional<BackendTable.Server> server = context.backends()
+                .find(position.engine().server())
+                .filter(known -> known.incarnation().equals(position.engine()) || !known.hasReported());
+        if (server.isEmpty()) {
+            fail(gone("the engine that had the stream is gone"));
+            return;
+        }
+        AnswerRelay newRelay = new AnswerRelay(
+                context,
+                tokens,
+                caller,
+                new AnswerRelay.Route(
+                        head.organisation(), position.request(), server.get(), position.stream(), position.offset()),
+                new RelayListener());
+        relay = Optional.of(newRelay);
+        context.engines()
+                .resume(server.get(), position.stream(), position.offset())
+                .subscribe(newRelay);
+    }
+
+    private final class RelayListener implements AnswerRelay.Listener {
+        @Override
+        public void onOpened() {}
+
+        @Override
+        public void onFirstToken() {}
+
+        @Override
+        public void onComplete(int endOffset) {
+            relay = Optional.empty();
+            caller.complete(endOffset);
+            context.count("prompts.answered");
+            context.timeline().add(Part.ENTRY, "answered", head.request().value(), endOffset + " tokens, resumed");
+            end();
+        }
+
+        @Override
+        public void onBroken(Throwable cause) {
+            fail(gone("the stream cannot be read: " + cause.getMessage()));
+        }
+    }
+
+    private void fail(Problem problem) {
+        caller.problem(problem);
+        end();
+    }
+
+    private void end() {
+        if (over) {
+            return;
+        }
+        over = true;
+        context.vertx().cancelTimer(deadlineTimer);
+        relay.ifPresent(running -> {
+            running.stop();
+            context.engines().cancel(running.server(), running.stream(), running.readerNumber());
+        });
+        onEnd.run();
+    }
+
+    private static Problem gone(String detail) {
+        return Problem.unknown(ProblemKind.STREAM_GONE, detail);
+    }
+}
--- /dev/null
+++ b/figspan-host/src/main/java/io/figspan/host/operator/OperatorServer.java
@@ -0,0 +1,183 @@
+package io.figspan.host.operator;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.Snapshot;
+import com.codahale.metrics.Timer;
+import com.fasterxml.jackson.annotation.JsonProperty;
+import io.figspan.core.event.TimelineEvent;
+import io.figspan.host.HostContext;
+import io.figspan.host.backend.BackendTable;
+import io.vertx.core.Future;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.json.Json;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Supplier;
+
+/** The operator port: status, timeline, metrics and health. */
+public final class OperatorServer {
+    private static final int MAX_TIMELINE_EVENTS = 5_000;
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    /** One backend server in the status. */
+    record BackendStatus(
+            @JsonProperty("id") String id,
+            @JsonProperty("kind") String kind,
+            @JsonProperty("incarnation") long incarnation,
+            @JsonProperty("leaving") boolean leaving,
+            @JsonProperty("suspect") boolean suspect,
+            @JsonProperty("capacityTokens") long capacityTokens) {}
+
+    /** Answer to {@code GET /admin/status}. */
+    record Status(
+            @JsonProperty("host") String host,
+            @JsonProperty("incarnation") long incarnation,
+            @JsonProperty("region") String region,
+            @JsonProperty("availabilityZone") String availabilityZone,
+            @JsonProperty("state") String state,
+            @JsonProperty("settingsVersion") long settingsVersion,
+            @JsonProperty("inFlight") int inFlight,
+            @JsonProperty("queued") int queued,
+            @JsonProperty("backendServers") List<BackendStatus> backendServers) {}
+
+    /** One event of the timeline. */
+    record Event(
+            @JsonProperty("timestamp") String timestamp,
+            @JsonProperty("host") String host,
+            @JsonProperty("part") String part,
+            @JsonProperty("kind") String kind,
+            @JsonProperty("requestId") String requestId,
+            @JsonProperty("text") String text) {}
+
+    /** What the process tells about itself. */
+    public record Gauges(String state, boolean ready, int inFlight, int queued) {}
+
+    private final HostContext context;
+    private final Supplier<Gauges> gauges;
+    private HttpServer server;
+
+    public OperatorServer(HostContext context, Supplier<Gauges> gauges) {
+        this.context = context;
+        this.gauges = gauges;
+    }
+
+    /** Starts to listen and returns the port in use. */
+    public Future<Integer> listen() {
+        server = context.vertx().createHttpServer(new HttpServerOptions().setMaxHeaderSize(16_384));
+        return server.requestHandler(this::route)
+                .listen(context.config().operatorPort(), context.config().bindAddress())
+                .map(HttpServer::actualPort);
+    }
+
+    public Future<Void> close() {
+        return server.close();
+    }
+
+    private void route(HttpServerRequest request) {
+        switch (request.method() + " " + request.path()) {
+            case "GET /admin/status" -> json(request, 200, status());
+            case "GET /admin/timeline" -> json(request, 200, timeline(request.getParam("request")));
+            case "GET /metrics" ->
+                request.response()
+                        .putHeader("Content-Type", "text/plain; version=0.0.4")
+                        .end(exposition());
+            case "GET /health/live" -> json(request, 200, Map.of("live", true));
+            case "GET /health/ready" -> {
+                boolean ready = gauges.get().ready();
+                json(request, ready ? 200 : 503, Map.of("ready", ready));
+            }
+            default -> json(request, 404, Map.of("error", "not found"));
+        }
+    }
+
+    private Status status() {
+        Gauges now = gauges.get();
+        List<BackendStatus> servers = new ArrayList<>();
+        for (BackendTable.Server server : context.backends().all()) {
+            servers.add(new BackendStatus(
+                    server.id().value(),
+                    server.listed().kind().wireName(),
+                    server.incarnation().number(),
+                    server.isLeaving(),
+                    server.isSuspect(),
+                    server.capacityTokens()));
+        }
+        return new Status(
+                context.config().hostId().value(),
+                context.incarnation().number(),
+                context.config().region().value(),
+                context.config().availabilityZone().value(),
+                now.state(),
+                context.settings().version().number(),
+                now.inFlight(),
+                now.queued(),
+                servers);
+    }
+
+    private List<Event> timeline(String requestId) {
+        List<TimelineEvent> events = context.timeline()
+                .select(event -> requestId == null || event.requestId().equals(requestId));
+        int start = Math.max(0, events.size() - MAX_TIMELINE_EVENTS);
+        return events.subList(start, events.size()).stream()
+                .map(event -> new Event(
+                        event.timestamp().toString(),
+                        event.host().value(),
+                        event.part().wireName(),
+                        event.kind(),
+                        event.requestId(),
+                        event.text()))
+                .toList();
+    }
+
+    /** Metrics in the text exposition format 0.0.4. */
+    private String exposition() {
+        StringBuilder text = new StringBuilder();
+        for (Map.Entry<String, Counter> entry : context.metrics().getCounters().entrySet()) {
+            String name = name(entry.getKey()) + "_total";
+            text.append("# TYPE ").append(name).append(" counter\n");
+            text.append(name).append(' ').append(entry.getValue().getCount()).append('\n');
+        }
+        for (Map.Entry<String, Gauge> entry : context.metrics().getGauges().entrySet()) {
+            String name = name(entry.getKey());
+            text.append("# TYPE ").append(name).append(" gauge\n");
+            text.append(name).append(' ').append(entry.getValue().getValue()).append('\n');
+        }
+        for (Map.Entry<String, Timer> entry : context.metrics().getTimers().entrySet()) {
+            String name = name(entry.getKey()) + "_seconds";
+            Snapshot snapshot = entry.getValue().getSnapshot();
+            text.append("# TYPE ").append(name).append(" summary\n");
+            quantile(text, name, "0.5", snapshot.getMedian());
+            quantile(text, name, "0.95", snapshot.get95thPercentile());
+            quantile(text, name, "0.99", snapshot.get99thPercentile());
+            text.append(name)
+                    .append("_count ")
+                    .append(entry.getValue().getCount())
+                    .append('\n');
+        }
+        return text.toString();
+    }
+
+    private static void quantile(StringBuilder text, String name, String quantile, double nanos) {
+        text.append(name)
+                .append("{quantile=\"")
+                .append(quantile)
+                .append("\"} ")
+                .append(nanos / NANOS_PER_SECOND)
+                .append('\n');
+    }
+
+    private static String name(String metric) {
+        return "figspan_" + metric.replace('.', '_');
+    }
+
+    private static void json(HttpServerRequest request, int status, Object body) {
+        request.response()
+                .setStatusCode(status)
+                .putHeader("Content-Type", "application/json")
+                .end(Json.encode(body));
+    }
+}
--- a/figspan-standin/src/main/java/io/figspan/standin/engine/EngineMessages.java
+++ b/figspan-standin/src/main/java/io/figspan/standin/engine/EngineMessages.java
@@ -76,20 +76,23 @@
     record Report(
             @JsonProperty("server") String server,
             @JsonProperty("incarnation") long incarnation,
+            @JsonProperty("sequence") long sequence,
             @JsonProperty("state") String state,
             @JsonProperty("backlog_tokens") long backlogTokens,
             @JsonProperty("free_tokens") long freeTokens,
             @JsonProperty("capacity_tokens") long capacityTokens,
             @JsonProperty("running") long running,
+            @JsonProperty("cache_hint") String cacheHint,
             @JsonProperty("accepted") int accepted,
             @JsonProperty("fence") long fence,
             @JsonProperty("role") String role,
             @JsonProperty("models") List<String> models,
             @JsonProperty("holds") List<ReportedHold> holds,
             @JsonProperty("cache_events") List<ReportedCacheEvent> cacheEvents) {
-        /** The form that rides on each response: about 40 bytes. */
+        /** The form that rides on each response: 40 to 80 bytes. */
         String compact() {
-            return "i=" + incarnation + ";b=" + backlogTokens + ";f=" + freeTokens + ";a=" + accepted + ";l="
+            return "i=" + incarnation + ";s=" + sequence + ";b=" + backlogTokens + ";d=" + running + ";u="
+                    + (capacityTokens - freeTokens) + ";t=" + capacityTokens + ";h=" + cacheHint + ";l="
                     + ("leaving".equals(state) ? 1 : 0);
         }
     }
--- a/figspan-standin/src/main/java/io/figspan/standin/engine/EngineServer.java
+++ b/figspan-standin/src/main/java/io/figspan/standin/engine/EngineServer.java
@@ -36,6 +36,7 @@
     private HttpServer server;
     private EngineMessages.Report report;
     private long reportAtNanos;
+    private long reportSequence;
     private long fence;
     private String role = "mixed";
     private final Set<String> models = new LinkedHashSet<>();
@@ -331,11 +332,13 @@
         return new EngineMessages.Report(
                 options.server().value(),
                 incarnation,
+                ++reportSequence,
                 core.isLeaving() ? "leaving" : "live",
                 core.backlogTokens(),
                 core.memory().freeTokens(),
                 options.memoryTokens(),
                 core.runningJobs(),
+                Long.toHexString(core.cache().hint()),
                 core.acceptedJobs(),
                 fence,
                 role,
@@ -360,7 +363,8 @@
     }
 
     private static HoldHandle handleInPath(RoutingContext context, String prefix) {
-        return HoldHandle.parse(context.normalizedPath().substring(prefix.length()));
+        return HoldHandle.parse(
+                context.normalizedPath().substring(prefix.length()).replace("%23", "#"));
     }
 
     private static EngineMessages.KvBlob blob(EngineCore.KvState state) {
--- a/figspan-standin/src/main/java/io/figspan/standin/engine/PrefixCache.java
+++ b/figspan-standin/src/main/java/io/figspan/standin/engine/PrefixCache.java
@@ -52,6 +52,15 @@
         return cachedTokens;
     }
 
+    /** Bloom filter of 64 bits over the cached prefixes: the highest 6 bits of a digest choose the bit. */
+    long hint() {
+        long hint = 0;
+        for (long digest : blocks.keySet()) {
+            hint |= 1L << (digest >>> 58);
+        }
+        return hint;
+    }
+
     /** Events that are old enough to be told and newer than {@code after}. */
     List<Event> eventsAfter(long after, long nowNanos) {
         List<Event> ready = new ArrayList<>();
--- a/figspan-standin/src/main/java/io/figspan/standin/engine/StreamReader.java
+++ b/figspan-standin/src/main/java/io/figspan/standin/engine/StreamReader.java
@@ -2,12 +2,16 @@
 
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.core.json.jackson.DatabindCodec;
+import java.util.concurrent.TimeUnit;
 
 /** Writes the tokens of one stream as server-sent events, as fast as the connection takes them. */
 final class StreamReader implements EngineJob.Reader {
+    private static final long HEARTBEAT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
     private final HttpServerResponse response;
     private int nextOffset;
     private boolean closed;
+    private long lastWriteNanos = System.nanoTime();
 
     StreamReader(HttpServerResponse response, int nextOffset) {
         this.response = response;
@@ -21,7 +25,7 @@
         response.putHeader("Content-Type", "text/event-stream");
         response.putHeader("Figspan-Reader", Long.toString(job.readerNumber()));
         response.drainHandler(nothing -> onProgress(job));
-        response.write(": open\n\n");
+        write(": open\n\n");
         onProgress(job);
     }
 
@@ -31,7 +35,11 @@
             EngineMessages.Token token =
                     new EngineMessages.Token(job.submission().streamId(), nextOffset, job.tokenAt(nextOffset));
             nextOffset++;
-            response.write("data: " + json(token) + "\n\n");
+            write("data: " + json(token) + "\n\n");
+        }
+        boolean silent = System.nanoTime() - lastWriteNanos > HEARTBEAT_NANOS;
+        if (!closed && silent && !response.writeQueueFull()) {
+            write(": waiting\n\n");
         }
         if (!closed && job.isOver() && nextOffset >= job.generatedEnd()) {
             closed = true;
@@ -50,6 +58,11 @@
         }
     }
 
+    private void write(String text) {
+        lastWriteNanos = System.nanoTime();
+        response.write(text);
+    }
+
     private static String json(Object message) {
         try {
             return DatabindCodec.mapper().writeValueAsString(message);
