--- a/figspan-cli/src/main/java/io/figspan/cli/Commands.java
+++ b/figspan-cli/src/main/java/io/figspan/cli/Commands.java
@@ -1,5 +1,7 @@
 package io.figspan.cli;
 
+import io.figspan.cli.caller.LoadCommand;
+import io.figspan.cli.caller.StandinsCommand;
 import java.util.List;
 
 /** The commands of {@code figspan}, in the order of the help text. */
@@ -8,6 +10,6 @@
 
     /** New instances of all commands. */
     public static List<Command> all() {
-        return List.of();
+        return List.of(new LoadCommand(), new StandinsCommand());
     }
 }
--- a/figspan-host/src/main/java/io/figspan/host/entry/AnswerRelay.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/AnswerRelay.java
@@ -114,7 +114,7 @@
         if (event instanceof EngineEvent.Opened opened) {
             readerNumber = opened.readerNumber();
             engine = server.incarnation();
-            caller.begin(token());
+            caller.opened(token());
             listener.onOpened();
             subscription.request(1);
         } else if (event instanceof EngineEvent.Token received) {
--- a/figspan-host/src/main/java/io/figspan/host/entry/CallerStream.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/CallerStream.java
@@ -21,6 +21,9 @@
             @JsonProperty("offset") int offset,
             @JsonProperty("choices") List<Choice> choices) {}
 
+    /** Interval of the signs of life that tell a caller a live host from a frozen one. */
+    static final long HEARTBEAT_MS = 1_000;
+
     private static final String OBJECT = "text_completion";
 
     private final HttpServerResponse response;
@@ -49,16 +52,32 @@
         return ended;
     }
 
-    /** Sends the head and an event without data whose id lets the caller resume from the start. */
-    void begin(String resumeToken) {
-        if (begun || ended) {
+    /** Sends an event without data whose id lets the caller resume from the start. */
+    void opened(String resumeToken) {
+        if (ended) {
+            return;
+        }
+        begin();
+        response.write("id: " + resumeToken + "\n\n");
+    }
+
+    /** Sends a sign of life; the head too when it was not sent. */
+    void heartbeat() {
+        if (ended || response.writeQueueFull()) {
+            return;
+        }
+        begin();
+        response.write(": waiting\n\n");
+    }
+
+    private void begin() {
+        if (begun) {
             return;
         }
         begun = true;
         response.setChunked(true);
         response.putHeader("Content-Type", "text/event-stream");
         response.putHeader("Cache-Control", "no-store");
-        response.write("id: " + resumeToken + "\n\n");
     }
 
     /** Sends one token. {@code resumeToken} points behind it. */
--- a/figspan-host/src/main/java/io/figspan/host/entry/CompletionCall.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/CompletionCall.java
@@ -48,6 +48,7 @@
     private final Runnable onEnd;
     private final long startNanos;
     private final long deadlineTimer;
+    private final long heartbeatTimer;
     private Optional<Dispatcher.Waiting> waiting = Optional.empty();
     private Optional<AnswerRelay> relay = Optional.empty();
     private Optional<EngineGroup> group = Optional.empty();
@@ -78,6 +79,7 @@
         this.onEnd = onEnd;
         this.startNanos = context.nowNanos();
         this.deadlineTimer = context.vertx().setTimer(Math.max(1, deadline.leftMs(startNanos)), id -> onDeadline());
+        this.heartbeatTimer = context.vertx().setPeriodic(CallerStream.HEARTBEAT_MS, id -> caller.heartbeat());
     }
 
     void start() {
@@ -174,7 +176,7 @@
         }
         StreamId stream = context.newStream();
         sendId = context.sequence().incrementAndGet();
-        long textTokens = (text.length() + CompletionRequest.CHARS_PER_TOKEN - 1) / CompletionRequest.CHARS_PER_TOKEN;
+        long textTokens = CompletionRequest.tokensOf(text);
         context.backends()
                 .loads()
                 .sent(placed.id(), sendId, textTokens, textTokens + prompt.outputTokens(), context.nowNanos());
@@ -303,6 +305,7 @@
         }
         over = true;
         context.vertx().cancelTimer(deadlineTimer);
+        context.vertx().cancelTimer(heartbeatTimer);
         waiting.ifPresent(dispatcher::withdraw);
         leaveEngine();
         onEnd.run();
--- a/figspan-host/src/main/java/io/figspan/host/entry/CompletionRequest.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/CompletionRequest.java
@@ -42,7 +42,12 @@
     }
 
     int promptTokens() {
-        return (prompt.length() + CHARS_PER_TOKEN - 1) / CHARS_PER_TOKEN;
+        return tokensOf(prompt);
+    }
+
+    /** Estimated tokens of a text, rounded up. */
+    static int tokensOf(String text) {
+        return (text.length() + CHARS_PER_TOKEN - 1) / CHARS_PER_TOKEN;
     }
 
     int outputTokens() {
--- a/figspan-host/src/main/java/io/figspan/host/entry/EngineGroup.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/EngineGroup.java
@@ -67,8 +67,7 @@
             boolean isLast = i == chosen.size() - 1;
             String text =
                     prompt.prompt().substring(start, isLast ? prompt.prompt().length() : end);
-            long textTokens =
-                    (text.length() + CompletionRequest.CHARS_PER_TOKEN - 1) / CompletionRequest.CHARS_PER_TOKEN;
+            long textTokens = CompletionRequest.tokensOf(text);
             long tokens = textTokens + (isLast ? prompt.outputTokens() : 0);
             Member member = new Member(chosen.get(i), context.newHold(), text, tokens);
             taken = taken.compose(nothing -> take(member, deadline, graceMs));
--- a/figspan-host/src/main/java/io/figspan/host/entry/EntryServer.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/EntryServer.java
@@ -73,6 +73,7 @@
                 .setMaxInitialLineLength(MAX_HEADER_BYTES)
                 .setIdleTimeout(IDLE_SECONDS)
                 .setHandle100ContinueAutomatically(true)
+                .setHttp2ClearTextEnabled(false)
                 .setTcpNoDelay(true);
         server = context.vertx().createHttpServer(options);
         return server.connectionHandler(this::onConnection)
@@ -143,7 +144,8 @@
 
     private void routeOther(HttpServerRequest request) {
         String prefix = "/v1/orders/";
-        boolean isOutcome = request.method() == HttpMethod.GET && request.path().startsWith(prefix);
+        boolean isOutcome =
+                request.method().equals(HttpMethod.GET) && request.path().startsWith(prefix);
         if (isOutcome) {
             withHead(
                     request,
--- a/figspan-host/src/main/java/io/figspan/host/entry/ResumeCall.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/ResumeCall.java
@@ -15,6 +15,7 @@
     private final RequestHead head;
     private final Runnable onEnd;
     private final long deadlineTimer;
+    private final long heartbeatTimer;
     private Optional<AnswerRelay> relay = Optional.empty();
     private boolean over;
 
@@ -29,6 +30,7 @@
                         leftMs,
                         id -> fail(
                                 Problem.unknown(ProblemKind.DEADLINE_PASSED, "the answer was not complete in time")));
+        this.heartbeatTimer = context.vertx().setPeriodic(CallerStream.HEARTBEAT_MS, id -> caller.heartbeat());
     }
 
     void start(StreamTokens tokens, StreamTokens.Position position) {
@@ -93,6 +95,7 @@
         }
         over = true;
         context.vertx().cancelTimer(deadlineTimer);
+        context.vertx().cancelTimer(heartbeatTimer);
         relay.ifPresent(running -> {
             running.stop();
             context.engines().cancel(running.server(), running.stream(), running.readerNumber());
--- a/figspan-host/src/main/java/io/figspan/host/operator/OperatorServer.java
+++ b/figspan-host/src/main/java/io/figspan/host/operator/OperatorServer.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.Gauge;
+import com.codahale.metrics.Metric;
 import com.codahale.metrics.Snapshot;
 import com.codahale.metrics.Timer;
 import com.fasterxml.jackson.annotation.JsonProperty;
@@ -136,31 +137,33 @@
     /** Metrics in the text exposition format 0.0.4. */
     private String exposition() {
         StringBuilder text = new StringBuilder();
-        for (Map.Entry<String, Counter> entry : context.metrics().getCounters().entrySet()) {
-            String name = name(entry.getKey()) + "_total";
-            text.append("# TYPE ").append(name).append(" counter\n");
-            text.append(name).append(' ').append(entry.getValue().getCount()).append('\n');
-        }
-        for (Map.Entry<String, Gauge> entry : context.metrics().getGauges().entrySet()) {
+        for (Map.Entry<String, Metric> entry : context.metrics().getMetrics().entrySet()) {
             String name = name(entry.getKey());
-            text.append("# TYPE ").append(name).append(" gauge\n");
-            text.append(name).append(' ').append(entry.getValue().getValue()).append('\n');
-        }
-        for (Map.Entry<String, Timer> entry : context.metrics().getTimers().entrySet()) {
-            String name = name(entry.getKey()) + "_seconds";
-            Snapshot snapshot = entry.getValue().getSnapshot();
-            text.append("# TYPE ").append(name).append(" summary\n");
-            quantile(text, name, "0.5", snapshot.getMedian());
-            quantile(text, name, "0.95", snapshot.get95thPercentile());
-            quantile(text, name, "0.99", snapshot.get99thPercentile());
-            text.append(name)
-                    .append("_count ")
-                    .append(entry.getValue().getCount())
-                    .append('\n');
+            if (entry.getValue() instanceof Counter counter) {
+                sample(text, name + "_total", "counter", counter.getCount());
+            } else if (entry.getValue() instanceof Gauge<?> gauge) {
+                sample(text, name, "gauge", gauge.getValue());
+            } else if (entry.getValue() instanceof Timer timer) {
+                summary(text, name + "_seconds", timer);
+            }
         }
         return text.toString();
     }
 
+    private static void sample(StringBuilder text, String name, String type, Object value) {
+        text.append("# TYPE ").append(name).append(' ').append(type).append('\n');
+        text.append(name).append(' ').append(value).append('\n');
+    }
+
+    private static void summary(StringBuilder text, String name, Timer timer) {
+        Snapshot snapshot = timer.getSnapshot();
+        text.append("# TYPE ").append(name).append(" summary\n");
+        quantile(text, name, "0.5", snapshot.getMedian());
+        quantile(text, name, "0.95", snapshot.get95thPercentile());
+        quantile(text, name, "0.99", snapshot.get99thPercentile());
+        text.append(name).append("_count ").append(timer.getCount()).append('\n');
+    }
+
     private static void quantile(StringBuilder text, String name, String quantile, double nanos) {
         text.append(name)
                 .append("{quantile=\"")
--- a/figspan-host/src/main/java/io/figspan/host/platform/FleetListPoller.java
+++ b/figspan-host/src/main/java/io/figspan/host/platform/FleetListPoller.java
@@ -18,7 +18,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(FleetListPoller.class);
     private static final long INTERVAL_MS = 500;
     private static final long TIMEOUT_MS = 2_000;
-    private static final String PATH = "/v1/fleet";
+    private static final String PATH = "/hosts";
 
     private final HostContext context;
     private final PeerAddress platform;
--- /dev/null
+++ b/figspan-standin/src/main/java/io/figspan/standin/StandinFiles.java
@@ -0,0 +1,108 @@
+package io.figspan.standin;
+
+import io.figspan.standin.engine.EngineServer;
+import io.figspan.standin.service.PlainService;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Collectors;
+
+/** Writes a host file for each host, and {@code addresses.env} for the script that starts the processes. */
+public final class StandinFiles {
+    /** Key of tickets and resume tokens in the settings of the stand-ins; it protects nothing outside them. */
+    public static final String TOKEN_KEY = "stand-in-token-key-0123456789abcdef";
+
+    private static final String PEER_KEY = "stand-in-peer-key-0123456789abcdefg";
+
+    /** Ports of one host. */
+    public record HostPorts(String id, String availabilityZone, int callerPort, int operatorPort, int peerPort) {}
+
+    private final Path directory;
+    private final String address;
+
+    public StandinFiles(Path directory, String address) {
+        this.directory = directory;
+        this.address = address;
+    }
+
+    /**
+     * Picks free ports. They are free again when this returns, so another process could take one before the host does;
+     * the host then fails to start.
+     */
+    public static List<HostPorts> pickPorts(String address, int hosts) throws IOException {
+        List<ServerSocket> sockets = new ArrayList<>();
+        try {
+            List<HostPorts> picked = new ArrayList<>();
+            for (int i = 0; i < hosts; i++) {
+                int[] ports = new int[3];
+                for (int p = 0; p < ports.length; p++) {
+                    ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(address));
+                    sockets.add(socket);
+                    ports[p] = socket.getLocalPort();
+                }
+                String zone = StandinFleet.ZONES.get(i % StandinFleet.ZONES.size());
+                picked.add(new HostPorts("host-" + (i + 1), zone, ports[0], ports[1], ports[2]));
+            }
+            return picked;
+        } finally {
+            for (ServerSocket socket : sockets) {
+                socket.close();
+            }
+        }
+    }
+
+    /** Writes all files. */
+    public void write(StandinFleet fleet, List<HostPorts> hosts, int keepSeconds) throws IOException {
+        Files.createDirectories(directory);
+        for (HostPorts host : hosts) {
+            Files.writeString(
+                    directory.resolve(host.id() + ".toml"),
+                    hostFile(host, hosts, fleet.platform().port(), keepSeconds));
+        }
+        Path addresses = directory.resolve("addresses.env");
+        Path partial = directory.resolve("addresses.env.partial");
+        Files.writeString(partial, addresses(fleet, hosts));
+        Files.move(partial, addresses);
+    }
+
+    private String hostFile(HostPorts host, List<HostPorts> all, int platformPort, int keepSeconds) {
+        String seeds = all.stream()
+                .filter(other -> !other.equals(host))
+                .map(other -> "\"" + address + ":" + other.peerPort() + "\"")
+                .collect(Collectors.joining(", "));
+        return "hostId = \"" + host.id() + "\"\n"
+                + "region = \"region-1\"\n"
+                + "availabilityZone = \"" + host.availabilityZone() + "\"\n"
+                + "bindAddress = \"" + address + "\"\n"
+                + "callerPort = " + host.callerPort() + "\n"
+                + "operatorPort = " + host.operatorPort() + "\n"
+                + "peerPort = " + host.peerPort() + "\n"
+                + "seedPeers = [" + seeds + "]\n"
+                + "peerKey = \"" + PEER_KEY + "\"\n"
+                + "tokenKey = \"" + TOKEN_KEY + "\"\n"
+                + "configurationService = \"" + address + ":" + platformPort + "\"\n"
+                + "hostList = \"" + address + ":" + platformPort + "\"\n"
+                + "keepSeconds = " + keepSeconds + "\n"
+                + "shutdownMarginSeconds = 1\n";
+    }
+
+    private String addresses(StandinFleet fleet, List<HostPorts> hosts) {
+        return "CALLER_ADDRESSES="
+                + join(hosts.stream().map(HostPorts::callerPort).toList())
+                + "\nOPERATOR_ADDRESSES="
+                + join(hosts.stream().map(HostPorts::operatorPort).toList())
+                + "\nENGINE_ADDRESSES="
+                + join(fleet.engines().stream().map(EngineServer::port).toList())
+                + "\nSERVICE_ADDRESSES="
+                + join(fleet.services().stream().map(PlainService::port).toList())
+                + "\nPLATFORM_ADDRESS=" + address + ":" + fleet.platform().port() + "\n";
+    }
+
+    private String join(List<Integer> ports) {
+        return ports.stream().map(port -> address + ":" + port).collect(Collectors.joining(","));
+    }
+}
--- a/figspan-standin/src/main/java/io/figspan/standin/engine/Answers.java
+++ b/figspan-standin/src/main/java/io/figspan/standin/engine/Answers.java
@@ -1,9 +1,9 @@
 package io.figspan.standin.engine;
 
 /**
- * Deterministic answers of the stand-in engines. The digest of a prompt (FNV-1a, 64 bits, over its characters) can be
- * computed segment by segment, and each answer token is a function of the digest and the token's offset, so a client can
- * check that it got the whole answer to its own request.
+ * Deterministic answers of the stand-in engines. The digest of a prompt (FNV-1a, 64 bits, over its characters) can
+ * be computed segment by segment, and each answer token is a function of the digest and the token's offset, so a client
+ * can check that it got the whole answer to its own request.
  */
 public final class Answers {
     /** Digest of the empty prompt: the FNV-1a offset basis. */
--- a/figspan-standin/src/main/java/io/figspan/standin/engine/EngineMemory.java
+++ b/figspan-standin/src/main/java/io/figspan/standin/engine/EngineMemory.java
@@ -9,7 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
-/** KV memory of one engine as a table of holds. A released handle is remembered, so that a late hold cannot revive it. */
+/** KV memory of one engine as a table of holds. Released handles are remembered, so that a late hold revives none. */
 final class EngineMemory {
     /** Released handles that are remembered; the oldest is forgotten first. */
     static final int MAX_RELEASED = 8_192;
--- a/figspan-standin/src/main/java/io/figspan/standin/service/PlainService.java
+++ b/figspan-standin/src/main/java/io/figspan/standin/service/PlainService.java
@@ -6,6 +6,7 @@
 import io.vertx.core.Promise;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.json.Json;
+import io.vertx.core.json.JsonObject;
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
 import io.vertx.ext.web.handler.BodyHandler;
@@ -17,8 +18,8 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * A plain service. {@code POST /v1/run} runs an order; the header {@code Figspan-Order-Id} names it in the record of runs,
- * which {@code GET /control/runs} returns. {@code POST /control/mode} with the parameters {@code fail} (a
+ * A plain service. {@code POST /v1/run} runs an order; the member {@code order} of its body names it in the record of
+ * runs, which {@code GET /control/runs} returns. {@code POST /control/mode} with the parameters {@code fail} (a
  * {@link FailMode}), {@code count}, {@code delayMs} and {@code honourKey} changes the behaviour.
  */
 public final class PlainService extends AbstractVerticle {
@@ -69,6 +70,10 @@
         return name;
     }
 
+    public boolean honoursKey() {
+        return honourKey;
+    }
+
     public int port() {
         return port;
     }
@@ -110,7 +115,7 @@
     }
 
     private void run(RoutingContext context, FailMode mode) {
-        String order = context.request().getHeader("Figspan-Order-Id");
+        String order = orderName(context);
         String key = context.request().getHeader("Idempotency-Key");
         if (order == null || runs.size() >= MAX_RUNS || mode == FailMode.REFUSE) {
             reply(context, 503, new Receipt(order, name, "notRun"));
@@ -136,6 +141,11 @@
         reply(context, 200, receipt);
     }
 
+    private static String orderName(RoutingContext context) {
+        JsonObject body = context.body().asJsonObject();
+        return body == null ? null : body.getString("order");
+    }
+
     private static void reply(RoutingContext context, int status, Object body) {
         if (context.response().closed()) {
             return;
