--- /dev/null
+++ b/figspan-host/src/main/java/io/figspan/host/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Drivers that run the protocols between hosts over the peer port. */
+package io.figspan.host.peer;
