--- /dev/null
+++ b/figspan-control/src/main/java/io/figspan/control/hold/GroupMember.java
@@ -0,0 +1,7 @@
+package io.figspan.control.hold;
+
+import io.figspan.core.id.AvailabilityZoneId;
+import io.figspan.core.id.BackendIncarnation;
+
+/** One engine of a group and the memory that it has to hold, in tokens. */
+public record GroupMember(BackendIncarnation engine, AvailabilityZoneId availabilityZone, long tokens) {}
--- /dev/null
+++ b/figspan-control/src/main/java/io/figspan/control/hold/HoldLedger.java
@@ -0,0 +1,183 @@
+package io.figspan.control.hold;
+
+import io.figspan.core.chart.StateChart;
+import io.figspan.core.error.Problem;
+import io.figspan.core.error.ProblemKind;
+import io.figspan.core.error.Result;
+import io.figspan.core.id.BackendIncarnation;
+import io.figspan.core.id.HoldHandle;
+import io.figspan.core.id.HostId;
+import io.figspan.core.id.HostIncarnation;
+import io.figspan.core.time.Deadline;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The holds on engine memory that this process owns. An entry exists before its reserve call is sent and until the
+ * engine has confirmed the release or must have returned the memory by itself. Not safe for use by several threads at
+ * once.
+ */
+public final class HoldLedger {
+    /** An unconfirmed release is repeated at most this many times less often than at first. */
+    private static final int MAX_BACKOFF_FACTOR = 8;
+
+    private static final long FULL_RETRY_AFTER_MS = 1_000;
+
+    private static final StateChart<HoldState, HoldEvent> CHART =
+            StateChart.load("/charts/engine-hold.toml", HoldState.class, HoldEvent.class);
+
+    private final HostIncarnation self;
+    private final HoldLedgerConfig config;
+    private final Map<HoldHandle, Entry> entries = new HashMap<>();
+    private long nextSequence;
+
+    public HoldLedger(HostIncarnation self, HoldLedgerConfig config) {
+        this.self = self;
+        this.config = config;
+    }
+
+    /** Opens a hold and returns its reserve call. The hold expires at the request's deadline plus the grace period. */
+    public Result<HoldAction.Reserve> reserve(
+            BackendIncarnation engine, long tokens, Deadline requestDeadline, long nowNanos) {
+        if (entries.size() >= config.capacityHolds()) {
+            return Result.failed(Problem.notRun(ProblemKind.OVERLOADED, "the hold ledger of this host is full")
+                    .withRetryAfterMs(FULL_RETRY_AFTER_MS));
+        }
+        HoldHandle handle = new HoldHandle(self, nextSequence);
+        nextSequence++;
+        long expiryNanos = requestDeadline.atNanos() + TimeUnit.MILLISECONDS.toNanos(config.graceMs());
+        entries.put(handle, new Entry(engine, expiryNanos));
+        long timeLeftMs = new Deadline(expiryNanos).leftMs(nowNanos);
+        return Result.ok(new HoldAction.Reserve(engine, handle, tokens, timeLeftMs));
+    }
+
+    /** The engine holds the memory. Returns a release when the hold is no longer wanted. */
+    public List<HoldAction> onReserved(HoldHandle handle, long nowNanos) {
+        move(handle, HoldEvent.RESERVED);
+        return sendReleaseIfReleasing(handle, nowNanos);
+    }
+
+    /** The engine took nothing. */
+    public void onRefused(HoldHandle handle) {
+        move(handle, HoldEvent.REFUSED);
+    }
+
+    /** Ends a hold in any state, also one whose reserve call has not been answered. Safe to repeat. */
+    public List<HoldAction> release(HoldHandle handle, long nowNanos) {
+        move(handle, HoldEvent.RELEASE);
+        return sendReleaseIfReleasing(handle, nowNanos);
+    }
+
+    /** The engine answered a release. */
+    public void onReleaseAnswered(HoldHandle handle, boolean wasHeld) {
+        move(handle, wasHeld ? HoldEvent.RELEASE_CONFIRMED : HoldEvent.NOTHING_HELD);
+    }
+
+    /** The engine process ended. */
+    public void onEngineGone(BackendIncarnation engine) {
+        for (HoldHandle handle : List.copyOf(entries.keySet())) {
+            if (entries.get(handle).engine.equals(engine)) {
+                move(handle, HoldEvent.ENGINE_GONE);
+            }
+        }
+    }
+
+    /** Repeats unconfirmed releases and forgets holds that the engines have returned by themselves. */
+    public List<HoldAction> onTick(long nowNanos) {
+        List<HoldAction> actions = new ArrayList<>();
+        for (HoldHandle handle : List.copyOf(entries.keySet())) {
+            Entry entry = entries.get(handle);
+            if (nowNanos - entry.expiryNanos >= 0) {
+                // Released once more: the reserve call may have reached the engine late and still have time left there.
+                actions.add(new HoldAction.Release(entry.engine, handle));
+                move(handle, HoldEvent.EXPIRED);
+            } else if (entry.isReleasing() && nowNanos - entry.nextReleaseNanos >= 0) {
+                actions.addAll(sendReleaseIfReleasing(handle, nowNanos));
+            }
+        }
+        return actions;
+    }
+
+    /**
+     * The holds in an engine's list that this process may release: expired ones of any owner, those of a process that
+     * a newer one at the same seat has replaced, and its own that it no longer knows.
+     *
+     * @param newest newest known process at each seat
+     */
+    public List<HoldAction> sweep(
+            BackendIncarnation engine, List<ListedHold> listed, Map<HostId, HostIncarnation> newest) {
+        List<HoldAction> actions = new ArrayList<>();
+        for (ListedHold hold : listed) {
+            if (hold.isExpired() || isReplaced(hold.handle().owner(), newest) || isForgotten(hold.handle())) {
+                actions.add(new HoldAction.Release(engine, hold.handle()));
+            }
+        }
+        return actions;
+    }
+
+    // Reports
+
+    public Optional<HoldState> state(HoldHandle handle) {
+        return Optional.ofNullable(entries.get(handle)).map(entry -> entry.state);
+    }
+
+    public int size() {
+        return entries.size();
+    }
+
+    // Steps
+
+    private boolean isReplaced(HostIncarnation owner, Map<HostId, HostIncarnation> newest) {
+        HostIncarnation known = newest.get(owner.host());
+        return self.supersedes(owner) || (known != null && known.supersedes(owner));
+    }
+
+    private boolean isForgotten(HoldHandle handle) {
+        return handle.owner().equals(self) && !entries.containsKey(handle);
+    }
+
+    private List<HoldAction> sendReleaseIfReleasing(HoldHandle handle, long nowNanos) {
+        Entry entry = entries.get(handle);
+        if (entry == null || !entry.isReleasing()) {
+            return List.of();
+        }
+        entry.backoffFactor = Math.min(MAX_BACKOFF_FACTOR, Math.max(1, entry.backoffFactor * 2));
+        entry.nextReleaseNanos =
+                nowNanos + TimeUnit.MILLISECONDS.toNanos(config.releaseAgainMs() * entry.backoffFactor);
+        return List.of(new HoldAction.Release(entry.engine, handle));
+    }
+
+    private void move(HoldHandle handle, HoldEvent event) {
+        Entry entry = entries.get(handle);
+        if (entry == null) {
+            return;
+        }
+        if (CHART.next(entry.state, event) instanceof Result.Ok<HoldState> next) {
+            entry.state = next.value();
+        }
+        if (entry.state == HoldState.RELEASED) {
+            entries.remove(handle);
+        }
+    }
+
+    private static final class Entry {
+        private final BackendIncarnation engine;
+        private final long expiryNanos;
+        private HoldState state = CHART.initial();
+        private int backoffFactor;
+        private long nextReleaseNanos;
+
+        Entry(BackendIncarnation engine, long expiryNanos) {
+            this.engine = engine;
+            this.expiryNanos = expiryNanos;
+        }
+
+        boolean isReleasing() {
+            return state == HoldState.RELEASING || state == HoldState.RELEASING_UNANSWERED;
+        }
+    }
+}
--- /dev/null
+++ b/figspan-control/src/main/java/io/figspan/control/leaving/LeavingSource.java
@@ -0,0 +1,13 @@
+package io.figspan.control.leaving;
+
+/** How a host learned that a backend server is leaving. */
+public enum LeavingSource {
+    /** The platform's host list. */
+    LIST,
+    /** The backend server's own load report. */
+    REPORT,
+    /** The backend server refused new work because it is leaving. */
+    REFUSAL,
+    /** Another host. */
+    GOSSIP
+}
--- /dev/null
+++ b/figspan-control/src/main/java/io/figspan/control/leaving/package-info.java
@@ -0,0 +1,2 @@
+/** Backend servers that leave. */
+package io.figspan.control.leaving;
--- /dev/null
+++ b/figspan-control/src/main/java/io/figspan/control/steward/Assignment.java
@@ -0,0 +1,15 @@
+package io.figspan.control.steward;
+
+import io.figspan.core.id.ModelId;
+import java.util.List;
+
+/** What one engine should have: its model, what it loads besides, and its role. */
+public record Assignment(ModelId model, List<ModelId> additions, EngineRole role) {
+    public Assignment {
+        additions = List.copyOf(additions);
+    }
+
+    public boolean needs(ModelId loaded) {
+        return model.equals(loaded) || additions.contains(loaded);
+    }
+}
--- /dev/null
+++ b/figspan-control/src/main/java/io/figspan/control/steward/ModelShare.java
@@ -0,0 +1,31 @@
+package io.figspan.control.steward;
+
+import io.figspan.core.error.FigspanException;
+import io.figspan.core.error.Location;
+import io.figspan.core.error.ProblemKind;
+import io.figspan.core.id.ModelId;
+import java.util.List;
+
+/**
+ * What the settings say about one model.
+ *
+ * @param share part of the engines for this model, relative to the shares of the other models
+ * @param prefillShare part of this model's engines, 0 to 1, that only prefill
+ * @param additions adapters and further versions that engines of this model load besides
+ */
+public record ModelShare(ModelId model, double share, double prefillShare, List<ModelId> additions) {
+    public ModelShare {
+        boolean valid = share >= 0 && Double.isFinite(share) && prefillShare >= 0 && prefillShare <= 1;
+        if (!valid) {
+            throw new FigspanException(
+                    ProblemKind.INVALID_VALUE,
+                    "share must be at least 0 and prefillShare between 0 and 1",
+                    Location.of("models." + model));
+        }
+        additions = List.copyOf(additions);
+    }
+
+    public static ModelShare of(String model, double share) {
+        return new ModelShare(ModelId.of(model), share, 0, List.of());
+    }
+}
--- /dev/null
+++ b/figspan-control/src/main/java/io/figspan/control/steward/StewardConfig.java
@@ -0,0 +1,23 @@
+package io.figspan.control.steward;
+
+import io.figspan.core.error.FigspanException;
+import io.figspan.core.error.Location;
+import io.figspan.core.error.ProblemKind;
+
+/**
+ * Bounds of a steward.
+ *
+ * @param fleetLoadsPerMinute loads that the weight store serves for the whole fleet
+ * @param maxReportAgeMs oldest report and membership view that an order may rest on
+ * @param orderAgainMs time until an order that had no visible effect is repeated
+ */
+public record StewardConfig(double fleetLoadsPerMinute, long maxReportAgeMs, long orderAgainMs) {
+    public static final StewardConfig DEFAULT = new StewardConfig(60, 10_000, 30_000);
+
+    public StewardConfig {
+        if (fleetLoadsPerMinute <= 0 || maxReportAgeMs <= 0 || orderAgainMs <= 0) {
+            throw new FigspanException(
+                    ProblemKind.INVALID_VALUE, "steward bounds must be positive", Location.of("steward"));
+        }
+    }
+}
