--- /dev/null
+++ b/figspan-host/src/main/java/io/figspan/host/backend/BackendTable.java
@@ -0,0 +1,223 @@
+package io.figspan.host.backend;
+
+import io.figspan.core.id.BackendIncarnation;
+import io.figspan.core.id.BackendServerId;
+import io.figspan.core.id.ServiceId;
+import io.figspan.policy.placement.EngineSpeed;
+import io.figspan.policy.placement.LoadReport;
+import io.figspan.policy.placement.LoadView;
+import io.figspan.policy.subset.Runner;
+import io.figspan.settings.FleetList;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/**
+ * Backend servers that this host knows and its view of the engines' load. Used on the event loop only. Bounded by
+ * {@link #MAX_SERVERS}; further ones are ignored.
+ */
+public final class BackendTable {
+    public static final int MAX_SERVERS = 4_096;
+
+    /** One backend server. */
+    public static final class Server {
+        private FleetList.BackendServer listed;
+        private long incarnationNumber;
+        private boolean leaving;
+        private boolean suspect;
+        private long capacityTokens;
+        private long heardAtNanos;
+
+        Server(FleetList.BackendServer listed) {
+            this.listed = listed;
+            this.incarnationNumber = listed.incarnationNumber();
+        }
+
+        public BackendServerId id() {
+            return listed.id();
+        }
+
+        public FleetList.BackendServer listed() {
+            return listed;
+        }
+
+        public BackendIncarnation incarnation() {
+            return new BackendIncarnation(listed.id(), incarnationNumber);
+        }
+
+        public boolean isEngine() {
+            return listed.kind() == FleetList.BackendKind.MODEL_ENGINE;
+        }
+
+        public String address() {
+            return listed.address();
+        }
+
+        public int port() {
+            return listed.port();
+        }
+
+        /** Whether new work may go there: it is not leaving and its last use did not fail. */
+        public boolean takesNewWork() {
+            return !leaving && !suspect;
+        }
+
+        public boolean isLeaving() {
+            return leaving;
+        }
+
+        /** Whether the last use failed; it is polled until it answers. */
+        public boolean isSuspect() {
+            return suspect;
+        }
+
+        /** Memory that the engine has reported; 0 when it has not reported. */
+        public long capacityTokens() {
+            return capacityTokens;
+        }
+
+        public boolean hasReported() {
+            return capacityTokens > 0;
+        }
+
+        /** When the engine was last heard, on the monotonic clock; 0 for never. */
+        public long heardAtNanos() {
+            return heardAtNanos;
+        }
+    }
+
+    /** Told when a server is seen to leave for the first time. */
+    public interface LeavingListener {
+        void onLeaving(BackendIncarnation incarnation);
+    }
+
+    private final Map<BackendServerId, Server> servers = new TreeMap<>();
+    private final LoadView loads;
+    private LeavingListener leavingListener = incarnation -> {};
+    private Runnable changeListener = () -> {};
+
+    public BackendTable(EngineSpeed speed) {
+        this.loads = new LoadView(speed);
+    }
+
+    public void setLeavingListener(LeavingListener listener) {
+        leavingListener = listener;
+    }
+
+    /** Sets the listener that is told when room for more work may have appeared. */
+    public void setChangeListener(Runnable listener) {
+        changeListener = listener;
+    }
+
+    public LoadView loads() {
+        return loads;
+    }
+
+    public Collection<Server> all() {
+        return List.copyOf(servers.values());
+    }
+
+    public List<Server> engines() {
+        return servers.values().stream().filter(Server::isEngine).toList();
+    }
+
+    /** Servers of a plain service that take new work. */
+    public List<Server> servers(ServiceId service) {
+        List<Server> found = new ArrayList<>();
+        for (Server server : servers.values()) {
+            if (server.listed().services().contains(service) && !server.isLeaving()) {
+                found.add(server);
+            }
+        }
+        return found;
+    }
+
+    public Optional<Server> find(BackendServerId id) {
+        return Optional.ofNullable(servers.get(id));
+    }
+
+    /**
+     * Takes over the platform's list. A server that the lagging list no longer names stays until a use of it fails.
+     */
+    public void update(Collection<FleetList.BackendServer> listed) {
+        for (FleetList.BackendServer entry : listed) {
+            Server known = servers.get(entry.id());
+            if (known == null && servers.size() >= MAX_SERVERS) {
+                continue;
+            }
+            if (known == null) {
+                known = new Server(entry);
+                servers.put(entry.id(), known);
+            }
+            known.listed = entry;
+            if (known.isEngine()) {
+                loads.add(new Runner(entry.id(), entry.availabilityZone()));
+            }
+            observeIncarnation(known, entry.incarnationNumber());
+            boolean leaving = entry.state() == FleetList.LiveState.LEAVING
+                    && entry.incarnationNumber() == known.incarnationNumber;
+            if (leaving) {
+                onLeaving(known);
+            }
+        }
+        changeListener.run();
+    }
+
+    /** Notes a full report. */
+    public void onReport(Server server, EngineMessages.Report report, long nowNanos) {
+        note(server, report.incarnation(), report.toLoad(), report.isLeaving(), nowNanos);
+    }
+
+    /** Notes the report that rides on a response; a malformed one is ignored. */
+    public void onCompactReport(Server server, String header, long nowNanos) {
+        CompactReport.parse(header)
+                .ifPresent(report -> note(server, report.incarnation(), report.load(), report.leaving(), nowNanos));
+    }
+
+    /** Notes that a use of the server failed. It gets new work again after its next report. */
+    public void onFailure(Server server) {
+        server.suspect = true;
+        loads.setLeaving(server.id(), true);
+    }
+
+    /** Marks a server as leaving; this stays until a later incarnation appears. */
+    public void onLeaving(Server server) {
+        boolean isNew = !server.leaving;
+        server.leaving = true;
+        loads.setLeaving(server.id(), true);
+        if (isNew) {
+            leavingListener.onLeaving(server.incarnation());
+        }
+    }
+
+    private void note(Server server, long incarnation, LoadReport load, boolean leaving, long nowNanos) {
+        if (incarnation < server.incarnationNumber) {
+            return;
+        }
+        observeIncarnation(server, incarnation);
+        server.suspect = false;
+        server.capacityTokens = load.kvTotalTokens();
+        server.heardAtNanos = nowNanos;
+        loads.report(server.id(), load, nowNanos);
+        if (leaving) {
+            onLeaving(server);
+        }
+        loads.setLeaving(server.id(), !server.takesNewWork());
+        changeListener.run();
+    }
+
+    private void observeIncarnation(Server server, long incarnation) {
+        if (incarnation <= server.incarnationNumber) {
+            return;
+        }
+        server.incarnationNumber = incarnation;
+        server.leaving = false;
+        if (server.isEngine()) {
+            loads.remove(server.id());
+            loads.add(new Runner(server.id(), server.listed().availabilityZone()));
+        }
+    }
+}
