--- a/figspan-cli/src/main/java/io/figspan/cli/Main.java
+++ b/figspan-cli/src/main/java/io/figspan/cli/Main.java
@@ -119,6 +119,8 @@
 
     /** Splits {@code --flag=value} and refuses unknown flags, naming the nearest one. */
     private static List<String> checkFlags(JCommander parser, List<String> args) {
+        // JCommander lists the flags only after a parse.
+        parser.parseWithoutValidation();
         Map<String, ParameterDescription> known = new HashMap<>();
         for (ParameterDescription parameter : parser.getParameters()) {
             for (String name : parameter.getParameter().names()) {
--- a/figspan-host/src/main/java/io/figspan/host/HostProcess.java
+++ b/figspan-host/src/main/java/io/figspan/host/HostProcess.java
@@ -17,6 +17,7 @@
 import io.figspan.settings.FleetList;
 import io.figspan.settings.SettingsHolder;
 import io.figspan.settings.cfg.HostConfig;
+import io.reactivex.rxjava3.plugins.RxJavaPlugins;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
@@ -48,6 +49,7 @@
 
     /** Creates a process with one event loop: at 15 requests per second and host, one core is enough. */
     public static HostProcess create(HostConfig config, EntryServer.Limits limits) {
+        RxJavaPlugins.setErrorHandler(cause -> LOG.debug("error after the end of a stream", cause));
         Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(2));
         HostIncarnation incarnation = new HostIncarnation(config.hostId(), System.currentTimeMillis());
         BackendTable backends = new BackendTable(EngineSpeeds.STAND_IN);
--- a/figspan-host/src/main/java/io/figspan/host/backend/EngineClient.java
+++ b/figspan-host/src/main/java/io/figspan/host/backend/EngineClient.java
@@ -20,6 +20,7 @@
 import io.vertx.core.json.jackson.DatabindCodec;
 import io.vertx.rxjava3.FlowableHelper;
 import java.io.IOException;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 /** HTTP client of the engines. It never retries; each call has a timeout. */
 public final class EngineClient {
@@ -33,10 +34,12 @@
     /** An engine confirms a prompt or a hold within milliseconds; this bound covers a busy machine. */
     public static final long SHORT_CALL_TIMEOUT_MS = 2_000;
 
+    private final Vertx vertx;
     private final HttpClient client;
     private final BackendTable table;
 
     public EngineClient(Vertx vertx, BackendTable table) {
+        this.vertx = vertx;
         this.table = table;
         this.client = vertx.createHttpClient(
                 new HttpClientOptions()
@@ -130,25 +133,34 @@
     }
 
     private Flowable<EngineEvent> stream(BackendTable.Server server, HttpMethod method, String path, Buffer body) {
-        Single<HttpClientResponse> response = Single.create(emitter -> client.request(options(server, method, path))
-                .compose(request -> {
-                    emitter.setCancellable(() -> request.reset());
-                    return request.send(body);
-                })
-                .onComplete(result -> {
-                    if (result.succeeded()) {
-                        emitter.onSuccess(result.result());
-                    } else {
-                        emitter.tryOnError(result.cause());
-                    }
-                }));
+        Single<HttpClientResponse> response = Single.create(emitter -> {
+            // The emitter also runs its cancellable after a success, when the request must not be reset.
+            AtomicBoolean answered = new AtomicBoolean();
+            client.request(options(server, method, path))
+                    .compose(request -> {
+                        emitter.setCancellable(() -> {
+                            if (!answered.get()) {
+                                request.reset();
+                            }
+                        });
+                        return request.send(body);
+                    })
+                    .onComplete(result -> {
+                        answered.set(true);
+                        if (result.succeeded()) {
+                            emitter.onSuccess(result.result());
+                        } else {
+                            emitter.tryOnError(result.cause());
+                        }
+                    });
+        });
         return response.flatMapPublisher(opened -> {
             noteReport(server, opened);
             return events(opened);
         });
     }
 
-    private static Flowable<EngineEvent> events(HttpClientResponse response) {
+    private Flowable<EngineEvent> events(HttpClientResponse response) {
         if (response.statusCode() != 200) {
             return FlowableHelper.toFlowable(response)
                     .reduce(Buffer.buffer(), Buffer::appendBuffer)
@@ -158,7 +170,7 @@
         long reader = parseReader(response.getHeader("Figspan-Reader"));
         SseParser parser = new SseParser();
         return FlowableHelper.toFlowable(response)
-                .doOnCancel(() -> request.reset())
+                .doOnCancel(() -> vertx.runOnContext(nothing -> request.reset()))
                 .concatMapIterable(parser::feed)
                 .startWithItem(new EngineEvent.Opened(reader));
     }
--- a/figspan-standin/src/main/java/io/figspan/standin/engine/Answers.java
+++ b/figspan-standin/src/main/java/io/figspan/standin/engine/Answers.java
@@ -33,7 +33,8 @@
     /** Answer token at an offset: a space and 8 hexadecimal digits. */
     public static String tokenAt(long digest, int offset) {
         long mixed = (digest + offset * 0x9e3779b97f4a7c15L) * 0xbf58476d1ce4e5b9L;
-        return String.format(" %08x", (mixed ^ (mixed >>> 32)) & 0xffffffffL);
+        String hex = Long.toHexString(0x100000000L | ((mixed ^ (mixed >>> 32)) & 0xffffffffL));
+        return " " + hex.substring(1);
     }
 
     /** The whole answer to a prompt. */
