Add the operator commands settings, hosts, status and timeline

Cause: operators drive figspan by changing the settings tree and watching the fleet follow it. Conclusion: not run against a real host yet, only against test servers.

--- a/figspan-cli/src/main/java/io/figspan/cli/Commands.java
+++ b/figspan-cli/src/main/java/io/figspan/cli/Commands.java
@@ -1,5 +1,11 @@
 package io.figspan.cli;
 
+import io.figspan.cli.operator.HostsCommand;
+import io.figspan.cli.operator.StatusCommand;
+import io.figspan.cli.operator.TimelineCommand;
+import io.figspan.cli.settings.CheckCommand;
+import io.figspan.cli.settings.DiffCommand;
+import io.figspan.cli.settings.ExplainCommand;
 import java.util.List;
 
 /** The commands of {@code figspan}, in the order of the help text. */
@@ -8,6 +14,12 @@
 
     /** New instances of all commands. */
     public static List<Command> all() {
-        return List.of();
+        return List.of(
+                new CheckCommand(),
+                new ExplainCommand(),
+                new DiffCommand(),
+                new HostsCommand(),
+                new StatusCommand(),
+                new TimelineCommand());
     }
 }
--- a/figspan-cli/src/main/java/io/figspan/cli/ExitCode.java
+++ b/figspan-cli/src/main/java/io/figspan/cli/ExitCode.java
@@ -6,7 +6,8 @@
     FAILED(1, "a check failed or a request was refused"),
     USAGE(2, "wrong flags, arguments or input file"),
     UNREACHABLE(3, "a host could not be reached in time"),
-    OUTCOME_UNKNOWN(4, "an order may or may not have been run");
+    OUTCOME_UNKNOWN(4, "an order may or may not have been run"),
+    DIFFERENT(5, "the compared settings differ");
 
     private final int code;
     private final String meaning;
--- a/figspan-cli/src/main/java/io/figspan/cli/Main.java
+++ b/figspan-cli/src/main/java/io/figspan/cli/Main.java
@@ -10,15 +10,23 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.regex.Pattern;
 
 /** Entry point of {@code figspan}: selects the command, parses its flags and runs it. */
 public final class Main {
     private static final String PROGRAM = "figspan";
-    private static final String FLAG_PREFIX = "--";
+
+    /** A flag rather than a negative number or a single dash. */
+    private static final Pattern FLAG = Pattern.compile("--?[A-Za-z]");
+
+    /** Kinds of faults that come from what was typed. */
+    private static final Set<ProblemKind> USAGE_KINDS = EnumSet.of(ProblemKind.USAGE, ProblemKind.INVALID_VALUE);
 
     private final List<Command> commands;
     private final Console console;
@@ -38,7 +46,7 @@
             return dispatch(args);
         } catch (FigspanException e) {
             console.error(PROGRAM + ": " + e.getMessage());
-            return e.kind() == ProblemKind.USAGE ? ExitCode.USAGE : ExitCode.FAILED;
+            return USAGE_KINDS.contains(e.kind()) ? ExitCode.USAGE : ExitCode.FAILED;
         } catch (ParameterException e) {
             console.error(PROGRAM + ": " + e.getMessage());
             return ExitCode.USAGE;
@@ -55,13 +63,10 @@
             return answerUnselected(args);
         }
         Command command = selected.get();
-        JCommander parser = JCommander.newBuilder()
-                .addObject(command)
-                .programName(PROGRAM + " " + command.name())
-                .expandAtSign(false)
-                .build();
         List<String> flags = args.subList(words(command.name()).size(), args.size());
-        parser.parse(checkFlags(parser, flags).toArray(new String[0]));
+        List<String> checked = checkFlags(listFlags(command), flags);
+        JCommander parser = parserOf(command);
+        parser.parse(checked.toArray(new String[0]));
         if (command.common().help()) {
             printHelp(command, parser);
             return ExitCode.OK;
@@ -117,18 +122,33 @@
 
     // --- Flags
 
-    /** Splits {@code --flag=value} and refuses unknown flags, naming the nearest one. */
-    private static List<String> checkFlags(JCommander parser, List<String> args) {
+    private static JCommander parserOf(Command command) {
+        return JCommander.newBuilder()
+                .addObject(command)
+                .programName(PROGRAM + " " + command.name())
+                .expandAtSign(false)
+                .build();
+    }
+
+    /** The flags of a command by name. JCommander lists them only after a parse, so this uses a parser of its own. */
+    private static Map<String, ParameterDescription> listFlags(Command command) {
+        JCommander parser = parserOf(command);
+        parser.parseWithoutValidation();
         Map<String, ParameterDescription> known = new HashMap<>();
         for (ParameterDescription parameter : parser.getParameters()) {
             for (String name : parameter.getParameter().names()) {
                 known.put(name, parameter);
             }
         }
+        return known;
+    }
+
+    /** Splits {@code --flag=value} and refuses unknown flags, naming the nearest one. */
+    private static List<String> checkFlags(Map<String, ParameterDescription> known, List<String> args) {
         List<String> checked = new ArrayList<>();
         boolean isValue = false;
         for (String arg : args) {
-            if (isValue || !arg.startsWith(FLAG_PREFIX)) {
+            if (isValue || !FLAG.matcher(arg).lookingAt()) {
                 checked.add(arg);
                 isValue = false;
                 continue;
--- /dev/null
+++ b/figspan-cli/src/main/java/io/figspan/cli/operator/package-info.java
@@ -0,0 +1,2 @@
+/** Commands that read hosts over HTTP. */
+package io.figspan.cli.operator;
