--- a/figspan-cli/src/main/java/io/figspan/cli/caller/PromptCall.java
+++ b/figspan-cli/src/main/java/io/figspan/cli/caller/PromptCall.java
@@ -23,6 +23,9 @@
     /** A host sends the head of an answer within a second of admission; a frozen one does not. */
     private static final long HEAD_TIMEOUT_MS = 5_000;
 
+    /** Times that a refused caller comes back after the time it was told. */
+    private static final int MAX_COMEBACKS = 5;
+
     /** Pause before the next host, so that a break of all hosts does not become a busy loop. */
     private static final long PAUSE_MS = 50;
 
@@ -67,6 +70,7 @@
     private long firstTokenNanos;
     private int resumes;
     private int restarts;
+    private int comebacks;
     private String fault = "";
     private boolean complete;
 
@@ -161,7 +165,16 @@
                 return Single.just(end(PromptResult.Kind.WRONG, "a good resume token was refused"));
             }
             default -> {
-                return Single.just(end(PromptResult.Kind.REFUSED, problem.kind()));
+                boolean comesBack = problem.retryAfterMs() > 0
+                        && "notRun".equals(problem.run())
+                        && problem.retryAfterMs() < leftMs()
+                        && comebacks < MAX_COMEBACKS;
+                if (!comesBack) {
+                    return Single.just(end(PromptResult.Kind.REFUSED, problem.kind()));
+                }
+                comebacks++;
+                return Single.timer(problem.retryAfterMs(), TimeUnit.MILLISECONDS, http.scheduler())
+                        .flatMap(ignored -> attempt());
             }
         }
     }
--- a/figspan-host/src/main/java/io/figspan/host/HostContext.java
+++ b/figspan-host/src/main/java/io/figspan/host/HostContext.java
@@ -1,12 +1,13 @@
 package io.figspan.host;
 
 import com.codahale.metrics.MetricRegistry;
-import io.figspan.core.id.HoldHandle;
+import io.figspan.control.token.TokenKeys;
 import io.figspan.core.id.HostIncarnation;
 import io.figspan.core.id.StreamId;
 import io.figspan.core.time.MonotonicClock;
 import io.figspan.host.backend.BackendTable;
 import io.figspan.host.backend.EngineClient;
+import io.figspan.host.backend.HoldDriver;
 import io.figspan.host.operator.Timeline;
 import io.figspan.settings.SettingKey;
 import io.figspan.settings.SettingsHolder;
@@ -32,6 +33,7 @@
         MetricRegistry metrics,
         BackendTable backends,
         EngineClient engines,
+        HoldDriver holds,
         AtomicLong sequence) {
     public long nowNanos() {
         return clock.nowNanos();
@@ -41,21 +43,17 @@
         return settings.tree();
     }
 
-    /** A handle that no process has used before. */
-    public HoldHandle newHold() {
-        return new HoldHandle(incarnation, sequence.incrementAndGet());
-    }
-
     /** A stream id that no process has used before. */
     public StreamId newStream() {
         return StreamId.of(incarnation.host() + "-" + incarnation.number() + "-" + sequence.incrementAndGet());
     }
 
-    /** Key of resume tokens and tickets: the one of the host file, else the one of the settings. */
-    public byte[] tokenKey() {
-        return config.tokenKey().isPresent()
+    /** Keys of resume tokens and tickets: the one of the host file, else the one of the settings. */
+    public TokenKeys tokenKeys() {
+        byte[] key = config.tokenKey().isPresent()
                 ? config.tokenKey().utf8()
                 : tree().fleet().secret(SettingKey.TOKEN_KEY).utf8();
+        return TokenKeys.of(key);
     }
 
     public void count(String name) {
--- a/figspan-host/src/main/java/io/figspan/host/HostProcess.java
+++ b/figspan-host/src/main/java/io/figspan/host/HostProcess.java
@@ -1,19 +1,28 @@
 package io.figspan.host;
 
 import com.codahale.metrics.MetricRegistry;
+import io.figspan.cluster.message.Peer;
+import io.figspan.control.lifecycle.HostLifecycle;
+import io.figspan.control.lifecycle.HostState;
 import io.figspan.core.event.Part;
+import io.figspan.core.id.HostId;
 import io.figspan.core.id.HostIncarnation;
 import io.figspan.core.time.HybridClock;
 import io.figspan.core.time.MonotonicClock;
 import io.figspan.host.backend.BackendTable;
 import io.figspan.host.backend.EngineClient;
 import io.figspan.host.backend.EngineSpeeds;
+import io.figspan.host.backend.HoldDriver;
 import io.figspan.host.backend.ReportPoller;
 import io.figspan.host.entry.EntryDirectory;
 import io.figspan.host.entry.EntryServer;
+import io.figspan.host.entry.LimitGate;
+import io.figspan.host.entry.ThinOrders;
 import io.figspan.host.operator.OperatorServer;
 import io.figspan.host.operator.Timeline;
 import io.figspan.host.platform.FleetListPoller;
+import io.figspan.host.platform.PeerDriver;
+import io.figspan.host.platform.SettingsInForce;
 import io.figspan.settings.FleetList;
 import io.figspan.settings.SettingsHolder;
 import io.figspan.settings.cfg.HostConfig;
@@ -22,37 +31,56 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.random.RandomGenerator;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** One {@code figspand} process: wires its parts, starts them and shuts them down. */
+/** One {@code figspand} process: wires its parts on one event loop, starts them and shuts them down. */
 public final class HostProcess {
     private static final Logger LOG = LoggerFactory.getLogger(HostProcess.class);
+    private static final String PREFIX = Part.ENTRY.logPrefix();
+    private static final long TICK_MS = 50;
+
+    /** Longest time of a graceful shutdown: the longest deadline of a request and some margin. */
+    private static final long SHUTDOWN_LIMIT_MS = 3_700_000;
 
     private final HostContext context;
     private final EntryDirectory directory;
+    private final LimitGate limits;
+    private final PeerDriver peers;
     private final EntryServer entry;
     private final OperatorServer operator;
-    private String state = "starting";
+    private final HostLifecycle lifecycle;
+    private final Promise<Void> stopped = Promise.promise();
     private int callerPort;
     private int operatorPort;
 
-    private HostProcess(HostContext context, EntryServer.Limits limits) {
+    private HostProcess(HostContext context, EntryServer.Limits entryLimits) {
         this.context = context;
         this.directory = new EntryDirectory(context);
-        this.entry = new EntryServer(context, limits, directory, null);
+        this.limits = new LimitGate(context);
+        ThinOrders orders = new ThinOrders(context);
+        SettingsInForce adopter = new SettingsInForce(context, this::onSettings);
+        this.peers = new PeerDriver(context, limits, directory, adopter, orders, this::onSuperseded);
+        this.entry = new EntryServer(context, entryLimits, directory, orders, limits, peers);
         this.operator = new OperatorServer(context, this::gauges);
+        this.lifecycle = new HostLifecycle(
+                TimeUnit.SECONDS.toMillis(context.config().shutdownMarginSeconds()), SHUTDOWN_LIMIT_MS);
     }
 
     /** Creates a process with one event loop: at 15 requests per second and host, one core is enough. */
-    public static HostProcess create(HostConfig config, EntryServer.Limits limits) {
+    public static Future<HostProcess> create(HostConfig config, EntryServer.Limits limits) {
         RxJavaPlugins.setErrorHandler(cause -> LOG.debug("error after the end of a stream", cause));
         Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(2));
         HostIncarnation incarnation = new HostIncarnation(config.hostId(), System.currentTimeMillis());
         BackendTable backends = new BackendTable(EngineSpeeds.STAND_IN);
+        EngineClient engines = new EngineClient(vertx, backends);
+        Timeline timeline = new Timeline(config.hostId(), new HybridClock(System::currentTimeMillis));
         HostContext context = new HostContext(
                 config,
                 incarnation,
@@ -60,12 +88,15 @@
                 MonotonicClock.system(),
                 RandomGenerator.getDefault(),
                 new SettingsHolder(),
-                new Timeline(config.hostId(), new HybridClock(System::currentTimeMillis)),
+                timeline,
                 new MetricRegistry(),
                 backends,
-                new EngineClient(vertx, backends),
+                engines,
+                new HoldDriver(incarnation, backends, engines, timeline),
                 new AtomicLong());
-        return new HostProcess(context, limits);
+        Promise<HostProcess> created = Promise.promise();
+        vertx.runOnContext(nothing -> created.complete(new HostProcess(context, limits)));
+        return created.future();
     }
 
     public HostContext context() {
@@ -80,10 +111,6 @@
         return operatorPort;
     }
 
-    public EntryServer entry() {
-        return entry;
-    }
-
     /** Starts all parts; the future completes when the ports are open. */
     public Future<Void> start() {
         Promise<Void> started = Promise.promise();
@@ -92,20 +119,27 @@
     }
 
     private Future<Void> startOnLoop() {
-        new ReportPoller(context.backends(), context.engines()).start(context.vertx());
+        context.holds().start(context.vertx());
+        context.backends().setGoneListener(context.holds()::onEngineGone);
+        new ReportPoller(context.backends(), context.engines(), context.holds(), this::newestProcesses)
+                .start(context.vertx());
         context.config().hostList().ifPresent(platform -> new FleetListPoller(context, platform, this::onFleetList)
                 .start());
-        return operator.listen()
+        context.vertx().setPeriodic(TICK_MS, id -> tick());
+        Promise<Void> peersStarted = Promise.promise();
+        var unused = peers.start().subscribe(peersStarted::complete, peersStarted::fail);
+        return peersStarted
+                .future()
+                .compose(nothing -> operator.listen())
                 .compose(port -> {
                     operatorPort = port;
                     return entry.listen();
                 })
                 .map(port -> {
                     callerPort = port;
-                    state = "serving";
                     LOG.info(
                             "{} host {} serves callers on {}:{} and operators on port {}",
-                            Part.ENTRY.logPrefix(),
+                            PREFIX,
                             context.incarnation(),
                             context.config().bindAddress(),
                             callerPort,
@@ -122,30 +156,71 @@
 
     /**
      * Shuts down without cutting off a request: leaves the entry list, serves on for as long as callers may keep a list
-     * plus a margin, then refuses new requests and finishes those in flight.
+     * plus a margin, then refuses new requests and finishes those in flight. The future completes at the end.
      */
     public Future<Void> shutDown() {
-        Promise<Void> done = Promise.promise();
         context.vertx().runOnContext(nothing -> {
-            state = "leaving";
-            LOG.info("{} host {} is leaving", Part.ENTRY.logPrefix(), context.incarnation());
-            long serveOnMs = TimeUnit.SECONDS.toMillis(
-                    context.config().keepSeconds() + (long) context.config().shutdownMarginSeconds());
-            context.vertx().setTimer(Math.max(1, serveOnMs), id -> {
-                state = "draining";
-                entry.drain()
-                        .compose(drained -> entry.close())
-                        .compose(closed -> operator.close())
-                        .compose(closed -> context.vertx().close())
-                        .onComplete(done);
-            });
+            LOG.info("{} host {} leaves the entry list", PREFIX, context.incarnation());
+            lifecycle.onShutdown(context.config().keepSeconds(), context.nowNanos());
+            directory.leave();
+            peers.node().announceLeave();
         });
-        return done.future();
+        return stopped.future();
+    }
+
+    /** Closes all ports at once, as after a crash. For tests. */
+    public Future<Void> close() {
+        return context.vertx().close();
+    }
+
+    // Events
+
+    private void tick() {
+        HostState before = lifecycle.state();
+        HostState now = lifecycle.onTick(entry.inFlight(), context.nowNanos());
+        if (now == before) {
+            return;
+        }
+        LOG.info("{} host {} is {}", PREFIX, context.incarnation(), now.name().toLowerCase(Locale.ROOT));
+        if (now == HostState.DRAINING || now == HostState.STOPPED) {
+            entry.refuseNew();
+        }
+        if (now == HostState.STOPPED) {
+            entry.close().compose(closed -> operator.close()).onComplete(closed -> {
+                var unused = peers.node().close().onErrorComplete().subscribe(() -> context.vertx()
+                        .close()
+                        .onComplete(stopped));
+            });
+        }
+    }
+
+    private void onSettings() {
+        limits.reconfigure();
+        lifecycle.onSettingsReady();
+    }
+
+    private void onSuperseded() {
+        LOG.error(
+                "{} another process has taken over seat {}",
+                PREFIX,
+                context.config().hostId());
+        directory.leave();
+        entry.refuseNew();
+    }
+
+    private Map<HostId, HostIncarnation> newestProcesses() {
+        Map<HostId, HostIncarnation> newest = new HashMap<>();
+        for (Peer peer : peers.node().view().live()) {
+            newest.put(peer.host(), peer.incarnation());
+        }
+        return newest;
     }
 
     private OperatorServer.Gauges gauges() {
-        boolean ready = "serving".equals(state)
+        boolean ready = lifecycle.state() == HostState.SERVING
+                && limits.isOpen()
                 && context.backends().engines().stream().anyMatch(BackendTable.Server::hasReported);
-        return new OperatorServer.Gauges(state, ready, entry.inFlight(), entry.queued());
+        return new OperatorServer.Gauges(
+                lifecycle.state().name().toLowerCase(Locale.ROOT), ready, entry.inFlight(), entry.queued());
     }
 }
--- a/figspan-host/src/main/java/io/figspan/host/Main.java
+++ b/figspan-host/src/main/java/io/figspan/host/Main.java
@@ -52,12 +52,15 @@
     }
 
     private void run(HostConfig hostConfig) {
-        HostProcess process = HostProcess.create(hostConfig, EntryServer.Limits.DEFAULT);
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> awaitShutdown(process), "shutdown"));
-        process.start().onFailure(cause -> {
-            LOG.error("{} start failed: {}", Part.ENTRY.logPrefix(), cause.getMessage());
-            Runtime.getRuntime().halt(EXIT_FAILED);
-        });
+        HostProcess.create(hostConfig, EntryServer.Limits.DEFAULT)
+                .compose(process -> {
+                    Runtime.getRuntime().addShutdownHook(new Thread(() -> awaitShutdown(process), "shutdown"));
+                    return process.start();
+                })
+                .onFailure(cause -> {
+                    LOG.error("{} start failed: {}", Part.ENTRY.logPrefix(), cause.getMessage());
+                    Runtime.getRuntime().halt(EXIT_FAILED);
+                });
     }
 
     private static void awaitShutdown(HostProcess process) {
--- a/figspan-host/src/main/java/io/figspan/host/backend/BackendTable.java
+++ b/figspan-host/src/main/java/io/figspan/host/backend/BackendTable.java
@@ -1,5 +1,7 @@
 package io.figspan.host.backend;
 
+import io.figspan.control.leaving.LeavingRegistry;
+import io.figspan.control.leaving.LeavingSource;
 import io.figspan.core.id.BackendIncarnation;
 import io.figspan.core.id.BackendServerId;
 import io.figspan.core.id.ServiceId;
@@ -14,6 +16,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 
 /**
  * Backend servers that this host knows and its view of the engines' load. Used on the event loop only. Bounded by
@@ -96,8 +99,10 @@
 
     private final Map<BackendServerId, Server> servers = new TreeMap<>();
     private final LoadView loads;
+    private final LeavingRegistry leavingServers = new LeavingRegistry(LeavingRegistry.DEFAULT_CAPACITY_SERVERS);
     private LeavingListener leavingListener = incarnation -> {};
     private Runnable changeListener = () -> {};
+    private Consumer<BackendIncarnation> goneListener = incarnation -> {};
 
     public BackendTable(EngineSpeed speed) {
         this.loads = new LoadView(speed);
@@ -112,6 +117,11 @@
         changeListener = listener;
     }
 
+    /** Sets the listener that is told of processes that a newer one has replaced. */
+    public void setGoneListener(Consumer<BackendIncarnation> listener) {
+        goneListener = listener;
+    }
+
     public LoadView loads() {
         return loads;
     }
@@ -160,8 +170,9 @@
             boolean leaving = entry.state() == FleetList.LiveState.LEAVING
                     && entry.incarnationNumber() == known.incarnationNumber;
             if (leaving) {
-                onLeaving(known);
+                onLeaving(known.incarnation(), LeavingSource.LIST);
             }
+            refreshLeaving(known);
         }
         changeListener.run();
     }
@@ -183,16 +194,23 @@
         loads.setLeaving(server.id(), true);
     }
 
-    /** Marks a server as leaving; this stays until a later incarnation appears. */
-    public void onLeaving(Server server) {
-        boolean isNew = !server.leaving;
-        server.leaving = true;
-        loads.setLeaving(server.id(), true);
-        if (isNew) {
-            leavingListener.onLeaving(server.incarnation());
+    /** Notes that a process leaves, also one that is not listed yet; this stays for its lifetime. */
+    public void onLeaving(BackendIncarnation process, LeavingSource source) {
+        boolean isNews = leavingServers.onLeaving(process, source, System.nanoTime());
+        Server server = servers.get(process.server());
+        if (server != null) {
+            refreshLeaving(server);
+        }
+        if (isNews) {
+            leavingListener.onLeaving(process);
         }
     }
 
+    private void refreshLeaving(Server server) {
+        server.leaving = !leavingServers.mayTakeNewWork(server.incarnation());
+        loads.setLeaving(server.id(), !server.takesNewWork());
+    }
+
     private void note(Server server, long incarnation, LoadReport load, boolean leaving, long nowNanos) {
         if (incarnation < server.incarnationNumber) {
             return;
@@ -203,9 +221,9 @@
         server.heardAtNanos = nowNanos;
         loads.report(server.id(), load, nowNanos);
         if (leaving) {
-            onLeaving(server);
+            onLeaving(server.incarnation(), LeavingSource.REPORT);
         }
-        loads.setLeaving(server.id(), !server.takesNewWork());
+        refreshLeaving(server);
         changeListener.run();
     }
 
@@ -213,8 +231,9 @@
         if (incarnation <= server.incarnationNumber) {
             return;
         }
+        BackendIncarnation before = server.incarnation();
         server.incarnationNumber = incarnation;
-        server.leaving = false;
+        goneListener.accept(before);
         if (server.isEngine()) {
             loads.remove(server.id());
             loads.add(new Runner(server.id(), server.listed().availabilityZone()));
--- a/figspan-host/src/main/java/io/figspan/host/backend/EngineClient.java
+++ b/figspan-host/src/main/java/io/figspan/host/backend/EngineClient.java
@@ -24,6 +24,7 @@
 
 /** HTTP client of the engines. It never retries; each call has a timeout. */
 public final class EngineClient {
+    private static final int HTTP_OK = 200;
     private static final int CONNECT_TIMEOUT_MS = 500;
 
     /** Connections to one engine; a stream in flight uses one. */
@@ -75,11 +76,15 @@
                 .mapEmpty();
     }
 
-    /** Returns memory. Idempotent. */
-    public Future<Void> releaseHold(BackendTable.Server server, HoldHandle handle) {
-        return call(server, HttpMethod.DELETE, "/v1/holds/" + path(handle), Buffer.buffer(), SHORT_CALL_TIMEOUT_MS)
-                .compose(EngineClient::requireOk)
-                .mapEmpty();
+    /**
+     * Returns memory. Idempotent. The result tells whether the engine held it.
+     *
+     * @param unreadOnly leave a hold whose stream has a reader
+     */
+    public Future<Boolean> releaseHold(BackendTable.Server server, HoldHandle handle, boolean unreadOnly) {
+        String path = "/v1/holds/" + path(handle) + (unreadOnly ? "?unread=1" : "");
+        return call(server, HttpMethod.DELETE, path, Buffer.buffer(), SHORT_CALL_TIMEOUT_MS)
+                .map(reply -> reply.status() == HTTP_OK);
     }
 
     /** Prefills a segment into a hold. */
@@ -161,7 +166,7 @@
     }
 
     private Flowable<EngineEvent> events(HttpClientResponse response) {
-        if (response.statusCode() != 200) {
+        if (response.statusCode() != HTTP_OK) {
             return FlowableHelper.toFlowable(response)
                     .reduce(Buffer.buffer(), Buffer::appendBuffer)
                     .flatMapPublisher(body -> Flowable.error(refused(response.statusCode(), body)));
@@ -199,7 +204,7 @@
     }
 
     private static Future<Reply> requireOk(Reply reply) {
-        return reply.status() == 200
+        return reply.status() == HTTP_OK
                 ? Future.succeededFuture(reply)
                 : Future.failedFuture(refused(reply.status(), reply.body()));
     }
--- a/figspan-host/src/main/java/io/figspan/host/entry/AnswerRelay.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/AnswerRelay.java
@@ -1,5 +1,7 @@
 package io.figspan.host.entry;
 
+import io.figspan.control.resume.ResumeToken;
+import io.figspan.control.resume.ResumeTokenCodec;
 import io.figspan.core.id.BackendIncarnation;
 import io.figspan.core.id.OrganisationId;
 import io.figspan.core.id.RequestId;
@@ -35,7 +37,7 @@
     }
 
     private final HostContext context;
-    private final StreamTokens tokens;
+    private final ResumeTokenCodec tokens;
     private final CallerStream caller;
     private final OrganisationId organisation;
     private final RequestId request;
@@ -47,6 +49,7 @@
     private long silenceTimer = -1;
     private long readerNumber = 1;
     private int nextOffset;
+    private boolean opened;
     private boolean firstTokenSeen;
     private boolean over;
 
@@ -58,7 +61,7 @@
             StreamId stream,
             int firstOffset) {}
 
-    AnswerRelay(HostContext context, StreamTokens tokens, CallerStream caller, Route route, Listener listener) {
+    AnswerRelay(HostContext context, ResumeTokenCodec tokens, CallerStream caller, Route route, Listener listener) {
         this.context = context;
         this.tokens = tokens;
         this.caller = caller;
@@ -75,6 +78,11 @@
         return server;
     }
 
+    /** Whether the engine has taken the prompt. */
+    boolean isOpened() {
+        return opened;
+    }
+
     /** The number of this connection among the stream's readers. */
     long readerNumber() {
         return readerNumber;
@@ -111,8 +119,9 @@
             return;
         }
         watchSilence();
-        if (event instanceof EngineEvent.Opened opened) {
-            readerNumber = opened.readerNumber();
+        if (event instanceof EngineEvent.Opened open) {
+            opened = true;
+            readerNumber = open.readerNumber();
             engine = server.incarnation();
             caller.opened(token());
             listener.onOpened();
@@ -185,6 +194,7 @@
     }
 
     private String token() {
-        return tokens.encode(organisation, new StreamTokens.Position(engine, stream, nextOffset, request));
+        ResumeToken token = new ResumeToken(engine, stream, nextOffset, context.incarnation());
+        return tokens.encode(token, organisation, request);
     }
 }
--- a/figspan-host/src/main/java/io/figspan/host/entry/CompletionCall.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/CompletionCall.java
@@ -1,7 +1,13 @@
 package io.figspan.host.entry;
 
+import io.figspan.control.hold.HoldAction;
+import io.figspan.control.hold.HoldLedgerConfig;
+import io.figspan.control.leaving.LeavingSource;
+import io.figspan.control.resume.ResumeTokenCodec;
+import io.figspan.core.error.FigspanException;
 import io.figspan.core.error.Problem;
 import io.figspan.core.error.ProblemKind;
+import io.figspan.core.error.Result;
 import io.figspan.core.error.RunState;
 import io.figspan.core.event.Part;
 import io.figspan.core.id.HoldHandle;
@@ -26,20 +32,19 @@
 final class CompletionCall {
     private static final Logger LOG = LoggerFactory.getLogger(CompletionCall.class);
 
-    /** A hold outlives the deadline by this time, so that the caller's last reads are served. */
-    static final long HOLD_GRACE_MS = 5_000;
-
     /** Attempts for one request, so that a prompt that breaks engines cannot break all of them. */
     private static final int MAX_ATTEMPTS = 4;
 
     /** Pause before a group is reserved again. */
     private static final long GROUP_RETRY_MS = 50;
 
+    private static final long RETRY_AFTER_MS = 1_000;
+    private static final int HTTP_OK = 200;
     private static final double RECOVERY_MARGIN = 1.2;
 
     private final HostContext context;
     private final Dispatcher dispatcher;
-    private final StreamTokens tokens;
+    private final ResumeTokenCodec tokens;
     private final RequestHead head;
     private final CompletionRequest prompt;
     private final CallerStream caller;
@@ -53,6 +58,8 @@
     private Optional<AnswerRelay> relay = Optional.empty();
     private Optional<EngineGroup> group = Optional.empty();
     private Optional<BackendTable.Server> server = Optional.empty();
+    private Optional<HoldHandle> ownHold = Optional.empty();
+    private boolean engineIsDone;
     private long sendId;
     private int sentTokens;
     private int attempts;
@@ -61,7 +68,7 @@
     CompletionCall(
             HostContext context,
             Dispatcher dispatcher,
-            StreamTokens tokens,
+            ResumeTokenCodec tokens,
             RequestHead head,
             CompletionRequest prompt,
             CallerStream caller,
@@ -116,7 +123,7 @@
         @Override
         public void onPlaced(BackendTable.Server placed) {
             waiting = Optional.empty();
-            send(placed, context.newHold(), prompt.prompt());
+            sendToOne(placed);
         }
 
         @Override
@@ -127,21 +134,27 @@
     }
 
     private void reserveGroup() {
-        EngineGroup newGroup = new EngineGroup(context, head.request());
+        EngineGroup newGroup;
+        try {
+            newGroup = EngineGroup.start(context, head.request(), prompt, deadline);
+        } catch (FigspanException e) {
+            fail(Problem.notRun(e.kind(), e.detail()).withRetryAfterMs(RETRY_AFTER_MS));
+            return;
+        }
         group = Optional.of(newGroup);
-        newGroup.reserve(prompt, deadline, HOLD_GRACE_MS).onComplete(reserved -> {
+        newGroup.acquired().onComplete(acquired -> {
             if (over) {
                 newGroup.release();
                 return;
             }
-            if (reserved.failed()) {
+            if (acquired.failed()) {
                 group = Optional.empty();
-                event(Part.HOLD, "groupFailed", String.valueOf(reserved.cause().getMessage()));
+                event(Part.HOLD, "groupFailed", String.valueOf(acquired.cause().getMessage()));
                 long pauseMs = GROUP_RETRY_MS + context.random().nextLong(GROUP_RETRY_MS);
                 context.vertx().setTimer(pauseMs, id -> reserveGroupAgain());
                 return;
             }
-            event(Part.HOLD, "groupReserved", newGroup.members().size() + " engines");
+            event(Part.HOLD, "groupReserved", newGroup.size() + " engines");
             prefillGroup(newGroup);
         });
     }
@@ -153,6 +166,7 @@
     }
 
     private void prefillGroup(EngineGroup reserved) {
+        server = Optional.of(reserved.lastServer());
         reserved.prefill(priority.level(), deadline).onComplete(prefilled -> {
             if (over) {
                 reserved.release();
@@ -162,11 +176,24 @@
                 onEngineFailure(prefilled.cause());
                 return;
             }
-            EngineGroup.Member last = reserved.last();
-            send(last.server(), last.hold(), last.text());
+            send(reserved.lastServer(), reserved.lastHold(), reserved.lastText());
         });
     }
 
+    /** Opens a hold for a prompt that fits on one engine; the engine takes the memory with the prompt itself. */
+    private void sendToOne(BackendTable.Server placed) {
+        long kvTokens = prompt.promptTokens() + (long) prompt.outputTokens();
+        Result<HoldAction.Reserve> reserve =
+                context.holds().ledger().reserve(placed.incarnation(), kvTokens, deadline, context.nowNanos());
+        if (reserve instanceof Result.Failed<HoldAction.Reserve> failed) {
+            fail(failed.problem());
+            return;
+        }
+        HoldHandle handle = ((Result.Ok<HoldAction.Reserve>) reserve).value().handle();
+        ownHold = Optional.of(handle);
+        send(placed, handle, prompt.prompt());
+    }
+
     private void send(BackendTable.Server placed, HoldHandle hold, String text) {
         server = Optional.of(placed);
         long leftMs = deadline.leftMs(context.nowNanos());
@@ -187,7 +214,7 @@
                 stream.value(),
                 hold.toString(),
                 priority.level(),
-                leftMs + HOLD_GRACE_MS,
+                leftMs + HoldLedgerConfig.DEFAULT.graceMs(),
                 sentTokens);
         AnswerRelay newRelay = new AnswerRelay(
                 context,
@@ -203,6 +230,7 @@
     private final class RelayListener implements AnswerRelay.Listener {
         @Override
         public void onOpened() {
+            ownHold.ifPresent(handle -> context.holds().ledger().onReserved(handle, context.nowNanos()));
             event(Part.ENTRY, "opened", "");
         }
 
@@ -218,8 +246,8 @@
 
         @Override
         public void onComplete(int endOffset) {
-            relay = Optional.empty();
             caller.complete(endOffset);
+            engineIsDone = true;
             context.count("prompts.answered");
             event(Part.ENTRY, "answered", endOffset + " tokens");
             end();
@@ -241,7 +269,14 @@
         event(Part.ENTRY, "engineFailed", String.valueOf(cause.getMessage()));
         sentTokens = Math.max(sentTokens, relay.map(AnswerRelay::nextOffset).orElse(0));
         boolean refused = cause instanceof EngineRefusal;
-        if (!refused) {
+        boolean refusedAsLeaving = refused && cause.getMessage().contains("leaving");
+        if (refusedAsLeaving) {
+            server.ifPresent(used -> context.backends().onLeaving(used.incarnation(), LeavingSource.REFUSAL));
+        }
+        if (refused) {
+            ownHold.ifPresent(handle -> context.holds().ledger().onRefused(handle));
+            ownHold = Optional.empty();
+        } else {
             server.ifPresent(failed -> context.backends().onFailure(failed));
         }
         leaveEngine();
@@ -274,7 +309,7 @@
         if (over) {
             return;
         }
-        RunState run = attempts > 0 && server.isPresent() ? RunState.UNKNOWN : RunState.NOT_RUN;
+        RunState run = relay.isPresent() || sentTokens > 0 ? RunState.UNKNOWN : RunState.NOT_RUN;
         fail(new Problem(ProblemKind.DEADLINE_PASSED, "the answer was not complete in time", run, 0));
     }
 
@@ -311,18 +346,51 @@
         onEnd.run();
     }
 
-    /** Cancels the stream and returns the memory of the engine or group in use. */
+    /**
+     * Cancels the stream and returns the memory of the engine or group in use. A stream that another host reads by now
+     * is left to that host; its memory is returned at its end or when the hold expires.
+     */
     private void leaveEngine() {
         server.ifPresent(used -> context.backends().loads().finished(used.id(), sendId));
-        relay.ifPresent(running -> {
-            running.stop();
-            context.engines()
-                    .cancel(running.server(), running.stream(), running.readerNumber())
-                    .onSuccess(status -> event(Part.HOLD, "cancelled", running.stream() + " status " + status));
-        });
-        group.ifPresent(EngineGroup::release);
-        relay = Optional.empty();
+        Optional<HoldHandle> hold = ownHold;
+        Optional<EngineGroup> reserved = group;
+        Optional<AnswerRelay> running = relay;
+        ownHold = Optional.empty();
         group = Optional.empty();
+        relay = Optional.empty();
+        server = Optional.empty();
+        running.ifPresent(AnswerRelay::stop);
+        if (engineIsDone) {
+            hold.ifPresent(this::forgetHold);
+            reserved.ifPresent(EngineGroup::release);
+            return;
+        }
+        boolean mayBeRead = running.filter(AnswerRelay::isOpened).isPresent();
+        if (!mayBeRead) {
+            release(hold, reserved);
+            return;
+        }
+        AnswerRelay opened = running.get();
+        context.engines()
+                .cancel(opened.server(), opened.stream(), opened.readerNumber())
+                .onSuccess(status -> {
+                    event(Part.HOLD, "cancelled", opened.stream() + " status " + status);
+                    if (status == HTTP_OK) {
+                        release(hold, reserved);
+                    }
+                });
+    }
+
+    private void release(Optional<HoldHandle> hold, Optional<EngineGroup> reserved) {
+        hold.ifPresent(
+                handle -> context.holds().carryOut(context.holds().ledger().release(handle, context.nowNanos()), null));
+        reserved.ifPresent(EngineGroup::release);
+    }
+
+    /** The engine has returned the memory with the end of the stream. */
+    private void forgetHold(HoldHandle handle) {
+        var unused = context.holds().ledger().release(handle, context.nowNanos());
+        context.holds().ledger().onReleaseAnswered(handle, true);
     }
 
     private void event(Part part, String kind, String text) {
--- a/figspan-host/src/main/java/io/figspan/host/entry/EngineGroup.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/EngineGroup.java
@@ -1,7 +1,11 @@
 package io.figspan.host.entry;
 
+import io.figspan.control.hold.GroupMember;
+import io.figspan.control.hold.GroupReservation;
+import io.figspan.control.hold.HoldAction;
 import io.figspan.core.error.FigspanException;
 import io.figspan.core.error.Location;
+import io.figspan.core.error.Problem;
 import io.figspan.core.error.ProblemKind;
 import io.figspan.core.event.Part;
 import io.figspan.core.id.HoldHandle;
@@ -10,7 +14,9 @@
 import io.figspan.host.HostContext;
 import io.figspan.host.backend.BackendTable;
 import io.figspan.host.backend.EngineMessages;
+import io.figspan.host.backend.HoldDriver;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -18,114 +24,151 @@
 import java.util.TreeMap;
 
 /**
- * Engines of one availability zone that hold the KV cache of one long prompt, a segment each. Memory is taken in
- * ascending order of engine ids, all or nothing; each engine imports the cache of the segments before its own.
+ * Engines of one availability zone that hold the KV cache of one long prompt, a segment each. Each engine imports the
+ * cache of the segments before its own.
  */
-final class EngineGroup {
+final class EngineGroup implements HoldDriver.ReserveListener {
     /** Share of an engine's memory that one segment may take. */
     private static final double MAX_SEGMENT_SHARE = 0.95;
 
-    /** A member of the group with its hold and the text that it prefills. */
-    record Member(BackendTable.Server server, HoldHandle hold, String text, long tokens) {}
+    /** An engine answers a reserve call within milliseconds; this bound covers a busy machine. */
+    private static final long STEP_TIMEOUT_MS = 1_000;
+
+    private static final long TICK_MS = 50;
+
+    /** A member of the group with the text that it prefills. */
+    private record Segment(BackendTable.Server server, String text) {}
 
     private final HostContext context;
     private final RequestId request;
-    private final List<Member> members = new ArrayList<>();
-
-    EngineGroup(HostContext context, RequestId request) {
+    private final List<Segment> segments = new ArrayList<>();
+    private final GroupReservation reservation;
+    private final Promise<Void> acquired = Promise.promise();
+    private final long timer;
+
+    private EngineGroup(
+            HostContext context,
+            RequestId request,
+            CompletionRequest prompt,
+            List<BackendTable.Server> engines,
+            Deadline deadline) {
         this.context = context;
         this.request = request;
+        List<GroupMember> members = new ArrayList<>();
+        int tokensPerSegment = (prompt.promptTokens() + engines.size() - 1) / engines.size();
+        int chars = tokensPerSegment * CompletionRequest.CHARS_PER_TOKEN;
+        for (int i = 0; i < engines.size(); i++) {
+            boolean isLast = i == engines.size() - 1;
+            int start = Math.min(prompt.prompt().length(), i * chars);
+            int end =
+                    isLast ? prompt.prompt().length() : Math.min(prompt.prompt().length(), start + chars);
+            Segment segment = new Segment(engines.get(i), prompt.prompt().substring(start, end));
+            segments.add(segment);
+            long tokens = CompletionRequest.tokensOf(segment.text()) + (isLast ? prompt.outputTokens() : 0L);
+            members.add(new GroupMember(
+                    segment.server().incarnation(), segment.server().listed().availabilityZone(), tokens));
+        }
+        this.reservation = new GroupReservation(context.holds().ledger(), members, deadline, STEP_TIMEOUT_MS);
+        this.timer = context.vertx().setPeriodic(TICK_MS, id -> carryOut(reservation.onTick(context.nowNanos())));
     }
 
-    /** The member that generates the answer. */
-    Member last() {
-        return members.get(members.size() - 1);
+    /** Starts to reserve the engines for a prompt; fails when no availability zone has enough of them. */
+    static EngineGroup start(HostContext context, RequestId request, CompletionRequest prompt, Deadline deadline) {
+        long kvTokens = prompt.promptTokens() + (long) prompt.outputTokens();
+        List<BackendTable.Server> engines = choose(context, kvTokens);
+        EngineGroup group = new EngineGroup(context, request, prompt, engines, deadline);
+        group.carryOut(group.reservation.start(context.nowNanos()));
+        return group;
     }
 
-    List<Member> members() {
-        return members;
+    /** Completes when every engine holds its memory; fails when the attempt is over without. */
+    Future<Void> acquired() {
+        return acquired.future();
     }
 
-    /** Number of engines of the given memory that a prompt needs. */
-    static int sizeFor(long kvTokens, long capacityTokens) {
-        long perEngine = (long) (capacityTokens * MAX_SEGMENT_SHARE);
-        return (int) ((kvTokens + perEngine - 1) / perEngine);
+    int size() {
+        return segments.size();
     }
 
-    /** Takes memory on each engine of the group; on failure everything that was taken is returned. */
-    Future<Void> reserve(CompletionRequest prompt, Deadline deadline, long graceMs) {
-        long kvTokens = prompt.promptTokens() + (long) prompt.outputTokens();
-        List<BackendTable.Server> chosen = choose(kvTokens);
-        if (chosen.isEmpty()) {
-            return Future.failedFuture(noMemory());
-        }
-        int charsPerSegment = segmentChars(prompt, chosen.size());
-        Future<Void> taken = Future.succeededFuture();
-        for (int i = 0; i < chosen.size(); i++) {
-            int start = Math.min(prompt.prompt().length(), i * charsPerSegment);
-            int end = Math.min(prompt.prompt().length(), start + charsPerSegment);
-            boolean isLast = i == chosen.size() - 1;
-            String text =
-                    prompt.prompt().substring(start, isLast ? prompt.prompt().length() : end);
-            long textTokens = CompletionRequest.tokensOf(text);
-            long tokens = textTokens + (isLast ? prompt.outputTokens() : 0);
-            Member member = new Member(chosen.get(i), context.newHold(), text, tokens);
-            taken = taken.compose(nothing -> take(member, deadline, graceMs));
-        }
-        return taken.onFailure(cause -> release());
+    /** The engine that generates the answer. */
+    BackendTable.Server lastServer() {
+        return segments.get(segments.size() - 1).server();
+    }
+
+    /** The part of the prompt that the last engine prefills itself. */
+    String lastText() {
+        return segments.get(segments.size() - 1).text();
+    }
+
+    /** The hold on the last engine. */
+    HoldHandle lastHold() {
+        List<HoldHandle> handles = reservation.handles();
+        return handles.get(handles.size() - 1);
     }
 
-    /** Prefills all segments but the last, and imports their cache into the last member's hold. */
+    /** Prefills all segments but the last, each from the cache of the ones before, and imports it at the last. */
     Future<Void> prefill(int priority, Deadline deadline) {
+        List<HoldHandle> holds = reservation.handles();
         Future<Void> done = Future.succeededFuture();
-        for (int i = 0; i + 1 < members.size(); i++) {
-            Member member = members.get(i);
-            Member next = members.get(i + 1);
-            EngineMessages.Segment segment = new EngineMessages.Segment(member.text(), priority);
+        for (int i = 0; i + 1 < segments.size(); i++) {
+            Segment segment = segments.get(i);
+            BackendTable.Server next = segments.get(i + 1).server();
+            HoldHandle hold = holds.get(i);
+            HoldHandle nextHold = holds.get(i + 1);
+            EngineMessages.Segment message = new EngineMessages.Segment(segment.text(), priority);
             done = done.compose(nothing -> context.engines()
                             .prefillSegment(
-                                    member.server(),
-                                    member.hold(),
-                                    segment,
-                                    Math.max(1, deadline.leftMs(context.nowNanos()))))
-                    .compose(nothing -> context.engines().exportKv(member.server(), member.hold()))
-                    .compose(blob -> context.engines().importKv(next.server(), next.hold(), blob))
-                    .onSuccess(nothing -> context.timeline()
-                            .add(
-                                    Part.HOLD,
-                                    "segment",
-                                    request.value(),
-                                    member.server().id() + " to "
-                                            + next.server().id()));
+                                    segment.server(), hold, message, Math.max(1, deadline.leftMs(context.nowNanos()))))
+                    .compose(nothing -> context.engines().exportKv(segment.server(), hold))
+                    .compose(blob -> context.engines().importKv(next, nextHold, blob))
+                    .onSuccess(nothing -> event("segment", segment.server().id() + " to " + next.id()));
         }
         return done;
     }
 
-    /** Returns all memory that was taken. Idempotent. A release that fails is left to the hold's expiry. */
+    /** Returns all memory, also of a reservation that is under way. Safe to repeat. */
     void release() {
-        for (Member member : members) {
-            context.engines().releaseHold(member.server(), member.hold());
-            context.timeline()
-                    .add(Part.HOLD, "released", request.value(), member.server().id() + " " + member.hold());
-        }
-        members.clear();
+        context.vertx().cancelTimer(timer);
+        carryOut(reservation.release(context.nowNanos()));
     }
 
-    private Future<Void> take(Member member, Deadline deadline, long graceMs) {
-        long expiresInMs = deadline.leftMs(context.nowNanos()) + graceMs;
-        // The member is listed before the answer arrives, so that a hold whose answer is lost is released too.
-        members.add(member);
-        return context.engines()
-                .takeHold(member.server(), member.hold(), member.tokens(), expiresInMs)
-                .onSuccess(nothing -> context.timeline()
-                        .add(
-                                Part.HOLD,
-                                "taken",
-                                request.value(),
-                                member.server().id() + " " + member.hold() + " " + member.tokens()));
+    @Override
+    public List<HoldAction> onReserved(HoldHandle handle, long nowNanos) {
+        event("taken", handle.toString());
+        List<HoldAction> actions = reservation.onReserved(handle, nowNanos);
+        checkStatus();
+        return actions;
     }
 
-    private List<BackendTable.Server> choose(long kvTokens) {
+    @Override
+    public List<HoldAction> onRefused(HoldHandle handle, long nowNanos) {
+        List<HoldAction> actions = reservation.onRefused(handle, nowNanos);
+        checkStatus();
+        return actions;
+    }
+
+    private void carryOut(List<HoldAction> actions) {
+        context.holds().carryOut(actions, this);
+        checkStatus();
+    }
+
+    private void checkStatus() {
+        if (reservation.status() == GroupReservation.Status.RESERVING) {
+            return;
+        }
+        context.vertx().cancelTimer(timer);
+        if (reservation.status() == GroupReservation.Status.ACQUIRED) {
+            acquired.tryComplete();
+        } else {
+            Problem problem = reservation
+                    .problem()
+                    .orElse(Problem.notRun(ProblemKind.OVERLOADED, "the reservation was given up"));
+            acquired.tryFail(new FigspanException(problem.kind(), problem.detail(), Location.of("engine group")));
+        }
+    }
+
+    /** The engines with the most free memory, of the availability zone that has the most to offer. */
+    private static List<BackendTable.Server> choose(HostContext context, long kvTokens) {
         Map<String, List<BackendTable.Server>> byZone = new TreeMap<>();
         for (BackendTable.Server server : context.backends().engines()) {
             if (server.takesNewWork() && server.capacityTokens() > 0) {
@@ -144,31 +187,39 @@
             if (zone.size() < size) {
                 continue;
             }
-            zone.sort(Comparator.comparingLong(this::freeTokens).reversed());
+            Comparator<BackendTable.Server> byFree = Comparator.comparingLong(server -> freeTokens(context, server));
+            zone.sort(byFree.reversed());
             List<BackendTable.Server> group = new ArrayList<>(zone.subList(0, size));
-            long free = group.stream().mapToLong(this::freeTokens).min().orElse(0);
+            long free = group.stream()
+                    .mapToLong(server -> freeTokens(context, server))
+                    .min()
+                    .orElse(0);
             if (free > bestFree) {
                 bestFree = free;
                 group.sort(Comparator.comparing(BackendTable.Server::id));
                 best = group;
             }
         }
+        if (best.isEmpty()) {
+            throw new FigspanException(
+                    ProblemKind.NO_BACKEND_SERVER,
+                    "no availability zone has enough engines for the prompt",
+                    Location.of("engine group"));
+        }
         return best;
     }
 
-    private long freeTokens(BackendTable.Server server) {
-        return context.backends().loads().get(server.id()).kvFreeTokens();
+    /** Number of engines of the given memory that a prompt needs. */
+    private static int sizeFor(long kvTokens, long capacityTokens) {
+        long perEngine = (long) (capacityTokens * MAX_SEGMENT_SHARE);
+        return (int) ((kvTokens + perEngine - 1) / perEngine);
     }
 
-    private static int segmentChars(CompletionRequest prompt, int segments) {
-        int tokensPerSegment = (prompt.promptTokens() + segments - 1) / segments;
-        return tokensPerSegment * CompletionRequest.CHARS_PER_TOKEN;
+    private static long freeTokens(HostContext context, BackendTable.Server server) {
+        return context.backends().loads().get(server.id()).kvFreeTokens();
     }
 
-    private static FigspanException noMemory() {
-        return new FigspanException(
-                ProblemKind.NO_BACKEND_SERVER,
-                "no availability zone has enough engines for the prompt",
-                Location.of("engine group"));
+    private void event(String kind, String text) {
+        context.timeline().add(Part.HOLD, kind, request.value(), text);
     }
 }
--- a/figspan-host/src/main/java/io/figspan/host/entry/EntryDirectory.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/EntryDirectory.java
@@ -33,7 +33,7 @@
     private final HostContext context;
     private final Map<HostId, FleetList.EntryHost> listed = new TreeMap<>();
     private Set<HostId> dead = Set.of();
-    private Set<HostId> leaving = Set.of();
+    private boolean selfLeaving;
 
     public EntryDirectory(HostContext context) {
         this.context = context;
@@ -45,10 +45,14 @@
         hosts.forEach(host -> listed.put(host.id(), host));
     }
 
-    /** Takes over what membership knows; it is newer than the platform's list. */
-    public void updateStates(Set<HostId> deadHosts, Set<HostId> leavingHosts) {
+    /** Takes over which hosts membership has found dead or left; it is newer than the platform's list. */
+    public void updateDead(Set<HostId> deadHosts) {
         dead = Set.copyOf(deadHosts);
-        leaving = Set.copyOf(leavingHosts);
+    }
+
+    /** Takes this host out of the lists that it hands out. */
+    public void leave() {
+        selfLeaving = true;
     }
 
     /** The list for an organisation: hosts that are neither leaving nor dead. */
@@ -57,7 +61,7 @@
         for (FleetList.EntryHost host : listed.values()) {
             boolean out = host.state() == FleetList.LiveState.LEAVING
                     || dead.contains(host.id())
-                    || leaving.contains(host.id());
+                    || (selfLeaving && host.id().equals(context.config().hostId()));
             if (!out) {
                 usable.add(new EntryHost(host.id(), host.availabilityZone()));
             }
--- a/figspan-host/src/main/java/io/figspan/host/entry/EntryServer.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/EntryServer.java
@@ -1,5 +1,7 @@
 package io.figspan.host.entry;
 
+import io.figspan.control.resume.ResumeToken;
+import io.figspan.control.resume.ResumeTokenCodec;
 import io.figspan.core.error.Problem;
 import io.figspan.core.error.ProblemKind;
 import io.figspan.core.error.Result;
@@ -10,7 +12,6 @@
 import io.figspan.settings.ResolvedSettings;
 import io.figspan.settings.SettingKey;
 import io.vertx.core.Future;
-import io.vertx.core.Promise;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpMethod;
@@ -50,18 +51,27 @@
     private final Limits limits;
     private final EntryDirectory directory;
     private final OrderHandler orders;
+    private final LimitGate limitGate;
+    private final LimitGate.Lenders lenders;
     private final Dispatcher dispatcher;
     private HttpServer server;
     private int connections;
     private int inFlight;
     private boolean refusing;
-    private Promise<Void> drained = Promise.promise();
 
-    public EntryServer(HostContext context, Limits limits, EntryDirectory directory, OrderHandler orders) {
+    public EntryServer(
+            HostContext context,
+            Limits limits,
+            EntryDirectory directory,
+            OrderHandler orders,
+            LimitGate limitGate,
+            LimitGate.Lenders lenders) {
         this.context = context;
         this.limits = limits;
         this.directory = directory;
-        this.orders = orders == null ? new ThinOrders(context) : orders;
+        this.orders = orders;
+        this.limitGate = limitGate;
+        this.lenders = lenders;
         this.dispatcher = new Dispatcher(context);
         context.backends().setChangeListener(dispatcher::pump);
     }
@@ -90,11 +100,9 @@
         return dispatcher.queued();
     }
 
-    /** Refuses new requests from now on; the future completes when none is in flight. */
-    public Future<Void> drain() {
+    /** Refuses new requests from now on and finishes those in flight. */
+    public void refuseNew() {
         refusing = true;
-        checkDrained();
-        return drained.future();
     }
 
     public Future<Void> close() {
@@ -191,7 +199,6 @@
             if (counted[0]) {
                 counted[0] = false;
                 inFlight--;
-                checkDrained();
             }
         };
         request.response().endHandler(nothing -> end.run());
@@ -201,12 +208,6 @@
         });
     }
 
-    private void checkDrained() {
-        if (refusing && inFlight == 0) {
-            drained.tryComplete();
-        }
-    }
-
     // Entry list and prompts
 
     private void listHosts(HttpServerRequest request) {
@@ -240,6 +241,12 @@
                                     + settings.integer(SettingKey.PROMPTS_MAX_OUTPUT_TOKENS)));
             return;
         }
+        long workTokens = prompt.promptTokens() + (long) prompt.outputTokens();
+        if (limitGate.take(head.organisation(), workTokens, lenders) instanceof Result.Failed<Long> refused) {
+            context.count("prompts.failed." + refused.problem().kind().wireName());
+            Problems.write(request.response(), refused.problem());
+            return;
+        }
         Deadline deadline = Deadline.after(context.nowNanos(), deadlineMs(head, settings, prompt.promptTokens()));
         CallerStream caller =
                 new CallerStream(request.response(), head.request().value());
@@ -257,18 +264,13 @@
     }
 
     private void resume(HttpServerRequest request, RequestHead head) {
-        StreamTokens tokens = tokens();
-        Result<StreamTokens.Position> position =
-                tokens.decode(head.organisation(), request.getHeader(CallerHeaders.LAST_EVENT_ID));
-        boolean otherRequest = position instanceof Result.Ok<StreamTokens.Position> ok
-                && request.getHeader(CallerHeaders.REQUEST_ID) != null
-                && !ok.value().request().equals(head.request());
-        if (otherRequest || !position.isOk()) {
+        ResumeTokenCodec tokens = tokens();
+        Result<ResumeToken> position =
+                tokens.decode(request.getHeader(CallerHeaders.LAST_EVENT_ID), head.organisation(), head.request());
+        if (position instanceof Result.Failed<ResumeToken> failed) {
             context.count("tokens.refused");
             LOG.warn("{} request {}: resume token refused", PREFIX, head.request());
-            Problems.write(
-                    request.response(),
-                    Problem.notRun(ProblemKind.TOKEN_REFUSED, "the resume token is not one of this request"));
+            Problems.write(request.response(), failed.problem());
             return;
         }
         track(request);
@@ -277,7 +279,7 @@
         CallerStream caller =
                 new CallerStream(request.response(), head.request().value());
         new ResumeCall(context, caller, head, deadline, () -> {})
-                .start(tokens, ((Result.Ok<StreamTokens.Position>) position).value());
+                .start(tokens, ((Result.Ok<ResumeToken>) position).value());
     }
 
     private static long deadlineMs(RequestHead head, ResolvedSettings settings, int promptTokens) {
@@ -295,7 +297,7 @@
         return wanted.level() < highest.level() ? highest : wanted;
     }
 
-    private StreamTokens tokens() {
-        return new StreamTokens(context.tokenKey());
+    private ResumeTokenCodec tokens() {
+        return new ResumeTokenCodec(context.tokenKeys());
     }
 }
--- a/figspan-host/src/main/java/io/figspan/host/entry/ResumeCall.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/ResumeCall.java
@@ -1,5 +1,7 @@
 package io.figspan.host.entry;
 
+import io.figspan.control.resume.ResumeToken;
+import io.figspan.control.resume.ResumeTokenCodec;
 import io.figspan.core.error.Problem;
 import io.figspan.core.error.ProblemKind;
 import io.figspan.core.event.Part;
@@ -33,7 +35,7 @@
         this.heartbeatTimer = context.vertx().setPeriodic(CallerStream.HEARTBEAT_MS, id -> caller.heartbeat());
     }
 
-    void start(StreamTokens tokens, StreamTokens.Position position) {
+    void start(ResumeTokenCodec tokens, ResumeToken position) {
         caller.setGoneListener(this::end);
         context.count("prompts.resumed");
         context.timeline()
@@ -44,7 +46,8 @@
                         position.engine() + " stream " + position.stream() + " offset " + position.offset());
         Optional<BackendTable.Server> server = context.backends()
                 .find(position.engine().server())
-                .filter(known -> known.incarnation().equals(position.engine()) || !known.hasReported());
+                .filter(known ->
+                        known.incarnation().number() <= position.engine().number());
         if (server.isEmpty()) {
             fail(gone("the engine that had the stream is gone"));
             return;
@@ -54,11 +57,11 @@
                 tokens,
                 caller,
                 new AnswerRelay.Route(
-                        head.organisation(), position.request(), server.get(), position.stream(), position.offset()),
+                        head.organisation(), head.request(), server.get(), position.stream(), (int) position.offset()),
                 new RelayListener());
         relay = Optional.of(newRelay);
         context.engines()
-                .resume(server.get(), position.stream(), position.offset())
+                .resume(server.get(), position.stream(), (int) position.offset())
                 .subscribe(newRelay);
     }
 
--- a/figspan-host/src/main/java/io/figspan/host/entry/ThinOrders.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/ThinOrders.java
@@ -1,10 +1,13 @@
 package io.figspan.host.entry;
 
+import io.figspan.cluster.message.Peer;
+import io.figspan.cluster.message.PeerMessage;
 import io.figspan.core.error.Problem;
 import io.figspan.core.error.ProblemKind;
 import io.figspan.core.id.ServiceId;
 import io.figspan.host.HostContext;
 import io.figspan.host.backend.BackendTable;
+import io.reactivex.rxjava3.core.Single;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
@@ -17,14 +20,14 @@
 import java.util.Map;
 
 /** Orders at the issuing host only, without forwarding; used until the order driver is in place. */
-final class ThinOrders implements OrderHandler {
+public final class ThinOrders implements OrderHandler, io.figspan.host.peer.OrderHandler {
     private static final int MAX_TICKETS = 65_536;
 
     private final HostContext context;
     private final HttpClient client;
     private final Map<String, ServiceId> issued = new LinkedHashMap<>();
 
-    ThinOrders(HostContext context) {
+    public ThinOrders(HostContext context) {
         this.context = context;
         this.client = context.vertx().createHttpClient(new HttpClientOptions().setConnectTimeout(500));
     }
@@ -84,4 +87,14 @@
     public void outcome(HttpServerRequest request, RequestHead head, String ticket) {
         Problems.write(request.response(), Problem.unknown(ProblemKind.OUTCOME_UNKNOWN, "outcomes are not kept yet"));
     }
+
+    @Override
+    public Single<PeerMessage.OrderOutcome> forwarded(Peer from, PeerMessage.ForwardOrder order) {
+        return Single.never();
+    }
+
+    @Override
+    public Single<PeerMessage.OrderOutcome> outcome(Peer from, PeerMessage.OutcomeQuery query) {
+        return Single.never();
+    }
 }
--- a/figspan-host/src/main/java/io/figspan/host/peer/PeerNode.java
+++ b/figspan-host/src/main/java/io/figspan/host/peer/PeerNode.java
@@ -112,6 +112,14 @@
                 })));
     }
 
+    /**
+     * Tells some members that this host leaves, so that it drops out of the entry lists, and goes on to answer orders
+     * and outcome queries until {@link #close()}.
+     */
+    public void announceLeave() {
+        run(cluster::leave);
+    }
+
     /** Tells some members that this host leaves, so that it is dropped without suspicion, and closes. */
     public Completable leave() {
         return Completable.create(emitter -> onContext(() -> {
--- a/figspan-standin/src/main/java/io/figspan/standin/engine/EngineCore.java
+++ b/figspan-standin/src/main/java/io/figspan/standin/engine/EngineCore.java
@@ -101,6 +101,11 @@
         memory.release(handle);
     }
 
+    /** Whether a stream of this hold is being read. */
+    boolean hasReader(HoldHandle handle) {
+        return active.stream().anyMatch(job -> job.submission().handle().equals(handle) && job.hasReader());
+    }
+
     Optional<KvState> kvState(HoldHandle handle) {
         return Optional.ofNullable(kvStates.get(handle));
     }
--- a/figspan-standin/src/main/java/io/figspan/standin/engine/EngineJob.java
+++ b/figspan-standin/src/main/java/io/figspan/standin/engine/EngineJob.java
@@ -22,6 +22,9 @@
 
         /** Called when a newer reader took over. */
         void onSuperseded();
+
+        /** Whether the reader's connection is open. */
+        boolean isOpen();
     }
 
     /**
@@ -141,6 +144,10 @@
         return readerNumber;
     }
 
+    boolean hasReader() {
+        return reader.filter(Reader::isOpen).isPresent();
+    }
+
     void notifyReader() {
         reader.ifPresent(attached -> attached.onProgress(this));
     }
--- a/figspan-standin/src/main/java/io/figspan/standin/engine/EngineServer.java
+++ b/figspan-standin/src/main/java/io/figspan/standin/engine/EngineServer.java
@@ -191,9 +191,16 @@
     }
 
     private void releaseHold(RoutingContext context) {
-        core.release(handleInPath(context, "/v1/holds/"), now());
+        HoldHandle handle = handleInPath(context, "/v1/holds/");
+        boolean unreadOnly = context.request().getParam("unread") != null;
+        if (unreadOnly && core.hasReader(handle)) {
+            refuse(context, 409, "the stream of this hold has a reader");
+            return;
+        }
+        boolean wasHeld = core.memory().holds(handle);
+        core.release(handle, now());
         report = null;
-        reply(context, 200, refreshedReport());
+        reply(context, wasHeld ? 200 : 404, refreshedReport());
     }
 
     private void prefillSegment(RoutingContext context) {
@@ -244,6 +251,11 @@
 
         @Override
         public void onSuperseded() {}
+
+        @Override
+        public boolean isOpen() {
+            return !context.response().closed();
+        }
     }
 
     private void exportKv(RoutingContext context) {
--- a/figspan-standin/src/main/java/io/figspan/standin/engine/StreamReader.java
+++ b/figspan-standin/src/main/java/io/figspan/standin/engine/StreamReader.java
@@ -58,6 +58,11 @@
         }
     }
 
+    @Override
+    public boolean isOpen() {
+        return !closed;
+    }
+
     private void write(String text) {
         lastWriteNanos = System.nanoTime();
         response.write(text);
