--- a/figspan-host/src/main/java/io/figspan/host/HostProcess.java
+++ b/figspan-host/src/main/java/io/figspan/host/HostProcess.java
@@ -63,7 +63,7 @@
     private HostProcess(HostContext context, EntryServer.Limits entryLimits) {
         this.context = context;
         this.directory = new EntryDirectory(context);
-        this.limits = new LimitGate(context);
+        this.limits = new LimitGate(context, entryLimits.shareWaitNanos());
         ThinOrders orders = new ThinOrders(context);
         SettingsInForce adopter = new SettingsInForce(context, this::onSettings);
         this.peers = new PeerDriver(context, limits, directory, adopter, orders, this::onSuperseded);
--- a/figspan-host/src/main/java/io/figspan/host/entry/EntryServer.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/EntryServer.java
@@ -1,5 +1,6 @@
 package io.figspan.host.entry;
 
+import io.figspan.cluster.loan.LoanLedger;
 import io.figspan.control.resume.ResumeToken;
 import io.figspan.control.resume.ResumeTokenCodec;
 import io.figspan.core.error.Problem;
@@ -42,9 +43,14 @@
     private static final long ORDER_BODY_MS = 5_000;
     private static final int IDLE_SECONDS = 60;
 
-    /** Limits of one caller port; tests use smaller ones. */
-    public record Limits(int promptBodyBytes, int connections, long bodyMs) {
-        public static final Limits DEFAULT = new Limits(MAX_PROMPT_BODY_BYTES, MAX_CONNECTIONS, MAX_BODY_MS);
+    /**
+     * Limits of one caller port; tests use smaller ones.
+     *
+     * @param shareWaitNanos wait of a new process before it uses its share of the organisations' limits
+     */
+    public record Limits(int promptBodyBytes, int connections, long bodyMs, long shareWaitNanos) {
+        public static final Limits DEFAULT =
+                new Limits(MAX_PROMPT_BODY_BYTES, MAX_CONNECTIONS, MAX_BODY_MS, LoanLedger.RESTART_WAIT_NANOS);
     }
 
     private final HostContext context;
--- a/figspan-host/src/main/java/io/figspan/host/entry/LimitGate.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/LimitGate.java
@@ -1,6 +1,5 @@
 package io.figspan.host.entry;
 
-import io.figspan.cluster.loan.LoanLedger;
 import io.figspan.cluster.loan.OwnShares;
 import io.figspan.core.error.Problem;
 import io.figspan.core.error.ProblemKind;
@@ -41,9 +40,10 @@
     private final Map<OrganisationId, Use> uses = new HashMap<>();
     private final long openFromNanos;
 
-    public LimitGate(HostContext context) {
+    /** {@code shareWaitNanos} is the time in which loans of a predecessor at this seat may be in use. */
+    public LimitGate(HostContext context, long shareWaitNanos) {
         this.context = context;
-        this.openFromNanos = context.nowNanos() + LoanLedger.RESTART_WAIT_NANOS;
+        this.openFromNanos = context.nowNanos() + shareWaitNanos;
         this.limits = new OrganisationLimits(context.config().hostId(), openFromNanos);
     }
 
--- a/figspan-standin/src/main/java/io/figspan/standin/engine/EngineCore.java
+++ b/figspan-standin/src/main/java/io/figspan/standin/engine/EngineCore.java
@@ -30,6 +30,7 @@
     private final List<EngineJob> active = new ArrayList<>();
     private final Map<HoldHandle, KvState> kvStates = new LinkedHashMap<>();
     private boolean leaving;
+    private int gateTokens = Integer.MAX_VALUE;
 
     EngineCore(EngineOptions options) {
         this.options = options;
@@ -54,6 +55,11 @@
         leaving = true;
     }
 
+    /** Stops the generation of each answer at this offset until the gate is moved. */
+    void setGate(int newGateTokens) {
+        gateTokens = newGateTokens;
+    }
+
     /** Takes a job, or returns why it is refused. */
     Optional<String> submit(EngineJob job, long nowNanos) {
         EngineJob.Submission submission = job.submission();
@@ -173,7 +179,7 @@
 
     private void decodeAll(long nowNanos) {
         for (EngineJob job : active) {
-            if (job.state() == EngineJob.State.DECODING) {
+            if (job.state() == EngineJob.State.DECODING && job.generatedEnd() < gateTokens) {
                 job.decode(nowNanos);
             }
         }
--- a/figspan-standin/src/main/java/io/figspan/standin/engine/EngineServer.java
+++ b/figspan-standin/src/main/java/io/figspan/standin/engine/EngineServer.java
@@ -100,6 +100,10 @@
         });
         router.post("/v1/leave").handler(this::leave);
         router.post("/control/crash").handler(this::crash);
+        router.post("/control/gate").handler(context -> {
+            core.setGate(Integer.parseInt(context.request().getParam("tokens", "2147483647")));
+            reply(context, 200, refreshedReport());
+        });
         return router;
     }
 
