Let settings check print the manifest of the checked files

Cause: a version is published by its manifest, and nothing computed the digests for the operator. Conclusion: the platform can publish exactly what was checked.

--- a/figspan-cli/src/main/java/io/figspan/cli/settings/PartFiles.java
+++ b/figspan-cli/src/main/java/io/figspan/cli/settings/PartFiles.java
@@ -39,6 +39,11 @@
         return SettingsTreeReader.read(read(paths));
     }
 
+    /** The part under the name that it is published with: the name of its file. */
+    static SettingsPart withFileName(SettingsPart part) {
+        return new SettingsPart(Path.of(part.name()).getFileName().toString(), part.text());
+    }
+
     private static List<Path> filesOf(Path path) {
         if (!Files.isDirectory(path)) {
             return List.of(path);
--- a/figspan-cli/src/test/java/io/figspan/cli/CommandLineTest.java
+++ b/figspan-cli/src/test/java/io/figspan/cli/CommandLineTest.java
@@ -6,6 +6,8 @@
 import io.figspan.core.error.FigspanException;
 import io.figspan.core.error.Location;
 import io.figspan.core.error.ProblemKind;
+import io.figspan.settings.SettingsManifest;
+import io.figspan.settings.SettingsPart;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
@@ -110,6 +112,19 @@
         Approvals.verify(all.replace(directory.toString(), "DIRECTORY"));
     }
 
+    @Test
+    void theManifestPublishesTheFilesUnderTheirNames() {
+        Output output = run("settings", "check", "--manifest", "8", path("old"));
+        SettingsManifest manifest = SettingsManifest.fromJson(output.out());
+        List<SettingsPart> parts = List.of(new SettingsPart("acme.toml", ACME), new SettingsPart("fleet.toml", FLEET));
+        assertEquals(SettingsManifest.of(8, parts), manifest);
+        assertEquals(
+                "", run("settings", "check", "--manifest", "8", path("bad")).out());
+        assertEquals(
+                ExitCode.USAGE,
+                run("settings", "check", "--manifest", "0", path("old")).code());
+    }
+
     @Test
     void aFaultOfFigspanIsNotReportedAsAMistakeOfTheOperator() {
         Command failing = new Command() {
