--- a/figspan-cli/src/main/java/io/figspan/cli/operator/HostReader.java
+++ b/figspan-cli/src/main/java/io/figspan/cli/operator/HostReader.java
@@ -35,6 +35,10 @@
         boolean isOk() {
             return failure.isEmpty();
         }
+
+        Answer refused(String reason) {
+            return failed(address, reason);
+        }
     }
 
     private final Vertx vertx = Vertx.vertx();
--- a/figspan-cli/src/main/java/io/figspan/cli/operator/TimelineCommand.java
+++ b/figspan-cli/src/main/java/io/figspan/cli/operator/TimelineCommand.java
@@ -65,7 +65,9 @@
         }
         List<HostReader.Answer> answers;
         try (HostReader reader = new HostReader(hosts.timeoutMs())) {
-            answers = reader.readAll(hosts.addresses(), PATH);
+            answers = reader.readAll(hosts.addresses(), PATH).stream()
+                    .map(TimelineCommand::requireEvents)
+                    .toList();
         }
         List<JsonNode> documents = answers.stream()
                 .filter(HostReader.Answer::isOk)
@@ -80,6 +82,12 @@
         return documents.size() == answers.size() ? ExitCode.OK : ExitCode.UNREACHABLE;
     }
 
+    /** Refuses a document of another shape, which would otherwise look like a host without events. */
+    private static HostReader.Answer requireEvents(HostReader.Answer answer) {
+        boolean valid = !answer.isOk() || answer.document().path("events").isArray();
+        return valid ? answer : answer.refused("the answer has no events");
+    }
+
     private boolean isWanted(TimelineMerge.Event event) {
         boolean ofRequest = request == null || request.equals(event.requestId());
         boolean ofPart = part == null || part.equals(event.part());
--- a/figspan-cli/src/test/java/io/figspan/cli/operator/OperatorCommandsTest.java
+++ b/figspan-cli/src/test/java/io/figspan/cli/operator/OperatorCommandsTest.java
@@ -68,6 +68,8 @@
         String failing = ADDRESS + ":" + serve(Map.of());
         assertEquals(ExitCode.UNREACHABLE, run(new StatusCommand(), "--host", good + "," + failing));
         assertEquals(ExitCode.UNREACHABLE, run(new TimelineCommand(), "--host", failing));
+        String otherShape = ADDRESS + ":" + serve(Map.of("/admin/timeline", "[]"));
+        assertEquals(ExitCode.UNREACHABLE, run(new TimelineCommand(), "--host", otherShape));
         assertEquals(ExitCode.UNREACHABLE, run(new HostsCommand(), "--host", failing, "--organisation", "acme"));
     }
 
