Refuse shares that are not a number and names with a slash

Cause: a model share of nan passed the range check; a name with a slash cannot be asked for with settings explain. A reader of the configuration service had no way to report a digest mismatch to /admin/status.

--- a/figspan-settings/src/main/java/io/figspan/settings/PartReader.java
+++ b/figspan-settings/src/main/java/io/figspan/settings/PartReader.java
@@ -154,6 +154,9 @@
     }
 
     private static void requireName(SettingsLevel level, String name) {
+        if (name.contains("/")) {
+            throw new SettingFault("the name has a '/', which separates names on the command line");
+        }
         switch (level) {
             case ORGANISATION -> OrganisationId.of(name);
             case SERVICE -> ServiceId.of(name);
--- a/figspan-settings/src/main/java/io/figspan/settings/SettingType.java
+++ b/figspan-settings/src/main/java/io/figspan/settings/SettingType.java
@@ -161,7 +161,8 @@
             }
         }
         JsonNode share = node.path("share");
-        if (!share.isNumber() || share.doubleValue() < 0 || share.doubleValue() > 1) {
+        boolean validShare = share.isNumber() && share.doubleValue() >= 0 && share.doubleValue() <= 1;
+        if (!validShare) {
             throw new SettingFault("the share of model '" + name + "' is not a number from 0 to 1");
         }
         JsonNode version = node.path("version");
--- a/figspan-settings/src/main/java/io/figspan/settings/SettingsHolder.java
+++ b/figspan-settings/src/main/java/io/figspan/settings/SettingsHolder.java
@@ -70,7 +70,11 @@
         return Optional.ofNullable(lastRefusal);
     }
 
-    private synchronized void recordRefusal(SettingsVersion version, Problem problem) {
+    /**
+     * Records that a version was refused before it could be offered, such as for a part that does not have the digest
+     * of the manifest. Ignored when a version at least as high is in force.
+     */
+    public synchronized void recordRefusal(SettingsVersion version, Problem problem) {
         boolean stillNewer = version.isNewerThan(version());
         if (stillNewer && !lastRefusedVersion.isNewerThan(version)) {
             lastRefusal = problem;
