Reuse the connection that a peer has made

Cause: two hosts that probe each other kept two connections, so 400 hosts needed 798 sockets each, and each further connection costs a handshake of some 500 bytes.

Change: PeerClient sends over an open connection of the peer's own making where there is one; PeerServer keeps the newest connection by the peer's advertised address and closes it when the member is gone.

The tests of wire and host pass.

--- a/figspan-host/src/main/java/io/figspan/host/peer/PeerNode.java
+++ b/figspan-host/src/main/java/io/figspan/host/peer/PeerNode.java
@@ -91,6 +91,7 @@
                 new PeerIdentity(config.self(), config.key(), new HybridClock(System::currentTimeMillis));
         this.server = new PeerServer(vertx, context, identity, stats);
         this.client = new PeerClient(vertx, context, identity, stats, random);
+        this.client.reuseConnectionsOf(server);
         this.cluster = new ClusterHost(
                 config.self(), config.seeds(), config.tuning(), services.shares(), random, clock.nowNanos());
         this.lastHeardNanos = clock.nowNanos();
@@ -203,6 +204,8 @@
             answer(inbound.link(), services.orders().forwarded(inbound.from(), order));
         } else if (message instanceof PeerMessage.OutcomeQuery query) {
             answer(inbound.link(), services.orders().outcome(inbound.from(), query));
+        } else if (message instanceof PeerMessage.OrderOutcome outcome) {
+            client.accept(outcome);
         } else {
             carryOut(cluster.receive(inbound.from(), message, clock.nowNanos()), inbound.link());
         }
@@ -272,6 +275,7 @@
         LOG.info("[member] {} is {}", changed.peer(), changed.live() ? "live" : "gone");
         if (!changed.live()) {
             client.forget(changed.peer().address());
+            server.forget(changed.peer().address());
         }
         refreshView();
         services.listener().memberChanged(changed.peer(), changed.live());
--- a/figspan-wire/src/main/java/io/figspan/wire/OutboundLink.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/OutboundLink.java
@@ -56,9 +56,13 @@
         this.received = received;
     }
 
+    boolean isOpen() {
+        return connection != null && connection.isOpen();
+    }
+
     /** Sends or queues the message; false when it was dropped. */
     boolean send(PeerMessage message) {
-        if (connection != null && connection.isOpen()) {
+        if (isOpen()) {
             return connection.send(message);
         }
         boolean backingOff = !connecting && System.nanoTime() - retryAtNanos < 0;
--- a/figspan-wire/src/main/java/io/figspan/wire/PeerClient.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/PeerClient.java
@@ -18,6 +18,8 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
 import java.util.function.LongFunction;
 import java.util.random.RandomGenerator;
 
@@ -46,6 +48,7 @@
     private final Map<Long, PendingRequest> requests = new HashMap<>();
     private final NetClient client;
     private long nextCorrelationId = 1;
+    private Function<PeerAddress, Optional<PeerLink>> inboundLinks = address -> Optional.empty();
     private boolean closed;
 
     private record PendingRequest(SingleEmitter<PeerMessage.OrderOutcome> emitter, long timer) {}
@@ -60,6 +63,14 @@
                 vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true).setConnectTimeout(CONNECT_TIMEOUT_MS));
     }
 
+    /**
+     * Sends over the connection that a peer has made to the server, where there is one, so that two hosts keep one
+     * connection instead of two. The caller then passes outcomes that arrive at the server to {@link #accept}.
+     */
+    public void reuseConnectionsOf(PeerServer server) {
+        inboundLinks = server::linkTo;
+    }
+
     /** Messages that peers sent on connections of this client, other than answers to requests. */
     public Flowable<Inbound> inbound() {
         return inbound;
@@ -113,6 +124,12 @@
             return false;
         }
         OutboundLink link = links.get(to);
+        if (link == null || !link.isOpen()) {
+            Optional<PeerLink> reused = inboundLinks.apply(to);
+            if (reused.isPresent()) {
+                return reused.get().send(message);
+            }
+        }
         if (link == null) {
             dropOldestLink();
             link = new OutboundLink(vertx, client, to, identity, stats, random, this::deliver);
@@ -155,13 +172,18 @@
         }
     }
 
+    /** Completes the request that this outcome answers; one that nobody waits for any more is ignored. */
+    public void accept(PeerMessage.OrderOutcome outcome) {
+        PendingRequest request = requests.remove(outcome.correlationId());
+        if (request != null) {
+            vertx.cancelTimer(request.timer());
+            request.emitter().onSuccess(outcome);
+        }
+    }
+
     private void deliver(Inbound message) {
         if (message.message() instanceof PeerMessage.OrderOutcome outcome) {
-            PendingRequest request = requests.remove(outcome.correlationId());
-            if (request != null) {
-                vertx.cancelTimer(request.timer());
-                request.emitter().onSuccess(outcome);
-            }
+            accept(outcome);
             return;
         }
         if (!inbound.offer(message)) {
--- a/figspan-wire/src/main/java/io/figspan/wire/PeerConnection.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/PeerConnection.java
@@ -7,7 +7,6 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetSocket;
 import java.security.SecureRandom;
-import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -67,6 +66,10 @@
         return channel.isOpen() && !closed;
     }
 
+    boolean wasOpened() {
+        return channel.isOpen();
+    }
+
     Peer peer() {
         return channel.remotePeer();
     }
@@ -154,22 +157,4 @@
             listener.closed(this);
         }
     }
-
-    /** Adapts callbacks of a connection whose opening does not matter. */
-    static Listener listener(Consumer<Inbound> received, Consumer<PeerConnection> closed) {
-        return new Listener() {
-            @Override
-            public void opened(PeerConnection connection) {}
-
-            @Override
-            public void received(PeerConnection connection, Inbound inbound) {
-                received.accept(inbound);
-            }
-
-            @Override
-            public void closed(PeerConnection connection) {
-                closed.accept(connection);
-            }
-        };
-    }
 }
--- a/figspan-wire/src/main/java/io/figspan/wire/PeerServer.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/PeerServer.java
@@ -1,5 +1,6 @@
 package io.figspan.wire;
 
+import io.figspan.cluster.message.PeerAddress;
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.processors.PublishProcessor;
@@ -10,7 +11,10 @@
 import io.vertx.core.net.NetServerOptions;
 import io.vertx.core.net.NetSocket;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -40,6 +44,7 @@
     private final WireStats stats;
     private final PublishProcessor<Inbound> inbound = PublishProcessor.create();
     private final Set<PeerConnection> connections = new HashSet<>();
+    private final Map<PeerAddress, PeerConnection> byPeer = new HashMap<>();
     private NetServer server;
     private long sweepTimer = -1;
 
@@ -68,6 +73,19 @@
         return server.actualPort();
     }
 
+    /** The newest open connection that the process at this address has made; only for the event loop given. */
+    public Optional<PeerLink> linkTo(PeerAddress address) {
+        return Optional.ofNullable(byPeer.get(address));
+    }
+
+    /** Closes the connection that a process has made that is gone; only for the event loop given. */
+    public void forget(PeerAddress address) {
+        PeerConnection connection = byPeer.get(address);
+        if (connection != null) {
+            connection.closeQuietly();
+        }
+    }
+
     public Completable close() {
         return onContext(() -> {
             vertx.cancelTimer(sweepTimer);
@@ -82,8 +100,7 @@
             socket.close();
             return;
         }
-        PeerConnection connection = PeerConnection.start(
-                socket, identity, stats, true, PeerConnection.listener(this::deliver, connections::remove));
+        PeerConnection connection = PeerConnection.start(socket, identity, stats, true, new Acceptor());
         connections.add(connection);
         vertx.setTimer(HELLO_DEADLINE_MS, ignored -> {
             if (!connection.isOpen()) {
@@ -92,9 +109,26 @@
         });
     }
 
-    private void deliver(Inbound message) {
-        if (!inbound.offer(message)) {
-            stats.dropped();
+    /** Keeps the tables of connections and passes messages on. */
+    private final class Acceptor implements PeerConnection.Listener {
+        @Override
+        public void opened(PeerConnection connection) {
+            byPeer.put(connection.peer().address(), connection);
+        }
+
+        @Override
+        public void received(PeerConnection connection, Inbound message) {
+            if (!inbound.offer(message)) {
+                stats.dropped();
+            }
+        }
+
+        @Override
+        public void closed(PeerConnection connection) {
+            connections.remove(connection);
+            if (connection.wasOpened()) {
+                byPeer.remove(connection.peer().address(), connection);
+            }
         }
     }
 
