--- /dev/null
+++ b/figspan-bench/src/main/java/io/figspan/bench/faults/Scenario.java
@@ -0,0 +1,16 @@
+package io.figspan.bench.faults;
+
+/** A model of one guarantee. Its invariant is checked after every step. */
+interface Scenario {
+    /** Sets up the processes and schedules the first events and the faults. */
+    void start(World world);
+
+    /** Checks the invariant and reports violations to the world. */
+    void check(World world);
+
+    /** Checks what must hold once all faults are over. */
+    default void finish(World world) {}
+
+    /** Logical time that one run covers, in milliseconds. */
+    long durationMs();
+}
--- a/figspan-bench/src/main/java/io/figspan/bench/policy/EventQueue.java
+++ b/figspan-bench/src/main/java/io/figspan/bench/policy/EventQueue.java
@@ -4,7 +4,7 @@
 import java.util.PriorityQueue;
 
 /** Events in logical time. Events at the same time run in the order in which they were added. */
-final class EventQueue {
+public final class EventQueue {
     private final PriorityQueue<Event> events =
             new PriorityQueue<>(Comparator.comparingLong(Event::atNanos).thenComparingLong(Event::sequence));
     private long sequence;
@@ -12,16 +12,16 @@
 
     private record Event(long atNanos, long sequence, Runnable action) {}
 
-    long nowNanos() {
+    public long nowNanos() {
         return nowNanos;
     }
 
-    void after(long delayNanos, Runnable action) {
+    public void after(long delayNanos, Runnable action) {
         events.add(new Event(nowNanos + delayNanos, sequence++, action));
     }
 
     /** Runs events up to and including a time. */
-    void runUntil(long endNanos) {
+    public void runUntil(long endNanos) {
         while (!events.isEmpty() && events.peek().atNanos() <= endNanos) {
             Event event = events.poll();
             nowNanos = event.atNanos();
