--- a/figspan-control/src/main/java/io/figspan/control/leaving/LeavingRegistry.java
+++ b/figspan-control/src/main/java/io/figspan/control/leaving/LeavingRegistry.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 
 /**
  * The backend server processes that are known to leave. Once seen, leaving is sticky: a lagging source that still shows
@@ -17,6 +18,12 @@
     /** Default bound in servers: six times the runners of the design scale. */
     public static final int DEFAULT_CAPACITY_SERVERS = 4_096;
 
+    /**
+     * Oldest report of an engine on which new work may rest. With a host that polls every half second, it keeps within
+     * the bound of 3 s even when no other host can be reached.
+     */
+    public static final long MAX_REPORT_AGE_MS = 2_500;
+
     private final int capacityServers;
     private final Map<BackendServerId, Seen> leaving = new LinkedHashMap<>();
     private long droppedCount;
@@ -46,6 +53,17 @@
         return known == null || process.number() > known.number;
     }
 
+    /**
+     * As {@link #mayTakeNewWork(BackendIncarnation)}, for an engine that reports whether it leaves. An engine that was
+     * not heard lately may be leaving unseen, so it has to be asked first.
+     *
+     * @param heardAtNanos when the question was sent that the newest report answers
+     */
+    public boolean mayTakeNewWork(BackendIncarnation process, long heardAtNanos, long nowNanos) {
+        boolean recent = nowNanos - heardAtNanos <= TimeUnit.MILLISECONDS.toNanos(MAX_REPORT_AGE_MS);
+        return recent && mayTakeNewWork(process);
+    }
+
     /** The processes known to leave, oldest news first, for gossip and the status page. */
     public List<BackendIncarnation> leaving() {
         return leaving.entrySet().stream()
--- a/figspan-control/src/main/java/io/figspan/control/lifecycle/HostLifecycle.java
+++ b/figspan-control/src/main/java/io/figspan/control/lifecycle/HostLifecycle.java
@@ -12,11 +12,19 @@
     private static final StateChart<HostState, HostEvent> CHART =
             StateChart.load("/charts/host.toml", HostState.class, HostEvent.class);
 
+    /** A gap between two ticks that shows that the process was paused. */
+    private static final long PAUSE_MS = 1_000;
+
+    /** After a pause, connections that waited meanwhile are still accepted for this long. */
+    private static final long AFTER_PAUSE_MS = 1_000;
+
     private final long listMarginMs;
     private final long limitMs;
     private HostState state = CHART.initial();
     private long keepSeconds;
     private long shutdownNanos;
+    private long lastTickNanos;
+    private long awakeSinceNanos;
 
     /**
      * @param listMarginMs time beyond {@code keepSeconds} in which callers may still arrive
@@ -36,14 +44,26 @@
         if (CHART.moves(state, HostEvent.SHUTDOWN)) {
             keepSeconds = newKeepSeconds;
             shutdownNanos = nowNanos;
+            lastTickNanos = nowNanos;
+            awakeSinceNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(AFTER_PAUSE_MS);
         }
         move(HostEvent.SHUTDOWN);
     }
 
-    /** Applies the passing of time; {@code inFlight} counts requests and executable tickets. */
+    /**
+     * Applies the passing of time; called at least every {@value #PAUSE_MS} ms. {@code inFlight} counts requests and
+     * executable tickets.
+     */
     public HostState onTick(int inFlight, long nowNanos) {
+        if (nowNanos - lastTickNanos > TimeUnit.MILLISECONDS.toNanos(PAUSE_MS)) {
+            awakeSinceNanos = nowNanos;
+        }
+        lastTickNanos = nowNanos;
+        boolean settled = nowNanos - awakeSinceNanos >= TimeUnit.MILLISECONDS.toNanos(AFTER_PAUSE_MS);
         long sinceMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - shutdownNanos);
-        if (state == HostState.UNLISTED && sinceMs >= TimeUnit.SECONDS.toMillis(keepSeconds) + listMarginMs) {
+        if (state == HostState.UNLISTED
+                && settled
+                && sinceMs >= TimeUnit.SECONDS.toMillis(keepSeconds) + listMarginMs) {
             move(HostEvent.LISTS_RAN_OUT);
         }
         if (state == HostState.DRAINING && inFlight == 0) {
--- a/figspan-control/src/main/java/io/figspan/control/request/RequestChart.java
+++ b/figspan-control/src/main/java/io/figspan/control/request/RequestChart.java
@@ -75,6 +75,23 @@
         return actions;
     }
 
+    /** This host takes over the reading of a stream that began elsewhere, after {@code offset} parts of it. */
+    public List<RequestAction> onResume(BackendIncarnation newEngine, StreamId newStream, long offset, long nowNanos) {
+        List<RequestAction> actions = onTick(nowNanos);
+        if (move(RequestEvent.START)) {
+            engine = newEngine;
+            stream = newStream;
+            nextOffset = offset;
+            startedStreams++;
+        }
+        return actions;
+    }
+
+    /** Parts received of the current stream; the offset of the resume token that goes with the last part. */
+    public long streamOffset() {
+        return nextOffset;
+    }
+
     /** The engine refused the start call and ran nothing of it; another engine may be tried. */
     public List<RequestAction> onEngineRefused(StreamId refused, long nowNanos) {
         List<RequestAction> actions = onTick(nowNanos);
--- a/figspan-control/src/test/java/io/figspan/control/lifecycle/HostLifecycleTest.java
+++ b/figspan-control/src/test/java/io/figspan/control/lifecycle/HostLifecycleTest.java
@@ -18,6 +18,7 @@
         lifecycle.onShutdown(5, ms(0));
         assertFalse(lifecycle.isListed());
         assertTrue(lifecycle.takesNewWork());
+        tickUntil(5_900);
         assertEquals(HostState.UNLISTED, lifecycle.onTick(0, ms(5_999)));
         assertEquals(HostState.DRAINING, lifecycle.onTick(3, ms(6_000)));
         assertFalse(lifecycle.takesNewWork());
@@ -29,10 +30,29 @@
     void aSecondShutdownDoesNotStartTheWaitAgain() {
         lifecycle.onSettingsReady();
         lifecycle.onShutdown(5, ms(0));
+        tickUntil(5_000);
         lifecycle.onShutdown(5, ms(5_000));
+        tickUntil(5_900);
         assertEquals(HostState.STOPPED, lifecycle.onTick(0, ms(6_000)));
     }
 
+    /** Guards against turning away connections that waited while the process was paused. */
+    @Test
+    void afterAPauseConnectionsThatWaitedAreStillAccepted() {
+        lifecycle.onSettingsReady();
+        lifecycle.onShutdown(5, ms(0));
+        assertEquals(HostState.UNLISTED, lifecycle.onTick(0, ms(9_000)));
+        tickUntil(9_900);
+        assertTrue(lifecycle.takesNewWork());
+        assertEquals(HostState.STOPPED, lifecycle.onTick(0, ms(10_000)));
+    }
+
+    private void tickUntil(long untilMs) {
+        for (long nowMs = Math.max(0, untilMs - 900); nowMs <= untilMs; nowMs += 100) {
+            lifecycle.onTick(0, ms(nowMs));
+        }
+    }
+
     private static long ms(long value) {
         return TimeUnit.MILLISECONDS.toNanos(value);
     }
