--- a/figspan-standin/src/test/java/io/figspan/standin/platform/PlatformStandinsTest.java
+++ b/figspan-standin/src/test/java/io/figspan/standin/platform/PlatformStandinsTest.java
@@ -7,6 +7,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpMethod;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -74,13 +75,16 @@
     }
 
     private Future<Answer> send(HttpMethod method, String uri, String body) {
-        return client.request(method, standins.port(), ADDRESS, uri)
-                .compose(request -> request.send(Buffer.buffer(body)))
-                .compose(response -> response.body()
-                        .map(bytes -> new Answer(
-                                response.statusCode(),
-                                response.getHeader(ConfigurationService.INDEX_HEADER),
-                                bytes.toString())));
+        return client.request(method, standins.port(), ADDRESS, uri).compose(request -> sendAndRead(request, body));
+    }
+
+    /** Reads the body on the thread that delivers the response, since a reader attached later can miss its end. */
+    private static Future<Answer> sendAndRead(HttpClientRequest request, String body) {
+        return request.send(Buffer.buffer(body)).compose(response -> response.body()
+                .map(bytes -> new Answer(
+                        response.statusCode(),
+                        response.getHeader(ConfigurationService.INDEX_HEADER),
+                        bytes.toString())));
     }
 
     /** Waits for a result; the bound only keeps a broken build from hanging. */
