Place prompts by what goes first, and prefer home runners

Cause: at 85 percent of capacity, prompts of 8k to 32k tokens waited behind prompts that they could overtake or that other hosts had sent since the last report. A report counts short and long prompts alike, so a runner with a long prompt looked busy to short ones, and hosts herded onto the others.

Change: the engine priority spreads by 30 times the idle time (was 4); a short prompt counts long ones in a queue only up to the chunk in progress; each host prefers its home runners, whose load it knows without a lag because it sent most of it; long prompts leave 15 percent of the memory to short ones; the kept-free share is 0.

--- a/figspan-bench/src/main/java/io/figspan/bench/policy/FleetDriver.java
+++ b/figspan-bench/src/main/java/io/figspan/bench/policy/FleetDriver.java
@@ -34,6 +34,9 @@
     private static final long GROUP_RETRY_NANOS = SECOND_NANOS / 5;
     private static final double REPORT_LOSS = 0.05;
     private static final double CACHE_EVENT_LOSS = 0.05;
+    /** A greedy organisation sends this many times its share on top of it, from the start of the measured time. */
+    private static final double GREEDY_EXTRA = 9;
+
     private static final long DRAIN_SECONDS = 150;
 
     private final Scenario scenario;
@@ -63,7 +66,12 @@
             double rate = Deployment.SHARES[i]
                     * scenario.load()
                     * scenario.deployment().capacityPerSecond();
-            scheduleArrival(random, i, i == scenario.greedy() ? 10 * rate : rate);
+            scheduleArrival(random, i, rate);
+            SplittableRandom more = arrivals.split();
+            if (i == scenario.greedy()) {
+                int organisation = i;
+                events.after(fromNanos, () -> scheduleArrival(more, organisation, GREEDY_EXTRA * rate));
+            }
         }
         engines.values().forEach(this::scheduleReport);
         hosts.forEach(this::schedulePoll);
@@ -101,7 +109,7 @@
                     .toList());
         }
         for (EntryHost host : roster) {
-            hosts.add(HostModel.create(scenario.scheme(), host.host(), runners, shares, roster, root.split()));
+            hosts.add(HostModel.create(scenario, host.host(), runners, shares, roster, root.split()));
         }
     }
 
--- a/figspan-bench/src/main/java/io/figspan/bench/policy/HostModel.java
+++ b/figspan-bench/src/main/java/io/figspan/bench/policy/HostModel.java
@@ -14,6 +14,7 @@
 import io.figspan.policy.placement.GroupPlacement;
 import io.figspan.policy.placement.LoadView;
 import io.figspan.policy.placement.LoadView.RunnerLoad;
+import io.figspan.policy.subset.HomeRunners;
 import io.figspan.policy.subset.Runner;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -41,16 +42,16 @@
     abstract List<DispatchAction> poll(long nowNanos);
 
     static HostModel create(
-            Scheme scheme,
+            Scenario scenario,
             HostId self,
             List<Runner> runners,
             Map<OrganisationId, Double> shares,
             List<EntryHost> roster,
             RandomGenerator random) {
-        if (scheme != Scheme.CURRENT) {
-            return new Naive(scheme, runners, random);
+        if (scenario.scheme() != Scheme.CURRENT) {
+            return new Naive(scenario.scheme(), runners, random);
         }
-        return new Current(self, runners, shares, roster, random);
+        return new Current(scenario.settings(), self, runners, shares, roster, random);
     }
 
     /** The current policy. */
@@ -58,12 +59,17 @@
         private final PromptDispatcher dispatcher;
 
         Current(
+                DispatchSettings settings,
                 HostId self,
                 List<Runner> runners,
                 Map<OrganisationId, Double> shares,
                 List<EntryHost> roster,
                 RandomGenerator random) {
             super(runners);
+            view.setHomes(HomeRunners.choose(
+                    self,
+                    roster.stream().map(EntryHost::host).toList(),
+                    runners.stream().map(Runner::server).toList()));
             OrganisationLimits limits = new OrganisationLimits(self, 0);
             double fleetTokensPerSecond = (double) Engine.PREFILL_TOKENS_PER_SECOND * runners.size();
             shares.forEach((organisation, share) -> limits.configure(
@@ -71,7 +77,7 @@
                     new OrganisationLimit(share * fleetTokensPerSecond, BURST_SECONDS, share),
                     roster,
                     0));
-            dispatcher = new PromptDispatcher(DispatchSettings.DEFAULT, view, affinity, limits, shares::get, random);
+            dispatcher = new PromptDispatcher(settings, view, affinity, limits, shares::get, random);
         }
 
         @Override
@@ -108,7 +114,13 @@
                     .orElseThrow();
             long kvTokens = prompt.cost().kvTokens();
             if (GroupPlacement.DEFAULT.fitsOneEngine(prompt.cost(), Engine.SPEED)) {
-                view.sent(load.server(), prompt.id(), prompt.cost().promptTokens(), kvTokens, nowNanos);
+                view.sent(
+                        load.server(),
+                        prompt.id(),
+                        prompt.cost().promptTokens(),
+                        prompt.cost().promptTokens(),
+                        kvTokens,
+                        nowNanos);
                 return List.of(new DispatchAction.Send(prompt, load.server(), 0));
             }
             List<RunnerLoad> ofZone = new ArrayList<>(view.runners());
@@ -123,7 +135,13 @@
                     .toList();
             long each = GroupPlacement.DEFAULT.kvTokensEach(prompt.cost(), Engine.SPEED);
             for (BackendServerId server : servers) {
-                view.sent(server, prompt.id(), prompt.cost().promptTokens() / size, each, nowNanos);
+                view.sent(
+                        server,
+                        prompt.id(),
+                        prompt.cost().promptTokens(),
+                        prompt.cost().promptTokens() / size,
+                        each,
+                        nowNanos);
             }
             return List.of(new DispatchAction.SendGroup(prompt, servers, each, 0));
         }
--- a/figspan-bench/src/main/java/io/figspan/bench/policy/Scenario.java
+++ b/figspan-bench/src/main/java/io/figspan/bench/policy/Scenario.java
@@ -1,5 +1,7 @@
 package io.figspan.bench.policy;
 
+import io.figspan.policy.dispatch.DispatchSettings;
+
 /**
  * One run of the driver.
  *
@@ -8,6 +10,7 @@
  * @param seconds measured time; a tenth of it, at least 20 s, goes before as a warm-up
  * @param onlyShort long prompts are left out and the rate of the short ones is the same
  * @param greedy index of the organisation that sends ten times its share, or -1
+ * @param settings parameters of the current policy
  */
 record Scenario(
         Deployment deployment,
@@ -18,29 +21,35 @@
         long seed,
         int seconds,
         boolean onlyShort,
-        int greedy) {
+        int greedy,
+        DispatchSettings settings) {
     static Scenario of(Deployment deployment, Scheme scheme, double load, long seed, int seconds) {
-        return new Scenario(deployment, scheme, load, 2_000, Deployment.HOSTS, seed, seconds, false, -1);
+        return new Scenario(
+                deployment, scheme, load, 2_000, Deployment.HOSTS, seed, seconds, false, -1, DispatchSettings.DEFAULT);
     }
 
     Scenario withSeed(long newSeed) {
-        return new Scenario(deployment, scheme, load, lagMs, hosts, newSeed, seconds, onlyShort, greedy);
+        return new Scenario(deployment, scheme, load, lagMs, hosts, newSeed, seconds, onlyShort, greedy, settings);
     }
 
     Scenario withOnlyShort() {
-        return new Scenario(deployment, scheme, load, lagMs, hosts, seed, seconds, true, greedy);
+        return new Scenario(deployment, scheme, load, lagMs, hosts, seed, seconds, true, greedy, settings);
     }
 
     Scenario withGreedy(int organisation) {
-        return new Scenario(deployment, scheme, load, lagMs, hosts, seed, seconds, onlyShort, organisation);
+        return new Scenario(deployment, scheme, load, lagMs, hosts, seed, seconds, onlyShort, organisation, settings);
     }
 
     Scenario withLagMs(long newLagMs) {
-        return new Scenario(deployment, scheme, load, newLagMs, hosts, seed, seconds, onlyShort, greedy);
+        return new Scenario(deployment, scheme, load, newLagMs, hosts, seed, seconds, onlyShort, greedy, settings);
     }
 
     Scenario withHosts(int newHosts) {
-        return new Scenario(deployment, scheme, load, lagMs, newHosts, seed, seconds, onlyShort, greedy);
+        return new Scenario(deployment, scheme, load, lagMs, newHosts, seed, seconds, onlyShort, greedy, settings);
+    }
+
+    Scenario withSettings(DispatchSettings newSettings) {
+        return new Scenario(deployment, scheme, load, lagMs, hosts, seed, seconds, onlyShort, greedy, newSettings);
     }
 
     int warmUpSeconds() {
--- a/figspan-policy/src/main/java/io/figspan/policy/dispatch/DispatchSettings.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/dispatch/DispatchSettings.java
@@ -25,7 +25,7 @@
         long spareBacklogMs,
         int queueItems) {
     public static final DispatchSettings DEFAULT =
-            new DispatchSettings(LengthAwarePlacement.DEFAULT, 1_400, 4, 4, 500, 1_024);
+            new DispatchSettings(LengthAwarePlacement.DEFAULT, 1_400, 4, 30, 500, 1_024);
 
     public DispatchSettings {
         if (firstTokenMs < 1 || firstTokenStretch < 0 || urgencyStretch < 0 || spareBacklogMs < 0 || queueItems < 1) {
--- a/figspan-policy/src/main/java/io/figspan/policy/dispatch/PromptDispatcher.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/dispatch/PromptDispatcher.java
@@ -12,7 +12,6 @@
 import io.figspan.policy.fair.FairQueue;
 import io.figspan.policy.limit.OrganisationLimits;
 import io.figspan.policy.placement.GroupPlacement;
-import io.figspan.policy.placement.LengthAwarePlacement;
 import io.figspan.policy.placement.LoadView;
 import io.figspan.policy.placement.LoadView.RunnerLoad;
 import io.figspan.policy.placement.PromptCost;
@@ -141,13 +140,13 @@
         RunnerLoad load = chosen.get();
         boolean cached = cost.prefixTokens() > 0 && affinity.mayHold(cost.prefixHash(), load.server());
         long prefillTokens = cost.prefillTokens(cached);
-        long aheadTokens = settings.placement().aheadTokens(cost, load, nowNanos);
+        long aheadTokens = settings.placement().aheadTokens(cost, view, load, nowNanos);
         Optional<Problem> refusal = checkTimes(prompt, prefillTokens, aheadTokens, nowNanos);
         if (refusal.isPresent()) {
             actions.add(new DispatchAction.Refuse(prompt, refusal.get()));
             return true;
         }
-        view.sent(load.server(), prompt.id(), prefillTokens, cost.kvTokens(), nowNanos);
+        view.sent(load.server(), prompt.id(), cost.promptTokens(), prefillTokens, cost.kvTokens(), nowNanos);
         if (cost.prefixTokens() > 0) {
             affinity.sent(cost.prefixHash(), load.server());
         }
@@ -156,24 +155,17 @@
     }
 
     private Optional<RunnerLoad> choose(PromptCost cost, long nowNanos) {
-        LengthAwarePlacement placement = settings.placement();
-        if (cost.prefixTokens() > 0) {
-            Optional<RunnerLoad> preferred = affinity.preferred(
-                    cost.prefixHash(),
-                    placement.candidates(cost, view),
-                    load -> load.backlogTokens(nowNanos),
-                    cost.prefixTokens());
-            if (preferred.isPresent()) {
-                return preferred;
-            }
-        }
-        return placement.choose(cost, view, random, nowNanos);
+        return settings.placement()
+                .choose(cost, view, load -> affinity.mayHold(cost.prefixHash(), load.server()), random, nowNanos);
     }
 
     private boolean placeGroup(Prompt prompt, long nowNanos, List<DispatchAction> actions) {
         PromptCost cost = prompt.cost();
-        List<BackendServerId> servers =
-                groups.choose(cost, view, settings.placement().openToLongPrompts(view));
+        List<BackendServerId> servers = groups.choose(
+                cost,
+                view,
+                settings.placement().openToLongPrompts(view),
+                settings.placement().reserveTokens(view));
         if (servers.isEmpty()) {
             return refuseIfHopeless(prompt, nowNanos, actions);
         }
@@ -188,7 +180,7 @@
         }
         long each = groups.kvTokensEach(cost, view.speed());
         for (BackendServerId server : servers) {
-            view.sent(server, prompt.id(), cost.promptTokens() / servers.size(), each, nowNanos);
+            view.sent(server, prompt.id(), cost.promptTokens(), cost.promptTokens() / servers.size(), each, nowNanos);
         }
         actions.add(new DispatchAction.SendGroup(
                 prompt, servers, each, priorityDelayMs(prompt, cost.promptTokens(), nowNanos)));
--- a/figspan-policy/src/main/java/io/figspan/policy/placement/GroupPlacement.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placement/GroupPlacement.java
@@ -38,13 +38,14 @@
      * cannot deadlock; empty when no zone has enough runners with the memory.
      *
      * @param open runners that may take long prompts
+     * @param reserveTokens memory that must be left on each engine
      */
-    public List<BackendServerId> choose(PromptCost cost, LoadView view, List<RunnerLoad> open) {
+    public List<BackendServerId> choose(PromptCost cost, LoadView view, List<RunnerLoad> open, long reserveTokens) {
         int size = size(cost, view.speed());
         long each = kvTokensEach(cost, view.speed());
         Map<AvailabilityZoneId, List<RunnerLoad>> byZone = new TreeMap<>();
         for (RunnerLoad load : open) {
-            if (!load.leaving() && load.kvFreeTokens() >= each) {
+            if (!load.leaving() && load.kvFreeTokens() >= each + reserveTokens) {
                 byZone.computeIfAbsent(load.zone(), zone -> new ArrayList<>()).add(load);
             }
         }
--- a/figspan-policy/src/main/java/io/figspan/policy/placement/LengthAwarePlacement.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placement/LengthAwarePlacement.java
@@ -1,11 +1,10 @@
 package io.figspan.policy.placement;
 
-import io.figspan.core.util.RendezvousHash;
 import io.figspan.policy.placement.LoadView.RunnerLoad;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
 /**
@@ -15,22 +14,34 @@
  *
  * @param samples runners to compare for one prompt
  * @param keptFreeShare share of the runners that get no long prompt
+ * @param overtakenShare tokens queued on a runner, of any length, that count as ahead of a prompt, as a part of its own
+ *     length; the prompt overtakes the others
+ * @param shortReserveShare part of each engine's memory that no long prompt may take
+ * @param awayTokens what a runner that is not a home of this host costs more, because its load is known only with a lag
  */
-public record LengthAwarePlacement(int samples, double keptFreeShare) {
-    public static final LengthAwarePlacement DEFAULT = new LengthAwarePlacement(4, 0.2);
+public record LengthAwarePlacement(
+        int samples, double keptFreeShare, double overtakenShare, double shortReserveShare, long awayTokens) {
+    public static final LengthAwarePlacement DEFAULT = new LengthAwarePlacement(20, 0, 0.3, 0.15, 16_384);
 
-    private static final String KEPT_FREE_KEY = "kept-free";
-
-    /** Chooses a runner for a prompt that fits on one engine; empty when no runner has the memory. */
-    public Optional<RunnerLoad> choose(PromptCost cost, LoadView view, RandomGenerator random, long nowNanos) {
+    /**
+     * Chooses a runner for a prompt that fits on one engine: the cheapest of the home runners and of a sample of the
+     * others; empty when no runner has the memory.
+     *
+     * @param mayHold tells whether a runner may have the shared prefix cached
+     */
+    public Optional<RunnerLoad> choose(
+            PromptCost cost, LoadView view, Predicate<RunnerLoad> mayHold, RandomGenerator random, long nowNanos) {
         List<RunnerLoad> candidates = candidates(cost, view);
         RunnerLoad best = null;
         long bestTokens = Long.MAX_VALUE;
-        int draws = Math.min(samples, candidates.size());
-        for (int i = 0; i < draws; i++) {
+        int draws = 0;
+        for (int i = 0; i < candidates.size(); i++) {
             int drawn = i + random.nextInt(candidates.size() - i);
             RunnerLoad load = candidates.set(drawn, candidates.get(i));
-            long tokens = costTokens(cost, load, nowNanos);
+            if (!load.home() && ++draws > samples) {
+                continue;
+            }
+            long tokens = costTokens(cost, view, load, mayHold, nowNanos);
             if (tokens < bestTokens) {
                 best = load;
                 bestTokens = tokens;
@@ -40,33 +51,53 @@
     }
 
     /** Tokens to process until the first token of the prompt if it goes to this runner. */
-    public long costTokens(PromptCost cost, RunnerLoad load, long nowNanos) {
-        boolean cached = cost.prefixTokens() > 0 && load.mayHavePrefix(cost.prefixHash());
-        return load.backlogTokens(nowNanos) + cost.prefillTokens(cached);
+    public long costTokens(
+            PromptCost cost, LoadView view, RunnerLoad load, Predicate<RunnerLoad> mayHold, long nowNanos) {
+        boolean cached = cost.prefixTokens() > 0 && mayHold.test(load);
+        long away = load.home() ? 0 : awayTokens;
+        return away + aheadTokens(cost, view, load, nowNanos) + cost.prefillTokens(cached);
     }
 
-    /** Tokens that the engine is expected to process before the prompt. */
-    public long aheadTokens(PromptCost cost, RunnerLoad load, long nowNanos) {
-        return load.backlogTokens(nowNanos);
+    /**
+     * Tokens that the engine is expected to process before the prompt. What this host has sent is known by length, so
+     * only prompts that go first count. A report does not tell short prompts from long ones, which the prompt
+     * overtakes, so it counts up to a bound of at least the chunk in progress.
+     */
+    public long aheadTokens(PromptCost cost, LoadView view, RunnerLoad load, long nowNanos) {
+        long chunkTokens = view.speed().prefillChunkTokens();
+        long notOvertaken = cost.isLong() ? (long) (cost.promptTokens() * overtakenShare) : chunkTokens;
+        long goingFirst = load.ownPendingTokens(Math.max(cost.promptTokens(), PromptCost.LONG_PROMPT_TOKENS));
+        long others = load.ownPendingTokens() - goingFirst + load.reportedBacklogTokens(nowNanos);
+        return goingFirst + Math.min(others, Math.max(chunkTokens, notOvertaken));
     }
 
     /** Runners that may take the prompt: with the memory for it and, for long prompts, not kept free. */
     public List<RunnerLoad> candidates(PromptCost cost, LoadView view) {
-        List<RunnerLoad> fitting = new ArrayList<>();
-        for (RunnerLoad load : cost.isLong() ? openToLongPrompts(view) : view.runners()) {
-            if (!load.leaving() && load.kvFreeTokens() >= cost.kvTokens()) {
+        List<RunnerLoad> fitting = new ArrayList<>(view.runners().size());
+        long reserve = cost.isLong() ? reserveTokens(view) : 0;
+        for (RunnerLoad load : view.runners()) {
+            boolean open = !cost.isLong() || !isKeptFree(view, load);
+            if (open && !load.leaving() && load.kvFreeTokens() >= cost.kvTokens() + reserve) {
                 fitting.add(load);
             }
         }
         return fitting;
     }
 
-    /** Runners that are not kept free. At least one is left. */
+    /** Memory of each engine that is left to short prompts. */
+    public long reserveTokens(LoadView view) {
+        return (long) (view.speed().kvTotalTokens() * shortReserveShare);
+    }
+
+    /** Tells whether a runner gets no long prompts. At least one runner gets them. */
+    public boolean isKeptFree(LoadView view, RunnerLoad load) {
+        int runners = view.runners().size();
+        long keptFree = Math.min(Math.round(runners * keptFreeShare), runners - 1L);
+        return load.keptFreeRank() < keptFree;
+    }
+
+    /** Runners that are not kept free. */
     public List<RunnerLoad> openToLongPrompts(LoadView view) {
-        List<RunnerLoad> ordered = new ArrayList<>(view.runners());
-        ordered.sort(Comparator.comparingLong(
-                load -> RendezvousHash.weight(KEPT_FREE_KEY, load.server().value())));
-        int keptFree = (int) Math.round(ordered.size() * keptFreeShare);
-        return ordered.subList(Math.min(keptFree, Math.max(0, ordered.size() - 1)), ordered.size());
+        return view.runners().stream().filter(load -> !isKeptFree(view, load)).toList();
     }
 }
--- a/figspan-policy/src/main/java/io/figspan/policy/placement/LoadView.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placement/LoadView.java
@@ -2,14 +2,18 @@
 
 import io.figspan.core.id.AvailabilityZoneId;
 import io.figspan.core.id.BackendServerId;
+import io.figspan.core.util.RendezvousHash;
 import io.figspan.policy.subset.Runner;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * One host's view of the load of its runners: the last report of each, and what this host itself has sent there and
@@ -24,6 +28,10 @@
     /** Largest number of sends tracked per runner; the oldest is forgotten first. */
     public static final int MAX_SENDS_PER_RUNNER = 1_024;
 
+    private static final int LENGTH_BUCKETS = 12;
+
+    private static final String KEPT_FREE_KEY = "kept-free";
+
     private final EngineSpeed speed;
     private final List<RunnerLoad> loads = new ArrayList<>();
     private final Map<BackendServerId, RunnerLoad> byServer = new HashMap<>();
@@ -47,6 +55,7 @@
         RunnerLoad load = new RunnerLoad(runner);
         loads.add(load);
         byServer.put(runner.server(), load);
+        rankKeptFree();
         return true;
     }
 
@@ -55,6 +64,7 @@
         RunnerLoad load = byServer.remove(server);
         if (load != null) {
             loads.remove(load);
+            rankKeptFree();
         }
     }
 
@@ -66,6 +76,11 @@
         }
     }
 
+    /** Marks the runners that this host prefers; see {@link io.figspan.policy.subset.HomeRunners}. */
+    public void setHomes(Set<BackendServerId> homes) {
+        loads.forEach(load -> load.home = homes.contains(load.server()));
+    }
+
     /** All runners in the order in which they were added. */
     public List<RunnerLoad> runners() {
         return Collections.unmodifiableList(loads);
@@ -75,6 +90,15 @@
         return byServer.get(server);
     }
 
+    private void rankKeptFree() {
+        List<RunnerLoad> ordered = new ArrayList<>(loads);
+        ordered.sort(Comparator.comparingLong(
+                load -> RendezvousHash.weight(KEPT_FREE_KEY, load.server().value())));
+        for (int rank = 0; rank < ordered.size(); rank++) {
+            ordered.get(rank).keptFreeRank = rank;
+        }
+    }
+
     /** Position of the next round-robin choice. */
     int nextRoundRobin() {
         roundRobinNext = loads.isEmpty() ? 0 : (roundRobinNext + 1) % loads.size();
@@ -94,11 +118,19 @@
         load.recount();
     }
 
-    /** Records that this host sends a prompt. {@code sendId} is unique on this host. */
-    public void sent(BackendServerId server, long sendId, long prefillTokens, long kvTokens, long nowNanos) {
+    /**
+     * Records that this host sends a prompt.
+     *
+     * @param sendId unique on this host
+     * @param promptTokens length of the prompt
+     * @param prefillTokens tokens to process on this runner
+     * @param kvTokens memory to take on this runner
+     */
+    public void sent(
+            BackendServerId server, long sendId, long promptTokens, long prefillTokens, long kvTokens, long nowNanos) {
         RunnerLoad load = byServer.get(server);
         if (load != null) {
-            load.add(sendId, new Send(nowNanos, prefillTokens, kvTokens));
+            load.add(sendId, new Send(nowNanos, lengthBucket(promptTokens), prefillTokens, kvTokens));
         }
     }
 
@@ -146,7 +178,13 @@
         return total == 0 ? 0 : (double) used / total;
     }
 
-    private record Send(long atNanos, long prefillTokens, long kvTokens) {}
+    /** Powers of two of the length in thousands of tokens. */
+    private static int lengthBucket(long promptTokens) {
+        int bits = Long.SIZE - Long.numberOfLeadingZeros(promptTokens >> 10);
+        return Math.min(LENGTH_BUCKETS - 1, bits);
+    }
+
+    private record Send(long atNanos, int bucket, long prefillTokens, long kvTokens) {}
 
     /** What is known of one runner. */
     public final class RunnerLoad {
@@ -155,7 +193,10 @@
         private boolean leaving;
         private LoadReport report;
         private long measuredAtNanos;
+        private boolean home;
+        private int keptFreeRank;
         private long ownPendingTokens;
+        private final long[] ownPendingByBucket = new long[LENGTH_BUCKETS];
         private long sinceReportTokens;
         private long sinceReportKvTokens;
 
@@ -171,6 +212,11 @@
             return runner.zone();
         }
 
+        /** Tells whether this host prefers the runner. */
+        public boolean home() {
+            return home;
+        }
+
         public boolean leaving() {
             return leaving;
         }
@@ -213,6 +259,20 @@
             return Math.max(0, free - sinceReportKvTokens);
         }
 
+        /** As {@link #ownPendingTokens()}, of prompts up to about a length: those in the same power of two count. */
+        public long ownPendingTokens(long promptTokens) {
+            long sum = 0;
+            for (int bucket = lengthBucket(promptTokens); bucket >= 0; bucket--) {
+                sum += ownPendingByBucket[bucket];
+            }
+            return sum;
+        }
+
+        /** Position in the order in which runners are kept free of long prompts; the same on each host. */
+        public int keptFreeRank() {
+            return keptFreeRank;
+        }
+
         public boolean mayHavePrefix(long prefixHash) {
             return report != null && report.mayHavePrefix(prefixHash);
         }
@@ -225,6 +285,7 @@
             }
             sends.put(sendId, send);
             ownPendingTokens += send.prefillTokens;
+            ownPendingByBucket[send.bucket] += send.prefillTokens;
             if (report == null || send.atNanos > measuredAtNanos) {
                 sinceReportTokens += send.prefillTokens;
                 sinceReportKvTokens += send.kvTokens;
@@ -239,8 +300,9 @@
         }
 
         private void prefillDone(long sendId, Send send) {
-            sends.put(sendId, new Send(send.atNanos, 0, send.kvTokens));
+            sends.put(sendId, new Send(send.atNanos, send.bucket, 0, send.kvTokens));
             ownPendingTokens -= send.prefillTokens;
+            ownPendingByBucket[send.bucket] -= send.prefillTokens;
             if (report == null || send.atNanos > measuredAtNanos) {
                 sinceReportTokens -= send.prefillTokens;
             }
@@ -248,6 +310,7 @@
 
         private void uncount(Send send) {
             ownPendingTokens -= send.prefillTokens;
+            ownPendingByBucket[send.bucket] -= send.prefillTokens;
             if (report == null || send.atNanos > measuredAtNanos) {
                 sinceReportTokens -= send.prefillTokens;
                 sinceReportKvTokens -= send.kvTokens;
@@ -256,10 +319,12 @@
 
         private void recount() {
             ownPendingTokens = 0;
+            Arrays.fill(ownPendingByBucket, 0);
             sinceReportTokens = 0;
             sinceReportKvTokens = 0;
             for (Send send : sends.values()) {
                 ownPendingTokens += send.prefillTokens;
+                ownPendingByBucket[send.bucket] += send.prefillTokens;
                 if (report == null || send.atNanos > measuredAtNanos) {
                     sinceReportTokens += send.prefillTokens;
                     sinceReportKvTokens += send.kvTokens;
--- a/figspan-policy/src/main/java/io/figspan/policy/placement/PlacementPolicy.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placement/PlacementPolicy.java
@@ -46,7 +46,8 @@
     LENGTH_AWARE {
         @Override
         public Optional<RunnerLoad> choose(PromptCost cost, LoadView view, RandomGenerator random, long nowNanos) {
-            return LengthAwarePlacement.DEFAULT.choose(cost, view, random, nowNanos);
+            return LengthAwarePlacement.DEFAULT.choose(
+                    cost, view, load -> load.mayHavePrefix(cost.prefixHash()), random, nowNanos);
         }
     };
 
