--- a/figspan-settings/src/main/java/io/figspan/settings/SettingsHolder.java
+++ b/figspan-settings/src/main/java/io/figspan/settings/SettingsHolder.java
@@ -30,7 +30,7 @@
         if (!manifest.version().isNewerThan(version())) {
             return Result.failed(outdated(manifest));
         }
-        Result<SettingsSnapshot> assembled = SettingsSnapshot.assemble(manifest, parts);
+        Result<SettingsSnapshot> assembled = SettingsSnapshot.assemble(manifest, parts, inForce());
         if (assembled instanceof Result.Ok<SettingsSnapshot> ok) {
             return offer(ok.value());
         }
