--- a/figspan-cli/src/main/java/io/figspan/cli/Commands.java
+++ b/figspan-cli/src/main/java/io/figspan/cli/Commands.java
@@ -17,13 +17,13 @@
     /** New instances of all commands. */
     public static List<Command> all() {
         return List.of(
+                new LoadCommand(),
                 new CheckCommand(),
                 new ExplainCommand(),
                 new DiffCommand(),
                 new HostsCommand(),
                 new StatusCommand(),
                 new TimelineCommand(),
-                new LoadCommand(),
                 new StandinsCommand());
     }
 }
--- a/figspan-settings/src/main/java/io/figspan/settings/SettingsSnapshot.java
+++ b/figspan-settings/src/main/java/io/figspan/settings/SettingsSnapshot.java
@@ -16,12 +16,12 @@
 /** One whole version of the settings: the manifest, its parts with checked digests, and the tree read from them. */
 public final class SettingsSnapshot {
     private final SettingsManifest manifest;
-    private final List<SettingsPart> parts;
+    private final List<PartReader.ParsedPart> parsed;
     private final SettingsTree tree;
 
-    private SettingsSnapshot(SettingsManifest manifest, List<SettingsPart> parts, SettingsTree tree) {
+    private SettingsSnapshot(SettingsManifest manifest, List<PartReader.ParsedPart> parsed, SettingsTree tree) {
         this.manifest = manifest;
-        this.parts = parts;
+        this.parsed = parsed;
         this.tree = tree;
     }
 
@@ -30,20 +30,26 @@
      * valid. Parts that the manifest does not name are ignored.
      */
     public static Result<SettingsSnapshot> assemble(SettingsManifest manifest, Collection<SettingsPart> available) {
+        return assemble(manifest, available, Optional.empty());
+    }
+
+    /** As {@link #assemble(SettingsManifest, Collection)}, without parsing the parts that {@code previous} has. */
+    static Result<SettingsSnapshot> assemble(
+            SettingsManifest manifest, Collection<SettingsPart> available, Optional<SettingsSnapshot> previous) {
         Map<String, SettingsPart> byName = new HashMap<>();
         available.forEach(part -> byName.put(part.name(), part));
-        List<SettingsPart> parts = new ArrayList<>();
+        List<PartReader.ParsedPart> parsed = new ArrayList<>();
         for (SettingsManifest.PartDigest wanted : manifest.parts()) {
             SettingsPart part = byName.get(wanted.name());
             Optional<String> fault = findFault(wanted, part);
             if (fault.isPresent()) {
                 return refused(manifest, fault.get());
             }
-            parts.add(part);
+            parsed.add(previous.flatMap(snapshot -> snapshot.parsed(part)).orElseGet(() -> PartReader.parse(part)));
         }
         try {
-            SettingsTree tree = SettingsTreeReader.read(parts);
-            return Result.ok(new SettingsSnapshot(manifest, List.copyOf(parts), tree));
+            SettingsTree tree = SettingsTreeReader.merge(parsed);
+            return Result.ok(new SettingsSnapshot(manifest, List.copyOf(parsed), tree));
         } catch (FigspanException e) {
             return refused(manifest, e.location() + ": " + e.detail());
         }
@@ -64,11 +70,11 @@
 
     /** The parts in the order of the manifest. */
     public List<SettingsPart> parts() {
-        return parts;
+        return parsed.stream().map(PartReader.ParsedPart::part).toList();
     }
 
     public Optional<SettingsPart> part(String name) {
-        return parts.stream().filter(part -> part.name().equals(name)).findFirst();
+        return parts().stream().filter(part -> part.name().equals(name)).findFirst();
     }
 
     /**
@@ -76,7 +82,7 @@
      * that manifest.
      */
     public List<SettingsPart> partsSharedWith(SettingsManifest other) {
-        return parts.stream()
+        return parts().stream()
                 .filter(part -> other.parts().contains(new SettingsManifest.PartDigest(part.name(), part.sha256())))
                 .toList();
     }
@@ -87,7 +93,13 @@
 
     @Override
     public String toString() {
-        return "SettingsSnapshot[version " + version() + ", " + parts.size() + " parts]";
+        return "SettingsSnapshot[version " + version() + ", " + parsed.size() + " parts]";
+    }
+
+    private Optional<PartReader.ParsedPart> parsed(SettingsPart part) {
+        return parsed.stream()
+                .filter(candidate -> candidate.part().equals(part))
+                .findFirst();
     }
 
     private static Optional<String> findFault(SettingsManifest.PartDigest wanted, SettingsPart part) {
--- a/figspan-settings/src/test/java/io/figspan/settings/HolderProperties.java
+++ b/figspan-settings/src/test/java/io/figspan/settings/HolderProperties.java
@@ -41,6 +41,8 @@
             return;
         }
         long inForce = holder.version().number();
+        SettingsTree readAfresh = SettingsTreeReader.read(parts((int) inForce));
+        assertEquals(List.of(), SettingsDiff.between(readAfresh, holder.tree()), "parts that were parsed before");
         ResolvedSettings fleet = holder.tree().fleet();
         ResolvedSettings organisation = holder.tree().resolve(OrganisationId.of("o"));
         assertEquals(inForce, fleet.integer(SettingKey.PROMPTS_DEADLINE_MS), "the part of the fleet");
@@ -75,7 +77,8 @@
     private static List<SettingsPart> parts(int version) {
         return List.of(
                 new SettingsPart("fleet.toml", "[fleet]\nprompts.deadlineMs = " + version + "\n"),
-                new SettingsPart("o.toml", "[organisation.o]\nlimits.burstTokens = " + version + "\n"));
+                new SettingsPart("o.toml", "[organisation.o]\nlimits.burstTokens = " + version + "\n"),
+                new SettingsPart("services.toml", "[organisation.o.service.s" + version % 2 + "]\nkind = \"order\"\n"));
     }
 
     @Property(tries = 1, seed = "13")
