Dispatch prompts through PromptDispatcher and close slow senders at once

Limits, fair queueing, admission, placement and engine order now come from the policy module; the host carries out its actions. The stand-in engines serve in the order of receipt plus the delay that the host asks for.

Cause of a 60 s test: a connection whose body was incomplete stayed open until the idle timeout. It is closed 100 ms after the problem document; CallerPortTest went from 61 s to 1 s.

--- a/figspan-host/src/main/java/io/figspan/host/HostProcess.java
+++ b/figspan-host/src/main/java/io/figspan/host/HostProcess.java
@@ -5,6 +5,7 @@
 import io.figspan.control.lifecycle.HostLifecycle;
 import io.figspan.control.lifecycle.HostState;
 import io.figspan.core.event.Part;
+import io.figspan.core.id.BackendServerId;
 import io.figspan.core.id.HostId;
 import io.figspan.core.id.HostIncarnation;
 import io.figspan.core.time.HybridClock;
@@ -14,6 +15,7 @@
 import io.figspan.host.backend.EngineSpeeds;
 import io.figspan.host.backend.HoldDriver;
 import io.figspan.host.backend.ReportPoller;
+import io.figspan.host.entry.Dispatcher;
 import io.figspan.host.entry.EntryDirectory;
 import io.figspan.host.entry.EntryServer;
 import io.figspan.host.entry.LimitGate;
@@ -23,6 +25,7 @@
 import io.figspan.host.platform.FleetListPoller;
 import io.figspan.host.platform.PeerDriver;
 import io.figspan.host.platform.SettingsInForce;
+import io.figspan.policy.subset.HomeRunners;
 import io.figspan.settings.FleetList;
 import io.figspan.settings.SettingsHolder;
 import io.figspan.settings.cfg.HostConfig;
@@ -32,6 +35,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -52,6 +56,7 @@
     private final HostContext context;
     private final EntryDirectory directory;
     private final LimitGate limits;
+    private final Dispatcher dispatcher;
     private final PeerDriver peers;
     private final EntryServer entry;
     private final OperatorServer operator;
@@ -64,10 +69,11 @@
         this.context = context;
         this.directory = new EntryDirectory(context);
         this.limits = new LimitGate(context, entryLimits.shareWaitNanos());
+        this.dispatcher = new Dispatcher(context, limits);
         ThinOrders orders = new ThinOrders(context);
         SettingsInForce adopter = new SettingsInForce(context, this::onSettings);
         this.peers = new PeerDriver(context, limits, directory, adopter, orders, this::onSuperseded);
-        this.entry = new EntryServer(context, entryLimits, directory, orders, limits, peers);
+        this.entry = new EntryServer(context, entryLimits, directory, orders, limits, peers, dispatcher);
         this.operator = new OperatorServer(context, this::gauges);
         this.lifecycle = new HostLifecycle(
                 TimeUnit.SECONDS.toMillis(context.config().shutdownMarginSeconds()), SHUTDOWN_LIMIT_MS);
@@ -152,6 +158,11 @@
     public void onFleetList(FleetList list) {
         directory.update(list.hosts());
         context.backends().update(list.backendServers());
+        List<HostId> seats = list.hosts().stream().map(FleetList.EntryHost::id).toList();
+        List<BackendServerId> runners = context.backends().engines().stream()
+                .map(BackendTable.Server::id)
+                .toList();
+        context.backends().loads().setHomes(HomeRunners.choose(context.config().hostId(), seats, runners));
     }
 
     /**
@@ -196,6 +207,7 @@
 
     private void onSettings() {
         limits.reconfigure();
+        dispatcher.reconfigure();
         lifecycle.onSettingsReady();
     }
 
--- a/figspan-host/src/main/java/io/figspan/host/backend/EngineMessages.java
+++ b/figspan-host/src/main/java/io/figspan/host/backend/EngineMessages.java
@@ -9,14 +9,17 @@
 public final class EngineMessages {
     private EngineMessages() {}
 
-    /** A prompt for one engine. {@code offset} is the offset of the first token that is wanted. */
+    /**
+     * A prompt for one engine, which serves in the order of its own time of receipt plus {@code priorityDelayMs}.
+     * {@code offset} is the offset of the first token that is wanted.
+     */
     public record Completion(
             @JsonProperty("model") String model,
             @JsonProperty("prompt") String prompt,
             @JsonProperty("max_tokens") int maxTokens,
             @JsonProperty("stream_id") String streamId,
             @JsonProperty("hold") String hold,
-            @JsonProperty("priority") int priority,
+            @JsonProperty("priority_delay_ms") long priorityDelayMs,
             @JsonProperty("expires_in_ms") long expiresInMs,
             @JsonProperty("offset") int offset) {}
 
@@ -27,7 +30,7 @@
             @JsonProperty("expires_in_ms") long expiresInMs) {}
 
     /** A segment to prefill into a hold. */
-    public record Segment(@JsonProperty("text") String text, @JsonProperty("priority") int priority) {}
+    public record Segment(@JsonProperty("text") String text, @JsonProperty("priority_delay_ms") long priorityDelayMs) {}
 
     /** Exported KV cache. */
     @JsonIgnoreProperties(ignoreUnknown = true)
--- a/figspan-host/src/main/java/io/figspan/host/entry/CompletionCall.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/CompletionCall.java
@@ -4,12 +4,12 @@
 import io.figspan.control.hold.HoldLedgerConfig;
 import io.figspan.control.leaving.LeavingSource;
 import io.figspan.control.resume.ResumeTokenCodec;
-import io.figspan.core.error.FigspanException;
 import io.figspan.core.error.Problem;
 import io.figspan.core.error.ProblemKind;
 import io.figspan.core.error.Result;
 import io.figspan.core.error.RunState;
 import io.figspan.core.event.Part;
+import io.figspan.core.id.BackendServerId;
 import io.figspan.core.id.HoldHandle;
 import io.figspan.core.id.StreamId;
 import io.figspan.core.time.Deadline;
@@ -21,7 +21,10 @@
 import io.figspan.policy.placement.PromptCost;
 import io.figspan.policy.recovery.Recovery;
 import io.figspan.policy.recovery.RecoveryPolicy;
+import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -38,7 +41,6 @@
     /** Pause before a group is reserved again. */
     private static final long GROUP_RETRY_MS = 50;
 
-    private static final long RETRY_AFTER_MS = 1_000;
     private static final int HTTP_OK = 200;
     private static final double RECOVERY_MARGIN = 1.2;
 
@@ -50,11 +52,11 @@
     private final CallerStream caller;
     private final PriorityClass priority;
     private final Deadline deadline;
-    private final Runnable onEnd;
+    private final LongConsumer limitListener;
     private final long startNanos;
     private final long deadlineTimer;
     private final long heartbeatTimer;
-    private Optional<Dispatcher.Waiting> waiting = Optional.empty();
+    private List<BackendServerId> used = List.of();
     private Optional<AnswerRelay> relay = Optional.empty();
     private Optional<EngineGroup> group = Optional.empty();
     private Optional<BackendTable.Server> server = Optional.empty();
@@ -74,7 +76,7 @@
             CallerStream caller,
             PriorityClass priority,
             Deadline deadline,
-            Runnable onEnd) {
+            LongConsumer limitListener) {
         this.context = context;
         this.dispatcher = dispatcher;
         this.tokens = tokens;
@@ -83,7 +85,7 @@
         this.caller = caller;
         this.priority = priority;
         this.deadline = deadline;
-        this.onEnd = onEnd;
+        this.limitListener = limitListener;
         this.startNanos = context.nowNanos();
         this.deadlineTimer = context.vertx().setTimer(Math.max(1, deadline.leftMs(startNanos)), id -> onDeadline());
         this.heartbeatTimer = context.vertx().setPeriodic(CallerStream.HEARTBEAT_MS, id -> caller.heartbeat());
@@ -103,44 +105,44 @@
             return;
         }
         attempts++;
-        if (needsGroup()) {
-            reserveGroup();
-            return;
-        }
-        PromptCost cost = new PromptCost(prompt.promptTokens() + sentTokens, prompt.outputTokens(), 0, 0);
-        Dispatcher.Waiting newWaiting = new Dispatcher.Waiting(
-                head.request(), head.organisation(), priority, cost, deadline, new PlacementListener());
-        waiting = Optional.of(newWaiting);
-        dispatcher.submit(newWaiting);
+        askForPlace(attempts > 1);
     }
 
-    private boolean needsGroup() {
-        long kvTokens = prompt.promptTokens() + (long) prompt.outputTokens();
-        return kvTokens > context.backends().loads().speed().kvTotalTokens();
+    private void askForPlace(boolean again) {
+        PromptCost cost = new PromptCost(prompt.promptTokens() + sentTokens, prompt.outputTokens() - sentTokens, 0, 0);
+        Dispatcher.Want want =
+                new Dispatcher.Want(head.request(), head.organisation(), priority, cost, deadline, startNanos);
+        sendId = dispatcher.submit(want, again, new PlacementListener());
     }
 
     private final class PlacementListener implements Dispatcher.Listener {
         @Override
-        public void onPlaced(BackendTable.Server placed) {
-            waiting = Optional.empty();
-            sendToOne(placed);
+        public void onPlaced(BackendServerId placed, long priorityDelayMs) {
+            used = List.of(placed);
+            context.backends().find(placed).ifPresent(engine -> sendToOne(engine, priorityDelayMs));
+        }
+
+        @Override
+        public void onGroupPlaced(List<BackendServerId> servers, long kvTokensEach, long priorityDelayMs) {
+            used = servers;
+            List<BackendTable.Server> engines = servers.stream()
+                    .flatMap(id -> context.backends().find(id).stream())
+                    .toList();
+            reserveGroup(engines, kvTokensEach, priorityDelayMs);
         }
 
         @Override
         public void onRefused(Problem problem) {
-            waiting = Optional.empty();
-            fail(sentTokens > 0 ? problem.withRun(RunState.UNKNOWN) : problem);
+            if (problem.kind() == ProblemKind.LIMIT_REACHED) {
+                limitListener.accept(prompt.promptTokens() + (long) prompt.outputTokens());
+            }
+            fail(sentTokens > 0 || relay.isPresent() ? problem.withRun(RunState.UNKNOWN) : problem);
         }
     }
 
-    private void reserveGroup() {
-        EngineGroup newGroup;
-        try {
-            newGroup = EngineGroup.start(context, head.request(), prompt, deadline);
-        } catch (FigspanException e) {
-            fail(Problem.notRun(e.kind(), e.detail()).withRetryAfterMs(RETRY_AFTER_MS));
-            return;
-        }
+    private void reserveGroup(List<BackendTable.Server> engines, long kvTokensEach, long priorityDelayMs) {
+        EngineGroup newGroup =
+                EngineGroup.start(context, head.request(), prompt.prompt(), engines, kvTokensEach, deadline);
         group = Optional.of(newGroup);
         newGroup.acquired().onComplete(acquired -> {
             if (over) {
@@ -148,26 +150,26 @@
                 return;
             }
             if (acquired.failed()) {
-                group = Optional.empty();
                 event(Part.HOLD, "groupFailed", String.valueOf(acquired.cause().getMessage()));
+                leaveEngine();
                 long pauseMs = GROUP_RETRY_MS + context.random().nextLong(GROUP_RETRY_MS);
-                context.vertx().setTimer(pauseMs, id -> reserveGroupAgain());
+                context.vertx().setTimer(pauseMs, id -> askForGroupAgain());
                 return;
             }
             event(Part.HOLD, "groupReserved", newGroup.size() + " engines");
-            prefillGroup(newGroup);
+            prefillGroup(newGroup, priorityDelayMs);
         });
     }
 
-    private void reserveGroupAgain() {
+    private void askForGroupAgain() {
         if (!over) {
-            reserveGroup();
+            askForPlace(true);
         }
     }
 
-    private void prefillGroup(EngineGroup reserved) {
+    private void prefillGroup(EngineGroup reserved, long priorityDelayMs) {
         server = Optional.of(reserved.lastServer());
-        reserved.prefill(priority.level(), deadline).onComplete(prefilled -> {
+        reserved.prefill(priorityDelayMs, deadline).onComplete(prefilled -> {
             if (over) {
                 reserved.release();
                 return;
@@ -176,12 +178,12 @@
                 onEngineFailure(prefilled.cause());
                 return;
             }
-            send(reserved.lastServer(), reserved.lastHold(), reserved.lastText());
+            send(reserved.lastServer(), reserved.lastHold(), reserved.lastText(), priorityDelayMs);
         });
     }
 
     /** Opens a hold for a prompt that fits on one engine; the engine takes the memory with the prompt itself. */
-    private void sendToOne(BackendTable.Server placed) {
+    private void sendToOne(BackendTable.Server placed, long priorityDelayMs) {
         long kvTokens = prompt.promptTokens() + (long) prompt.outputTokens();
         Result<HoldAction.Reserve> reserve =
                 context.holds().ledger().reserve(placed.incarnation(), kvTokens, deadline, context.nowNanos());
@@ -191,10 +193,10 @@
         }
         HoldHandle handle = ((Result.Ok<HoldAction.Reserve>) reserve).value().handle();
         ownHold = Optional.of(handle);
-        send(placed, handle, prompt.prompt());
+        send(placed, handle, prompt.prompt(), priorityDelayMs);
     }
 
-    private void send(BackendTable.Server placed, HoldHandle hold, String text) {
+    private void send(BackendTable.Server placed, HoldHandle hold, String text, long priorityDelayMs) {
         server = Optional.of(placed);
         long leftMs = deadline.leftMs(context.nowNanos());
         if (leftMs == 0) {
@@ -202,18 +204,13 @@
             return;
         }
         StreamId stream = context.newStream();
-        sendId = context.sequence().incrementAndGet();
-        long textTokens = CompletionRequest.tokensOf(text);
-        context.backends()
-                .loads()
-                .sent(placed.id(), sendId, textTokens, textTokens + prompt.outputTokens(), context.nowNanos());
         EngineMessages.Completion completion = new EngineMessages.Completion(
                 prompt.model(),
                 text,
                 prompt.outputTokens(),
                 stream.value(),
                 hold.toString(),
-                priority.level(),
+                priorityDelayMs,
                 leftMs + HoldLedgerConfig.DEFAULT.graceMs(),
                 sentTokens);
         AnswerRelay newRelay = new AnswerRelay(
@@ -236,11 +233,9 @@
 
         @Override
         public void onFirstToken() {
-            server.ifPresent(used -> context.backends().loads().firstToken(used.id(), sendId));
+            used.forEach(id -> context.backends().loads().firstToken(id, sendId));
             long elapsedNanos = context.nowNanos() - startNanos;
-            context.metrics()
-                    .timer("prompts.firstToken")
-                    .update(elapsedNanos, java.util.concurrent.TimeUnit.NANOSECONDS);
+            context.metrics().timer("prompts.firstToken").update(elapsedNanos, TimeUnit.NANOSECONDS);
             event(Part.ENTRY, "firstToken", elapsedNanos / 1_000_000 + " ms");
         }
 
@@ -341,9 +336,8 @@
         over = true;
         context.vertx().cancelTimer(deadlineTimer);
         context.vertx().cancelTimer(heartbeatTimer);
-        waiting.ifPresent(dispatcher::withdraw);
+        dispatcher.withdraw(sendId);
         leaveEngine();
-        onEnd.run();
     }
 
     /**
@@ -351,7 +345,8 @@
      * is left to that host; its memory is returned at its end or when the hold expires.
      */
     private void leaveEngine() {
-        server.ifPresent(used -> context.backends().loads().finished(used.id(), sendId));
+        used.forEach(id -> context.backends().loads().finished(id, sendId));
+        used = List.of();
         Optional<HoldHandle> hold = ownHold;
         Optional<EngineGroup> reserved = group;
         Optional<AnswerRelay> running = relay;
--- a/figspan-host/src/main/java/io/figspan/host/entry/Dispatcher.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/Dispatcher.java
@@ -1,205 +1,167 @@
 package io.figspan.host.entry;
 
 import io.figspan.core.error.Problem;
-import io.figspan.core.error.ProblemKind;
 import io.figspan.core.event.Part;
+import io.figspan.core.id.BackendServerId;
 import io.figspan.core.id.OrganisationId;
 import io.figspan.core.id.RequestId;
 import io.figspan.core.time.Deadline;
 import io.figspan.host.HostContext;
-import io.figspan.host.backend.BackendTable;
-import io.figspan.policy.admission.AdmissionDecision;
-import io.figspan.policy.admission.AdmissionPolicy;
-import io.figspan.policy.admission.AdmissionRequest;
-import io.figspan.policy.fair.FairQueue;
+import io.figspan.policy.affinity.PrefixAffinity;
+import io.figspan.policy.dispatch.DispatchAction;
+import io.figspan.policy.dispatch.DispatchSettings;
+import io.figspan.policy.dispatch.Prompt;
+import io.figspan.policy.dispatch.PromptDispatcher;
 import io.figspan.policy.fair.PriorityClass;
 import io.figspan.policy.placement.LengthAwarePlacement;
-import io.figspan.policy.placement.LoadView;
 import io.figspan.policy.placement.PromptCost;
 import io.figspan.settings.ResolvedSettings;
 import io.figspan.settings.SettingKey;
+import io.figspan.settings.SettingsLevel;
+import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Optional;
-import java.util.concurrent.TimeUnit;
+import java.util.Map;
 
-/**
- * Admits prompts that fit on one engine, queues them fairly by organisation and gives each an engine. Long prompts wait
- * in a queue of their own, so that one that waits for memory holds up no short prompt.
- */
-final class Dispatcher {
-    /** Entries per queue; the settings bound both together at {@code admission.queueLimit}. */
-    private static final int QUEUE_ENTRIES = 1_024;
+/** Carries out what {@link PromptDispatcher} decides on this host. Used on the event loop only. */
+public final class Dispatcher {
+    /** Interval at which waiting prompts are looked at when no report has come in. */
+    private static final long POLL_MS = 20;
 
-    /** A waiting prompt counts as one class more urgent after this time. */
-    private static final long AGEING_NANOS = TimeUnit.SECONDS.toNanos(2);
-
-    /** Work that an engine may have queued when it gets more: a quarter second, so that fairness is decided here. */
-    private static final long MAX_QUEUED_AT_ENGINE_MS = 250;
-
-    /** Interval at which the queues are looked at when no report has come in. */
-    private static final long PUMP_INTERVAL_MS = 20;
-
-    private static final long RETRY_AFTER_MS = 1_000;
-
-    /** Told of the outcome, exactly once. */
+    /** Told of the outcome, exactly once for each request for a place. */
     interface Listener {
-        void onPlaced(BackendTable.Server server);
+        void onPlaced(BackendServerId server, long priorityDelayMs);
+
+        void onGroupPlaced(List<BackendServerId> servers, long kvTokensEach, long priorityDelayMs);
 
         void onRefused(Problem problem);
     }
 
-    /** A prompt that waits for an engine. Compared by identity. */
-    static final class Waiting {
-        private final RequestId request;
-        private final OrganisationId organisation;
-        private final PriorityClass priority;
-        private final PromptCost cost;
-        private final Deadline deadline;
-        private final Listener listener;
-
-        Waiting(
-                RequestId request,
-                OrganisationId organisation,
-                PriorityClass priority,
-                PromptCost cost,
-                Deadline deadline,
-                Listener listener) {
-            this.request = request;
-            this.organisation = organisation;
-            this.priority = priority;
-            this.cost = cost;
-            this.deadline = deadline;
-            this.listener = listener;
-        }
-    }
+    /** A request for a place. */
+    record Want(
+            RequestId request,
+            OrganisationId organisation,
+            PriorityClass priority,
+            PromptCost cost,
+            Deadline deadline,
+            long arrivedNanos) {}
+
+    private record Waiting(Want want, Prompt prompt, Listener listener) {}
 
     private final HostContext context;
-    private final FairQueue<Waiting> shortPrompts;
-    private final FairQueue<Waiting> longPrompts;
+    private final LimitGate limits;
+    private final Map<Long, Waiting> waiting = new LinkedHashMap<>();
+    private DispatchSettings settings = DispatchSettings.DEFAULT;
+    private PromptDispatcher decisions;
 
-    Dispatcher(HostContext context) {
+    public Dispatcher(HostContext context, LimitGate limits) {
         this.context = context;
-        this.shortPrompts = new FairQueue<>(QUEUE_ENTRIES, AGEING_NANOS, this::weightOf);
-        this.longPrompts = new FairQueue<>(QUEUE_ENTRIES, AGEING_NANOS, this::weightOf);
-        context.vertx().setPeriodic(PUMP_INTERVAL_MS, id -> pump());
+        this.limits = limits;
+        this.decisions = newDecisions();
+        context.vertx().setPeriodic(POLL_MS, id -> poll());
     }
 
-    /** Admits and queues a prompt, or refuses it at once. */
-    void submit(Waiting waiting) {
-        long nowNanos = context.nowNanos();
-        if (context.backends().loads().runners().stream().allMatch(LoadView.RunnerLoad::leaving)) {
-            refuse(
-                    waiting,
-                    Problem.notRun(ProblemKind.NO_BACKEND_SERVER, "no engine takes new work")
-                            .withRetryAfterMs(RETRY_AFTER_MS));
-            return;
-        }
-        AdmissionDecision decision = admit(waiting, nowNanos);
-        if (decision instanceof AdmissionDecision.Refused refused) {
-            refuse(waiting, refused.problem());
-            return;
-        }
-        boolean queueFull = queued() >= context.tree().fleet().integer(SettingKey.ADMISSION_QUEUE_LIMIT);
-        if (queueFull) {
-            refuse(waiting, overloaded());
-            return;
-        }
-        FairQueue.Entry<Waiting> entry = new FairQueue.Entry<>(
-                waiting, waiting.organisation, waiting.priority, waiting.cost.promptTokens(), nowNanos);
-        queueOf(waiting).offer(entry).ifPresent(displaced -> refuse(displaced.item(), overloaded()));
-        pump();
+    /**
+     * Asks for a place. Returns the id under which the load view counts the prompt.
+     *
+     * @param again whether the prompt was admitted before; its tokens are not taken from the limit again
+     */
+    long submit(Want want, boolean again, Listener listener) {
+        long id = context.sequence().incrementAndGet();
+        Prompt prompt =
+                new Prompt(id, want.organisation(), want.priority(), want.cost(), want.deadline(), want.arrivedNanos());
+        waiting.put(id, new Waiting(want, prompt, listener));
+        carryOut(again ? decisions.again(prompt, context.nowNanos()) : decisions.offer(prompt, context.nowNanos()));
+        return id;
     }
 
-    /** Forgets a prompt that is no longer wanted. */
-    void withdraw(Waiting waiting) {
-        queueOf(waiting).remove(waiting.organisation, waiting);
+    /** Forgets a prompt that is no longer wanted; its place in the queue is given up when its turn comes. */
+    void withdraw(long id) {
+        waiting.remove(id);
     }
 
     int queued() {
-        return shortPrompts.size() + longPrompts.size();
+        return decisions.waiting();
     }
 
     /** Gives engines to the prompts whose turn it is. */
-    void pump() {
-        pump(shortPrompts);
-        pump(longPrompts);
+    void poll() {
+        if (decisions.waiting() > 0) {
+            carryOut(decisions.poll(context.nowNanos()));
+        }
     }
 
-    private void pump(FairQueue<Waiting> queue) {
-        long nowNanos = context.nowNanos();
-        Optional<FairQueue.Entry<Waiting>> head = queue.peek(nowNanos);
-        while (head.isPresent()) {
-            Waiting waiting = head.get().item();
-            if (waiting.deadline.hasPassed(nowNanos)) {
-                queue.poll(nowNanos);
-                refuse(waiting, Problem.notRun(ProblemKind.DEADLINE_PASSED, "no engine was free in time"));
-            } else {
-                Optional<BackendTable.Server> server = place(waiting, nowNanos);
-                if (server.isEmpty()) {
-                    return;
-                }
-                queue.poll(nowNanos);
-                waiting.listener.onPlaced(server.get());
-            }
-            head = queue.peek(nowNanos);
+    /** Takes over the settings in force. Prompts that wait are asked for again under the new ones. */
+    public void reconfigure() {
+        DispatchSettings wanted = DispatchSettings.DEFAULT.withPlacement(placement());
+        if (wanted.equals(settings)) {
+            return;
+        }
+        settings = wanted;
+        decisions = newDecisions();
+        for (Waiting entry : List.copyOf(waiting.values())) {
+            carryOut(decisions.again(entry.prompt(), context.nowNanos()));
         }
     }
 
-    private Optional<BackendTable.Server> place(Waiting waiting, long nowNanos) {
-        ResolvedSettings fleet = context.tree().fleet();
-        LengthAwarePlacement placement = new LengthAwarePlacement(
-                (int) fleet.integer(SettingKey.PLACEMENT_SAMPLE_SIZE),
-                fleet.number(SettingKey.PLACEMENT_SHARE_FREE_OF_LONG));
-        LoadView loads = context.backends().loads();
-        long maxQueuedTokens = loads.speed().prefillTokens(TimeUnit.MILLISECONDS.toNanos(MAX_QUEUED_AT_ENGINE_MS));
-        Optional<LoadView.RunnerLoad> chosen = placement
-                .choose(waiting.cost, loads, context.random(), nowNanos)
-                .filter(load -> load.backlogTokens(nowNanos) < maxQueuedTokens);
-        return chosen.flatMap(load -> {
-            context.timeline()
-                    .add(
-                            Part.PLACE,
-                            "placed",
-                            waiting.request.value(),
-                            load.server() + " backlog " + load.backlogTokens(nowNanos));
-            return context.backends().find(load.server());
-        });
+    private PromptDispatcher newDecisions() {
+        return new PromptDispatcher(
+                settings,
+                context.backends().loads(),
+                new PrefixAffinity(PrefixAffinity.DEFAULT_LOAD_BOUND),
+                limits.shares(),
+                organisation -> context.tree().resolve(organisation).number(SettingKey.WEIGHT),
+                context.random());
     }
 
-    private AdmissionDecision admit(Waiting waiting, long nowNanos) {
-        LoadView loads = context.backends().loads();
-        List<LoadView.RunnerLoad> candidates = new LengthAwarePlacement(
-                        1, context.tree().fleet().number(SettingKey.PLACEMENT_SHARE_FREE_OF_LONG))
-                .candidates(waiting.cost, loads);
-        long aheadTokens = candidates.stream()
-                .mapToLong(load -> load.backlogTokens(nowNanos))
-                .min()
-                .orElse((long) loads.meanBacklogTokens(nowNanos));
-        double margin = Math.max(1, context.tree().fleet().number(SettingKey.ADMISSION_SAFETY_FACTOR));
-        return new AdmissionPolicy(loads.speed(), margin)
-                .decide(
-                        new AdmissionRequest(
-                                waiting.cost.promptTokens(),
-                                waiting.cost.maxOutputTokens(),
-                                aheadTokens,
-                                waiting.deadline),
-                        nowNanos);
+    /** The measured defaults of the policy, with what the settings set. */
+    private LengthAwarePlacement placement() {
+        ResolvedSettings fleet = context.tree().fleet();
+        LengthAwarePlacement base = LengthAwarePlacement.DEFAULT;
+        boolean setsSamples = fleet.level(SettingKey.PLACEMENT_SAMPLE_SIZE) != SettingsLevel.DEFAULT;
+        boolean setsShare = fleet.level(SettingKey.PLACEMENT_SHARE_FREE_OF_LONG) != SettingsLevel.DEFAULT;
+        return new LengthAwarePlacement(
+                setsSamples ? (int) fleet.integer(SettingKey.PLACEMENT_SAMPLE_SIZE) : base.samples(),
+                setsShare ? fleet.number(SettingKey.PLACEMENT_SHARE_FREE_OF_LONG) : base.keptFreeShare(),
+                base.overtakenShare(),
+                base.shortReserveShare(),
+                base.awayTokens());
     }
 
-    private void refuse(Waiting waiting, Problem problem) {
-        waiting.listener.onRefused(problem);
+    private void carryOut(List<DispatchAction> actions) {
+        for (DispatchAction action : actions) {
+            Waiting entry = waiting.remove(action.prompt().id());
+            if (entry == null) {
+                forget(action);
+            } else {
+                tell(entry, action);
+            }
+        }
     }
 
-    private FairQueue<Waiting> queueOf(Waiting waiting) {
-        return waiting.cost.isLong() ? longPrompts : shortPrompts;
+    private void tell(Waiting entry, DispatchAction action) {
+        if (action instanceof DispatchAction.Send send) {
+            event(entry, "placed", send.server() + " delay " + send.priorityDelayMs() + " ms");
+            entry.listener().onPlaced(send.server(), send.priorityDelayMs());
+        } else if (action instanceof DispatchAction.SendGroup group) {
+            event(entry, "placedOnGroup", group.servers() + " delay " + group.priorityDelayMs() + " ms");
+            entry.listener().onGroupPlaced(group.servers(), group.kvTokensEach(), group.priorityDelayMs());
+        } else if (action instanceof DispatchAction.Refuse refuse) {
+            entry.listener().onRefused(refuse.problem());
+        }
     }
 
-    private double weightOf(OrganisationId organisation) {
-        return context.tree().resolve(organisation).number(SettingKey.WEIGHT);
+    /** Takes a prompt that was withdrawn out of the load view again. */
+    private void forget(DispatchAction action) {
+        if (action instanceof DispatchAction.Send send) {
+            context.backends().loads().finished(send.server(), send.prompt().id());
+        } else if (action instanceof DispatchAction.SendGroup group) {
+            group.servers().forEach(server -> context.backends()
+                    .loads()
+                    .finished(server, group.prompt().id()));
+        }
     }
 
-    private static Problem overloaded() {
-        return Problem.notRun(ProblemKind.OVERLOADED, "the queue of this host is full")
-                .withRetryAfterMs(RETRY_AFTER_MS);
+    private void event(Waiting entry, String kind, String text) {
+        context.timeline().add(Part.PLACE, kind, entry.want().request().value(), text);
     }
 }
--- a/figspan-host/src/main/java/io/figspan/host/entry/EngineGroup.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/EngineGroup.java
@@ -18,19 +18,13 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
-import java.util.Map;
-import java.util.TreeMap;
 
 /**
  * Engines of one availability zone that hold the KV cache of one long prompt, a segment each. Each engine imports the
  * cache of the segments before its own.
  */
 final class EngineGroup implements HoldDriver.ReserveListener {
-    /** Share of an engine's memory that one segment may take. */
-    private static final double MAX_SEGMENT_SHARE = 0.95;
-
     /** An engine answers a reserve call within milliseconds; this bound covers a busy machine. */
     private static final long STEP_TIMEOUT_MS = 1_000;
 
@@ -49,34 +43,40 @@
     private EngineGroup(
             HostContext context,
             RequestId request,
-            CompletionRequest prompt,
+            String prompt,
             List<BackendTable.Server> engines,
+            long kvTokensEach,
             Deadline deadline) {
         this.context = context;
         this.request = request;
         List<GroupMember> members = new ArrayList<>();
-        int tokensPerSegment = (prompt.promptTokens() + engines.size() - 1) / engines.size();
-        int chars = tokensPerSegment * CompletionRequest.CHARS_PER_TOKEN;
+        int chars = (int) kvTokensEach * CompletionRequest.CHARS_PER_TOKEN;
         for (int i = 0; i < engines.size(); i++) {
             boolean isLast = i == engines.size() - 1;
-            int start = Math.min(prompt.prompt().length(), i * chars);
-            int end =
-                    isLast ? prompt.prompt().length() : Math.min(prompt.prompt().length(), start + chars);
-            Segment segment = new Segment(engines.get(i), prompt.prompt().substring(start, end));
-            segments.add(segment);
-            long tokens = CompletionRequest.tokensOf(segment.text()) + (isLast ? prompt.outputTokens() : 0L);
-            members.add(new GroupMember(
-                    segment.server().incarnation(), segment.server().listed().availabilityZone(), tokens));
+            int start = Math.min(prompt.length(), i * chars);
+            int end = isLast ? prompt.length() : Math.min(prompt.length(), start + chars);
+            BackendTable.Server engine = engines.get(i);
+            segments.add(new Segment(engine, prompt.substring(start, end)));
+            members.add(new GroupMember(engine.incarnation(), engine.listed().availabilityZone(), kvTokensEach));
         }
         this.reservation = new GroupReservation(context.holds().ledger(), members, deadline, STEP_TIMEOUT_MS);
         this.timer = context.vertx().setPeriodic(TICK_MS, id -> carryOut(reservation.onTick(context.nowNanos())));
     }
 
-    /** Starts to reserve the engines for a prompt; fails when no availability zone has enough of them. */
-    static EngineGroup start(HostContext context, RequestId request, CompletionRequest prompt, Deadline deadline) {
-        long kvTokens = prompt.promptTokens() + (long) prompt.outputTokens();
-        List<BackendTable.Server> engines = choose(context, kvTokens);
-        EngineGroup group = new EngineGroup(context, request, prompt, engines, deadline);
+    /**
+     * Starts to reserve engines for a prompt.
+     *
+     * @param engines in ascending order of their ids
+     * @param kvTokensEach memory to hold on each; the prompt and its answer fit into all of it together
+     */
+    static EngineGroup start(
+            HostContext context,
+            RequestId request,
+            String prompt,
+            List<BackendTable.Server> engines,
+            long kvTokensEach,
+            Deadline deadline) {
+        EngineGroup group = new EngineGroup(context, request, prompt, engines, kvTokensEach, deadline);
         group.carryOut(group.reservation.start(context.nowNanos()));
         return group;
     }
@@ -107,7 +107,7 @@
     }
 
     /** Prefills all segments but the last, each from the cache of the ones before, and imports it at the last. */
-    Future<Void> prefill(int priority, Deadline deadline) {
+    Future<Void> prefill(long priorityDelayMs, Deadline deadline) {
         List<HoldHandle> holds = reservation.handles();
         Future<Void> done = Future.succeededFuture();
         for (int i = 0; i + 1 < segments.size(); i++) {
@@ -115,7 +115,7 @@
             BackendTable.Server next = segments.get(i + 1).server();
             HoldHandle hold = holds.get(i);
             HoldHandle nextHold = holds.get(i + 1);
-            EngineMessages.Segment message = new EngineMessages.Segment(segment.text(), priority);
+            EngineMessages.Segment message = new EngineMessages.Segment(segment.text(), priorityDelayMs);
             done = done.compose(nothing -> context.engines()
                             .prefillSegment(
                                     segment.server(), hold, message, Math.max(1, deadline.leftMs(context.nowNanos()))))
@@ -167,58 +167,6 @@
         }
     }
 
-    /** The engines with the most free memory, of the availability zone that has the most to offer. */
-    private static List<BackendTable.Server> choose(HostContext context, long kvTokens) {
-        Map<String, List<BackendTable.Server>> byZone = new TreeMap<>();
-        for (BackendTable.Server server : context.backends().engines()) {
-            if (server.takesNewWork() && server.capacityTokens() > 0) {
-                byZone.computeIfAbsent(server.listed().availabilityZone().value(), zone -> new ArrayList<>())
-                        .add(server);
-            }
-        }
-        List<BackendTable.Server> best = List.of();
-        long bestFree = -1;
-        for (List<BackendTable.Server> zone : byZone.values()) {
-            long capacity = zone.stream()
-                    .mapToLong(BackendTable.Server::capacityTokens)
-                    .min()
-                    .orElse(1);
-            int size = sizeFor(kvTokens, capacity);
-            if (zone.size() < size) {
-                continue;
-            }
-            Comparator<BackendTable.Server> byFree = Comparator.comparingLong(server -> freeTokens(context, server));
-            zone.sort(byFree.reversed());
-            List<BackendTable.Server> group = new ArrayList<>(zone.subList(0, size));
-            long free = group.stream()
-                    .mapToLong(server -> freeTokens(context, server))
-                    .min()
-                    .orElse(0);
-            if (free > bestFree) {
-                bestFree = free;
-                group.sort(Comparator.comparing(BackendTable.Server::id));
-                best = group;
-            }
-        }
-        if (best.isEmpty()) {
-            throw new FigspanException(
-                    ProblemKind.NO_BACKEND_SERVER,
-                    "no availability zone has enough engines for the prompt",
-                    Location.of("engine group"));
-        }
-        return best;
-    }
-
-    /** Number of engines of the given memory that a prompt needs. */
-    private static int sizeFor(long kvTokens, long capacityTokens) {
-        long perEngine = (long) (capacityTokens * MAX_SEGMENT_SHARE);
-        return (int) ((kvTokens + perEngine - 1) / perEngine);
-    }
-
-    private static long freeTokens(HostContext context, BackendTable.Server server) {
-        return context.backends().loads().get(server.id()).kvFreeTokens();
-    }
-
     private void event(String kind, String text) {
         context.timeline().add(Part.HOLD, kind, request.value(), text);
     }
--- a/figspan-host/src/main/java/io/figspan/host/entry/EntryServer.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/EntryServer.java
@@ -21,6 +21,7 @@
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.json.Json;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.function.BiConsumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -40,6 +41,9 @@
     /** A body of 16 MB takes less than this at 1 MB per second. */
     static final long MAX_BODY_MS = 20_000;
 
+    /** Lets the problem document reach a caller that is still sending before its connection is closed. */
+    private static final long CLOSE_DELAY_MS = 100;
+
     private static final long ORDER_BODY_MS = 5_000;
     private static final int IDLE_SECONDS = 60;
 
@@ -71,15 +75,16 @@
             EntryDirectory directory,
             OrderHandler orders,
             LimitGate limitGate,
-            LimitGate.Lenders lenders) {
+            LimitGate.Lenders lenders,
+            Dispatcher dispatcher) {
         this.context = context;
         this.limits = limits;
         this.directory = directory;
         this.orders = orders;
         this.limitGate = limitGate;
         this.lenders = lenders;
-        this.dispatcher = new Dispatcher(context);
-        context.backends().setChangeListener(dispatcher::pump);
+        this.dispatcher = dispatcher;
+        context.backends().setChangeListener(dispatcher::poll);
     }
 
     /** Starts to listen and returns the port in use. */
@@ -190,6 +195,8 @@
                         // The rest of the body is not read, so the connection cannot carry another request.
                         request.response().putHeader("Connection", "close");
                         Problems.write(request.response(), failed.problem());
+                        context.vertx().setTimer(CLOSE_DELAY_MS, id -> request.connection()
+                                .close());
                         return;
                     }
                     track(request);
@@ -247,12 +254,13 @@
                                     + settings.integer(SettingKey.PROMPTS_MAX_OUTPUT_TOKENS)));
             return;
         }
-        long workTokens = prompt.promptTokens() + (long) prompt.outputTokens();
-        if (limitGate.take(head.organisation(), workTokens, lenders) instanceof Result.Failed<Long> refused) {
-            context.count("prompts.failed." + refused.problem().kind().wireName());
-            Problems.write(request.response(), refused.problem());
+        Optional<Problem> refusal = limitGate.check(head.organisation(), lenders);
+        if (refusal.isPresent()) {
+            context.count("prompts.failed." + refusal.get().kind().wireName());
+            Problems.write(request.response(), refusal.get());
             return;
         }
+        limitGate.onAdmitted(head.organisation(), prompt.promptTokens() + (long) prompt.outputTokens());
         Deadline deadline = Deadline.after(context.nowNanos(), deadlineMs(head, settings, prompt.promptTokens()));
         CallerStream caller =
                 new CallerStream(request.response(), head.request().value());
@@ -265,7 +273,7 @@
                         caller,
                         priority(head, settings),
                         deadline,
-                        () -> {})
+                        tokens -> limitGate.onRefused(head.organisation(), tokens, lenders))
                 .start();
     }
 
@@ -284,8 +292,7 @@
         Deadline deadline = Deadline.after(context.nowNanos(), deadlineMs(head, settings, 0));
         CallerStream caller =
                 new CallerStream(request.response(), head.request().value());
-        new ResumeCall(context, caller, head, deadline, () -> {})
-                .start(tokens, ((Result.Ok<ResumeToken>) position).value());
+        new ResumeCall(context, caller, head, deadline).start(tokens, ((Result.Ok<ResumeToken>) position).value());
     }
 
     private static long deadlineMs(RequestHead head, ResolvedSettings settings, int promptTokens) {
--- a/figspan-host/src/main/java/io/figspan/host/entry/LimitGate.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/LimitGate.java
@@ -3,7 +3,6 @@
 import io.figspan.cluster.loan.OwnShares;
 import io.figspan.core.error.Problem;
 import io.figspan.core.error.ProblemKind;
-import io.figspan.core.error.Result;
 import io.figspan.core.id.OrganisationId;
 import io.figspan.host.HostContext;
 import io.figspan.policy.entry.EntryHost;
@@ -14,6 +13,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /** The limits of the organisations at this host, configured from the settings in force. Used on the event loop only. */
@@ -59,31 +59,34 @@
         }
     }
 
-    /** Takes tokens of work from an organisation's share, or refuses with the time to come back. */
-    Result<Long> take(OrganisationId organisation, long tokens, Lenders lenders) {
+    /** The shares that admission takes tokens from. */
+    OrganisationLimits shares() {
+        return limits;
+    }
+
+    /** Refuses an organisation that is not in the settings, and everyone while the own share may not be used. */
+    Optional<Problem> check(OrganisationId organisation, Lenders lenders) {
         if (!context.tree().hasOrganisation(organisation)) {
-            return Result.failed(Problem.notRun(
+            return Optional.of(Problem.notRun(
                     ProblemKind.UNAUTHENTICATED, "organisation '" + organisation + "' is not in the settings"));
         }
         if (!lenders.mayUseOwnShare()) {
-            return Result.failed(
+            return Optional.of(
                     Problem.notRun(ProblemKind.LIMIT_REACHED, "this host has not heard from other hosts lately")
                             .withRetryAfterMs(RETRY_AFTER_MS));
         }
-        long nowNanos = context.nowNanos();
-        Result<Long> taken = limits.tryTake(organisation, tokens, nowNanos);
-        if (taken.isOk()) {
-            uses.computeIfAbsent(organisation, key -> new Use()).add(tokens, nowNanos);
-        } else {
-            context.count("limits.refused");
-            lenders.ask(organisation, Math.max(MIN_LOAN_TOKENS_PER_SECOND, tokens), homes(organisation));
-        }
-        return taken;
+        return Optional.empty();
+    }
+
+    /** Notes work that was admitted. */
+    void onAdmitted(OrganisationId organisation, long tokens) {
+        uses.computeIfAbsent(organisation, key -> new Use()).add(tokens, context.nowNanos());
     }
 
-    /** Returns tokens of a request that was refused after it had taken them. */
-    void giveBack(OrganisationId organisation, long tokens) {
-        limits.giveBack(organisation, tokens, context.nowNanos());
+    /** Notes work that was refused for lack of a share, and asks other home hosts to lend some. */
+    void onRefused(OrganisationId organisation, long tokens, Lenders lenders) {
+        context.count("limits.refused");
+        lenders.ask(organisation, Math.max(MIN_LOAN_TOKENS_PER_SECOND, tokens), homes(organisation));
     }
 
     /** Sets what loans add to the own share or take from it, from the given time on. */
--- a/figspan-host/src/main/java/io/figspan/host/entry/Problems.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/Problems.java
@@ -1,7 +1,6 @@
 package io.figspan.host.entry;
 
 import io.figspan.core.error.Problem;
-import io.vertx.core.Future;
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.core.json.Json;
 
@@ -10,14 +9,14 @@
     private Problems() {}
 
     /** Ends the response with a problem document, unless it has ended or its connection is closed. */
-    public static Future<Void> write(HttpServerResponse response, Problem problem) {
+    public static void write(HttpServerResponse response, Problem problem) {
         if (response.ended() || response.closed()) {
-            return Future.succeededFuture();
+            return;
         }
         response.setStatusCode(problem.kind().httpStatus()).putHeader("Content-Type", Problem.MEDIA_TYPE);
         if (problem.retryAfterMs() > 0) {
             response.putHeader("Retry-After", Long.toString(problem.retryAfterSeconds()));
         }
-        return response.end(Json.encode(problem.toMembers()));
+        response.end(Json.encode(problem.toMembers()));
     }
 }
--- a/figspan-host/src/main/java/io/figspan/host/entry/ResumeCall.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/ResumeCall.java
@@ -15,17 +15,15 @@
     private final HostContext context;
     private final CallerStream caller;
     private final RequestHead head;
-    private final Runnable onEnd;
     private final long deadlineTimer;
     private final long heartbeatTimer;
     private Optional<AnswerRelay> relay = Optional.empty();
     private boolean over;
 
-    ResumeCall(HostContext context, CallerStream caller, RequestHead head, Deadline deadline, Runnable onEnd) {
+    ResumeCall(HostContext context, CallerStream caller, RequestHead head, Deadline deadline) {
         this.context = context;
         this.caller = caller;
         this.head = head;
-        this.onEnd = onEnd;
         long leftMs = Math.max(1, deadline.leftMs(context.nowNanos()));
         this.deadlineTimer = context.vertx()
                 .setTimer(
@@ -103,7 +101,6 @@
             running.stop();
             context.engines().cancel(running.server(), running.stream(), running.readerNumber());
         });
-        onEnd.run();
     }
 
     private static Problem gone(String detail) {
--- a/figspan-standin/src/main/java/io/figspan/standin/engine/EngineCore.java
+++ b/figspan-standin/src/main/java/io/figspan/standin/engine/EngineCore.java
@@ -11,7 +11,7 @@
 
 /**
  * The batch of one engine. Each step gives a token to each decoding job, then shares the prefill budget over the other
- * jobs in order of priority. Not safe for use by several threads.
+ * jobs in the order of service. Not safe for use by several threads.
  */
 final class EngineCore {
     /** Jobs that wait or run; a further one is refused. */
@@ -159,7 +159,7 @@
         List<EngineJob> waiting = new ArrayList<>(active.stream()
                 .filter(job -> job.state() == EngineJob.State.WAITING)
                 .toList());
-        waiting.sort(Comparator.comparingInt(job -> job.submission().priority()));
+        waiting.sort(Comparator.comparingLong(job -> job.submission().orderMs()));
         for (EngineJob job : waiting) {
             EngineJob.Submission submission = job.submission();
             if (job.expiresInMs(nowNanos) == 0) {
@@ -190,7 +190,7 @@
                 .filter(job -> job.state() == EngineJob.State.PREFILLING)
                 .toList());
         prefilling.sort(
-                Comparator.<EngineJob>comparingInt(job -> job.submission().priority())
+                Comparator.<EngineJob>comparingLong(job -> job.submission().orderMs())
                         .thenComparingInt(EngineJob::prefillLeftTokens));
         int left = budgetTokens;
         for (EngineJob job : prefilling) {
--- a/figspan-standin/src/main/java/io/figspan/standin/engine/EngineJob.java
+++ b/figspan-standin/src/main/java/io/figspan/standin/engine/EngineJob.java
@@ -31,7 +31,7 @@
      * What a job was submitted with.
      *
      * @param streamId empty for a segment
-     * @param priority lower comes first
+     * @param orderMs place in the order of service; lower comes first
      * @param digest digest of the whole prompt
      * @param firstOffset offset of the first token to generate
      * @param maxTokens end offset of the answer; 0 for a segment
@@ -39,7 +39,7 @@
     record Submission(
             String streamId,
             HoldHandle handle,
-            int priority,
+            long orderMs,
             long digest,
             int prefillTokens,
             long memoryTokens,
