--- a/figspan-cli/src/main/java/io/figspan/cli/Commands.java
+++ b/figspan-cli/src/main/java/io/figspan/cli/Commands.java
@@ -1,6 +1,8 @@
 package io.figspan.cli;
 
 import io.figspan.cli.caller.LoadCommand;
+import io.figspan.cli.caller.OrderCommand;
+import io.figspan.cli.caller.PromptCommand;
 import io.figspan.cli.caller.StandinsCommand;
 import io.figspan.cli.operator.HostsCommand;
 import io.figspan.cli.operator.StatusCommand;
@@ -18,6 +20,8 @@
     public static List<Command> all() {
         return List.of(
                 new LoadCommand(),
+                new PromptCommand(),
+                new OrderCommand(),
                 new CheckCommand(),
                 new ExplainCommand(),
                 new DiffCommand(),
--- a/figspan-cli/src/main/java/io/figspan/cli/caller/LoadCommand.java
+++ b/figspan-cli/src/main/java/io/figspan/cli/caller/LoadCommand.java
@@ -10,8 +10,6 @@
 import io.figspan.standin.engine.Answers;
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Single;
-import io.vertx.core.Vertx;
-import io.vertx.core.VertxOptions;
 import java.util.ArrayList;
 import java.util.EnumSet;
 import java.util.List;
@@ -102,17 +100,13 @@
             console.error("at most " + MAX_ITEMS + " prompts and orders, within 1 to " + MAX_SECONDS + " seconds");
             return ExitCode.USAGE;
         }
-        Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1));
-        try {
-            CallerHttp http = new CallerHttp(vertx);
+        return CallerSession.run(http -> {
             send(console, http);
             RunRecord record = new RunRecord(http, Addresses.parse(services), Addresses.parse(engines));
             LoadSummary summary = LoadSummary.of(promptResults, orderResults, record.read(), record.awaitNoHolds());
             summary.print(console, common.json());
             return summary.allPromisesHeld() ? ExitCode.OK : ExitCode.FAILED;
-        } finally {
-            vertx.close().toCompletionStage().toCompletableFuture().join();
-        }
+        });
     }
 
     private void send(Console console, CallerHttp http) {
