--- a/figspan-cli/src/main/java/io/figspan/cli/caller/LoadCommand.java
+++ b/figspan-cli/src/main/java/io/figspan/cli/caller/LoadCommand.java
@@ -24,7 +24,10 @@
     private static final int MAX_SECONDS = 600;
     private static final long PROGRESS_SECONDS = 5;
 
-    @Parameter(names = "--hosts", required = true, description = "addresses of entry hosts, ADDRESS:PORT,...")
+    @Parameter(
+            names = {"--host", "--hosts"},
+            required = true,
+            description = "addresses of entry hosts, ADDRESS:PORT,...")
     private String hosts;
 
     @Parameter(names = "--organisation", description = "organisations to send as, separated by commas")
--- a/figspan-cli/src/main/java/io/figspan/cli/caller/OrderCommand.java
+++ b/figspan-cli/src/main/java/io/figspan/cli/caller/OrderCommand.java
@@ -12,7 +12,10 @@
 
 /** {@code figspan order}: sends one order with a ticket and tells whether it was run. */
 public final class OrderCommand implements Command {
-    @Parameter(names = "--hosts", required = true, description = "addresses of entry hosts, ADDRESS:PORT,...")
+    @Parameter(
+            names = {"--host", "--hosts"},
+            required = true,
+            description = "addresses of entry hosts, ADDRESS:PORT,...")
     private String hosts;
 
     @Parameter(names = "--organisation", required = true, description = "organisation to send as")
--- a/figspan-cli/src/main/java/io/figspan/cli/caller/PromptCommand.java
+++ b/figspan-cli/src/main/java/io/figspan/cli/caller/PromptCommand.java
@@ -23,7 +23,10 @@
 public final class PromptCommand implements Command {
     private static final int CHARS_PER_TOKEN = 4;
 
-    @Parameter(names = "--hosts", required = true, description = "addresses of entry hosts, ADDRESS:PORT,...")
+    @Parameter(
+            names = {"--host", "--hosts"},
+            required = true,
+            description = "addresses of entry hosts, ADDRESS:PORT,...")
     private String hosts;
 
     @Parameter(names = "--organisation", required = true, description = "organisation to send as")
--- a/figspan-host/src/main/java/io/figspan/host/operator/OperatorServer.java
+++ b/figspan-host/src/main/java/io/figspan/host/operator/OperatorServer.java
@@ -6,6 +6,7 @@
 import com.codahale.metrics.Snapshot;
 import com.codahale.metrics.Timer;
 import com.fasterxml.jackson.annotation.JsonProperty;
+import io.figspan.core.error.Problem;
 import io.figspan.core.event.TimelineEvent;
 import io.figspan.host.HostContext;
 import io.figspan.host.backend.BackendTable;
@@ -41,24 +42,31 @@
             @JsonProperty("availabilityZone") String availabilityZone,
             @JsonProperty("state") String state,
             @JsonProperty("settingsVersion") long settingsVersion,
+            @JsonProperty("settingsError") String settingsError,
+            @JsonProperty("members") List<String> members,
             @JsonProperty("inFlight") int inFlight,
             @JsonProperty("queued") int queued,
             @JsonProperty("backendServers") List<BackendStatus> backendServers) {}
 
     /** One event of the timeline. */
     record Event(
-            @JsonProperty("timestamp") String timestamp,
+            @JsonProperty("wallMs") long wallMs,
+            @JsonProperty("counter") int counter,
             @JsonProperty("host") String host,
             @JsonProperty("part") String part,
             @JsonProperty("kind") String kind,
             @JsonProperty("requestId") String requestId,
             @JsonProperty("text") String text) {}
 
+    /** Answer to {@code GET /admin/timeline}. */
+    record Events(@JsonProperty("events") List<Event> events) {}
+
     /** What the process tells about itself. */
     public record Gauges(String state, boolean ready, int inFlight, int queued) {}
 
     private final HostContext context;
     private final Supplier<Gauges> gauges;
+    private Supplier<List<String>> members = List::of;
     private HttpServer server;
 
     public OperatorServer(HostContext context, Supplier<Gauges> gauges) {
@@ -66,6 +74,11 @@
         this.gauges = gauges;
     }
 
+    /** Sets what lists the processes that membership has as live. */
+    public void setMembers(Supplier<List<String>> newMembers) {
+        members = newMembers;
+    }
+
     /** Starts to listen and returns the port in use. */
     public Future<Integer> listen() {
         server = context.vertx().createHttpServer(new HttpServerOptions().setMaxHeaderSize(16_384));
@@ -81,7 +94,7 @@
     private void route(HttpServerRequest request) {
         switch (request.method() + " " + request.path()) {
             case "GET /admin/status" -> json(request, 200, status());
-            case "GET /admin/timeline" -> json(request, 200, timeline(request.getParam("request")));
+            case "GET /admin/timeline" -> json(request, 200, new Events(timeline(request.getParam("request"))));
             case "GET /metrics" ->
                 request.response()
                         .putHeader("Content-Type", "text/plain; version=0.0.4")
@@ -114,6 +127,8 @@
                 context.config().availabilityZone().value(),
                 now.state(),
                 context.settings().version().number(),
+                context.settings().lastRefusal().map(Problem::detail).orElse(""),
+                members.get(),
                 now.inFlight(),
                 now.queued(),
                 servers);
@@ -125,7 +140,8 @@
         int start = Math.max(0, events.size() - MAX_TIMELINE_EVENTS);
         return events.subList(start, events.size()).stream()
                 .map(event -> new Event(
-                        event.timestamp().toString(),
+                        event.timestamp().wallMs(),
+                        event.timestamp().counter(),
                         event.host().value(),
                         event.part().wireName(),
                         event.kind(),
--- /dev/null
+++ b/figspan-standin/src/test/java/io/figspan/standin/engine/AnswersProperties.java
@@ -0,0 +1,16 @@
+package io.figspan.standin.engine;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.AlphaChars;
+
+class AnswersProperties {
+    /** Guards against an answer that depends on how a long prompt is cut into segments. */
+    @Property(tries = 200, seed = "1")
+    void theDigestOfSegmentsIsTheDigestOfTheWhole(@ForAll @AlphaChars String first, @ForAll @AlphaChars String rest) {
+        long bySegments = Answers.extend(Answers.extend(Answers.EMPTY_DIGEST, first), rest);
+        assertEquals(Answers.extend(Answers.EMPTY_DIGEST, first + rest), bySegments);
+    }
+}
