Execute tickets over HTTP, forward them to their owners and drop the thin orders

Cause: the entry process had a first version of orders that knew only its own tickets, lost the outcome of each and told nothing after a second call.

Change: package io.figspan.host.order. OrderService serves /v1/tickets, /v1/orders and /v1/orders/{ticket}, and the orders that other hosts forward. OrderWrites connects first (a fresh connection for each order, so a failed connection is told from a failed write), asks the ticket owner right before the write and writes once. Each answer carries Figspan-Run. Ticket life and retention come from the settings. EntryServer refused calls of orders with notRun while it shuts down or on a bad header; an earlier call of the same ticket may have run, so it now says unknown there.

--- a/figspan-control/src/main/java/io/figspan/control/ticket/TicketEntry.java
+++ b/figspan-control/src/main/java/io/figspan/control/ticket/TicketEntry.java
@@ -10,6 +10,7 @@
 final class TicketEntry {
     final Ticket ticket;
     final long expiryNanos;
+    final long retentionMs;
     /** Calls that wait for the outcome, with their deadlines, in order of arrival. */
     final Map<CallId, Deadline> waiting = new LinkedHashMap<>();
     /** Attempts that were written and that no trusted answer has proven not to have run. */
@@ -27,10 +28,11 @@
     int attempt;
     OrderOutcome outcome;
 
-    TicketEntry(Ticket ticket, TicketState state, long expiryNanos) {
+    TicketEntry(Ticket ticket, TicketState state, long expiryNanos, long retentionMs) {
         this.ticket = ticket;
         this.state = state;
         this.expiryNanos = expiryNanos;
+        this.retentionMs = retentionMs;
     }
 
     boolean isSettled() {
--- a/figspan-control/src/main/java/io/figspan/control/ticket/TicketOwner.java
+++ b/figspan-control/src/main/java/io/figspan/control/ticket/TicketOwner.java
@@ -46,6 +46,12 @@
 
     /** Issues a ticket and creates its entry, or refuses with {@code Retry-After} when the table is full. */
     public Result<Ticket> issue(OrganisationId organisation, ServiceId service, long nowNanos) {
+        return issue(organisation, service, config.lifetimeMs(), config.retentionMs(), nowNanos);
+    }
+
+    /** As {@link #issue(OrganisationId, ServiceId, long)}, with the times that the settings give for the service. */
+    public Result<Ticket> issue(
+            OrganisationId organisation, ServiceId service, long lifetimeMs, long retentionMs, long nowNanos) {
         if (draining) {
             return Result.failed(Problem.notRun(ProblemKind.SHUTTING_DOWN, "no new tickets on this host"));
         }
@@ -57,9 +63,9 @@
         }
         TicketId id = TicketId.of(self.host() + ":" + self.number() + ":" + nextSequence);
         nextSequence++;
-        long expiryNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(config.lifetimeMs());
+        long expiryNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(lifetimeMs);
         Ticket ticket = new Ticket(organisation, service, id, self);
-        TicketEntry entry = new TicketEntry(ticket, CHART.initial(), expiryNanos);
+        TicketEntry entry = new TicketEntry(ticket, CHART.initial(), expiryNanos, retentionMs);
         entry.nextLookNanos = expiryNanos;
         table.add(entry);
         return Result.ok(ticket);
@@ -218,6 +224,15 @@
         return open;
     }
 
+    /** Tickets that are being executed. */
+    public int inFlightCount() {
+        int inFlight = 0;
+        for (TicketEntry entry : table.entries()) {
+            inFlight += entry.state.isInFlight() ? 1 : 0;
+        }
+        return inFlight;
+    }
+
     public Optional<TicketState> state(TicketId ticket) {
         return table.find(ticket).map(entry -> entry.state);
     }
@@ -431,7 +446,7 @@
     }
 
     private long removalNanos(TicketEntry entry) {
-        return Math.max(entry.expiryNanos, entry.settledNanos) + TimeUnit.MILLISECONDS.toNanos(config.retentionMs());
+        return Math.max(entry.expiryNanos, entry.settledNanos) + TimeUnit.MILLISECONDS.toNanos(entry.retentionMs);
     }
 
     // Answers
--- a/figspan-host/src/main/java/io/figspan/host/HostProcess.java
+++ b/figspan-host/src/main/java/io/figspan/host/HostProcess.java
@@ -2,8 +2,12 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.figspan.cluster.message.Peer;
+import io.figspan.cluster.message.PeerMessage;
 import io.figspan.control.lifecycle.HostLifecycle;
 import io.figspan.control.lifecycle.HostState;
+import io.figspan.core.error.FigspanException;
+import io.figspan.core.error.Location;
+import io.figspan.core.error.ProblemKind;
 import io.figspan.core.event.Part;
 import io.figspan.core.id.HostId;
 import io.figspan.core.id.HostIncarnation;
@@ -17,15 +21,16 @@
 import io.figspan.host.entry.EntryDirectory;
 import io.figspan.host.entry.EntryServer;
 import io.figspan.host.entry.LimitGate;
-import io.figspan.host.entry.ThinOrders;
 import io.figspan.host.operator.OperatorServer;
 import io.figspan.host.operator.Timeline;
+import io.figspan.host.order.OrderService;
 import io.figspan.host.platform.FleetListPoller;
 import io.figspan.host.platform.PeerDriver;
 import io.figspan.host.platform.SettingsInForce;
 import io.figspan.settings.FleetList;
 import io.figspan.settings.SettingsHolder;
 import io.figspan.settings.cfg.HostConfig;
+import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.plugins.RxJavaPlugins;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -36,6 +41,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongFunction;
 import java.util.random.RandomGenerator;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -53,6 +59,7 @@
     private final EntryDirectory directory;
     private final LimitGate limits;
     private final PeerDriver peers;
+    private final OrderService orders;
     private final EntryServer entry;
     private final OperatorServer operator;
     private final HostLifecycle lifecycle;
@@ -64,7 +71,7 @@
         this.context = context;
         this.directory = new EntryDirectory(context);
         this.limits = new LimitGate(context, entryLimits.shareWaitNanos());
-        ThinOrders orders = new ThinOrders(context);
+        this.orders = new OrderService(context, this::forwardOrder);
         SettingsInForce adopter = new SettingsInForce(context, this::onSettings);
         this.peers = new PeerDriver(context, limits, directory, adopter, orders, this::onSuperseded);
         this.entry = new EntryServer(context, entryLimits, directory, orders, limits, peers);
@@ -177,12 +184,13 @@
 
     private void tick() {
         HostState before = lifecycle.state();
-        HostState now = lifecycle.onTick(entry.inFlight(), context.nowNanos());
+        HostState now = lifecycle.onTick(entry.inFlight() + orders.inFlight(), context.nowNanos());
         if (now == before) {
             return;
         }
         LOG.info("{} host {} is {}", PREFIX, context.incarnation(), now.name().toLowerCase(Locale.ROOT));
         if (now == HostState.DRAINING || now == HostState.STOPPED) {
+            orders.drain();
             entry.refuseNew();
         }
         if (now == HostState.STOPPED) {
@@ -194,6 +202,16 @@
         }
     }
 
+    private Single<PeerMessage.OrderOutcome> forwardOrder(
+            HostIncarnation owner, LongFunction<PeerMessage> message, long timeoutMs) {
+        return peers.addressOf(owner)
+                .map(address -> peers.node().request(address, message, timeoutMs))
+                .orElseGet(() -> Single.error(new FigspanException(
+                        ProblemKind.OWNER_UNREACHABLE,
+                        "no address of " + owner + " is known",
+                        Location.of("order forwarder"))));
+    }
+
     private void onSettings() {
         limits.reconfigure();
         lifecycle.onSettingsReady();
--- a/figspan-host/src/main/java/io/figspan/host/entry/EntryServer.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/EntryServer.java
@@ -6,6 +6,7 @@
 import io.figspan.core.error.Problem;
 import io.figspan.core.error.ProblemKind;
 import io.figspan.core.error.Result;
+import io.figspan.core.error.RunState;
 import io.figspan.core.event.Part;
 import io.figspan.core.time.Deadline;
 import io.figspan.host.HostContext;
@@ -128,8 +129,8 @@
 
     private void route(HttpServerRequest request) {
         if (refusing) {
-            Problems.write(
-                    request.response(),
+            refuse(
+                    request,
                     Problem.notRun(ProblemKind.SHUTTING_DOWN, "this host takes no new requests")
                             .withRetryAfterMs(1));
             return;
@@ -175,7 +176,7 @@
         Result<RequestHead> head =
                 RequestHead.parse(request.headers(), context.newStream().value());
         if (head instanceof Result.Failed<RequestHead> failed) {
-            Problems.write(request.response(), failed.problem());
+            refuse(request, failed.problem());
             return;
         }
         action.accept(((Result.Ok<RequestHead>) head).value());
@@ -189,7 +190,7 @@
                     if (collected instanceof Result.Failed<Buffer> failed) {
                         // The rest of the body is not read, so the connection cannot carry another request.
                         request.response().putHeader("Connection", "close");
-                        Problems.write(request.response(), failed.problem());
+                        refuse(request, failed.problem());
                         return;
                     }
                     track(request);
@@ -197,6 +198,15 @@
                 }));
     }
 
+    /**
+     * Refuses a request before its handler saw it. For an order that says nothing about the ticket, which an earlier
+     * call may have run, so {@code notRun} would be false there.
+     */
+    private static void refuse(HttpServerRequest request, Problem problem) {
+        boolean isOrder = request.path().startsWith("/v1/orders");
+        Problems.write(request.response(), isOrder ? problem.withRun(RunState.UNKNOWN) : problem);
+    }
+
     /** Counts a request as in flight until its response ends or its connection closes. */
     private void track(HttpServerRequest request) {
         inFlight++;
--- a/figspan-host/src/test/java/io/figspan/host/LoopbackFleet.java
+++ b/figspan-host/src/test/java/io/figspan/host/LoopbackFleet.java
@@ -73,6 +73,10 @@
         return standins.engines().stream().map(engine -> engine.port()).toList();
     }
 
+    int servicePort() {
+        return standins.services().get(0).port();
+    }
+
     HttpRequest.Builder request(int host, String path, String requestId) {
         return HttpRequest.newBuilder(uri(callerPort(host), path))
                 .header("Figspan-Organisation", ORGANISATION)
