--- a/figspan-host/src/main/java/io/figspan/host/HostProcess.java
+++ b/figspan-host/src/main/java/io/figspan/host/HostProcess.java
@@ -82,6 +82,8 @@
         this.peers = new PeerDriver(context, limits, directory, adopter, orders, this::onSuperseded);
         this.entry = new EntryServer(context, entryLimits, directory, orders, limits, peers, dispatcher);
         this.operator = new OperatorServer(context, this::gauges);
+        this.operator.setMembers(
+                () -> peers.node().view().live().stream().map(Peer::toString).toList());
         this.lifecycle = new HostLifecycle(
                 TimeUnit.SECONDS.toMillis(context.config().shutdownMarginSeconds()), SHUTDOWN_LIMIT_MS);
     }
