--- a/figspan-settings/src/main/java/io/figspan/settings/SettingsNode.java
+++ b/figspan-settings/src/main/java/io/figspan/settings/SettingsNode.java
@@ -21,6 +21,18 @@
         return children.computeIfAbsent(name, unused -> new SettingsNode());
     }
 
+    void putChild(String name, SettingsNode child) {
+        children.put(name, child);
+    }
+
+    /** A node that can be changed without changing this one; the children are shared. */
+    SettingsNode copy() {
+        SettingsNode copy = new SettingsNode();
+        copy.values.putAll(values);
+        copy.children.putAll(children);
+        return copy;
+    }
+
     Map<SettingKey, Object> values() {
         return Collections.unmodifiableMap(values);
     }
