Use a subset of the engines on each host and configure limits on first use

Cause: a host loaded all engines into its load view, in order of their ids, up to 64 of them; with 630 engines the rest would never get work. Limits were configured for every organisation of the settings, so with 16,000 organisations and 4,096 buckets most organisations would have been refused as unknown. Change: SubsetPolicy chooses the engines of a host; buckets are configured on first use and filled as if they had existed since the process may use its shares; the speed of the engines comes from the settings; a problem says that a request was not run only while no engine can have taken it.

--- a/figspan-host/src/main/java/io/figspan/host/HostProcess.java
+++ b/figspan-host/src/main/java/io/figspan/host/HostProcess.java
@@ -11,7 +11,6 @@
 import io.figspan.core.time.MonotonicClock;
 import io.figspan.host.backend.BackendTable;
 import io.figspan.host.backend.EngineClient;
-import io.figspan.host.backend.EngineSpeeds;
 import io.figspan.host.backend.HoldDriver;
 import io.figspan.host.backend.ReportPoller;
 import io.figspan.host.entry.EntryDirectory;
@@ -23,6 +22,7 @@
 import io.figspan.host.platform.FleetListPoller;
 import io.figspan.host.platform.PeerDriver;
 import io.figspan.host.platform.SettingsInForce;
+import io.figspan.policy.placement.EngineSpeed;
 import io.figspan.settings.FleetList;
 import io.figspan.settings.SettingsHolder;
 import io.figspan.settings.cfg.HostConfig;
@@ -46,6 +46,9 @@
     private static final String PREFIX = Part.ENTRY.logPrefix();
     private static final long TICK_MS = 50;
 
+    /** Speed that predictions use until settings are in force; the defaults of the settings. */
+    private static final EngineSpeed DEFAULT_SPEED = new EngineSpeed(40_000, 512, 30_000_000, 400_000);
+
     /** Longest time of a graceful shutdown: the longest deadline of a request and some margin. */
     private static final long SHUTDOWN_LIMIT_MS = 3_700_000;
 
@@ -78,7 +81,7 @@
         RxJavaPlugins.setErrorHandler(cause -> LOG.debug("error after the end of a stream", cause));
         Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(2));
         HostIncarnation incarnation = new HostIncarnation(config.hostId(), System.currentTimeMillis());
-        BackendTable backends = new BackendTable(EngineSpeeds.STAND_IN);
+        BackendTable backends = new BackendTable(config.hostId(), DEFAULT_SPEED);
         EngineClient engines = new EngineClient(vertx, backends);
         Timeline timeline = new Timeline(config.hostId(), new HybridClock(System::currentTimeMillis));
         HostContext context = new HostContext(
--- a/figspan-host/src/main/java/io/figspan/host/backend/BackendTable.java
+++ b/figspan-host/src/main/java/io/figspan/host/backend/BackendTable.java
@@ -4,17 +4,21 @@
 import io.figspan.control.leaving.LeavingSource;
 import io.figspan.core.id.BackendIncarnation;
 import io.figspan.core.id.BackendServerId;
+import io.figspan.core.id.HostId;
 import io.figspan.core.id.ServiceId;
 import io.figspan.policy.placement.EngineSpeed;
 import io.figspan.policy.placement.LoadReport;
 import io.figspan.policy.placement.LoadView;
 import io.figspan.policy.subset.Runner;
+import io.figspan.policy.subset.SubsetPolicy;
 import io.figspan.settings.FleetList;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 
@@ -47,6 +51,10 @@
             return listed;
         }
 
+        private Runner runner() {
+            return new Runner(listed.id(), listed.availabilityZone());
+        }
+
         public BackendIncarnation incarnation() {
             return new BackendIncarnation(listed.id(), incarnationNumber);
         }
@@ -97,14 +105,17 @@
         void onLeaving(BackendIncarnation incarnation);
     }
 
+    private final HostId self;
     private final Map<BackendServerId, Server> servers = new TreeMap<>();
     private final LoadView loads;
     private final LeavingRegistry leavingServers = new LeavingRegistry(LeavingRegistry.DEFAULT_CAPACITY_SERVERS);
+    private SubsetPolicy subset = SubsetPolicy.DEFAULT;
     private LeavingListener leavingListener = incarnation -> {};
     private Runnable changeListener = () -> {};
     private Consumer<BackendIncarnation> goneListener = incarnation -> {};
 
-    public BackendTable(EngineSpeed speed) {
+    public BackendTable(HostId self, EngineSpeed speed) {
+        this.self = self;
         this.loads = new LoadView(speed);
     }
 
@@ -130,8 +141,16 @@
         return List.copyOf(servers.values());
     }
 
+    /** The engines that this host uses: a bounded subset, the same for each order in which they were listed. */
     public List<Server> engines() {
-        return servers.values().stream().filter(Server::isEngine).toList();
+        return servers.values().stream()
+                .filter(server -> server.isEngine() && loads.get(server.id()) != null)
+                .toList();
+    }
+
+    /** Number of engines of the whole fleet that are known. */
+    public int engineCount() {
+        return (int) servers.values().stream().filter(Server::isEngine).count();
     }
 
     /** Servers of a plain service that take new work. */
@@ -163,20 +182,41 @@
                 servers.put(entry.id(), known);
             }
             known.listed = entry;
-            if (known.isEngine()) {
-                loads.add(new Runner(entry.id(), entry.availabilityZone()));
-            }
             observeIncarnation(known, entry.incarnationNumber());
             boolean leaving = entry.state() == FleetList.LiveState.LEAVING
                     && entry.incarnationNumber() == known.incarnationNumber;
             if (leaving) {
                 onLeaving(known.incarnation(), LeavingSource.LIST);
             }
-            refreshLeaving(known);
         }
+        chooseSubset();
+        servers.values().forEach(this::refreshLeaving);
         changeListener.run();
     }
 
+    /** Sets the number of engines that this host uses. */
+    public void setSubsetSize(int newSubsetSizeRunners) {
+        subset = new SubsetPolicy(newSubsetSizeRunners);
+        chooseSubset();
+    }
+
+    private void chooseSubset() {
+        List<Runner> runners = servers.values().stream()
+                .filter(Server::isEngine)
+                .map(Server::runner)
+                .toList();
+        Set<BackendServerId> chosen = new HashSet<>();
+        subset.choose(self, runners).forEach(runner -> {
+            chosen.add(runner.server());
+            loads.add(runner);
+        });
+        loads.runners().stream()
+                .map(LoadView.RunnerLoad::server)
+                .filter(server -> !chosen.contains(server))
+                .toList()
+                .forEach(loads::remove);
+    }
+
     /** Notes a full report. */
     public void onReport(Server server, EngineMessages.Report report, long nowNanos) {
         note(server, report.incarnation(), report.toLoad(), report.isLeaving(), nowNanos);
@@ -234,9 +274,9 @@
         BackendIncarnation before = server.incarnation();
         server.incarnationNumber = incarnation;
         goneListener.accept(before);
-        if (server.isEngine()) {
+        if (loads.get(server.id()) != null) {
             loads.remove(server.id());
-            loads.add(new Runner(server.id(), server.listed().availabilityZone()));
+            loads.add(server.runner());
         }
     }
 }
--- a/figspan-host/src/main/java/io/figspan/host/backend/EngineMessages.java
+++ b/figspan-host/src/main/java/io/figspan/host/backend/EngineMessages.java
@@ -16,7 +16,7 @@
             @JsonProperty("max_tokens") int maxTokens,
             @JsonProperty("stream_id") String streamId,
             @JsonProperty("hold") String hold,
-            @JsonProperty("priority") int priority,
+            @JsonProperty("priority_delay_ms") long priorityDelayMs,
             @JsonProperty("expires_in_ms") long expiresInMs,
             @JsonProperty("offset") int offset) {}
 
@@ -27,7 +27,7 @@
             @JsonProperty("expires_in_ms") long expiresInMs) {}
 
     /** A segment to prefill into a hold. */
-    public record Segment(@JsonProperty("text") String text, @JsonProperty("priority") int priority) {}
+    public record Segment(@JsonProperty("text") String text, @JsonProperty("priority_delay_ms") long priorityDelayMs) {}
 
     /** Exported KV cache. */
     @JsonIgnoreProperties(ignoreUnknown = true)
--- a/figspan-host/src/main/java/io/figspan/host/entry/CompletionCall.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/CompletionCall.java
@@ -1,15 +1,16 @@
 package io.figspan.host.entry;
 
+import com.google.common.hash.Hashing;
 import io.figspan.control.hold.HoldAction;
 import io.figspan.control.hold.HoldLedgerConfig;
 import io.figspan.control.leaving.LeavingSource;
 import io.figspan.control.resume.ResumeTokenCodec;
-import io.figspan.core.error.FigspanException;
 import io.figspan.core.error.Problem;
 import io.figspan.core.error.ProblemKind;
 import io.figspan.core.error.Result;
 import io.figspan.core.error.RunState;
 import io.figspan.core.event.Part;
+import io.figspan.core.id.BackendServerId;
 import io.figspan.core.id.HoldHandle;
 import io.figspan.core.id.StreamId;
 import io.figspan.core.time.Deadline;
@@ -17,10 +18,13 @@
 import io.figspan.host.backend.BackendTable;
 import io.figspan.host.backend.EngineMessages;
 import io.figspan.host.backend.EngineRefusal;
+import io.figspan.policy.dispatch.Prompt;
 import io.figspan.policy.fair.PriorityClass;
 import io.figspan.policy.placement.PromptCost;
 import io.figspan.policy.recovery.Recovery;
 import io.figspan.policy.recovery.RecoveryPolicy;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -38,8 +42,10 @@
     /** Pause before a group is reserved again. */
     private static final long GROUP_RETRY_MS = 50;
 
-    private static final long RETRY_AFTER_MS = 1_000;
     private static final int HTTP_OK = 200;
+    /** Length of the shared beginning by which prompts are sent to engines that have it cached. */
+    private static final int PREFIX_CHARS = 4_096;
+
     private static final double RECOVERY_MARGIN = 1.2;
 
     private final HostContext context;
@@ -54,7 +60,8 @@
     private final long startNanos;
     private final long deadlineTimer;
     private final long heartbeatTimer;
-    private Optional<Dispatcher.Waiting> waiting = Optional.empty();
+    private Optional<Prompt> asked = Optional.empty();
+    private List<BackendServerId> servers = List.of();
     private Optional<AnswerRelay> relay = Optional.empty();
     private Optional<EngineGroup> group = Optional.empty();
     private Optional<BackendTable.Server> server = Optional.empty();
@@ -63,6 +70,9 @@
     private long sendId;
     private int sentTokens;
     private int attempts;
+    /** Sends to engines that have not been refused; after one, the request may have run. */
+    private int openSends;
+
     private boolean over;
 
     CompletionCall(
@@ -103,44 +113,64 @@
             return;
         }
         attempts++;
-        if (needsGroup()) {
-            reserveGroup();
-            return;
+        PromptCost cost = new PromptCost(
+                prompt.promptTokens() + (long) sentTokens, prompt.outputTokens(), prefixHash(), prefixTokens());
+        sendId = context.sequence().incrementAndGet();
+        Prompt newAsked = new Prompt(sendId, head.organisation(), priority, cost, deadline, startNanos);
+        asked = Optional.of(newAsked);
+        if (attempts == 1) {
+            dispatcher.submit(newAsked, new PlacementListener());
+        } else {
+            dispatcher.submitAgain(newAsked, new PlacementListener());
         }
-        PromptCost cost = new PromptCost(prompt.promptTokens() + sentTokens, prompt.outputTokens(), 0, 0);
-        Dispatcher.Waiting newWaiting = new Dispatcher.Waiting(
-                head.request(), head.organisation(), priority, cost, deadline, new PlacementListener());
-        waiting = Optional.of(newWaiting);
-        dispatcher.submit(newWaiting);
     }
 
-    private boolean needsGroup() {
-        long kvTokens = prompt.promptTokens() + (long) prompt.outputTokens();
-        return kvTokens > context.backends().loads().speed().kvTotalTokens();
+    private long prefixHash() {
+        return prefixTokens() == 0
+                ? 0
+                : Hashing.murmur3_128()
+                        .hashUnencodedChars(prompt.prompt().substring(0, PREFIX_CHARS))
+                        .asLong();
+    }
+
+    private long prefixTokens() {
+        return prompt.prompt().length() > PREFIX_CHARS ? CompletionRequest.tokensOf(PREFIX_CHARS) : 0;
     }
 
     private final class PlacementListener implements Dispatcher.Listener {
         @Override
-        public void onPlaced(BackendTable.Server placed) {
-            waiting = Optional.empty();
-            sendToOne(placed);
+        public void onPlaced(BackendServerId placed, long priorityDelayMs) {
+            servers = List.of(placed);
+            context.backends()
+                    .find(placed)
+                    .ifPresentOrElse(
+                            found -> sendToOne(found, priorityDelayMs), CompletionCall.this::onServerForgotten);
+        }
+
+        @Override
+        public void onGroup(List<BackendServerId> placed, long priorityDelayMs) {
+            servers = placed;
+            reserveGroup(placed, priorityDelayMs);
         }
 
         @Override
         public void onRefused(Problem problem) {
-            waiting = Optional.empty();
-            fail(sentTokens > 0 ? problem.withRun(RunState.UNKNOWN) : problem);
+            fail(problem);
         }
     }
 
-    private void reserveGroup() {
-        EngineGroup newGroup;
-        try {
-            newGroup = EngineGroup.start(context, head.request(), prompt, deadline);
-        } catch (FigspanException e) {
-            fail(Problem.notRun(e.kind(), e.detail()).withRetryAfterMs(RETRY_AFTER_MS));
+    private void onServerForgotten() {
+        onEngineFailure(new EngineRefusal(404, "the engine is no longer listed"));
+    }
+
+    private void reserveGroup(List<BackendServerId> placed, long priorityDelayMs) {
+        List<BackendTable.Server> members = new ArrayList<>();
+        placed.forEach(id -> context.backends().find(id).ifPresent(members::add));
+        if (members.size() != placed.size()) {
+            onServerForgotten();
             return;
         }
+        EngineGroup newGroup = EngineGroup.start(context, head.request(), prompt, deadline, members);
         group = Optional.of(newGroup);
         newGroup.acquired().onComplete(acquired -> {
             if (over) {
@@ -150,24 +180,26 @@
             if (acquired.failed()) {
                 group = Optional.empty();
                 event(Part.HOLD, "groupFailed", String.valueOf(acquired.cause().getMessage()));
+                forgetSend();
                 long pauseMs = GROUP_RETRY_MS + context.random().nextLong(GROUP_RETRY_MS);
-                context.vertx().setTimer(pauseMs, id -> reserveGroupAgain());
+                context.vertx().setTimer(pauseMs, id -> askAgain());
                 return;
             }
             event(Part.HOLD, "groupReserved", newGroup.size() + " engines");
-            prefillGroup(newGroup);
+            prefillGroup(newGroup, priorityDelayMs);
         });
     }
 
-    private void reserveGroupAgain() {
+    private void askAgain() {
         if (!over) {
-            reserveGroup();
+            asked.ifPresent(prompt -> dispatcher.submitAgain(prompt, new PlacementListener()));
         }
     }
 
-    private void prefillGroup(EngineGroup reserved) {
+    private void prefillGroup(EngineGroup reserved, long priorityDelayMs) {
         server = Optional.of(reserved.lastServer());
-        reserved.prefill(priority.level(), deadline).onComplete(prefilled -> {
+        openSends++;
+        reserved.prefill(priorityDelayMs, deadline).onComplete(prefilled -> {
             if (over) {
                 reserved.release();
                 return;
@@ -176,12 +208,12 @@
                 onEngineFailure(prefilled.cause());
                 return;
             }
-            send(reserved.lastServer(), reserved.lastHold(), reserved.lastText());
+            send(reserved.lastServer(), reserved.lastHold(), reserved.lastText(), priorityDelayMs);
         });
     }
 
     /** Opens a hold for a prompt that fits on one engine; the engine takes the memory with the prompt itself. */
-    private void sendToOne(BackendTable.Server placed) {
+    private void sendToOne(BackendTable.Server placed, long priorityDelayMs) {
         long kvTokens = prompt.promptTokens() + (long) prompt.outputTokens();
         Result<HoldAction.Reserve> reserve =
                 context.holds().ledger().reserve(placed.incarnation(), kvTokens, deadline, context.nowNanos());
@@ -191,10 +223,10 @@
         }
         HoldHandle handle = ((Result.Ok<HoldAction.Reserve>) reserve).value().handle();
         ownHold = Optional.of(handle);
-        send(placed, handle, prompt.prompt());
+        send(placed, handle, prompt.prompt(), priorityDelayMs);
     }
 
-    private void send(BackendTable.Server placed, HoldHandle hold, String text) {
+    private void send(BackendTable.Server placed, HoldHandle hold, String text, long priorityDelayMs) {
         server = Optional.of(placed);
         long leftMs = deadline.leftMs(context.nowNanos());
         if (leftMs == 0) {
@@ -202,18 +234,14 @@
             return;
         }
         StreamId stream = context.newStream();
-        sendId = context.sequence().incrementAndGet();
-        long textTokens = CompletionRequest.tokensOf(text);
-        context.backends()
-                .loads()
-                .sent(placed.id(), sendId, textTokens, textTokens + prompt.outputTokens(), context.nowNanos());
+        openSends++;
         EngineMessages.Completion completion = new EngineMessages.Completion(
                 prompt.model(),
                 text,
                 prompt.outputTokens(),
                 stream.value(),
                 hold.toString(),
-                priority.level(),
+                priorityDelayMs,
                 leftMs + HoldLedgerConfig.DEFAULT.graceMs(),
                 sentTokens);
         AnswerRelay newRelay = new AnswerRelay(
@@ -236,7 +264,7 @@
 
         @Override
         public void onFirstToken() {
-            server.ifPresent(used -> context.backends().loads().firstToken(used.id(), sendId));
+            servers.forEach(used -> context.backends().loads().firstToken(used, sendId));
             long elapsedNanos = context.nowNanos() - startNanos;
             context.metrics()
                     .timer("prompts.firstToken")
@@ -273,6 +301,9 @@
         if (refusedAsLeaving) {
             server.ifPresent(used -> context.backends().onLeaving(used.incarnation(), LeavingSource.REFUSAL));
         }
+        if (refused && openSends > 0) {
+            openSends--;
+        }
         if (refused) {
             ownHold.ifPresent(handle -> context.holds().ledger().onRefused(handle));
             ownHold = Optional.empty();
@@ -309,8 +340,7 @@
         if (over) {
             return;
         }
-        RunState run = relay.isPresent() || sentTokens > 0 ? RunState.UNKNOWN : RunState.NOT_RUN;
-        fail(new Problem(ProblemKind.DEADLINE_PASSED, "the answer was not complete in time", run, 0));
+        fail(Problem.notRun(ProblemKind.DEADLINE_PASSED, "the answer was not complete in time"));
     }
 
     private void onCallerGone() {
@@ -328,7 +358,7 @@
         }
         context.count("prompts.failed." + problem.kind().wireName());
         event(Part.ENTRY, "refused", problem.kind().wireName() + ": " + problem.detail());
-        caller.problem(problem);
+        caller.problem(openSends > 0 ? problem.withRun(RunState.UNKNOWN) : problem);
         end();
     }
 
@@ -341,7 +371,7 @@
         over = true;
         context.vertx().cancelTimer(deadlineTimer);
         context.vertx().cancelTimer(heartbeatTimer);
-        waiting.ifPresent(dispatcher::withdraw);
+        asked.ifPresent(dispatcher::withdraw);
         leaveEngine();
         onEnd.run();
     }
@@ -393,6 +423,11 @@
         context.holds().ledger().onReleaseAnswered(handle, true);
     }
 
+    private void forgetSend() {
+        servers.forEach(used -> context.backends().loads().finished(used, sendId));
+        servers = List.of();
+    }
+
     private void event(Part part, String kind, String text) {
         context.timeline().add(part, kind, head.request().value(), text);
     }
--- a/figspan-host/src/main/java/io/figspan/host/entry/CompletionRequest.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/CompletionRequest.java
@@ -47,7 +47,11 @@
 
     /** Estimated tokens of a text, rounded up. */
     static int tokensOf(String text) {
-        return (text.length() + CHARS_PER_TOKEN - 1) / CHARS_PER_TOKEN;
+        return tokensOf(text.length());
+    }
+
+    static int tokensOf(int chars) {
+        return (chars + CHARS_PER_TOKEN - 1) / CHARS_PER_TOKEN;
     }
 
     int outputTokens() {
--- a/figspan-host/src/main/java/io/figspan/host/entry/Dispatcher.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/Dispatcher.java
@@ -3,203 +3,185 @@
 import io.figspan.core.error.Problem;
 import io.figspan.core.error.ProblemKind;
 import io.figspan.core.event.Part;
+import io.figspan.core.id.BackendServerId;
+import io.figspan.core.id.HostId;
 import io.figspan.core.id.OrganisationId;
-import io.figspan.core.id.RequestId;
-import io.figspan.core.time.Deadline;
+import io.figspan.core.id.SettingsVersion;
 import io.figspan.host.HostContext;
-import io.figspan.host.backend.BackendTable;
-import io.figspan.policy.admission.AdmissionDecision;
-import io.figspan.policy.admission.AdmissionPolicy;
-import io.figspan.policy.admission.AdmissionRequest;
-import io.figspan.policy.fair.FairQueue;
-import io.figspan.policy.fair.PriorityClass;
+import io.figspan.policy.affinity.PrefixAffinity;
+import io.figspan.policy.dispatch.DispatchAction;
+import io.figspan.policy.dispatch.DispatchSettings;
+import io.figspan.policy.dispatch.Prompt;
+import io.figspan.policy.dispatch.PromptDispatcher;
+import io.figspan.policy.placement.EngineSpeed;
 import io.figspan.policy.placement.LengthAwarePlacement;
 import io.figspan.policy.placement.LoadView;
-import io.figspan.policy.placement.PromptCost;
+import io.figspan.policy.subset.HomeRunners;
+import io.figspan.settings.HostSeat;
 import io.figspan.settings.ResolvedSettings;
 import io.figspan.settings.SettingKey;
+import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Optional;
+import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
-/**
- * Admits prompts that fit on one engine, queues them fairly by organisation and gives each an engine. Long prompts wait
- * in a queue of their own, so that one that waits for memory holds up no short prompt.
- */
+/** Drives the decisions of {@link PromptDispatcher}: passes on prompts and time, and tells each prompt its outcome. */
 final class Dispatcher {
-    /** Entries per queue; the settings bound both together at {@code admission.queueLimit}. */
-    private static final int QUEUE_ENTRIES = 1_024;
-
-    /** A waiting prompt counts as one class more urgent after this time. */
-    private static final long AGEING_NANOS = TimeUnit.SECONDS.toNanos(2);
-
-    /** Work that an engine may have queued when it gets more: a quarter second, so that fairness is decided here. */
-    private static final long MAX_QUEUED_AT_ENGINE_MS = 250;
-
-    /** Interval at which the queues are looked at when no report has come in. */
-    private static final long PUMP_INTERVAL_MS = 20;
+    /** Interval at which waiting prompts are looked at when no report has come in. */
+    private static final long POLL_INTERVAL_MS = 20;
 
     private static final long RETRY_AFTER_MS = 1_000;
 
-    /** Told of the outcome, exactly once. */
+    /** Told of each decision on a prompt. */
     interface Listener {
-        void onPlaced(BackendTable.Server server);
+        /** Send the prompt to this engine. */
+        void onPlaced(BackendServerId server, long priorityDelayMs);
 
+        /** Reserve these engines, then send the prompt's segments to them in this order. */
+        void onGroup(List<BackendServerId> servers, long priorityDelayMs);
+
+        /** Nothing of the prompt was sent by this decision. */
         void onRefused(Problem problem);
     }
 
-    /** A prompt that waits for an engine. Compared by identity. */
-    static final class Waiting {
-        private final RequestId request;
-        private final OrganisationId organisation;
-        private final PriorityClass priority;
-        private final PromptCost cost;
-        private final Deadline deadline;
-        private final Listener listener;
-
-        Waiting(
-                RequestId request,
-                OrganisationId organisation,
-                PriorityClass priority,
-                PromptCost cost,
-                Deadline deadline,
-                Listener listener) {
-            this.request = request;
-            this.organisation = organisation;
-            this.priority = priority;
-            this.cost = cost;
-            this.deadline = deadline;
-            this.listener = listener;
-        }
-    }
+    private record Waiting(Prompt prompt, Listener listener) {}
 
     private final HostContext context;
-    private final FairQueue<Waiting> shortPrompts;
-    private final FairQueue<Waiting> longPrompts;
+    private final PrefixAffinity affinity = new PrefixAffinity(PrefixAffinity.DEFAULT_LOAD_BOUND);
+    private final ShareLimits shares;
+    private final Map<Long, Waiting> waiting = new LinkedHashMap<>();
+    private PromptDispatcher decisions;
+    private SettingsVersion version = SettingsVersion.NONE;
+    private Set<BackendServerId> engines = Set.of();
 
     Dispatcher(HostContext context) {
         this.context = context;
-        this.shortPrompts = new FairQueue<>(QUEUE_ENTRIES, AGEING_NANOS, this::weightOf);
-        this.longPrompts = new FairQueue<>(QUEUE_ENTRIES, AGEING_NANOS, this::weightOf);
-        context.vertx().setPeriodic(PUMP_INTERVAL_MS, id -> pump());
-    }
-
-    /** Admits and queues a prompt, or refuses it at once. */
-    void submit(Waiting waiting) {
-        long nowNanos = context.nowNanos();
-        if (context.backends().loads().runners().stream().allMatch(LoadView.RunnerLoad::leaving)) {
-            refuse(
-                    waiting,
-                    Problem.notRun(ProblemKind.NO_BACKEND_SERVER, "no engine takes new work")
-                            .withRetryAfterMs(RETRY_AFTER_MS));
-            return;
-        }
-        AdmissionDecision decision = admit(waiting, nowNanos);
-        if (decision instanceof AdmissionDecision.Refused refused) {
-            refuse(waiting, refused.problem());
-            return;
-        }
-        boolean queueFull = queued() >= context.tree().fleet().integer(SettingKey.ADMISSION_QUEUE_LIMIT);
-        if (queueFull) {
-            refuse(waiting, overloaded());
+        this.shares = new ShareLimits(context);
+        this.decisions = newDecisions();
+        context.vertx().setPeriodic(POLL_INTERVAL_MS, id -> poll());
+    }
+
+    /** Takes a new prompt; the listener is told at once or later. */
+    void submit(Prompt prompt, Listener listener) {
+        refresh();
+        LoadView loads = context.backends().loads();
+        if (loads.runners().stream().allMatch(LoadView.RunnerLoad::leaving)) {
+            listener.onRefused(Problem.notRun(ProblemKind.NO_BACKEND_SERVER, "no engine takes new work")
+                    .withRetryAfterMs(RETRY_AFTER_MS));
             return;
         }
-        FairQueue.Entry<Waiting> entry = new FairQueue.Entry<>(
-                waiting, waiting.organisation, waiting.priority, waiting.cost.promptTokens(), nowNanos);
-        queueOf(waiting).offer(entry).ifPresent(displaced -> refuse(displaced.item(), overloaded()));
-        pump();
+        shares.ensureConfigured(prompt.organisation());
+        waiting.put(prompt.id(), new Waiting(prompt, listener));
+        carryOut(decisions.offer(prompt, context.nowNanos()));
+    }
+
+    /** Takes a prompt again that was sent and has to go elsewhere; it has been counted already. */
+    void submitAgain(Prompt prompt, Listener listener) {
+        waiting.put(prompt.id(), new Waiting(prompt, listener));
+        carryOut(decisions.again(prompt, context.nowNanos()));
     }
 
     /** Forgets a prompt that is no longer wanted. */
-    void withdraw(Waiting waiting) {
-        queueOf(waiting).remove(waiting.organisation, waiting);
+    void withdraw(Prompt prompt) {
+        if (waiting.remove(prompt.id()) != null) {
+            decisions.withdraw(prompt);
+        }
     }
 
     int queued() {
-        return shortPrompts.size() + longPrompts.size();
+        return decisions.waiting();
     }
 
     /** Gives engines to the prompts whose turn it is. */
-    void pump() {
-        pump(shortPrompts);
-        pump(longPrompts);
-    }
-
-    private void pump(FairQueue<Waiting> queue) {
-        long nowNanos = context.nowNanos();
-        Optional<FairQueue.Entry<Waiting>> head = queue.peek(nowNanos);
-        while (head.isPresent()) {
-            Waiting waiting = head.get().item();
-            if (waiting.deadline.hasPassed(nowNanos)) {
-                queue.poll(nowNanos);
-                refuse(waiting, Problem.notRun(ProblemKind.DEADLINE_PASSED, "no engine was free in time"));
-            } else {
-                Optional<BackendTable.Server> server = place(waiting, nowNanos);
-                if (server.isEmpty()) {
-                    return;
-                }
-                queue.poll(nowNanos);
-                waiting.listener.onPlaced(server.get());
+    void poll() {
+        refresh();
+        carryOut(decisions.poll(context.nowNanos()));
+    }
+
+    private void carryOut(List<DispatchAction> actions) {
+        for (DispatchAction action : actions) {
+            Waiting decided = waiting.remove(action.prompt().id());
+            if (decided != null) {
+                tell(decided, action);
             }
-            head = queue.peek(nowNanos);
         }
     }
 
-    private Optional<BackendTable.Server> place(Waiting waiting, long nowNanos) {
-        ResolvedSettings fleet = context.tree().fleet();
-        LengthAwarePlacement placement = new LengthAwarePlacement(
-                (int) fleet.integer(SettingKey.PLACEMENT_SAMPLE_SIZE),
-                fleet.number(SettingKey.PLACEMENT_SHARE_FREE_OF_LONG));
-        LoadView loads = context.backends().loads();
-        long maxQueuedTokens = loads.speed().prefillTokens(TimeUnit.MILLISECONDS.toNanos(MAX_QUEUED_AT_ENGINE_MS));
-        Optional<LoadView.RunnerLoad> chosen = placement
-                .choose(waiting.cost, loads, context.random(), nowNanos)
-                .filter(load -> load.backlogTokens(nowNanos) < maxQueuedTokens);
-        return chosen.flatMap(load -> {
-            context.timeline()
-                    .add(
-                            Part.PLACE,
-                            "placed",
-                            waiting.request.value(),
-                            load.server() + " backlog " + load.backlogTokens(nowNanos));
-            return context.backends().find(load.server());
-        });
-    }
-
-    private AdmissionDecision admit(Waiting waiting, long nowNanos) {
+    private void tell(Waiting decided, DispatchAction action) {
+        if (action instanceof DispatchAction.Send send) {
+            event(decided, send.server().value());
+            decided.listener().onPlaced(send.server(), send.priorityDelayMs());
+        } else if (action instanceof DispatchAction.SendGroup group) {
+            event(decided, group.servers().toString());
+            decided.listener().onGroup(group.servers(), group.priorityDelayMs());
+        } else if (action instanceof DispatchAction.Refuse refuse) {
+            decided.listener().onRefused(refuse.problem());
+        }
+    }
+
+    private void event(Waiting decided, String text) {
+        context.timeline()
+                .add(Part.PLACE, "placed", String.valueOf(decided.prompt().id()), text);
+    }
+
+    // Settings and engines
+
+    /** Takes over new settings and a changed set of engines. Prompts that wait are decided anew. */
+    private void refresh() {
         LoadView loads = context.backends().loads();
-        List<LoadView.RunnerLoad> candidates = new LengthAwarePlacement(
-                        1, context.tree().fleet().number(SettingKey.PLACEMENT_SHARE_FREE_OF_LONG))
-                .candidates(waiting.cost, loads);
-        long aheadTokens = candidates.stream()
-                .mapToLong(load -> load.backlogTokens(nowNanos))
-                .min()
-                .orElse((long) loads.meanBacklogTokens(nowNanos));
-        double margin = Math.max(1, context.tree().fleet().number(SettingKey.ADMISSION_SAFETY_FACTOR));
-        return new AdmissionPolicy(loads.speed(), margin)
-                .decide(
-                        new AdmissionRequest(
-                                waiting.cost.promptTokens(),
-                                waiting.cost.maxOutputTokens(),
-                                aheadTokens,
-                                waiting.deadline),
-                        nowNanos);
+        boolean unchanged = version.equals(context.settings().version())
+                && engines.size() == loads.runners().size()
+                && loads.runners().stream().allMatch(load -> engines.contains(load.server()));
+        if (unchanged) {
+            return;
+        }
+        version = context.settings().version();
+        context.backends().setSubsetSize((int) context.tree().fleet().integer(SettingKey.PLACEMENT_SUBSET_SIZE));
+        engines = loads.runners().stream().map(LoadView.RunnerLoad::server).collect(Collectors.toUnmodifiableSet());
+        loads.setSpeed(speed());
+        loads.setHomes(HomeRunners.choose(context.config().hostId(), seats(), engines));
+        shares.reconfigure(context.backends().engineCount());
+        decisions = newDecisions();
+        List.copyOf(waiting.values()).forEach(kept -> carryOut(decisions.again(kept.prompt(), context.nowNanos())));
     }
 
-    private void refuse(Waiting waiting, Problem problem) {
-        waiting.listener.onRefused(problem);
+    private PromptDispatcher newDecisions() {
+        return new PromptDispatcher(
+                dispatchSettings(),
+                context.backends().loads(),
+                affinity,
+                shares.limits(),
+                this::weightOf,
+                context.random());
     }
 
-    private FairQueue<Waiting> queueOf(Waiting waiting) {
-        return waiting.cost.isLong() ? longPrompts : shortPrompts;
+    private List<HostId> seats() {
+        return context.tree().roster().stream().map(HostSeat::host).toList();
     }
 
     private double weightOf(OrganisationId organisation) {
         return context.tree().resolve(organisation).number(SettingKey.WEIGHT);
     }
 
-    private static Problem overloaded() {
-        return Problem.notRun(ProblemKind.OVERLOADED, "the queue of this host is full")
-                .withRetryAfterMs(RETRY_AFTER_MS);
+    private EngineSpeed speed() {
+        ResolvedSettings fleet = context.tree().fleet();
+        return new EngineSpeed(
+                fleet.integer(SettingKey.ENGINES_PREFILL_TOKENS_PER_SECOND),
+                fleet.integer(SettingKey.ENGINES_PREFILL_CHUNK_TOKENS),
+                TimeUnit.MICROSECONDS.toNanos(fleet.integer(SettingKey.ENGINES_DECODE_STEP_MICROS)),
+                fleet.integer(SettingKey.ENGINES_MEMORY_TOKENS));
+    }
+
+    private DispatchSettings dispatchSettings() {
+        ResolvedSettings fleet = context.tree().fleet();
+        LengthAwarePlacement placement = new LengthAwarePlacement(
+                (int) fleet.integer(SettingKey.PLACEMENT_SAMPLE_SIZE),
+                fleet.number(SettingKey.PLACEMENT_SHARE_FREE_OF_LONG),
+                LengthAwarePlacement.DEFAULT.overtakenShare(),
+                LengthAwarePlacement.DEFAULT.shortReserveShare(),
+                LengthAwarePlacement.DEFAULT.awayTokens());
+        return DispatchSettings.DEFAULT.withPlacement(placement);
     }
 }
--- a/figspan-host/src/main/java/io/figspan/host/entry/EngineGroup.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/EngineGroup.java
@@ -18,19 +18,13 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
-import java.util.Map;
-import java.util.TreeMap;
 
 /**
  * Engines of one availability zone that hold the KV cache of one long prompt, a segment each. Each engine imports the
  * cache of the segments before its own.
  */
 final class EngineGroup implements HoldDriver.ReserveListener {
-    /** Share of an engine's memory that one segment may take. */
-    private static final double MAX_SEGMENT_SHARE = 0.95;
-
     /** An engine answers a reserve call within milliseconds; this bound covers a busy machine. */
     private static final long STEP_TIMEOUT_MS = 1_000;
 
@@ -72,10 +66,13 @@
         this.timer = context.vertx().setPeriodic(TICK_MS, id -> carryOut(reservation.onTick(context.nowNanos())));
     }
 
-    /** Starts to reserve the engines for a prompt; fails when no availability zone has enough of them. */
-    static EngineGroup start(HostContext context, RequestId request, CompletionRequest prompt, Deadline deadline) {
-        long kvTokens = prompt.promptTokens() + (long) prompt.outputTokens();
-        List<BackendTable.Server> engines = choose(context, kvTokens);
+    /** Starts to reserve the engines for a prompt. */
+    static EngineGroup start(
+            HostContext context,
+            RequestId request,
+            CompletionRequest prompt,
+            Deadline deadline,
+            List<BackendTable.Server> engines) {
         EngineGroup group = new EngineGroup(context, request, prompt, engines, deadline);
         group.carryOut(group.reservation.start(context.nowNanos()));
         return group;
@@ -107,7 +104,7 @@
     }
 
     /** Prefills all segments but the last, each from the cache of the ones before, and imports it at the last. */
-    Future<Void> prefill(int priority, Deadline deadline) {
+    Future<Void> prefill(long priorityDelayMs, Deadline deadline) {
         List<HoldHandle> holds = reservation.handles();
         Future<Void> done = Future.succeededFuture();
         for (int i = 0; i + 1 < segments.size(); i++) {
@@ -115,7 +112,7 @@
             BackendTable.Server next = segments.get(i + 1).server();
             HoldHandle hold = holds.get(i);
             HoldHandle nextHold = holds.get(i + 1);
-            EngineMessages.Segment message = new EngineMessages.Segment(segment.text(), priority);
+            EngineMessages.Segment message = new EngineMessages.Segment(segment.text(), priorityDelayMs);
             done = done.compose(nothing -> context.engines()
                             .prefillSegment(
                                     segment.server(), hold, message, Math.max(1, deadline.leftMs(context.nowNanos()))))
@@ -167,58 +164,6 @@
         }
     }
 
-    /** The engines with the most free memory, of the availability zone that has the most to offer. */
-    private static List<BackendTable.Server> choose(HostContext context, long kvTokens) {
-        Map<String, List<BackendTable.Server>> byZone = new TreeMap<>();
-        for (BackendTable.Server server : context.backends().engines()) {
-            if (server.takesNewWork() && server.capacityTokens() > 0) {
-                byZone.computeIfAbsent(server.listed().availabilityZone().value(), zone -> new ArrayList<>())
-                        .add(server);
-            }
-        }
-        List<BackendTable.Server> best = List.of();
-        long bestFree = -1;
-        for (List<BackendTable.Server> zone : byZone.values()) {
-            long capacity = zone.stream()
-                    .mapToLong(BackendTable.Server::capacityTokens)
-                    .min()
-                    .orElse(1);
-            int size = sizeFor(kvTokens, capacity);
-            if (zone.size() < size) {
-                continue;
-            }
-            Comparator<BackendTable.Server> byFree = Comparator.comparingLong(server -> freeTokens(context, server));
-            zone.sort(byFree.reversed());
-            List<BackendTable.Server> group = new ArrayList<>(zone.subList(0, size));
-            long free = group.stream()
-                    .mapToLong(server -> freeTokens(context, server))
-                    .min()
-                    .orElse(0);
-            if (free > bestFree) {
-                bestFree = free;
-                group.sort(Comparator.comparing(BackendTable.Server::id));
-                best = group;
-            }
-        }
-        if (best.isEmpty()) {
-            throw new FigspanException(
-                    ProblemKind.NO_BACKEND_SERVER,
-                    "no availability zone has enough engines for the prompt",
-                    Location.of("engine group"));
-        }
-        return best;
-    }
-
-    /** Number of engines of the given memory that a prompt needs. */
-    private static int sizeFor(long kvTokens, long capacityTokens) {
-        long perEngine = (long) (capacityTokens * MAX_SEGMENT_SHARE);
-        return (int) ((kvTokens + perEngine - 1) / perEngine);
-    }
-
-    private static long freeTokens(HostContext context, BackendTable.Server server) {
-        return context.backends().loads().get(server.id()).kvFreeTokens();
-    }
-
     private void event(String kind, String text) {
         context.timeline().add(Part.HOLD, kind, request.value(), text);
     }
--- a/figspan-host/src/main/java/io/figspan/host/entry/EntryServer.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/EntryServer.java
@@ -79,7 +79,7 @@
         this.limitGate = limitGate;
         this.lenders = lenders;
         this.dispatcher = new Dispatcher(context);
-        context.backends().setChangeListener(dispatcher::pump);
+        context.backends().setChangeListener(dispatcher::poll);
     }
 
     /** Starts to listen and returns the port in use. */
--- a/figspan-host/src/main/java/io/figspan/host/entry/LimitGate.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/LimitGate.java
@@ -54,9 +54,7 @@
 
     /** Takes over the settings in force. */
     public void reconfigure() {
-        for (OrganisationId organisation : context.tree().organisations()) {
-            configure(organisation);
-        }
+        limits.organisations().forEach(this::configure);
     }
 
     /** Takes tokens of work from an organisation's share, or refuses with the time to come back. */
@@ -70,6 +68,7 @@
                     Problem.notRun(ProblemKind.LIMIT_REACHED, "this host has not heard from other hosts lately")
                             .withRetryAfterMs(RETRY_AFTER_MS));
         }
+        ensureConfigured(organisation);
         long nowNanos = context.nowNanos();
         Result<Long> taken = limits.tryTake(organisation, tokens, nowNanos);
         if (taken.isOk()) {
@@ -88,6 +87,7 @@
 
     /** Sets what loans add to the own share or take from it, from the given time on. */
     public void setAllowance(OrganisationId organisation, long tokensPerSecond, long atNanos) {
+        ensureConfigured(organisation);
         long delayMs = TimeUnit.NANOSECONDS.toMillis(atNanos - context.nowNanos());
         if (delayMs <= 0) {
             limits.setAllowance(organisation, (double) tokensPerSecond, context.nowNanos());
@@ -100,6 +100,7 @@
 
     @Override
     public double ownTokensPerSecond(OrganisationId organisation, long nowNanos) {
+        ensureConfigured(organisation);
         return limits.ownTokensPerSecond(organisation, nowNanos);
     }
 
@@ -109,6 +110,14 @@
         return use == null ? 0 : use.tokensPerSecond(nowNanos);
     }
 
+    /** Organisations are configured on first use, because a host meets few of all that the settings name. */
+    private void ensureConfigured(OrganisationId organisation) {
+        boolean missing = !limits.isConfigured(organisation) && context.tree().hasOrganisation(organisation);
+        if (missing) {
+            configure(organisation);
+        }
+    }
+
     private void configure(OrganisationId organisation) {
         ResolvedSettings settings = context.tree().resolve(organisation);
         double rate = settings.integer(SettingKey.LIMITS_TOKENS_PER_SECOND);
--- a/figspan-policy/src/main/java/io/figspan/policy/dispatch/PromptDispatcher.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/dispatch/PromptDispatcher.java
@@ -101,6 +101,11 @@
         return actions;
     }
 
+    /** Forgets a waiting prompt that is no longer wanted. */
+    public void withdraw(Prompt prompt) {
+        queueOf(prompt).remove(prompt.organisation(), prompt);
+    }
+
     /** Number of prompts that wait on this host. */
     public int waiting() {
         return shortQueue.size() + longQueue.size();
--- a/figspan-policy/src/main/java/io/figspan/policy/limit/OrganisationLimits.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/limit/OrganisationLimits.java
@@ -11,6 +11,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -33,6 +34,7 @@
     private final HostId self;
     private final long notBeforeNanos;
     private final int maxOrganisations;
+    private long refillFromNanos;
     private final Map<OrganisationId, Entry> entries = new LinkedHashMap<>(16, 0.75f, true);
 
     /**
@@ -49,6 +51,7 @@
         this.self = self;
         this.notBeforeNanos = notBeforeNanos;
         this.maxOrganisations = maxOrganisations;
+        this.refillFromNanos = notBeforeNanos;
     }
 
     /** Home hosts of an organisation, best first. */
@@ -68,13 +71,23 @@
         double own = home ? limit.tokensPerSecond() / homes.size() : 0;
         Entry entry = entries.get(organisation);
         if (entry == null) {
-            evictIfFull();
-            entry = new Entry(nowNanos, notBeforeNanos);
+            evictIfFull(nowNanos);
+            entry = new Entry(notBeforeNanos, Math.min(nowNanos, refillFromNanos));
             entries.put(organisation, entry);
         }
         entry.configure(own, limit.burstSeconds(), nowNanos);
     }
 
+    /** Tells whether the organisation has been configured and not evicted since. */
+    public boolean isConfigured(OrganisationId organisation) {
+        return entries.containsKey(organisation);
+    }
+
+    /** The organisations that are configured now. */
+    public Set<OrganisationId> organisations() {
+        return Set.copyOf(entries.keySet());
+    }
+
     /**
      * Sets what loans add to the own share (positive) or take from it (negative), in tokens per second. The total never
      * falls below 0.
@@ -121,9 +134,11 @@
         return entries.size();
     }
 
-    private void evictIfFull() {
+    private void evictIfFull(long nowNanos) {
         if (entries.size() >= maxOrganisations) {
             entries.remove(entries.keySet().iterator().next());
+            // An evicted organisation that comes back must not find its bucket refilled.
+            refillFromNanos = Math.max(refillFromNanos, nowNanos);
         }
     }
 
@@ -142,10 +157,12 @@
         private double allowance;
         private double burstSeconds;
         private long inForceAtNanos;
+        private final long refillFromNanos;
 
-        Entry(long nowNanos, long notBeforeNanos) {
-            bucket = new TokenBucket(0, 0, nowNanos);
+        Entry(long notBeforeNanos, long refillFromNanos) {
+            bucket = new TokenBucket(0, 0, refillFromNanos);
             inForceAtNanos = notBeforeNanos;
+            this.refillFromNanos = refillFromNanos;
         }
 
         void configure(double newOwn, double newBurstSeconds, long nowNanos) {
@@ -154,9 +171,13 @@
                 inForceAtNanos = nowNanos + ROSTER_CHANGE_WAIT_NANOS;
             }
             previousOwn = Math.min(previousOwn, newOwn);
-            configured = true;
             own = newOwn;
             burstSeconds = newBurstSeconds;
+            if (!configured) {
+                configured = true;
+                // Counts the time since the process may use its shares, so that the first request finds its burst.
+                apply(refillFromNanos);
+            }
             apply(nowNanos);
         }
 
--- a/figspan-policy/src/main/java/io/figspan/policy/placement/LoadView.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placement/LoadView.java
@@ -32,7 +32,7 @@
 
     private static final String KEPT_FREE_KEY = "kept-free";
 
-    private final EngineSpeed speed;
+    private EngineSpeed speed;
     private final List<RunnerLoad> loads = new ArrayList<>();
     private final Map<BackendServerId, RunnerLoad> byServer = new HashMap<>();
     private int roundRobinNext;
@@ -45,6 +45,11 @@
         return speed;
     }
 
+    /** Changes the speed that predictions use, as after a change of the settings. */
+    public void setSpeed(EngineSpeed newSpeed) {
+        speed = newSpeed;
+    }
+
     // ---- Runners ----
 
     /** Adds a runner; answers false when it is known or the view is full. */
--- a/figspan-settings/src/main/java/io/figspan/settings/SettingKey.java
+++ b/figspan-settings/src/main/java/io/figspan/settings/SettingKey.java
@@ -79,9 +79,9 @@
     /** Runners that one host uses. The upper end is the bound of a host's load views. */
     PLACEMENT_SUBSET_SIZE("placement.subsetSize", INTEGER, "runners", "24", Levels.FLEET_ONLY, 1, 64),
     /** Runners that one placement compares. */
-    PLACEMENT_SAMPLE_SIZE("placement.sampleSize", INTEGER, "runners", "4", Levels.FLEET_ONLY, 1, 64),
+    PLACEMENT_SAMPLE_SIZE("placement.sampleSize", INTEGER, "runners", "20", Levels.FLEET_ONLY, 1, 64),
     /** Share of runners that get no long prompts while the load allows it. */
-    PLACEMENT_SHARE_FREE_OF_LONG("placement.shareFreeOfLong", NUMBER, "fraction", "0.5", Levels.FLEET_ONLY, 0, 1),
+    PLACEMENT_SHARE_FREE_OF_LONG("placement.shareFreeOfLong", NUMBER, "fraction", "0", Levels.FLEET_ONLY, 0, 1),
     /** Length from which a prompt counts as long; twice the longest class whose slowdown is bounded. */
     PLACEMENT_LONG_PROMPT_TOKENS(
             "placement.longPromptTokens", INTEGER, "tokens", "32_000", Levels.FLEET_ONLY, 1, 10_000_000),
@@ -94,6 +94,14 @@
     /** Rate of the weight store over all engines. */
     WEIGHT_STORE_MEGABYTES_PER_SECOND(
             "weightStore.megabytesPerSecond", INTEGER, "MB/s", "2_000", Levels.FLEET_ONLY, 1, 1_000_000),
+    /** Prompt tokens that one engine processes in a second. The default is a mid-size model on 8 accelerators. */
+    ENGINES_PREFILL_TOKENS_PER_SECOND(
+            "engines.prefillTokensPerSecond", INTEGER, "tokens/s", "40_000", Levels.FLEET_ONLY, 1, 1_000_000_000),
+    /** Most prompt tokens in one step of an engine. */
+    ENGINES_PREFILL_CHUNK_TOKENS(
+            "engines.prefillChunkTokens", INTEGER, "tokens", "512", Levels.FLEET_ONLY, 1, 1_000_000),
+    /** Time between two tokens of one answer on a busy engine. */
+    ENGINES_DECODE_STEP_MICROS("engines.decodeStepMicros", INTEGER, "us", "30_000", Levels.FLEET_ONLY, 1, 10_000_000),
     /** Memory of an engine that does not report it. A prompt of a million tokens needs more than two of them. */
     ENGINES_MEMORY_TOKENS("engines.memoryTokens", INTEGER, "tokens", "400_000", Levels.FLEET_ONLY, 1, 1_000_000_000);
 
--- a/figspan-standin/src/main/java/io/figspan/standin/StandinFleet.java
+++ b/figspan-standin/src/main/java/io/figspan/standin/StandinFleet.java
@@ -111,6 +111,14 @@
     private String settings(List<StandinFiles.HostPorts> hosts) {
         StringBuilder text = new StringBuilder("[fleet]\n");
         text.append("tokenKey = \"").append(StandinFiles.TOKEN_KEY).append("\"\n\n");
+        text.append("[fleet.engines]\n")
+                .append("prefillTokensPerSecond = ")
+                .append(EngineOptions.DEFAULT_PREFILL_TOKENS_PER_STEP * 1_000 / EngineOptions.DEFAULT_STEP_MS)
+                .append("\nprefillChunkTokens = ")
+                .append(EngineOptions.DEFAULT_PREFILL_TOKENS_PER_STEP)
+                .append("\ndecodeStepMicros = ")
+                .append(EngineOptions.DEFAULT_STEP_MS * 1_000)
+                .append("\n\n");
         text.append("[fleet.roster]\n");
         hosts.forEach(host -> text.append(host.id())
                 .append(" = \"")
--- a/figspan-standin/src/main/java/io/figspan/standin/engine/EngineCore.java
+++ b/figspan-standin/src/main/java/io/figspan/standin/engine/EngineCore.java
@@ -159,7 +159,7 @@
         List<EngineJob> waiting = new ArrayList<>(active.stream()
                 .filter(job -> job.state() == EngineJob.State.WAITING)
                 .toList());
-        waiting.sort(Comparator.comparingInt(job -> job.submission().priority()));
+        waiting.sort(Comparator.comparingLong(EngineJob::priorityNanos));
         for (EngineJob job : waiting) {
             EngineJob.Submission submission = job.submission();
             if (job.expiresInMs(nowNanos) == 0) {
@@ -190,8 +190,7 @@
                 .filter(job -> job.state() == EngineJob.State.PREFILLING)
                 .toList());
         prefilling.sort(
-                Comparator.<EngineJob>comparingInt(job -> job.submission().priority())
-                        .thenComparingInt(EngineJob::prefillLeftTokens));
+                Comparator.comparingLong(EngineJob::priorityNanos).thenComparingInt(EngineJob::prefillLeftTokens));
         int left = budgetTokens;
         for (EngineJob job : prefilling) {
             left -= job.prefill(left, nowNanos);
--- a/figspan-standin/src/main/java/io/figspan/standin/engine/EngineJob.java
+++ b/figspan-standin/src/main/java/io/figspan/standin/engine/EngineJob.java
@@ -31,7 +31,7 @@
      * What a job was submitted with.
      *
      * @param streamId empty for a segment
-     * @param priority lower comes first
+     * @param priorityDelayMs added to the time of receipt; the sum orders the jobs, lower first
      * @param digest digest of the whole prompt
      * @param firstOffset offset of the first token to generate
      * @param maxTokens end offset of the answer; 0 for a segment
@@ -39,7 +39,7 @@
     record Submission(
             String streamId,
             HoldHandle handle,
-            int priority,
+            long priorityDelayMs,
             long digest,
             int prefillTokens,
             long memoryTokens,
@@ -56,9 +56,11 @@
     private String failure = "";
     private long finishedAtNanos;
     private final long expiresAtNanos;
+    private final long priorityNanos;
 
     EngineJob(Submission submission, int cachedTokens, long nowNanos) {
         this.submission = submission;
+        this.priorityNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(submission.priorityDelayMs());
         this.expiresAtNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(submission.expiresInMs());
         this.prefillLeftTokens = Math.max(0, submission.prefillTokens() - cachedTokens);
         this.generatedEnd = submission.firstOffset();
@@ -68,6 +70,11 @@
         return submission;
     }
 
+    /** Point in time that orders the jobs, lower first. */
+    long priorityNanos() {
+        return priorityNanos;
+    }
+
     State state() {
         return state;
     }
--- a/figspan-standin/src/main/java/io/figspan/standin/engine/EngineMessages.java
+++ b/figspan-standin/src/main/java/io/figspan/standin/engine/EngineMessages.java
@@ -21,7 +21,7 @@
             @JsonProperty("max_tokens") int maxTokens,
             @JsonProperty("stream_id") String streamId,
             @JsonProperty("hold") String hold,
-            @JsonProperty("priority") int priority,
+            @JsonProperty("priority_delay_ms") long priorityDelayMs,
             @JsonProperty("expires_in_ms") long expiresInMs,
             @JsonProperty("offset") int offset) {}
 
@@ -34,7 +34,7 @@
 
     /** A segment to prefill into a hold. */
     @JsonIgnoreProperties(ignoreUnknown = true)
-    record Segment(@JsonProperty("text") String text, @JsonProperty("priority") int priority) {}
+    record Segment(@JsonProperty("text") String text, @JsonProperty("priority_delay_ms") long priorityDelayMs) {}
 
     /** Exported KV cache: the digest stands for the data. */
     @JsonIgnoreProperties(ignoreUnknown = true)
--- a/figspan-standin/src/main/java/io/figspan/standin/engine/EngineServer.java
+++ b/figspan-standin/src/main/java/io/figspan/standin/engine/EngineServer.java
@@ -130,7 +130,7 @@
                 new EngineJob.Submission(
                         body.streamId(),
                         handle,
-                        body.priority(),
+                        body.priorityDelayMs(),
                         Answers.extend(startDigest, body.prompt()),
                         promptTokens + body.offset(),
                         promptTokens + (long) body.maxTokens(),
@@ -220,7 +220,15 @@
                 new EngineCore.KvState(Answers.extend(before.digest(), body.text()), before.tokens() + tokens);
         EngineJob job = new EngineJob(
                 new EngineJob.Submission(
-                        "", handle, body.priority(), after.digest(), tokens, 0, 0, 0, TimeUnit.HOURS.toMillis(1)),
+                        "",
+                        handle,
+                        body.priorityDelayMs(),
+                        after.digest(),
+                        tokens,
+                        0,
+                        0,
+                        0,
+                        TimeUnit.HOURS.toMillis(1)),
                 0,
                 now());
         job.attach(new SegmentReader(context, handle, after));
