--- a/figspan-host/src/main/java/io/figspan/host/backend/EngineMessages.java
+++ b/figspan-host/src/main/java/io/figspan/host/backend/EngineMessages.java
@@ -9,7 +9,10 @@
 public final class EngineMessages {
     private EngineMessages() {}
 
-    /** A prompt for one engine. {@code offset} is the offset of the first token that is wanted. */
+    /**
+     * A prompt for one engine, which serves in the order of its own time of receipt plus {@code priorityDelayMs}.
+     * {@code offset} is the offset of the first token that is wanted.
+     */
     public record Completion(
             @JsonProperty("model") String model,
             @JsonProperty("prompt") String prompt,
--- a/figspan-host/src/main/java/io/figspan/host/entry/CompletionCall.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/CompletionCall.java
@@ -56,7 +56,6 @@
     private final CallerStream caller;
     private final PriorityClass priority;
     private final Deadline deadline;
-    private final Runnable onEnd;
     private final long startNanos;
     private final long deadlineTimer;
     private final long heartbeatTimer;
@@ -83,8 +82,7 @@
             CompletionRequest prompt,
             CallerStream caller,
             PriorityClass priority,
-            Deadline deadline,
-            Runnable onEnd) {
+            Deadline deadline) {
         this.context = context;
         this.dispatcher = dispatcher;
         this.tokens = tokens;
@@ -93,7 +91,6 @@
         this.caller = caller;
         this.priority = priority;
         this.deadline = deadline;
-        this.onEnd = onEnd;
         this.startNanos = context.nowNanos();
         this.deadlineTimer = context.vertx().setTimer(Math.max(1, deadline.leftMs(startNanos)), id -> onDeadline());
         this.heartbeatTimer = context.vertx().setPeriodic(CallerStream.HEARTBEAT_MS, id -> caller.heartbeat());
@@ -178,9 +175,8 @@
                 return;
             }
             if (acquired.failed()) {
-                group = Optional.empty();
                 event(Part.HOLD, "groupFailed", String.valueOf(acquired.cause().getMessage()));
-                forgetSend();
+                leaveEngine();
                 long pauseMs = GROUP_RETRY_MS + context.random().nextLong(GROUP_RETRY_MS);
                 context.vertx().setTimer(pauseMs, id -> askAgain());
                 return;
@@ -373,7 +369,6 @@
         context.vertx().cancelTimer(heartbeatTimer);
         asked.ifPresent(dispatcher::withdraw);
         leaveEngine();
-        onEnd.run();
     }
 
     /**
@@ -381,7 +376,7 @@
      * is left to that host; its memory is returned at its end or when the hold expires.
      */
     private void leaveEngine() {
-        server.ifPresent(used -> context.backends().loads().finished(used.id(), sendId));
+        forgetSend();
         Optional<HoldHandle> hold = ownHold;
         Optional<EngineGroup> reserved = group;
         Optional<AnswerRelay> running = relay;
--- a/figspan-host/src/main/java/io/figspan/host/entry/EntryServer.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/EntryServer.java
@@ -40,6 +40,9 @@
     /** A body of 16 MB takes less than this at 1 MB per second. */
     static final long MAX_BODY_MS = 20_000;
 
+    /** Lets the problem document reach a caller that is still sending before its connection is closed. */
+    private static final long CLOSE_DELAY_MS = 100;
+
     private static final long ORDER_BODY_MS = 5_000;
     private static final int IDLE_SECONDS = 60;
 
@@ -190,6 +193,8 @@
                         // The rest of the body is not read, so the connection cannot carry another request.
                         request.response().putHeader("Connection", "close");
                         Problems.write(request.response(), failed.problem());
+                        context.vertx().setTimer(CLOSE_DELAY_MS, id -> request.connection()
+                                .close());
                         return;
                     }
                     track(request);
@@ -256,16 +261,7 @@
         Deadline deadline = Deadline.after(context.nowNanos(), deadlineMs(head, settings, prompt.promptTokens()));
         CallerStream caller =
                 new CallerStream(request.response(), head.request().value());
-        new CompletionCall(
-                        context,
-                        dispatcher,
-                        tokens(),
-                        head,
-                        prompt,
-                        caller,
-                        priority(head, settings),
-                        deadline,
-                        () -> {})
+        new CompletionCall(context, dispatcher, tokens(), head, prompt, caller, priority(head, settings), deadline)
                 .start();
     }
 
@@ -284,8 +280,7 @@
         Deadline deadline = Deadline.after(context.nowNanos(), deadlineMs(head, settings, 0));
         CallerStream caller =
                 new CallerStream(request.response(), head.request().value());
-        new ResumeCall(context, caller, head, deadline, () -> {})
-                .start(tokens, ((Result.Ok<ResumeToken>) position).value());
+        new ResumeCall(context, caller, head, deadline).start(tokens, ((Result.Ok<ResumeToken>) position).value());
     }
 
     private static long deadlineMs(RequestHead head, ResolvedSettings settings, int promptTokens) {
--- a/figspan-standin/src/main/java/io/figspan/standin/engine/EngineServer.java
+++ b/figspan-standin/src/main/java/io/figspan/standin/engine/EngineServer.java
@@ -130,7 +130,7 @@
                 new EngineJob.Submission(
                         body.streamId(),
                         handle,
-                        body.priorityDelayMs(),
+                        orderMs(body.priorityDelayMs()),
                         Answers.extend(startDigest, body.prompt()),
                         promptTokens + body.offset(),
                         promptTokens + (long) body.maxTokens(),
@@ -222,7 +222,7 @@
                 new EngineJob.Submission(
                         "",
                         handle,
-                        body.priorityDelayMs(),
+                        orderMs(body.priorityDelayMs()),
                         after.digest(),
                         tokens,
                         0,
@@ -407,6 +407,11 @@
         }
     }
 
+    /** Place in the order of service: the time of receipt plus the delay that the host asks for. */
+    private static long orderMs(long priorityDelayMs) {
+        return TimeUnit.NANOSECONDS.toMillis(now()) + priorityDelayMs;
+    }
+
     private static long now() {
         return System.nanoTime();
     }
