--- a/figspan-host/src/main/java/io/figspan/host/entry/Dispatcher.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/Dispatcher.java
@@ -1,82 +1,93 @@
 package io.figspan.host.entry;
 
 import io.figspan.core.error.Problem;
+import io.figspan.core.error.ProblemKind;
 import io.figspan.core.event.Part;
 import io.figspan.core.id.BackendServerId;
+import io.figspan.core.id.HostId;
 import io.figspan.core.id.OrganisationId;
-import io.figspan.core.id.RequestId;
-import io.figspan.core.time.Deadline;
+import io.figspan.core.id.SettingsVersion;
 import io.figspan.host.HostContext;
 import io.figspan.policy.affinity.PrefixAffinity;
 import io.figspan.policy.dispatch.DispatchAction;
 import io.figspan.policy.dispatch.DispatchSettings;
 import io.figspan.policy.dispatch.Prompt;
 import io.figspan.policy.dispatch.PromptDispatcher;
-import io.figspan.policy.fair.PriorityClass;
+import io.figspan.policy.placement.EngineSpeed;
 import io.figspan.policy.placement.LengthAwarePlacement;
-import io.figspan.policy.placement.PromptCost;
+import io.figspan.policy.placement.LoadView;
+import io.figspan.policy.subset.HomeRunners;
+import io.figspan.settings.HostSeat;
 import io.figspan.settings.ResolvedSettings;
 import io.figspan.settings.SettingKey;
-import io.figspan.settings.SettingsLevel;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
-/** Carries out what {@link PromptDispatcher} decides on this host. Used on the event loop only. */
-public final class Dispatcher {
+/** Drives the decisions of {@link PromptDispatcher}: passes on prompts and time, and tells each prompt its outcome. */
+final class Dispatcher {
     /** Interval at which waiting prompts are looked at when no report has come in. */
-    private static final long POLL_MS = 20;
+    private static final long POLL_INTERVAL_MS = 20;
 
-    /** Told of the outcome, exactly once for each request for a place. */
+    private static final long RETRY_AFTER_MS = 1_000;
+
+    /** Told of each decision on a prompt. */
     interface Listener {
+        /** Send the prompt to this engine. */
         void onPlaced(BackendServerId server, long priorityDelayMs);
 
-        void onGroupPlaced(List<BackendServerId> servers, long kvTokensEach, long priorityDelayMs);
+        /** Reserve these engines, then send the prompt's segments to them in this order. */
+        void onGroup(List<BackendServerId> servers, long priorityDelayMs);
 
+        /** Nothing of the prompt was sent by this decision. */
         void onRefused(Problem problem);
     }
 
-    /** A request for a place. */
-    record Want(
-            RequestId request,
-            OrganisationId organisation,
-            PriorityClass priority,
-            PromptCost cost,
-            Deadline deadline,
-            long arrivedNanos) {}
-
-    private record Waiting(Want want, Prompt prompt, Listener listener) {}
+    private record Waiting(Prompt prompt, Listener listener) {}
 
     private final HostContext context;
-    private final LimitGate limits;
+    private final PrefixAffinity affinity = new PrefixAffinity(PrefixAffinity.DEFAULT_LOAD_BOUND);
+    private final ShareLimits shares;
     private final Map<Long, Waiting> waiting = new LinkedHashMap<>();
-    private DispatchSettings settings = DispatchSettings.DEFAULT;
     private PromptDispatcher decisions;
+    private SettingsVersion version = SettingsVersion.NONE;
+    private Set<BackendServerId> engines = Set.of();
 
-    public Dispatcher(HostContext context, LimitGate limits) {
+    Dispatcher(HostContext context) {
         this.context = context;
-        this.limits = limits;
+        this.shares = new ShareLimits(context);
         this.decisions = newDecisions();
-        context.vertx().setPeriodic(POLL_MS, id -> poll());
+        context.vertx().setPeriodic(POLL_INTERVAL_MS, id -> poll());
+    }
+
+    /** Takes a new prompt; the listener is told at once or later. */
+    void submit(Prompt prompt, Listener listener) {
+        refresh();
+        LoadView loads = context.backends().loads();
+        if (loads.runners().stream().allMatch(LoadView.RunnerLoad::leaving)) {
+            listener.onRefused(Problem.notRun(ProblemKind.NO_BACKEND_SERVER, "no engine takes new work")
+                    .withRetryAfterMs(RETRY_AFTER_MS));
+            return;
+        }
+        shares.ensureConfigured(prompt.organisation());
+        waiting.put(prompt.id(), new Waiting(prompt, listener));
+        carryOut(decisions.offer(prompt, context.nowNanos()));
     }
 
-    /**
-     * Asks for a place. Returns the id under which the load view counts the prompt.
-     *
-     * @param again whether the prompt was admitted before; its tokens are not taken from the limit again
-     */
-    long submit(Want want, boolean again, Listener listener) {
-        long id = context.sequence().incrementAndGet();
-        Prompt prompt =
-                new Prompt(id, want.organisation(), want.priority(), want.cost(), want.deadline(), want.arrivedNanos());
-        waiting.put(id, new Waiting(want, prompt, listener));
-        carryOut(again ? decisions.again(prompt, context.nowNanos()) : decisions.offer(prompt, context.nowNanos()));
-        return id;
+    /** Takes a prompt again that was sent and has to go elsewhere; it has been counted already. */
+    void submitAgain(Prompt prompt, Listener listener) {
+        waiting.put(prompt.id(), new Waiting(prompt, listener));
+        carryOut(decisions.again(prompt, context.nowNanos()));
     }
 
-    /** Forgets a prompt that is no longer wanted; its place in the queue is given up when its turn comes. */
-    void withdraw(long id) {
-        waiting.remove(id);
+    /** Forgets a prompt that is no longer wanted. */
+    void withdraw(Prompt prompt) {
+        if (waiting.remove(prompt.id()) != null) {
+            decisions.withdraw(prompt);
+        }
     }
 
     int queued() {
@@ -85,83 +96,92 @@
 
     /** Gives engines to the prompts whose turn it is. */
     void poll() {
-        if (decisions.waiting() > 0) {
-            carryOut(decisions.poll(context.nowNanos()));
+        refresh();
+        carryOut(decisions.poll(context.nowNanos()));
+    }
+
+    private void carryOut(List<DispatchAction> actions) {
+        for (DispatchAction action : actions) {
+            Waiting decided = waiting.remove(action.prompt().id());
+            if (decided != null) {
+                tell(decided, action);
+            }
         }
     }
 
-    /** Takes over the settings in force. Prompts that wait are asked for again under the new ones. */
-    public void reconfigure() {
-        DispatchSettings wanted = DispatchSettings.DEFAULT.withPlacement(placement());
-        if (wanted.equals(settings)) {
+    private void tell(Waiting decided, DispatchAction action) {
+        if (action instanceof DispatchAction.Send send) {
+            event(decided, send.server().value());
+            decided.listener().onPlaced(send.server(), send.priorityDelayMs());
+        } else if (action instanceof DispatchAction.SendGroup group) {
+            event(decided, group.servers().toString());
+            decided.listener().onGroup(group.servers(), group.priorityDelayMs());
+        } else if (action instanceof DispatchAction.Refuse refuse) {
+            decided.listener().onRefused(refuse.problem());
+        }
+    }
+
+    private void event(Waiting decided, String text) {
+        context.timeline()
+                .add(Part.PLACE, "placed", String.valueOf(decided.prompt().id()), text);
+    }
+
+    // Settings and engines
+
+    /** Takes over new settings and a changed set of engines. Prompts that wait are decided anew. */
+    private void refresh() {
+        LoadView loads = context.backends().loads();
+        boolean unchanged = version.equals(context.settings().version())
+                && engines.size() == loads.runners().size()
+                && loads.runners().stream().allMatch(load -> engines.contains(load.server()));
+        if (unchanged) {
             return;
         }
-        settings = wanted;
+        version = context.settings().version();
+        context.backends().setSubsetSize((int) context.tree().fleet().integer(SettingKey.PLACEMENT_SUBSET_SIZE));
+        engines = loads.runners().stream().map(LoadView.RunnerLoad::server).collect(Collectors.toUnmodifiableSet());
+        loads.setSpeed(speed());
+        loads.setHomes(HomeRunners.choose(context.config().hostId(), seats(), engines));
+        shares.reconfigure(context.backends().engineCount());
         decisions = newDecisions();
-        for (Waiting entry : List.copyOf(waiting.values())) {
-            carryOut(decisions.again(entry.prompt(), context.nowNanos()));
-        }
+        List.copyOf(waiting.values()).forEach(kept -> carryOut(decisions.again(kept.prompt(), context.nowNanos())));
     }
 
     private PromptDispatcher newDecisions() {
         return new PromptDispatcher(
-                settings,
+                dispatchSettings(),
                 context.backends().loads(),
-                new PrefixAffinity(PrefixAffinity.DEFAULT_LOAD_BOUND),
-                limits.shares(),
-                organisation -> context.tree().resolve(organisation).number(SettingKey.WEIGHT),
+                affinity,
+                shares.limits(),
+                this::weightOf,
                 context.random());
     }
 
-    /** The measured defaults of the policy, with what the settings set. */
-    private LengthAwarePlacement placement() {
-        ResolvedSettings fleet = context.tree().fleet();
-        LengthAwarePlacement base = LengthAwarePlacement.DEFAULT;
-        boolean setsSamples = fleet.level(SettingKey.PLACEMENT_SAMPLE_SIZE) != SettingsLevel.DEFAULT;
-        boolean setsShare = fleet.level(SettingKey.PLACEMENT_SHARE_FREE_OF_LONG) != SettingsLevel.DEFAULT;
-        return new LengthAwarePlacement(
-                setsSamples ? (int) fleet.integer(SettingKey.PLACEMENT_SAMPLE_SIZE) : base.samples(),
-                setsShare ? fleet.number(SettingKey.PLACEMENT_SHARE_FREE_OF_LONG) : base.keptFreeShare(),
-                base.overtakenShare(),
-                base.shortReserveShare(),
-                base.awayTokens());
+    private List<HostId> seats() {
+        return context.tree().roster().stream().map(HostSeat::host).toList();
     }
 
-    private void carryOut(List<DispatchAction> actions) {
-        for (DispatchAction action : actions) {
-            Waiting entry = waiting.remove(action.prompt().id());
-            if (entry == null) {
-                forget(action);
-            } else {
-                tell(entry, action);
-            }
-        }
+    private double weightOf(OrganisationId organisation) {
+        return context.tree().resolve(organisation).number(SettingKey.WEIGHT);
     }
 
-    private void tell(Waiting entry, DispatchAction action) {
-        if (action instanceof DispatchAction.Send send) {
-            event(entry, "placed", send.server() + " delay " + send.priorityDelayMs() + " ms");
-            entry.listener().onPlaced(send.server(), send.priorityDelayMs());
-        } else if (action instanceof DispatchAction.SendGroup group) {
-            event(entry, "placedOnGroup", group.servers() + " delay " + group.priorityDelayMs() + " ms");
-            entry.listener().onGroupPlaced(group.servers(), group.kvTokensEach(), group.priorityDelayMs());
-        } else if (action instanceof DispatchAction.Refuse refuse) {
-            entry.listener().onRefused(refuse.problem());
-        }
-    }
-
-    /** Takes a prompt that was withdrawn out of the load view again. */
-    private void forget(DispatchAction action) {
-        if (action instanceof DispatchAction.Send send) {
-            context.backends().loads().finished(send.server(), send.prompt().id());
-        } else if (action instanceof DispatchAction.SendGroup group) {
-            group.servers().forEach(server -> context.backends()
-                    .loads()
-                    .finished(server, group.prompt().id()));
-        }
+    private EngineSpeed speed() {
+        ResolvedSettings fleet = context.tree().fleet();
+        return new EngineSpeed(
+                fleet.integer(SettingKey.ENGINES_PREFILL_TOKENS_PER_SECOND),
+                fleet.integer(SettingKey.ENGINES_PREFILL_CHUNK_TOKENS),
+                TimeUnit.MICROSECONDS.toNanos(fleet.integer(SettingKey.ENGINES_DECODE_STEP_MICROS)),
+                fleet.integer(SettingKey.ENGINES_MEMORY_TOKENS));
     }
 
-    private void event(Waiting entry, String kind, String text) {
-        context.timeline().add(Part.PLACE, kind, entry.want().request().value(), text);
+    private DispatchSettings dispatchSettings() {
+        ResolvedSettings fleet = context.tree().fleet();
+        LengthAwarePlacement placement = new LengthAwarePlacement(
+                (int) fleet.integer(SettingKey.PLACEMENT_SAMPLE_SIZE),
+                fleet.number(SettingKey.PLACEMENT_SHARE_FREE_OF_LONG),
+                LengthAwarePlacement.DEFAULT.overtakenShare(),
+                LengthAwarePlacement.DEFAULT.shortReserveShare(),
+                LengthAwarePlacement.DEFAULT.awayTokens());
+        return DispatchSettings.DEFAULT.withPlacement(placement);
     }
 }
--- a/figspan-host/src/main/java/io/figspan/host/entry/LimitGate.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/LimitGate.java
@@ -3,6 +3,7 @@
 import io.figspan.cluster.loan.OwnShares;
 import io.figspan.core.error.Problem;
 import io.figspan.core.error.ProblemKind;
+import io.figspan.core.error.Result;
 import io.figspan.core.id.OrganisationId;
 import io.figspan.host.HostContext;
 import io.figspan.policy.entry.EntryHost;
@@ -13,7 +14,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /** The limits of the organisations at this host, configured from the settings in force. Used on the event loop only. */
@@ -54,43 +54,40 @@
 
     /** Takes over the settings in force. */
     public void reconfigure() {
-        for (OrganisationId organisation : context.tree().organisations()) {
-            configure(organisation);
-        }
-    }
-
-    /** The shares that admission takes tokens from. */
-    OrganisationLimits shares() {
-        return limits;
+        limits.organisations().forEach(this::configure);
     }
 
-    /** Refuses an organisation that is not in the settings, and everyone while the own share may not be used. */
-    Optional<Problem> check(OrganisationId organisation, Lenders lenders) {
+    /** Takes tokens of work from an organisation's share, or refuses with the time to come back. */
+    Result<Long> take(OrganisationId organisation, long tokens, Lenders lenders) {
         if (!context.tree().hasOrganisation(organisation)) {
-            return Optional.of(Problem.notRun(
+            return Result.failed(Problem.notRun(
                     ProblemKind.UNAUTHENTICATED, "organisation '" + organisation + "' is not in the settings"));
         }
         if (!lenders.mayUseOwnShare()) {
-            return Optional.of(
+            return Result.failed(
                     Problem.notRun(ProblemKind.LIMIT_REACHED, "this host has not heard from other hosts lately")
                             .withRetryAfterMs(RETRY_AFTER_MS));
         }
-        return Optional.empty();
-    }
-
-    /** Notes work that was admitted. */
-    void onAdmitted(OrganisationId organisation, long tokens) {
-        uses.computeIfAbsent(organisation, key -> new Use()).add(tokens, context.nowNanos());
+        ensureConfigured(organisation);
+        long nowNanos = context.nowNanos();
+        Result<Long> taken = limits.tryTake(organisation, tokens, nowNanos);
+        if (taken.isOk()) {
+            uses.computeIfAbsent(organisation, key -> new Use()).add(tokens, nowNanos);
+        } else {
+            context.count("limits.refused");
+            lenders.ask(organisation, Math.max(MIN_LOAN_TOKENS_PER_SECOND, tokens), homes(organisation));
+        }
+        return taken;
     }
 
-    /** Notes work that was refused for lack of a share, and asks other home hosts to lend some. */
-    void onRefused(OrganisationId organisation, long tokens, Lenders lenders) {
-        context.count("limits.refused");
-        lenders.ask(organisation, Math.max(MIN_LOAN_TOKENS_PER_SECOND, tokens), homes(organisation));
+    /** Returns tokens of a request that was refused after it had taken them. */
+    void giveBack(OrganisationId organisation, long tokens) {
+        limits.giveBack(organisation, tokens, context.nowNanos());
     }
 
     /** Sets what loans add to the own share or take from it, from the given time on. */
     public void setAllowance(OrganisationId organisation, long tokensPerSecond, long atNanos) {
+        ensureConfigured(organisation);
         long delayMs = TimeUnit.NANOSECONDS.toMillis(atNanos - context.nowNanos());
         if (delayMs <= 0) {
             limits.setAllowance(organisation, (double) tokensPerSecond, context.nowNanos());
@@ -103,6 +100,7 @@
 
     @Override
     public double ownTokensPerSecond(OrganisationId organisation, long nowNanos) {
+        ensureConfigured(organisation);
         return limits.ownTokensPerSecond(organisation, nowNanos);
     }
 
@@ -112,6 +110,14 @@
         return use == null ? 0 : use.tokensPerSecond(nowNanos);
     }
 
+    /** Organisations are configured on first use, because a host meets few of all that the settings name. */
+    private void ensureConfigured(OrganisationId organisation) {
+        boolean missing = !limits.isConfigured(organisation) && context.tree().hasOrganisation(organisation);
+        if (missing) {
+            configure(organisation);
+        }
+    }
+
     private void configure(OrganisationId organisation) {
         ResolvedSettings settings = context.tree().resolve(organisation);
         double rate = settings.integer(SettingKey.LIMITS_TOKENS_PER_SECOND);
