Refuse requests with a time to come back while a host has no settings

Cause: bin/quickstart now starts a replacement at the seat of the killed host; in its first second it told one caller of 200 that its organisation was not known (unauthenticated), because it had no settings yet.

Change: until the first settings are in force, the caller port answers overloaded, notRun and Retry-After for all but the entry list.

--- a/figspan-host/src/main/java/io/figspan/host/entry/EntryServer.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/EntryServer.java
@@ -8,6 +8,7 @@
 import io.figspan.core.error.Result;
 import io.figspan.core.error.RunState;
 import io.figspan.core.event.Part;
+import io.figspan.core.id.SettingsVersion;
 import io.figspan.core.time.Deadline;
 import io.figspan.host.HostContext;
 import io.figspan.policy.fair.PriorityClass;
@@ -44,6 +45,9 @@
     /** Lets the problem document reach a caller that is still sending before its connection is closed. */
     private static final long CLOSE_DELAY_MS = 100;
 
+    /** A host that starts has its settings from peers or the service within a second. */
+    private static final long START_RETRY_AFTER_MS = 1_000;
+
     private static final long ORDER_BODY_MS = 5_000;
     private static final int IDLE_SECONDS = 60;
 
@@ -139,6 +143,15 @@
             return;
         }
         String route = request.method() + " " + request.path();
+        boolean lacksSettings =
+                context.settings().version().equals(SettingsVersion.NONE) && !route.equals("GET /v1/hosts");
+        if (lacksSettings) {
+            refuse(
+                    request,
+                    Problem.notRun(ProblemKind.OVERLOADED, "this host has just started and has no settings yet")
+                            .withRetryAfterMs(START_RETRY_AFTER_MS));
+            return;
+        }
         switch (route) {
             case "GET /v1/hosts" -> listHosts(request);
             case "POST /v1/completions" ->
