Let the property of the holder see a merge that changes a kept part

Cause: trial faults were put into the module; a merge that changes the nodes of a part kept from the last version went unseen. Change: one part is the same in all versions and another adds services to its organisation. Conclusion: the property is stricter than before.

--- a/figspan-settings/src/test/java/io/figspan/settings/HolderProperties.java
+++ b/figspan-settings/src/test/java/io/figspan/settings/HolderProperties.java
@@ -74,11 +74,14 @@
         return new Offer(manifest, parts, fault > 3);
     }
 
+    /** Two parts that differ between all versions, one that never does, and one that adds services to the latter. */
     private static List<SettingsPart> parts(int version) {
+        String service = "[organisation.p.service.s" + version % 2 + "]\n";
         return List.of(
                 new SettingsPart("fleet.toml", "[fleet]\nprompts.deadlineMs = " + version + "\n"),
                 new SettingsPart("o.toml", "[organisation.o]\nlimits.burstTokens = " + version + "\n"),
-                new SettingsPart("services.toml", "[organisation.o.service.s" + version % 2 + "]\nkind = \"order\"\n"));
+                new SettingsPart("p.toml", "[organisation.p]\nweight = 3\n"),
+                new SettingsPart("services.toml", service + "kind = \"order\"\n"));
     }
 
     @Property(tries = 1, seed = "13")
