Name the request to the hosts when reading time lines

Cause: a host sends only its newest 5,000 matching events, so filtering at the client lost older events of a request. A settings error that contains the word null was shown without it.

--- a/figspan-cli/src/main/java/io/figspan/cli/operator/StatusCommand.java
+++ b/figspan-cli/src/main/java/io/figspan/cli/operator/StatusCommand.java
@@ -2,6 +2,7 @@
 
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParametersDelegate;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.figspan.cli.Command;
@@ -73,7 +74,8 @@
     }
 
     private static String settingsError(HostReader.Answer answer) {
-        return answer.document().path("settingsError").asText("").replace("null", "");
+        JsonNode error = answer.document().path("settingsError");
+        return error.isTextual() ? error.textValue() : "";
     }
 
     private static void printError(HostReader.Answer answer, Console console) {
--- a/figspan-cli/src/main/java/io/figspan/cli/operator/TimelineCommand.java
+++ b/figspan-cli/src/main/java/io/figspan/cli/operator/TimelineCommand.java
@@ -10,6 +10,8 @@
 import io.figspan.cli.Console;
 import io.figspan.cli.ExitCode;
 import io.figspan.cli.TextTable;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
 import java.time.Instant;
 import java.time.ZoneOffset;
 import java.time.format.DateTimeFormatter;
@@ -65,7 +67,7 @@
         }
         List<HostReader.Answer> answers;
         try (HostReader reader = new HostReader(hosts.timeoutMs())) {
-            answers = reader.readAll(hosts.addresses(), PATH).stream()
+            answers = reader.readAll(hosts.addresses(), path()).stream()
                     .map(TimelineCommand::requireEvents)
                     .toList();
         }
@@ -82,6 +84,11 @@
         return documents.size() == answers.size() ? ExitCode.OK : ExitCode.UNREACHABLE;
     }
 
+    /** Names the request to the hosts, because they send only the newest events that match. */
+    private String path() {
+        return request == null ? PATH : PATH + "?request=" + URLEncoder.encode(request, StandardCharsets.UTF_8);
+    }
+
     /** Refuses a document of another shape, which would otherwise look like a host without events. */
     private static HostReader.Answer requireEvents(HostReader.Answer answer) {
         boolean valid = !answer.isOk() || answer.document().path("events").isArray();
--- a/figspan-cli/src/test/java/io/figspan/cli/operator/OperatorCommandsTest.java
+++ b/figspan-cli/src/test/java/io/figspan/cli/operator/OperatorCommandsTest.java
@@ -33,17 +33,12 @@
 
     @Test
     void eventsOfAllHostsStandInTheOrderOfTheHybridClock() throws Exception {
-        int first = serve(Map.of(
-                "/admin/timeline",
-                timeline(
-                        event(2_000, 0, "h1", "entry", "r1", "sent"),
-                        event(2_000, 2, "h1", "entry", "r1", "answered"),
-                        event(1_000, 0, "h1", "member", "", "joined"))));
-        int second = serve(Map.of(
-                "/admin/timeline",
-                timeline(
-                        event(2_000, 1, "h2", "ticket", "r1", "executed"),
-                        event(2_000, 1, "h2", "ticket", "r2", "other"))));
+        int first = serveTimeline(
+                event(2_000, 0, "h1", "entry", "r1", "sent"),
+                event(2_000, 2, "h1", "entry", "r1", "answered"),
+                event(1_000, 0, "h1", "member", "", "joined"));
+        int second = serveTimeline(
+                event(2_000, 1, "h2", "ticket", "r1", "executed"), event(2_000, 1, "h2", "ticket", "r2", "other"));
         run(new TimelineCommand(), "--host", ADDRESS + ":" + first + "," + ADDRESS + ":" + second, "--request", "r1");
         run(new TimelineCommand(), "--host", ADDRESS + ":" + second, "--host", ADDRESS + ":" + first, "--last", "4");
         run(new TimelineCommand(), "--host", ADDRESS + ":" + first, "--part", "member", "--json");
@@ -83,6 +78,18 @@
         Approvals.verify(out.toString(StandardCharsets.UTF_8).replace(failing, "FIRST"));
     }
 
+    /** A host sends only the newest events that match, so the request must be named to it. */
+    @Test
+    void theRequestIsNamedToTheHosts() throws Exception {
+        int host = serve(Map.of("/admin/timeline?request=r%2F1", timeline()));
+        assertEquals(ExitCode.OK, run(new TimelineCommand(), "--host", ADDRESS + ":" + host, "--request", "r/1"));
+    }
+
+    private int serveTimeline(String... events) throws Exception {
+        String document = timeline(events);
+        return serve(Map.of("/admin/timeline", document, "/admin/timeline?request=r1", document));
+    }
+
     private ExitCode run(Command command, String... args) {
         JCommander.newBuilder().addObject(command).build().parse(args);
         return command.run(console);
