--- a/figspan-host/src/main/java/io/figspan/host/entry/ResumeCall.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/ResumeCall.java
@@ -1,5 +1,7 @@
 package io.figspan.host.entry;
 
+import io.figspan.control.resume.ResumeToken;
+import io.figspan.control.resume.ResumeTokenCodec;
 import io.figspan.core.error.Problem;
 import io.figspan.core.error.ProblemKind;
 import io.figspan.core.event.Part;
@@ -13,17 +15,15 @@
     private final HostContext context;
     private final CallerStream caller;
     private final RequestHead head;
-    private final Runnable onEnd;
     private final long deadlineTimer;
     private final long heartbeatTimer;
     private Optional<AnswerRelay> relay = Optional.empty();
     private boolean over;
 
-    ResumeCall(HostContext context, CallerStream caller, RequestHead head, Deadline deadline, Runnable onEnd) {
+    ResumeCall(HostContext context, CallerStream caller, RequestHead head, Deadline deadline) {
         this.context = context;
         this.caller = caller;
         this.head = head;
-        this.onEnd = onEnd;
         long leftMs = Math.max(1, deadline.leftMs(context.nowNanos()));
         this.deadlineTimer = context.vertx()
                 .setTimer(
@@ -33,7 +33,7 @@
         this.heartbeatTimer = context.vertx().setPeriodic(CallerStream.HEARTBEAT_MS, id -> caller.heartbeat());
     }
 
-    void start(StreamTokens tokens, StreamTokens.Position position) {
+    void start(ResumeTokenCodec tokens, ResumeToken position) {
         caller.setGoneListener(this::end);
         context.count("prompts.resumed");
         context.timeline()
@@ -44,7 +44,8 @@
                         position.engine() + " stream " + position.stream() + " offset " + position.offset());
         Optional<BackendTable.Server> server = context.backends()
                 .find(position.engine().server())
-                .filter(known -> known.incarnation().equals(position.engine()) || !known.hasReported());
+                .filter(known ->
+                        known.incarnation().number() <= position.engine().number());
         if (server.isEmpty()) {
             fail(gone("the engine that had the stream is gone"));
             return;
@@ -54,11 +55,11 @@
                 tokens,
                 caller,
                 new AnswerRelay.Route(
-                        head.organisation(), position.request(), server.get(), position.stream(), position.offset()),
+                        head.organisation(), head.request(), server.get(), position.stream(), (int) position.offset()),
                 new RelayListener());
         relay = Optional.of(newRelay);
         context.engines()
-                .resume(server.get(), position.stream(), position.offset())
+                .resume(server.get(), position.stream(), (int) position.offset())
                 .subscribe(newRelay);
     }
 
@@ -100,7 +101,6 @@
             running.stop();
             context.engines().cancel(running.server(), running.stream(), running.readerNumber());
         });
-        onEnd.run();
     }
 
     private static Problem gone(String detail) {
