Measure the cluster protocols by fleet size, and pass on less at a join

A host that joins passed on every member of the list that it had just read, twelve times each.

Change: members read from a peer's list are not passed on. A tick scans the table for expired suspicions only while there is a suspect. bin/bench slopes runs the protocols in logical time at 25 to 400 hosts and fits a line; bin/bench nodes runs nodes over loopback sockets in a few processes.

--- a/figspan-bench/src/main/java/io/figspan/bench/BenchMain.java
+++ b/figspan-bench/src/main/java/io/figspan/bench/BenchMain.java
@@ -3,6 +3,10 @@
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.ParameterException;
 import io.figspan.bench.policy.PolicyCommand;
+import io.figspan.bench.slopes.NodesCommand;
+import io.figspan.bench.slopes.SlopesCommand;
+import java.util.LinkedHashMap;
+import java.util.Map;
 
 /** Entry point of {@code bin/bench}: dispatches to the subcommands. */
 public final class BenchMain {
@@ -11,21 +15,24 @@
     private BenchMain() {}
 
     public static void main(String[] args) {
-        PolicyCommand policy = new PolicyCommand();
-        JCommander commander = JCommander.newBuilder()
-                .programName("bin/bench")
-                .addCommand("policy", policy)
-                .build();
+        Map<String, BenchCommand> commands = new LinkedHashMap<>();
+        commands.put("policy", new PolicyCommand());
+        commands.put("slopes", new SlopesCommand());
+        commands.put("nodes", new NodesCommand());
+        JCommander.Builder builder = JCommander.newBuilder().programName("bin/bench");
+        commands.forEach(builder::addCommand);
+        JCommander commander = builder.build();
         try {
             commander.parse(args);
         } catch (ParameterException e) {
             System.err.println(e.getMessage() + ". Run bin/bench with a subcommand and --help.");
             System.exit(EXIT_USAGE);
         }
-        if (!"policy".equals(commander.getParsedCommand()) || policy.help()) {
+        BenchCommand command = commands.get(commander.getParsedCommand());
+        if (command == null || command.help()) {
             commander.usage();
             return;
         }
-        policy.run(System.out);
+        command.run(System.out);
     }
 }
--- a/figspan-bench/src/main/java/io/figspan/bench/policy/PolicyCommand.java
+++ b/figspan-bench/src/main/java/io/figspan/bench/policy/PolicyCommand.java
@@ -2,12 +2,13 @@
 
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
+import io.figspan.bench.BenchCommand;
 import java.io.PrintStream;
 import java.util.List;
 
 /** {@code bin/bench policy}: the decisions under load, in logical time. */
 @Parameters(commandDescription = "Measures placement, admission and fairness on a model of the fleet in logical time")
-public final class PolicyCommand {
+public final class PolicyCommand implements BenchCommand {
     private static final int QUICK_SEEDS = 2;
     private static final int QUICK_SECONDS = 60;
 
@@ -23,10 +24,12 @@
     @Parameter(names = "--help", help = true, description = "Prints this help")
     private boolean help;
 
+    @Override
     public boolean help() {
         return help;
     }
 
+    @Override
     public void run(PrintStream out) {
         if (quick) {
             new PolicyReport(out, QUICK_SEEDS, QUICK_SECONDS).print(List.of(PolicyReport.TARGET_LOAD, 1.3));
--- /dev/null
+++ b/figspan-bench/src/main/java/io/figspan/bench/slopes/package-info.java
@@ -0,0 +1,2 @@
+/** Costs of the protocols between hosts by fleet size. */
+package io.figspan.bench.slopes;
--- a/figspan-cluster/src/main/java/io/figspan/cluster/membership/Membership.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/membership/Membership.java
@@ -33,8 +33,6 @@
     /** Hosts told at once about a graceful leave. */
     private static final int LEAVE_FANOUT = 6;
 
-    private static final int MAX_NOTICES_PER_FRAME = 4;
-    private static final int MAX_NOTICES_PER_LIST = 256;
     private static final int MAX_PAGE_MEMBERS = 100;
     private static final int MAX_QUEUED_UPDATES = 1_024;
 
@@ -59,8 +57,6 @@
     private final Relays relays = new Relays();
     private final LeavingNotices notices = new LeavingNotices();
     private final UpdateQueue<HostId, MemberUpdate> updates = new UpdateQueue<>(MAX_QUEUED_UPDATES);
-    private final UpdateQueue<BackendIncarnation, BackendIncarnation> leavingQueue =
-            new UpdateQueue<>(MAX_QUEUED_UPDATES);
     private SettingsVersion settings = SettingsVersion.NONE;
     private int refutation;
     private long lastProbe;
@@ -72,23 +68,10 @@
     private long lastHeardNanos;
     private int differentDigests;
     private boolean joined;
-    private boolean stopped;
-
-    /** The probe in flight of this process. */
-    private static final class Probe {
-        private final long number;
-        private final Member target;
-        private final long startNanos;
-        private boolean helpersAsked;
-        private int missingAnswers;
-        private boolean reached;
+    /** False only while no member is suspect, so that a tick at rest does not scan the table. */
+    private boolean hasSuspects;
 
-        Probe(long number, Member target, long startNanos) {
-            this.number = number;
-            this.target = target;
-            this.startNanos = startNanos;
-        }
-    }
+    private boolean stopped;
 
     public Membership(
             Peer self, List<PeerAddress> seeds, MembershipTuning tuning, RandomGenerator random, long nowNanos) {
@@ -220,7 +203,8 @@
         } else if (message instanceof PeerMessage.MembersPull pull) {
             actions.add(new ClusterAction.Reply(page(pull.after())));
             if (pull.after().isEmpty()) {
-                sendKnownNotices(actions);
+                notices.lists()
+                        .forEach(known -> actions.add(new ClusterAction.Reply(new PeerMessage.LeavingNotice(known))));
             }
         } else if (message instanceof PeerMessage.MembersPage page) {
             takePage(page, nowNanos, actions);
@@ -465,6 +449,7 @@
             Suspicion started =
                     new Suspicion(nowNanos, tuning.probeIntervalNanos(), table.liveCount() + 1, health.score());
             table.change(member, () -> member.suspect(refutationCount, started));
+            hasSuspects = true;
         }
         if (member.suspicion().confirm(by)) {
             updates.put(member.host(), new MemberUpdate.Suspect(member.peer().incarnation(), refutationCount, by));
@@ -485,10 +470,17 @@
     }
 
     private void expireSuspicions(long nowNanos, List<ClusterAction> actions) {
+        if (!hasSuspects) {
+            return;
+        }
+        hasSuspects = false;
         List<Member> expired = new ArrayList<>();
         for (Member member : table.all()) {
-            if (member.suspicion() != null && member.suspicion().hasExpired(nowNanos)) {
-                expired.add(member);
+            if (member.suspicion() != null) {
+                hasSuspects = true;
+                if (member.suspicion().hasExpired(nowNanos)) {
+                    expired.add(member);
+                }
             }
         }
         expired.forEach(member -> markGone(member, member.refutation(), false, nowNanos, actions));
@@ -518,8 +510,7 @@
                 tuning.maxUpdateBytes(),
                 table.liveCount() + 1,
                 UpdateQueue::sizeBytes));
-        List<BackendIncarnation> leaving = leavingQueue.take(
-                MAX_NOTICES_PER_FRAME, tuning.maxUpdateBytes(), table.liveCount() + 1, UpdateQueue::sizeBytes);
+        List<BackendIncarnation> leaving = notices.take(table.liveCount() + 1);
         return new Piggyback(settings, table.liveDigest(self.incarnation()), carried, leaving);
     }
 
@@ -552,9 +543,14 @@
         return new PeerMessage.MembersPage(entries, false);
     }
 
+    /** Members that are new to this process only are not passed on: others sent the page, so they know them. */
     private void takePage(PeerMessage.MembersPage page, long nowNanos, List<ClusterAction> actions) {
         for (MemberUpdate update : page.updates()) {
+            boolean known = table.find(update.incarnation().host()).isPresent();
             apply(update, nowNanos, actions);
+            if (!known) {
+                updates.remove(update.incarnation().host());
+            }
             table.find(update.incarnation().host())
                     .filter(member -> isAbout(member, update.incarnation()) && !member.isLive())
                     .ifPresent(member -> schedule.addDisputed(member.host()));
@@ -567,24 +563,13 @@
     }
 
     private void takeNotices(List<BackendIncarnation> leaving, List<ClusterAction> actions) {
-        List<BackendIncarnation> news = leaving.stream().filter(notices::add).toList();
+        List<BackendIncarnation> news = notices.add(leaving);
         if (news.isEmpty()) {
             return;
         }
-        for (BackendIncarnation backend : news) {
-            leavingQueue.put(backend, backend);
-            actions.add(new ClusterAction.BackendLeaving(backend));
-        }
+        news.forEach(backend -> actions.add(new ClusterAction.BackendLeaving(backend)));
         for (Peer peer : randomPeers(NOTICE_FANOUT)) {
             actions.add(new ClusterAction.Send(peer.address(), new PeerMessage.LeavingNotice(news)));
         }
     }
-
-    private void sendKnownNotices(List<ClusterAction> actions) {
-        List<BackendIncarnation> known = notices.all();
-        for (int start = 0; start < known.size(); start += MAX_NOTICES_PER_LIST) {
-            int end = Math.min(known.size(), start + MAX_NOTICES_PER_LIST);
-            actions.add(new ClusterAction.Reply(new PeerMessage.LeavingNotice(known.subList(start, end))));
-        }
-    }
 }
--- a/figspan-cluster/src/main/java/io/figspan/cluster/membership/UpdateQueue.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/membership/UpdateQueue.java
@@ -42,12 +42,8 @@
         entries.put(key, new Entry<>(statement, nextOrder++));
     }
 
-    boolean isEmpty() {
-        return entries.isEmpty();
-    }
-
-    int size() {
-        return entries.size();
+    void remove(K key) {
+        entries.remove(key);
     }
 
     /** Takes up to {@code maxCount} statements of at most {@code maxBytes} together for one frame. */
