--- a/figspan-bench/src/main/java/io/figspan/bench/faults/FaultsCommand.java
+++ b/figspan-bench/src/main/java/io/figspan/bench/faults/FaultsCommand.java
@@ -2,6 +2,7 @@
 
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
+import io.figspan.bench.BenchCommand;
 import java.io.PrintStream;
 import java.util.ArrayList;
 import java.util.EnumMap;
@@ -12,7 +13,7 @@
 
 /** {@code bin/bench faults}: counts violations of the guarantees under seeded faults. */
 @Parameters(commandDescription = "Checks the guarantees under seeded faults in logical time, real and naive versions")
-public final class FaultsCommand {
+public final class FaultsCommand implements BenchCommand {
     private static final int MAX_FAILURES_SHOWN = 5;
 
     @Parameter(names = "--seeds", description = "Number of seeds for each scenario")
@@ -33,11 +34,13 @@
     @Parameter(names = "--help", help = true, description = "Prints this help")
     private boolean help;
 
+    @Override
     public boolean help() {
         return help;
     }
 
     /** Runs the scenarios and returns true when no real one violated a guarantee. */
+    @Override
     public boolean run(PrintStream out) {
         List<Variant> variants = Variant.ALL.stream()
                 .filter(variant -> scenario == null || variant.name().equals(scenario))
