Predict long prompts from what was observed, and charge them fairly

Cause: at 85 percent, 14 percent of the prompts above 100k tokens were refused by their organisation's share although the organisation stayed within it: one such prompt is minutes of a small organisation's rate at one host. When they were admitted, prompts waited on the host behind those that need a group of engines, and 1 to 4 percent missed their deadline.

Change: the bucket holds 120 s of the rate; work counts without a known cached prefix; prompts that need a group wait in a queue of their own; admission uses the observed stretch of long prompts and the rate at which they leave the queue; groups take 60 percent of each engine; 20 percent of the memory is left to short prompts. The warm-up is 120 s so that the buckets are full.

--- a/figspan-bench/src/main/java/io/figspan/bench/policy/FleetDriver.java
+++ b/figspan-bench/src/main/java/io/figspan/bench/policy/FleetDriver.java
@@ -58,7 +58,7 @@
         SplittableRandom root = new SplittableRandom(scenario.seed());
         SplittableRandom arrivals = root.split();
         network = root.split();
-        fromNanos = scenario.warmUpSeconds() * SECOND_NANOS;
+        fromNanos = Scenario.WARM_UP_SECONDS * SECOND_NANOS;
         toNanos = fromNanos + scenario.seconds() * SECOND_NANOS;
         createFleet(root);
         for (int i = 0; i < organisations.size(); i++) {
@@ -185,6 +185,7 @@
             } else if (action instanceof DispatchAction.Send send) {
                 long order = order(send.priorityDelayMs());
                 PromptCost cost = send.prompt().cost();
+                job.sentNanos = events.nowNanos();
                 Job part = job.part(order, cost.kvTokens(), cost.promptTokens(), job.outputTokens);
                 runLast(job, part, engines.get(send.server()));
             } else if (action instanceof DispatchAction.SendGroup group) {
@@ -215,6 +216,7 @@
             job.firstTokenSeen = true;
             held.getOrDefault(job.prompt.id(), List.of())
                     .forEach(each -> host.view.firstToken(each.engine.runner.server(), job.prompt.id()));
+            host.firstToken(job.prompt, engine.runner.server(), job.sentNanos, events.nowNanos());
             if (measured(job)) {
                 outcome.firstToken(job, events.nowNanos());
             }
@@ -233,6 +235,7 @@
     /** Acquires the holds of a group one after the other, then runs the segments. */
     private void acquire(Job job, DispatchAction.SendGroup group, int index) {
         if (index == group.servers().size()) {
+            job.sentNanos = events.nowNanos();
             runSegment(job, group, 0);
             return;
         }
--- a/figspan-bench/src/main/java/io/figspan/bench/policy/HostModel.java
+++ b/figspan-bench/src/main/java/io/figspan/bench/policy/HostModel.java
@@ -25,7 +25,7 @@
 /** One entry host: its own view of the load and the decisions on the prompts that reach it. */
 abstract class HostModel {
     /** Seconds of its rate that an organisation may use at once. */
-    private static final double BURST_SECONDS = 20;
+    private static final double BURST_SECONDS = 120;
 
     final LoadView view = new LoadView(Engine.SPEED);
     final PrefixAffinity affinity = new PrefixAffinity(PrefixAffinity.DEFAULT_LOAD_BOUND);
@@ -41,6 +41,11 @@
 
     abstract List<DispatchAction> poll(long nowNanos);
 
+    /** Records the first token of a prompt that was sent to an engine. */
+    void firstToken(Prompt prompt, BackendServerId server, long sentNanos, long nowNanos) {
+        view.firstToken(server, prompt.id());
+    }
+
     static HostModel create(
             Scenario scenario,
             HostId self,
@@ -90,6 +95,11 @@
             return dispatcher.again(prompt, nowNanos);
         }
 
+        @Override
+        void firstToken(Prompt prompt, BackendServerId server, long sentNanos, long nowNanos) {
+            dispatcher.firstToken(prompt, server, sentNanos, nowNanos);
+        }
+
         @Override
         List<DispatchAction> poll(long nowNanos) {
             return dispatcher.poll(nowNanos);
--- a/figspan-bench/src/main/java/io/figspan/bench/policy/Job.java
+++ b/figspan-bench/src/main/java/io/figspan/bench/policy/Job.java
@@ -23,6 +23,9 @@
     long processedTokens;
     boolean resident;
     boolean abandoned;
+    /** Time at which the prompt was sent, or its group acquired. */
+    long sentNanos;
+
     boolean firstTokenSeen;
     /** Engine of a part. */
     Engine engine;
--- a/figspan-bench/src/main/java/io/figspan/bench/policy/Scenario.java
+++ b/figspan-bench/src/main/java/io/figspan/bench/policy/Scenario.java
@@ -7,7 +7,7 @@
  *
  * @param load offered load as a part of the capacity
  * @param lagMs age of a report when it reaches a host
- * @param seconds measured time; a tenth of it, at least 20 s, goes before as a warm-up
+ * @param seconds measured time; a warm-up goes before
  * @param onlyShort long prompts are left out and the rate of the short ones is the same
  * @param greedy index of the organisation that sends ten times its share, or -1
  * @param settings parameters of the current policy
@@ -23,6 +23,9 @@
         boolean onlyShort,
         int greedy,
         DispatchSettings settings) {
+    /** Time before the measured time, in which caches, queues and the buckets of the organisations fill. */
+    static final int WARM_UP_SECONDS = 120;
+
     static Scenario of(Deployment deployment, Scheme scheme, double load, long seed, int seconds) {
         return new Scenario(
                 deployment, scheme, load, 2_000, Deployment.HOSTS, seed, seconds, false, -1, DispatchSettings.DEFAULT);
@@ -51,8 +54,4 @@
     Scenario withSettings(DispatchSettings newSettings) {
         return new Scenario(deployment, scheme, load, lagMs, hosts, seed, seconds, onlyShort, greedy, newSettings);
     }
-
-    int warmUpSeconds() {
-        return Math.max(20, seconds / 10);
-    }
 }
--- a/figspan-policy/src/main/java/io/figspan/policy/affinity/PrefixAffinity.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/affinity/PrefixAffinity.java
@@ -98,6 +98,11 @@
         return of != null && of.contains(server);
     }
 
+    /** Tells whether any runner may hold the prefix. */
+    public boolean isKnown(long prefixHash) {
+        return holders.containsKey(prefixHash);
+    }
+
     /** Drops all hints on an engine, such as after a restart. */
     public void forget(BackendServerId server) {
         holders.values().forEach(of -> of.remove(server));
--- a/figspan-policy/src/main/java/io/figspan/policy/dispatch/DispatchSettings.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/dispatch/DispatchSettings.java
@@ -3,12 +3,14 @@
 import io.figspan.core.error.FigspanException;
 import io.figspan.core.error.Location;
 import io.figspan.core.error.ProblemKind;
+import io.figspan.policy.placement.GroupPlacement;
 import io.figspan.policy.placement.LengthAwarePlacement;
 
 /**
  * Parameters of the dispatcher.
  *
  * @param placement choice of the engine
+ * @param groups choice of a group of engines
  * @param firstTokenMs predicted time to first token above which a prompt is refused, for a prompt of no length
  * @param firstTokenStretch what is added to {@code firstTokenMs} for the length of the prompt, as a multiple of its
  *     time on an idle engine
@@ -19,13 +21,14 @@
  */
 public record DispatchSettings(
         LengthAwarePlacement placement,
+        GroupPlacement groups,
         long firstTokenMs,
         double firstTokenStretch,
         double urgencyStretch,
         long spareBacklogMs,
         int queueItems) {
     public static final DispatchSettings DEFAULT =
-            new DispatchSettings(LengthAwarePlacement.DEFAULT, 1_400, 4, 30, 500, 1_024);
+            new DispatchSettings(LengthAwarePlacement.DEFAULT, GroupPlacement.DEFAULT, 1_400, 4, 30, 500, 1_024);
 
     public DispatchSettings {
         if (firstTokenMs < 1 || firstTokenStretch < 0 || urgencyStretch < 0 || spareBacklogMs < 0 || queueItems < 1) {
@@ -36,6 +39,6 @@
 
     public DispatchSettings withPlacement(LengthAwarePlacement newPlacement) {
         return new DispatchSettings(
-                newPlacement, firstTokenMs, firstTokenStretch, urgencyStretch, spareBacklogMs, queueItems);
+                newPlacement, groups, firstTokenMs, firstTokenStretch, urgencyStretch, spareBacklogMs, queueItems);
     }
 }
--- a/figspan-policy/src/main/java/io/figspan/policy/dispatch/PromptDispatcher.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/dispatch/PromptDispatcher.java
@@ -8,6 +8,7 @@
 import io.figspan.policy.admission.AdmissionDecision;
 import io.figspan.policy.admission.AdmissionPolicy;
 import io.figspan.policy.admission.AdmissionRequest;
+import io.figspan.policy.admission.LongPromptEstimate;
 import io.figspan.policy.affinity.PrefixAffinity;
 import io.figspan.policy.fair.FairQueue;
 import io.figspan.policy.limit.OrganisationLimits;
@@ -24,8 +25,8 @@
 
 /**
  * Decides on one host what happens to each prompt: refuse, send to an engine or a group of engines, or wait in this
- * host's queue for memory. Short and long prompts wait in queues of their own, so that a long prompt that finds no
- * memory does not hold up short ones.
+ * host's queue for memory. Short prompts, long ones and those that need a group of engines wait in queues of their own,
+ * so that a prompt that finds no memory does not hold up shorter ones.
  *
  * <p>Not thread-safe; times are on the host's monotonic clock.
  */
@@ -38,10 +39,12 @@
     private final PrefixAffinity affinity;
     private final OrganisationLimits limits;
     private final AdmissionPolicy admission;
-    private final GroupPlacement groups = GroupPlacement.DEFAULT;
+    private final LongPromptEstimate longPrompts;
+    private final GroupPlacement groups;
     private final RandomGenerator random;
     private final FairQueue<Prompt> shortQueue;
     private final FairQueue<Prompt> longQueue;
+    private final FairQueue<Prompt> groupQueue;
 
     public PromptDispatcher(
             DispatchSettings settings,
@@ -55,9 +58,12 @@
         this.affinity = affinity;
         this.limits = limits;
         this.random = random;
+        this.groups = settings.groups();
         this.admission = new AdmissionPolicy(view.speed(), AdmissionPolicy.DEFAULT_MARGIN);
+        this.longPrompts = new LongPromptEstimate(view.speed());
         this.shortQueue = new FairQueue<>(settings.queueItems(), AGEING_NANOS, weightOf);
         this.longQueue = new FairQueue<>(settings.queueItems(), AGEING_NANOS, weightOf);
+        this.groupQueue = new FairQueue<>(settings.queueItems(), AGEING_NANOS, weightOf);
     }
 
     /** Takes a new prompt. The actions may also concern prompts that have waited. */
@@ -84,6 +90,12 @@
         if (queue.size() == 0 && place(prompt, nowNanos, actions)) {
             return;
         }
+        long waitNanos = prompt.cost().isLong() ? longPrompts.waitNanos(queue.queuedTokens(), nowNanos) : 0;
+        Optional<Problem> refusal = checkTimes(prompt, prompt.cost().promptTokens(), 0, waitNanos, nowNanos);
+        if (refusal.isPresent()) {
+            actions.add(new DispatchAction.Refuse(prompt, refusal.get()));
+            return;
+        }
         queue.offer(new FairQueue.Entry<>(
                         prompt,
                         prompt.organisation(),
@@ -97,13 +109,26 @@
     public List<DispatchAction> poll(long nowNanos) {
         List<DispatchAction> actions = new ArrayList<>(0);
         drain(shortQueue, nowNanos, actions);
+        drain(groupQueue, nowNanos, actions);
         drain(longQueue, nowNanos, actions);
         return actions;
     }
 
+    /**
+     * Records the first token of a prompt.
+     *
+     * @param sentNanos time at which the prompt was sent, or at which the group of engines had been acquired
+     */
+    public void firstToken(Prompt prompt, BackendServerId server, long sentNanos, long nowNanos) {
+        view.firstToken(server, prompt.id());
+        if (prompt.cost().isLong()) {
+            longPrompts.firstToken(prompt.cost().promptTokens(), nowNanos - sentNanos);
+        }
+    }
+
     /** Number of prompts that wait on this host. */
     public int waiting() {
-        return shortQueue.size() + longQueue.size();
+        return shortQueue.size() + longQueue.size() + groupQueue.size();
     }
 
     private void drain(FairQueue<Prompt> queue, long nowNanos, List<DispatchAction> actions) {
@@ -117,7 +142,7 @@
     }
 
     private Optional<Problem> checkShare(Prompt prompt, long nowNanos) {
-        Result<Long> taken = limits.tryTake(prompt.organisation(), prompt.cost().kvTokens(), nowNanos);
+        Result<Long> taken = limits.tryTake(prompt.organisation(), workTokens(prompt.cost()), nowNanos);
         if (taken instanceof Result.Failed<Long> failed) {
             double spareTokens = view.speed().prefillTokens(TimeUnit.MILLISECONDS.toNanos(settings.spareBacklogMs()));
             if (view.meanBacklogTokens(nowNanos) > spareTokens) {
@@ -127,6 +152,12 @@
         return Optional.empty();
     }
 
+    /** Tokens of work that count against the organisation's share; a prefix that some runner may hold is no work. */
+    private long workTokens(PromptCost cost) {
+        boolean cached = cost.prefixTokens() > 0 && affinity.isKnown(cost.prefixHash());
+        return cost.prefillTokens(cached) + cost.maxOutputTokens();
+    }
+
     /** Decides on a prompt; answers false when it has to wait for memory. */
     private boolean place(Prompt prompt, long nowNanos, List<DispatchAction> actions) {
         PromptCost cost = prompt.cost();
@@ -141,7 +172,7 @@
         boolean cached = cost.prefixTokens() > 0 && affinity.mayHold(cost.prefixHash(), load.server());
         long prefillTokens = cost.prefillTokens(cached);
         long aheadTokens = settings.placement().aheadTokens(cost, view, load, nowNanos);
-        Optional<Problem> refusal = checkTimes(prompt, prefillTokens, aheadTokens, nowNanos);
+        Optional<Problem> refusal = checkTimes(prompt, prefillTokens, aheadTokens, 0, nowNanos);
         if (refusal.isPresent()) {
             actions.add(new DispatchAction.Refuse(prompt, refusal.get()));
             return true;
@@ -150,6 +181,7 @@
         if (cost.prefixTokens() > 0) {
             affinity.sent(cost.prefixHash(), load.server());
         }
+        noteSent(prompt, nowNanos);
         actions.add(new DispatchAction.Send(prompt, load.server(), priorityDelayMs(prompt, prefillTokens, nowNanos)));
         return true;
     }
@@ -173,7 +205,7 @@
         for (BackendServerId server : servers) {
             aheadTokens = Math.max(aheadTokens, view.get(server).backlogTokens(nowNanos));
         }
-        Optional<Problem> refusal = checkTimes(prompt, cost.promptTokens(), aheadTokens, nowNanos);
+        Optional<Problem> refusal = checkTimes(prompt, cost.promptTokens(), aheadTokens, 0, nowNanos);
         if (refusal.isPresent()) {
             actions.add(new DispatchAction.Refuse(prompt, refusal.get()));
             return true;
@@ -182,21 +214,26 @@
         for (BackendServerId server : servers) {
             view.sent(server, prompt.id(), cost.promptTokens(), cost.promptTokens() / servers.size(), each, nowNanos);
         }
+        noteSent(prompt, nowNanos);
         actions.add(new DispatchAction.SendGroup(
                 prompt, servers, each, priorityDelayMs(prompt, cost.promptTokens(), nowNanos)));
         return true;
     }
 
     private boolean refuseIfHopeless(Prompt prompt, long nowNanos, List<DispatchAction> actions) {
-        Optional<Problem> refusal = checkTimes(prompt, prompt.cost().promptTokens(), 0, nowNanos);
+        Optional<Problem> refusal = checkTimes(prompt, prompt.cost().promptTokens(), 0, 0, nowNanos);
         refusal.ifPresent(problem -> actions.add(new DispatchAction.Refuse(prompt, problem)));
         return refusal.isPresent();
     }
 
-    private Optional<Problem> checkTimes(Prompt prompt, long prefillTokens, long aheadTokens, long nowNanos) {
+    private Optional<Problem> checkTimes(
+            Prompt prompt, long prefillTokens, long aheadTokens, long waitNanos, long nowNanos) {
         PromptCost cost = prompt.cost();
+        long overtakenTokens = cost.isLong() ? (long) ((longPrompts.stretch() - 1) * prefillTokens) : 0;
+        long beforeTokens =
+                Math.max(aheadTokens, overtakenTokens) + view.speed().prefillTokens(waitNanos);
         AdmissionDecision decision = admission.decide(
-                new AdmissionRequest(prefillTokens, cost.maxOutputTokens(), aheadTokens, prompt.deadline()), nowNanos);
+                new AdmissionRequest(prefillTokens, cost.maxOutputTokens(), beforeTokens, prompt.deadline()), nowNanos);
         if (decision instanceof AdmissionDecision.Refused refused) {
             return Optional.of(refused.problem());
         }
@@ -218,7 +255,16 @@
         return TimeUnit.NANOSECONDS.toMillis(stretchNanos - (nowNanos - prompt.arrivedNanos()));
     }
 
+    private void noteSent(Prompt prompt, long nowNanos) {
+        if (prompt.cost().isLong()) {
+            longPrompts.sent(prompt.cost().kvTokens(), nowNanos);
+        }
+    }
+
     private FairQueue<Prompt> queueOf(Prompt prompt) {
+        if (!groups.fitsOneEngine(prompt.cost(), view.speed())) {
+            return groupQueue;
+        }
         return prompt.cost().isLong() ? longQueue : shortQueue;
     }
 
--- a/figspan-policy/src/main/java/io/figspan/policy/fair/FairQueue.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/fair/FairQueue.java
@@ -104,6 +104,15 @@
         return size;
     }
 
+    /** Tokens of all queued items. */
+    public long queuedTokens() {
+        long sum = 0;
+        for (Flow<T> flow : flows.values()) {
+            sum += flow.queuedTokens;
+        }
+        return sum;
+    }
+
     /** Number of organisations with queued items. */
     public int organisations() {
         return flows.size();
--- a/figspan-policy/src/main/java/io/figspan/policy/placement/GroupPlacement.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placement/GroupPlacement.java
@@ -12,14 +12,15 @@
 /**
  * Choice of a group of engines in one availability zone for a prompt that is larger than one engine.
  *
- * @param fillShare largest part of one engine's memory that a prompt may take, 0 to 1
+ * @param singleFillShare largest part of one engine's memory that a prompt on that engine alone may take, 0 to 1
+ * @param groupFillShare largest part of the memory of each engine of a group, 0 to 1; a smaller one needs more engines,
+ *     but finds engines with the memory sooner
  */
-public record GroupPlacement(double fillShare) {
-    /** Leaves a part of each engine of a group to short prompts. */
-    public static final GroupPlacement DEFAULT = new GroupPlacement(0.85);
+public record GroupPlacement(double singleFillShare, double groupFillShare) {
+    public static final GroupPlacement DEFAULT = new GroupPlacement(0.85, 0.6);
 
     public boolean fitsOneEngine(PromptCost cost, EngineSpeed speed) {
-        return cost.kvTokens() <= maxKvTokens(speed);
+        return cost.kvTokens() <= (long) (speed.kvTotalTokens() * singleFillShare);
     }
 
     /** Number of engines that the prompt needs. */
@@ -66,6 +67,6 @@
     }
 
     private long maxKvTokens(EngineSpeed speed) {
-        return (long) (speed.kvTotalTokens() * fillShare);
+        return (long) (speed.kvTotalTokens() * groupFillShare);
     }
 }
--- a/figspan-policy/src/main/java/io/figspan/policy/placement/LengthAwarePlacement.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placement/LengthAwarePlacement.java
@@ -21,7 +21,7 @@
  */
 public record LengthAwarePlacement(
         int samples, double keptFreeShare, double overtakenShare, double shortReserveShare, long awayTokens) {
-    public static final LengthAwarePlacement DEFAULT = new LengthAwarePlacement(20, 0, 0.3, 0.15, 16_384);
+    public static final LengthAwarePlacement DEFAULT = new LengthAwarePlacement(20, 0, 0.3, 0.2, 16_384);
 
     /**
      * Chooses a runner for a prompt that fits on one engine: the cheapest of the home runners and of a sample of the
