--- /dev/null
+++ b/figspan-policy/src/test/java/io/figspan/policy/affinity/PrefixAffinityTest.java
@@ -0,0 +1,61 @@
+package io.figspan.policy.affinity;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.figspan.core.id.AvailabilityZoneId;
+import io.figspan.core.id.BackendServerId;
+import io.figspan.policy.placement.EngineSpeed;
+import io.figspan.policy.placement.LoadView;
+import io.figspan.policy.placement.LoadView.RunnerLoad;
+import io.figspan.policy.subset.Runner;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/** Hints that outlive an eviction send prompts to cold engines; a hot prefix without a bound overloads one engine. */
+class PrefixAffinityTest {
+    private static final BackendServerId A = BackendServerId.of("a");
+
+    @Test
+    void aGapInTheEventsDropsAllHintsOnThatEngineAndAnOldEventChangesNothing() {
+        PrefixAffinity affinity = new PrefixAffinity(1.25);
+        affinity.onEvent(new CacheEvent(A, 1, 100, true));
+        affinity.onEvent(new CacheEvent(A, 2, 200, true));
+        affinity.onEvent(new CacheEvent(A, 1, 100, false));
+        assertTrue(affinity.mayHold(100, A));
+        affinity.onEvent(new CacheEvent(A, 4, 300, true));
+        assertFalse(affinity.mayHold(100, A));
+        assertFalse(affinity.mayHold(200, A));
+        assertTrue(affinity.mayHold(300, A));
+    }
+
+    @Test
+    void theTableOfHintsStaysWithinItsBound() {
+        PrefixAffinity affinity = new PrefixAffinity(1.25, 8);
+        SplittableRandom random = new SplittableRandom(1);
+        for (int i = 1; i <= 1_000; i++) {
+            affinity.onEvent(new CacheEvent(A, i + i / 50, random.nextInt(50), random.nextInt(3) > 0));
+            assertTrue(affinity.size() <= 8);
+        }
+    }
+
+    @Test
+    void noRunnerIsPreferredAboveTheLoadBound() {
+        LoadView view = new LoadView(new EngineSpeed(40_000, 2_048, 50_000_000, 400_000));
+        for (int i = 0; i < 5; i++) {
+            view.add(new Runner(BackendServerId.of("runner-" + i), AvailabilityZoneId.of("az")));
+        }
+        PrefixAffinity affinity = new PrefixAffinity(1.25);
+        for (int sends = 1; sends <= 100; sends++) {
+            RunnerLoad chosen = affinity.preferred(7, view.runners(), RunnerLoad::outstanding, 1)
+                    .orElseThrow();
+            view.sent(chosen.server(), sends, 1_000, 1_000, 1_000, sends);
+            affinity.sent(7, chosen.server());
+            double mean = sends / 5.0;
+            assertTrue(chosen.outstanding() <= 1.25 * mean + 2);
+        }
+        assertEquals(
+                100, view.runners().stream().mapToInt(RunnerLoad::outstanding).sum());
+    }
+}
--- /dev/null
+++ b/figspan-policy/src/test/java/io/figspan/policy/placement/PlacementProperties.java
@@ -0,0 +1,156 @@
+package io.figspan.policy.placement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.figspan.core.id.AvailabilityZoneId;
+import io.figspan.core.id.BackendServerId;
+import io.figspan.policy.placement.LoadView.RunnerLoad;
+import io.figspan.policy.subset.Runner;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+
+/** A wrong choice among few runners is a wrong choice among many; groups that differ from the best one wait longer. */
+class PlacementProperties {
+    private static final EngineSpeed SPEED = new EngineSpeed(40_000, 2_048, 50_000_000, 400_000);
+    private static final long NOW = 10_000_000_000L;
+
+    private static LoadView view(int runners, SplittableRandom random) {
+        LoadView view = new LoadView(SPEED);
+        for (int i = 0; i < runners; i++) {
+            BackendServerId server = BackendServerId.of("runner-" + i);
+            view.add(new Runner(server, AvailabilityZoneId.of("az-" + i % 2)));
+            if (random.nextInt(4) > 0) {
+                long measured = NOW - random.nextLong(5_000_000_000L);
+                long queued = random.nextInt(3) * random.nextLong(100_000);
+                view.report(server, new LoadReport(1, queued, 3, random.nextLong(400_000), 400_000, 0), measured);
+            }
+            for (int send = random.nextInt(4); send > 0; send--) {
+                long tokens = 1_000 + random.nextLong(100_000);
+                view.sent(server, 100L * i + send, tokens, tokens, tokens, NOW - random.nextLong(5_000_000_000L));
+            }
+            view.setLeaving(server, random.nextInt(6) == 0);
+        }
+        return view;
+    }
+
+    /** Naive version: looks at each runner and keeps the cheapest one that may take the prompt. */
+    private static long cheapest(LengthAwarePlacement placement, PromptCost cost, LoadView view) {
+        long cheapest = Long.MAX_VALUE;
+        for (RunnerLoad load : view.runners()) {
+            long reserve = cost.isLong() ? (long) (0.2 * 400_000) : 0;
+            boolean fits = load.kvFreeTokens() >= cost.promptTokens() + cost.maxOutputTokens() + reserve;
+            if (fits && !load.leaving()) {
+                cheapest = Math.min(cheapest, placement.costTokens(cost, view, load, any -> false, NOW));
+            }
+        }
+        return cheapest;
+    }
+
+    @Property(tries = 500, seed = "1")
+    void aSampleOfAllRunnersFindsTheCheapestThatExhaustiveSearchFinds(
+            @ForAll @IntRange(min = 1, max = 8) int runners,
+            @ForAll @IntRange(min = 1_000, max = 330_000) int promptTokens,
+            @ForAll long seed) {
+        LoadView view = view(runners, new SplittableRandom(seed));
+        PromptCost cost = new PromptCost(promptTokens, 100, 0, 0);
+        LengthAwarePlacement placement = LengthAwarePlacement.DEFAULT;
+        Optional<RunnerLoad> chosen = placement.choose(cost, view, any -> false, new SplittableRandom(seed), NOW);
+        long expected = cheapest(placement, cost, view);
+        assertEquals(expected != Long.MAX_VALUE, chosen.isPresent());
+        chosen.ifPresent(load -> assertEquals(expected, placement.costTokens(cost, view, load, any -> false, NOW)));
+    }
+
+    @Property(tries = 300, seed = "1")
+    void aGroupIsInOneZoneAndNoOtherChoiceLeavesMoreRoomOnItsFullestEngine(
+            @ForAll @IntRange(min = 2, max = 10) int runners,
+            @ForAll @IntRange(min = 340_000, max = 1_000_000) int promptTokens,
+            @ForAll long seed) {
+        LoadView view = view(runners, new SplittableRandom(seed));
+        PromptCost cost = new PromptCost(promptTokens, 100, 0, 0);
+        GroupPlacement groups = GroupPlacement.DEFAULT;
+        int size = groups.size(cost, SPEED);
+        long each = groups.kvTokensEach(cost, SPEED);
+        assertTrue(each * size >= cost.kvTokens());
+        List<BackendServerId> chosen = groups.choose(cost, view, view.runners(), 0);
+        long best = -1;
+        for (int set = 0; set < 1 << runners; set++) {
+            if (Integer.bitCount(set) == size) {
+                best = Math.max(best, smallestRoom(view, set, each));
+            }
+        }
+        assertEquals(best >= 0, !chosen.isEmpty());
+        if (!chosen.isEmpty()) {
+            assertEquals(chosen.stream().sorted().toList(), chosen);
+            int set = 0;
+            for (int i = 0; i < runners; i++) {
+                set |= chosen.contains(view.runners().get(i).server()) ? 1 << i : 0;
+            }
+            assertEquals(best, smallestRoom(view, set, each));
+        }
+    }
+
+    /** Least free memory in a set of runners, or -1 when they cannot be a group. */
+    private static long smallestRoom(LoadView view, int set, long each) {
+        long room = Long.MAX_VALUE;
+        HashSet<AvailabilityZoneId> zones = new HashSet<>();
+        for (int i = 0; i < view.runners().size(); i++) {
+            RunnerLoad load = view.runners().get(i);
+            if ((set >> i & 1) == 1) {
+                zones.add(load.zone());
+                room = load.leaving() || load.kvFreeTokens() < each ? -1 : Math.min(room, load.kvFreeTokens());
+            }
+        }
+        return zones.size() == 1 ? room : -1;
+    }
+
+    @Property(tries = 200, seed = "1")
+    void theLoadViewCountsExactlyTheSendsThatAReportCannotKnow(
+            @ForAll @IntRange(min = 1, max = 60) int steps, @ForAll long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        LoadView view = new LoadView(SPEED);
+        BackendServerId server = BackendServerId.of("runner-0");
+        view.add(new Runner(server, AvailabilityZoneId.of("az-0")));
+        java.util.Map<Long, long[]> naive = new java.util.HashMap<>();
+        long measured = Long.MIN_VALUE;
+        long now = 0;
+        for (long id = 1; id <= steps; id++) {
+            now += 1_000_000;
+            long some = 1 + random.nextLong(id);
+            switch (random.nextInt(4)) {
+                case 0 -> {
+                    measured = Math.max(measured, now - random.nextLong(20_000_000));
+                    view.report(server, new LoadReport(id, 0, 0, 0, 400_000, 0), measured);
+                }
+                case 1 -> {
+                    view.finished(server, some);
+                    naive.remove(some);
+                }
+                case 2 -> {
+                    view.firstToken(server, some);
+                    naive.computeIfPresent(some, (key, send) -> new long[] {send[0], 0, send[2]});
+                }
+                default -> {
+                    view.sent(server, id, 1_000 * id, 10 * id, 10 * id, now);
+                    naive.put(id, new long[] {now, 10 * id, 10 * id});
+                }
+            }
+            long pending = naive.values().stream().mapToLong(send -> send[1]).sum();
+            long since = measured;
+            long kv = naive.values().stream()
+                    .filter(send -> send[0] > since)
+                    .mapToLong(send -> send[2])
+                    .sum();
+            RunnerLoad load = view.get(server);
+            assertEquals(pending, load.ownPendingTokens());
+            assertEquals(pending, load.ownPendingTokens(Long.MAX_VALUE));
+            assertEquals(400_000 - kv, load.kvFreeTokens());
+            assertEquals(naive.size(), load.outstanding());
+        }
+    }
+}
--- /dev/null
+++ b/figspan-policy/src/test/java/io/figspan/policy/subset/SubsetProperties.java
@@ -0,0 +1,98 @@
+package io.figspan.policy.subset;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.figspan.core.id.AvailabilityZoneId;
+import io.figspan.core.id.BackendServerId;
+import io.figspan.core.id.HostId;
+import io.figspan.core.id.OrganisationId;
+import io.figspan.policy.entry.EntryHost;
+import io.figspan.policy.entry.EntryList;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+
+/** Subsets that are uneven overload some runners; unstable ones empty caches when a single runner changes. */
+class SubsetProperties {
+    private static List<Runner> runners(int count) {
+        List<Runner> runners = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            runners.add(new Runner(BackendServerId.of("runner-" + i), AvailabilityZoneId.of("az-" + i % 5)));
+        }
+        return runners;
+    }
+
+    @Property(tries = 30, seed = "1")
+    void aRunnerThatLeavesChangesASubsetByAtMostOneRunnerForEachZone(
+            @ForAll @IntRange(min = 30, max = 200) int count, @ForAll @IntRange(max = 1_000) int host) {
+        List<Runner> all = runners(count);
+        HostId id = HostId.of("host-" + host);
+        List<Runner> before = SubsetPolicy.DEFAULT.choose(id, all);
+        Runner gone = before.get(host % before.size());
+        List<Runner> rest = new ArrayList<>(all);
+        rest.remove(gone);
+        Set<Runner> lost = new HashSet<>(before);
+        lost.removeAll(SubsetPolicy.DEFAULT.choose(id, rest));
+        assertTrue(lost.contains(gone));
+        assertTrue(lost.size() <= 2, "lost " + lost);
+    }
+
+    @Property(tries = 5, seed = "1")
+    void eachRunnerOfTheDesignScaleHasAboutFifteenHosts(@ForAll @IntRange(max = 9) int salt) {
+        Map<Runner, Integer> hosts = new HashMap<>();
+        List<Runner> all = runners(630);
+        for (int i = 0; i < 400; i++) {
+            List<Runner> subset = SubsetPolicy.DEFAULT.choose(HostId.of("host-" + salt + "-" + i), all);
+            assertEquals(24, new HashSet<>(subset).size());
+            subset.forEach(runner -> hosts.merge(runner, 1, Integer::sum));
+        }
+        // 400 x 24 / 630 = 15.2 hosts; a runner without any host would be idle, one with thrice as many overloaded.
+        assertEquals(630, hosts.size());
+        assertTrue(hosts.values().stream().allMatch(count -> count <= 45), "uneven: " + hosts.values());
+    }
+
+    @Property(tries = 20, seed = "1")
+    void eachRunnerIsAHomeAndHomesAreEven(
+            @ForAll @IntRange(min = 1, max = 40) int hostCount, @ForAll @IntRange(min = 1, max = 60) int runnerCount) {
+        List<HostId> hosts = new ArrayList<>();
+        for (int i = 0; i < hostCount; i++) {
+            hosts.add(HostId.of("host-" + i));
+        }
+        List<BackendServerId> servers =
+                runners(runnerCount).stream().map(Runner::server).toList();
+        Set<BackendServerId> covered = new HashSet<>();
+        for (HostId host : hosts) {
+            Set<BackendServerId> homes = HomeRunners.choose(host, hosts, servers);
+            assertTrue(homes.size() >= 1 && homes.size() <= runnerCount / hostCount + 1, "homes " + homes);
+            covered.addAll(homes);
+        }
+        assertEquals(runnerCount, covered.size());
+    }
+
+    @Property(tries = 30, seed = "1")
+    void anEntryListHasTheDocumentedSizeAndReplacesADeadHostByTheNext(
+            @ForAll @IntRange(min = 1, max = 50) int count, @ForAll @IntRange(max = 100) int percent) {
+        List<EntryHost> hosts = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            hosts.add(new EntryHost(HostId.of("host-" + i), AvailabilityZoneId.of("az-" + i % 3)));
+        }
+        OrganisationId organisation = OrganisationId.of("organisation-" + percent);
+        double share = percent / 100.0;
+        List<EntryHost> list = EntryList.choose(organisation, share, hosts);
+        assertEquals(Math.min(count, Math.max(3, (int) Math.ceil(share * count * 1.5))), list.size());
+        assertEquals(list, EntryList.choose(organisation, share, hosts));
+        List<EntryHost> rest = new ArrayList<>(hosts);
+        rest.remove(list.get(0));
+        List<EntryHost> after = EntryList.choose(organisation, share, rest);
+        assertTrue(!after.contains(list.get(0)));
+        long kept = list.stream().filter(after::contains).count();
+        assertTrue(kept >= list.size() - 3, "kept " + kept + " of " + list.size());
+    }
+}
