--- a/figspan-cli/src/main/java/io/figspan/cli/operator/TimelineCommand.java
+++ b/figspan-cli/src/main/java/io/figspan/cli/operator/TimelineCommand.java
@@ -10,6 +10,8 @@
 import io.figspan.cli.Console;
 import io.figspan.cli.ExitCode;
 import io.figspan.cli.TextTable;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
 import java.time.Instant;
 import java.time.ZoneOffset;
 import java.time.format.DateTimeFormatter;
@@ -65,7 +67,9 @@
         }
         List<HostReader.Answer> answers;
         try (HostReader reader = new HostReader(hosts.timeoutMs())) {
-            answers = reader.readAll(hosts.addresses(), PATH);
+            answers = reader.readAll(hosts.addresses(), path()).stream()
+                    .map(TimelineCommand::requireEvents)
+                    .toList();
         }
         List<JsonNode> documents = answers.stream()
                 .filter(HostReader.Answer::isOk)
@@ -80,6 +84,17 @@
         return documents.size() == answers.size() ? ExitCode.OK : ExitCode.UNREACHABLE;
     }
 
+    /** Names the request to the hosts, because they send only the newest events that match. */
+    private String path() {
+        return request == null ? PATH : PATH + "?request=" + URLEncoder.encode(request, StandardCharsets.UTF_8);
+    }
+
+    /** Refuses a document of another shape, which would otherwise look like a host without events. */
+    private static HostReader.Answer requireEvents(HostReader.Answer answer) {
+        boolean valid = !answer.isOk() || answer.document().path("events").isArray();
+        return valid ? answer : answer.refused("the answer has no events");
+    }
+
     private boolean isWanted(TimelineMerge.Event event) {
         boolean ofRequest = request == null || request.equals(event.requestId());
         boolean ofPart = part == null || part.equals(event.part());
--- a/figspan-host/src/main/java/io/figspan/host/peer/PeerNode.java
+++ b/figspan-host/src/main/java/io/figspan/host/peer/PeerNode.java
@@ -91,6 +91,7 @@
                 new PeerIdentity(config.self(), config.key(), new HybridClock(System::currentTimeMillis));
         this.server = new PeerServer(vertx, context, identity, stats);
         this.client = new PeerClient(vertx, context, identity, stats, random);
+        this.client.reuseConnectionsOf(server);
         this.cluster = new ClusterHost(
                 config.self(), config.seeds(), config.tuning(), services.shares(), random, clock.nowNanos());
         this.lastHeardNanos = clock.nowNanos();
@@ -112,6 +113,14 @@
                 })));
     }
 
+    /**
+     * Tells some members that this host leaves, so that it drops out of the entry lists, and goes on to answer orders
+     * and outcome queries until {@link #close()}.
+     */
+    public void announceLeave() {
+        run(cluster::leave);
+    }
+
     /** Tells some members that this host leaves, so that it is dropped without suspicion, and closes. */
     public Completable leave() {
         return Completable.create(emitter -> onContext(() -> {
@@ -203,6 +212,8 @@
             answer(inbound.link(), services.orders().forwarded(inbound.from(), order));
         } else if (message instanceof PeerMessage.OutcomeQuery query) {
             answer(inbound.link(), services.orders().outcome(inbound.from(), query));
+        } else if (message instanceof PeerMessage.OrderOutcome outcome) {
+            client.accept(outcome);
         } else {
             carryOut(cluster.receive(inbound.from(), message, clock.nowNanos()), inbound.link());
         }
@@ -272,6 +283,7 @@
         LOG.info("[member] {} is {}", changed.peer(), changed.live() ? "live" : "gone");
         if (!changed.live()) {
             client.forget(changed.peer().address());
+            server.forget(changed.peer().address());
         }
         refreshView();
         services.listener().memberChanged(changed.peer(), changed.live());
--- a/figspan-settings/src/test/java/io/figspan/settings/HolderProperties.java
+++ b/figspan-settings/src/test/java/io/figspan/settings/HolderProperties.java
@@ -41,6 +41,8 @@
             return;
         }
         long inForce = holder.version().number();
+        SettingsTree readAfresh = SettingsTreeReader.read(parts((int) inForce));
+        assertEquals(List.of(), SettingsDiff.between(readAfresh, holder.tree()), "parts that were parsed before");
         ResolvedSettings fleet = holder.tree().fleet();
         ResolvedSettings organisation = holder.tree().resolve(OrganisationId.of("o"));
         assertEquals(inForce, fleet.integer(SettingKey.PROMPTS_DEADLINE_MS), "the part of the fleet");
@@ -72,10 +74,14 @@
         return new Offer(manifest, parts, fault > 3);
     }
 
+    /** Two parts that differ between all versions, one that never does, and one that adds services to the latter. */
     private static List<SettingsPart> parts(int version) {
+        String service = "[organisation.p.service.s" + version % 2 + "]\n";
         return List.of(
                 new SettingsPart("fleet.toml", "[fleet]\nprompts.deadlineMs = " + version + "\n"),
-                new SettingsPart("o.toml", "[organisation.o]\nlimits.burstTokens = " + version + "\n"));
+                new SettingsPart("o.toml", "[organisation.o]\nlimits.burstTokens = " + version + "\n"),
+                new SettingsPart("p.toml", "[organisation.p]\nweight = 3\n"),
+                new SettingsPart("services.toml", service + "kind = \"order\"\n"));
     }
 
     @Property(tries = 1, seed = "13")
--- a/figspan-standin/src/main/java/io/figspan/standin/engine/EngineCore.java
+++ b/figspan-standin/src/main/java/io/figspan/standin/engine/EngineCore.java
@@ -11,7 +11,7 @@
 
 /**
  * The batch of one engine. Each step gives a token to each decoding job, then shares the prefill budget over the other
- * jobs in order of priority. Not safe for use by several threads.
+ * jobs in the order of service. Not safe for use by several threads.
  */
 final class EngineCore {
     /** Jobs that wait or run; a further one is refused. */
@@ -30,6 +30,7 @@
     private final List<EngineJob> active = new ArrayList<>();
     private final Map<HoldHandle, KvState> kvStates = new LinkedHashMap<>();
     private boolean leaving;
+    private int gateTokens = Integer.MAX_VALUE;
 
     EngineCore(EngineOptions options) {
         this.options = options;
@@ -54,6 +55,11 @@
         leaving = true;
     }
 
+    /** Stops the generation of each answer at this offset until the gate is moved. */
+    void setGate(int newGateTokens) {
+        gateTokens = newGateTokens;
+    }
+
     /** Takes a job, or returns why it is refused. */
     Optional<String> submit(EngineJob job, long nowNanos) {
         EngineJob.Submission submission = job.submission();
@@ -101,6 +107,11 @@
         memory.release(handle);
     }
 
+    /** Whether a stream of this hold is being read. */
+    boolean hasReader(HoldHandle handle) {
+        return active.stream().anyMatch(job -> job.submission().handle().equals(handle) && job.hasReader());
+    }
+
     Optional<KvState> kvState(HoldHandle handle) {
         return Optional.ofNullable(kvStates.get(handle));
     }
@@ -148,7 +159,7 @@
         List<EngineJob> waiting = new ArrayList<>(active.stream()
                 .filter(job -> job.state() == EngineJob.State.WAITING)
                 .toList());
-        waiting.sort(Comparator.comparingInt(job -> job.submission().priority()));
+        waiting.sort(Comparator.comparingLong(job -> job.submission().orderMs()));
         for (EngineJob job : waiting) {
             EngineJob.Submission submission = job.submission();
             if (job.expiresInMs(nowNanos) == 0) {
@@ -168,7 +179,7 @@
 
     private void decodeAll(long nowNanos) {
         for (EngineJob job : active) {
-            if (job.state() == EngineJob.State.DECODING) {
+            if (job.state() == EngineJob.State.DECODING && job.generatedEnd() < gateTokens) {
                 job.decode(nowNanos);
             }
         }
@@ -179,7 +190,7 @@
                 .filter(job -> job.state() == EngineJob.State.PREFILLING)
                 .toList());
         prefilling.sort(
-                Comparator.<EngineJob>comparingInt(job -> job.submission().priority())
+                Comparator.<EngineJob>comparingLong(job -> job.submission().orderMs())
                         .thenComparingInt(EngineJob::prefillLeftTokens));
         int left = budgetTokens;
         for (EngineJob job : prefilling) {
--- a/figspan-standin/src/main/java/io/figspan/standin/engine/EngineJob.java
+++ b/figspan-standin/src/main/java/io/figspan/standin/engine/EngineJob.java
@@ -22,13 +22,16 @@
 
         /** Called when a newer reader took over. */
         void onSuperseded();
+
+        /** Whether the reader's connection is open. */
+        boolean isOpen();
     }
 
     /**
      * What a job was submitted with.
      *
      * @param streamId empty for a segment
-     * @param priority lower comes first
+     * @param orderMs place in the order of service; lower comes first
      * @param digest digest of the whole prompt
      * @param firstOffset offset of the first token to generate
      * @param maxTokens end offset of the answer; 0 for a segment
@@ -36,7 +39,7 @@
     record Submission(
             String streamId,
             HoldHandle handle,
-            int priority,
+            long orderMs,
             long digest,
             int prefillTokens,
             long memoryTokens,
@@ -141,6 +144,10 @@
         return readerNumber;
     }
 
+    boolean hasReader() {
+        return reader.filter(Reader::isOpen).isPresent();
+    }
+
     void notifyReader() {
         reader.ifPresent(attached -> attached.onProgress(this));
     }
