Serve the longest prompts in small availability zones and use the memory that engines report

Change: a zone with too few engines for the usual size gets a smaller group; a prompt that no zone can hold is refused at once; the smallest reported memory is used for predictions.

--- a/figspan-host/src/main/java/io/figspan/host/backend/BackendTable.java
+++ b/figspan-host/src/main/java/io/figspan/host/backend/BackendTable.java
@@ -164,6 +164,15 @@
         return found;
     }
 
+    /** Smallest memory that an engine of this host's subset has reported; 0 when none has. */
+    public long smallestCapacityTokens() {
+        return engines().stream()
+                .filter(Server::hasReported)
+                .mapToLong(Server::capacityTokens)
+                .min()
+                .orElse(0);
+    }
+
     public Optional<Server> find(BackendServerId id) {
         return Optional.ofNullable(servers.get(id));
     }
--- a/figspan-host/src/main/java/io/figspan/host/entry/Dispatcher.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/Dispatcher.java
@@ -55,6 +55,7 @@
     private PromptDispatcher decisions;
     private SettingsVersion version = SettingsVersion.NONE;
     private Set<BackendServerId> engines = Set.of();
+    private long capacityTokens;
 
     Dispatcher(HostContext context) {
         this.context = context;
@@ -131,13 +132,16 @@
     /** Takes over new settings and a changed set of engines. Prompts that wait are decided anew. */
     private void refresh() {
         LoadView loads = context.backends().loads();
-        boolean unchanged = version.equals(context.settings().version())
+        long smallestTokens = context.backends().smallestCapacityTokens();
+        boolean unchanged = smallestTokens == capacityTokens
+                && version.equals(context.settings().version())
                 && engines.size() == loads.runners().size()
                 && loads.runners().stream().allMatch(load -> engines.contains(load.server()));
         if (unchanged) {
             return;
         }
         version = context.settings().version();
+        capacityTokens = smallestTokens;
         context.backends().setSubsetSize((int) context.tree().fleet().integer(SettingKey.PLACEMENT_SUBSET_SIZE));
         engines = loads.runners().stream().map(LoadView.RunnerLoad::server).collect(Collectors.toUnmodifiableSet());
         loads.setSpeed(speed());
@@ -171,7 +175,7 @@
                 fleet.integer(SettingKey.ENGINES_PREFILL_TOKENS_PER_SECOND),
                 fleet.integer(SettingKey.ENGINES_PREFILL_CHUNK_TOKENS),
                 TimeUnit.MICROSECONDS.toNanos(fleet.integer(SettingKey.ENGINES_DECODE_STEP_MICROS)),
-                fleet.integer(SettingKey.ENGINES_MEMORY_TOKENS));
+                capacityTokens > 0 ? capacityTokens : fleet.integer(SettingKey.ENGINES_MEMORY_TOKENS));
     }
 
     private DispatchSettings dispatchSettings() {
--- a/figspan-policy/src/main/java/io/figspan/policy/dispatch/PromptDispatcher.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/dispatch/PromptDispatcher.java
@@ -198,6 +198,13 @@
 
     private boolean placeGroup(Prompt prompt, long nowNanos, List<DispatchAction> actions) {
         PromptCost cost = prompt.cost();
+        if (!groups.isPossible(cost, view)) {
+            Problem problem = Problem.notRun(
+                            ProblemKind.NO_BACKEND_SERVER, "no availability zone has enough engines for the prompt")
+                    .withRetryAfterMs(OVERLOAD_RETRY_MS);
+            actions.add(new DispatchAction.Refuse(prompt, problem));
+            return true;
+        }
         List<BackendServerId> servers = groups.choose(
                 cost,
                 view,
@@ -215,7 +222,7 @@
             actions.add(new DispatchAction.Refuse(prompt, refusal.get()));
             return true;
         }
-        long each = groups.kvTokensEach(cost, view.speed());
+        long each = groups.kvTokensEach(cost, servers.size());
         for (BackendServerId server : servers) {
             view.sent(server, prompt.id(), cost.promptTokens(), cost.promptTokens() / servers.size(), each, nowNanos);
         }
--- a/figspan-policy/src/main/java/io/figspan/policy/placement/GroupPlacement.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placement/GroupPlacement.java
@@ -23,42 +23,47 @@
         return cost.kvTokens() <= (long) (speed.kvTotalTokens() * singleFillShare);
     }
 
-    /** Number of engines that the prompt needs. */
+    /** Number of engines that the prompt takes where enough are available. */
     public int size(PromptCost cost, EngineSpeed speed) {
-        return (int) ((cost.kvTokens() + maxKvTokens(speed) - 1) / maxKvTokens(speed));
+        return size(cost, speed, groupFillShare);
     }
 
-    /** Memory to hold on each engine of the group. */
+    /** Memory to hold on each engine of a group of the size that is taken where enough are available. */
     public long kvTokensEach(PromptCost cost, EngineSpeed speed) {
-        int size = size(cost, speed);
+        return kvTokensEach(cost, size(cost, speed));
+    }
+
+    /** Memory to hold on each engine of a group of {@code size} engines. */
+    public long kvTokensEach(PromptCost cost, int size) {
         return (cost.kvTokens() + size - 1) / size;
     }
 
+    /** Tells whether some availability zone has enough runners for the prompt, whatever memory is free now. */
+    public boolean isPossible(PromptCost cost, LoadView view) {
+        return runnersByZone(view.runners()).values().stream()
+                .anyMatch(ofZone -> sizeIn(ofZone.size(), cost, view.speed()) > 0);
+    }
+
     /**
      * The group with the most free memory on its fullest engine, in ascending order of server ids so that two groups
-     * cannot deadlock; empty when no zone has enough runners with the memory.
+     * cannot deadlock; empty when no zone has enough runners with the memory. A zone with too few runners for the usual
+     * size gets a smaller group that fills each engine further, so that a small fleet also serves the longest prompts.
      *
      * @param open runners that may take long prompts
      * @param reserveTokens memory that must be left on each engine
      */
     public List<BackendServerId> choose(PromptCost cost, LoadView view, List<RunnerLoad> open, long reserveTokens) {
-        int size = size(cost, view.speed());
-        long each = kvTokensEach(cost, view.speed());
-        Map<AvailabilityZoneId, List<RunnerLoad>> byZone = new TreeMap<>();
-        for (RunnerLoad load : open) {
-            if (!load.leaving() && load.kvFreeTokens() >= each + reserveTokens) {
-                byZone.computeIfAbsent(load.zone(), zone -> new ArrayList<>()).add(load);
-            }
-        }
         List<RunnerLoad> best = List.of();
         long bestFree = -1;
-        for (List<RunnerLoad> ofZone : byZone.values()) {
-            if (ofZone.size() < size) {
+        for (List<RunnerLoad> ofZone : runnersByZone(open).values()) {
+            int size = sizeIn(ofZone.size(), cost, view.speed());
+            if (size == 0) {
                 continue;
             }
             ofZone.sort(Comparator.comparingLong(RunnerLoad::kvFreeTokens).reversed());
             long free = ofZone.get(size - 1).kvFreeTokens();
-            if (free > bestFree) {
+            boolean fits = free >= kvTokensEach(cost, size) + reserveTokens;
+            if (fits && free > bestFree) {
                 best = ofZone.subList(0, size);
                 bestFree = free;
             }
@@ -66,7 +71,28 @@
         return best.stream().map(RunnerLoad::server).sorted().toList();
     }
 
-    private long maxKvTokens(EngineSpeed speed) {
-        return (long) (speed.kvTotalTokens() * groupFillShare);
+    private static Map<AvailabilityZoneId, List<RunnerLoad>> runnersByZone(List<RunnerLoad> runners) {
+        Map<AvailabilityZoneId, List<RunnerLoad>> byZone = new TreeMap<>();
+        for (RunnerLoad load : runners) {
+            if (!load.leaving()) {
+                byZone.computeIfAbsent(load.zone(), zone -> new ArrayList<>()).add(load);
+            }
+        }
+        return byZone;
+    }
+
+    /** Size of a group in a zone with this number of runners; 0 when they are too few. */
+    private int sizeIn(int runners, PromptCost cost, EngineSpeed speed) {
+        int usual = size(cost, speed, groupFillShare);
+        int smallest = size(cost, speed, singleFillShare);
+        if (runners >= usual) {
+            return usual;
+        }
+        return runners >= smallest ? runners : 0;
+    }
+
+    private static int size(PromptCost cost, EngineSpeed speed, double fillShare) {
+        long maxKvTokens = (long) (speed.kvTotalTokens() * fillShare);
+        return (int) ((cost.kvTokens() + maxKvTokens - 1) / maxKvTokens);
     }
 }
