--- a/figspan-bench/src/main/java/io/figspan/bench/BenchCommand.java
+++ b/figspan-bench/src/main/java/io/figspan/bench/BenchCommand.java
@@ -7,5 +7,6 @@
     /** Whether only the help text was asked for. */
     boolean help();
 
-    void run(PrintStream out);
+    /** Runs the benchmark and returns whether everything that it checks held. */
+    boolean run(PrintStream out);
 }
--- a/figspan-bench/src/main/java/io/figspan/bench/BenchMain.java
+++ b/figspan-bench/src/main/java/io/figspan/bench/BenchMain.java
@@ -2,14 +2,16 @@
 
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.ParameterException;
+import io.figspan.bench.faults.FaultsCommand;
 import io.figspan.bench.policy.PolicyCommand;
 import io.figspan.bench.slopes.NodesCommand;
 import io.figspan.bench.slopes.SlopesCommand;
 import java.util.LinkedHashMap;
 import java.util.Map;
 
-/** Entry point of {@code bin/bench}: dispatches to the subcommands. */
+/** Entry point of {@code bin/bench}: dispatches to the subcommands. Exits 1 when something that was checked failed. */
 public final class BenchMain {
+    private static final int EXIT_VIOLATED = 1;
     private static final int EXIT_USAGE = 2;
 
     private BenchMain() {}
@@ -17,6 +19,7 @@
     public static void main(String[] args) {
         Map<String, BenchCommand> commands = new LinkedHashMap<>();
         commands.put("policy", new PolicyCommand());
+        commands.put("faults", new FaultsCommand());
         commands.put("slopes", new SlopesCommand());
         commands.put("nodes", new NodesCommand());
         JCommander.Builder builder = JCommander.newBuilder().programName("bin/bench");
@@ -33,6 +36,6 @@
             commander.usage();
             return;
         }
-        command.run(System.out);
+        System.exit(command.run(System.out) ? 0 : EXIT_VIOLATED);
     }
 }
--- a/figspan-bench/src/main/java/io/figspan/bench/policy/FleetDriver.java
+++ b/figspan-bench/src/main/java/io/figspan/bench/policy/FleetDriver.java
@@ -34,6 +34,9 @@
     private static final long GROUP_RETRY_NANOS = SECOND_NANOS / 5;
     private static final double REPORT_LOSS = 0.05;
     private static final double CACHE_EVENT_LOSS = 0.05;
+    /** A greedy organisation sends this many times its share on top of it, from the start of the measured time. */
+    private static final double GREEDY_EXTRA = 9;
+
     private static final long DRAIN_SECONDS = 150;
 
     private final Scenario scenario;
@@ -55,7 +58,7 @@
         SplittableRandom root = new SplittableRandom(scenario.seed());
         SplittableRandom arrivals = root.split();
         network = root.split();
-        fromNanos = scenario.warmUpSeconds() * SECOND_NANOS;
+        fromNanos = Scenario.WARM_UP_SECONDS * SECOND_NANOS;
         toNanos = fromNanos + scenario.seconds() * SECOND_NANOS;
         createFleet(root);
         for (int i = 0; i < organisations.size(); i++) {
@@ -63,7 +66,12 @@
             double rate = Deployment.SHARES[i]
                     * scenario.load()
                     * scenario.deployment().capacityPerSecond();
-            scheduleArrival(random, i, i == scenario.greedy() ? 10 * rate : rate);
+            scheduleArrival(random, i, rate);
+            SplittableRandom more = arrivals.split();
+            if (i == scenario.greedy()) {
+                int organisation = i;
+                events.after(fromNanos, () -> scheduleArrival(more, organisation, GREEDY_EXTRA * rate));
+            }
         }
         engines.values().forEach(this::scheduleReport);
         hosts.forEach(this::schedulePoll);
@@ -101,7 +109,7 @@
                     .toList());
         }
         for (EntryHost host : roster) {
-            hosts.add(HostModel.create(scenario.scheme(), host.host(), runners, shares, roster, root.split()));
+            hosts.add(HostModel.create(scenario, host.host(), runners, shares, roster, root.split()));
         }
     }
 
@@ -177,6 +185,7 @@
             } else if (action instanceof DispatchAction.Send send) {
                 long order = order(send.priorityDelayMs());
                 PromptCost cost = send.prompt().cost();
+                job.sentNanos = events.nowNanos();
                 Job part = job.part(order, cost.kvTokens(), cost.promptTokens(), job.outputTokens);
                 runLast(job, part, engines.get(send.server()));
             } else if (action instanceof DispatchAction.SendGroup group) {
@@ -207,6 +216,7 @@
             job.firstTokenSeen = true;
             held.getOrDefault(job.prompt.id(), List.of())
                     .forEach(each -> host.view.firstToken(each.engine.runner.server(), job.prompt.id()));
+            host.firstToken(job.prompt, engine.runner.server(), job.sentNanos, events.nowNanos());
             if (measured(job)) {
                 outcome.firstToken(job, events.nowNanos());
             }
@@ -225,6 +235,7 @@
     /** Acquires the holds of a group one after the other, then runs the segments. */
     private void acquire(Job job, DispatchAction.SendGroup group, int index) {
         if (index == group.servers().size()) {
+            job.sentNanos = events.nowNanos();
             runSegment(job, group, 0);
             return;
         }
--- a/figspan-bench/src/main/java/io/figspan/bench/policy/PolicyCommand.java
+++ b/figspan-bench/src/main/java/io/figspan/bench/policy/PolicyCommand.java
@@ -30,11 +30,12 @@
     }
 
     @Override
-    public void run(PrintStream out) {
+    public boolean run(PrintStream out) {
         if (quick) {
             new PolicyReport(out, QUICK_SEEDS, QUICK_SECONDS).print(List.of(PolicyReport.TARGET_LOAD, 1.3));
-            return;
+            return true;
         }
         new PolicyReport(out, seeds, seconds).print(PolicyReport.LOADS);
+        return true;
     }
 }
--- a/figspan-bench/src/main/java/io/figspan/bench/slopes/NodesCommand.java
+++ b/figspan-bench/src/main/java/io/figspan/bench/slopes/NodesCommand.java
@@ -63,10 +63,10 @@
     }
 
     @Override
-    public void run(PrintStream out) {
+    public boolean run(PrintStream out) {
         if (worker >= 0) {
             runWorker(out);
-            return;
+            return true;
         }
         try {
             for (int i = 0; i < processes; i++) {
@@ -78,6 +78,7 @@
         } finally {
             workers.forEach(WorkerProcess::close);
         }
+        return true;
     }
 
     private void runWorker(PrintStream out) {
--- a/figspan-bench/src/main/java/io/figspan/bench/slopes/SlopesCommand.java
+++ b/figspan-bench/src/main/java/io/figspan/bench/slopes/SlopesCommand.java
@@ -83,7 +83,7 @@
     }
 
     @Override
-    public void run(PrintStream out) {
+    public boolean run(PrintStream out) {
         if (sizes.size() < 4) {
             throw new IllegalArgumentException("--sizes needs at least four sizes for a fit with an error");
         }
@@ -100,6 +100,7 @@
                 partBytes,
                 referenceNanos);
         print(out, figures, referenceNanos);
+        return true;
     }
 
     private Figures measure(int size) {
--- a/figspan-host/src/main/java/io/figspan/host/entry/CompletionCall.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/CompletionCall.java
@@ -1,9 +1,16 @@
 package io.figspan.host.entry;
 
+import com.google.common.hash.Hashing;
+import io.figspan.control.hold.HoldAction;
+import io.figspan.control.hold.HoldLedgerConfig;
+import io.figspan.control.leaving.LeavingSource;
+import io.figspan.control.resume.ResumeTokenCodec;
 import io.figspan.core.error.Problem;
 import io.figspan.core.error.ProblemKind;
+import io.figspan.core.error.Result;
 import io.figspan.core.error.RunState;
 import io.figspan.core.event.Part;
+import io.figspan.core.id.BackendServerId;
 import io.figspan.core.id.HoldHandle;
 import io.figspan.core.id.StreamId;
 import io.figspan.core.time.Deadline;
@@ -11,10 +18,13 @@
 import io.figspan.host.backend.BackendTable;
 import io.figspan.host.backend.EngineMessages;
 import io.figspan.host.backend.EngineRefusal;
+import io.figspan.policy.dispatch.Prompt;
 import io.figspan.policy.fair.PriorityClass;
 import io.figspan.policy.placement.PromptCost;
 import io.figspan.policy.recovery.Recovery;
 import io.figspan.policy.recovery.RecoveryPolicy;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -26,48 +36,53 @@
 final class CompletionCall {
     private static final Logger LOG = LoggerFactory.getLogger(CompletionCall.class);
 
-    /** A hold outlives the deadline by this time, so that the caller's last reads are served. */
-    static final long HOLD_GRACE_MS = 5_000;
-
     /** Attempts for one request, so that a prompt that breaks engines cannot break all of them. */
     private static final int MAX_ATTEMPTS = 4;
 
     /** Pause before a group is reserved again. */
     private static final long GROUP_RETRY_MS = 50;
 
+    private static final int HTTP_OK = 200;
+    /** Length of the shared beginning by which prompts are sent to engines that have it cached. */
+    private static final int PREFIX_CHARS = 4_096;
+
     private static final double RECOVERY_MARGIN = 1.2;
 
     private final HostContext context;
     private final Dispatcher dispatcher;
-    private final StreamTokens tokens;
+    private final ResumeTokenCodec tokens;
     private final RequestHead head;
     private final CompletionRequest prompt;
     private final CallerStream caller;
     private final PriorityClass priority;
     private final Deadline deadline;
-    private final Runnable onEnd;
     private final long startNanos;
     private final long deadlineTimer;
     private final long heartbeatTimer;
-    private Optional<Dispatcher.Waiting> waiting = Optional.empty();
+    private Optional<Prompt> asked = Optional.empty();
+    private List<BackendServerId> servers = List.of();
     private Optional<AnswerRelay> relay = Optional.empty();
     private Optional<EngineGroup> group = Optional.empty();
     private Optional<BackendTable.Server> server = Optional.empty();
+    private Optional<HoldHandle> ownHold = Optional.empty();
+    private boolean engineIsDone;
     private long sendId;
     private int sentTokens;
     private int attempts;
+    /** Sends to engines that have not been refused; after one, the request may have run. */
+    private int openSends;
+
     private boolean over;
 
     CompletionCall(
             HostContext context,
             Dispatcher dispatcher,
-            StreamTokens tokens,
+            ResumeTokenCodec tokens,
             RequestHead head,
             CompletionRequest prompt,
             CallerStream caller,
             PriorityClass priority,
-            Deadline deadline,
-            Runnable onEnd) {
+            Deadline deadline) {
         this.context = context;
         this.dispatcher = dispatcher;
         this.tokens = tokens;
@@ -76,7 +91,6 @@
         this.caller = caller;
         this.priority = priority;
         this.deadline = deadline;
-        this.onEnd = onEnd;
         this.startNanos = context.nowNanos();
         this.deadlineTimer = context.vertx().setTimer(Math.max(1, deadline.leftMs(startNanos)), id -> onDeadline());
         this.heartbeatTimer = context.vertx().setPeriodic(CallerStream.HEARTBEAT_MS, id -> caller.heartbeat());
@@ -96,64 +110,92 @@
             return;
         }
         attempts++;
-        if (needsGroup()) {
-            reserveGroup();
-            return;
+        PromptCost cost = new PromptCost(
+                prompt.promptTokens() + (long) sentTokens, prompt.outputTokens(), prefixHash(), prefixTokens());
+        sendId = context.sequence().incrementAndGet();
+        Prompt newAsked = new Prompt(sendId, head.organisation(), priority, cost, deadline, startNanos);
+        asked = Optional.of(newAsked);
+        if (attempts == 1) {
+            dispatcher.submit(newAsked, new PlacementListener());
+        } else {
+            dispatcher.submitAgain(newAsked, new PlacementListener());
         }
-        PromptCost cost = new PromptCost(prompt.promptTokens() + sentTokens, prompt.outputTokens(), 0, 0);
-        Dispatcher.Waiting newWaiting = new Dispatcher.Waiting(
-                head.request(), head.organisation(), priority, cost, deadline, new PlacementListener());
-        waiting = Optional.of(newWaiting);
-        dispatcher.submit(newWaiting);
     }
 
-    private boolean needsGroup() {
-        long kvTokens = prompt.promptTokens() + (long) prompt.outputTokens();
-        return kvTokens > context.backends().loads().speed().kvTotalTokens();
+    private long prefixHash() {
+        return prefixTokens() == 0
+                ? 0
+                : Hashing.murmur3_128()
+                        .hashUnencodedChars(prompt.prompt().substring(0, PREFIX_CHARS))
+                        .asLong();
+    }
+
+    private long prefixTokens() {
+        return prompt.prompt().length() > PREFIX_CHARS ? CompletionRequest.tokensOf(PREFIX_CHARS) : 0;
     }
 
     private final class PlacementListener implements Dispatcher.Listener {
         @Override
-        public void onPlaced(BackendTable.Server placed) {
-            waiting = Optional.empty();
-            send(placed, context.newHold(), prompt.prompt());
+        public void onPlaced(BackendServerId placed, long priorityDelayMs) {
+            servers = List.of(placed);
+            context.backends()
+                    .find(placed)
+                    .ifPresentOrElse(
+                            found -> sendToOne(found, priorityDelayMs), CompletionCall.this::onServerForgotten);
+        }
+
+        @Override
+        public void onGroup(List<BackendServerId> placed, long priorityDelayMs) {
+            servers = placed;
+            reserveGroup(placed, priorityDelayMs);
         }
 
         @Override
         public void onRefused(Problem problem) {
-            waiting = Optional.empty();
-            fail(sentTokens > 0 ? problem.withRun(RunState.UNKNOWN) : problem);
+            fail(problem);
         }
     }
 
-    private void reserveGroup() {
-        EngineGroup newGroup = new EngineGroup(context, head.request());
+    private void onServerForgotten() {
+        onEngineFailure(new EngineRefusal(404, "the engine is no longer listed"));
+    }
+
+    private void reserveGroup(List<BackendServerId> placed, long priorityDelayMs) {
+        List<BackendTable.Server> members = new ArrayList<>();
+        placed.forEach(id -> context.backends().find(id).ifPresent(members::add));
+        if (members.size() != placed.size()) {
+            onServerForgotten();
+            return;
+        }
+        EngineGroup newGroup = EngineGroup.start(context, head.request(), prompt, deadline, members);
         group = Optional.of(newGroup);
-        newGroup.reserve(prompt, deadline, HOLD_GRACE_MS).onComplete(reserved -> {
+        newGroup.acquired().onComplete(acquired -> {
             if (over) {
                 newGroup.release();
                 return;
             }
-            if (reserved.failed()) {
-                group = Optional.empty();
-                event(Part.HOLD, "groupFailed", String.valueOf(reserved.cause().getMessage()));
+            if (acquired.failed()) {
+                event(Part.HOLD, "groupFailed", String.valueOf(acquired.cause().getMessage()));
+                leaveEngine();
                 long pauseMs = GROUP_RETRY_MS + context.random().nextLong(GROUP_RETRY_MS);
-                context.vertx().setTimer(pauseMs, id -> reserveGroupAgain());
+                context.vertx().setTimer(pauseMs, id -> askAgain());
                 return;
             }
-            event(Part.HOLD, "groupReserved", newGroup.members().size() + " engines");
-            prefillGroup(newGroup);
+            event(Part.HOLD, "groupReserved", newGroup.size() + " engines");
+            prefillGroup(newGroup, priorityDelayMs);
         });
     }
 
-    private void reserveGroupAgain() {
+    private void askAgain() {
         if (!over) {
-            reserveGroup();
+            asked.ifPresent(prompt -> dispatcher.submitAgain(prompt, new PlacementListener()));
         }
     }
 
-    private void prefillGroup(EngineGroup reserved) {
-        reserved.prefill(priority.level(), deadline).onComplete(prefilled -> {
+    private void prefillGroup(EngineGroup reserved, long priorityDelayMs) {
+        server = Optional.of(reserved.lastServer());
+        openSends++;
+        reserved.prefill(priorityDelayMs, deadline).onComplete(prefilled -> {
             if (over) {
                 reserved.release();
                 return;
@@ -162,12 +204,25 @@
                 onEngineFailure(prefilled.cause());
                 return;
             }
-            EngineGroup.Member last = reserved.last();
-            send(last.server(), last.hold(), last.text());
+            send(reserved.lastServer(), reserved.lastHold(), reserved.lastText(), priorityDelayMs);
         });
     }
 
-    private void send(BackendTable.Server placed, HoldHandle hold, String text) {
+    /** Opens a hold for a prompt that fits on one engine; the engine takes the memory with the prompt itself. */
+    private void sendToOne(BackendTable.Server placed, long priorityDelayMs) {
+        long kvTokens = prompt.promptTokens() + (long) prompt.outputTokens();
+        Result<HoldAction.Reserve> reserve =
+                context.holds().ledger().reserve(placed.incarnation(), kvTokens, deadline, context.nowNanos());
+        if (reserve instanceof Result.Failed<HoldAction.Reserve> failed) {
+            fail(failed.problem());
+            return;
+        }
+        HoldHandle handle = ((Result.Ok<HoldAction.Reserve>) reserve).value().handle();
+        ownHold = Optional.of(handle);
+        send(placed, handle, prompt.prompt(), priorityDelayMs);
+    }
+
+    private void send(BackendTable.Server placed, HoldHandle hold, String text, long priorityDelayMs) {
         server = Optional.of(placed);
         long leftMs = deadline.leftMs(context.nowNanos());
         if (leftMs == 0) {
@@ -175,19 +230,15 @@
             return;
         }
         StreamId stream = context.newStream();
-        sendId = context.sequence().incrementAndGet();
-        long textTokens = CompletionRequest.tokensOf(text);
-        context.backends()
-                .loads()
-                .sent(placed.id(), sendId, textTokens, textTokens + prompt.outputTokens(), context.nowNanos());
+        openSends++;
         EngineMessages.Completion completion = new EngineMessages.Completion(
                 prompt.model(),
                 text,
                 prompt.outputTokens(),
                 stream.value(),
                 hold.toString(),
-                priority.level(),
-                leftMs + HOLD_GRACE_MS,
+                priorityDelayMs,
+                leftMs + HoldLedgerConfig.DEFAULT.graceMs(),
                 sentTokens);
         AnswerRelay newRelay = new AnswerRelay(
                 context,
@@ -203,12 +254,13 @@
     private final class RelayListener implements AnswerRelay.Listener {
         @Override
         public void onOpened() {
+            ownHold.ifPresent(handle -> context.holds().ledger().onReserved(handle, context.nowNanos()));
             event(Part.ENTRY, "opened", "");
         }
 
         @Override
         public void onFirstToken() {
-            server.ifPresent(used -> context.backends().loads().firstToken(used.id(), sendId));
+            servers.forEach(used -> context.backends().loads().firstToken(used, sendId));
             long elapsedNanos = context.nowNanos() - startNanos;
             context.metrics()
                     .timer("prompts.firstToken")
@@ -218,8 +270,8 @@
 
         @Override
         public void onComplete(int endOffset) {
-            relay = Optional.empty();
             caller.complete(endOffset);
+            engineIsDone = true;
             context.count("prompts.answered");
             event(Part.ENTRY, "answered", endOffset + " tokens");
             end();
@@ -241,7 +293,17 @@
         event(Part.ENTRY, "engineFailed", String.valueOf(cause.getMessage()));
         sentTokens = Math.max(sentTokens, relay.map(AnswerRelay::nextOffset).orElse(0));
         boolean refused = cause instanceof EngineRefusal;
-        if (!refused) {
+        boolean refusedAsLeaving = refused && cause.getMessage().contains("leaving");
+        if (refusedAsLeaving) {
+            server.ifPresent(used -> context.backends().onLeaving(used.incarnation(), LeavingSource.REFUSAL));
+        }
+        if (refused && openSends > 0) {
+            openSends--;
+        }
+        if (refused) {
+            ownHold.ifPresent(handle -> context.holds().ledger().onRefused(handle));
+            ownHold = Optional.empty();
+        } else {
             server.ifPresent(failed -> context.backends().onFailure(failed));
         }
         leaveEngine();
@@ -274,8 +336,7 @@
         if (over) {
             return;
         }
-        RunState run = attempts > 0 && server.isPresent() ? RunState.UNKNOWN : RunState.NOT_RUN;
-        fail(new Problem(ProblemKind.DEADLINE_PASSED, "the answer was not complete in time", run, 0));
+        fail(Problem.notRun(ProblemKind.DEADLINE_PASSED, "the answer was not complete in time"));
     }
 
     private void onCallerGone() {
@@ -293,7 +354,7 @@
         }
         context.count("prompts.failed." + problem.kind().wireName());
         event(Part.ENTRY, "refused", problem.kind().wireName() + ": " + problem.detail());
-        caller.problem(problem);
+        caller.problem(openSends > 0 ? problem.withRun(RunState.UNKNOWN) : problem);
         end();
     }
 
@@ -306,23 +367,60 @@
         over = true;
         context.vertx().cancelTimer(deadlineTimer);
         context.vertx().cancelTimer(heartbeatTimer);
-        waiting.ifPresent(dispatcher::withdraw);
+        asked.ifPresent(dispatcher::withdraw);
         leaveEngine();
-        onEnd.run();
     }
 
-    /** Cancels the stream and returns the memory of the engine or group in use. */
+    /**
+     * Cancels the stream and returns the memory of the engine or group in use. A stream that another host reads by now
+     * is left to that host; its memory is returned at its end or when the hold expires.
+     */
     private void leaveEngine() {
-        server.ifPresent(used -> context.backends().loads().finished(used.id(), sendId));
-        relay.ifPresent(running -> {
-            running.stop();
-            context.engines()
-                    .cancel(running.server(), running.stream(), running.readerNumber())
-                    .onSuccess(status -> event(Part.HOLD, "cancelled", running.stream() + " status " + status));
-        });
-        group.ifPresent(EngineGroup::release);
-        relay = Optional.empty();
+        forgetSend();
+        Optional<HoldHandle> hold = ownHold;
+        Optional<EngineGroup> reserved = group;
+        Optional<AnswerRelay> running = relay;
+        ownHold = Optional.empty();
         group = Optional.empty();
+        relay = Optional.empty();
+        server = Optional.empty();
+        running.ifPresent(AnswerRelay::stop);
+        if (engineIsDone) {
+            hold.ifPresent(this::forgetHold);
+            reserved.ifPresent(EngineGroup::release);
+            return;
+        }
+        boolean mayBeRead = running.filter(AnswerRelay::isOpened).isPresent();
+        if (!mayBeRead) {
+            release(hold, reserved);
+            return;
+        }
+        AnswerRelay opened = running.get();
+        context.engines()
+                .cancel(opened.server(), opened.stream(), opened.readerNumber())
+                .onSuccess(status -> {
+                    event(Part.HOLD, "cancelled", opened.stream() + " status " + status);
+                    if (status == HTTP_OK) {
+                        release(hold, reserved);
+                    }
+                });
+    }
+
+    private void release(Optional<HoldHandle> hold, Optional<EngineGroup> reserved) {
+        hold.ifPresent(
+                handle -> context.holds().carryOut(context.holds().ledger().release(handle, context.nowNanos()), null));
+        reserved.ifPresent(EngineGroup::release);
+    }
+
+    /** The engine has returned the memory with the end of the stream. */
+    private void forgetHold(HoldHandle handle) {
+        var unused = context.holds().ledger().release(handle, context.nowNanos());
+        context.holds().ledger().onReleaseAnswered(handle, true);
+    }
+
+    private void forgetSend() {
+        servers.forEach(used -> context.backends().loads().finished(used, sendId));
+        servers = List.of();
     }
 
     private void event(Part part, String kind, String text) {
--- a/figspan-host/src/main/java/io/figspan/host/entry/EntryServer.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/EntryServer.java
@@ -1,8 +1,12 @@
 package io.figspan.host.entry;
 
+import io.figspan.cluster.loan.LoanLedger;
+import io.figspan.control.resume.ResumeToken;
+import io.figspan.control.resume.ResumeTokenCodec;
 import io.figspan.core.error.Problem;
 import io.figspan.core.error.ProblemKind;
 import io.figspan.core.error.Result;
+import io.figspan.core.error.RunState;
 import io.figspan.core.event.Part;
 import io.figspan.core.time.Deadline;
 import io.figspan.host.HostContext;
@@ -10,7 +14,6 @@
 import io.figspan.settings.ResolvedSettings;
 import io.figspan.settings.SettingKey;
 import io.vertx.core.Future;
-import io.vertx.core.Promise;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpMethod;
@@ -38,32 +41,49 @@
     /** A body of 16 MB takes less than this at 1 MB per second. */
     static final long MAX_BODY_MS = 20_000;
 
+    /** Lets the problem document reach a caller that is still sending before its connection is closed. */
+    private static final long CLOSE_DELAY_MS = 100;
+
     private static final long ORDER_BODY_MS = 5_000;
     private static final int IDLE_SECONDS = 60;
 
-    /** Limits of one caller port; tests use smaller ones. */
-    public record Limits(int promptBodyBytes, int connections, long bodyMs) {
-        public static final Limits DEFAULT = new Limits(MAX_PROMPT_BODY_BYTES, MAX_CONNECTIONS, MAX_BODY_MS);
+    /**
+     * Limits of one caller port; tests use smaller ones.
+     *
+     * @param shareWaitNanos wait of a new process before it uses its share of the organisations' limits
+     */
+    public record Limits(int promptBodyBytes, int connections, long bodyMs, long shareWaitNanos) {
+        public static final Limits DEFAULT =
+                new Limits(MAX_PROMPT_BODY_BYTES, MAX_CONNECTIONS, MAX_BODY_MS, LoanLedger.RESTART_WAIT_NANOS);
     }
 
     private final HostContext context;
     private final Limits limits;
     private final EntryDirectory directory;
     private final OrderHandler orders;
+    private final LimitGate limitGate;
+    private final LimitGate.Lenders lenders;
     private final Dispatcher dispatcher;
     private HttpServer server;
     private int connections;
     private int inFlight;
     private boolean refusing;
-    private Promise<Void> drained = Promise.promise();
 
-    public EntryServer(HostContext context, Limits limits, EntryDirectory directory, OrderHandler orders) {
+    public EntryServer(
+            HostContext context,
+            Limits limits,
+            EntryDirectory directory,
+            OrderHandler orders,
+            LimitGate limitGate,
+            LimitGate.Lenders lenders) {
         this.context = context;
         this.limits = limits;
         this.directory = directory;
-        this.orders = orders == null ? new ThinOrders(context) : orders;
+        this.orders = orders;
+        this.limitGate = limitGate;
+        this.lenders = lenders;
         this.dispatcher = new Dispatcher(context);
-        context.backends().setChangeListener(dispatcher::pump);
+        context.backends().setChangeListener(dispatcher::poll);
     }
 
     /** Starts to listen and returns the port in use. */
@@ -90,11 +110,9 @@
         return dispatcher.queued();
     }
 
-    /** Refuses new requests from now on; the future completes when none is in flight. */
-    public Future<Void> drain() {
+    /** Refuses new requests from now on and finishes those in flight. */
+    public void refuseNew() {
         refusing = true;
-        checkDrained();
-        return drained.future();
     }
 
     public Future<Void> close() {
@@ -114,8 +132,8 @@
 
     private void route(HttpServerRequest request) {
         if (refusing) {
-            Problems.write(
-                    request.response(),
+            refuse(
+                    request,
                     Problem.notRun(ProblemKind.SHUTTING_DOWN, "this host takes no new requests")
                             .withRetryAfterMs(1));
             return;
@@ -161,7 +179,7 @@
         Result<RequestHead> head =
                 RequestHead.parse(request.headers(), context.newStream().value());
         if (head instanceof Result.Failed<RequestHead> failed) {
-            Problems.write(request.response(), failed.problem());
+            refuse(request, failed.problem());
             return;
         }
         action.accept(((Result.Ok<RequestHead>) head).value());
@@ -175,7 +193,9 @@
                     if (collected instanceof Result.Failed<Buffer> failed) {
                         // The rest of the body is not read, so the connection cannot carry another request.
                         request.response().putHeader("Connection", "close");
-                        Problems.write(request.response(), failed.problem());
+                        refuse(request, failed.problem());
+                        context.vertx().setTimer(CLOSE_DELAY_MS, id -> request.connection()
+                                .close());
                         return;
                     }
                     track(request);
@@ -183,6 +203,15 @@
                 }));
     }
 
+    /**
+     * Refuses a request before its handler saw it. For an order that says nothing about the ticket, which an earlier
+     * call may have run, so {@code notRun} would be false there.
+     */
+    private static void refuse(HttpServerRequest request, Problem problem) {
+        boolean isOrder = request.path().startsWith("/v1/orders");
+        Problems.write(request.response(), isOrder ? problem.withRun(RunState.UNKNOWN) : problem);
+    }
+
     /** Counts a request as in flight until its response ends or its connection closes. */
     private void track(HttpServerRequest request) {
         inFlight++;
@@ -191,7 +220,6 @@
             if (counted[0]) {
                 counted[0] = false;
                 inFlight--;
-                checkDrained();
             }
         };
         request.response().endHandler(nothing -> end.run());
@@ -201,12 +229,6 @@
         });
     }
 
-    private void checkDrained() {
-        if (refusing && inFlight == 0) {
-            drained.tryComplete();
-        }
-    }
-
     // Entry list and prompts
 
     private void listHosts(HttpServerRequest request) {
@@ -240,35 +262,27 @@
                                     + settings.integer(SettingKey.PROMPTS_MAX_OUTPUT_TOKENS)));
             return;
         }
+        long workTokens = prompt.promptTokens() + (long) prompt.outputTokens();
+        if (limitGate.take(head.organisation(), workTokens, lenders) instanceof Result.Failed<Long> refused) {
+            context.count("prompts.failed." + refused.problem().kind().wireName());
+            Problems.write(request.response(), refused.problem());
+            return;
+        }
         Deadline deadline = Deadline.after(context.nowNanos(), deadlineMs(head, settings, prompt.promptTokens()));
         CallerStream caller =
                 new CallerStream(request.response(), head.request().value());
-        new CompletionCall(
-                        context,
-                        dispatcher,
-                        tokens(),
-                        head,
-                        prompt,
-                        caller,
-                        priority(head, settings),
-                        deadline,
-                        () -> {})
+        new CompletionCall(context, dispatcher, tokens(), head, prompt, caller, priority(head, settings), deadline)
                 .start();
     }
 
     private void resume(HttpServerRequest request, RequestHead head) {
-        StreamTokens tokens = tokens();
-        Result<StreamTokens.Position> position =
-                tokens.decode(head.organisation(), request.getHeader(CallerHeaders.LAST_EVENT_ID));
-        boolean otherRequest = position instanceof Result.Ok<StreamTokens.Position> ok
-                && request.getHeader(CallerHeaders.REQUEST_ID) != null
-                && !ok.value().request().equals(head.request());
-        if (otherRequest || !position.isOk()) {
+        ResumeTokenCodec tokens = tokens();
+        Result<ResumeToken> position =
+                tokens.decode(request.getHeader(CallerHeaders.LAST_EVENT_ID), head.organisation(), head.request());
+        if (position instanceof Result.Failed<ResumeToken> failed) {
             context.count("tokens.refused");
             LOG.warn("{} request {}: resume token refused", PREFIX, head.request());
-            Problems.write(
-                    request.response(),
-                    Problem.notRun(ProblemKind.TOKEN_REFUSED, "the resume token is not one of this request"));
+            Problems.write(request.response(), failed.problem());
             return;
         }
         track(request);
@@ -276,8 +290,7 @@
         Deadline deadline = Deadline.after(context.nowNanos(), deadlineMs(head, settings, 0));
         CallerStream caller =
                 new CallerStream(request.response(), head.request().value());
-        new ResumeCall(context, caller, head, deadline, () -> {})
-                .start(tokens, ((Result.Ok<StreamTokens.Position>) position).value());
+        new ResumeCall(context, caller, head, deadline).start(tokens, ((Result.Ok<ResumeToken>) position).value());
     }
 
     private static long deadlineMs(RequestHead head, ResolvedSettings settings, int promptTokens) {
@@ -295,7 +308,7 @@
         return wanted.level() < highest.level() ? highest : wanted;
     }
 
-    private StreamTokens tokens() {
-        return new StreamTokens(context.tokenKey());
+    private ResumeTokenCodec tokens() {
+        return new ResumeTokenCodec(context.tokenKeys());
     }
 }
--- a/figspan-standin/src/main/java/io/figspan/standin/engine/EngineServer.java
+++ b/figspan-standin/src/main/java/io/figspan/standin/engine/EngineServer.java
@@ -100,6 +100,10 @@
         });
         router.post("/v1/leave").handler(this::leave);
         router.post("/control/crash").handler(this::crash);
+        router.post("/control/gate").handler(context -> {
+            core.setGate(Integer.parseInt(context.request().getParam("tokens", "2147483647")));
+            reply(context, 200, refreshedReport());
+        });
         return router;
     }
 
@@ -126,7 +130,7 @@
                 new EngineJob.Submission(
                         body.streamId(),
                         handle,
-                        body.priority(),
+                        orderMs(body.priorityDelayMs()),
                         Answers.extend(startDigest, body.prompt()),
                         promptTokens + body.offset(),
                         promptTokens + (long) body.maxTokens(),
@@ -191,9 +195,16 @@
     }
 
     private void releaseHold(RoutingContext context) {
-        core.release(handleInPath(context, "/v1/holds/"), now());
+        HoldHandle handle = handleInPath(context, "/v1/holds/");
+        boolean unreadOnly = context.request().getParam("unread") != null;
+        if (unreadOnly && core.hasReader(handle)) {
+            refuse(context, 409, "the stream of this hold has a reader");
+            return;
+        }
+        boolean wasHeld = core.memory().holds(handle);
+        core.release(handle, now());
         report = null;
-        reply(context, 200, refreshedReport());
+        reply(context, wasHeld ? 200 : 404, refreshedReport());
     }
 
     private void prefillSegment(RoutingContext context) {
@@ -209,7 +220,15 @@
                 new EngineCore.KvState(Answers.extend(before.digest(), body.text()), before.tokens() + tokens);
         EngineJob job = new EngineJob(
                 new EngineJob.Submission(
-                        "", handle, body.priority(), after.digest(), tokens, 0, 0, 0, TimeUnit.HOURS.toMillis(1)),
+                        "",
+                        handle,
+                        orderMs(body.priorityDelayMs()),
+                        after.digest(),
+                        tokens,
+                        0,
+                        0,
+                        0,
+                        TimeUnit.HOURS.toMillis(1)),
                 0,
                 now());
         job.attach(new SegmentReader(context, handle, after));
@@ -244,6 +263,11 @@
 
         @Override
         public void onSuperseded() {}
+
+        @Override
+        public boolean isOpen() {
+            return !context.response().closed();
+        }
     }
 
     private void exportKv(RoutingContext context) {
@@ -383,6 +407,11 @@
         }
     }
 
+    /** Place in the order of service: the time of receipt plus the delay that the host asks for. */
+    private static long orderMs(long priorityDelayMs) {
+        return TimeUnit.NANOSECONDS.toMillis(now()) + priorityDelayMs;
+    }
+
     private static long now() {
         return System.nanoTime();
     }
