--- a/figspan-bench/src/main/java/io/figspan/bench/slopes/NodesCommand.java
+++ b/figspan-bench/src/main/java/io/figspan/bench/slopes/NodesCommand.java
@@ -93,7 +93,7 @@
         String java = ProcessHandle.current().info().command().orElse("java");
         return List.of(
                 java,
-                "-Xmx1500m",
+                "-Xmx1g",
                 "-cp",
                 System.getProperty("java.class.path"),
                 "io.figspan.bench.BenchMain",
