--- a/figspan-bench/src/main/java/io/figspan/bench/faults/FaultsCommand.java
+++ b/figspan-bench/src/main/java/io/figspan/bench/faults/FaultsCommand.java
@@ -1,5 +1,7 @@
 package io.figspan.bench.faults;
 
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
 import java.io.PrintStream;
@@ -9,6 +11,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
+import org.slf4j.LoggerFactory;
 
 /** {@code bin/bench faults}: counts violations of the guarantees under seeded faults. */
 @Parameters(commandDescription = "Checks the guarantees under seeded faults in logical time, real and naive versions")
@@ -39,6 +42,7 @@
 
     /** Runs the scenarios and returns true when no real one violated a guarantee. */
     public boolean run(PrintStream out) {
+        silenceLogs();
         List<Variant> variants = Variant.ALL.stream()
                 .filter(variant -> scenario == null || variant.name().equals(scenario))
                 .filter(variant -> !withoutNaive || !variant.naive())
@@ -56,6 +60,11 @@
         return held;
     }
 
+    /** The classes under test log each fault that a scenario causes, thousands of times in a run. */
+    static void silenceLogs() {
+        ((Logger) LoggerFactory.getLogger(Logger.ROOT_LOGGER_NAME)).setLevel(Level.OFF);
+    }
+
     private boolean runVariant(Variant variant, PrintStream out) {
         Consumer<String> sink = trace ? line -> out.println("  " + line) : line -> {};
         List<Long> failedSeeds = new ArrayList<>();
--- a/figspan-bench/src/main/java/io/figspan/bench/faults/Variant.java
+++ b/figspan-bench/src/main/java/io/figspan/bench/faults/Variant.java
@@ -18,6 +18,8 @@
     private static final List<Count> HOLD_COUNTS = List.of(Count.HOLDS_LOST, Count.HOLDS_STOLEN);
     private static final List<Count> SHUTDOWN = List.of(Count.CUT_OFF);
 
+    private static final List<Count> SETTINGS_COUNTS = List.of(Count.SETTINGS_BACK, Count.SETTINGS_LATE);
+
     static final List<Variant> ALL = List.of(
             real("orders", "P4 P5", ORDER_COUNTS, () -> new OrderScenario(OrderScheme.FIGSPAN)),
             naive("orders-key-per-host", "P4 P5", ORDER_COUNTS, () -> new OrderScenario(OrderScheme.KEY_PER_HOST)),
@@ -40,7 +42,9 @@
             naive("shutdown-no-wait", "P7", SHUTDOWN, () -> new ShutdownScenario(ShutdownScenario.Scheme.NO_LIST_WAIT)),
             naive("shutdown-no-drain", "P7", SHUTDOWN, () -> new ShutdownScenario(ShutdownScenario.Scheme.NO_DRAIN)),
             real("models", "3.6", List.of(Count.STALE_ORDER), () -> new ModelOrderScenario(false)),
-            naive("models-any-engine", "3.6", List.of(Count.STALE_ORDER), () -> new ModelOrderScenario(true)));
+            naive("models-any-engine", "3.6", List.of(Count.STALE_ORDER), () -> new ModelOrderScenario(true)),
+            real("settings", "P8", SETTINGS_COUNTS, () -> new SettingsScenario(false)),
+            naive("settings-trust-service", "P8", SETTINGS_COUNTS, () -> new SettingsScenario(true)));
 
     private static Variant real(String name, String guarantees, List<Count> counts, Supplier<Scenario> scenario) {
         return new Variant(name, guarantees, false, counts, scenario);
--- a/figspan-bench/src/test/java/io/figspan/bench/faults/FaultsTest.java
+++ b/figspan-bench/src/test/java/io/figspan/bench/faults/FaultsTest.java
@@ -5,12 +5,18 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
 
 class FaultsTest {
     private static final int REAL_SEEDS = 40;
     private static final int NAIVE_SEEDS = 200;
 
+    @BeforeAll
+    static void silenceLogs() {
+        FaultsCommand.silenceLogs();
+    }
+
     /** Guards the guarantees of the design page against lost, late and doubled messages, kills, pauses and cuts. */
     @Test
     void theRealVersionsViolateNothing() {
--- a/figspan-host/src/main/java/io/figspan/host/HostProcess.java
+++ b/figspan-host/src/main/java/io/figspan/host/HostProcess.java
@@ -29,6 +29,7 @@
 import io.figspan.host.platform.FleetListPoller;
 import io.figspan.host.platform.PeerDriver;
 import io.figspan.host.platform.SettingsInForce;
+import io.figspan.host.steward.StewardDriver;
 import io.figspan.policy.subset.HomeRunners;
 import io.figspan.settings.FleetList;
 import io.figspan.settings.SettingsHolder;
@@ -43,6 +44,8 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongFunction;
@@ -138,6 +141,7 @@
                 .start(context.vertx());
         context.config().hostList().ifPresent(platform -> new FleetListPoller(context, platform, this::onFleetList)
                 .start());
+        new StewardDriver(context, this::stewardMembership).start();
         context.vertx().setPeriodic(TICK_MS, id -> tick());
         Promise<Void> peersStarted = Promise.promise();
         var unused = peers.start().subscribe(peersStarted::complete, peersStarted::fail);
@@ -246,6 +250,16 @@
         return newest;
     }
 
+    /** The view is old while this process has heard from no peer for a while, so that it gives no model orders. */
+    private StewardDriver.Membership stewardMembership() {
+        Set<HostId> live = new TreeSet<>();
+        live.add(context.config().hostId());
+        peers.node().view().live().forEach(peer -> live.add(peer.host()));
+        long nowNanos = context.nowNanos();
+        long atNanos = peers.node().mayUseOwnShare() ? nowNanos : nowNanos - TimeUnit.HOURS.toNanos(1);
+        return new StewardDriver.Membership(List.copyOf(live), atNanos);
+    }
+
     private OperatorServer.Gauges gauges() {
         boolean ready = lifecycle.state() == HostState.SERVING
                 && limits.isOpen()
