--- a/figspan-bench/src/main/java/io/figspan/bench/faults/FaultsCommand.java
+++ b/figspan-bench/src/main/java/io/figspan/bench/faults/FaultsCommand.java
@@ -4,6 +4,7 @@
 import ch.qos.logback.classic.Logger;
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
+import io.figspan.bench.BenchCommand;
 import java.io.PrintStream;
 import java.util.ArrayList;
 import java.util.EnumMap;
@@ -15,7 +16,7 @@
 
 /** {@code bin/bench faults}: counts violations of the guarantees under seeded faults. */
 @Parameters(commandDescription = "Checks the guarantees under seeded faults in logical time, real and naive versions")
-public final class FaultsCommand {
+public final class FaultsCommand implements BenchCommand {
     private static final int MAX_FAILURES_SHOWN = 5;
 
     @Parameter(names = "--seeds", description = "Number of seeds for each scenario")
@@ -36,11 +37,13 @@
     @Parameter(names = "--help", help = true, description = "Prints this help")
     private boolean help;
 
+    @Override
     public boolean help() {
         return help;
     }
 
     /** Runs the scenarios and returns true when no real one violated a guarantee. */
+    @Override
     public boolean run(PrintStream out) {
         silenceLogs();
         List<Variant> variants = Variant.ALL.stream()
--- a/figspan-host/src/main/java/io/figspan/host/HostProcess.java
+++ b/figspan-host/src/main/java/io/figspan/host/HostProcess.java
@@ -9,17 +9,14 @@
 import io.figspan.core.error.Location;
 import io.figspan.core.error.ProblemKind;
 import io.figspan.core.event.Part;
-import io.figspan.core.id.BackendServerId;
 import io.figspan.core.id.HostId;
 import io.figspan.core.id.HostIncarnation;
 import io.figspan.core.time.HybridClock;
 import io.figspan.core.time.MonotonicClock;
 import io.figspan.host.backend.BackendTable;
 import io.figspan.host.backend.EngineClient;
-import io.figspan.host.backend.EngineSpeeds;
 import io.figspan.host.backend.HoldDriver;
 import io.figspan.host.backend.ReportPoller;
-import io.figspan.host.entry.Dispatcher;
 import io.figspan.host.entry.EntryDirectory;
 import io.figspan.host.entry.EntryServer;
 import io.figspan.host.entry.LimitGate;
@@ -30,7 +27,7 @@
 import io.figspan.host.platform.PeerDriver;
 import io.figspan.host.platform.SettingsInForce;
 import io.figspan.host.steward.StewardDriver;
-import io.figspan.policy.subset.HomeRunners;
+import io.figspan.policy.placement.EngineSpeed;
 import io.figspan.settings.FleetList;
 import io.figspan.settings.SettingsHolder;
 import io.figspan.settings.cfg.HostConfig;
@@ -59,13 +56,15 @@
     private static final String PREFIX = Part.ENTRY.logPrefix();
     private static final long TICK_MS = 50;
 
+    /** Speed that predictions use until settings are in force; the defaults of the settings. */
+    private static final EngineSpeed DEFAULT_SPEED = new EngineSpeed(40_000, 512, 30_000_000, 400_000);
+
     /** Longest time of a graceful shutdown: the longest deadline of a request and some margin. */
     private static final long SHUTDOWN_LIMIT_MS = 3_700_000;
 
     private final HostContext context;
     private final EntryDirectory directory;
     private final LimitGate limits;
-    private final Dispatcher dispatcher;
     private final PeerDriver peers;
     private final OrderService orders;
     private final EntryServer entry;
@@ -79,12 +78,13 @@
         this.context = context;
         this.directory = new EntryDirectory(context);
         this.limits = new LimitGate(context, entryLimits.shareWaitNanos());
-        this.dispatcher = new Dispatcher(context, limits);
         this.orders = new OrderService(context, this::forwardOrder);
         SettingsInForce adopter = new SettingsInForce(context, this::onSettings);
         this.peers = new PeerDriver(context, limits, directory, adopter, orders, this::onSuperseded);
-        this.entry = new EntryServer(context, entryLimits, directory, orders, limits, peers, dispatcher);
+        this.entry = new EntryServer(context, entryLimits, directory, orders, limits, peers);
         this.operator = new OperatorServer(context, this::gauges);
+        this.operator.setMembers(
+                () -> peers.node().view().live().stream().map(Peer::toString).toList());
         this.lifecycle = new HostLifecycle(
                 TimeUnit.SECONDS.toMillis(context.config().shutdownMarginSeconds()), SHUTDOWN_LIMIT_MS);
     }
@@ -94,7 +94,7 @@
         RxJavaPlugins.setErrorHandler(cause -> LOG.debug("error after the end of a stream", cause));
         Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(2));
         HostIncarnation incarnation = new HostIncarnation(config.hostId(), System.currentTimeMillis());
-        BackendTable backends = new BackendTable(EngineSpeeds.STAND_IN);
+        BackendTable backends = new BackendTable(config.hostId(), DEFAULT_SPEED);
         EngineClient engines = new EngineClient(vertx, backends);
         Timeline timeline = new Timeline(config.hostId(), new HybridClock(System::currentTimeMillis));
         HostContext context = new HostContext(
@@ -169,11 +169,6 @@
     public void onFleetList(FleetList list) {
         directory.update(list.hosts());
         context.backends().update(list.backendServers());
-        List<HostId> seats = list.hosts().stream().map(FleetList.EntryHost::id).toList();
-        List<BackendServerId> runners = context.backends().engines().stream()
-                .map(BackendTable.Server::id)
-                .toList();
-        context.backends().loads().setHomes(HomeRunners.choose(context.config().hostId(), seats, runners));
     }
 
     /**
@@ -229,7 +224,6 @@
 
     private void onSettings() {
         limits.reconfigure();
-        dispatcher.reconfigure();
         lifecycle.onSettingsReady();
     }
 
--- a/figspan-host/src/main/java/io/figspan/host/entry/CompletionCall.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/CompletionCall.java
@@ -1,5 +1,6 @@
 package io.figspan.host.entry;
 
+import com.google.common.hash.Hashing;
 import io.figspan.control.hold.HoldAction;
 import io.figspan.control.hold.HoldLedgerConfig;
 import io.figspan.control.leaving.LeavingSource;
@@ -17,14 +18,14 @@
 import io.figspan.host.backend.BackendTable;
 import io.figspan.host.backend.EngineMessages;
 import io.figspan.host.backend.EngineRefusal;
+import io.figspan.policy.dispatch.Prompt;
 import io.figspan.policy.fair.PriorityClass;
 import io.figspan.policy.placement.PromptCost;
 import io.figspan.policy.recovery.Recovery;
 import io.figspan.policy.recovery.RecoveryPolicy;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
-import java.util.function.LongConsumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -42,6 +43,9 @@
     private static final long GROUP_RETRY_MS = 50;
 
     private static final int HTTP_OK = 200;
+    /** Length of the shared beginning by which prompts are sent to engines that have it cached. */
+    private static final int PREFIX_CHARS = 4_096;
+
     private static final double RECOVERY_MARGIN = 1.2;
 
     private final HostContext context;
@@ -52,11 +56,11 @@
     private final CallerStream caller;
     private final PriorityClass priority;
     private final Deadline deadline;
-    private final LongConsumer limitListener;
     private final long startNanos;
     private final long deadlineTimer;
     private final long heartbeatTimer;
-    private List<BackendServerId> used = List.of();
+    private Optional<Prompt> asked = Optional.empty();
+    private List<BackendServerId> servers = List.of();
     private Optional<AnswerRelay> relay = Optional.empty();
     private Optional<EngineGroup> group = Optional.empty();
     private Optional<BackendTable.Server> server = Optional.empty();
@@ -65,6 +69,9 @@
     private long sendId;
     private int sentTokens;
     private int attempts;
+    /** Sends to engines that have not been refused; after one, the request may have run. */
+    private int openSends;
+
     private boolean over;
 
     CompletionCall(
@@ -75,8 +82,7 @@
             CompletionRequest prompt,
             CallerStream caller,
             PriorityClass priority,
-            Deadline deadline,
-            LongConsumer limitListener) {
+            Deadline deadline) {
         this.context = context;
         this.dispatcher = dispatcher;
         this.tokens = tokens;
@@ -85,7 +91,6 @@
         this.caller = caller;
         this.priority = priority;
         this.deadline = deadline;
-        this.limitListener = limitListener;
         this.startNanos = context.nowNanos();
         this.deadlineTimer = context.vertx().setTimer(Math.max(1, deadline.leftMs(startNanos)), id -> onDeadline());
         this.heartbeatTimer = context.vertx().setPeriodic(CallerStream.HEARTBEAT_MS, id -> caller.heartbeat());
@@ -105,44 +110,64 @@
             return;
         }
         attempts++;
-        askForPlace(attempts > 1);
+        PromptCost cost = new PromptCost(
+                prompt.promptTokens() + (long) sentTokens, prompt.outputTokens(), prefixHash(), prefixTokens());
+        sendId = context.sequence().incrementAndGet();
+        Prompt newAsked = new Prompt(sendId, head.organisation(), priority, cost, deadline, startNanos);
+        asked = Optional.of(newAsked);
+        if (attempts == 1) {
+            dispatcher.submit(newAsked, new PlacementListener());
+        } else {
+            dispatcher.submitAgain(newAsked, new PlacementListener());
+        }
     }
 
-    private void askForPlace(boolean again) {
-        PromptCost cost = new PromptCost(prompt.promptTokens() + sentTokens, prompt.outputTokens() - sentTokens, 0, 0);
-        Dispatcher.Want want =
-                new Dispatcher.Want(head.request(), head.organisation(), priority, cost, deadline, startNanos);
-        sendId = dispatcher.submit(want, again, new PlacementListener());
+    private long prefixHash() {
+        return prefixTokens() == 0
+                ? 0
+                : Hashing.murmur3_128()
+                        .hashUnencodedChars(prompt.prompt().substring(0, PREFIX_CHARS))
+                        .asLong();
+    }
+
+    private long prefixTokens() {
+        return prompt.prompt().length() > PREFIX_CHARS ? CompletionRequest.tokensOf(PREFIX_CHARS) : 0;
     }
 
     private final class PlacementListener implements Dispatcher.Listener {
         @Override
         public void onPlaced(BackendServerId placed, long priorityDelayMs) {
-            used = List.of(placed);
-            context.backends().find(placed).ifPresent(engine -> sendToOne(engine, priorityDelayMs));
+            servers = List.of(placed);
+            context.backends()
+                    .find(placed)
+                    .ifPresentOrElse(
+                            found -> sendToOne(found, priorityDelayMs), CompletionCall.this::onServerForgotten);
         }
 
         @Override
-        public void onGroupPlaced(List<BackendServerId> servers, long kvTokensEach, long priorityDelayMs) {
-            used = servers;
-            List<BackendTable.Server> engines = servers.stream()
-                    .flatMap(id -> context.backends().find(id).stream())
-                    .toList();
-            reserveGroup(engines, kvTokensEach, priorityDelayMs);
+        public void onGroup(List<BackendServerId> placed, long priorityDelayMs) {
+            servers = placed;
+            reserveGroup(placed, priorityDelayMs);
         }
 
         @Override
         public void onRefused(Problem problem) {
-            if (problem.kind() == ProblemKind.LIMIT_REACHED) {
-                limitListener.accept(prompt.promptTokens() + (long) prompt.outputTokens());
-            }
-            fail(sentTokens > 0 || relay.isPresent() ? problem.withRun(RunState.UNKNOWN) : problem);
+            fail(problem);
         }
     }
 
-    private void reserveGroup(List<BackendTable.Server> engines, long kvTokensEach, long priorityDelayMs) {
-        EngineGroup newGroup =
-                EngineGroup.start(context, head.request(), prompt.prompt(), engines, kvTokensEach, deadline);
+    private void onServerForgotten() {
+        onEngineFailure(new EngineRefusal(404, "the engine is no longer listed"));
+    }
+
+    private void reserveGroup(List<BackendServerId> placed, long priorityDelayMs) {
+        List<BackendTable.Server> members = new ArrayList<>();
+        placed.forEach(id -> context.backends().find(id).ifPresent(members::add));
+        if (members.size() != placed.size()) {
+            onServerForgotten();
+            return;
+        }
+        EngineGroup newGroup = EngineGroup.start(context, head.request(), prompt, deadline, members);
         group = Optional.of(newGroup);
         newGroup.acquired().onComplete(acquired -> {
             if (over) {
@@ -153,7 +178,7 @@
                 event(Part.HOLD, "groupFailed", String.valueOf(acquired.cause().getMessage()));
                 leaveEngine();
                 long pauseMs = GROUP_RETRY_MS + context.random().nextLong(GROUP_RETRY_MS);
-                context.vertx().setTimer(pauseMs, id -> askForGroupAgain());
+                context.vertx().setTimer(pauseMs, id -> askAgain());
                 return;
             }
             event(Part.HOLD, "groupReserved", newGroup.size() + " engines");
@@ -161,14 +186,15 @@
         });
     }
 
-    private void askForGroupAgain() {
+    private void askAgain() {
         if (!over) {
-            askForPlace(true);
+            asked.ifPresent(prompt -> dispatcher.submitAgain(prompt, new PlacementListener()));
         }
     }
 
     private void prefillGroup(EngineGroup reserved, long priorityDelayMs) {
         server = Optional.of(reserved.lastServer());
+        openSends++;
         reserved.prefill(priorityDelayMs, deadline).onComplete(prefilled -> {
             if (over) {
                 reserved.release();
@@ -204,6 +230,7 @@
             return;
         }
         StreamId stream = context.newStream();
+        openSends++;
         EngineMessages.Completion completion = new EngineMessages.Completion(
                 prompt.model(),
                 text,
@@ -233,9 +260,11 @@
 
         @Override
         public void onFirstToken() {
-            used.forEach(id -> context.backends().loads().firstToken(id, sendId));
+            servers.forEach(used -> context.backends().loads().firstToken(used, sendId));
             long elapsedNanos = context.nowNanos() - startNanos;
-            context.metrics().timer("prompts.firstToken").update(elapsedNanos, TimeUnit.NANOSECONDS);
+            context.metrics()
+                    .timer("prompts.firstToken")
+                    .update(elapsedNanos, java.util.concurrent.TimeUnit.NANOSECONDS);
             event(Part.ENTRY, "firstToken", elapsedNanos / 1_000_000 + " ms");
         }
 
@@ -268,6 +297,9 @@
         if (refusedAsLeaving) {
             server.ifPresent(used -> context.backends().onLeaving(used.incarnation(), LeavingSource.REFUSAL));
         }
+        if (refused && openSends > 0) {
+            openSends--;
+        }
         if (refused) {
             ownHold.ifPresent(handle -> context.holds().ledger().onRefused(handle));
             ownHold = Optional.empty();
@@ -304,8 +336,7 @@
         if (over) {
             return;
         }
-        RunState run = relay.isPresent() || sentTokens > 0 ? RunState.UNKNOWN : RunState.NOT_RUN;
-        fail(new Problem(ProblemKind.DEADLINE_PASSED, "the answer was not complete in time", run, 0));
+        fail(Problem.notRun(ProblemKind.DEADLINE_PASSED, "the answer was not complete in time"));
     }
 
     private void onCallerGone() {
@@ -323,7 +354,7 @@
         }
         context.count("prompts.failed." + problem.kind().wireName());
         event(Part.ENTRY, "refused", problem.kind().wireName() + ": " + problem.detail());
-        caller.problem(problem);
+        caller.problem(openSends > 0 ? problem.withRun(RunState.UNKNOWN) : problem);
         end();
     }
 
@@ -336,7 +367,7 @@
         over = true;
         context.vertx().cancelTimer(deadlineTimer);
         context.vertx().cancelTimer(heartbeatTimer);
-        dispatcher.withdraw(sendId);
+        asked.ifPresent(dispatcher::withdraw);
         leaveEngine();
     }
 
@@ -345,8 +376,7 @@
      * is left to that host; its memory is returned at its end or when the hold expires.
      */
     private void leaveEngine() {
-        used.forEach(id -> context.backends().loads().finished(id, sendId));
-        used = List.of();
+        forgetSend();
         Optional<HoldHandle> hold = ownHold;
         Optional<EngineGroup> reserved = group;
         Optional<AnswerRelay> running = relay;
@@ -388,6 +418,11 @@
         context.holds().ledger().onReleaseAnswered(handle, true);
     }
 
+    private void forgetSend() {
+        servers.forEach(used -> context.backends().loads().finished(used, sendId));
+        servers = List.of();
+    }
+
     private void event(Part part, String kind, String text) {
         context.timeline().add(part, kind, head.request().value(), text);
     }
--- a/figspan-host/src/main/java/io/figspan/host/entry/EngineGroup.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/EngineGroup.java
@@ -43,40 +43,37 @@
     private EngineGroup(
             HostContext context,
             RequestId request,
-            String prompt,
+            CompletionRequest prompt,
             List<BackendTable.Server> engines,
-            long kvTokensEach,
             Deadline deadline) {
         this.context = context;
         this.request = request;
         List<GroupMember> members = new ArrayList<>();
-        int chars = (int) kvTokensEach * CompletionRequest.CHARS_PER_TOKEN;
+        int tokensPerSegment = (prompt.promptTokens() + engines.size() - 1) / engines.size();
+        int chars = tokensPerSegment * CompletionRequest.CHARS_PER_TOKEN;
         for (int i = 0; i < engines.size(); i++) {
             boolean isLast = i == engines.size() - 1;
-            int start = Math.min(prompt.length(), i * chars);
-            int end = isLast ? prompt.length() : Math.min(prompt.length(), start + chars);
-            BackendTable.Server engine = engines.get(i);
-            segments.add(new Segment(engine, prompt.substring(start, end)));
-            members.add(new GroupMember(engine.incarnation(), engine.listed().availabilityZone(), kvTokensEach));
+            int start = Math.min(prompt.prompt().length(), i * chars);
+            int end =
+                    isLast ? prompt.prompt().length() : Math.min(prompt.prompt().length(), start + chars);
+            Segment segment = new Segment(engines.get(i), prompt.prompt().substring(start, end));
+            segments.add(segment);
+            long tokens = CompletionRequest.tokensOf(segment.text()) + (isLast ? prompt.outputTokens() : 0L);
+            members.add(new GroupMember(
+                    segment.server().incarnation(), segment.server().listed().availabilityZone(), tokens));
         }
         this.reservation = new GroupReservation(context.holds().ledger(), members, deadline, STEP_TIMEOUT_MS);
         this.timer = context.vertx().setPeriodic(TICK_MS, id -> carryOut(reservation.onTick(context.nowNanos())));
     }
 
-    /**
-     * Starts to reserve engines for a prompt.
-     *
-     * @param engines in ascending order of their ids
-     * @param kvTokensEach memory to hold on each; the prompt and its answer fit into all of it together
-     */
+    /** Starts to reserve the engines for a prompt. */
     static EngineGroup start(
             HostContext context,
             RequestId request,
-            String prompt,
-            List<BackendTable.Server> engines,
-            long kvTokensEach,
-            Deadline deadline) {
-        EngineGroup group = new EngineGroup(context, request, prompt, engines, kvTokensEach, deadline);
+            CompletionRequest prompt,
+            Deadline deadline,
+            List<BackendTable.Server> engines) {
+        EngineGroup group = new EngineGroup(context, request, prompt, engines, deadline);
         group.carryOut(group.reservation.start(context.nowNanos()));
         return group;
     }
--- a/figspan-host/src/main/java/io/figspan/host/entry/EntryServer.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/EntryServer.java
@@ -22,7 +22,6 @@
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.json.Json;
 import java.util.Locale;
-import java.util.Optional;
 import java.util.function.BiConsumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -76,15 +75,14 @@
             EntryDirectory directory,
             OrderHandler orders,
             LimitGate limitGate,
-            LimitGate.Lenders lenders,
-            Dispatcher dispatcher) {
+            LimitGate.Lenders lenders) {
         this.context = context;
         this.limits = limits;
         this.directory = directory;
         this.orders = orders;
         this.limitGate = limitGate;
         this.lenders = lenders;
-        this.dispatcher = dispatcher;
+        this.dispatcher = new Dispatcher(context);
         context.backends().setChangeListener(dispatcher::poll);
     }
 
@@ -264,26 +262,16 @@
                                     + settings.integer(SettingKey.PROMPTS_MAX_OUTPUT_TOKENS)));
             return;
         }
-        Optional<Problem> refusal = limitGate.check(head.organisation(), lenders);
-        if (refusal.isPresent()) {
-            context.count("prompts.failed." + refusal.get().kind().wireName());
-            Problems.write(request.response(), refusal.get());
+        long workTokens = prompt.promptTokens() + (long) prompt.outputTokens();
+        if (limitGate.take(head.organisation(), workTokens, lenders) instanceof Result.Failed<Long> refused) {
+            context.count("prompts.failed." + refused.problem().kind().wireName());
+            Problems.write(request.response(), refused.problem());
             return;
         }
-        limitGate.onAdmitted(head.organisation(), prompt.promptTokens() + (long) prompt.outputTokens());
         Deadline deadline = Deadline.after(context.nowNanos(), deadlineMs(head, settings, prompt.promptTokens()));
         CallerStream caller =
                 new CallerStream(request.response(), head.request().value());
-        new CompletionCall(
-                        context,
-                        dispatcher,
-                        tokens(),
-                        head,
-                        prompt,
-                        caller,
-                        priority(head, settings),
-                        deadline,
-                        tokens -> limitGate.onRefused(head.organisation(), tokens, lenders))
+        new CompletionCall(context, dispatcher, tokens(), head, prompt, caller, priority(head, settings), deadline)
                 .start();
     }
 
