Place groups in availability zones with few engines

Change: when no zone has as many engines as wanted, the group is as small as the share for a single engine allows, without the reserve for short prompts. Fleets with larger zones are placed as before.

Measured: FailuresTest passes in 9 s; PlacementProperties and PromptDispatcherProperties pass.

--- a/figspan-policy/src/main/java/io/figspan/policy/placement/GroupPlacement.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placement/GroupPlacement.java
@@ -36,17 +36,22 @@
 
     /**
      * The group with the most free memory on its fullest engine, in ascending order of server ids so that two groups
-     * cannot deadlock; empty when no zone has enough runners with the memory.
+     * cannot deadlock; empty when no zone has enough runners with the memory. When no zone has as many runners as
+     * {@link #size} wants, the group is as small as {@code singleFillShare} allows.
      *
      * @param open runners that may take long prompts
      * @param reserveTokens memory that must be left on each engine
      */
     public List<BackendServerId> choose(PromptCost cost, LoadView view, List<RunnerLoad> open, long reserveTokens) {
-        int size = size(cost, view.speed());
-        long each = kvTokensEach(cost, view.speed());
+        int wanted = size(cost, view.speed());
+        boolean zonesAreSmall = largestZone(open) < wanted;
+        int size = zonesAreSmall ? smallestSize(cost, view.speed()) : wanted;
+        long each = (cost.kvTokens() + size - 1) / size;
+        // Fuller engines and no reserve in small zones, where the prompt would otherwise never find a group.
+        long neededTokens = zonesAreSmall ? each : each + reserveTokens;
         Map<AvailabilityZoneId, List<RunnerLoad>> byZone = new TreeMap<>();
         for (RunnerLoad load : open) {
-            if (!load.leaving() && load.kvFreeTokens() >= each + reserveTokens) {
+            if (!load.leaving() && load.kvFreeTokens() >= neededTokens) {
                 byZone.computeIfAbsent(load.zone(), zone -> new ArrayList<>()).add(load);
             }
         }
@@ -66,6 +71,22 @@
         return best.stream().map(RunnerLoad::server).sorted().toList();
     }
 
+    /** Engines that the prompt needs when each may be as full as with a prompt that it serves alone. */
+    private int smallestSize(PromptCost cost, EngineSpeed speed) {
+        long perEngine = (long) (speed.kvTotalTokens() * singleFillShare);
+        return (int) ((cost.kvTokens() + perEngine - 1) / perEngine);
+    }
+
+    private static int largestZone(List<RunnerLoad> open) {
+        Map<AvailabilityZoneId, Integer> sizes = new TreeMap<>();
+        for (RunnerLoad load : open) {
+            if (!load.leaving()) {
+                sizes.merge(load.zone(), 1, Integer::sum);
+            }
+        }
+        return sizes.values().stream().max(Integer::compare).orElse(0);
+    }
+
     private long maxKvTokens(EngineSpeed speed) {
         return (long) (speed.kvTotalTokens() * groupFillShare);
     }
