Fail figspan load when a kind of request was never served

A run in which everything is refused breaks no promise and yet shows nothing, so the exit code is 0 only if each prompt length was answered and an order ran at least once.

--- a/figspan-cli/src/main/java/io/figspan/cli/caller/LoadCommand.java
+++ b/figspan-cli/src/main/java/io/figspan/cli/caller/LoadCommand.java
@@ -108,7 +108,7 @@
             RunRecord record = new RunRecord(http, Addresses.parse(services), Addresses.parse(engines));
             LoadSummary summary = LoadSummary.of(promptResults, orderResults, record.read(), record.awaitNoHolds());
             summary.print(console, common.json());
-            return summary.allPromisesHeld() ? ExitCode.OK : ExitCode.FAILED;
+            return summary.allPromisesHeld() && summary.allKindsServed() ? ExitCode.OK : ExitCode.FAILED;
         });
     }
 
--- a/figspan-cli/src/main/java/io/figspan/cli/caller/LoadSummary.java
+++ b/figspan-cli/src/main/java/io/figspan/cli/caller/LoadSummary.java
@@ -53,6 +53,12 @@
         return new LoadSummary(rows, orders(orders, runs), holdsNotReturned, refusals);
     }
 
+    /** Whether each kind of request was served at all; a run that only refuses shows nothing. */
+    boolean allKindsServed() {
+        boolean ordersServed = orders.sent() == 0 || orders.ran() > 0;
+        return ordersServed && rows.stream().allMatch(row -> row.answered() > 0);
+    }
+
     boolean allPromisesHeld() {
         boolean promptsHeld = rows.stream().allMatch(row -> row.wrong() == 0 && row.lost() == 0);
         return promptsHeld
@@ -66,6 +72,7 @@
         if (json) {
             ObjectNode document = new ObjectMapper().valueToTree(this);
             document.put("allPromisesHeld", allPromisesHeld());
+            document.put("allKindsServed", allKindsServed());
             console.json(document);
             return;
         }
@@ -93,6 +100,9 @@
                 "broken promises: %d run twice, %d false notRun, %d false ran, %d holds not returned",
                 orders.ranTwice(), orders.falseNotRun(), orders.falseRan(), holdsNotReturned));
         console.line(allPromisesHeld() ? "all promises held" : "PROMISES WERE BROKEN");
+        if (!allKindsServed()) {
+            console.line("a kind of request was sent and never served");
+        }
     }
 
     private static Row row(int tokens, List<PromptResult> results) {
