--- a/figspan-policy/src/main/java/io/figspan/policy/placement/GroupPlacement.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placement/GroupPlacement.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 
 /**
  * Choice of a group of engines in one availability zone for a prompt that is larger than one engine.
@@ -38,10 +39,16 @@
         return (cost.kvTokens() + size - 1) / size;
     }
 
-    /** Tells whether some availability zone has enough runners for the prompt, whatever memory is free now. */
+    /**
+     * Tells whether some availability zone has enough runners for the prompt, whatever memory is free now. Runners that
+     * take no new work count too, because one that failed a moment ago may be back in time.
+     */
     public boolean isPossible(PromptCost cost, LoadView view) {
-        return runnersByZone(view.runners()).values().stream()
-                .anyMatch(ofZone -> sizeIn(ofZone.size(), cost, view.speed()) > 0);
+        return view.runners().stream()
+                .collect(Collectors.groupingBy(RunnerLoad::zone, Collectors.counting()))
+                .values()
+                .stream()
+                .anyMatch(count -> sizeIn(count.intValue(), cost, view.speed()) > 0);
     }
 
     /**
@@ -62,7 +69,9 @@
             }
             ofZone.sort(Comparator.comparingLong(RunnerLoad::kvFreeTokens).reversed());
             long free = ofZone.get(size - 1).kvFreeTokens();
-            boolean fits = free >= kvTokensEach(cost, size) + reserveTokens;
+            // No reserve in a small zone, where the prompt would otherwise find a group only while the zone is idle.
+            long reserve = size < size(cost, view.speed()) ? 0 : reserveTokens;
+            boolean fits = free >= kvTokensEach(cost, size) + reserve;
             if (fits && free > bestFree) {
                 best = ofZone.subList(0, size);
                 bestFree = free;
