--- a/figspan-bench/src/main/java/io/figspan/bench/micro/MicroCommand.java
+++ b/figspan-bench/src/main/java/io/figspan/bench/micro/MicroCommand.java
@@ -2,6 +2,8 @@
 
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
+import io.figspan.bench.BenchCommand;
+import java.io.PrintStream;
 import org.openjdk.jmh.profile.GCProfiler;
 import org.openjdk.jmh.runner.Runner;
 import org.openjdk.jmh.runner.RunnerException;
@@ -11,7 +13,7 @@
 
 /** {@code bin/bench micro}: time and allocations of single decisions, by JMH. */
 @Parameters(commandDescription = "Measures time and allocations of single decisions with JMH")
-public final class MicroCommand {
+public final class MicroCommand implements BenchCommand {
     private static final int ITERATIONS = 5;
 
     @Parameter(names = "--quick", description = "One short iteration without a forked process")
@@ -23,11 +25,13 @@
     @Parameter(names = "--help", help = true, description = "Prints this help")
     private boolean help;
 
+    @Override
     public boolean help() {
         return help;
     }
 
-    public void run() throws RunnerException {
+    @Override
+    public boolean run(PrintStream out) {
         ChainedOptionsBuilder options = new OptionsBuilder()
                 .include(include)
                 .addProfiler(GCProfiler.class)
@@ -37,6 +41,11 @@
                 .warmupTime(TimeValue.milliseconds(quick ? 200 : 1_000))
                 .measurementIterations(quick ? 1 : ITERATIONS)
                 .measurementTime(TimeValue.milliseconds(quick ? 200 : 1_000));
-        new Runner(options.build()).run();
+        try {
+            return !new Runner(options.build()).run().isEmpty();
+        } catch (RunnerException e) {
+            out.println("a benchmark failed: " + e.getMessage());
+            return false;
+        }
     }
 }
