Place a group in a zone with fewer engines than preferred

Cause: a prompt that needs a group was to take at most 60 percent of each engine, so in a zone of three engines a prompt of some 800,000 tokens or more was never placed (FailuresTest, expected 3 engines with holds, got 0).

Change: the group is at most as large as the largest zone, and the memory that is left to short prompts shrinks as far as needed.

--- a/figspan-policy/src/main/java/io/figspan/policy/dispatch/PromptDispatcher.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/dispatch/PromptDispatcher.java
@@ -215,7 +215,7 @@
             actions.add(new DispatchAction.Refuse(prompt, refusal.get()));
             return true;
         }
-        long each = groups.kvTokensEach(cost, view.speed());
+        long each = (cost.kvTokens() + servers.size() - 1) / servers.size();
         for (BackendServerId server : servers) {
             view.sent(server, prompt.id(), cost.promptTokens(), cost.promptTokens() / servers.size(), each, nowNanos);
         }
--- a/figspan-policy/src/main/java/io/figspan/policy/placement/GroupPlacement.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placement/GroupPlacement.java
@@ -42,11 +42,15 @@
      * @param reserveTokens memory that must be left on each engine
      */
     public List<BackendServerId> choose(PromptCost cost, LoadView view, List<RunnerLoad> open, long reserveTokens) {
-        int size = size(cost, view.speed());
-        long each = kvTokensEach(cost, view.speed());
+        int size = Math.min(size(cost, view.speed()), largestZone(open));
+        if (size == 0 || (cost.kvTokens() + size - 1) / size > view.speed().kvTotalTokens()) {
+            return List.of();
+        }
+        long each = (cost.kvTokens() + size - 1) / size;
+        long reserve = Math.min(reserveTokens, view.speed().kvTotalTokens() - each);
         Map<AvailabilityZoneId, List<RunnerLoad>> byZone = new TreeMap<>();
         for (RunnerLoad load : open) {
-            if (!load.leaving() && load.kvFreeTokens() >= each + reserveTokens) {
+            if (!load.leaving() && load.kvFreeTokens() >= each + reserve) {
                 byZone.computeIfAbsent(load.zone(), zone -> new ArrayList<>()).add(load);
             }
         }
@@ -66,6 +70,17 @@
         return best.stream().map(RunnerLoad::server).sorted().toList();
     }
 
+    /** Runners of the zone with the most of them; a zone too small for the preferred size takes a smaller group. */
+    private static int largestZone(List<RunnerLoad> open) {
+        Map<AvailabilityZoneId, Integer> counts = new TreeMap<>();
+        for (RunnerLoad load : open) {
+            if (!load.leaving()) {
+                counts.merge(load.zone(), 1, Integer::sum);
+            }
+        }
+        return counts.values().stream().mapToInt(Integer::intValue).max().orElse(0);
+    }
+
     private long maxKvTokens(EngineSpeed speed) {
         return (long) (speed.kvTotalTokens() * groupFillShare);
     }
