Place long prompts that just fit one engine

Cause: a prompt of 320,000 to 340,000 tokens counts as fitting one engine, but with the 20 percent of memory that is left to short prompts it needed more than the whole engine. It waited on the host until it was hopeless.

Change: the memory left to short prompts shrinks as far as needed.

--- a/figspan-policy/src/main/java/io/figspan/policy/placement/LengthAwarePlacement.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placement/LengthAwarePlacement.java
@@ -74,7 +74,8 @@
     /** Runners that may take the prompt: with the memory for it and, for long prompts, not kept free. */
     public List<RunnerLoad> candidates(PromptCost cost, LoadView view) {
         List<RunnerLoad> fitting = new ArrayList<>(view.runners().size());
-        long reserve = cost.isLong() ? reserveTokens(view) : 0;
+        long roomTokens = Math.max(0, view.speed().kvTotalTokens() - cost.kvTokens());
+        long reserve = cost.isLong() ? Math.min(reserveTokens(view), roomTokens) : 0;
         for (RunnerLoad load : view.runners()) {
             boolean open = !cost.isLong() || !isKeptFree(view, load);
             if (open && !load.leaving() && load.kvFreeTokens() >= cost.kvTokens() + reserve) {
@@ -84,7 +85,7 @@
         return fitting;
     }
 
-    /** Memory of each engine that is left to short prompts. */
+    /** Memory of each engine that is left to short prompts, as far as the long prompt fits beside it. */
     public long reserveTokens(LoadView view) {
         return (long) (view.speed().kvTotalTokens() * shortReserveShare);
     }
