--- a/figspan-bench/src/main/java/io/figspan/bench/BenchMain.java
+++ b/figspan-bench/src/main/java/io/figspan/bench/BenchMain.java
@@ -3,6 +3,7 @@
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.ParameterException;
 import io.figspan.bench.faults.FaultsCommand;
+import io.figspan.bench.micro.MicroCommand;
 import io.figspan.bench.policy.PolicyCommand;
 import io.figspan.bench.slopes.NodesCommand;
 import io.figspan.bench.slopes.SlopesCommand;
@@ -22,6 +23,7 @@
         commands.put("faults", new FaultsCommand());
         commands.put("slopes", new SlopesCommand());
         commands.put("nodes", new NodesCommand());
+        commands.put("micro", new MicroCommand());
         JCommander.Builder builder = JCommander.newBuilder().programName("bin/bench");
         commands.forEach(builder::addCommand);
         JCommander commander = builder.build();
