Choose groups by one rule in large and small availability zones

Change: the rule that the differential test describes stays; a fleet with small zones gets no reserve, and a prompt that no zone can hold is refused at once.

--- a/figspan-policy/src/main/java/io/figspan/policy/placement/GroupPlacement.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placement/GroupPlacement.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.stream.Collectors;
 
 /**
  * Choice of a group of engines in one availability zone for a prompt that is larger than one engine.
@@ -24,12 +23,12 @@
         return cost.kvTokens() <= (long) (speed.kvTotalTokens() * singleFillShare);
     }
 
-    /** Number of engines that the prompt takes where enough are available. */
+    /** Number of engines that the prompt needs. */
     public int size(PromptCost cost, EngineSpeed speed) {
-        return size(cost, speed, groupFillShare);
+        return (int) ((cost.kvTokens() + maxKvTokens(speed) - 1) / maxKvTokens(speed));
     }
 
-    /** Memory to hold on each engine of a group of the size that is taken where enough are available. */
+    /** Memory to hold on each engine of the group. */
     public long kvTokensEach(PromptCost cost, EngineSpeed speed) {
         return kvTokensEach(cost, size(cost, speed));
     }
@@ -44,35 +43,43 @@
      * take no new work count too, because one that failed a moment ago may be back in time.
      */
     public boolean isPossible(PromptCost cost, LoadView view) {
-        return view.runners().stream()
-                .collect(Collectors.groupingBy(RunnerLoad::zone, Collectors.counting()))
-                .values()
-                .stream()
-                .anyMatch(count -> sizeIn(count.intValue(), cost, view.speed()) > 0);
+        int size = Math.min(size(cost, view.speed()), largestZone(view.runners()));
+        return size > 0 && kvTokensEach(cost, size) <= view.speed().kvTotalTokens();
     }
 
     /**
      * The group with the most free memory on its fullest engine, in ascending order of server ids so that two groups
-     * cannot deadlock; empty when no zone has enough runners with the memory. A zone with too few runners for the usual
-     * size gets a smaller group that fills each engine further, so that a small fleet also serves the longest prompts.
+     * cannot deadlock; empty when no zone has enough runners with the memory. A fleet whose zones have too few runners
+     * for the usual size gets a smaller group without a reserve, as it would otherwise start only on idle engines.
      *
      * @param open runners that may take long prompts
      * @param reserveTokens memory that must be left on each engine
      */
     public List<BackendServerId> choose(PromptCost cost, LoadView view, List<RunnerLoad> open, long reserveTokens) {
+        List<RunnerLoad> available =
+                open.stream().filter(load -> !load.leaving()).toList();
+        int wanted = size(cost, view.speed());
+        int size = Math.min(wanted, largestZone(available));
+        if (size == 0 || kvTokensEach(cost, size) > view.speed().kvTotalTokens()) {
+            return List.of();
+        }
+        long each = kvTokensEach(cost, size);
+        long reserve = size < wanted ? 0 : Math.min(reserveTokens, view.speed().kvTotalTokens() - each);
+        Map<AvailabilityZoneId, List<RunnerLoad>> byZone = new TreeMap<>();
+        for (RunnerLoad load : available) {
+            if (load.kvFreeTokens() >= each + reserve) {
+                byZone.computeIfAbsent(load.zone(), zone -> new ArrayList<>()).add(load);
+            }
+        }
         List<RunnerLoad> best = List.of();
         long bestFree = -1;
-        for (List<RunnerLoad> ofZone : runnersByZone(open).values()) {
-            int size = sizeIn(ofZone.size(), cost, view.speed());
-            if (size == 0) {
+        for (List<RunnerLoad> ofZone : byZone.values()) {
+            if (ofZone.size() < size) {
                 continue;
             }
             ofZone.sort(Comparator.comparingLong(RunnerLoad::kvFreeTokens).reversed());
             long free = ofZone.get(size - 1).kvFreeTokens();
-            // No reserve in a small zone, where the prompt would otherwise find a group only while the zone is idle.
-            long reserve = size < size(cost, view.speed()) ? 0 : reserveTokens;
-            boolean fits = free >= kvTokensEach(cost, size) + reserve;
-            if (fits && free > bestFree) {
+            if (free > bestFree) {
                 best = ofZone.subList(0, size);
                 bestFree = free;
             }
@@ -80,28 +87,14 @@
         return best.stream().map(RunnerLoad::server).sorted().toList();
     }
 
-    private static Map<AvailabilityZoneId, List<RunnerLoad>> runnersByZone(List<RunnerLoad> runners) {
-        Map<AvailabilityZoneId, List<RunnerLoad>> byZone = new TreeMap<>();
-        for (RunnerLoad load : runners) {
-            if (!load.leaving()) {
-                byZone.computeIfAbsent(load.zone(), zone -> new ArrayList<>()).add(load);
-            }
-        }
-        return byZone;
-    }
-
-    /** Size of a group in a zone with this number of runners; 0 when they are too few. */
-    private int sizeIn(int runners, PromptCost cost, EngineSpeed speed) {
-        int usual = size(cost, speed, groupFillShare);
-        int smallest = size(cost, speed, singleFillShare);
-        if (runners >= usual) {
-            return usual;
-        }
-        return runners >= smallest ? runners : 0;
+    /** Number of runners of the zone with the most of them. */
+    private static int largestZone(List<RunnerLoad> runners) {
+        Map<AvailabilityZoneId, Integer> counts = new TreeMap<>();
+        runners.forEach(load -> counts.merge(load.zone(), 1, Integer::sum));
+        return counts.values().stream().mapToInt(Integer::intValue).max().orElse(0);
     }
 
-    private static int size(PromptCost cost, EngineSpeed speed, double fillShare) {
-        long maxKvTokens = (long) (speed.kvTotalTokens() * fillShare);
-        return (int) ((cost.kvTokens() + maxKvTokens - 1) / maxKvTokens);
+    private long maxKvTokens(EngineSpeed speed) {
+        return (long) (speed.kvTotalTokens() * groupFillShare);
     }
 }
