Join the host's parts where they had been left unconnected

Cause: a check of the merged tree found parts that existed but were not used: the age check of engine reports, the prediction of long prompts, the admission factor of the settings, the refusal of a version with a wrong digest, and one clock for the time line and for messages. The time line named prompts by an internal number.

--- a/figspan-bench/src/main/java/io/figspan/bench/BenchMain.java
+++ b/figspan-bench/src/main/java/io/figspan/bench/BenchMain.java
@@ -6,6 +6,7 @@
 import io.figspan.bench.micro.MicroCommand;
 import io.figspan.bench.policy.PolicyCommand;
 import io.figspan.bench.slopes.NodesCommand;
+import io.figspan.bench.slopes.RolesCommand;
 import io.figspan.bench.slopes.SlopesCommand;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -22,6 +23,7 @@
         commands.put("policy", new PolicyCommand());
         commands.put("faults", new FaultsCommand());
         commands.put("slopes", new SlopesCommand());
+        commands.put("roles", new RolesCommand());
         commands.put("nodes", new NodesCommand());
         commands.put("micro", new MicroCommand());
         JCommander.Builder builder = JCommander.newBuilder().programName("bin/bench");
--- a/figspan-bench/src/main/java/io/figspan/bench/slopes/BenchNode.java
+++ b/figspan-bench/src/main/java/io/figspan/bench/slopes/BenchNode.java
@@ -9,6 +9,7 @@
 import io.figspan.core.id.HostId;
 import io.figspan.core.id.HostIncarnation;
 import io.figspan.core.id.OrganisationId;
+import io.figspan.core.time.HybridClock;
 import io.figspan.core.time.MonotonicClock;
 import io.figspan.host.peer.ConfigurationSource;
 import io.figspan.host.peer.OrderHandler;
@@ -53,6 +54,7 @@
                 PeerNodeConfig.of(self, seeds, KEY),
                 services,
                 MonotonicClock.system(),
+                new HybridClock(System::currentTimeMillis),
                 new SplittableRandom(index));
     }
 
--- a/figspan-bench/src/main/java/io/figspan/bench/slopes/SlopesCommand.java
+++ b/figspan-bench/src/main/java/io/figspan/bench/slopes/SlopesCommand.java
@@ -105,10 +105,10 @@
 
     private Figures measure(int size) {
         Figures figures = new Figures();
-        long emptyHeap = usedHeapBytes();
+        long emptyHeap = HeapMeter.usedBytes();
         FleetModel model = new FleetModel(size, seed);
         join(model, size);
-        figures.memberStateBytes = (double) (usedHeapBytes() - emptyHeap) / size;
+        figures.memberStateBytes = (double) (HeapMeter.usedBytes() - emptyHeap) / size;
         model.takeTotals();
         model.run(REST_SECONDS);
         FleetModel.Totals rest = model.takeTotals();
@@ -120,7 +120,7 @@
         measureChurn(model, size, figures);
         measureChanges(model, size, figures);
         measureLoans(model, size, figures);
-        figures.settingsStateBytes = (double) (usedHeapBytes() - emptyHeap) / size - figures.memberStateBytes;
+        figures.settingsStateBytes = (double) (HeapMeter.usedBytes() - emptyHeap) / size - figures.memberStateBytes;
         measureChoices(size, figures);
         return figures;
     }
@@ -267,13 +267,4 @@
     private static double micros(FleetModel.Totals totals) {
         return (double) totals.processorNanos() / TimeUnit.MICROSECONDS.toNanos(1);
     }
-
-    /** Heap in use after collections; differences of it over hundreds of equal objects give the size of one. */
-    private static long usedHeapBytes() {
-        Runtime runtime = Runtime.getRuntime();
-        for (int i = 0; i < 3; i++) {
-            runtime.gc();
-        }
-        return runtime.totalMemory() - runtime.freeMemory();
-    }
 }
--- a/figspan-host/src/main/java/io/figspan/host/backend/BackendTable.java
+++ b/figspan-host/src/main/java/io/figspan/host/backend/BackendTable.java
@@ -35,6 +35,7 @@
         private long incarnationNumber;
         private boolean leaving;
         private boolean suspect;
+        private boolean stale = true;
         private long capacityTokens;
         private long heardAtNanos;
 
@@ -71,9 +72,9 @@
             return listed.port();
         }
 
-        /** Whether new work may go there: it is not leaving and its last use did not fail. */
+        /** Whether new work may go there: it is not leaving, its last use did not fail and its report is recent. */
         public boolean takesNewWork() {
-            return !leaving && !suspect;
+            return !leaving && !suspect && !(isEngine() && stale);
         }
 
         public boolean isLeaving() {
@@ -255,6 +256,22 @@
         }
     }
 
+    /**
+     * Checks the age of each report. A host that was paused or cut off may have missed that an engine leaves, so
+     * an engine that was not heard from lately gets no new work.
+     */
+    public void refreshAges(long nowNanos) {
+        for (Server server : engines()) {
+            boolean recent = server.hasReported()
+                    && leavingServers.mayTakeNewWork(server.incarnation(), server.heardAtNanos, nowNanos);
+            boolean stale = !recent && !server.leaving;
+            if (stale != server.stale) {
+                server.stale = stale;
+                refreshLeaving(server);
+            }
+        }
+    }
+
     private void refreshLeaving(Server server) {
         server.leaving = !leavingServers.mayTakeNewWork(server.incarnation());
         loads.setLeaving(server.id(), !server.takesNewWork());
@@ -266,6 +283,7 @@
         }
         observeIncarnation(server, incarnation);
         server.suspect = false;
+        server.stale = false;
         server.capacityTokens = load.kvTotalTokens();
         server.heardAtNanos = nowNanos;
         loads.report(server.id(), load, nowNanos);
--- a/figspan-host/src/main/java/io/figspan/host/backend/ReportPoller.java
+++ b/figspan-host/src/main/java/io/figspan/host/backend/ReportPoller.java
@@ -35,6 +35,7 @@
     /** Polls the quiet engines once. */
     public void poll() {
         long nowNanos = System.nanoTime();
+        table.refreshAges(nowNanos);
         for (BackendTable.Server server : table.engines()) {
             boolean quiet = server.heardAtNanos() == 0 || nowNanos - server.heardAtNanos() > QUIET_NANOS;
             if (quiet || server.isSuspect()) {
--- a/figspan-host/src/main/java/io/figspan/host/entry/CompletionCall.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/CompletionCall.java
@@ -67,6 +67,7 @@
     private Optional<HoldHandle> ownHold = Optional.empty();
     private boolean engineIsDone;
     private long sendId;
+    private long sentNanos;
     private int sentTokens;
     private int attempts;
     /** Sends to engines that have not been refused; after one, the request may have run. */
@@ -138,6 +139,8 @@
         @Override
         public void onPlaced(BackendServerId placed, long priorityDelayMs) {
             servers = List.of(placed);
+            sentNanos = context.nowNanos();
+            event(Part.PLACE, "placed", placed.value());
             context.backends()
                     .find(placed)
                     .ifPresentOrElse(
@@ -147,6 +150,7 @@
         @Override
         public void onGroup(List<BackendServerId> placed, long priorityDelayMs) {
             servers = placed;
+            event(Part.PLACE, "placed", placed.toString());
             reserveGroup(placed, priorityDelayMs);
         }
 
@@ -195,6 +199,7 @@
     private void prefillGroup(EngineGroup reserved, long priorityDelayMs) {
         server = Optional.of(reserved.lastServer());
         openSends++;
+        sentNanos = context.nowNanos();
         reserved.prefill(priorityDelayMs, deadline).onComplete(prefilled -> {
             if (over) {
                 reserved.release();
@@ -260,7 +265,7 @@
 
         @Override
         public void onFirstToken() {
-            servers.forEach(used -> context.backends().loads().firstToken(used, sendId));
+            asked.ifPresent(sent -> servers.forEach(used -> dispatcher.firstToken(sent, used, sentNanos)));
             long elapsedNanos = context.nowNanos() - startNanos;
             context.metrics()
                     .timer("prompts.firstToken")
--- a/figspan-host/src/main/java/io/figspan/host/entry/Dispatcher.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/Dispatcher.java
@@ -2,12 +2,12 @@
 
 import io.figspan.core.error.Problem;
 import io.figspan.core.error.ProblemKind;
-import io.figspan.core.event.Part;
 import io.figspan.core.id.BackendServerId;
 import io.figspan.core.id.HostId;
 import io.figspan.core.id.OrganisationId;
 import io.figspan.core.id.SettingsVersion;
 import io.figspan.host.HostContext;
+import io.figspan.host.backend.BackendTable;
 import io.figspan.policy.affinity.PrefixAffinity;
 import io.figspan.policy.dispatch.DispatchAction;
 import io.figspan.policy.dispatch.DispatchSettings;
@@ -67,8 +67,7 @@
     /** Takes a new prompt; the listener is told at once or later. */
     void submit(Prompt prompt, Listener listener) {
         refresh();
-        LoadView loads = context.backends().loads();
-        if (loads.runners().stream().allMatch(LoadView.RunnerLoad::leaving)) {
+        if (context.backends().engines().stream().allMatch(BackendTable.Server::isLeaving)) {
             listener.onRefused(Problem.notRun(ProblemKind.NO_BACKEND_SERVER, "no engine takes new work")
                     .withRetryAfterMs(RETRY_AFTER_MS));
             return;
@@ -91,6 +90,11 @@
         }
     }
 
+    /** Notes the first token of a prompt that was sent to an engine, or to a group of engines, at {@code sentNanos}. */
+    void firstToken(Prompt prompt, BackendServerId server, long sentNanos) {
+        decisions.firstToken(prompt, server, sentNanos, context.nowNanos());
+    }
+
     int queued() {
         return decisions.waiting();
     }
@@ -112,25 +116,19 @@
 
     private void tell(Waiting decided, DispatchAction action) {
         if (action instanceof DispatchAction.Send send) {
-            event(decided, send.server().value());
             decided.listener().onPlaced(send.server(), send.priorityDelayMs());
         } else if (action instanceof DispatchAction.SendGroup group) {
-            event(decided, group.servers().toString());
             decided.listener().onGroup(group.servers(), group.priorityDelayMs());
         } else if (action instanceof DispatchAction.Refuse refuse) {
             decided.listener().onRefused(refuse.problem());
         }
     }
 
-    private void event(Waiting decided, String text) {
-        context.timeline()
-                .add(Part.PLACE, "placed", String.valueOf(decided.prompt().id()), text);
-    }
-
     // Settings and engines
 
     /** Takes over new settings and a changed set of engines. Prompts that wait are decided anew. */
     private void refresh() {
+        context.backends().refreshAges(context.nowNanos());
         LoadView loads = context.backends().loads();
         long smallestTokens = context.backends().smallestCapacityTokens();
         boolean unchanged = smallestTokens == capacityTokens
@@ -186,6 +184,8 @@
                 LengthAwarePlacement.DEFAULT.overtakenShare(),
                 LengthAwarePlacement.DEFAULT.shortReserveShare(),
                 LengthAwarePlacement.DEFAULT.awayTokens());
-        return DispatchSettings.DEFAULT.withPlacement(placement);
+        return DispatchSettings.DEFAULT
+                .withPlacement(placement)
+                .withAdmissionMargin(fleet.number(SettingKey.ADMISSION_SAFETY_FACTOR));
     }
 }
--- a/figspan-host/src/main/java/io/figspan/host/operator/Timeline.java
+++ b/figspan-host/src/main/java/io/figspan/host/operator/Timeline.java
@@ -19,6 +19,11 @@
         this.clock = clock;
     }
 
+    /** The clock that also stamps the messages to other hosts. */
+    public HybridClock clock() {
+        return clock;
+    }
+
     /** Records an event; {@code requestId} is empty for an event of no request. */
     public void add(Part part, String kind, String requestId, String text) {
         ring.add(new TimelineEvent(clock.tick(), host, part, kind, requestId, text));
--- a/figspan-host/src/main/java/io/figspan/host/peer/PeerNode.java
+++ b/figspan-host/src/main/java/io/figspan/host/peer/PeerNode.java
@@ -74,12 +74,14 @@
             OwnShares shares,
             PeerNodeListener listener) {}
 
+    /** {@code timestamps} is the clock of this process's time line, so that events follow the order of messages. */
     public PeerNode(
             Vertx vertx,
             Context context,
             PeerNodeConfig config,
             NodeServices services,
             MonotonicClock clock,
+            HybridClock timestamps,
             RandomGenerator random) {
         this.vertx = vertx;
         this.context = context;
@@ -87,8 +89,7 @@
         this.services = services;
         this.clock = clock;
         this.random = random;
-        PeerIdentity identity =
-                new PeerIdentity(config.self(), config.key(), new HybridClock(System::currentTimeMillis));
+        PeerIdentity identity = new PeerIdentity(config.self(), config.key(), timestamps);
         this.server = new PeerServer(vertx, context, identity, stats);
         this.client = new PeerClient(vertx, context, identity, stats, random);
         this.client.reuseConnectionsOf(server);
--- a/figspan-host/src/main/java/io/figspan/host/platform/ConfigurationServiceReader.java
+++ b/figspan-host/src/main/java/io/figspan/host/platform/ConfigurationServiceReader.java
@@ -4,7 +4,9 @@
 import io.figspan.cluster.spread.SettingsContent;
 import io.figspan.core.error.FigspanException;
 import io.figspan.core.error.Location;
+import io.figspan.core.error.Problem;
 import io.figspan.core.error.ProblemKind;
+import io.figspan.core.id.SettingsVersion;
 import io.figspan.host.peer.ConfigurationSource;
 import io.figspan.settings.SettingsManifest;
 import io.figspan.settings.SettingsPart;
@@ -24,6 +26,7 @@
 import java.util.Optional;
 import java.util.SortedMap;
 import java.util.TreeMap;
+import java.util.function.BiConsumer;
 
 /**
  * Reads and watches the settings at the configuration service: one long-polled watch of the manifest, then one read for
@@ -36,6 +39,7 @@
     /** A watch that nothing changes is started again after this time, so that a dead connection is noticed. */
     private static final long WATCH_MS = 30_000;
 
+    private static final Location LOCATION = Location.of("configuration service");
     private static final String INDEX_HEADER = "Config-Index";
     private static final int HTTP_OK = 200;
     private static final int HTTP_NOT_MODIFIED = 304;
@@ -46,8 +50,11 @@
 
     private final PeerAddress service;
     private final HttpClient client;
+    private final BiConsumer<SettingsVersion, Problem> refusals;
 
-    public ConfigurationServiceReader(Vertx vertx, PeerAddress service) {
+    /** {@code refusals} is told of a version that cannot be read whole. */
+    public ConfigurationServiceReader(Vertx vertx, PeerAddress service, BiConsumer<SettingsVersion, Problem> refusals) {
+        this.refusals = refusals;
         this.service = service;
         this.client = vertx.createHttpClient(new HttpClientOptions().setConnectTimeout(500));
     }
@@ -77,7 +84,7 @@
         SettingsManifest manifest = SettingsManifest.fromJson(answer.text().get());
         return Flowable.fromIterable(manifest.parts())
                 .concatMapSingle(part -> get(SettingsManifest.partKey(part.name()), "", READ_TIMEOUT_MS)
-                        .map(value -> checked(part, value)))
+                        .map(value -> checked(manifest.version(), part, value)))
                 .collect(
                         TreeMap<String, Bytes>::new,
                         (SortedMap<String, Bytes> parts, SettingsPart part) ->
@@ -86,11 +93,13 @@
                 .toMaybe();
     }
 
-    private static SettingsPart checked(SettingsManifest.PartDigest wanted, Answer answer) {
+    private SettingsPart checked(SettingsVersion version, SettingsManifest.PartDigest wanted, Answer answer) {
         byte[] bytes = answer.text().orElse("").getBytes(StandardCharsets.UTF_8);
         SettingsPart part = SettingsPart.of(wanted.name(), bytes);
         if (!part.sha256().equals(wanted.sha256())) {
-            throw failed("part " + wanted.name() + " does not have the digest of the manifest");
+            String detail = "part " + wanted.name() + " does not have the digest of the manifest";
+            refusals.accept(version, Problem.notRun(ProblemKind.SETTINGS_INVALID, detail));
+            throw new FigspanException(ProblemKind.SETTINGS_INVALID, detail, LOCATION);
         }
         return part;
     }
@@ -120,6 +129,6 @@
     }
 
     private static FigspanException failed(String detail) {
-        return new FigspanException(ProblemKind.SETTINGS_INVALID, detail, Location.of("configuration service"));
+        return new FigspanException(ProblemKind.BACKEND_FAILED, detail, LOCATION);
     }
 }
--- a/figspan-host/src/main/java/io/figspan/host/platform/PeerDriver.java
+++ b/figspan-host/src/main/java/io/figspan/host/platform/PeerDriver.java
@@ -67,6 +67,7 @@
                 PeerNodeConfig.of(self, seeds, key),
                 new PeerNode.NodeServices(configuration(), adopter, orders, limits, this),
                 context.clock(),
+                context.timeline().clock(),
                 context.random());
         context.backends().setLeavingListener(node::backendLeaving);
     }
@@ -139,7 +140,8 @@
     private ConfigurationSource configuration() {
         return context.config()
                 .configurationService()
-                .<ConfigurationSource>map(address -> new ConfigurationServiceReader(context.vertx(), address))
+                .<ConfigurationSource>map(address ->
+                        new ConfigurationServiceReader(context.vertx(), address, context.settings()::recordRefusal))
                 .orElse(new NoConfigurationService());
     }
 
--- a/figspan-host/src/test/java/io/figspan/host/peer/PeerNodeTest.java
+++ b/figspan-host/src/test/java/io/figspan/host/peer/PeerNodeTest.java
@@ -17,6 +17,8 @@
 import io.figspan.core.id.HostIncarnation;
 import io.figspan.core.id.OrganisationId;
 import io.figspan.core.id.SettingsVersion;
+import io.figspan.core.time.HybridClock;
+import io.figspan.core.time.HybridTimestamp;
 import io.figspan.core.time.MonotonicClock;
 import io.figspan.wire.PeerKey;
 import io.reactivex.rxjava3.core.Flowable;
@@ -41,6 +43,7 @@
 /** Guards against a driver that does not carry out what the protocols ask, over real loopback sockets. */
 class PeerNodeTest {
     private static final int LIMIT_SECONDS = 30;
+    private static final long SKEW_MS = 30_000;
     private static final PeerKey KEY = PeerKey.of("0123456789abcdef".getBytes(StandardCharsets.UTF_8));
 
     private final Vertx vertx = Vertx.vertx();
@@ -52,9 +55,12 @@
         private final BlockingQueue<String> events = new LinkedBlockingQueue<>();
         private final PeerAddress address;
         private final PeerNode node;
+        private final HybridClock timestamps;
 
         Started(String host, PeerAddress address, List<PeerAddress> seeds) {
             this.address = address;
+            long skewMs = "a".equals(host) ? SKEW_MS : 0;
+            this.timestamps = new HybridClock(() -> System.currentTimeMillis() + skewMs);
             Peer self = new Peer(new HostIncarnation(HostId.of(host), 1), AvailabilityZoneId.of("az1"), address);
             PeerNode.NodeServices services = new PeerNode.NodeServices(this, this::adopt, this, this, this);
             node = new PeerNode(
@@ -63,6 +69,7 @@
                     PeerNodeConfig.of(self, seeds, KEY),
                     services,
                     MonotonicClock.system(),
+                    timestamps,
                     new SplittableRandom(host.hashCode()));
             assertTrue(node.start().blockingAwait(LIMIT_SECONDS, TimeUnit.SECONDS));
         }
@@ -143,11 +150,14 @@
         nodes.forEach(started -> started.await("version 7"));
         nodes.get(1).node.backendLeaving(new BackendIncarnation(BackendServerId.of("engine"), 3));
         nodes.forEach(started -> started.await("engine@3 leaving"));
+        HybridTimestamp beforeRequest = nodes.get(0).timestamps.tick();
         PeerMessage.OrderOutcome outcome = nodes.get(0)
                 .node
                 .request(last.address, id -> new PeerMessage.ForwardOrder(id, "t", "o", "r", 900, Bytes.EMPTY), 9_000)
                 .blockingGet();
         assertEquals("a", outcome.contentType());
+        // Guards against a time line that shows an effect before its cause when the wall clocks of hosts differ.
+        assertTrue(last.timestamps.tick().compareTo(beforeRequest) > 0);
         assertTrue(last.node.leave().blockingAwait(LIMIT_SECONDS, TimeUnit.SECONDS));
         nodes.get(0).await("d gone");
         assertFalse(nodes.get(0).node.view().liveAt(HostId.of("d")).isPresent());
--- a/figspan-policy/src/main/java/io/figspan/policy/dispatch/PromptDispatcher.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/dispatch/PromptDispatcher.java
@@ -59,7 +59,7 @@
         this.limits = limits;
         this.random = random;
         this.groups = settings.groups();
-        this.admission = new AdmissionPolicy(view.speed(), AdmissionPolicy.DEFAULT_MARGIN);
+        this.admission = new AdmissionPolicy(view.speed(), settings.admissionMargin());
         this.longPrompts = new LongPromptEstimate(view.speed());
         this.shortQueue = new FairQueue<>(settings.queueItems(), AGEING_NANOS, weightOf);
         this.longQueue = new FairQueue<>(settings.queueItems(), AGEING_NANOS, weightOf);
--- a/figspan-policy/src/test/java/io/figspan/policy/dispatch/PromptDispatcherProperties.java
+++ b/figspan-policy/src/test/java/io/figspan/policy/dispatch/PromptDispatcherProperties.java
@@ -42,8 +42,8 @@
                 List.of(new EntryHost(self, AvailabilityZoneId.of("az-0"))),
                 0);
         DispatchSettings defaults = DispatchSettings.DEFAULT;
-        DispatchSettings settings =
-                new DispatchSettings(defaults.placement(), defaults.groups(), 1_400, 4, 30, 500, QUEUE_ITEMS);
+        DispatchSettings settings = new DispatchSettings(
+                defaults.placement(), defaults.groups(), 1_400, 4, 30, 500, defaults.admissionMargin(), QUEUE_ITEMS);
         return new PromptDispatcher(
                 settings,
                 view,
--- a/figspan-settings/src/main/java/io/figspan/settings/SettingKey.java
+++ b/figspan-settings/src/main/java/io/figspan/settings/SettingKey.java
@@ -86,7 +86,7 @@
     PLACEMENT_LONG_PROMPT_TOKENS(
             "placement.longPromptTokens", INTEGER, "tokens", "32_000", Levels.FLEET_ONLY, 1, 10_000_000),
     /** Factor on the predicted time of a request before it is compared with the time left. */
-    ADMISSION_SAFETY_FACTOR("admission.safetyFactor", NUMBER, "ratio", "1.1", Levels.FLEET_ONLY, 0.1, 10),
+    ADMISSION_SAFETY_FACTOR("admission.safetyFactor", NUMBER, "ratio", "1.5", Levels.FLEET_ONLY, 1, 10),
     /** Most requests that wait on one host; further ones are refused. */
     ADMISSION_QUEUE_LIMIT("admission.queueLimit", INTEGER, "requests", "1_024", Levels.FLEET_ONLY, 1, 65_536),
     /** Retries as a fraction of first attempts. */
