--- a/figspan-bench/src/main/java/io/figspan/bench/faults/FaultRun.java
+++ b/figspan-bench/src/main/java/io/figspan/bench/faults/FaultRun.java
@@ -11,7 +11,7 @@
 import java.util.random.RandomGenerator;
 
 /** Logical time, a network that loses, delays, doubles and reorders messages, and the violations of one run. */
-final class World {
+final class FaultRun {
     private static final double LOSS = 0.06;
     private static final double DOUBLING = 0.06;
     private static final double LATE = 0.06;
@@ -29,14 +29,14 @@
 
     private record Link(String from, String to) {}
 
-    World(long seed, Scenario scenario, Consumer<String> trace) {
+    FaultRun(long seed, Scenario scenario, Consumer<String> trace) {
         this.random = new SplittableRandom(seed);
         this.scenario = scenario;
         this.trace = trace;
     }
 
     /** Runs the scenario once. */
-    World run() {
+    FaultRun run() {
         scenario.start(this);
         queue.runUntil(nanos(scenario.durationMs()));
         scenario.finish(this);
--- a/figspan-bench/src/main/java/io/figspan/bench/faults/FaultsCommand.java
+++ b/figspan-bench/src/main/java/io/figspan/bench/faults/FaultsCommand.java
@@ -74,12 +74,12 @@
         Map<Count, Integer> totals = new EnumMap<>(Count.class);
         long steps = 0;
         for (long seed = firstSeed; seed < firstSeed + seeds; seed++) {
-            World world = new World(seed, variant.scenario().get(), sink).run();
-            steps += world.steps();
+            FaultRun faultRun = new FaultRun(seed, variant.scenario().get(), sink).run();
+            steps += faultRun.steps();
             boolean failed = false;
             for (Count kind : Count.values()) {
-                totals.merge(kind, world.violations(kind), Integer::sum);
-                failed |= world.violations(kind) > 0;
+                totals.merge(kind, faultRun.violations(kind), Integer::sum);
+                failed |= faultRun.violations(kind) > 0;
             }
             if (failed) {
                 failedSeeds.add(seed);
--- a/figspan-bench/src/main/java/io/figspan/bench/faults/FaultyProcess.java
+++ b/figspan-bench/src/main/java/io/figspan/bench/faults/FaultyProcess.java
@@ -5,7 +5,7 @@
 
 /** A process that can be killed, restarted as a new incarnation, paused and resumed. */
 final class FaultyProcess {
-    private final World world;
+    private final FaultRun faultRun;
     private final String name;
     private final Runnable onStart;
     private long number = 1;
@@ -13,8 +13,8 @@
     private long pausedUntilMs;
 
     /** {@code onStart} sets up the state of each new incarnation, the first one excepted. */
-    FaultyProcess(World world, String name, Runnable onStart) {
-        this.world = world;
+    FaultyProcess(FaultRun faultRun, String name, Runnable onStart) {
+        this.faultRun = faultRun;
         this.name = name;
         this.onStart = onStart;
     }
@@ -32,7 +32,7 @@
     }
 
     boolean isPaused() {
-        return world.nowMs() < pausedUntilMs;
+        return faultRun.nowMs() < pausedUntilMs;
     }
 
     HostIncarnation incarnation() {
@@ -42,7 +42,7 @@
     /** Runs an action in this incarnation after a delay, or when a pause ends. */
     void after(long delayMs, Runnable action) {
         long incarnation = number;
-        world.after(delayMs, () -> runWhenAwake(incarnation, action));
+        faultRun.after(delayMs, () -> runWhenAwake(incarnation, action));
     }
 
     /** Repeats an action for as long as this incarnation lives. */
@@ -58,7 +58,7 @@
             return;
         }
         if (isPaused()) {
-            world.after(pausedUntilMs - world.nowMs(), () -> runWhenAwake(incarnation, action));
+            faultRun.after(pausedUntilMs - faultRun.nowMs(), () -> runWhenAwake(incarnation, action));
             return;
         }
         action.run();
@@ -68,21 +68,21 @@
         if (!alive) {
             return;
         }
-        world.note("kill " + name);
+        faultRun.note("kill " + name);
         alive = false;
-        world.after(downMs, () -> {
+        faultRun.after(downMs, () -> {
             alive = true;
             number++;
             pausedUntilMs = 0;
-            world.note("restart " + name);
+            faultRun.note("restart " + name);
             onStart.run();
         });
     }
 
     void pause(long forMs) {
         if (alive) {
-            world.note("pause " + name + " for " + forMs + " ms");
-            pausedUntilMs = world.nowMs() + forMs;
+            faultRun.note("pause " + name + " for " + forMs + " ms");
+            pausedUntilMs = faultRun.nowMs() + forMs;
         }
     }
 }
--- a/figspan-bench/src/main/java/io/figspan/bench/faults/HoldEngine.java
+++ b/figspan-bench/src/main/java/io/figspan/bench/faults/HoldEngine.java
@@ -14,13 +14,13 @@
 final class HoldEngine {
     private static final int CAPACITY = 2;
 
-    private final World world;
+    private final FaultRun faultRun;
     private final FaultyProcess process;
     private final Map<HoldHandle, Long> expiryMs = new HashMap<>();
 
-    HoldEngine(World world, String name) {
-        this.world = world;
-        this.process = new FaultyProcess(world, name, expiryMs::clear);
+    HoldEngine(FaultRun faultRun, String name) {
+        this.faultRun = faultRun;
+        this.process = new FaultyProcess(faultRun, name, expiryMs::clear);
     }
 
     FaultyProcess process() {
@@ -35,7 +35,7 @@
         if (!expiryMs.containsKey(handle) && expiryMs.size() >= CAPACITY) {
             return false;
         }
-        expiryMs.putIfAbsent(handle, world.nowMs() + timeLeftMs);
+        expiryMs.putIfAbsent(handle, faultRun.nowMs() + timeLeftMs);
         return true;
     }
 
@@ -43,18 +43,18 @@
     boolean release(HoldHandle handle, HostIncarnation by, BiPredicate<HoldHandle, BackendIncarnation> inUse) {
         Long expiry = expiryMs.remove(handle);
         boolean stolen = expiry != null
-                && expiry > world.nowMs()
+                && expiry > faultRun.nowMs()
                 && !by.equals(handle.owner())
                 && inUse.test(handle, incarnation());
         if (stolen) {
-            world.violate(Count.HOLDS_STOLEN, handle + " by " + by);
+            faultRun.violate(Count.HOLDS_STOLEN, handle + " by " + by);
         }
         return expiry != null;
     }
 
     List<ListedHold> list() {
         return expiryMs.entrySet().stream()
-                .map(entry -> new ListedHold(entry.getKey(), 1, entry.getValue() - world.nowMs()))
+                .map(entry -> new ListedHold(entry.getKey(), 1, entry.getValue() - faultRun.nowMs()))
                 .toList();
     }
 }
--- a/figspan-bench/src/main/java/io/figspan/bench/faults/HoldScenario.java
+++ b/figspan-bench/src/main/java/io/figspan/bench/faults/HoldScenario.java
@@ -39,33 +39,33 @@
     }
 
     @Override
-    public void start(World world) {
+    public void start(FaultRun faultRun) {
         for (int i = 0; i < 3; i++) {
-            engines.add(new HoldEngine(world, "e" + i));
-            world.scheduleFaults(engines.get(i).process(), FAULTS_UNTIL_MS, 0.15, 0.2);
+            engines.add(new HoldEngine(faultRun, "e" + i));
+            faultRun.scheduleFaults(engines.get(i).process(), FAULTS_UNTIL_MS, 0.15, 0.2);
         }
         for (int i = 0; i < 2; i++) {
-            HoldHost host = new HoldHost(world, "h" + i);
+            HoldHost host = new HoldHost(faultRun, "h" + i);
             hosts.add(host);
-            world.scheduleFaults(host.process, FAULTS_UNTIL_MS, 0.4, 0.4);
-            engines.forEach(engine -> world.scheduleCuts(host.process, engine.process(), FAULTS_UNTIL_MS, 0.3));
+            faultRun.scheduleFaults(host.process, FAULTS_UNTIL_MS, 0.4, 0.4);
+            engines.forEach(engine -> faultRun.scheduleCuts(host.process, engine.process(), FAULTS_UNTIL_MS, 0.3));
             for (int prompt = 0; prompt < 6; prompt++) {
-                world.after(world.random().nextLong(FAULTS_UNTIL_MS), host::startPrompt);
+                faultRun.after(faultRun.random().nextLong(FAULTS_UNTIL_MS), host::startPrompt);
             }
         }
-        world.after(FAULTS_UNTIL_MS + 9_000, world::endFaults);
+        faultRun.after(FAULTS_UNTIL_MS + 9_000, faultRun::endFaults);
     }
 
     @Override
-    public void check(World world) {
+    public void check(FaultRun faultRun) {
         // Holds released early are reported by the engines at the release.
     }
 
     @Override
-    public void finish(World world) {
+    public void finish(FaultRun faultRun) {
         for (HoldEngine engine : engines) {
             for (ListedHold hold : engine.list()) {
-                world.violate(Count.HOLDS_LOST, engine.process().name() + " " + hold.handle());
+                faultRun.violate(Count.HOLDS_LOST, engine.process().name() + " " + hold.handle());
             }
         }
     }
@@ -79,14 +79,14 @@
 
     /** A host that takes holds for long prompts and sweeps what the engines list. */
     private final class HoldHost {
-        private final World world;
+        private final FaultRun faultRun;
         private final FaultyProcess process;
         private final List<GroupReservation> groups = new ArrayList<>();
         private HoldLedger ledger;
 
-        HoldHost(World world, String name) {
-            this.world = world;
-            this.process = new FaultyProcess(world, name, this::reset);
+        HoldHost(FaultRun faultRun, String name) {
+            this.faultRun = faultRun;
+            this.process = new FaultyProcess(faultRun, name, this::reset);
             reset();
         }
 
@@ -107,18 +107,19 @@
                     .map(engine -> new GroupMember(engine.incarnation(), AvailabilityZoneId.of("a"), 1))
                     .toList();
             GroupReservation group =
-                    new GroupReservation(ledger, members, Deadline.after(world.nowNanos(), REQUEST_MS), STEP_MS);
+                    new GroupReservation(ledger, members, Deadline.after(faultRun.nowNanos(), REQUEST_MS), STEP_MS);
             groups.add(group);
-            perform(group, group.start(world.nowNanos()));
-            process.after(500 + world.random().nextInt(3_000), () -> perform(group, group.release(world.nowNanos())));
+            perform(group, group.start(faultRun.nowNanos()));
+            process.after(
+                    500 + faultRun.random().nextInt(3_000), () -> perform(group, group.release(faultRun.nowNanos())));
         }
 
         private void tick() {
             for (GroupReservation group : groups) {
-                perform(group, group.onTick(world.nowNanos()));
+                perform(group, group.onTick(faultRun.nowNanos()));
             }
             if (!onlyOwnerReleases) {
-                perform(null, ledger.onTick(world.nowNanos()));
+                perform(null, ledger.onTick(faultRun.nowNanos()));
             }
         }
 
@@ -141,31 +142,31 @@
 
         private void reserve(GroupReservation group, HoldEngine engine, HoldAction.Reserve reserve) {
             HoldHandle handle = reserve.handle();
-            world.send(process, engine.process(), () -> {
+            faultRun.send(process, engine.process(), () -> {
                 boolean held = engine.reserve(handle, reserve.timeLeftMs());
-                world.send(
+                faultRun.send(
                         engine.process(),
                         process,
                         () -> perform(
                                 group,
                                 held
-                                        ? group.onReserved(handle, world.nowNanos())
-                                        : group.onRefused(handle, world.nowNanos())));
+                                        ? group.onReserved(handle, faultRun.nowNanos())
+                                        : group.onRefused(handle, faultRun.nowNanos())));
             });
         }
 
         private void release(HoldEngine engine, HoldHandle handle) {
-            world.send(process, engine.process(), () -> {
+            faultRun.send(process, engine.process(), () -> {
                 boolean wasHeld = engine.release(handle, process.incarnation(), HoldScenario.this::isInUse);
-                world.send(engine.process(), process, () -> ledger.onReleaseAnswered(handle, wasHeld));
+                faultRun.send(engine.process(), process, () -> ledger.onReleaseAnswered(handle, wasHeld));
             });
         }
 
         private void sweep(HoldEngine engine) {
-            world.send(process, engine.process(), () -> {
+            faultRun.send(process, engine.process(), () -> {
                 BackendIncarnation from = engine.incarnation();
                 List<ListedHold> listed = engine.list();
-                world.send(engine.process(), process, () -> perform(null, ledger.sweep(from, listed, Map.of())));
+                faultRun.send(engine.process(), process, () -> perform(null, ledger.sweep(from, listed, Map.of())));
             });
         }
     }
--- a/figspan-bench/src/main/java/io/figspan/bench/faults/LeavingScenario.java
+++ b/figspan-bench/src/main/java/io/figspan/bench/faults/LeavingScenario.java
@@ -34,47 +34,47 @@
     }
 
     @Override
-    public void start(World world) {
-        engine = new FaultyProcess(world, "e0", () -> {});
+    public void start(FaultRun faultRun) {
+        engine = new FaultyProcess(faultRun, "e0", () -> {});
         for (int i = 0; i < 3; i++) {
-            hosts.add(new LeavingHost(world, "h" + i));
-            world.scheduleFaults(hosts.get(i).process, 10_000, 0.3, 0.5);
-            world.scheduleCuts(hosts.get(i).process, engine, 10_000, 0.3);
+            hosts.add(new LeavingHost(faultRun, "h" + i));
+            faultRun.scheduleFaults(hosts.get(i).process, 10_000, 0.3, 0.5);
+            faultRun.scheduleCuts(hosts.get(i).process, engine, 10_000, 0.3);
         }
         for (int i = 0; i < hosts.size(); i++) {
-            world.scheduleCuts(hosts.get(i).process, hosts.get((i + 1) % 3).process, 10_000, 0.3);
+            faultRun.scheduleCuts(hosts.get(i).process, hosts.get((i + 1) % 3).process, 10_000, 0.3);
         }
-        world.after(2_000 + world.random().nextInt(6_000), () -> {
-            leavesAtMs = world.nowMs();
-            world.note("engine begins to leave");
+        faultRun.after(2_000 + faultRun.random().nextInt(6_000), () -> {
+            leavesAtMs = faultRun.nowMs();
+            faultRun.note("engine begins to leave");
         });
     }
 
     @Override
-    public void check(World world) {
+    public void check(FaultRun faultRun) {
         // Work sent too late is reported at the send.
     }
 
-    private boolean isLeaving(World world) {
-        return world.nowMs() >= leavesAtMs;
+    private boolean isLeaving(FaultRun faultRun) {
+        return faultRun.nowMs() >= leavesAtMs;
     }
 
     /** A host that learns from the list, the engine's reports, refusals and the other hosts. */
     private final class LeavingHost {
-        private final World world;
+        private final FaultRun faultRun;
         private final FaultyProcess process;
         private LeavingRegistry registry;
         private long heardNanos;
 
-        LeavingHost(World world, String name) {
-            this.world = world;
-            this.process = new FaultyProcess(world, name, this::reset);
+        LeavingHost(FaultRun faultRun, String name) {
+            this.faultRun = faultRun;
+            this.process = new FaultyProcess(faultRun, name, this::reset);
             reset();
         }
 
         private void reset() {
             registry = new LeavingRegistry(LeavingRegistry.DEFAULT_CAPACITY_SERVERS);
-            heardNanos = world.nowNanos() - World.nanos(60_000);
+            heardNanos = faultRun.nowNanos() - FaultRun.nanos(60_000);
             process.every(WORK_MS, this::sendWork);
             process.every(POLL_MS, this::poll);
             process.every(1_000, this::gossip);
@@ -82,34 +82,34 @@
         }
 
         private void note(LeavingSource source) {
-            firstSeenMs = Math.min(firstSeenMs, world.nowMs());
+            firstSeenMs = Math.min(firstSeenMs, faultRun.nowMs());
             if (!listOnly || source == LeavingSource.LIST) {
-                registry.onLeaving(ENGINE, source, world.nowNanos());
+                registry.onLeaving(ENGINE, source, faultRun.nowNanos());
             }
         }
 
         private void sendWork() {
             boolean allowed = listOnly
                     ? registry.mayTakeNewWork(ENGINE)
-                    : registry.mayTakeNewWork(ENGINE, heardNanos, world.nowNanos());
+                    : registry.mayTakeNewWork(ENGINE, heardNanos, faultRun.nowNanos());
             if (!allowed) {
                 return;
             }
-            if (firstSeenMs != Long.MAX_VALUE && world.nowMs() - firstSeenMs > BOUND_MS) {
-                world.violate(Count.LEAVING_WORK, process.name() + " at " + world.nowMs());
+            if (firstSeenMs != Long.MAX_VALUE && faultRun.nowMs() - firstSeenMs > BOUND_MS) {
+                faultRun.violate(Count.LEAVING_WORK, process.name() + " at " + faultRun.nowMs());
             }
-            world.send(process, engine, () -> {
-                if (isLeaving(world)) {
-                    world.send(engine, process, () -> note(LeavingSource.REFUSAL));
+            faultRun.send(process, engine, () -> {
+                if (isLeaving(faultRun)) {
+                    faultRun.send(engine, process, () -> note(LeavingSource.REFUSAL));
                 }
             });
         }
 
         private void poll() {
-            long askedNanos = world.nowNanos();
-            world.send(process, engine, () -> {
-                boolean leaving = isLeaving(world);
-                world.send(engine, process, () -> {
+            long askedNanos = faultRun.nowNanos();
+            faultRun.send(process, engine, () -> {
+                boolean leaving = isLeaving(faultRun);
+                faultRun.send(engine, process, () -> {
                     // The age of a report counts from the question, because the answer may be late.
                     heardNanos = Math.max(heardNanos, askedNanos);
                     if (leaving) {
@@ -121,12 +121,12 @@
 
         private void gossip() {
             if (!registry.leaving().isEmpty()) {
-                hosts.forEach(host -> world.send(process, host.process, () -> host.note(LeavingSource.GOSSIP)));
+                hosts.forEach(host -> faultRun.send(process, host.process, () -> host.note(LeavingSource.GOSSIP)));
             }
         }
 
         private void readList() {
-            if (isLeaving(world) && world.nowMs() - leavesAtMs > LIST_LAG_MS) {
+            if (isLeaving(faultRun) && faultRun.nowMs() - leavesAtMs > LIST_LAG_MS) {
                 note(LeavingSource.LIST);
             }
         }
--- a/figspan-bench/src/main/java/io/figspan/bench/faults/ModelOrderScenario.java
+++ b/figspan-bench/src/main/java/io/figspan/bench/faults/ModelOrderScenario.java
@@ -46,21 +46,21 @@
     }
 
     @Override
-    public void start(World world) {
-        engines.add(new ModelEngine(world, "e0", true));
-        engines.add(new ModelEngine(world, "e1", false));
+    public void start(FaultRun faultRun) {
+        engines.add(new ModelEngine(faultRun, "e0", true));
+        engines.add(new ModelEngine(faultRun, "e1", false));
         for (HostId host : HOSTS) {
-            StewardHost steward = new StewardHost(world, host);
-            world.scheduleFaults(steward.process, 20_000, 0.2, 0.6);
-            engines.forEach(engine -> world.scheduleCuts(steward.process, engine.process, 20_000, 0.3));
+            StewardHost steward = new StewardHost(faultRun, host);
+            faultRun.scheduleFaults(steward.process, 20_000, 0.2, 0.6);
+            engines.forEach(engine -> faultRun.scheduleCuts(steward.process, engine.process, 20_000, 0.3));
         }
         for (int i = 0; i < 3; i++) {
-            world.after(2_000 + world.random().nextInt(18_000), () -> published++);
+            faultRun.after(2_000 + faultRun.random().nextInt(18_000), () -> published++);
         }
     }
 
     @Override
-    public void check(World world) {
+    public void check(FaultRun faultRun) {
         // Orders that take effect too late are reported by the engines.
     }
 
@@ -74,16 +74,16 @@
     }
 
     private static final class ModelEngine {
-        private final World world;
+        private final FaultRun faultRun;
         private final FaultyProcess process;
         private final boolean honoursFencing;
         private final Set<ModelId> loaded = new TreeSet<>();
         private EngineRole role = EngineRole.MIXED;
         private SettingsVersion newest = SettingsVersion.NONE;
 
-        ModelEngine(World world, String name, boolean honoursFencing) {
-            this.world = world;
-            this.process = new FaultyProcess(world, name, () -> {});
+        ModelEngine(FaultRun faultRun, String name, boolean honoursFencing) {
+            this.faultRun = faultRun;
+            this.process = new FaultyProcess(faultRun, name, () -> {});
             this.honoursFencing = honoursFencing;
             loaded.add(ModelId.of("model0"));
         }
@@ -98,7 +98,7 @@
                 return;
             }
             if (late && !order.isAdditive()) {
-                world.violate(Count.STALE_ORDER, order.toString());
+                faultRun.violate(Count.STALE_ORDER, order.toString());
             }
             newest = late ? newest : order.fence();
             if (order instanceof ModelOrder.Load load && loaded.size() < SLOTS) {
@@ -112,7 +112,7 @@
     }
 
     private final class StewardHost {
-        private final World world;
+        private final FaultRun faultRun;
         private final HostId host;
         private final FaultyProcess process;
         private Steward steward;
@@ -121,10 +121,10 @@
         private long viewNanos;
         private final List<EngineReport> reports = new ArrayList<>();
 
-        StewardHost(World world, HostId host) {
-            this.world = world;
+        StewardHost(FaultRun faultRun, HostId host) {
+            this.faultRun = faultRun;
             this.host = host;
-            this.process = new FaultyProcess(world, host.value(), this::reset);
+            this.process = new FaultyProcess(faultRun, host.value(), this::reset);
             reset();
         }
 
@@ -139,9 +139,9 @@
 
         /** The views of the hosts differ: a version arrives late, and the other host seems dead at times. */
         private void learn() {
-            inForce = world.chance(0.5) ? published : inForce;
-            believesAlone = world.chance(0.4);
-            viewNanos = world.nowNanos();
+            inForce = faultRun.chance(0.5) ? published : inForce;
+            believesAlone = faultRun.chance(0.4);
+            viewNanos = faultRun.nowNanos();
         }
 
         private StewardView view() {
@@ -150,7 +150,7 @@
         }
 
         private void poll(ModelEngine engine) {
-            world.send(process, engine.process, () -> {
+            faultRun.send(process, engine.process, () -> {
                 EngineReport report = new EngineReport(
                         engine.incarnation(),
                         engine.loaded,
@@ -158,8 +158,8 @@
                         engine.role,
                         SLOTS - engine.loaded.size(),
                         engine.honoursFencing || ignoresFencing,
-                        world.nowNanos());
-                world.send(engine.process, process, () -> {
+                        faultRun.nowNanos());
+                faultRun.send(engine.process, process, () -> {
                     reports.removeIf(known -> known.engine().equals(report.engine()));
                     reports.add(report);
                 });
@@ -167,20 +167,20 @@
         }
 
         private void reconcile() {
-            List<ModelOrder> orders = steward.reconcile(plan(inForce), view(), reports, world.nowNanos());
+            List<ModelOrder> orders = steward.reconcile(plan(inForce), view(), reports, faultRun.nowNanos());
             for (ModelOrder order : orders) {
-                process.after(world.random().nextInt(100), () -> send(order));
+                process.after(faultRun.random().nextInt(100), () -> send(order));
             }
         }
 
         private void send(ModelOrder order) {
             boolean allowed = reports.stream()
                     .filter(report -> report.engine().equals(order.engine()))
-                    .anyMatch(report -> steward.mayStillSend(order, report, view(), world.nowNanos()));
+                    .anyMatch(report -> steward.mayStillSend(order, report, view(), faultRun.nowNanos()));
             if (allowed) {
                 engines.stream()
                         .filter(engine -> engine.incarnation().equals(order.engine()))
-                        .forEach(engine -> world.send(process, engine.process, () -> engine.receive(order)));
+                        .forEach(engine -> faultRun.send(process, engine.process, () -> engine.receive(order)));
             }
         }
     }
--- a/figspan-bench/src/main/java/io/figspan/bench/faults/OrderHost.java
+++ b/figspan-bench/src/main/java/io/figspan/bench/faults/OrderHost.java
@@ -35,7 +35,7 @@
     private static final long FORWARD_MARGIN_MS = 100;
     private static final long NAIVE_WAIT_MS = 60;
 
-    private final World world;
+    private final FaultRun faultRun;
     private final OrderScheme scheme;
     private final FaultyProcess process;
     private final OrderService service;
@@ -46,11 +46,11 @@
     private TicketOwner owner;
     private long nextCall;
 
-    OrderHost(World world, OrderScheme scheme, String name, OrderService service) {
-        this.world = world;
+    OrderHost(FaultRun faultRun, OrderScheme scheme, String name, OrderService service) {
+        this.faultRun = faultRun;
         this.scheme = scheme;
         this.service = service;
-        this.process = new FaultyProcess(world, name, this::reset);
+        this.process = new FaultyProcess(faultRun, name, this::reset);
         reset();
     }
 
@@ -67,7 +67,7 @@
         replies.clear();
         orders.clear();
         outcomesByKey.clear();
-        process.every(TICK_MS, () -> perform(owner.onTick(world.nowNanos())));
+        process.every(TICK_MS, () -> perform(owner.onTick(faultRun.nowNanos())));
     }
 
     // Calls
@@ -77,7 +77,7 @@
             reply.accept("key-" + order);
             return;
         }
-        Result<Ticket> issued = owner.issue(ORGANISATION, ServiceId.of("orders"), world.nowNanos());
+        Result<Ticket> issued = owner.issue(ORGANISATION, ServiceId.of("orders"), faultRun.nowNanos());
         if (issued instanceof Result.Ok<Ticket> ok) {
             reply.accept(CODEC.encode(ok.value()));
         }
@@ -97,8 +97,8 @@
         Ticket ticket = ok.value();
         orders.put(ticket.id(), order);
         BodyDigest body = BodyDigest.of(order.getBytes(StandardCharsets.UTF_8));
-        Deadline deadline = Deadline.after(world.nowNanos(), leftMs);
-        perform(owner.onExecute(new ExecuteCall(call, ticket, body, rules(), deadline), world.nowNanos()));
+        Deadline deadline = Deadline.after(faultRun.nowNanos(), leftMs);
+        perform(owner.onExecute(new ExecuteCall(call, ticket, body, rules(), deadline), faultRun.nowNanos()));
         if (scheme == OrderScheme.NO_VOID) {
             process.after(NAIVE_WAIT_MS, () -> answerNotRunWithoutVoiding(call, ticket.id()));
         }
@@ -132,7 +132,7 @@
                 connect(start);
             } else if (action instanceof OrderAction.WriteNow write) {
                 // The process may pause between its check and the write.
-                process.after(world.random().nextInt(3), () -> write(write));
+                process.after(faultRun.random().nextInt(3), () -> write(write));
             } else if (action instanceof OrderAction.Reply reply) {
                 answer(reply.call(), reply.outcome().run());
             } else if (action instanceof OrderAction.Forward forward) {
@@ -145,19 +145,19 @@
         TicketId id = start.ticket().id();
         FaultyProcess server = server(start.attempt());
         boolean[] ended = {false};
-        world.sendOnce(
+        faultRun.sendOnce(
                 process,
                 server,
-                () -> world.sendOnce(server, process, () -> {
+                () -> faultRun.sendOnce(server, process, () -> {
                     if (!ended[0]) {
                         ended[0] = true;
-                        perform(owner.beforeWrite(id, start.attempt(), world.nowNanos()));
+                        perform(owner.beforeWrite(id, start.attempt(), faultRun.nowNanos()));
                     }
                 }));
         process.after(CONNECT_MS, () -> {
             if (!ended[0]) {
                 ended[0] = true;
-                perform(owner.onConnectFailed(id, start.attempt(), true, world.nowNanos()));
+                perform(owner.onConnectFailed(id, start.attempt(), true, faultRun.nowNanos()));
             }
         });
     }
@@ -166,31 +166,32 @@
         TicketId id = write.ticket().id();
         FaultyProcess server = server(write.attempt());
         String text = CODEC.encode(write.ticket());
-        world.sendOnce(
+        faultRun.sendOnce(
                 process,
                 server,
                 () -> service.receive(
                         text,
                         orders.get(id),
-                        answer -> world.send(
+                        answer -> faultRun.send(
                                 server,
                                 process,
-                                () -> perform(owner.onAnswered(id, write.attempt(), answer, true, world.nowNanos())))));
-        process.after(ANSWER_MS, () -> perform(owner.onBroken(id, write.attempt(), true, world.nowNanos())));
+                                () -> perform(
+                                        owner.onAnswered(id, write.attempt(), answer, true, faultRun.nowNanos())))));
+        process.after(ANSWER_MS, () -> perform(owner.onBroken(id, write.attempt(), true, faultRun.nowNanos())));
     }
 
     private void forward(OrderAction.Forward forward) {
         String text = CODEC.encode(forward.ticket());
         String order = orders.get(forward.ticket().id());
         long leftMs = 1_800;
-        world.send(
+        faultRun.send(
                 process,
                 peer.process,
                 () -> peer.execute(
                         text,
                         order,
                         leftMs,
-                        run -> world.send(peer.process, process, () -> answer(forward.call(), run))));
+                        run -> faultRun.send(peer.process, process, () -> answer(forward.call(), run))));
         RunState unreachable = scheme == OrderScheme.NO_VOID ? RunState.NOT_RUN : RunState.UNKNOWN;
         process.after(leftMs + FORWARD_MARGIN_MS, () -> answer(forward.call(), unreachable));
     }
@@ -215,14 +216,14 @@
         }
         outcomesByKey.put(key, RunState.UNKNOWN);
         Set<String> answered = new HashSet<>();
-        FaultyProcess server = server(world.random().nextInt(2));
-        world.sendOnce(
+        FaultyProcess server = server(faultRun.random().nextInt(2));
+        faultRun.sendOnce(
                 process,
                 server,
                 () -> service.receive(
                         key,
                         order,
-                        ran -> world.send(server, process, () -> {
+                        ran -> faultRun.send(server, process, () -> {
                             outcomesByKey.put(key, RunState.RAN);
                             if (answered.add(key)) {
                                 reply.accept(ran.claimsNotRun() ? RunState.UNKNOWN : RunState.RAN);
--- a/figspan-bench/src/main/java/io/figspan/bench/faults/OrderScenario.java
+++ b/figspan-bench/src/main/java/io/figspan/bench/faults/OrderScenario.java
@@ -36,44 +36,44 @@
     }
 
     @Override
-    public void start(World world) {
-        caller = new FaultyProcess(world, "caller", () -> {});
-        OrderRules rules = new OrderRules(world.chance(0.3), world.chance(0.5));
-        service = new OrderService(world, rules, this::onRun);
+    public void start(FaultRun faultRun) {
+        caller = new FaultyProcess(faultRun, "caller", () -> {});
+        OrderRules rules = new OrderRules(faultRun.chance(0.3), faultRun.chance(0.5));
+        service = new OrderService(faultRun, rules, this::onRun);
         for (int i = 0; i < 2; i++) {
-            OrderHost host = new OrderHost(world, scheme, "h" + i, service);
+            OrderHost host = new OrderHost(faultRun, scheme, "h" + i, service);
             hosts.add(host);
-            world.scheduleFaults(host.process(), FAULTS_UNTIL_MS, 0.3, 0.5);
+            faultRun.scheduleFaults(host.process(), FAULTS_UNTIL_MS, 0.3, 0.5);
         }
         hosts.get(0).setPeer(hosts.get(1));
         hosts.get(1).setPeer(hosts.get(0));
-        world.scheduleCuts(hosts.get(0).process(), hosts.get(1).process(), FAULTS_UNTIL_MS, 0.4);
+        faultRun.scheduleCuts(hosts.get(0).process(), hosts.get(1).process(), FAULTS_UNTIL_MS, 0.4);
         for (FaultyProcess server : service.servers()) {
-            world.scheduleFaults(server, FAULTS_UNTIL_MS, 0.3, 0.3);
-            hosts.forEach(host -> world.scheduleCuts(host.process(), server, FAULTS_UNTIL_MS, 0.2));
+            faultRun.scheduleFaults(server, FAULTS_UNTIL_MS, 0.3, 0.3);
+            hosts.forEach(host -> faultRun.scheduleCuts(host.process(), server, FAULTS_UNTIL_MS, 0.2));
         }
         for (int i = 0; i < ORDERS; i++) {
-            CallerOrder order = new CallerOrder(world, "order" + i);
-            world.after(world.random().nextLong(8_000), order::takeTicket);
+            CallerOrder order = new CallerOrder(faultRun, "order" + i);
+            faultRun.after(faultRun.random().nextLong(8_000), order::takeTicket);
         }
-        world.after(FAULTS_UNTIL_MS + 10_000, world::endFaults);
+        faultRun.after(FAULTS_UNTIL_MS + 10_000, faultRun::endFaults);
     }
 
     @Override
-    public void check(World world) {
+    public void check(FaultRun faultRun) {
         runsByOrder.forEach((order, runs) -> {
             if (runs > 1) {
-                world.violate(Count.RUN_TWICE, order);
+                faultRun.violate(Count.RUN_TWICE, order);
             }
         });
         for (String ticket : toldNotRun) {
             if (runsByTicket.containsKey(ticket)) {
-                world.violate(Count.FALSE_NOT_RUN, ticket);
+                faultRun.violate(Count.FALSE_NOT_RUN, ticket);
             }
         }
         for (String ticket : toldRan) {
             if (!runsByTicket.containsKey(ticket)) {
-                world.violate(Count.FALSE_RAN, ticket);
+                faultRun.violate(Count.FALSE_RAN, ticket);
             }
         }
     }
@@ -85,15 +85,15 @@
 
     /** One order of the caller: it takes a new ticket only after it was told that the order was not run. */
     private final class CallerOrder {
-        private final World world;
+        private final FaultRun faultRun;
         private final String order;
         private String ticket;
         private int calls;
         private int currentCall;
         private boolean done;
 
-        CallerOrder(World world, String order) {
-            this.world = world;
+        CallerOrder(FaultRun faultRun, String order) {
+            this.faultRun = faultRun;
             this.order = order;
         }
 
@@ -103,11 +103,11 @@
                 return;
             }
             OrderHost host = anyHost();
-            world.send(
+            faultRun.send(
                     caller,
                     host.process(),
                     () -> host.issue(
-                            order, issued -> world.send(host.process(), caller, () -> onTicket(call, issued))));
+                            order, issued -> faultRun.send(host.process(), caller, () -> onTicket(call, issued))));
             caller.after(CALL_MS / 2, () -> {
                 if (call == currentCall) {
                     takeTicket();
@@ -129,14 +129,14 @@
             }
             String used = ticket;
             OrderHost host = anyHost();
-            world.send(
+            faultRun.send(
                     caller,
                     host.process(),
                     () -> host.execute(
                             used,
                             order,
                             CALL_MS,
-                            run -> world.send(host.process(), caller, () -> onTold(call, used, run))));
+                            run -> faultRun.send(host.process(), caller, () -> onTold(call, used, run))));
             caller.after(CALL_MS + 200, () -> {
                 if (call == currentCall) {
                     execute();
@@ -145,7 +145,7 @@
         }
 
         private void onTold(int call, String used, RunState run) {
-            world.note(order + " ticket " + used + " told " + run);
+            faultRun.note(order + " ticket " + used + " told " + run);
             if (run == RunState.NOT_RUN) {
                 toldNotRun.add(used);
             }
@@ -177,7 +177,7 @@
         }
 
         private OrderHost anyHost() {
-            return hosts.get(world.random().nextInt(hosts.size()));
+            return hosts.get(faultRun.random().nextInt(hosts.size()));
         }
     }
 }
--- a/figspan-bench/src/main/java/io/figspan/bench/faults/OrderService.java
+++ b/figspan-bench/src/main/java/io/figspan/bench/faults/OrderService.java
@@ -15,17 +15,18 @@
     private static final ServiceAnswer CLAIM =
             ServiceAnswer.of(503, "text/plain", AnswerBody.EMPTY).withClaimsNotRun(true);
 
-    private final World world;
+    private final FaultRun faultRun;
     private final OrderRules rules;
     private final BiConsumer<String, String> onRun;
     private final List<FaultyProcess> servers;
     private final Set<String> keys = new HashSet<>();
 
-    OrderService(World world, OrderRules rules, BiConsumer<String, String> onRun) {
-        this.world = world;
+    OrderService(FaultRun faultRun, OrderRules rules, BiConsumer<String, String> onRun) {
+        this.faultRun = faultRun;
         this.rules = rules;
         this.onRun = onRun;
-        this.servers = List.of(new FaultyProcess(world, "s0", () -> {}), new FaultyProcess(world, "s1", () -> {}));
+        this.servers =
+                List.of(new FaultyProcess(faultRun, "s0", () -> {}), new FaultyProcess(faultRun, "s1", () -> {}));
     }
 
     OrderRules rules() {
@@ -38,16 +39,16 @@
 
     /** Receives a written order. A service whose proof is not trusted may claim that it ran nothing when it did. */
     void receive(String ticket, String order, Consumer<ServiceAnswer> answer) {
-        if (world.chance(0.1)) {
+        if (faultRun.chance(0.1)) {
             answer.accept(CLAIM);
             return;
         }
         boolean repeated = rules.honoursIdempotencyKey() && !keys.add(ticket);
         if (!repeated) {
-            world.note("run " + order + " ticket " + ticket);
+            faultRun.note("run " + order + " ticket " + ticket);
             onRun.accept(ticket, order);
         }
-        boolean lies = !rules.notRunProofTrusted() && world.chance(0.1);
+        boolean lies = !rules.notRunProofTrusted() && faultRun.chance(0.1);
         answer.accept(lies ? CLAIM : DONE);
     }
 }
--- a/figspan-bench/src/main/java/io/figspan/bench/faults/PromptEngine.java
+++ b/figspan-bench/src/main/java/io/figspan/bench/faults/PromptEngine.java
@@ -16,14 +16,14 @@
 final class PromptEngine {
     private static final long PART_MS = 60;
 
-    private final World world;
+    private final FaultRun faultRun;
     private final FaultyProcess process;
     private final Map<StreamId, Stream> streams = new HashMap<>();
     private final Map<RequestId, StreamId> newestByRequest = new HashMap<>();
 
-    PromptEngine(World world, String name) {
-        this.world = world;
-        this.process = new FaultyProcess(world, name, this::reset);
+    PromptEngine(FaultRun faultRun, String name) {
+        this.faultRun = faultRun;
+        this.process = new FaultyProcess(faultRun, name, this::reset);
     }
 
     /** Who reads a stream: the receiving process and what it does with a part. */
@@ -81,7 +81,7 @@
         boolean last = stream.ended && offset == stream.parts.size() - 1;
         StreamEvent part = new StreamEvent(incarnation(), stream.id, offset, stream.parts.get(offset), last);
         Reader reader = stream.reader;
-        world.send(process, reader.host(), () -> reader.sink().accept(part));
+        faultRun.send(process, reader.host(), () -> reader.sink().accept(part));
     }
 
     private static final class Stream {
--- a/figspan-bench/src/main/java/io/figspan/bench/faults/PromptHost.java
+++ b/figspan-bench/src/main/java/io/figspan/bench/faults/PromptHost.java
@@ -35,7 +35,7 @@
     /** A prompt as a caller sends it. */
     record Prompt(OrganisationId organisation, RequestId request, String name, int parts, long leftMs) {}
 
-    private final World world;
+    private final FaultRun faultRun;
     private final PromptScheme scheme;
     private final FaultyProcess process;
     private final List<PromptEngine> engines;
@@ -43,11 +43,11 @@
     private long nextStream;
     private long awakeSinceMs;
 
-    PromptHost(World world, PromptScheme scheme, String name, List<PromptEngine> engines) {
-        this.world = world;
+    PromptHost(FaultRun faultRun, PromptScheme scheme, String name, List<PromptEngine> engines) {
+        this.faultRun = faultRun;
         this.scheme = scheme;
         this.engines = engines;
-        this.process = new FaultyProcess(world, name, this::reset);
+        this.process = new FaultyProcess(faultRun, name, this::reset);
         reset();
     }
 
@@ -57,7 +57,7 @@
 
     private void reset() {
         calls.clear();
-        awakeSinceMs = world.nowMs();
+        awakeSinceMs = faultRun.nowMs();
         process.every(TICK_MS, () -> List.copyOf(calls).forEach(Call::tick));
     }
 
@@ -82,7 +82,7 @@
     void callerGone(Connection connection) {
         for (Call call : List.copyOf(calls)) {
             if (call.connection == connection) {
-                call.perform(call.chart.onCallerGone(world.nowNanos()));
+                call.perform(call.chart.onCallerGone(faultRun.nowNanos()));
             }
         }
     }
@@ -90,14 +90,14 @@
     /** Reports requests that this host has not ended although it was awake at their deadline. */
     void check() {
         if (!process.isAlive() || process.isPaused()) {
-            awakeSinceMs = world.nowMs();
+            awakeSinceMs = faultRun.nowMs();
             return;
         }
         for (Call call : calls) {
-            long overdueMs = world.nowMs() - call.deadlineMs;
+            long overdueMs = faultRun.nowMs() - call.deadlineMs;
             boolean open = !call.chart.state().isEnded() && call.chart.state() != RequestState.DETACHED;
-            if (open && overdueMs > LATE_MARGIN_MS && world.nowMs() - awakeSinceMs > LATE_MARGIN_MS) {
-                world.violate(Count.DEADLINE, call.prompt.name());
+            if (open && overdueMs > LATE_MARGIN_MS && faultRun.nowMs() - awakeSinceMs > LATE_MARGIN_MS) {
+                faultRun.violate(Count.DEADLINE, call.prompt.name());
             }
         }
     }
@@ -116,25 +116,25 @@
         Call(Prompt prompt, Connection connection) {
             this.prompt = prompt;
             this.connection = connection;
-            this.deadlineMs = world.nowMs() + prompt.leftMs();
+            this.deadlineMs = faultRun.nowMs() + prompt.leftMs();
             long leftMs = scheme == PromptScheme.NO_DEADLINE ? NAIVE_DEADLINE_MS : prompt.leftMs();
-            this.chart = new RequestChart(Deadline.after(world.nowNanos(), leftMs), RESUME_GRACE_MS);
+            this.chart = new RequestChart(Deadline.after(faultRun.nowNanos(), leftMs), RESUME_GRACE_MS);
         }
 
         void startOnAnyEngine() {
-            engine = engines.get(world.random().nextInt(engines.size()));
+            engine = engines.get(faultRun.random().nextInt(engines.size()));
             engineProcess = engine.incarnation();
             nextStream++;
             stream = StreamId.of(process.incarnation().number() + "-" + process.name() + "-" + nextStream);
-            heardMs = world.nowMs();
-            perform(chart.onStart(engineProcess, stream, world.nowNanos()));
+            heardMs = faultRun.nowMs();
+            perform(chart.onStart(engineProcess, stream, faultRun.nowNanos()));
             if (chart.state() != RequestState.RUNNING) {
                 return;
             }
             PromptEngine target = engine;
             StreamId id = stream;
             int first = (int) chart.sentParts();
-            world.send(
+            faultRun.send(
                     process,
                     target.process(),
                     () -> target.start(id, prompt.request(), prompt.name(), first, prompt.parts(), reader()));
@@ -152,7 +152,7 @@
             stream = scheme == PromptScheme.BY_REQUEST_ID
                     ? engine.newestStream(prompt.request()).orElse(token.stream())
                     : token.stream();
-            perform(chart.onResume(engineProcess, stream, token.offset(), world.nowNanos()));
+            perform(chart.onResume(engineProcess, stream, token.offset(), faultRun.nowNanos()));
             read(token.offset());
         }
 
@@ -161,21 +161,21 @@
         }
 
         private void read(long offset) {
-            heardMs = world.nowMs();
+            heardMs = faultRun.nowMs();
             PromptEngine target = engine;
             BackendIncarnation expected = engineProcess;
             StreamId id = stream;
-            world.send(process, target.process(), () -> {
+            faultRun.send(process, target.process(), () -> {
                 boolean here = target.incarnation().equals(expected) && target.read(id, offset, reader());
                 if (!here) {
-                    world.send(target.process(), process, () -> onStreamGone(expected));
+                    faultRun.send(target.process(), process, () -> onStreamGone(expected));
                 }
             });
         }
 
         private void onStreamGone(BackendIncarnation lost) {
             boolean wasRunning = chart.state() == RequestState.RUNNING;
-            perform(chart.onEngineLost(lost, true, world.nowNanos()));
+            perform(chart.onEngineLost(lost, true, faultRun.nowNanos()));
             if (wasRunning && chart.state() == RequestState.RECOVERING) {
                 startOnAnyEngine();
             }
@@ -185,18 +185,18 @@
             if (scheme == PromptScheme.APPENDS_PARTS && !chart.state().isEnded()) {
                 connection.part(part.text(), token());
                 if (part.last()) {
-                    perform(chart.onPart(part, world.nowNanos()));
+                    perform(chart.onPart(part, faultRun.nowNanos()));
                     connection.end(true);
                 }
                 return;
             }
-            heardMs = world.nowMs();
-            perform(chart.onPart(part, world.nowNanos()));
+            heardMs = faultRun.nowMs();
+            perform(chart.onPart(part, faultRun.nowNanos()));
         }
 
         void tick() {
-            perform(chart.onTick(world.nowNanos()));
-            boolean silent = world.nowMs() - heardMs > SILENCE_MS;
+            perform(chart.onTick(faultRun.nowNanos()));
+            boolean silent = faultRun.nowMs() - heardMs > SILENCE_MS;
             if (chart.state() == RequestState.RUNNING && silent) {
                 read(chart.streamOffset());
             }
--- a/figspan-bench/src/main/java/io/figspan/bench/faults/PromptScenario.java
+++ b/figspan-bench/src/main/java/io/figspan/bench/faults/PromptScenario.java
@@ -31,37 +31,37 @@
     }
 
     @Override
-    public void start(World world) {
-        callers = new FaultyProcess(world, "callers", () -> {});
+    public void start(FaultRun faultRun) {
+        callers = new FaultyProcess(faultRun, "callers", () -> {});
         for (int i = 0; i < 2; i++) {
-            engines.add(new PromptEngine(world, "e" + i));
-            world.scheduleFaults(engines.get(i).process(), FAULTS_UNTIL_MS, 0.3, 0.2);
+            engines.add(new PromptEngine(faultRun, "e" + i));
+            faultRun.scheduleFaults(engines.get(i).process(), FAULTS_UNTIL_MS, 0.3, 0.2);
         }
         for (int i = 0; i < 2; i++) {
-            PromptHost host = new PromptHost(world, scheme, "h" + i, engines);
+            PromptHost host = new PromptHost(faultRun, scheme, "h" + i, engines);
             hosts.add(host);
-            world.scheduleFaults(host.process(), FAULTS_UNTIL_MS, 0.3, 0.3);
-            engines.forEach(engine -> world.scheduleCuts(host.process(), engine.process(), FAULTS_UNTIL_MS, 0.2));
+            faultRun.scheduleFaults(host.process(), FAULTS_UNTIL_MS, 0.3, 0.3);
+            engines.forEach(engine -> faultRun.scheduleCuts(host.process(), engine.process(), FAULTS_UNTIL_MS, 0.2));
         }
         for (int i = 0; i < PROMPTS; i++) {
             RequestId request = RequestId.of("request" + i);
-            long atMs = world.random().nextLong(8_000);
+            long atMs = faultRun.random().nextLong(8_000);
             for (String organisation : List.of("kite", "rook")) {
                 PromptHost.Prompt prompt = new PromptHost.Prompt(
                         OrganisationId.of(organisation), request, organisation + i, 10 + i, PROMPT_MS);
-                world.after(atMs + world.random().nextInt(300), () -> new Caller(world, prompt).connect());
+                faultRun.after(atMs + faultRun.random().nextInt(300), () -> new Caller(faultRun, prompt).connect());
             }
         }
     }
 
     @Override
-    public void check(World world) {
+    public void check(FaultRun faultRun) {
         hosts.forEach(PromptHost::check);
     }
 
     /** One prompt of a caller; it resumes with its last token when its connection is lost. */
     private final class Caller {
-        private final World world;
+        private final FaultRun faultRun;
         private final PromptHost.Prompt prompt;
         private final long endMs;
         private int received;
@@ -69,34 +69,34 @@
         private int connections;
         private Link link;
 
-        Caller(World world, PromptHost.Prompt prompt) {
-            this.world = world;
+        Caller(FaultRun faultRun, PromptHost.Prompt prompt) {
+            this.faultRun = faultRun;
             this.prompt = prompt;
-            this.endMs = world.nowMs() + prompt.leftMs();
+            this.endMs = faultRun.nowMs() + prompt.leftMs();
         }
 
         void connect() {
-            long leftMs = endMs - world.nowMs();
+            long leftMs = endMs - faultRun.nowMs();
             connections++;
             if (leftMs <= 0 || connections > MAX_CONNECTIONS) {
                 return;
             }
-            PromptHost host = hosts.get(world.random().nextInt(hosts.size()));
+            PromptHost host = hosts.get(faultRun.random().nextInt(hosts.size()));
             link = new Link(host, host.process().number());
             Link current = link;
             PromptHost.Prompt now = new PromptHost.Prompt(
                     prompt.organisation(), prompt.request(), prompt.name(), prompt.parts(), leftMs);
-            String token = received > 0 && world.chance(0.2) ? foreignToken() : lastToken;
-            world.sendOnce(callers, host.process(), () -> {
+            String token = received > 0 && faultRun.chance(0.2) ? foreignToken() : lastToken;
+            faultRun.sendOnce(callers, host.process(), () -> {
                 if (received == 0) {
                     host.complete(now, current);
                 } else {
                     host.resume(now, token, current);
                 }
             });
-            world.after(300, this::watch);
-            if (world.chance(0.3)) {
-                world.after(world.random().nextLong(1_500), () -> drop(current));
+            faultRun.after(300, this::watch);
+            if (faultRun.chance(0.3)) {
+                faultRun.after(faultRun.random().nextLong(1_500), () -> drop(current));
             }
         }
 
@@ -106,7 +106,7 @@
                     .filter(entry -> !entry.getKey().equals(prompt.name()))
                     .map(Map.Entry::getValue)
                     .toList();
-            return others.isEmpty() ? lastToken : others.get(world.random().nextInt(others.size()));
+            return others.isEmpty() ? lastToken : others.get(faultRun.random().nextInt(others.size()));
         }
 
         /** Notices a host that was restarted or that said nothing at all. */
@@ -116,7 +116,7 @@
                 link.open = false;
                 connect();
             } else if (link != null && link.open) {
-                world.after(300, this::watch);
+                faultRun.after(300, this::watch);
             }
         }
 
@@ -149,7 +149,7 @@
                     return;
                 }
                 if (!text.equals(prompt.name() + ":" + received)) {
-                    world.violate(Count.MIXED, prompt.name() + " got " + text + " as part " + received);
+                    faultRun.violate(Count.MIXED, prompt.name() + " got " + text + " as part " + received);
                 }
                 received++;
                 lastToken = token;
@@ -163,10 +163,10 @@
                 }
                 open = false;
                 if (complete && received != prompt.parts()) {
-                    world.violate(Count.INCOMPLETE, prompt.name() + " ended after " + received);
+                    faultRun.violate(Count.INCOMPLETE, prompt.name() + " ended after " + received);
                 }
                 if (!complete && received > 0) {
-                    world.after(50, () -> {
+                    faultRun.after(50, () -> {
                         if (link == this) {
                             connect();
                         }
--- a/figspan-bench/src/main/java/io/figspan/bench/faults/SettingsScenario.java
+++ b/figspan-bench/src/main/java/io/figspan/bench/faults/SettingsScenario.java
@@ -64,69 +64,70 @@
     }
 
     @Override
-    public void start(World world) {
-        mode = Mode.values()[world.random().nextInt(Mode.values().length)];
-        service = new FaultyProcess(world, "configuration-service", () -> {});
+    public void start(FaultRun faultRun) {
+        mode = Mode.values()[faultRun.random().nextInt(Mode.values().length)];
+        service = new FaultyProcess(faultRun, "configuration-service", () -> {});
         for (int i = 0; i < HOSTS; i++) {
-            hosts.add(new SettingsHost(world, i));
+            hosts.add(new SettingsHost(faultRun, i));
         }
         if (mode == Mode.ALL_FAULTS) {
             for (int i = 0; i < HOSTS; i++) {
                 FaultyProcess process = hosts.get(i).process;
-                world.scheduleFaults(process, FAULTS_UNTIL_MS, 0.3, 0.3);
-                world.scheduleCuts(process, hosts.get((i + 1) % HOSTS).process, FAULTS_UNTIL_MS, 0.3);
-                world.scheduleCuts(process, service, FAULTS_UNTIL_MS, 0.3);
+                faultRun.scheduleFaults(process, FAULTS_UNTIL_MS, 0.3, 0.3);
+                faultRun.scheduleCuts(process, hosts.get((i + 1) % HOSTS).process, FAULTS_UNTIL_MS, 0.3);
+                faultRun.scheduleCuts(process, service, FAULTS_UNTIL_MS, 0.3);
             }
-            world.scheduleFaults(service, FAULTS_UNTIL_MS, 0.3, 0.3);
-            world.after(LAST_PUBLISH_MS, world::endFaults);
+            faultRun.scheduleFaults(service, FAULTS_UNTIL_MS, 0.3, 0.3);
+            faultRun.after(LAST_PUBLISH_MS, faultRun::endFaults);
         } else {
-            world.endFaults();
+            faultRun.endFaults();
         }
         if (mode != Mode.NO_FAULTS) {
-            world.after(world.random().nextLong(FAULTS_UNTIL_MS), () -> {
+            faultRun.after(faultRun.random().nextLong(FAULTS_UNTIL_MS), () -> {
                 served = Math.max(0, served - 2);
-                world.note("the service is stale at version " + served);
+                faultRun.note("the service is stale at version " + served);
             });
         }
         if (mode == Mode.RESTARTS) {
-            world.scheduleFaults(hosts.get(0).process, FAULTS_UNTIL_MS, 1, 0);
+            faultRun.scheduleFaults(hosts.get(0).process, FAULTS_UNTIL_MS, 1, 0);
         }
-        publish(world);
+        publish(faultRun);
         for (int i = 1; i < PUBLISHED; i++) {
-            world.after(START_MS + i * (LAST_PUBLISH_MS - START_MS) / (PUBLISHED - 1), () -> publish(world));
+            faultRun.after(START_MS + i * (LAST_PUBLISH_MS - START_MS) / (PUBLISHED - 1), () -> publish(faultRun));
         }
     }
 
-    private void publish(World world) {
+    private void publish(FaultRun faultRun) {
         newest++;
         served = newest;
-        publishedAtMs = world.nowMs();
-        world.note("version " + newest + " is published");
+        publishedAtMs = faultRun.nowMs();
+        faultRun.note("version " + newest + " is published");
         for (SettingsHost host : hosts) {
             if (host.watching) {
-                world.sendOnce(service, host.process, () -> host.onService(newest));
+                faultRun.sendOnce(service, host.process, () -> host.onService(newest));
             }
         }
     }
 
     @Override
-    public void check(World world) {
+    public void check(FaultRun faultRun) {
         hosts.forEach(SettingsHost::checkNotBack);
         long bound = publishedAtMs + BOUND_MS;
-        if (mode == Mode.NO_FAULTS && world.nowMs() > START_MS + BOUND_MS && world.nowMs() > bound) {
-            checkAllNewest(world);
+        if (mode == Mode.NO_FAULTS && faultRun.nowMs() > START_MS + BOUND_MS && faultRun.nowMs() > bound) {
+            checkAllNewest(faultRun);
         }
     }
 
     @Override
-    public void finish(World world) {
-        checkAllNewest(world);
+    public void finish(FaultRun faultRun) {
+        checkAllNewest(faultRun);
     }
 
-    private void checkAllNewest(World world) {
+    private void checkAllNewest(FaultRun faultRun) {
         for (SettingsHost host : hosts) {
             if (host.version() != newest) {
-                world.violate(Count.SETTINGS_LATE, host.process.name() + " has " + host.version() + " not " + newest);
+                faultRun.violate(
+                        Count.SETTINGS_LATE, host.process.name() + " has " + host.version() + " not " + newest);
             }
         }
     }
@@ -143,7 +144,7 @@
 
     /** A host with the real protocols and the real holder of settings, or the naive one. */
     private final class SettingsHost {
-        private final World world;
+        private final FaultRun faultRun;
         private final int index;
         private final FaultyProcess process;
         private ClusterHost cluster;
@@ -152,10 +153,10 @@
         private long highestSeen;
         private boolean watching;
 
-        SettingsHost(World world, int index) {
-            this.world = world;
+        SettingsHost(FaultRun faultRun, int index) {
+            this.faultRun = faultRun;
             this.index = index;
-            this.process = new FaultyProcess(world, "h" + index, this::reset);
+            this.process = new FaultyProcess(faultRun, "h" + index, this::reset);
             reset();
         }
 
@@ -173,8 +174,8 @@
                 seeds.add(address(i));
             }
             cluster = new ClusterHost(
-                    peer(), seeds, MembershipTuning.DEFAULTS, new NoShares(), world.random(), world.nowNanos());
-            process.every(TICK_MS, () -> carryOut(cluster.tick(world.nowNanos()), null));
+                    peer(), seeds, MembershipTuning.DEFAULTS, new NoShares(), faultRun.random(), faultRun.nowNanos());
+            process.every(TICK_MS, () -> carryOut(cluster.tick(faultRun.nowNanos()), null));
             if (trustsService) {
                 process.every(1_000, this::readService);
             }
@@ -194,7 +195,7 @@
 
         void checkNotBack() {
             if (version() > 0 && version() < highestSeen) {
-                world.violate(Count.SETTINGS_BACK, process.name() + " from " + highestSeen + " to " + version());
+                faultRun.violate(Count.SETTINGS_BACK, process.name() + " from " + highestSeen + " to " + version());
             }
             if (version() > 0) {
                 highestSeen = Math.max(highestSeen, version());
@@ -220,8 +221,10 @@
 
         private void send(SettingsHost to, PeerMessage message) {
             Peer self = peer();
-            world.send(
-                    process, to.process, () -> to.carryOut(to.cluster.receive(self, message, world.nowNanos()), this));
+            faultRun.send(
+                    process,
+                    to.process,
+                    () -> to.carryOut(to.cluster.receive(self, message, faultRun.nowNanos()), this));
         }
 
         /** A watch that broke is made again, so that a lost notice costs one read. */
@@ -233,9 +236,9 @@
         }
 
         private void readService() {
-            world.sendOnce(process, service, () -> {
+            faultRun.sendOnce(process, service, () -> {
                 long version = served;
-                world.sendOnce(service, process, () -> onService(version));
+                faultRun.sendOnce(service, process, () -> onService(version));
             });
         }
 
@@ -247,7 +250,7 @@
                 naiveVersion = version;
                 return;
             }
-            carryOut(cluster.readFromService(content(version), world.nowNanos()), null);
+            carryOut(cluster.readFromService(content(version), faultRun.nowNanos()), null);
         }
 
         private void adopt(SettingsContent offered) {
@@ -256,7 +259,7 @@
                     .toList();
             SettingsManifest manifest = SettingsManifest.of(offered.version().number(), parts);
             if (holder.offer(manifest, parts).isOk()) {
-                carryOut(cluster.adopted(offered.version(), world.nowNanos()), null);
+                carryOut(cluster.adopted(offered.version(), faultRun.nowNanos()), null);
             } else {
                 cluster.rejected(offered.version());
             }
--- a/figspan-bench/src/main/java/io/figspan/bench/faults/ShutdownScenario.java
+++ b/figspan-bench/src/main/java/io/figspan/bench/faults/ShutdownScenario.java
@@ -42,26 +42,26 @@
     }
 
     @Override
-    public void start(World world) {
-        callers = new FaultyProcess(world, "callers", () -> {});
+    public void start(FaultRun faultRun) {
+        callers = new FaultyProcess(faultRun, "callers", () -> {});
         for (int i = 0; i < 3; i++) {
-            hosts.add(new ShutdownHost(world, "h" + i));
-            world.scheduleFaults(hosts.get(i).process, 20_000, 0, 0.5);
+            hosts.add(new ShutdownHost(faultRun, "h" + i));
+            faultRun.scheduleFaults(hosts.get(i).process, 20_000, 0, 0.5);
         }
         for (int i = 0; i < CALLERS; i++) {
-            Caller caller = new Caller(world);
+            Caller caller = new Caller(faultRun);
             for (int request = 0; request < REQUESTS; request++) {
-                world.after(world.random().nextLong(20_000), caller::send);
+                faultRun.after(faultRun.random().nextLong(20_000), caller::send);
             }
         }
-        world.after(3_000 + world.random().nextInt(8_000), () -> {
-            world.note("h0 shuts down");
-            hosts.get(0).lifecycle.onShutdown(KEEP_SECONDS, world.nowNanos());
+        faultRun.after(3_000 + faultRun.random().nextInt(8_000), () -> {
+            faultRun.note("h0 shuts down");
+            hosts.get(0).lifecycle.onShutdown(KEEP_SECONDS, faultRun.nowNanos());
         });
     }
 
     @Override
-    public void check(World world) {
+    public void check(FaultRun faultRun) {
         hosts.forEach(ShutdownHost::check);
     }
 
@@ -70,22 +70,22 @@
     }
 
     private final class ShutdownHost {
-        private final World world;
+        private final FaultRun faultRun;
         private final FaultyProcess process;
         private final HostLifecycle lifecycle = new HostLifecycle(LIST_MARGIN_MS, LIMIT_MS);
         private final Set<String> inFlight = new HashSet<>();
         private long requests;
         private boolean exited;
 
-        ShutdownHost(World world, String name) {
-            this.world = world;
-            this.process = new FaultyProcess(world, name, () -> {});
+        ShutdownHost(FaultRun faultRun, String name) {
+            this.faultRun = faultRun;
+            this.process = new FaultyProcess(faultRun, name, () -> {});
             lifecycle.onSettingsReady();
             process.every(TICK_MS, this::tick);
         }
 
         private void tick() {
-            HostState state = lifecycle.onTick(inFlight.size(), world.nowNanos());
+            HostState state = lifecycle.onTick(inFlight.size(), faultRun.nowNanos());
             exited = switch (scheme) {
                 case FIGSPAN -> state == HostState.STOPPED;
                 case NO_LIST_WAIT -> !lifecycle.isListed() && inFlight.isEmpty();
@@ -95,45 +95,45 @@
 
         void receive() {
             if (exited || !lifecycle.takesNewWork()) {
-                world.violate(Count.CUT_OFF, process.name() + " turned a listed caller away");
+                faultRun.violate(Count.CUT_OFF, process.name() + " turned a listed caller away");
                 return;
             }
             requests++;
             String request = process.name() + "-" + requests;
             inFlight.add(request);
-            process.after(100 + world.random().nextInt(9_000), () -> inFlight.remove(request));
+            process.after(100 + faultRun.random().nextInt(9_000), () -> inFlight.remove(request));
         }
 
         void check() {
             if (exited && !inFlight.isEmpty()) {
-                world.violate(Count.CUT_OFF, process.name() + " exited with requests in flight");
+                faultRun.violate(Count.CUT_OFF, process.name() + " exited with requests in flight");
             }
         }
     }
 
     /** A caller that asks for the list when its copy is older than it may keep it. */
     private final class Caller {
-        private final World world;
+        private final FaultRun faultRun;
         private List<ShutdownHost> list = List.of();
         private long listUntilMs;
 
-        Caller(World world) {
-            this.world = world;
+        Caller(FaultRun faultRun) {
+            this.faultRun = faultRun;
         }
 
         void send() {
-            if (world.nowMs() < listUntilMs) {
-                ShutdownHost host = list.get(world.random().nextInt(list.size()));
+            if (faultRun.nowMs() < listUntilMs) {
+                ShutdownHost host = list.get(faultRun.random().nextInt(list.size()));
                 // A connection attempt either arrives soon or fails; it is not delivered after the list ran out.
                 host.process.after(5, host::receive);
                 return;
             }
-            ShutdownHost source = hosts.get(1 + world.random().nextInt(2));
-            world.send(callers, source.process, () -> {
+            ShutdownHost source = hosts.get(1 + faultRun.random().nextInt(2));
+            faultRun.send(callers, source.process, () -> {
                 List<ShutdownHost> fresh = listed();
-                world.send(source.process, callers, () -> {
+                faultRun.send(source.process, callers, () -> {
                     list = fresh;
-                    listUntilMs = world.nowMs() + KEEP_SECONDS * 1_000;
+                    listUntilMs = faultRun.nowMs() + KEEP_SECONDS * 1_000;
                 });
             });
         }
--- a/figspan-bench/src/test/java/io/figspan/bench/faults/FaultsTest.java
+++ b/figspan-bench/src/test/java/io/figspan/bench/faults/FaultsTest.java
@@ -47,7 +47,7 @@
 
     private static List<String> traceOf(Variant variant) {
         List<String> lines = new ArrayList<>();
-        new World(3, variant.scenario().get(), lines::add).run();
+        new FaultRun(3, variant.scenario().get(), lines::add).run();
         return lines;
     }
 
@@ -55,9 +55,9 @@
     private static List<String> violated(Variant variant, int seeds, int limit) {
         List<String> found = new ArrayList<>();
         for (long seed = 1; seed <= seeds && found.size() < limit; seed++) {
-            World world = new World(seed, variant.scenario().get(), line -> {}).run();
+            FaultRun faultRun = new FaultRun(seed, variant.scenario().get(), line -> {}).run();
             for (Count kind : variant.counts()) {
-                if (world.violations(kind) > 0) {
+                if (faultRun.violations(kind) > 0) {
                     found.add("seed " + seed + ": " + kind.title());
                 }
             }
