Give tokens back to the limit for a prompt of which nothing was run

Cause: the limit was charged before admission, so an organisation whose prompts were refused for their deadline ran out of its limit and then got limitReached for prompts that could have been served. Change: a call that ends before an engine can have taken it returns its tokens. Before: aRefusedPromptDoesNotUseUpTheLimit fails with limitReached. After: it passes, 50 refusals for 10,000 tokens.

--- a/figspan-host/src/main/java/io/figspan/host/entry/CompletionCall.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/CompletionCall.java
@@ -56,6 +56,7 @@
     private final CallerStream caller;
     private final PriorityClass priority;
     private final Deadline deadline;
+    private final Runnable onNotRun;
     private final long startNanos;
     private final long deadlineTimer;
     private final long heartbeatTimer;
@@ -83,7 +84,8 @@
             CompletionRequest prompt,
             CallerStream caller,
             PriorityClass priority,
-            Deadline deadline) {
+            Deadline deadline,
+            Runnable onNotRun) {
         this.context = context;
         this.dispatcher = dispatcher;
         this.tokens = tokens;
@@ -92,6 +94,7 @@
         this.caller = caller;
         this.priority = priority;
         this.deadline = deadline;
+        this.onNotRun = onNotRun;
         this.startNanos = context.nowNanos();
         this.deadlineTimer = context.vertx().setTimer(Math.max(1, deadline.leftMs(startNanos)), id -> onDeadline());
         this.heartbeatTimer = context.vertx().setPeriodic(CallerStream.HEARTBEAT_MS, id -> caller.heartbeat());
@@ -359,7 +362,11 @@
         }
         context.count("prompts.failed." + problem.kind().wireName());
         event(Part.ENTRY, "refused", problem.kind().wireName() + ": " + problem.detail());
-        caller.problem(openSends > 0 ? problem.withRun(RunState.UNKNOWN) : problem);
+        boolean mayHaveRun = openSends > 0;
+        if (!mayHaveRun) {
+            onNotRun.run();
+        }
+        caller.problem(mayHaveRun ? problem.withRun(RunState.UNKNOWN) : problem);
         end();
     }
 
--- a/figspan-host/src/main/java/io/figspan/host/entry/EntryServer.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/EntryServer.java
@@ -284,7 +284,16 @@
         Deadline deadline = Deadline.after(context.nowNanos(), deadlineMs(head, settings, prompt.promptTokens()));
         CallerStream caller =
                 new CallerStream(request.response(), head.request().value());
-        new CompletionCall(context, dispatcher, tokens(), head, prompt, caller, priority(head, settings), deadline)
+        new CompletionCall(
+                        context,
+                        dispatcher,
+                        tokens(),
+                        head,
+                        prompt,
+                        caller,
+                        priority(head, settings),
+                        deadline,
+                        () -> limitGate.giveBack(head.organisation(), workTokens))
                 .start();
     }
 
--- a/figspan-host/src/test/java/io/figspan/host/CallerPortTest.java
+++ b/figspan-host/src/test/java/io/figspan/host/CallerPortTest.java
@@ -1,8 +1,10 @@
 package io.figspan.host;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.figspan.standin.StandinFleet;
 import io.figspan.standin.engine.Answers;
 import java.io.IOException;
 import java.io.OutputStream;
@@ -22,6 +24,9 @@
 class CallerPortTest {
     private static final int BODY_BYTES = 50_000;
     private static final long BODY_MS = 300;
+    /** Many times what the burst of 10,000 tokens of the small organisation holds, at 4,097 tokens each. */
+    private static final int REFUSED_PROMPTS = 50;
+
     private static final int READ_TIMEOUT_MS = 60_000;
 
     private LoopbackFleet fleet;
@@ -96,6 +101,24 @@
         assertEquals(401, response.statusCode());
     }
 
+    /** Guards against an organisation that is charged for prompts of which nothing was run. */
+    @Test
+    void aRefusedPromptDoesNotUseUpTheLimit() throws Exception {
+        String body = "{\"prompt\":\"abc\",\"max_tokens\":4096}";
+        for (int i = 0; i < REFUSED_PROMPTS; i++) {
+            HttpRequest request = fleet.request(0, "/v1/completions", "refused")
+                    .setHeader("Figspan-Organisation", StandinFleet.SMALL_ORGANISATION)
+                    .setHeader("Figspan-Deadline-Ms", "1")
+                    .POST(HttpRequest.BodyPublishers.ofString(body))
+                    .build();
+            String answer = fleet.http
+                    .send(request, HttpResponse.BodyHandlers.ofString())
+                    .body();
+            assertFalse(answer.contains("limitReached"), answer);
+        }
+        assertStillServes();
+    }
+
     private HttpResponse<String> post(String body) throws IOException, InterruptedException {
         HttpRequest request = fleet.request(0, "/v1/completions", "limits")
                 .POST(HttpRequest.BodyPublishers.ofString(body))
--- a/figspan-standin/src/main/java/io/figspan/standin/StandinFleet.java
+++ b/figspan-standin/src/main/java/io/figspan/standin/StandinFleet.java
@@ -18,6 +18,9 @@
     /** Availability zones of the fleet. */
     public static final List<String> ZONES = List.of("az-1", "az-2", "az-3");
 
+    /** An organisation whose limit a few prompts use up. */
+    public static final String SMALL_ORGANISATION = "small";
+
     /** The model that all engines load at the start. */
     public static final String MODEL = "fig-large";
 
@@ -107,7 +110,7 @@
                 .put("state", "live");
     }
 
-    /** Settings of the fleet and of the two organisations that the quickstart uses. */
+    /** Settings of the fleet, of the two organisations that the quickstart uses and of one with a small limit. */
     private String settings(List<StandinFiles.HostPorts> hosts) {
         StringBuilder text = new StringBuilder("[fleet]\n");
         text.append("tokenKey = \"").append(StandinFiles.TOKEN_KEY).append("\"\n\n");
@@ -124,6 +127,8 @@
                 .append(" = \"")
                 .append(host.availabilityZone())
                 .append("\"\n"));
+        text.append("\n[organisation.").append(SMALL_ORGANISATION).append("]\n");
+        text.append("limits.tokensPerSecond = 100_000\nlimits.burstTokens = 10_000\n");
         for (String organisation : List.of("driftglass", "brisbane")) {
             text.append("\n[organisation.").append(organisation).append("]\n");
             text.append("share = 0.5\n");
