Take the roster's seats and an organisation's weight from one place

Cause: the limit gate and the entitlements each turned the roster into entry hosts, and the dispatcher and the entitlements each looked up the weight, in the same words. Change: HostContext.seats() and ShareLimits.weightOf serve all of them; no behaviour changes.

--- a/figspan-host/src/main/java/io/figspan/host/HostContext.java
+++ b/figspan-host/src/main/java/io/figspan/host/HostContext.java
@@ -9,11 +9,13 @@
 import io.figspan.host.backend.EngineClient;
 import io.figspan.host.backend.HoldDriver;
 import io.figspan.host.operator.Timeline;
+import io.figspan.policy.entry.EntryHost;
 import io.figspan.settings.SettingKey;
 import io.figspan.settings.SettingsHolder;
 import io.figspan.settings.SettingsTree;
 import io.figspan.settings.cfg.HostConfig;
 import io.vertx.core.Vertx;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.random.RandomGenerator;
 
@@ -43,6 +45,13 @@
         return settings.tree();
     }
 
+    /** The seats of the roster in force, which home hosts follow from. */
+    public List<EntryHost> seats() {
+        return tree().roster().stream()
+                .map(seat -> new EntryHost(seat.host(), seat.availabilityZone()))
+                .toList();
+    }
+
     /** A stream id that no process has used before. */
     public StreamId newStream() {
         return StreamId.of(incarnation.host() + "-" + incarnation.number() + "-" + sequence.incrementAndGet());
--- a/figspan-host/src/main/java/io/figspan/host/entry/Dispatcher.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/Dispatcher.java
@@ -4,7 +4,6 @@
 import io.figspan.core.error.ProblemKind;
 import io.figspan.core.id.BackendServerId;
 import io.figspan.core.id.HostId;
-import io.figspan.core.id.OrganisationId;
 import io.figspan.core.id.SettingsVersion;
 import io.figspan.host.HostContext;
 import io.figspan.host.backend.BackendTable;
@@ -13,11 +12,11 @@
 import io.figspan.policy.dispatch.DispatchSettings;
 import io.figspan.policy.dispatch.Prompt;
 import io.figspan.policy.dispatch.PromptDispatcher;
+import io.figspan.policy.entry.EntryHost;
 import io.figspan.policy.placement.EngineSpeed;
 import io.figspan.policy.placement.LengthAwarePlacement;
 import io.figspan.policy.placement.LoadView;
 import io.figspan.policy.subset.HomeRunners;
-import io.figspan.settings.HostSeat;
 import io.figspan.settings.ResolvedSettings;
 import io.figspan.settings.SettingKey;
 import java.util.LinkedHashMap;
@@ -155,16 +154,12 @@
                 context.backends().loads(),
                 affinity,
                 shares.limits(),
-                this::weightOf,
+                shares::weightOf,
                 context.random());
     }
 
     private List<HostId> seats() {
-        return context.tree().roster().stream().map(HostSeat::host).toList();
-    }
-
-    private double weightOf(OrganisationId organisation) {
-        return context.tree().resolve(organisation).number(SettingKey.WEIGHT);
+        return context.seats().stream().map(EntryHost::host).toList();
     }
 
     private EngineSpeed speed() {
--- a/figspan-host/src/main/java/io/figspan/host/entry/LimitGate.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/LimitGate.java
@@ -123,18 +123,12 @@
         double rate = settings.integer(SettingKey.LIMITS_TOKENS_PER_SECOND);
         double burstSeconds = settings.integer(SettingKey.LIMITS_BURST_TOKENS) / rate;
         OrganisationLimit limit = new OrganisationLimit(rate, burstSeconds, settings.number(SettingKey.SHARE));
-        limits.configure(organisation, limit, roster(), context.nowNanos());
+        limits.configure(organisation, limit, context.seats(), context.nowNanos());
     }
 
     private List<EntryHost> homes(OrganisationId organisation) {
         double share = context.tree().resolve(organisation).number(SettingKey.SHARE);
-        return OrganisationLimits.homeHosts(organisation, share, roster());
-    }
-
-    private List<EntryHost> roster() {
-        return context.tree().roster().stream()
-                .map(seat -> new EntryHost(seat.host(), seat.availabilityZone()))
-                .toList();
+        return OrganisationLimits.homeHosts(organisation, share, context.seats());
     }
 
     /** Tokens used in the current and the previous window. */
--- a/figspan-host/src/main/java/io/figspan/host/entry/ShareLimits.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/ShareLimits.java
@@ -2,11 +2,9 @@
 
 import io.figspan.core.id.OrganisationId;
 import io.figspan.host.HostContext;
-import io.figspan.policy.entry.EntryHost;
 import io.figspan.policy.limit.OrganisationLimit;
 import io.figspan.policy.limit.OrganisationLimits;
 import io.figspan.settings.SettingKey;
-import java.util.List;
 
 /**
  * What each organisation is entitled to of the engines' capacity, in proportion to its weight. Unlike the limits of
@@ -51,13 +49,12 @@
     private void configure(OrganisationId organisation) {
         double share = context.tree().resolve(organisation).number(SettingKey.SHARE);
         double rate = fleetTokensPerSecond * weightOf(organisation) / weightSum;
-        List<EntryHost> roster = context.tree().roster().stream()
-                .map(seat -> new EntryHost(seat.host(), seat.availabilityZone()))
-                .toList();
-        limits.configure(organisation, new OrganisationLimit(rate, BURST_SECONDS, share), roster, context.nowNanos());
+        OrganisationLimit limit = new OrganisationLimit(rate, BURST_SECONDS, share);
+        limits.configure(organisation, limit, context.seats(), context.nowNanos());
     }
 
-    private double weightOf(OrganisationId organisation) {
+    /** Weight of the organisation in the settings in force. */
+    double weightOf(OrganisationId organisation) {
         return context.tree().resolve(organisation).number(SettingKey.WEIGHT);
     }
 }
