--- /dev/null
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/backend/ConnectionPool.java
@@ -0,0 +1,82 @@
+package io.figspan.gateway.backend;
+
+import io.figspan.gateway.http.HttpConnection;
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The connections of this host to one backend server. Idle ones are reused, the latest first, while the server surely
+ * keeps them. All methods run on the event loop.
+ */
+final class ConnectionPool {
+    /** A server in the same region accepts within a few milliseconds; one that needs longer is down or cut off. */
+    static final int CONNECT_TIMEOUT_MS = 400;
+
+    /** Longest idle time when the server names none. */
+    static final long DEFAULT_IDLE_NANOS = TimeUnit.SECONDS.toNanos(3);
+
+    /** The server's clock for an idle connection starts before this host's, so it is not used to its end. */
+    static final long IDLE_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+    private final EventLoop loop;
+    private final InetSocketAddress address;
+    private final Deque<HttpConnection> idle = new ArrayDeque<>();
+    private int open;
+
+    ConnectionPool(EventLoop loop, InetSocketAddress address) {
+        this.loop = loop;
+        this.address = address;
+    }
+
+    /** An idle connection, or a new one. */
+    HttpConnection acquire(long nowNanos) {
+        while (!idle.isEmpty()) {
+            HttpConnection connection = idle.pollLast();
+            if (connection.isIdle() && !hasIdledOut(connection, nowNanos)) {
+                return connection;
+            }
+            connection.close();
+        }
+        return acquireNew();
+    }
+
+    /** A connection that has carried no exchange yet. */
+    HttpConnection acquireNew() {
+        open++;
+        return HttpConnection.open(loop, address, CONNECT_TIMEOUT_MS, () -> open--);
+    }
+
+    /** Takes back a connection whose exchange is complete. */
+    void release(HttpConnection connection) {
+        if (connection.isIdle()) {
+            idle.addLast(connection);
+        }
+    }
+
+    void closeIdle(long nowNanos) {
+        idle.removeIf(connection -> {
+            boolean drop = !connection.isIdle() || hasIdledOut(connection, nowNanos);
+            if (drop) {
+                connection.close();
+            }
+            return drop;
+        });
+    }
+
+    void closeAllIdle() {
+        idle.forEach(HttpConnection::close);
+        idle.clear();
+    }
+
+    int open() {
+        return open;
+    }
+
+    private static boolean hasIdledOut(HttpConnection connection, long nowNanos) {
+        long keptNanos = Math.min(DEFAULT_IDLE_NANOS, connection.keepAliveNanos() - IDLE_MARGIN_NANOS);
+        return nowNanos - connection.idleSinceNanos() >= keptNanos;
+    }
+}
--- /dev/null
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/backend/package-info.java
@@ -0,0 +1,2 @@
+/** Backend servers as the gateway reaches them. */
+package io.figspan.gateway.backend;
--- /dev/null
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerServer.java
@@ -0,0 +1,119 @@
+package io.figspan.gateway.caller;
+
+import io.figspan.gateway.forward.CallerExchange;
+import io.figspan.gateway.forward.ForwardCall;
+import io.figspan.gateway.forward.Forwarder;
+import io.figspan.gateway.http.Channels;
+import io.figspan.gateway.protocol.CallerProtocol;
+import io.figspan.settings.gateway.CallerLimits;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+
+/** Accepts the connections of callers. All methods run on the event loop. */
+public final class CallerServer {
+    /** Connections that wait to be accepted while the process is busy. */
+    private static final int BACKLOG = 1_024;
+
+    private final EventLoop loop;
+    private final Forwarder forwarder;
+    private final CallerProtocol protocol;
+    private final Set<CallerConnection> connections = new HashSet<>();
+    private CallerLimits limits = CallerLimits.DEFAULT;
+    private boolean draining;
+    private Channel listener;
+
+    public CallerServer(EventLoop loop, Forwarder forwarder, CallerProtocol protocol) {
+        this.loop = loop;
+        this.forwarder = forwarder;
+        this.protocol = protocol;
+    }
+
+    public ChannelFuture listen(InetSocketAddress address) {
+        ChannelFuture bound = new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(Channel ch) {
+                        initialize(ch);
+                    }
+                })
+                .bind(address);
+        listener = bound.channel();
+        return bound;
+    }
+
+    private void initialize(Channel channel) {
+        HttpDecoderConfig config = new HttpDecoderConfig()
+                .setMaxInitialLineLength(limits.maxHeaderBytes())
+                .setMaxHeaderSize(limits.maxHeaderBytes());
+        CallerConnection connection = new CallerConnection(this, limits);
+        channel.pipeline().addLast(new ChannelInboundHandlerAdapter() {
+            @Override
+            public void channelRead(ChannelHandlerContext ctx, Object bytes) {
+                connection.bytesReceived();
+                ctx.fireChannelRead(bytes);
+            }
+        });
+        channel.pipeline().addLast(new HttpServerCodec(config), connection);
+    }
+
+    /** The limits of connections that are accepted from now on. */
+    public void limitsChanged(CallerLimits newLimits) {
+        limits = newLimits;
+    }
+
+    /** From now on each answer closes its connection. */
+    public void drain() {
+        draining = true;
+        new ArrayList<>(connections).forEach(CallerConnection::closeIfIdle);
+    }
+
+    public void stopListening() {
+        Channels.close(listener);
+    }
+
+    /** Number of connections with a request in progress. */
+    public long busy() {
+        return connections.stream().filter(CallerConnection::isBusy).count();
+    }
+
+    /** Enforces the time limits of all connections. */
+    public void tick(long nowNanos) {
+        new ArrayList<>(connections).forEach(connection -> connection.checkTimes(nowNanos));
+    }
+
+    boolean isDraining() {
+        return draining;
+    }
+
+    Optional<ForwardCall> accept(HttpRequest head, ByteBuf body, CallerExchange exchange) {
+        return forwarder.accept(protocol.decode(head), body, exchange);
+    }
+
+    void opened(CallerConnection connection) {
+        connections.add(connection);
+    }
+
+    void closed(CallerConnection connection) {
+        connections.remove(connection);
+    }
+}
--- /dev/null
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/caller/package-info.java
@@ -0,0 +1,2 @@
+/** The port that callers connect to. */
+package io.figspan.gateway.caller;
--- /dev/null
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
@@ -0,0 +1,216 @@
+package io.figspan.gateway.forward;
+
+import io.figspan.core.error.Problem;
+import io.figspan.core.error.ProblemKind;
+import io.figspan.core.event.Part;
+import io.figspan.core.id.ServiceId;
+import io.figspan.core.id.SettingsVersion;
+import io.figspan.core.time.Deadline;
+import io.figspan.gateway.backend.BackendPools;
+import io.figspan.gateway.backend.BackendServer;
+import io.figspan.gateway.log.DecisionLog;
+import io.figspan.gateway.protocol.BackendProtocol;
+import io.figspan.gateway.protocol.CallerProtocol;
+import io.figspan.gateway.protocol.CallerRequest;
+import io.figspan.policy.placing.Job;
+import io.figspan.policy.placing.LeastBusyPlacer;
+import io.figspan.policy.placing.Placer.ServerSeat;
+import io.figspan.policy.retry.WindowedRetryBudget;
+import io.figspan.policy.route.KeyIndex;
+import io.figspan.policy.route.RouteTable;
+import io.figspan.policy.route.ServiceChoice;
+import io.figspan.settings.gateway.GatewaySettings;
+import io.figspan.settings.gateway.OrganisationKeys;
+import io.figspan.settings.gateway.Route;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+/** Takes the requests of callers, finds where they go and hands them to their service. */
+public final class Forwarder {
+    /** An event of a stream is a few hundred bytes; one of this length is no event. */
+    static final int MAX_EVENT_BYTES = 256 * 1_024;
+
+    /** Time to come back when nothing better is known. */
+    private static final long RETRY_AFTER_MS = 300;
+
+    private final EventLoop loop;
+    private final CallerProtocol callerProtocol;
+    private final BackendProtocol backendProtocol;
+    private final BackendPools pools;
+    private final DecisionLog log;
+    private final RandomGenerator random;
+    private final RetryAllowance allowance;
+    private final Map<ServiceId, ServiceLane> lanes = new HashMap<>();
+    private GatewaySettings settings;
+    private RouteTable routes = new RouteTable(List.of());
+    private KeyIndex keys = new KeyIndex(List.of());
+
+    /** The budget of retries of all hosts for one service. */
+    public record RetryAllowance(double fraction, double allowance, long windowMs) {}
+
+    public Forwarder(
+            EventLoop loop,
+            CallerProtocol callerProtocol,
+            BackendProtocol backendProtocol,
+            BackendPools pools,
+            DecisionLog log,
+            RandomGenerator random,
+            RetryAllowance allowance) {
+        this.loop = loop;
+        this.callerProtocol = callerProtocol;
+        this.backendProtocol = backendProtocol;
+        this.pools = pools;
+        this.log = log;
+        this.random = random;
+        this.allowance = allowance;
+    }
+
+    /** Puts settings into force, unless newer ones are. */
+    public void apply(GatewaySettings newer) {
+        if (settings != null && !newer.version().isNewerThan(settings.version())) {
+            return;
+        }
+        log.info(Part.SETTINGS, "settingsInForce")
+                .number("version", newer.version().number())
+                .number("before", settingsVersion().number())
+                .number("routes", newer.routes().size())
+                .write();
+        settings = newer;
+        routes = new RouteTable(newer.routes());
+        keys = new KeyIndex(newer.organisations());
+    }
+
+    public SettingsVersion settingsVersion() {
+        return settings == null ? SettingsVersion.NONE : settings.version();
+    }
+
+    public boolean hasSettings() {
+        return settings != null;
+    }
+
+    /** Tells the lanes which servers take new work. */
+    public void serversChanged() {
+        Map<ServiceId, List<ServerSeat>> seats = new HashMap<>();
+        for (BackendServer server : pools.all()) {
+            List<ServerSeat> ofService = seats.computeIfAbsent(server.service(), ignored -> new ArrayList<>());
+            if (!server.isLeaving()) {
+                ofService.add(new ServerSeat(server.id(), server.slots()));
+            }
+        }
+        lanes.keySet().forEach(service -> seats.putIfAbsent(service, List.of()));
+        long nowNanos = System.nanoTime();
+        seats.forEach((service, servers) -> lane(service).serversChanged(servers, nowNanos));
+    }
+
+    /** Takes a whole request. The call is empty when it was answered at once. */
+    public Optional<ForwardCall> accept(CallerRequest request, ByteBuf body, CallerExchange caller) {
+        long nowNanos = System.nanoTime();
+        Problem problem;
+        if (settings == null) {
+            problem = Problem.notRun(ProblemKind.NO_BACKEND_SERVER, "no settings are known yet");
+            return refuse(request, body, caller, problem.withRetryAfterMs(RETRY_AFTER_MS));
+        }
+        Optional<Route> route = routes.find(request.hostName(), request.path());
+        if (route.isEmpty()) {
+            problem = Problem.notRun(ProblemKind.NOT_FOUND, "no route for " + request.path());
+            return refuse(request, body, caller, problem);
+        }
+        Optional<OrganisationKeys> organisation = request.key().flatMap(keys::find);
+        if (organisation.isEmpty() && settings.requiresKeys() && !route.get().isPublic()) {
+            problem = Problem.notRun(ProblemKind.UNAUTHENTICATED, "the key is unknown");
+            return refuse(request, body, caller, problem);
+        }
+        Optional<ServiceId> service = ServiceChoice.choose(route.get(), random);
+        if (service.isEmpty()) {
+            problem = Problem.notRun(ProblemKind.NO_BACKEND_SERVER, "the route leads nowhere");
+            return refuse(request, body, caller, problem.withRetryAfterMs(RETRY_AFTER_MS));
+        }
+        return Optional.of(forward(request, body, caller, route.get(), service.get(), organisation, nowNanos));
+    }
+
+    private ForwardCall forward(
+            CallerRequest request,
+            ByteBuf body,
+            CallerExchange caller,
+            Route route,
+            ServiceId service,
+            Optional<OrganisationKeys> organisation,
+            long nowNanos) {
+        long allowedMs = Math.min(request.waitMs().orElse(route.timeoutMs()), route.timeoutMs());
+        int rank = organisation
+                .map(OrganisationKeys::rank)
+                .filter(java.util.OptionalInt::isPresent)
+                .map(java.util.OptionalInt::getAsInt)
+                .orElse(route.rank());
+        Job job = new Job(
+                request.attemptId(),
+                nowNanos,
+                Deadline.after(nowNanos, allowedMs),
+                java.util.concurrent.TimeUnit.MILLISECONDS.toNanos(route.targetLatencyMs()),
+                rank,
+                request.prompt());
+        ServiceLane lane = lane(service);
+        lane.budget().requestArrived(nowNanos);
+        ForwardCall call =
+                new ForwardCall(this, lane, route, request, body, caller, organisation.map(OrganisationKeys::id), job);
+        call.start(nowNanos);
+        return call;
+    }
+
+    private Optional<ForwardCall> refuse(CallerRequest request, ByteBuf body, CallerExchange caller, Problem problem) {
+        body.release();
+        log.info(Part.ENTRY, "refused")
+                .text("request", request.attemptId())
+                .number("status", problem.kind().httpStatus())
+                .text("reason", problem.detail())
+                .number("settings", settingsVersion().number())
+                .write();
+        caller.answer(ProblemResponses.of(problem));
+        return Optional.empty();
+    }
+
+    private ServiceLane lane(ServiceId service) {
+        return lanes.computeIfAbsent(
+                service,
+                ignored -> new ServiceLane(
+                        service,
+                        new LeastBusyPlacer(random),
+                        new WindowedRetryBudget(allowance.fraction(), allowance.allowance(), allowance.windowMs())));
+    }
+
+    /** Runs what is due in all lanes. */
+    public void tick(long nowNanos) {
+        lanes.values().forEach(lane -> lane.tick(nowNanos));
+        pools.closeIdle(nowNanos);
+    }
+
+    long retryAfterMs() {
+        return RETRY_AFTER_MS;
+    }
+
+    EventLoop loop() {
+        return loop;
+    }
+
+    CallerProtocol callerProtocol() {
+        return callerProtocol;
+    }
+
+    BackendProtocol backendProtocol() {
+        return backendProtocol;
+    }
+
+    BackendPools pools() {
+        return pools;
+    }
+
+    DecisionLog log() {
+        return log;
+    }
+}
--- /dev/null
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceLane.java
@@ -0,0 +1,75 @@
+package io.figspan.gateway.forward;
+
+import io.figspan.core.id.ServiceId;
+import io.figspan.policy.placing.Job;
+import io.figspan.policy.placing.Placement;
+import io.figspan.policy.placing.Placer;
+import io.figspan.policy.placing.Placer.EndOfWork;
+import io.figspan.policy.placing.Placer.ServerSeat;
+import io.figspan.policy.retry.WindowedRetryBudget;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The jobs of one service and the placer that decides on them. All methods run on the event loop. */
+final class ServiceLane {
+    private final ServiceId service;
+    private final Placer placer;
+    private final WindowedRetryBudget budget;
+    private final Map<Job, ForwardCall> calls = new HashMap<>();
+
+    ServiceLane(ServiceId service, Placer placer, WindowedRetryBudget budget) {
+        this.service = service;
+        this.placer = placer;
+        this.budget = budget;
+    }
+
+    ServiceId service() {
+        return service;
+    }
+
+    WindowedRetryBudget budget() {
+        return budget;
+    }
+
+    int waiting() {
+        return placer.waiting();
+    }
+
+    void serversChanged(List<ServerSeat> seats, long nowNanos) {
+        placer.serversChanged(seats, nowNanos);
+        carryOut(placer.tick(nowNanos));
+    }
+
+    void submit(ForwardCall call, Job job, long nowNanos) {
+        calls.put(job, call);
+        carryOut(placer.arrived(job, nowNanos));
+    }
+
+    void answerBegan(Job job, long nowNanos) {
+        placer.answerBegan(job, nowNanos);
+    }
+
+    void ended(Job job, EndOfWork end, long nowNanos) {
+        carryOut(placer.ended(job, end, nowNanos));
+    }
+
+    /** The call needs no placement any more. */
+    void forget(Job job) {
+        calls.remove(job);
+        placer.withdrawn(job);
+    }
+
+    void tick(long nowNanos) {
+        carryOut(placer.tick(nowNanos));
+    }
+
+    private void carryOut(List<Placement> placements) {
+        for (Placement placement : placements) {
+            ForwardCall call = calls.get(placement.job());
+            if (call != null) {
+                call.onPlacement(placement);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/package-info.java
@@ -0,0 +1,2 @@
+/** Forwarding of one caller's request to backend servers. */
+package io.figspan.gateway.forward;
--- /dev/null
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP connections to other servers, one exchange at a time. */
+package io.figspan.gateway.http;
--- /dev/null
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/log/DecisionLog.java
@@ -0,0 +1,126 @@
+package io.figspan.gateway.log;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import io.figspan.core.event.Part;
+import java.io.IOException;
+import java.io.StringWriter;
+import java.io.UncheckedIOException;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.slf4j.event.Level;
+
+/**
+ * Writes one line of JSON for each decision: {@code {"part","event", fields...}}. The volume is bounded: each event
+ * has a number of lines a second, and the next line of the event says how many were left out. One thread uses it.
+ */
+public final class DecisionLog {
+    /** Lines of one event in a second; above the requests that one host of the design scale takes. */
+    static final int MAX_LINES_PER_SECOND = 60;
+
+    private static final Logger LOG = LoggerFactory.getLogger("figspan");
+    private static final JsonFactory JSON = new JsonFactory();
+
+    private final Map<String, Window> windows = new HashMap<>();
+
+    /** Lines of one event in the running second. */
+    private static final class Window {
+        long startNanos = System.nanoTime();
+        int lines;
+        long leftOut;
+    }
+
+    public Line info(Part part, String event) {
+        return line(Level.INFO, part, event);
+    }
+
+    public Line warn(Part part, String event) {
+        return line(Level.WARN, part, event);
+    }
+
+    private Line line(Level level, Part part, String event) {
+        Window window = windows.computeIfAbsent(event, ignored -> new Window());
+        long nowNanos = System.nanoTime();
+        if (nowNanos - window.startNanos >= TimeUnit.SECONDS.toNanos(1)) {
+            window.startNanos = nowNanos;
+            window.lines = 0;
+        }
+        if (window.lines >= MAX_LINES_PER_SECOND || !LOG.isEnabledForLevel(level)) {
+            window.leftOut++;
+            return Line.NONE;
+        }
+        window.lines++;
+        Line line = new Line(level, part, event);
+        if (window.leftOut > 0) {
+            line.number("leftOutBefore", window.leftOut);
+            window.leftOut = 0;
+        }
+        return line;
+    }
+
+    /** One line under construction. */
+    public static final class Line {
+        private static final Line NONE = new Line();
+
+        private final Level level;
+        private final StringWriter text;
+        private final JsonGenerator json;
+
+        private Line() {
+            this.level = Level.INFO;
+            this.text = null;
+            this.json = null;
+        }
+
+        private Line(Level level, Part part, String event) {
+            this.level = level;
+            this.text = new StringWriter();
+            try {
+                this.json = JSON.createGenerator(text);
+                json.writeStartObject();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+            text("part", part.wireName());
+            text("event", event);
+        }
+
+        public Line text(String name, Object value) {
+            if (json != null) {
+                try {
+                    json.writeStringField(name, String.valueOf(value));
+                } catch (IOException e) {
+                    throw new UncheckedIOException(e);
+                }
+            }
+            return this;
+        }
+
+        public Line number(String name, long value) {
+            if (json != null) {
+                try {
+                    json.writeNumberField(name, value);
+                } catch (IOException e) {
+                    throw new UncheckedIOException(e);
+                }
+            }
+            return this;
+        }
+
+        public void write() {
+            if (json == null) {
+                return;
+            }
+            try {
+                json.writeEndObject();
+                json.close();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+            LOG.atLevel(level).log(text.toString());
+        }
+    }
+}
--- /dev/null
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/log/package-info.java
@@ -0,0 +1,2 @@
+/** Structured logs: one line of JSON for each decision. */
+package io.figspan.gateway.log;
--- /dev/null
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/protocol/CallerRequest.java
@@ -0,0 +1,38 @@
+package io.figspan.gateway.protocol;
+
+import io.figspan.policy.placing.PromptShape;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/**
+ * The head of a caller's request.
+ *
+ * @param method passed on unchanged
+ * @param target path and query, passed on unchanged
+ * @param hostName the Host header, or an empty string
+ * @param headers what is passed on: without those of the connection and those that the gateway sets itself
+ * @param attemptId the caller's id of this attempt, or an empty string
+ * @param waitMs how long the caller will wait from now on
+ * @param key the caller's credential
+ * @param prompt lengths of the prompt, when the request has one
+ * @param lastEventId last event that the caller has of a stream that it resumes
+ */
+public record CallerRequest(
+        HttpMethod method,
+        String target,
+        String hostName,
+        HttpHeaders headers,
+        String attemptId,
+        OptionalLong waitMs,
+        Optional<String> key,
+        Optional<PromptShape> prompt,
+        OptionalLong lastEventId) {
+
+    /** The target without its query. */
+    public String path() {
+        int query = target.indexOf('?');
+        return query < 0 ? target : target.substring(0, query);
+    }
+}
--- /dev/null
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/Job.java
@@ -0,0 +1,77 @@
+package io.figspan.policy.placing;
+
+import io.figspan.core.id.BackendServerId;
+import io.figspan.core.time.Deadline;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+
+/** A request that waits for, or runs at, a backend server. Compared by identity. */
+public final class Job {
+    private final String requestId;
+    private final long arrivedNanos;
+    private final Deadline deadline;
+    private final long targetLatencyNanos;
+    private final int rank;
+    private final Optional<PromptShape> prompt;
+    private final Set<BackendServerId> tried = new HashSet<>();
+
+    /**
+     * A job.
+     *
+     * @param requestId names the request in logs
+     * @param arrivedNanos when the request was received
+     * @param deadline when the caller, or the route, gives up
+     * @param targetLatencyNanos time from the arrival within which the answer is worth the most
+     * @param rank urgency, 0 first
+     * @param prompt lengths of the prompt, when there is one
+     */
+    public Job(
+            String requestId,
+            long arrivedNanos,
+            Deadline deadline,
+            long targetLatencyNanos,
+            int rank,
+            Optional<PromptShape> prompt) {
+        this.requestId = requestId;
+        this.arrivedNanos = arrivedNanos;
+        this.deadline = deadline;
+        this.targetLatencyNanos = targetLatencyNanos;
+        this.rank = rank;
+        this.prompt = prompt;
+    }
+
+    public String requestId() {
+        return requestId;
+    }
+
+    public long arrivedNanos() {
+        return arrivedNanos;
+    }
+
+    public Deadline deadline() {
+        return deadline;
+    }
+
+    public long targetLatencyNanos() {
+        return targetLatencyNanos;
+    }
+
+    public int rank() {
+        return rank;
+    }
+
+    public Optional<PromptShape> prompt() {
+        return prompt;
+    }
+
+    /** The servers that it was sent to. */
+    public Set<BackendServerId> tried() {
+        return tried;
+    }
+
+    @Override
+    public String toString() {
+        return requestId;
+    }
+}
--- /dev/null
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/LeastBusyPlacer.java
@@ -0,0 +1,153 @@
+package io.figspan.policy.placing;
+
+import io.figspan.core.error.Problem;
+import io.figspan.core.error.ProblemKind;
+import io.figspan.core.id.BackendServerId;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalInt;
+import java.util.Queue;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+
+/**
+ * Sends each job to the server with the most free places. Answers load made of short jobs of like length, whose work
+ * can't be told beforehand.
+ */
+public final class LeastBusyPlacer implements Placer {
+    /** Most jobs that wait; each costs its body's memory. */
+    static final int MAX_WAITING = 512;
+
+    /** Time to come back for a job that found no server. */
+    static final long RETRY_AFTER_MS = 250;
+
+    private final RandomGenerator random;
+    private final Map<BackendServerId, ServerState> servers = new HashMap<>();
+    private final Map<Job, ServerState> placed = new HashMap<>();
+    private final Queue<Job> queue = new ArrayDeque<>();
+
+    private static final class ServerState {
+        final BackendServerId id;
+        int slots;
+        int running;
+        boolean open = true;
+        boolean avoided;
+        long avoidedUntilNanos;
+
+        ServerState(BackendServerId id) {
+            this.id = id;
+        }
+    }
+
+    public LeastBusyPlacer(RandomGenerator random) {
+        this.random = random;
+    }
+
+    @Override
+    public void serversChanged(List<ServerSeat> seats, long nowNanos) {
+        servers.values().forEach(server -> server.open = false);
+        for (ServerSeat seat : seats) {
+            ServerState server = servers.computeIfAbsent(seat.id(), ServerState::new);
+            server.open = true;
+            server.slots = seat.slots();
+        }
+        servers.values().removeIf(server -> !server.open && server.running == 0);
+    }
+
+    @Override
+    public List<Placement> arrived(Job job, long nowNanos) {
+        ServerState server = choose(job, nowNanos);
+        if (server != null) {
+            return List.of(send(job, server));
+        }
+        if (queue.size() >= MAX_WAITING || servers.isEmpty()) {
+            return List.of(refuse(job));
+        }
+        queue.add(job);
+        return List.of();
+    }
+
+    @Override
+    public void answerBegan(Job job, long nowNanos) {}
+
+    @Override
+    public List<Placement> ended(Job job, EndOfWork end, long nowNanos) {
+        ServerState server = placed.remove(job);
+        if (server == null) {
+            return List.of();
+        }
+        server.running--;
+        if (end == EndOfWork.BROKEN || end == EndOfWork.TURNED_AWAY) {
+            server.avoided = true;
+            server.avoidedUntilNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(RETRY_AFTER_MS);
+        }
+        return tick(nowNanos);
+    }
+
+    @Override
+    public void withdrawn(Job job) {
+        queue.remove(job);
+    }
+
+    @Override
+    public List<Placement> tick(long nowNanos) {
+        List<Placement> placements = new ArrayList<>();
+        for (Iterator<Job> waiting = queue.iterator(); waiting.hasNext(); ) {
+            Job job = waiting.next();
+            ServerState server = choose(job, nowNanos);
+            if (server != null) {
+                waiting.remove();
+                placements.add(send(job, server));
+            }
+        }
+        return placements;
+    }
+
+    @Override
+    public int waiting() {
+        return queue.size();
+    }
+
+    private ServerState choose(Job job, long nowNanos) {
+        ServerState best = null;
+        int tied = 1;
+        for (ServerState server : servers.values()) {
+            if (!isUsable(server, job, nowNanos)) {
+                continue;
+            }
+            if (best == null || server.running < best.running) {
+                best = server;
+                tied = 1;
+            } else if (server.running == best.running && random.nextInt(++tied) == 0) {
+                best = server;
+            }
+        }
+        return best;
+    }
+
+    private static boolean isUsable(ServerState server, Job job, long nowNanos) {
+        boolean avoided = server.avoided && nowNanos - server.avoidedUntilNanos < 0;
+        return server.open
+                && server.running < server.slots
+                && !avoided
+                && !job.tried().contains(server.id);
+    }
+
+    private Placement send(Job job, ServerState server) {
+        String reason = "running=" + server.running + " slots=" + server.slots;
+        server.running++;
+        placed.put(job, server);
+        job.tried().add(server.id);
+        return new Placement.Send(job, server.id, OptionalInt.empty(), List.of(), reason);
+    }
+
+    private static Placement refuse(Job job) {
+        Problem problem = Problem.notRun(ProblemKind.NO_BACKEND_SERVER, "no backend server takes new work")
+                .withRetryAfterMs(RETRY_AFTER_MS);
+        return new Placement.Refuse(job, problem, "no server");
+    }
+}
--- /dev/null
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/Placer.java
@@ -0,0 +1,48 @@
+package io.figspan.policy.placing;
+
+import io.figspan.core.id.BackendServerId;
+import java.util.List;
+
+/**
+ * Decides for one service where its jobs go. It is pure and not thread-safe: one driver passes in events with the
+ * monotonic time and carries out the placements in order.
+ */
+public interface Placer {
+    /** The servers that may take new work; the others keep the jobs that they have. */
+    void serversChanged(List<ServerSeat> servers, long nowNanos);
+
+    /** A job waits for a server, also again after a server failed it. */
+    List<Placement> arrived(Job job, long nowNanos);
+
+    /** The answer of a sent job has begun. */
+    void answerBegan(Job job, long nowNanos);
+
+    /** A job that was sent is no longer at its server. */
+    List<Placement> ended(Job job, EndOfWork end, long nowNanos);
+
+    /** A job that waits is withdrawn. */
+    void withdrawn(Job job);
+
+    /** Runs what is due; the driver calls it every few milliseconds while jobs wait. */
+    List<Placement> tick(long nowNanos);
+
+    /** Number of jobs that wait. */
+    int waiting();
+
+    /** A server that may take new work. */
+    record ServerSeat(BackendServerId id, int slots) {}
+
+    /** How the work of a job at a server ended. */
+    enum EndOfWork {
+        /** The server answered with success. */
+        SERVED,
+        /** The server answered that it could not. */
+        FAILED,
+        /** The server said that it has not run the job. */
+        TURNED_AWAY,
+        /** The server can't be reached or the connection broke. */
+        BROKEN,
+        /** The caller left, or its time was over. */
+        CANCELLED
+    }
+}
--- /dev/null
+++ b/figspan-policy/src/main/java/io/figspan/policy/route/KeyIndex.java
@@ -0,0 +1,22 @@
+package io.figspan.policy.route;
+
+import io.figspan.settings.gateway.OrganisationKeys;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** Finds the organisation that holds a key. */
+public final class KeyIndex {
+    private final Map<String, OrganisationKeys> byKey = new HashMap<>();
+
+    public KeyIndex(List<OrganisationKeys> organisations) {
+        for (OrganisationKeys organisation : organisations) {
+            organisation.keys().forEach(key -> byKey.put(key, organisation));
+        }
+    }
+
+    public Optional<OrganisationKeys> find(String key) {
+        return Optional.ofNullable(byKey.get(key));
+    }
+}
