--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
@@ -16,6 +16,7 @@
 import io.figspan.policy.placing.Job;
 import io.figspan.policy.placing.Placement;
 import io.figspan.policy.placing.Placer.EndOfWork;
+import io.figspan.policy.placing.PromptShape;
 import io.figspan.settings.gateway.Route;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -128,6 +129,9 @@
                 .number("attempt", attempts)
                 .number("waitedMs", TimeUnit.NANOSECONDS.toMillis(nowNanos - job.arrivedNanos()))
                 .number("leftMs", job.deadline().leftMs(nowNanos))
+                .number(
+                        "promptTokens",
+                        job.prompt().map(PromptShape::promptTokens).orElse(0L))
                 .text("why", placement.reason())
                 .write();
         List<InetSocketAddress> readers = placement.readers().stream()
