Let hosts tell each other of their work and place prompts by a simulation of the engines' passes

Hosts find each other by membership over datagrams and report what they have at the engines as soon as it changes. The placer follows each engine's passes from that, forecasts what an added prompt does to those already there, and chooses the engine and the helping readers by which the least worth is lost. Hosts read the store's items from each other when they lack changes, and a stop drains.

--- a/figspan-cluster/src/main/java/io/figspan/cluster/message/PeerMessage.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/message/PeerMessage.java
@@ -5,6 +5,7 @@
 import io.figspan.core.id.HostIncarnation;
 import io.figspan.core.id.OrganisationId;
 import io.figspan.core.id.SettingsVersion;
+import io.figspan.core.work.PlacedWork;
 import java.util.List;
 
 /** A message between two hosts. The frame around it names the sender and carries a hybrid timestamp. */
@@ -87,6 +88,22 @@
     record LoanGrant(long requestId, OrganisationId organisation, long tokensPerSecond, long leaseMs)
             implements PeerMessage {}
 
+    // Placement
+
+    /**
+     * All that the sender has at model engines, so that others place around it. A report replaces those before it.
+     *
+     * @param sequence grows with each report of a process
+     * @param settingsRevision newest revision of the settings that the sender knows, in the store's counting
+     * @param serversRevision newest revision among the entries of backend servers that the sender knows
+     */
+    record WorkReport(long sequence, long settingsRevision, long serversRevision, List<PlacedWork> work)
+            implements PeerMessage {
+        public WorkReport {
+            work = List.copyOf(work);
+        }
+    }
+
     // Orders; their fields are opaque here
 
     /** Forwards an order to the owner of its ticket, with the time left in milliseconds. */
--- a/figspan-gateway/src/main/java/io/figspan/gateway/GatewayConfig.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/GatewayConfig.java
@@ -11,7 +11,8 @@
  * @param callers address of the port for callers
  * @param readiness address of the readiness check
  * @param directory address that tells callers where to connect
- * @param peers address of the port for other hosts
+ * @param peers address of the port for datagrams of other hosts
+ * @param copies address where other hosts read this host's copies of the store's items
  * @param seeds addresses where other hosts may be found
  * @param store address of the store of settings and registered backend servers
  * @param stopMs time from the request to stop until the process is killed
@@ -26,6 +27,7 @@
         InetSocketAddress readiness,
         InetSocketAddress directory,
         InetSocketAddress peers,
+        InetSocketAddress copies,
         List<InetSocketAddress> seeds,
         InetSocketAddress store,
         long stopMs,
--- a/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
@@ -1,16 +1,20 @@
 package io.figspan.gateway;
 
-import io.figspan.core.error.Result;
+import io.figspan.cluster.message.Peer;
+import io.figspan.cluster.message.PeerMessage;
 import io.figspan.core.event.Part;
-import io.figspan.core.id.BackendServerId;
+import io.figspan.core.id.HostId;
+import io.figspan.core.work.PlacedWork;
 import io.figspan.gateway.backend.BackendPools;
-import io.figspan.gateway.backend.BackendServer;
 import io.figspan.gateway.caller.CallerServer;
+import io.figspan.gateway.fleet.FleetState;
 import io.figspan.gateway.forward.Forwarder;
 import io.figspan.gateway.http.SmallServer;
 import io.figspan.gateway.log.DecisionLog;
+import io.figspan.gateway.peer.CopyReader;
+import io.figspan.gateway.peer.PeerListener;
+import io.figspan.gateway.peer.Peers;
 import io.figspan.gateway.protocol.Adapter;
-import io.figspan.gateway.protocol.StoreProtocol.Item;
 import io.figspan.gateway.store.StoreFollower;
 import io.figspan.gateway.store.StoreListener;
 import io.figspan.settings.gateway.GatewaySettings;
@@ -23,31 +27,44 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
 /** The gateway of one host. It runs on one event loop. */
-public final class GatewayProcess {
+public final class GatewayProcess implements FleetState.FleetListener, PeerListener {
     /** Time between two looks at waiting jobs and time limits. */
     private static final long TICK_MS = 20;
 
     /** How long a caller keeps the answer of the directory. */
     private static final int KEEP_SECONDS = 1;
 
+    private static final String SETTINGS_COPY = "settings";
+    private static final String SERVERS_COPY = "servers";
+
     private final GatewayConfig config;
     private final Adapter adapter;
+    private final RandomGenerator random;
     private final EventLoop loop = new NioEventLoopGroup(1, new DefaultThreadFactory("gateway")).next();
     private final DecisionLog log = new DecisionLog();
     private final BackendPools pools = new BackendPools(loop);
+    private final FleetState fleet;
     private final Forwarder forwarder;
     private final CallerServer callers;
-    private boolean serversKnown;
-    private boolean draining;
+    private final Peers peers;
+    private final CopyReader settingsReader;
+    private final CopyReader serversReader;
+    private final Shutdown shutdown;
+    private long reports;
 
     public GatewayProcess(GatewayConfig config, Adapter adapter, RandomGenerator random) {
         this.config = config;
         this.adapter = adapter;
+        this.random = random;
+        this.fleet = new FleetState(adapter.fleet(), pools, log, this);
         this.forwarder = new Forwarder(
                 loop,
                 adapter.callers(),
@@ -57,35 +74,94 @@
                 random,
                 new Forwarder.RetryAllowance(config.retryFraction(), config.retryAllowance(), config.retryWindowMs()));
         this.callers = new CallerServer(loop, forwarder, adapter.callers());
-        follow(adapter.fleet().settingsPrefix(), new SettingsListener(), random);
-        follow(adapter.fleet().serversPrefix(), new ServersListener(), random);
-    }
-
-    private void follow(String prefix, StoreListener listener, RandomGenerator random) {
-        StoreFollower follower =
-                new StoreFollower(loop, config.store(), prefix, adapter.store(), listener, log, random);
-        loop.execute(follower::start);
+        this.peers = new Peers(loop, config, log, random, this, this::report);
+        this.forwarder.onWorkChanged(peers::workChanged);
+        this.settingsReader = new CopyReader(loop, log, SETTINGS_COPY, fleet.settings(), fleet::settingsFromPeer);
+        this.serversReader = new CopyReader(loop, log, SERVERS_COPY, fleet.servers(), fleet::serversFromPeer);
+        this.shutdown = new Shutdown(loop, log, callers, peers, config.stopMs());
     }
 
-    /** Opens the ports. */
+    /** Opens the ports and begins to follow the store. */
     public void start() {
         log.info(Part.ENTRY, "started").text("host", config.host()).write();
         callers.listen(config.callers()).syncUninterruptibly();
+        peers.listen().syncUninterruptibly();
         SmallServer.listen(loop, config.readiness(), this::answerReadiness).syncUninterruptibly();
         SmallServer.listen(loop, config.directory(), this::answerDirectory).syncUninterruptibly();
+        SmallServer.listen(loop, config.copies(), this::answerCopy).syncUninterruptibly();
+        follow(adapter.fleet().settingsPrefix(), fleet.settingsFromStore());
+        follow(adapter.fleet().serversPrefix(), fleet.serversFromStore());
         var unused = loop.scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
     }
 
+    /** Stops taking requests and finishes those in progress; the latch opens when the process may end. */
+    public CountDownLatch stop() {
+        loop.execute(() -> shutdown.begin(System.nanoTime()));
+        return shutdown.done();
+    }
+
+    private void follow(String prefix, StoreListener listener) {
+        StoreFollower follower =
+                new StoreFollower(loop, config.store(), prefix, adapter.store(), listener, log, random);
+        loop.execute(follower::start);
+    }
+
     private void tick() {
         long nowNanos = System.nanoTime();
         forwarder.tick(nowNanos);
         callers.tick(nowNanos);
+        shutdown.tick(nowNanos);
+        if (isReady()) {
+            peers.join(nowNanos);
+        }
+        peers.tick(nowNanos);
+        forwarder.sharedBy(peers.hostCount());
     }
 
     private boolean isReady() {
-        return forwarder.hasSettings() && serversKnown && !draining;
+        return forwarder.hasSettings() && fleet.areServersKnown() && !shutdown.hasBegun();
+    }
+
+    // Fleet
+
+    @Override
+    public void onSettings(GatewaySettings settings) {
+        forwarder.apply(settings);
+        callers.limitsChanged(settings.callerLimits());
+    }
+
+    @Override
+    public void onServersChanged() {
+        forwarder.serversChanged();
+    }
+
+    // Other hosts
+
+    private PeerMessage.WorkReport report() {
+        return new PeerMessage.WorkReport(
+                ++reports, fleet.settings().revision(), fleet.servers().revision(), forwarder.ownWork());
+    }
+
+    @Override
+    public void onWork(HostId host, List<PlacedWork> work) {
+        forwarder.peerWork(host, work);
     }
 
+    @Override
+    public void onHostGone(HostId host) {
+        forwarder.peerWork(host, List.of());
+    }
+
+    @Override
+    public void onNewerItems(Peer peer, long settingsRevision, long serversRevision) {
+        InetSocketAddress address =
+                new InetSocketAddress(peer.address().address(), config.copies().getPort());
+        settingsReader.newerAt(address, settingsRevision);
+        serversReader.newerAt(address, serversRevision);
+    }
+
+    // Small answers
+
     private FullHttpResponse answerReadiness(HttpRequest request) {
         if (!adapter.operator().asksForReadiness(request)) {
             return empty(HttpResponseStatus.NOT_FOUND);
@@ -97,89 +173,33 @@
         if (!adapter.operator().asksForHosts(request)) {
             return empty(HttpResponseStatus.NOT_FOUND);
         }
-        if (!isReady()) {
+        List<InetSocketAddress> addresses = new ArrayList<>();
+        if (isReady()) {
+            addresses.add(config.callers());
+        }
+        for (Peer peer : peers.serving(System.nanoTime())) {
+            addresses.add(new InetSocketAddress(
+                    peer.address().address(), config.callers().getPort()));
+        }
+        if (addresses.isEmpty()) {
             return empty(HttpResponseStatus.SERVICE_UNAVAILABLE);
         }
-        return adapter.operator().hosts(List.of(config.callers()), KEEP_SECONDS);
+        return adapter.operator().hosts(addresses, KEEP_SECONDS);
     }
 
-    private static FullHttpResponse empty(HttpResponseStatus status) {
-        return new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
+    private FullHttpResponse answerCopy(HttpRequest request) {
+        return switch (request.uri()) {
+            case CopyReader.PATH + SETTINGS_COPY -> bytes(fleet.settings().encode());
+            case CopyReader.PATH + SERVERS_COPY -> bytes(fleet.servers().encode());
+            default -> empty(HttpResponseStatus.NOT_FOUND);
+        };
     }
 
-    /** Puts settings into force as they are read. */
-    private final class SettingsListener implements StoreListener {
-        @Override
-        public void onChanged(List<Item> items) {
-            for (Item item : items) {
-                if (adapter.fleet().isSettings(item.key()) && item.value().isPresent()) {
-                    read(item.value().get());
-                }
-            }
-        }
-
-        private void read(byte[] value) {
-            Result<GatewaySettings> read = adapter.fleet().decodeSettings(value);
-            if (read instanceof Result.Ok<GatewaySettings> ok) {
-                forwarder.apply(ok.value());
-                callers.limitsChanged(ok.value().callerLimits());
-            } else if (read instanceof Result.Failed<GatewaySettings> failed) {
-                log.warn(Part.SETTINGS, "settingsUnreadable")
-                        .text("reason", failed.problem().detail())
-                        .write();
-            }
-        }
-
-        @Override
-        public void onCaughtUp(long revision) {}
-
-        @Override
-        public void onReachable(boolean reachable) {}
-    }
-
-    /** Keeps the backend servers as they are registered. */
-    private final class ServersListener implements StoreListener {
-        @Override
-        public void onChanged(List<Item> items) {
-            for (Item item : items) {
-                if (item.value().isPresent()) {
-                    put(item.key(), item.value().get());
-                } else {
-                    remove(item.key());
-                }
-            }
-            forwarder.serversChanged();
-        }
-
-        private void put(String key, byte[] value) {
-            Result<BackendServer> read = adapter.fleet().decodeServer(key, value);
-            if (read instanceof Result.Ok<BackendServer> ok) {
-                pools.put(ok.value());
-                log.info(Part.MEMBER, "serverRegistered")
-                        .text("server", ok.value().id())
-                        .text("leaving", ok.value().isLeaving())
-                        .write();
-            } else if (read instanceof Result.Failed<BackendServer> failed) {
-                log.warn(Part.MEMBER, "serverUnreadable")
-                        .text("key", key)
-                        .text("reason", failed.problem().detail())
-                        .write();
-                remove(key);
-            }
-        }
-
-        private void remove(String key) {
-            BackendServerId id = BackendServerId.of(adapter.fleet().serverName(key));
-            pools.remove(id);
-            log.info(Part.MEMBER, "serverRemoved").text("server", id).write();
-        }
-
-        @Override
-        public void onCaughtUp(long revision) {
-            serversKnown = true;
-        }
+    private static FullHttpResponse bytes(byte[] body) {
+        return new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, Unpooled.wrappedBuffer(body));
+    }
 
-        @Override
-        public void onReachable(boolean reachable) {}
+    private static FullHttpResponse empty(HttpResponseStatus status) {
+        return new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
     }
 }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerServer.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerServer.java
@@ -1,8 +1,11 @@
 package io.figspan.gateway.caller;
 
+import io.figspan.core.error.Problem;
+import io.figspan.core.error.ProblemKind;
 import io.figspan.gateway.forward.CallerExchange;
 import io.figspan.gateway.forward.ForwardCall;
 import io.figspan.gateway.forward.Forwarder;
+import io.figspan.gateway.forward.ProblemResponses;
 import io.figspan.gateway.http.Channels;
 import io.figspan.gateway.protocol.CallerProtocol;
 import io.figspan.settings.gateway.CallerLimits;
@@ -30,12 +33,16 @@
     /** Connections that wait to be accepted while the process is busy. */
     private static final int BACKLOG = 1_024;
 
+    /** Time to come back for callers that may go to another host at once. */
+    private static final long ELSEWHERE_RETRY_MS = 20;
+
     private final EventLoop loop;
     private final Forwarder forwarder;
     private final CallerProtocol protocol;
     private final Set<CallerConnection> connections = new HashSet<>();
     private CallerLimits limits = CallerLimits.DEFAULT;
     private boolean draining;
+    private boolean refusing;
     private Channel listener;
 
     public CallerServer(EventLoop loop, Forwarder forwarder, CallerProtocol protocol) {
@@ -82,13 +89,15 @@
     }
 
     /** From now on each answer closes its connection. */
-    public void drain() {
+    public void closeAfterAnswers() {
         draining = true;
-        new ArrayList<>(connections).forEach(CallerConnection::closeIfIdle);
     }
 
-    public void stopListening() {
+    /** From now on new requests are sent elsewhere, and connections without one are closed. */
+    public void refuseNew() {
+        refusing = true;
         Channels.close(listener);
+        new ArrayList<>(connections).forEach(CallerConnection::closeIfIdle);
     }
 
     /** Number of connections with a request in progress. */
@@ -106,6 +115,12 @@
     }
 
     Optional<ForwardCall> accept(HttpRequest head, ByteBuf body, CallerExchange exchange) {
+        if (refusing) {
+            body.release();
+            Problem problem = Problem.notRun(ProblemKind.SHUTTING_DOWN, "this host is shutting down");
+            exchange.answer(ProblemResponses.of(problem.withRetryAfterMs(ELSEWHERE_RETRY_MS)));
+            return Optional.empty();
+        }
         return forwarder.accept(protocol.decode(head), body, exchange);
     }
 
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
@@ -279,6 +279,7 @@
         private BackendAnswer answer;
         private ByteBuf whole = Unpooled.EMPTY_BUFFER;
         private boolean streams;
+        private long pieces;
         private boolean discarded;
 
         Attempt(BackendServerId server, HttpConnection connection, long sentNanos) {
@@ -342,6 +343,8 @@
                 lastEventId = id;
             }
             events++;
+            pieces++;
+            lane.pieceArrived(job, pieces, System.nanoTime());
             caller.write(event);
             if (!caller.isWritable()) {
                 connection.setReading(false);
@@ -353,7 +356,6 @@
                 return;
             }
             answerBegun = true;
-            lane.answerBegan(job, System.nanoTime());
             log("answerBegan")
                     .text("server", server)
                     .number("afterMs", TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - job.arrivedNanos()))
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
@@ -3,25 +3,31 @@
 import io.figspan.core.error.Problem;
 import io.figspan.core.error.ProblemKind;
 import io.figspan.core.event.Part;
+import io.figspan.core.id.HostId;
 import io.figspan.core.id.ServiceId;
 import io.figspan.core.id.SettingsVersion;
 import io.figspan.core.time.Deadline;
+import io.figspan.core.work.PlacedWork;
 import io.figspan.gateway.backend.BackendPools;
 import io.figspan.gateway.backend.BackendServer;
 import io.figspan.gateway.log.DecisionLog;
 import io.figspan.gateway.protocol.BackendProtocol;
 import io.figspan.gateway.protocol.CallerProtocol;
 import io.figspan.gateway.protocol.CallerRequest;
+import io.figspan.policy.placing.EnginePlacer;
 import io.figspan.policy.placing.Job;
 import io.figspan.policy.placing.LeastBusyPlacer;
+import io.figspan.policy.placing.Placer;
 import io.figspan.policy.placing.Placer.ServerSeat;
 import io.figspan.policy.retry.WindowedRetryBudget;
 import io.figspan.policy.route.KeyIndex;
 import io.figspan.policy.route.RouteTable;
 import io.figspan.policy.route.ServiceChoice;
+import io.figspan.settings.gateway.EngineProfile;
 import io.figspan.settings.gateway.GatewaySettings;
 import io.figspan.settings.gateway.OrganisationKeys;
 import io.figspan.settings.gateway.Route;
+import io.figspan.settings.gateway.ServiceProfile;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
@@ -29,6 +35,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
 /** Takes the requests of callers, finds where they go and hands them to their service. */
@@ -47,6 +55,7 @@
     private final RandomGenerator random;
     private final RetryAllowance allowance;
     private final Map<ServiceId, ServiceLane> lanes = new HashMap<>();
+    private Runnable workListener = () -> {};
     private GatewaySettings settings;
     private RouteTable routes = new RouteTable(List.of());
     private KeyIndex keys = new KeyIndex(List.of());
@@ -84,6 +93,7 @@
         settings = newer;
         routes = new RouteTable(newer.routes());
         keys = new KeyIndex(newer.organisations());
+        serversChanged();
     }
 
     public SettingsVersion settingsVersion() {
@@ -96,6 +106,9 @@
 
     /** Tells the lanes which servers take new work. */
     public void serversChanged() {
+        if (settings == null) {
+            return;
+        }
         Map<ServiceId, List<ServerSeat>> seats = new HashMap<>();
         for (BackendServer server : pools.all()) {
             List<ServerSeat> ofService = seats.computeIfAbsent(server.service(), ignored -> new ArrayList<>());
@@ -145,14 +158,15 @@
         long allowedMs = Math.min(request.waitMs().orElse(route.timeoutMs()), route.timeoutMs());
         int rank = organisation
                 .map(OrganisationKeys::rank)
-                .filter(java.util.OptionalInt::isPresent)
-                .map(java.util.OptionalInt::getAsInt)
+                .filter(OptionalInt::isPresent)
+                .map(OptionalInt::getAsInt)
                 .orElse(route.rank());
         Job job = new Job(
                 request.attemptId(),
                 nowNanos,
                 Deadline.after(nowNanos, allowedMs),
-                java.util.concurrent.TimeUnit.MILLISECONDS.toNanos(route.targetLatencyMs()),
+                TimeUnit.MILLISECONDS.toNanos(route.targetLatencyMs()),
+                TimeUnit.MILLISECONDS.toNanos(route.maxGapMs()),
                 rank,
                 request.prompt());
         ServiceLane lane = lane(service);
@@ -180,8 +194,41 @@
                 service,
                 ignored -> new ServiceLane(
                         service,
-                        new LeastBusyPlacer(random),
-                        new WindowedRetryBudget(allowance.fraction(), allowance.allowance(), allowance.windowMs())));
+                        newPlacer(service),
+                        new WindowedRetryBudget(allowance.fraction(), allowance.allowance(), allowance.windowMs()),
+                        () -> workListener.run()));
+    }
+
+    private Placer newPlacer(ServiceId service) {
+        Optional<EngineProfile> engine =
+                Optional.ofNullable(settings.services().get(service)).flatMap(ServiceProfile::engine);
+        return engine.<Placer>map(EnginePlacer::new).orElseGet(() -> new LeastBusyPlacer(random));
+    }
+
+    /** All that this host has at model engines. */
+    public List<PlacedWork> ownWork() {
+        long nowNanos = System.nanoTime();
+        return lanes.values().stream()
+                .flatMap(lane -> lane.ownWork(nowNanos).stream())
+                .toList();
+    }
+
+    /** All that another host has at model engines now; an empty list when the host is gone. */
+    public void peerWork(HostId host, List<PlacedWork> work) {
+        long nowNanos = System.nanoTime();
+        for (ServiceLane lane : lanes.values()) {
+            lane.peerWork(host, work, nowNanos);
+        }
+    }
+
+    /** The number of hosts that share the budgets of retries. */
+    public void sharedBy(int hostCount) {
+        lanes.values().forEach(lane -> lane.budget().sharedBy(hostCount));
+    }
+
+    /** Called when this host's work at model engines has changed. */
+    public void onWorkChanged(Runnable listener) {
+        workListener = listener;
     }
 
     /** Runs what is due in all lanes. */
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceLane.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceLane.java
@@ -1,6 +1,8 @@
 package io.figspan.gateway.forward;
 
+import io.figspan.core.id.HostId;
 import io.figspan.core.id.ServiceId;
+import io.figspan.core.work.PlacedWork;
 import io.figspan.policy.placing.Job;
 import io.figspan.policy.placing.Placement;
 import io.figspan.policy.placing.Placer;
@@ -16,12 +18,14 @@
     private final ServiceId service;
     private final Placer placer;
     private final WindowedRetryBudget budget;
+    private final Runnable workListener;
     private final Map<Job, ForwardCall> calls = new HashMap<>();
 
-    ServiceLane(ServiceId service, Placer placer, WindowedRetryBudget budget) {
+    ServiceLane(ServiceId service, Placer placer, WindowedRetryBudget budget, Runnable workListener) {
         this.service = service;
         this.placer = placer;
         this.budget = budget;
+        this.workListener = workListener;
     }
 
     ServiceId service() {
@@ -46,12 +50,24 @@
         carryOut(placer.arrived(job, nowNanos));
     }
 
-    void answerBegan(Job job, long nowNanos) {
-        placer.answerBegan(job, nowNanos);
+    void pieceArrived(Job job, long pieces, long nowNanos) {
+        placer.pieceArrived(job, pieces, nowNanos);
+        if (pieces == 1) {
+            workListener.run();
+        }
+    }
+
+    void peerWork(HostId host, List<PlacedWork> work, long nowNanos) {
+        carryOut(placer.peerWork(host, work, nowNanos));
+    }
+
+    List<PlacedWork> ownWork(long nowNanos) {
+        return placer.ownWork(nowNanos);
     }
 
     void ended(Job job, EndOfWork end, long nowNanos) {
         carryOut(placer.ended(job, end, nowNanos));
+        workListener.run();
     }
 
     /** The call needs no placement any more. */
@@ -71,5 +87,8 @@
                 call.onPlacement(placement);
             }
         }
+        if (!placements.isEmpty()) {
+            workListener.run();
+        }
     }
 }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/store/StoreListener.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/store/StoreListener.java
@@ -5,12 +5,9 @@
 
 /** Hears of the items under one prefix. */
 public interface StoreListener {
-    /** Items were written, or removed when they have no value; the oldest change comes first. */
-    void onChanged(List<Item> items);
-
-    /** All changes up to a revision were told. */
-    void onCaughtUp(long revision);
+    /** These are all items as of a revision, or of later ones. */
+    void onWhole(List<Item> items, long revision);
 
-    /** The store was lost or regained. */
-    void onReachable(boolean reachable);
+    /** Items were written, or removed when they have no value; the oldest change comes first. May be empty. */
+    void onChanged(List<Item> items);
 }
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/Job.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/Job.java
@@ -12,6 +12,7 @@
     private final long arrivedNanos;
     private final Deadline deadline;
     private final long targetLatencyNanos;
+    private final long maxGapNanos;
     private final int rank;
     private final Optional<PromptShape> prompt;
     private final Set<BackendServerId> tried = new HashSet<>();
@@ -23,6 +24,7 @@
      * @param arrivedNanos when the request was received
      * @param deadline when the caller, or the route, gives up
      * @param targetLatencyNanos time from the arrival within which the answer is worth the most
+     * @param maxGapNanos longest pause within the answer with which it is on time; 0 when there is none
      * @param rank urgency, 0 first
      * @param prompt lengths of the prompt, when there is one
      */
@@ -31,12 +33,14 @@
             long arrivedNanos,
             Deadline deadline,
             long targetLatencyNanos,
+            long maxGapNanos,
             int rank,
             Optional<PromptShape> prompt) {
         this.requestId = requestId;
         this.arrivedNanos = arrivedNanos;
         this.deadline = deadline;
         this.targetLatencyNanos = targetLatencyNanos;
+        this.maxGapNanos = maxGapNanos;
         this.rank = rank;
         this.prompt = prompt;
     }
@@ -57,6 +61,10 @@
         return targetLatencyNanos;
     }
 
+    public long maxGapNanos() {
+        return maxGapNanos;
+    }
+
     public int rank() {
         return rank;
     }
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/LeastBusyPlacer.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/LeastBusyPlacer.java
@@ -71,9 +71,6 @@
         return List.of();
     }
 
-    @Override
-    public void answerBegan(Job job, long nowNanos) {}
-
     @Override
     public List<Placement> ended(Job job, EndOfWork end, long nowNanos) {
         ServerState server = placed.remove(job);
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/Placer.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/Placer.java
@@ -1,6 +1,8 @@
 package io.figspan.policy.placing;
 
 import io.figspan.core.id.BackendServerId;
+import io.figspan.core.id.HostId;
+import io.figspan.core.work.PlacedWork;
 import java.util.List;
 
 /**
@@ -14,9 +16,6 @@
     /** A job waits for a server, also again after a server failed it. */
     List<Placement> arrived(Job job, long nowNanos);
 
-    /** The answer of a sent job has begun. */
-    void answerBegan(Job job, long nowNanos);
-
     /** A job that was sent is no longer at its server. */
     List<Placement> ended(Job job, EndOfWork end, long nowNanos);
 
@@ -26,6 +25,19 @@
     /** Runs what is due; the driver calls it every few milliseconds while jobs wait. */
     List<Placement> tick(long nowNanos);
 
+    /** A piece of a sent job's answer has arrived; {@code pieces} have so far. */
+    default void pieceArrived(Job job, long pieces, long nowNanos) {}
+
+    /** All that another host has at the servers now; an empty list when the host is gone. */
+    default List<Placement> peerWork(HostId host, List<PlacedWork> work, long nowNanos) {
+        return List.of();
+    }
+
+    /** All that this host has at the servers, for the other hosts. */
+    default List<PlacedWork> ownWork(long nowNanos) {
+        return List.of();
+    }
+
     /** Number of jobs that wait. */
     int waiting();
 
--- a/figspan-wire/src/main/java/io/figspan/wire/MessageKind.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/MessageKind.java
@@ -24,7 +24,8 @@
     FORWARD_ORDER(13, PeerMessage.ForwardOrder.class),
     OUTCOME_QUERY(14, PeerMessage.OutcomeQuery.class),
     ORDER_OUTCOME(15, PeerMessage.OrderOutcome.class),
-    SETTINGS_PART_PULL(16, PeerMessage.SettingsPartPull.class);
+    SETTINGS_PART_PULL(16, PeerMessage.SettingsPartPull.class),
+    WORK_REPORT(17, PeerMessage.WorkReport.class);
 
     /** Largest body of control messages, from the design page. */
     static final int MAX_CONTROL_BYTES = 65_536;
--- a/figspan-wire/src/main/java/io/figspan/wire/MessageReader.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/MessageReader.java
@@ -15,6 +15,7 @@
 import io.figspan.core.id.HostIncarnation;
 import io.figspan.core.id.OrganisationId;
 import io.figspan.core.id.SettingsVersion;
+import io.figspan.core.work.PlacedWork;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -57,6 +58,7 @@
                         OrganisationId.of(readString()),
                         unpacker.unpackLong(),
                         unpacker.unpackLong());
+            case WORK_REPORT -> readWorkReport();
             case FORWARD_ORDER ->
                 new PeerMessage.ForwardOrder(
                         unpacker.unpackLong(),
@@ -71,6 +73,51 @@
         };
     }
 
+    private PeerMessage.WorkReport readWorkReport() throws IOException {
+        long sequence = unpacker.unpackLong();
+        long settingsRevision = unpacker.unpackLong();
+        long serversRevision = unpacker.unpackLong();
+        List<BackendServerId> places = new ArrayList<>();
+        int placeCount = readCount();
+        for (int i = 0; i < placeCount; i++) {
+            places.add(BackendServerId.of(readString()));
+        }
+        List<PlacedWork> work = new ArrayList<>();
+        int workCount = readCount();
+        for (int i = 0; i < workCount; i++) {
+            work.add(readWork(places));
+        }
+        return new PeerMessage.WorkReport(sequence, settingsRevision, serversRevision, work);
+    }
+
+    private PlacedWork readWork(List<BackendServerId> places) throws IOException {
+        long id = unpacker.unpackLong();
+        BackendServerId server = readPlace(places);
+        List<BackendServerId> readers = new ArrayList<>();
+        int readerCount = readCount();
+        for (int i = 0; i < readerCount; i++) {
+            readers.add(readPlace(places));
+        }
+        return new PlacedWork(
+                id,
+                server,
+                readers,
+                unpacker.unpackLong(),
+                unpacker.unpackLong(),
+                unpacker.unpackLong(),
+                unpacker.unpackLong(),
+                unpacker.unpackLong(),
+                unpacker.unpackLong());
+    }
+
+    private BackendServerId readPlace(List<BackendServerId> places) throws IOException {
+        int place = unpacker.unpackInt();
+        if (place < 0 || place >= places.size()) {
+            throw new IOException("place " + place + " is outside the list of " + places.size() + " servers");
+        }
+        return places.get(place);
+    }
+
     private Piggyback readPiggyback() throws IOException {
         return new Piggyback(readVersion(), unpacker.unpackInt(), readUpdates(), readLeaving());
     }
--- a/figspan-wire/src/main/java/io/figspan/wire/MessageWriter.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/MessageWriter.java
@@ -8,9 +8,13 @@
 import io.figspan.cluster.message.PeerMessage;
 import io.figspan.cluster.message.Piggyback;
 import io.figspan.core.id.BackendIncarnation;
+import io.figspan.core.id.BackendServerId;
 import io.figspan.core.id.HostIncarnation;
+import io.figspan.core.work.PlacedWork;
 import java.io.IOException;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import org.msgpack.core.MessagePacker;
 
 /** Writes the fields of messages in the order of their records. */
@@ -32,6 +36,7 @@
             case SETTINGS_OFFER, SETTINGS_PULL, SETTINGS_MANIFEST, SETTINGS_PART, SETTINGS_PART_PULL ->
                 writeSettings(message);
             case LOAN_REQUEST, LOAN_GRANT -> writeLoan(message);
+            case WORK_REPORT -> writeWork((PeerMessage.WorkReport) message);
             case FORWARD_ORDER, OUTCOME_QUERY, ORDER_OUTCOME -> writeOrder(message);
             default -> throw new IOException("message kind has no encoding: " + message.getClass());
         }
@@ -104,6 +109,41 @@
         }
     }
 
+    /** Engines are named once, in a list that the requests refer to by place. */
+    private void writeWork(PeerMessage.WorkReport report) throws IOException {
+        packer.packLong(report.sequence());
+        packer.packLong(report.settingsRevision());
+        packer.packLong(report.serversRevision());
+        Map<BackendServerId, Integer> places = new LinkedHashMap<>();
+        for (PlacedWork work : report.work()) {
+            places.putIfAbsent(work.server(), places.size());
+            work.readers().forEach(reader -> places.putIfAbsent(reader, places.size()));
+        }
+        packer.packArrayHeader(places.size());
+        for (BackendServerId server : places.keySet()) {
+            packer.packString(server.value());
+        }
+        packer.packArrayHeader(report.work().size());
+        for (PlacedWork work : report.work()) {
+            writeWork(work, places);
+        }
+    }
+
+    private void writeWork(PlacedWork work, Map<BackendServerId, Integer> places) throws IOException {
+        packer.packLong(work.id());
+        packer.packInt(places.get(work.server()));
+        packer.packArrayHeader(work.readers().size());
+        for (BackendServerId reader : work.readers()) {
+            packer.packInt(places.get(reader));
+        }
+        packer.packLong(work.promptTokens());
+        packer.packLong(work.outputTokens());
+        packer.packLong(work.writtenTokens());
+        packer.packLong(work.sentAgoMs());
+        packer.packLong(work.dueInMs());
+        packer.packLong(work.maxGapMs());
+    }
+
     private void writeOrder(PeerMessage message) throws IOException {
         if (message instanceof PeerMessage.ForwardOrder order) {
             packer.packLong(order.correlationId());
--- a/figspan-wire/src/test/java/io/figspan/wire/FrameCodecProperties.java
+++ b/figspan-wire/src/test/java/io/figspan/wire/FrameCodecProperties.java
@@ -20,6 +20,7 @@
 import io.figspan.core.id.OrganisationId;
 import io.figspan.core.id.SettingsVersion;
 import io.figspan.core.time.HybridTimestamp;
+import io.figspan.core.work.PlacedWork;
 import java.util.List;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -58,7 +59,32 @@
             new PeerMessage.LoanGrant(3, OrganisationId.of("org"), 500, 2_000),
             new PeerMessage.ForwardOrder(4, "ticket", "org", "request", 1_500, SOME),
             new PeerMessage.OutcomeQuery(5, "ticket", "org"),
-            new PeerMessage.OrderOutcome(5, 200, "application/json", SOME));
+            new PeerMessage.OrderOutcome(5, 200, "application/json", SOME),
+            new PeerMessage.WorkReport(6, 410, 512, List.of(placed("engine-1"), placed("engine-2"))));
+
+    private static PlacedWork placed(String server) {
+        List<BackendServerId> readers = List.of(BackendServerId.of("engine-2"), BackendServerId.of("engine-3"));
+        return new PlacedWork(7, BackendServerId.of(server), readers, 154_000, 800, 51, 1_200, -40, 1_000);
+    }
+
+    @Test
+    void aDatagramNamesItsSender() {
+        Peer sender = new Peer(HOST, AvailabilityZoneId.of("az-b"), new PeerAddress("127.0.0.1", 7_340));
+        for (PeerMessage message : ONE_OF_EACH) {
+            DatagramCodec.Received received = DatagramCodec.decode(DatagramCodec.encode(sender, message));
+            assertEquals(sender, received.from());
+            assertEquals(message, received.message());
+        }
+    }
+
+    @Property(seed = "13")
+    void randomDatagramsAreOnlyEverRefused(@ForAll @Size(min = 1, max = 200) byte[] datagram) {
+        try {
+            DatagramCodec.decode(datagram);
+        } catch (FigspanException refusal) {
+            assertEquals(ProblemKind.FRAME_REFUSED, refusal.kind());
+        }
+    }
 
     @Test
     void eachKindOfMessageIsReadAsItWasWritten() {
@@ -78,7 +104,7 @@
 
     @Property(seed = "12")
     void messagesWithChangedBytesAreReadOrRefused(
-            @ForAll @IntRange(max = 15) int kind, @ForAll @IntRange(max = 400) int position, @ForAll byte value) {
+            @ForAll @IntRange(max = 16) int kind, @ForAll @IntRange(max = 400) int position, @ForAll byte value) {
         byte[] body = FrameCodec.encode(ONE_OF_EACH.get(kind), HybridTimestamp.ZERO);
         body[position % body.length] = value;
         decodeOrRefuse(body);
