Plan first tokens to come well before they are due

Cause: most longest prompts were planned to be read just before their aim, so a small error made them late.

--- a/figspan-policy/src/main/java/io/figspan/policy/engine/PassSimulation.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/engine/PassSimulation.java
@@ -374,6 +374,7 @@
 
     /** Runs until all reading is done; notes when the task with the key is, and what the others lose. */
     private Forecast runOut(long key, LateRisk risk) {
+        double nowMs = timeMs;
         double doneMs = timeMs;
         double harm = 0;
         for (int pass = 0; pass < MAX_FORECAST_PASSES && !reading.isEmpty(); pass++) {
@@ -394,7 +395,7 @@
                 if (task.key == key) {
                     doneMs = timeMs;
                 } else if (task.writesHere) {
-                    harm += task.traits.worth() * risk.ofFirstToken(timeMs, task.traits.dueMs());
+                    harm += task.traits.worth() * risk.ofFirstToken(timeMs, task.traits.dueMs(), nowMs);
                 }
             }
         }
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/ReadPlanner.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/ReadPlanner.java
@@ -94,14 +94,14 @@
                 loss += candidate.forecast().harm() + LOSS_PER_READER;
             }
         }
-        loss += wanted.worth() * risk.ofFirstToken(doneMs, wanted.dueMs());
+        loss += wanted.worth() * risk.ofFirstToken(doneMs, wanted.dueMs(), nowMs);
         return new ReadPlan(first.seat(), chosen, doneMs, loss);
     }
 
     private Candidate candidate(EngineSeat seat, ReadShare share, Wanted wanted, double nowMs) {
         Forecast forecast = seat.simulation().forecast(share, risk, nowMs);
         double loss = forecast.harm()
-                + wanted.worth() * risk.ofFirstToken(forecast.doneMs(), wanted.dueMs())
+                + wanted.worth() * risk.ofFirstToken(forecast.doneMs(), wanted.dueMs(), nowMs)
                 + (forecast.doneMs() - nowMs) * LOSS_PER_MS;
         return new Candidate(seat, forecast, loss);
     }
