--- a/figspan-gateway/src/main/java/io/figspan/gateway/log/DecisionLog.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/log/DecisionLog.java
@@ -21,7 +21,10 @@
     /** Lines of one event in a second; above the requests that one host of the design scale takes. */
     static final int MAX_LINES_PER_SECOND = 60;
 
-    private static final Logger LOG = LoggerFactory.getLogger("figspan");
+    /** Name of the logger whose lines are JSON. */
+    static final String LOGGER_NAME = "figspan";
+
+    private static final Logger LOG = LoggerFactory.getLogger(LOGGER_NAME);
     private static final JsonFactory JSON = new JsonFactory();
 
     private final Map<String, Window> windows = new HashMap<>();
--- /dev/null
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/log/LogSetup.java
@@ -0,0 +1,39 @@
+package io.figspan.gateway.log;
+
+import ch.qos.logback.classic.AsyncAppender;
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.spi.Configurator;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.ConsoleAppender;
+import ch.qos.logback.core.spi.ContextAwareBase;
+
+/**
+ * Sends log lines to standard output through a bounded queue. When the queue is full, lines are dropped instead of
+ * blocking. It is code rather than a file, which starts faster.
+ */
+public final class LogSetup extends ContextAwareBase implements Configurator {
+    /** Lines that wait for standard output; some seconds of a busy host. */
+    private static final int QUEUE_LINES = 2_048;
+
+    @Override
+    public ExecutionStatus configure(LoggerContext context) {
+        LineEncoder encoder = new LineEncoder();
+        encoder.setContext(context);
+        encoder.start();
+        ConsoleAppender<ILoggingEvent> console = new ConsoleAppender<>();
+        console.setContext(context);
+        console.setEncoder(encoder);
+        console.start();
+        AsyncAppender queue = new AsyncAppender();
+        queue.setContext(context);
+        queue.setQueueSize(QUEUE_LINES);
+        queue.setNeverBlock(true);
+        queue.addAppender(console);
+        queue.start();
+        context.getLogger("io.netty").setLevel(Level.ERROR);
+        context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME).setLevel(Level.INFO);
+        context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME).addAppender(queue);
+        return ExecutionStatus.DO_NOT_INVOKE_NEXT_IF_ANY;
+    }
+}
