--- a/figspan-control/src/main/java/io/figspan/control/hold/HoldLedger.java
+++ b/figspan-control/src/main/java/io/figspan/control/hold/HoldLedger.java
@@ -50,9 +50,18 @@
         HoldHandle handle = new HoldHandle(self, nextSequence);
         nextSequence++;
         long expiryNanos = requestDeadline.atNanos() + TimeUnit.MILLISECONDS.toNanos(config.graceMs());
-        entries.put(handle, new Entry(engine, expiryNanos));
-        long timeLeftMs = new Deadline(expiryNanos).leftMs(nowNanos);
-        return Result.ok(new HoldAction.Reserve(engine, handle, tokens, timeLeftMs));
+        Entry entry = new Entry(engine, tokens, expiryNanos);
+        entries.put(handle, entry);
+        return Result.ok(reserveNow(handle, entry, nowNanos));
+    }
+
+    private HoldAction.Reserve reserveNow(HoldHandle handle, Entry entry, long nowNanos) {
+        long timeLeftMs = new Deadline(entry.expiryNanos).leftMs(nowNanos);
+        if (config.hasLeases()) {
+            timeLeftMs = Math.min(timeLeftMs, config.leaseMs());
+            entry.nextRenewalNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(config.renewAfterMs());
+        }
+        return new HoldAction.Reserve(entry.engine, handle, entry.tokens, timeLeftMs);
     }
 
     /** The engine holds the memory. Returns a release when the hold is no longer wanted. */
@@ -86,7 +95,7 @@
         }
     }
 
-    /** Repeats unconfirmed releases and forgets holds that the engines have returned by themselves. */
+    /** Renews leases, repeats unconfirmed releases and forgets holds that the engines have returned by themselves. */
     public List<HoldAction> onTick(long nowNanos) {
         List<HoldAction> actions = new ArrayList<>();
         for (HoldHandle handle : List.copyOf(entries.keySet())) {
@@ -97,6 +106,8 @@
                 move(handle, HoldEvent.EXPIRED);
             } else if (entry.isReleasing() && nowNanos - entry.nextReleaseNanos >= 0) {
                 actions.addAll(sendReleaseIfReleasing(handle, nowNanos));
+            } else if (isRenewalDue(entry, nowNanos)) {
+                actions.add(reserveNow(handle, entry, nowNanos));
             }
         }
         return actions;
@@ -131,6 +142,10 @@
 
     // Steps
 
+    private boolean isRenewalDue(Entry entry, long nowNanos) {
+        return config.hasLeases() && entry.state == HoldState.HELD && nowNanos - entry.nextRenewalNanos >= 0;
+    }
+
     private boolean isReplaced(HostIncarnation owner, Map<HostId, HostIncarnation> newest) {
         HostIncarnation known = newest.get(owner.host());
         return self.supersedes(owner) || (known != null && known.supersedes(owner));
@@ -166,13 +181,16 @@
 
     private static final class Entry {
         private final BackendIncarnation engine;
+        private final long tokens;
         private final long expiryNanos;
         private HoldState state = CHART.initial();
         private int backoffFactor;
         private long nextReleaseNanos;
+        private long nextRenewalNanos;
 
-        Entry(BackendIncarnation engine, long expiryNanos) {
+        Entry(BackendIncarnation engine, long tokens, long expiryNanos) {
             this.engine = engine;
+            this.tokens = tokens;
             this.expiryNanos = expiryNanos;
         }
 
--- a/figspan-core/src/main/java/io/figspan/core/work/PlacedWork.java
+++ b/figspan-core/src/main/java/io/figspan/core/work/PlacedWork.java
@@ -11,7 +11,7 @@
  *
  * @param id names the request among those of its host
  * @param server the engine that runs it
- * @param readers engines that read parts of its prompt
+ * @param readers engines that read parts of its prompt or hold parts of its memory
  * @param promptTokens length of the prompt
  * @param outputTokens expected length of the answer
  * @param writtenTokens length of the answer so far; 0 while the prompt is read
@@ -22,7 +22,7 @@
 public record PlacedWork(
         long id,
         BackendServerId server,
-        List<BackendServerId> readers,
+        List<PlacedReader> readers,
         long promptTokens,
         long outputTokens,
         long writtenTokens,
--- a/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
@@ -4,8 +4,10 @@
 import io.figspan.cluster.message.PeerMessage;
 import io.figspan.core.event.Part;
 import io.figspan.core.id.HostId;
+import io.figspan.core.id.HostIncarnation;
 import io.figspan.core.work.PlacedWork;
 import io.figspan.gateway.backend.BackendPools;
+import io.figspan.gateway.backend.MemoryHolds;
 import io.figspan.gateway.caller.CallerServer;
 import io.figspan.gateway.fleet.FleetState;
 import io.figspan.gateway.forward.Forwarder;
@@ -51,6 +53,7 @@
     private final EventLoop loop = new NioEventLoopGroup(1, new DefaultThreadFactory("gateway")).next();
     private final DecisionLog log = new DecisionLog();
     private final BackendPools pools = new BackendPools(loop);
+    private final MemoryHolds holds;
     private final FleetState fleet;
     private final Forwarder forwarder;
     private final CallerServer callers;
@@ -64,12 +67,15 @@
         this.config = config;
         this.adapter = adapter;
         this.random = random;
+        HostIncarnation self = new HostIncarnation(config.host(), System.currentTimeMillis());
+        this.holds = new MemoryHolds(loop, pools, adapter.backends(), log, self);
         this.fleet = new FleetState(adapter.fleet(), pools, log, this);
         this.forwarder = new Forwarder(
                 loop,
                 adapter.callers(),
                 adapter.backends(),
                 pools,
+                holds,
                 log,
                 random,
                 new Forwarder.RetryAllowance(config.retryFraction(), config.retryAllowance(), config.retryWindowMs()));
@@ -109,6 +115,7 @@
     private void tick() {
         long nowNanos = System.nanoTime();
         forwarder.tick(nowNanos);
+        holds.tick(nowNanos);
         callers.tick(nowNanos);
         shutdown.tick(nowNanos);
         if (isReady()) {
--- a/figspan-gateway/src/main/java/io/figspan/gateway/fleet/FleetState.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/fleet/FleetState.java
@@ -131,6 +131,7 @@
             log.info(Part.MEMBER, "serverRegistered")
                     .text("server", server.id())
                     .text("service", server.service())
+                    .text("address", server.address())
                     .text("leaving", server.isLeaving())
                     .number("revision", item.revision())
                     .write();
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
@@ -5,7 +5,10 @@
 import io.figspan.core.event.Part;
 import io.figspan.core.id.BackendServerId;
 import io.figspan.core.id.OrganisationId;
+import io.figspan.core.work.PlacedReader;
 import io.figspan.gateway.backend.BackendServer;
+import io.figspan.gateway.backend.HoldGroup;
+import io.figspan.gateway.backend.MemoryHolds.HoldWanted;
 import io.figspan.gateway.http.ConnectionFailure;
 import io.figspan.gateway.http.EventSplitter;
 import io.figspan.gateway.http.ExchangeListener;
@@ -27,7 +30,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -38,6 +41,12 @@
  * answer on, and sends again where that is allowed. All methods run on the event loop.
  */
 public final class ForwardCall {
+    /** Attempts to get memory at several engines before the request is refused. */
+    private static final int MAX_RESERVATIONS = 3;
+
+    /** Requests of the longest prompts are done within a few seconds. */
+    private static final long MEMORY_RETRY_MS = 1_000;
+
     private final Forwarder forwarder;
     private final ServiceLane lane;
     private final Route route;
@@ -49,6 +58,7 @@
     private ScheduledFuture<?> timer;
     private Attempt attempt;
     private int attempts;
+    private int reservations;
     private boolean mayHaveRun;
     private boolean answerBegun;
     private boolean finished;
@@ -116,9 +126,51 @@
     }
 
     private void send(Placement.Send placement) {
+        List<HoldWanted> wanted = placement.readers().stream()
+                .filter(reader -> reader.heldTokens() > 0)
+                .map(reader -> new HoldWanted(reader.server(), reader.heldTokens()))
+                .toList();
+        if (wanted.isEmpty()) {
+            send(placement, HoldGroup.NONE);
+            return;
+        }
+        log("reserving")
+                .number("engines", wanted.size())
+                .text("why", placement.reason())
+                .write();
+        forwarder.holds().reserve(wanted, job.deadline(), group -> onHolds(placement, group));
+    }
+
+    private void onHolds(Placement.Send placement, HoldGroup group) {
+        if (finished) {
+            forwarder.holds().release(group);
+            return;
+        }
+        if (group.isComplete()) {
+            send(placement, group);
+            return;
+        }
+        forwarder.holds().release(group);
+        long nowNanos = System.nanoTime();
+        log("reservationFailed").text("reason", group.failure()).write();
+        lane.ended(job, EndOfWork.CANCELLED, nowNanos);
+        reservations++;
+        if (reservations < MAX_RESERVATIONS && !job.deadline().hasPassed(nowNanos)) {
+            job.tried().remove(placement.server());
+            lane.submit(this, job, nowNanos);
+        } else {
+            refuse(
+                    Problem.notRun(ProblemKind.OVERLOADED, "no memory for the prompt")
+                            .withRetryAfterMs(MEMORY_RETRY_MS),
+                    group.failure());
+        }
+    }
+
+    private void send(Placement.Send placement, HoldGroup group) {
         long nowNanos = System.nanoTime();
         Optional<BackendServer> server = forwarder.pools().find(placement.server());
         if (server.isEmpty() || job.deadline().hasPassed(nowNanos)) {
+            forwarder.holds().release(group);
             lane.ended(job, EndOfWork.CANCELLED, nowNanos);
             refuse(Problem.notRun(ProblemKind.DEADLINE_UNREACHABLE, "no time is left"), "placed too late");
             return;
@@ -133,24 +185,33 @@
                         "promptTokens",
                         job.prompt().map(PromptShape::promptTokens).orElse(0L))
                 .text("why", placement.reason())
+                .text(
+                        "readers",
+                        placement.readers().stream().map(PlacedReader::server).toList())
                 .write();
-        List<InetSocketAddress> readers = placement.readers().stream()
-                .map(forwarder.pools()::find)
-                .flatMap(Optional::stream)
-                .map(BackendServer::address)
-                .toList();
         HttpConnection connection = forwarder.pools().acquire(placement.server(), !route.mayRepeat(), nowNanos);
-        attempt = new Attempt(placement.server(), connection, nowNanos);
+        attempt = new Attempt(placement.server(), connection, nowNanos, group);
         Send send = new Send(
                 placement.server(),
                 job.deadline().leftMs(nowNanos),
                 organisation,
                 placement.urgency(),
-                readers,
+                readersOf(placement, group),
                 lastEventId);
         connection.send(forwarder.backendProtocol().encode(request, body.retainedDuplicate(), send), attempt);
     }
 
+    private List<Send.Reader> readersOf(Placement.Send placement, HoldGroup group) {
+        List<Send.Reader> readers = new ArrayList<>();
+        for (PlacedReader reader : placement.readers()) {
+            forwarder
+                    .pools()
+                    .find(reader.server())
+                    .ifPresent(server -> readers.add(new Send.Reader(server.address(), group.nameAt(reader.server()))));
+        }
+        return readers;
+    }
+
     // Ends
 
     private void timeIsOver() {
@@ -275,6 +336,7 @@
         private final HttpConnection connection;
         private final long sentNanos;
         private final EventSplitter splitter = new EventSplitter(Forwarder.MAX_EVENT_BYTES);
+        private final HoldGroup holds;
         private HttpResponse head;
         private BackendAnswer answer;
         private ByteBuf whole = Unpooled.EMPTY_BUFFER;
@@ -282,7 +344,8 @@
         private long pieces;
         private boolean discarded;
 
-        Attempt(BackendServerId server, HttpConnection connection, long sentNanos) {
+        Attempt(BackendServerId server, HttpConnection connection, long sentNanos, HoldGroup holds) {
+            this.holds = holds;
             this.server = server;
             this.connection = connection;
             this.sentNanos = sentNanos;
@@ -375,7 +438,7 @@
                 return;
             }
             if (answer.provesNotRun()) {
-                fail(AttemptEnd.TURNED_AWAY, "status " + answer.status());
+                fail(AttemptEnd.TURNED_AWAY, "status " + answer.status() + faultyServer());
             } else if (streams) {
                 completeStream();
             } else if (answer.isSuccess()) {
@@ -385,12 +448,17 @@
             }
         }
 
+        private String faultyServer() {
+            return answer.faultyServer().map(address -> " for " + address).orElse("");
+        }
+
         private void completeStream() {
             if (splitter.hasPartialEvent()) {
                 fail(AttemptEnd.BROKEN, "stream ended within an event");
                 return;
             }
             beginStream();
+            release();
             attempt = null;
             finish();
             log("answered")
@@ -425,7 +493,7 @@
         }
 
         private void failWith(FullHttpResponse failure) {
-            splitter.release();
+            release();
             attemptFailed(this, AttemptEnd.FAILED, "status " + answer.status(), Optional.of(failure));
         }
 
@@ -435,6 +503,7 @@
         }
 
         private void release() {
+            forwarder.holds().release(holds);
             splitter.release();
             whole.release();
             whole = Unpooled.EMPTY_BUFFER;
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
@@ -10,6 +10,7 @@
 import io.figspan.core.work.PlacedWork;
 import io.figspan.gateway.backend.BackendPools;
 import io.figspan.gateway.backend.BackendServer;
+import io.figspan.gateway.backend.MemoryHolds;
 import io.figspan.gateway.log.DecisionLog;
 import io.figspan.gateway.protocol.BackendProtocol;
 import io.figspan.gateway.protocol.CallerProtocol;
@@ -51,6 +52,7 @@
     private final CallerProtocol callerProtocol;
     private final BackendProtocol backendProtocol;
     private final BackendPools pools;
+    private final MemoryHolds holds;
     private final DecisionLog log;
     private final RandomGenerator random;
     private final RetryAllowance allowance;
@@ -68,6 +70,7 @@
             CallerProtocol callerProtocol,
             BackendProtocol backendProtocol,
             BackendPools pools,
+            MemoryHolds holds,
             DecisionLog log,
             RandomGenerator random,
             RetryAllowance allowance) {
@@ -75,6 +78,7 @@
         this.callerProtocol = callerProtocol;
         this.backendProtocol = backendProtocol;
         this.pools = pools;
+        this.holds = holds;
         this.log = log;
         this.random = random;
         this.allowance = allowance;
@@ -253,6 +257,10 @@
         return backendProtocol;
     }
 
+    MemoryHolds holds() {
+        return holds;
+    }
+
     BackendPools pools() {
         return pools;
     }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/http/WholeAnswer.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/http/WholeAnswer.java
@@ -41,26 +41,17 @@
     /** Sends a GET request. When it fails the connection is closed. */
     public static void get(
             EventLoop loop, HttpConnection connection, String target, long timeoutMs, Listener listener) {
-        send(loop, connection, HttpMethod.GET, target, Unpooled.EMPTY_BUFFER, timeoutMs, listener);
+        FullHttpRequest request =
+                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, target, Unpooled.EMPTY_BUFFER);
+        send(loop, connection, request, timeoutMs, listener);
     }
 
-    /** Sends a request with a body, which is taken over. When it fails the connection is closed. */
+    /** Sends a request, which is taken over. When it fails the connection is closed. */
     public static void send(
-            EventLoop loop,
-            HttpConnection connection,
-            HttpMethod method,
-            String target,
-            ByteBuf content,
-            long timeoutMs,
-            Listener listener) {
-        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, target, content);
+            EventLoop loop, HttpConnection connection, FullHttpRequest request, long timeoutMs, Listener listener) {
         String host = connection.address().getHostString() + ":"
                 + connection.address().getPort();
         request.headers().set(HttpHeaderNames.HOST, host);
-        if (content.isReadable()) {
-            request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
-            request.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
-        }
         connection.send(request, new WholeAnswer(loop, connection, listener, timeoutMs));
     }
 
--- a/figspan-gateway/src/main/java/io/figspan/gateway/protocol/BackendProtocol.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/protocol/BackendProtocol.java
@@ -1,5 +1,6 @@
 package io.figspan.gateway.protocol;
 
+import io.figspan.core.id.BackendServerId;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -10,4 +11,18 @@
     FullHttpRequest encode(CallerRequest request, ByteBuf body, Send send);
 
     BackendAnswer decode(HttpResponse head);
+
+    /**
+     * A request to hold memory for a prompt, or to hold it for longer.
+     *
+     * @param hold name of the hold; the same name again renews it
+     * @param leaseMs time after which the server gives the memory back by itself
+     */
+    FullHttpRequest reserve(BackendServerId server, String hold, long tokens, long leaseMs);
+
+    /** A request to give the memory of a hold back. */
+    FullHttpRequest release(BackendServerId server, String hold);
+
+    /** Whether the status says that the memory is held, or was given back. */
+    boolean isDone(int status);
 }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/protocol/Send.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/protocol/Send.java
@@ -15,7 +15,7 @@
  * @param waitMs time after which the server stops work
  * @param organisation whose request it is
  * @param urgency from 0, the most urgent, to 9
- * @param readers addresses of the servers that help to read the prompt
+ * @param readers the servers that help to read the prompt
  * @param lastEventId last event that the caller has; the answer goes on behind it
  */
 public record Send(
@@ -23,8 +23,11 @@
         long waitMs,
         Optional<OrganisationId> organisation,
         OptionalInt urgency,
-        List<InetSocketAddress> readers,
+        List<Reader> readers,
         OptionalLong lastEventId) {
+    /** A server that helps to read the prompt, and the name under which it holds memory for it. */
+    public record Reader(InetSocketAddress address, Optional<String> hold) {}
+
     public Send {
         readers = List.copyOf(readers);
     }
--- a/figspan-policy/src/main/java/io/figspan/policy/engine/PassSimulation.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/engine/PassSimulation.java
@@ -7,14 +7,24 @@
 
 /**
  * What one model engine does, as far as it follows from the requests that were sent to it. It runs passes. While
- * requests write, a pass has a fixed number of steps and takes in all reading that has arrived before it, so that the
- * reading lengthens the pause between the pieces of those that write. While none writes, prompts are read one after the
- * other, parts of prompts that several engines read before whole ones. All times are milliseconds on one clock.
+ * requests write, a pass has a fixed number of steps and takes in the reading that has arrived before it, up to a
+ * number of tokens, so that the reading lengthens the pause between the pieces of those that write. While none writes,
+ * prompts are read one after the other. Parts of prompts that several engines read go before whole prompts, the latest
+ * part first. All times are milliseconds on one clock.
  */
 public final class PassSimulation {
     /** Rounds of a forecast; more than a prompt of the longest kind needs beside writers. */
     private static final int MAX_FORECAST_PASSES = 64;
 
+    /** Reading that takes less counts as done. */
+    private static final double MIN_READ_MS = 1e-3;
+
+    /** Reading outside passes takes this much longer than alone, since parts that come later go before it. */
+    private static final double SLOWDOWN = 2.5;
+
+    /** Key of reading that is only forecast. */
+    private static final long ADDED = Long.MIN_VALUE;
+
     private final EngineProfile profile;
     private final List<Task> reading = new ArrayList<>();
     private final List<Task> writing = new ArrayList<>();
@@ -31,21 +41,23 @@
         final boolean writesHere;
         final boolean isPart;
         final double readMsTotal;
-        final double stepsTotal;
+        final double readWorth;
+        final double tokensTotal;
         double readMsLeft;
+        double readMsInPass;
         double contextTokens;
         double othersReadyMs;
-        boolean inCurrentPass;
 
         Task(long key, RequestTraits traits, ReadShare share, EngineProfile profile, boolean writesHere) {
             this.key = key;
             this.traits = traits;
             this.writesHere = writesHere;
             this.isPart = share.isPart();
-            this.readMsTotal = share.readMs(profile);
-            this.stepsTotal = Math.ceil(share.tokens() / profile.chunkTokens());
+            this.readWorth = traits.worth() / Math.sqrt(share.engines());
+            this.readMsTotal = Math.max(MIN_READ_MS, share.readMs(profile));
+            this.tokensTotal = share.tokens();
             this.readMsLeft = readMsTotal;
-            this.contextTokens = traits.promptTokens();
+            this.contextTokens = traits.contextTokens();
         }
 
         Task(Task other) {
@@ -53,24 +65,26 @@
             this.traits = other.traits;
             this.writesHere = other.writesHere;
             this.isPart = other.isPart;
+            this.readWorth = other.readWorth;
             this.readMsTotal = other.readMsTotal;
-            this.stepsTotal = other.stepsTotal;
+            this.tokensTotal = other.tokensTotal;
             this.readMsLeft = other.readMsLeft;
             this.contextTokens = other.contextTokens;
             this.othersReadyMs = other.othersReadyMs;
-            this.inCurrentPass = other.inCurrentPass;
+            this.readMsInPass = other.readMsInPass;
         }
     }
 
     /**
      * What matters of a request for the others at its engine.
      *
-     * @param promptTokens length of its prompt
+     * @param contextTokens tokens of its prompt that lie in this engine's memory
      * @param dueMs when its first token is late
+     * @param lostMs when its caller has given up
      * @param maxGapMs longest pause with which its answer is still on time; 0 when there is none
      * @param worth what an answer on time is worth beside others
      */
-    public record RequestTraits(double promptTokens, double dueMs, double maxGapMs, double worth) {}
+    public record RequestTraits(double contextTokens, double dueMs, double lostMs, double maxGapMs, double worth) {}
 
     public PassSimulation(EngineProfile profile, double nowMs) {
         this.profile = profile;
@@ -178,7 +192,7 @@
     public void addWriter(long key, RequestTraits traits, double writtenTokens, double nowMs) {
         advanceTo(nowMs);
         Task task = new Task(key, traits, ReadShare.of(0, 1), profile, true);
-        task.contextTokens = traits.promptTokens() + writtenTokens;
+        task.contextTokens = traits.contextTokens() + writtenTokens;
         writing.add(task);
     }
 
@@ -218,13 +232,10 @@
         }
     }
 
+    /** Parts go before all other reading, the latest first. */
     private void insert(Task task) {
         if (task.isPart) {
-            int place = 0;
-            while (place < reading.size() && reading.get(place).isPart) {
-                place++;
-            }
-            reading.add(place, task);
+            reading.add(0, task);
         } else {
             reading.add(task);
         }
@@ -232,7 +243,6 @@
 
     private void write(Task task) {
         if (task.writesHere) {
-            task.inCurrentPass = false;
             writing.add(task);
         }
     }
@@ -266,14 +276,17 @@
     }
 
     private void startPass() {
-        double readableMs = 0;
+        double readMs = 0;
+        double tokensLeft = (double) profile.chunkTokens() * profile.strideSteps();
         for (Task task : reading) {
-            task.inCurrentPass = true;
-            readableMs += task.readMsLeft;
+            double tokens = Math.min(tokensLeft, task.tokensTotal * task.readMsLeft / task.readMsTotal);
+            task.readMsInPass = tokens / Math.max(1, task.tokensTotal) * task.readMsTotal;
+            tokensLeft -= tokens;
+            readMs += task.readMsInPass;
         }
         inPass = true;
         passStartMs = timeMs;
-        passEndMs = timeMs + (strideMs() + readableMs) * pace;
+        passEndMs = timeMs + (strideMs() + readMs) * pace;
     }
 
     /** Time of the steps of a pass in which the present requests write. */
@@ -295,7 +308,9 @@
         }
         for (Iterator<Task> tasks = reading.iterator(); tasks.hasNext(); ) {
             Task task = tasks.next();
-            if (task.inCurrentPass) {
+            task.readMsLeft -= task.readMsInPass;
+            task.readMsInPass = 0;
+            if (task.readMsLeft < MIN_READ_MS) {
                 task.readMsLeft = 0;
                 finishReading(tasks, task);
             }
@@ -326,7 +341,8 @@
 
     /** How much longer reading takes with the steps that its chunks go with. */
     private double withSteps(Task task) {
-        return 1 + task.stepsTotal * profile.stepMs() / Math.max(1e-9, task.readMsTotal);
+        double steps = Math.ceil(task.tokensTotal / profile.chunkTokens());
+        return 1 + steps * profile.stepMs() / task.readMsTotal;
     }
 
     private void finishReading(Iterator<Task> tasks, Task task) {
@@ -361,19 +377,30 @@
      */
     public record Forecast(double doneMs, double harm) {}
 
-    /** Forecasts reading that is added now; nothing changes. */
-    public Forecast forecast(ReadShare share, LateRisk risk, double nowMs) {
+    /**
+     * Forecasts reading that is added now; nothing changes.
+     *
+     * @param harmBefore what others lose without it, from {@link #harmSoon}
+     */
+    public Forecast forecast(ReadShare share, LateLoss loss, double harmBefore, double nowMs) {
+        advanceTo(nowMs);
         PassSimulation with = new PassSimulation(this);
-        with.advanceTo(nowMs);
-        double harmWithout = new PassSimulation(with).runOut(-1, risk).harm();
-        Task added = new Task(Long.MIN_VALUE, new RequestTraits(share.tokens(), 0, 0, 0), share, profile, false);
+        Task added = new Task(ADDED, new RequestTraits(share.tokens(), 0, 0, 0, 0), share, profile, false);
         with.insert(added);
-        Forecast forecast = with.runOut(Long.MIN_VALUE, risk);
-        return new Forecast(forecast.doneMs(), Math.max(0, forecast.harm() - harmWithout));
+        Forecast forecast = with.runOut(ADDED, loss);
+        return new Forecast(forecast.doneMs(), Math.max(0, forecast.harm() - harmBefore));
+    }
+
+    /** What requests here lose while the prompts that have arrived are read. */
+    public double harmSoon(LateLoss loss, double nowMs) {
+        advanceTo(nowMs);
+        return reading.isEmpty()
+                ? 0
+                : new PassSimulation(this).runOut(ADDED, loss).harm();
     }
 
     /** Runs until all reading is done; notes when the task with the key is, and what the others lose. */
-    private Forecast runOut(long key, LateRisk risk) {
+    private Forecast runOut(long key, LateLoss loss) {
         double nowMs = timeMs;
         double doneMs = timeMs;
         double harm = 0;
@@ -386,27 +413,37 @@
             }
             boolean passEnded = wasInPass && !inPass;
             if (passEnded) {
-                harm += gapHarm(timeMs - startMs, risk);
+                harm += gapHarm(timeMs - startMs, loss);
             }
+            double slowdown = passEnded ? 1 : SLOWDOWN;
             for (Task task : before) {
                 if (reading.contains(task)) {
                     continue;
                 }
                 if (task.key == key) {
                     doneMs = timeMs;
-                } else if (task.writesHere) {
-                    harm += task.traits.worth() * risk.ofFirstToken(timeMs, task.traits.dueMs(), nowMs);
+                } else {
+                    harm += lossOf(task, nowMs + slowdown * (timeMs - nowMs), nowMs, loss);
                 }
             }
         }
         return new Forecast(doneMs, harm);
     }
 
-    private double gapHarm(double gapMs, LateRisk risk) {
+    /**
+     * What a request loses when an engine reads its part by a time. The request waits for the slowest of its engines,
+     * and a plan mostly delays several of them, so each counts for more than its even share and less than the whole.
+     */
+    private static double lossOf(Task task, double doneMs, double nowMs, LateLoss loss) {
+        RequestTraits traits = task.traits;
+        return task.readWorth * loss.ofFirstToken(doneMs, traits.dueMs(), traits.lostMs(), nowMs);
+    }
+
+    private double gapHarm(double gapMs, LateLoss loss) {
         double harm = 0;
         for (Task task : writing) {
             if (task.traits.maxGapMs() > 0) {
-                harm += task.traits.worth() * risk.ofGap(gapMs, task.traits.maxGapMs());
+                harm += task.traits.worth() * loss.ofGap(gapMs, task.traits.maxGapMs());
             }
         }
         return harm;
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/EnginePlacer.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/EnginePlacer.java
@@ -4,10 +4,13 @@
 import io.figspan.core.error.ProblemKind;
 import io.figspan.core.id.BackendServerId;
 import io.figspan.core.id.HostId;
+import io.figspan.core.work.PlacedReader;
 import io.figspan.core.work.PlacedWork;
-import io.figspan.policy.engine.LateRisk;
+import io.figspan.policy.engine.LateLoss;
+import io.figspan.policy.engine.PassSimulation;
 import io.figspan.policy.engine.PassSimulation.RequestTraits;
 import io.figspan.policy.engine.ReadShare;
+import io.figspan.policy.placing.ReadPlan.Reader;
 import io.figspan.settings.gateway.EngineProfile;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -37,8 +40,13 @@
     /** Time for which an engine that failed a request gets no other. */
     private static final double AVOID_MS = 500;
 
+    /** Callers leave when nothing has come after this many times the target, but not before the time below it. */
+    private static final double PATIENCE_TARGETS = 4;
+
+    private static final double MIN_PATIENCE_MS = 2_000;
+
     private final EngineProfile profile;
-    private final ReadPlanner planner = new ReadPlanner(LateRisk.DEFAULT);
+    private final ReadPlanner planner = new ReadPlanner(LateLoss.DEFAULT);
     private final Map<BackendServerId, EngineSeat> seats = new TreeMap<>();
     private final Map<Job, OwnWork> placed = new LinkedHashMap<>();
     private final Map<HostId, Map<Long, PeerJob>> peers = new HashMap<>();
@@ -49,18 +57,26 @@
     private static final class OwnWork {
         final long key;
         final EngineSeat first;
-        final List<EngineSeat> readers;
+        final List<Reader> readers;
         final long sentNanos;
         final long outputTokens;
         long writtenTokens;
 
-        OwnWork(long key, EngineSeat first, List<EngineSeat> readers, long sentNanos, long outputTokens) {
+        OwnWork(long key, EngineSeat first, List<Reader> readers, long sentNanos, long outputTokens) {
             this.key = key;
             this.first = first;
             this.readers = readers;
             this.sentNanos = sentNanos;
             this.outputTokens = outputTokens;
         }
+
+        /** The readers that matter to other hosts: once the prompt is read, only those that hold memory. */
+        List<PlacedReader> placedReaders() {
+            return readers.stream()
+                    .filter(reader -> writtenTokens == 0 || reader.heldTokens() > 0)
+                    .map(Reader::placed)
+                    .toList();
+        }
     }
 
     /** A job of another host, by its key in the simulations. */
@@ -80,9 +96,7 @@
             seat.setOpen(true);
             seat.setSlots(server.slots());
         }
-        seats.values()
-                .removeIf(seat -> !seat.isOpen()
-                        && seat.simulation().occupiedSlots() + seat.simulation().partsForOthers() == 0);
+        seats.values().removeIf(seat -> !seat.isOpen() && seat.isIdle());
     }
 
     // Jobs
@@ -107,9 +121,6 @@
         if (seats.isEmpty()) {
             return Optional.of(refuse(job, "no engine is known"));
         }
-        if (memoryTokens > profile.memoryTokens()) {
-            return Optional.of(refuse(job, "the prompt is larger than an engine's memory"));
-        }
         List<EngineSeat> helpers = new ArrayList<>();
         List<EngineSeat> firsts = new ArrayList<>();
         for (EngineSeat seat : seats.values()) {
@@ -117,14 +128,15 @@
                 continue;
             }
             helpers.add(seat);
-            boolean fits = seat.hasSlot() && seat.hasMemory(memoryTokens);
-            if (fits && !job.tried().contains(seat.id())) {
+            if (seat.hasSlot() && !job.tried().contains(seat.id())) {
                 firsts.add(seat);
             }
         }
-        ReadPlanner.Wanted wanted =
-                new ReadPlanner.Wanted(promptTokens, memoryTokens, dueMs(job), gapMs(job), JobWorth.of(job.prompt()));
-        return planner.plan(wanted, firsts, helpers, nowMs).map(plan -> send(job, plan, nowNanos));
+        ReadPlanner.Wanted wanted = new ReadPlanner.Wanted(
+                promptTokens, memoryTokens, dueMs(job), lostMs(job), gapMs(job), JobWorth.of(job.prompt()));
+        return planner.plan(wanted, firsts, helpers, nowMs)
+                .filter(plan -> SendRule.sendsNow(plan, wanted.worth(), wanted.dueMs(), wanted.lostMs(), nowMs))
+                .map(plan -> send(job, plan, nowNanos));
     }
 
     private Placement send(Job job, ReadPlan plan, long nowNanos) {
@@ -133,32 +145,47 @@
         OwnWork work = new OwnWork(nextKey++, plan.first(), plan.readers(), nowNanos, outputTokens);
         placed.put(job, work);
         job.tried().add(plan.first().id());
-        RequestTraits traits = new RequestTraits(promptTokens(job), dueMs(job), gapMs(job), JobWorth.of(job.prompt()));
-        add(work.key, plan.first(), plan.readers(), traits, nowMs);
-        List<BackendServerId> readers =
-                plan.readers().stream().map(EngineSeat::id).toList();
+        double contextTokens = promptTokens(job) - plan.heldElsewhereTokens();
+        RequestTraits traits =
+                new RequestTraits(contextTokens, dueMs(job), lostMs(job), gapMs(job), JobWorth.of(job.prompt()));
+        add(work.key, plan.first(), plan.readers(), promptTokens(job), traits, nowMs);
         String reason = String.format(
-                "readers=%d dueInMs=%.0f readInMs=%.0f loss=%.2f writers=%d",
-                readers.size(),
+                "readers=%d held=%d dueInMs=%.0f readInMs=%.0f loss=%.2f writers=%d",
+                plan.readers().size(),
+                plan.heldElsewhereTokens(),
                 dueMs(job) - nowMs,
                 plan.doneMs() - nowMs,
                 plan.loss(),
                 plan.first().simulation().writers());
+        List<PlacedReader> readers = plan.readers().stream().map(Reader::placed).toList();
         return new Placement.Send(job, plan.first().id(), OptionalInt.empty(), readers, reason);
     }
 
-    private static void add(long key, EngineSeat first, List<EngineSeat> readers, RequestTraits traits, double nowMs) {
-        ReadShare share = ReadShare.of(traits.promptTokens(), readers.size() + 1);
+    private static void add(
+            long key, EngineSeat first, List<Reader> readers, double promptTokens, RequestTraits traits, double nowMs) {
+        ReadShare share = ReadShare.of(promptTokens, readers.size() + 1);
         double othersReadyMs = nowMs;
-        for (EngineSeat reader : readers) {
+        for (Reader reader : readers) {
+            PassSimulation simulation = reader.seat().simulation();
             othersReadyMs = Math.max(
                     othersReadyMs,
-                    reader.simulation().forecast(share, LateRisk.DEFAULT, nowMs).doneMs());
-            reader.simulation().addPart(key, traits, share, nowMs);
+                    simulation.forecast(share, LateLoss.DEFAULT, 0, nowMs).doneMs());
+            simulation.addPart(key, traits, share, nowMs);
+            if (reader.heldTokens() > 0) {
+                reader.seat().hold(key, reader.heldTokens());
+            }
         }
         first.simulation().addRequest(key, traits, share, othersReadyMs, nowMs);
     }
 
+    private static void remove(long key, EngineSeat first, List<Reader> readers, double nowMs) {
+        first.simulation().remove(key, nowMs);
+        for (Reader reader : readers) {
+            reader.seat().simulation().remove(key, nowMs);
+            reader.seat().releaseHold(key);
+        }
+    }
+
     @Override
     public void pieceArrived(Job job, long pieces, long nowNanos) {
         OwnWork work = placed.get(job);
@@ -167,7 +194,7 @@
         }
         double nowMs = ms(nowNanos);
         if (work.writtenTokens == 0) {
-            work.readers.forEach(reader -> reader.simulation().remove(work.key, nowMs));
+            work.readers.forEach(reader -> reader.seat().simulation().remove(work.key, nowMs));
             work.first.simulation().firstTokenSeen(work.key, nowMs);
         } else {
             work.first.simulation().passEnded(nowMs);
@@ -182,8 +209,7 @@
             return List.of();
         }
         double nowMs = ms(nowNanos);
-        work.first.simulation().remove(work.key, nowMs);
-        work.readers.forEach(reader -> reader.simulation().remove(work.key, nowMs));
+        remove(work.key, work.first, work.readers, nowMs);
         if (end == EndOfWork.BROKEN || end == EndOfWork.TURNED_AWAY) {
             work.first.avoidUntil(nowMs + AVOID_MS);
         }
@@ -216,9 +242,7 @@
     }
 
     private static boolean hasWaitedTooLong(Job job, long nowNanos) {
-        long waitedNanos = nowNanos - job.arrivedNanos();
-        long leftNanos = job.deadline().atNanos() - nowNanos;
-        return waitedNanos > 2 * job.targetLatencyNanos() || leftNanos < job.targetLatencyNanos();
+        return ms(nowNanos) >= lostMs(job);
     }
 
     @Override
@@ -261,44 +285,45 @@
         if (first == null) {
             return job;
         }
-        RequestTraits traits =
-                new RequestTraits(work.promptTokens(), nowMs + work.dueInMs(), work.maxGapMs(), JobWorth.of(work));
+        List<Reader> readers = readersOf(work);
+        long heldElsewhere = readers.stream().mapToLong(Reader::heldTokens).sum();
+        RequestTraits traits = new RequestTraits(
+                (double) work.promptTokens() - heldElsewhere,
+                nowMs + work.dueInMs(),
+                lostMs(work, nowMs),
+                work.maxGapMs(),
+                JobWorth.of(work));
         if (work.writtenTokens() > 0) {
             first.simulation().addWriter(job.key(), traits, (double) work.writtenTokens(), nowMs);
-            return job;
+            readers.forEach(reader -> reader.seat().hold(job.key(), reader.heldTokens()));
+        } else {
+            add(job.key(), first, readers, (double) work.promptTokens(), traits, nowMs);
         }
-        List<EngineSeat> readers = work.readers().stream()
-                .map(seats::get)
-                .filter(java.util.Objects::nonNull)
-                .toList();
-        add(job.key(), first, readers, traits, nowMs);
         return job;
     }
 
+    private List<Reader> readersOf(PlacedWork work) {
+        return work.readers().stream()
+                .filter(reader -> seats.containsKey(reader.server()))
+                .map(reader -> new Reader(seats.get(reader.server()), reader.heldTokens()))
+                .toList();
+    }
+
     private PeerJob updatePeerJob(PeerJob known, PlacedWork work, double nowMs) {
         boolean beganWriting = known.work().writtenTokens() == 0 && work.writtenTokens() > 0;
         EngineSeat first = seats.get(work.server());
         if (beganWriting && first != null) {
-            removeParts(known, nowMs);
+            readersOf(known.work()).forEach(reader -> reader.seat().simulation().remove(known.key(), nowMs));
             first.simulation().firstTokenSeen(known.key(), nowMs);
+            return new PeerJob(known.key(), work);
         }
-        return new PeerJob(known.key(), work);
+        return known;
     }
 
     private void removePeerJob(PeerJob job, double nowMs) {
-        removeParts(job, nowMs);
         EngineSeat first = seats.get(job.work().server());
         if (first != null) {
-            first.simulation().remove(job.key(), nowMs);
-        }
-    }
-
-    private void removeParts(PeerJob job, double nowMs) {
-        for (BackendServerId reader : job.work().readers()) {
-            EngineSeat seat = seats.get(reader);
-            if (seat != null) {
-                seat.simulation().remove(job.key(), nowMs);
-            }
+            remove(job.key(), first, readersOf(job.work()), nowMs);
         }
     }
 
@@ -308,9 +333,7 @@
         placed.forEach((job, own) -> work.add(new PlacedWork(
                 own.key,
                 own.first.id(),
-                own.writtenTokens > 0
-                        ? List.of()
-                        : own.readers.stream().map(EngineSeat::id).toList(),
+                own.placedReaders(),
                 (long) promptTokens(job),
                 own.outputTokens,
                 own.writtenTokens,
@@ -330,6 +353,18 @@
         return ms(job.arrivedNanos() + job.targetLatencyNanos());
     }
 
+    /** Callers wait for a few times the target, and no longer than they said. */
+    private static double lostMs(Job job) {
+        double patienceMs = PATIENCE_TARGETS * ms(job.targetLatencyNanos());
+        return Math.min(ms(job.deadline().atNanos()), ms(job.arrivedNanos()) + Math.max(MIN_PATIENCE_MS, patienceMs));
+    }
+
+    /** The same for a request of another host, whose target follows from when it was sent and when it is due. */
+    private static double lostMs(PlacedWork work, double nowMs) {
+        double targetMs = Math.max(0, work.sentAgoMs() + work.dueInMs());
+        return nowMs - work.sentAgoMs() + Math.max(MIN_PATIENCE_MS, PATIENCE_TARGETS * targetMs);
+    }
+
     private static double gapMs(Job job) {
         return ms(job.maxGapNanos());
     }
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/EngineSeat.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/EngineSeat.java
@@ -3,12 +3,15 @@
 import io.figspan.core.id.BackendServerId;
 import io.figspan.policy.engine.PassSimulation;
 import io.figspan.settings.gateway.EngineProfile;
+import java.util.HashMap;
+import java.util.Map;
 
 /** One model engine as the placer sees it. */
 final class EngineSeat {
     private final BackendServerId id;
     private final EngineProfile profile;
     private final PassSimulation simulation;
+    private final Map<Long, Long> holds = new HashMap<>();
     private int slots;
     private boolean open = true;
     private double avoidedUntilMs = Double.NEGATIVE_INFINITY;
@@ -58,7 +61,29 @@
     }
 
     boolean hasMemory(double tokens) {
-        return simulation.memoryTokens() + tokens <= profile.memoryTokens();
+        return tokens <= freeMemoryTokens();
+    }
+
+    double freeMemoryTokens() {
+        double held = 0;
+        for (long tokens : holds.values()) {
+            held += tokens;
+        }
+        return profile.memoryTokens() - simulation.memoryTokens() - held;
+    }
+
+    /** Memory is held here for a request that runs at another engine. */
+    void hold(long key, long tokens) {
+        holds.put(key, tokens);
+    }
+
+    void releaseHold(long key) {
+        holds.remove(key);
+    }
+
+    /** Whether the engine has nothing to do for anybody. */
+    boolean isIdle() {
+        return holds.isEmpty() && simulation.occupiedSlots() + simulation.partsForOthers() == 0;
     }
 
     /** Whether the engine would read a part for another one. */
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/Placement.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/Placement.java
@@ -2,6 +2,7 @@
 
 import io.figspan.core.error.Problem;
 import io.figspan.core.id.BackendServerId;
+import io.figspan.core.work.PlacedReader;
 import java.util.List;
 import java.util.OptionalInt;
 
@@ -16,9 +17,9 @@
      * Sends the job.
      *
      * @param urgency from 0, the most urgent, to 9
-     * @param readers servers that help to read the prompt
+     * @param readers servers that help to read the prompt; those that hold memory for it come first
      */
-    record Send(Job job, BackendServerId server, OptionalInt urgency, List<BackendServerId> readers, String reason)
+    record Send(Job job, BackendServerId server, OptionalInt urgency, List<PlacedReader> readers, String reason)
             implements Placement {
         public Send {
             readers = List.copyOf(readers);
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/ReadPlanner.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/ReadPlanner.java
@@ -1,8 +1,10 @@
 package io.figspan.policy.placing;
 
-import io.figspan.policy.engine.LateRisk;
+import io.figspan.policy.engine.LateLoss;
 import io.figspan.policy.engine.PassSimulation.Forecast;
 import io.figspan.policy.engine.ReadShare;
+import io.figspan.policy.placing.ReadPlan.Reader;
+import io.figspan.settings.gateway.EngineProfile;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
@@ -12,11 +14,11 @@
 /**
  * Chooses the engine that runs a request and those that help to read its prompt: the way by which the least worth is
  * lost, of the request itself and of those whose answers it would interrupt. Answers load in which short prompts with
- * short pauses share the engines with prompts that take seconds to read.
+ * short pauses share the engines with prompts that take seconds to read, some longer than an engine's memory.
  */
 final class ReadPlanner {
     /** Numbers of helping engines that are weighed; 16 is the most that an engine takes. */
-    private static final int[] READER_COUNTS = {0, 1, 2, 3, 5, 7, 11, 16};
+    private static final int[] READER_COUNTS = {0, 1, 3, 5, 7, 11, 16};
 
     /** Reading that takes less than this beside a pass is not worth splitting. */
     private static final double SHORT_READ_MS = 60;
@@ -27,32 +29,106 @@
     /** Worth of an engine without requests of short pauses, which long prompts can then be read at. */
     private static final double OPENING_LOSS = 0.5;
 
-    private final LateRisk risk;
+    /** Decides between engines at which nothing is lost. */
+    private static final double LOSS_PER_MS = 1e-5;
+
+    /** A pause limit of this length or less keeps long prompts from an engine. */
+    private static final double SHORT_GAP_MS = 250;
+
+    /** Engines among which the memory of one request is spread, besides the first. */
+    private static final int MAX_HOLDERS = 7;
+
+    /** Part of the free memory that is asked for, since requests there go on writing. */
+    private static final double USABLE_MEMORY = 0.95;
 
-    ReadPlanner(LateRisk risk) {
-        this.risk = risk;
+    /** Worth lost to requests still to come, for an engine that reads for a second. */
+    private static final double BLOCKING_LOSS_PER_SQUARE_SECOND = 0.5;
+
+    private static final double MS_PER_SECOND = 1_000;
+
+    private final LateLoss lateLoss;
+
+    ReadPlanner(LateLoss lateLoss) {
+        this.lateLoss = lateLoss;
     }
 
-    /** What is asked of the engines. */
-    record Wanted(double promptTokens, double memoryTokens, double dueMs, double maxGapMs, double worth) {}
+    /**
+     * What is asked of the engines.
+     *
+     * @param dueMs when the first token is late
+     * @param lostMs when the caller has given up
+     */
+    record Wanted(
+            double promptTokens, double memoryTokens, double dueMs, double lostMs, double maxGapMs, double worth) {}
+
+    /** An engine that may take part, and what others lose there without the request. */
+    private record Able(EngineSeat seat, boolean mayRun, double harmBefore) {}
 
     /** One engine with its forecast for a share of the reading. */
-    private record Candidate(EngineSeat seat, Forecast forecast, double loss) {}
+    private record Candidate(EngineSeat seat, boolean mayRun, Forecast forecast, double harm, double loss) {}
 
     /**
-     * The best plan; empty when no engine can run the request now.
+     * The best plan; empty when no engine can run the request now. Where none has the memory for all of it, others hold
+     * a part.
      *
-     * @param firsts engines that may run it
-     * @param helpers engines that may read parts
+     * @param firsts engines that may run it, as far as their memory allows
+     * @param helpers engines that may read parts, those that may run it among them
      */
     Optional<ReadPlan> plan(
             Wanted wanted, Collection<EngineSeat> firsts, Collection<EngineSeat> helpers, double nowMs) {
+        List<EngineSeat> roomy = firsts.stream()
+                .filter(seat -> seat.hasMemory(wanted.memoryTokens()))
+                .toList();
+        if (!roomy.isEmpty()) {
+            return bestOf(wanted, roomy, helpers, List.of(), nowMs);
+        }
+        Optional<EngineSeat> roomiest = firsts.stream().max(Comparator.comparingDouble(EngineSeat::freeMemoryTokens));
+        if (roomiest.isEmpty()) {
+            return Optional.empty();
+        }
+        List<Reader> holders = holders(wanted, roomiest.get(), helpers);
+        return holders.isEmpty() ? Optional.empty() : bestOf(wanted, List.of(roomiest.get()), helpers, holders, nowMs);
+    }
+
+    /** The engines that hold what the first one can't, the roomiest first; none when they can't either. */
+    private static List<Reader> holders(Wanted wanted, EngineSeat first, Collection<EngineSeat> helpers) {
+        List<EngineSeat> byRoom = helpers.stream()
+                .filter(seat -> seat != first)
+                .sorted(Comparator.comparingDouble(EngineSeat::freeMemoryTokens).reversed())
+                .limit(MAX_HOLDERS)
+                .toList();
+        double missing = wanted.memoryTokens() - first.freeMemoryTokens() * USABLE_MEMORY;
+        List<Reader> holders = new ArrayList<>();
+        for (EngineSeat seat : byRoom) {
+            long tokens = (long) Math.min(Math.ceil(missing), seat.freeMemoryTokens() * USABLE_MEMORY);
+            if (missing <= 0 || tokens <= 0) {
+                break;
+            }
+            holders.add(new Reader(seat, tokens));
+            missing -= tokens;
+        }
+        return missing > 0 ? List.of() : holders;
+    }
+
+    private Optional<ReadPlan> bestOf(
+            Wanted wanted,
+            Collection<EngineSeat> firsts,
+            Collection<EngineSeat> helpers,
+            List<Reader> holders,
+            double nowMs) {
+        List<Able> able = new ArrayList<>();
+        for (EngineSeat seat : helpers) {
+            able.add(new Able(seat, firsts.contains(seat), seat.simulation().harmSoon(lateLoss, nowMs)));
+        }
         ReadPlan best = null;
         for (int readers : READER_COUNTS) {
-            if (readers > 0 && (firsts.isEmpty() || !isWorthSplitting(wanted, best))) {
+            if (readers < holders.size()) {
+                continue;
+            }
+            if (best != null && !isWorthSplitting(wanted, best)) {
                 break;
             }
-            ReadPlan plan = plan(wanted, firsts, helpers, readers, nowMs);
+            ReadPlan plan = planWith(wanted, able, holders, readers, nowMs);
             if (plan != null && (best == null || plan.loss() < best.loss())) {
                 best = plan;
             }
@@ -61,63 +137,68 @@
     }
 
     private static boolean isWorthSplitting(Wanted wanted, ReadPlan best) {
-        if (best == null) {
-            return false;
-        }
         double readMs =
                 ReadShare.of(wanted.promptTokens(), 1).readMs(best.first().profile());
         return readMs > SHORT_READ_MS || best.loss() > LOSS_PER_READER;
     }
 
-    private ReadPlan plan(
-            Wanted wanted, Collection<EngineSeat> firsts, Collection<EngineSeat> helpers, int readers, double nowMs) {
+    private ReadPlan planWith(Wanted wanted, List<Able> able, List<Reader> holders, int readers, double nowMs) {
+        if (able.size() < readers + 1) {
+            return null;
+        }
         ReadShare share = ReadShare.of(wanted.promptTokens(), readers + 1);
-        List<Candidate> able = new ArrayList<>();
-        for (EngineSeat seat : helpers) {
-            able.add(candidate(seat, share, wanted, nowMs));
+        List<Candidate> candidates = new ArrayList<>();
+        for (Able engine : able) {
+            candidates.add(candidate(engine, share, wanted, nowMs));
         }
-        able.sort(Comparator.comparingDouble(Candidate::loss));
-        Candidate first = bestFirst(wanted, firsts, able);
-        if (first == null || able.size() < readers + 1) {
+        candidates.sort(Comparator.comparingDouble(Candidate::loss));
+        Candidate first = bestFirst(wanted, candidates);
+        if (first == null) {
             return null;
         }
-        List<EngineSeat> chosen = new ArrayList<>();
+        List<Reader> chosen = choose(candidates, first.seat(), holders, readers);
         double doneMs = first.forecast().doneMs();
-        double loss = first.forecast().harm() + openingLoss(wanted, first.seat());
-        for (Candidate candidate : able) {
-            if (chosen.size() == readers) {
-                break;
-            }
-            if (candidate.seat() != first.seat()) {
-                chosen.add(candidate.seat());
+        double harm = first.harm();
+        for (Candidate candidate : candidates) {
+            if (isChosen(candidate.seat(), chosen)) {
                 doneMs = Math.max(doneMs, candidate.forecast().doneMs());
-                loss += candidate.forecast().harm() + LOSS_PER_READER;
+                harm += candidate.harm();
             }
         }
-        loss += wanted.worth() * risk.ofFirstToken(doneMs, wanted.dueMs(), nowMs);
-        return new ReadPlan(first.seat(), chosen, doneMs, loss);
+        EngineProfile profile = first.seat().profile();
+        double loss =
+                harm + openingLoss(wanted, first.seat()) + readers * LOSS_PER_READER + ownLoss(wanted, doneMs, nowMs);
+        return new ReadPlan(first.seat(), chosen, share.readMs(profile), doneMs, harm, loss);
     }
 
-    private Candidate candidate(EngineSeat seat, ReadShare share, Wanted wanted, double nowMs) {
-        Forecast forecast = seat.simulation().forecast(share, risk, nowMs);
-        double loss = forecast.harm()
-                + wanted.worth() * risk.ofFirstToken(forecast.doneMs(), wanted.dueMs(), nowMs)
-                + (forecast.doneMs() - nowMs) * LOSS_PER_MS;
-        return new Candidate(seat, forecast, loss);
+    private Candidate candidate(Able engine, ReadShare share, Wanted wanted, double nowMs) {
+        Forecast forecast = engine.seat().simulation().forecast(share, lateLoss, engine.harmBefore(), nowMs);
+        double harm = forecast.harm() + blockingLoss(engine.seat(), share);
+        double loss = harm + ownLoss(wanted, forecast.doneMs(), nowMs) + (forecast.doneMs() - nowMs) * LOSS_PER_MS;
+        return new Candidate(engine.seat(), engine.mayRun(), forecast, harm, loss);
     }
 
-    /** Decides between engines at which nothing is lost. */
-    private static final double LOSS_PER_MS = 1e-5;
+    /** What is lost of the request's own worth. */
+    private double ownLoss(Wanted wanted, double doneMs, double nowMs) {
+        return wanted.worth() * lateLoss.ofFirstToken(doneMs, wanted.dueMs(), wanted.lostMs(), nowMs);
+    }
 
-    private static Candidate bestFirst(Wanted wanted, Collection<EngineSeat> firsts, List<Candidate> able) {
+    /**
+     * What requests that are still to come lose by reading that is added to an engine: all of its reading is in their
+     * way, so the loss grows with the square of it.
+     */
+    private static double blockingLoss(EngineSeat seat, ReadShare share) {
+        double present = seat.simulation().readingMs() / MS_PER_SECOND;
+        double added = share.readMs(seat.profile()) / MS_PER_SECOND;
+        return BLOCKING_LOSS_PER_SQUARE_SECOND * added * (added + 2 * present);
+    }
+
+    private static Candidate bestFirst(Wanted wanted, List<Candidate> candidates) {
         Candidate best = null;
         double bestLoss = Double.POSITIVE_INFINITY;
-        for (Candidate candidate : able) {
-            if (!firsts.contains(candidate.seat())) {
-                continue;
-            }
+        for (Candidate candidate : candidates) {
             double loss = candidate.loss() + openingLoss(wanted, candidate.seat());
-            if (loss < bestLoss) {
+            if (candidate.mayRun() && loss < bestLoss) {
                 best = candidate;
                 bestLoss = loss;
             }
@@ -125,12 +206,26 @@
         return best;
     }
 
+    /** The holders and the engines at which the least is lost, up to the number wanted. */
+    private static List<Reader> choose(
+            List<Candidate> candidates, EngineSeat first, List<Reader> holders, int readers) {
+        List<Reader> chosen = new ArrayList<>(holders);
+        for (Candidate candidate : candidates) {
+            boolean taken = candidate.seat() == first || isChosen(candidate.seat(), holders);
+            if (!taken && chosen.size() < readers) {
+                chosen.add(new Reader(candidate.seat(), 0));
+            }
+        }
+        return chosen;
+    }
+
+    private static boolean isChosen(EngineSeat seat, List<Reader> chosen) {
+        return chosen.stream().anyMatch(reader -> reader.seat() == seat);
+    }
+
     private static double openingLoss(Wanted wanted, EngineSeat seat) {
         boolean opens =
                 wanted.maxGapMs() > 0 && wanted.maxGapMs() < seat.simulation().strictestGapMs();
         return opens ? OPENING_LOSS * SHORT_GAP_MS / Math.max(SHORT_GAP_MS, wanted.maxGapMs()) : 0;
     }
-
-    /** A pause limit of this length or less keeps long prompts from an engine. */
-    private static final double SHORT_GAP_MS = 250;
 }
--- a/figspan-wire/src/main/java/io/figspan/wire/MessageReader.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/MessageReader.java
@@ -15,6 +15,7 @@
 import io.figspan.core.id.HostIncarnation;
 import io.figspan.core.id.OrganisationId;
 import io.figspan.core.id.SettingsVersion;
+import io.figspan.core.work.PlacedReader;
 import io.figspan.core.work.PlacedWork;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -93,10 +94,10 @@
     private PlacedWork readWork(List<BackendServerId> places) throws IOException {
         long id = unpacker.unpackLong();
         BackendServerId server = readPlace(places);
-        List<BackendServerId> readers = new ArrayList<>();
+        List<PlacedReader> readers = new ArrayList<>();
         int readerCount = readCount();
         for (int i = 0; i < readerCount; i++) {
-            readers.add(readPlace(places));
+            readers.add(new PlacedReader(readPlace(places), unpacker.unpackLong()));
         }
         return new PlacedWork(
                 id,
--- a/figspan-wire/src/main/java/io/figspan/wire/MessageWriter.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/MessageWriter.java
@@ -10,6 +10,7 @@
 import io.figspan.core.id.BackendIncarnation;
 import io.figspan.core.id.BackendServerId;
 import io.figspan.core.id.HostIncarnation;
+import io.figspan.core.work.PlacedReader;
 import io.figspan.core.work.PlacedWork;
 import java.io.IOException;
 import java.util.LinkedHashMap;
@@ -117,7 +118,7 @@
         Map<BackendServerId, Integer> places = new LinkedHashMap<>();
         for (PlacedWork work : report.work()) {
             places.putIfAbsent(work.server(), places.size());
-            work.readers().forEach(reader -> places.putIfAbsent(reader, places.size()));
+            work.readers().forEach(reader -> places.putIfAbsent(reader.server(), places.size()));
         }
         packer.packArrayHeader(places.size());
         for (BackendServerId server : places.keySet()) {
@@ -133,8 +134,9 @@
         packer.packLong(work.id());
         packer.packInt(places.get(work.server()));
         packer.packArrayHeader(work.readers().size());
-        for (BackendServerId reader : work.readers()) {
-            packer.packInt(places.get(reader));
+        for (PlacedReader reader : work.readers()) {
+            packer.packInt(places.get(reader.server()));
+            packer.packLong(reader.heldTokens());
         }
         packer.packLong(work.promptTokens());
         packer.packLong(work.outputTokens());
--- a/figspan-wire/src/test/java/io/figspan/wire/FrameCodecProperties.java
+++ b/figspan-wire/src/test/java/io/figspan/wire/FrameCodecProperties.java
@@ -20,6 +20,7 @@
 import io.figspan.core.id.OrganisationId;
 import io.figspan.core.id.SettingsVersion;
 import io.figspan.core.time.HybridTimestamp;
+import io.figspan.core.work.PlacedReader;
 import io.figspan.core.work.PlacedWork;
 import java.util.List;
 import net.jqwik.api.ForAll;
@@ -63,7 +64,9 @@
             new PeerMessage.WorkReport(6, 410, 512, List.of(placed("engine-1"), placed("engine-2"))));
 
     private static PlacedWork placed(String server) {
-        List<BackendServerId> readers = List.of(BackendServerId.of("engine-2"), BackendServerId.of("engine-3"));
+        List<PlacedReader> readers = List.of(
+                new PlacedReader(BackendServerId.of("engine-2"), 90_000),
+                new PlacedReader(BackendServerId.of("engine-3"), 0));
         return new PlacedWork(7, BackendServerId.of(server), readers, 154_000, 800, 51, 1_200, -40, 1_000);
     }
 
