--- a/figspan-bench/src/main/java/io/figspan/bench/BenchMain.java
+++ b/figspan-bench/src/main/java/io/figspan/bench/BenchMain.java
@@ -4,6 +4,7 @@
 import com.beust.jcommander.ParameterException;
 import io.figspan.bench.faults.FaultsCommand;
 import io.figspan.bench.micro.MicroCommand;
+import io.figspan.bench.placing.PlacingCommand;
 import io.figspan.bench.policy.PolicyCommand;
 import io.figspan.bench.slopes.NodesCommand;
 import io.figspan.bench.slopes.RolesCommand;
@@ -21,6 +22,7 @@
     public static void main(String[] args) {
         Map<String, BenchCommand> commands = new LinkedHashMap<>();
         commands.put("policy", new PolicyCommand());
+        commands.put("placing", new PlacingCommand());
         commands.put("faults", new FaultsCommand());
         commands.put("slopes", new SlopesCommand());
         commands.put("roles", new RolesCommand());
--- /dev/null
+++ b/figspan-bench/src/main/java/io/figspan/bench/placing/PlacingTally.java
@@ -0,0 +1,102 @@
+package io.figspan.bench.placing;
+
+import io.figspan.bench.placing.PlacingPlay.Outcome;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** What callers got. */
+final class PlacingTally {
+    private static final double WINDOW_MS = 2_000;
+
+    private final Map<String, ClassTally> classes = new TreeMap<>();
+    private final Map<Integer, double[]> windows = new TreeMap<>();
+    private double engineBusy;
+
+    /** The outcomes of one kind of request. */
+    static final class ClassTally {
+        final Map<Outcome, Integer> counts = new EnumMap<>(Outcome.class);
+        final List<Double> firstTokenMs = new ArrayList<>();
+        double earned;
+        double owed;
+
+        int count(Outcome outcome) {
+            return counts.getOrDefault(outcome, 0);
+        }
+
+        int total() {
+            return counts.values().stream().mapToInt(Integer::intValue).sum();
+        }
+
+        /** The part of the worth that was earned. */
+        double share() {
+            return owed > 0 ? earned / owed : 1;
+        }
+
+        /** First-token time in milliseconds at a quantile. */
+        double firstTokenMs(double quantile) {
+            List<Double> sorted = firstTokenMs.stream().sorted().toList();
+            return sorted.isEmpty()
+                    ? Double.NaN
+                    : sorted.get((int) Math.min(sorted.size() - 1, quantile * sorted.size()));
+        }
+    }
+
+    void add(RequestClass requestClass, Outcome outcome, double factor, double arrivedMs, double firstTokenMs) {
+        ClassTally tally = classes.computeIfAbsent(requestClass.name(), ignored -> new ClassTally());
+        double earned = factor
+                * switch (outcome) {
+                    case ON_TIME -> requestClass.worth();
+                    case LATE -> requestClass.lateWorth();
+                    default -> 0;
+                };
+        double owed = factor * requestClass.worth();
+        tally.counts.merge(outcome, 1, Integer::sum);
+        tally.earned += earned;
+        tally.owed += owed;
+        if (!Double.isNaN(firstTokenMs)) {
+            tally.firstTokenMs.add(firstTokenMs);
+        }
+        double[] window = windows.computeIfAbsent((int) (arrivedMs / WINDOW_MS), ignored -> new double[2]);
+        window[0] += earned;
+        window[1] += owed;
+    }
+
+    void engines(double busy) {
+        engineBusy = busy;
+    }
+
+    /** Part of the time in which an engine works, on the mean. */
+    double engineBusy() {
+        return engineBusy;
+    }
+
+    Map<String, ClassTally> classes() {
+        return classes;
+    }
+
+    ClassTally of(String requestClass) {
+        return classes.getOrDefault(requestClass, new ClassTally());
+    }
+
+    /** The part of the whole worth that was earned. */
+    double share() {
+        double earned =
+                classes.values().stream().mapToDouble(tally -> tally.earned).sum();
+        double owed = classes.values().stream().mapToDouble(tally -> tally.owed).sum();
+        return owed > 0 ? earned / owed : 1;
+    }
+
+    /** The same for the two worst windows of two seconds. */
+    double worstWindows() {
+        return windows.values().stream()
+                .filter(window -> window[1] > 0)
+                .mapToDouble(window -> window[0] / window[1])
+                .sorted()
+                .limit(2)
+                .average()
+                .orElse(1);
+    }
+}
--- a/figspan-policy/src/main/java/io/figspan/policy/engine/LateLoss.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/engine/LateLoss.java
@@ -16,6 +16,15 @@
     /** Part of the worth that is lost when an answer is late; the rest is lost when its caller has given up. */
     private static final double LATE = 0.75;
 
+    /** A caller leaves after a pause of this many times the longest one that is on time. */
+    private static final double PATIENCE_GAPS = 8;
+
+    /** Callers wait for a piece for this long at least. */
+    private static final double MIN_PATIENCE_MS = 2_000;
+
+    /** Part of a caller's patience at which the risk that it leaves begins. */
+    private static final double GIVE_UP_START = 0.7;
+
     /**
      * Part of the worth that waiting costs while there is time, so that of two plans in time the sooner one is taken.
      */
@@ -35,9 +44,11 @@
         return WAITING * clamp(part) + (LATE - WAITING) * ramp(part, firstTokenStart) + (1 - LATE) * clamp(givenUp);
     }
 
-    /** The part lost by a pause. */
+    /** The part lost by a pause; callers leave when it is much longer than the longest one that is on time. */
     public double ofGap(double gapMs, double maxGapMs) {
-        return LATE * ramp((gapMs + netMs) / maxGapMs, gapStart);
+        double leftAtMs = Math.max(MIN_PATIENCE_MS, PATIENCE_GAPS * maxGapMs);
+        double givenUp = clamp((gapMs / leftAtMs - GIVE_UP_START) / (1 - GIVE_UP_START));
+        return LATE * ramp((gapMs + netMs) / maxGapMs, gapStart) + (1 - LATE) * givenUp;
     }
 
     private double ramp(double part, double start) {
--- a/figspan-policy/src/main/java/io/figspan/policy/engine/PassSimulation.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/engine/PassSimulation.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * What one model engine does, as far as it follows from the requests that were sent to it. It runs passes. While
@@ -84,7 +85,9 @@
      * @param maxGapMs longest pause with which its answer is still on time; 0 when there is none
      * @param worth what an answer on time is worth beside others
      */
-    public record RequestTraits(double contextTokens, double dueMs, double lostMs, double maxGapMs, double worth) {}
+    public record RequestTraits(double contextTokens, double dueMs, double lostMs, double maxGapMs, double worth) {
+        static final RequestTraits NONE = new RequestTraits(0, 0, 0, 0, 0);
+    }
 
     public PassSimulation(EngineProfile profile, double nowMs) {
         this.profile = profile;
@@ -380,13 +383,16 @@
     /**
      * Forecasts reading that is added now; nothing changes.
      *
+     * @param writer the request that writes here afterwards, whose own pauses count too; empty when another engine
+     *     writes the answer
      * @param harmBefore what others lose without it, from {@link #harmSoon}
      */
-    public Forecast forecast(ReadShare share, LateLoss loss, double harmBefore, double nowMs) {
+    public Forecast forecast(
+            ReadShare share, Optional<RequestTraits> writer, LateLoss loss, double harmBefore, double nowMs) {
         advanceTo(nowMs);
         PassSimulation with = new PassSimulation(this);
-        Task added = new Task(ADDED, new RequestTraits(share.tokens(), 0, 0, 0, 0), share, profile, false);
-        with.insert(added);
+        RequestTraits traits = writer.orElse(RequestTraits.NONE);
+        with.insert(new Task(ADDED, traits, share, profile, writer.isPresent()));
         Forecast forecast = with.runOut(ADDED, loss);
         return new Forecast(forecast.doneMs(), Math.max(0, forecast.harm() - harmBefore));
     }
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/EnginePlacer.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/EnginePlacer.java
@@ -135,10 +135,19 @@
         ReadPlanner.Wanted wanted = new ReadPlanner.Wanted(
                 promptTokens, memoryTokens, dueMs(job), lostMs(job), gapMs(job), JobWorth.of(job.prompt()));
         return planner.plan(wanted, firsts, helpers, nowMs)
-                .filter(plan -> SendRule.sendsNow(plan, wanted.worth(), wanted.dueMs(), wanted.lostMs(), nowMs))
+                .filter(plan -> SendRule.sendsNow(plan, wanted, waitingMs(), nowMs))
                 .map(plan -> send(job, plan, nowNanos));
     }
 
+    /** Reading that waits at each engine, on the mean. */
+    private double waitingMs() {
+        double total = 0;
+        for (EngineSeat seat : seats.values()) {
+            total += seat.simulation().readingMs();
+        }
+        return total / Math.max(1, seats.size());
+    }
+
     private Placement send(Job job, ReadPlan plan, long nowNanos) {
         double nowMs = ms(nowNanos);
         long outputTokens = job.prompt().map(PromptShape::maxOutputTokens).orElse(0L);
@@ -169,7 +178,9 @@
             PassSimulation simulation = reader.seat().simulation();
             othersReadyMs = Math.max(
                     othersReadyMs,
-                    simulation.forecast(share, LateLoss.DEFAULT, 0, nowMs).doneMs());
+                    simulation
+                            .forecast(share, Optional.empty(), LateLoss.DEFAULT, 0, nowMs)
+                            .doneMs());
             simulation.addPart(key, traits, share, nowMs);
             if (reader.heldTokens() > 0) {
                 reader.seat().hold(key, reader.heldTokens());
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/ReadPlanner.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/ReadPlanner.java
@@ -2,6 +2,7 @@
 
 import io.figspan.policy.engine.LateLoss;
 import io.figspan.policy.engine.PassSimulation.Forecast;
+import io.figspan.policy.engine.PassSimulation.RequestTraits;
 import io.figspan.policy.engine.ReadShare;
 import io.figspan.policy.placing.ReadPlan.Reader;
 import io.figspan.settings.gateway.EngineProfile;
@@ -59,7 +60,11 @@
      * @param lostMs when the caller has given up
      */
     record Wanted(
-            double promptTokens, double memoryTokens, double dueMs, double lostMs, double maxGapMs, double worth) {}
+            double promptTokens, double memoryTokens, double dueMs, double lostMs, double maxGapMs, double worth) {
+        RequestTraits traits() {
+            return new RequestTraits(promptTokens, dueMs, lostMs, maxGapMs, worth);
+        }
+    }
 
     /** An engine that may take part, and what others lose there without the request. */
     private record Able(EngineSeat seat, boolean mayRun, double harmBefore) {}
@@ -172,7 +177,8 @@
     }
 
     private Candidate candidate(Able engine, ReadShare share, Wanted wanted, double nowMs) {
-        Forecast forecast = engine.seat().simulation().forecast(share, lateLoss, engine.harmBefore(), nowMs);
+        Optional<RequestTraits> writer = engine.mayRun() ? Optional.of(wanted.traits()) : Optional.empty();
+        Forecast forecast = engine.seat().simulation().forecast(share, writer, lateLoss, engine.harmBefore(), nowMs);
         double harm = forecast.harm() + blockingLoss(engine.seat(), share);
         double loss = harm + ownLoss(wanted, forecast.doneMs(), nowMs) + (forecast.doneMs() - nowMs) * LOSS_PER_MS;
         return new Candidate(engine.seat(), engine.mayRun(), forecast, harm, loss);
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/SendRule.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/SendRule.java
@@ -3,36 +3,46 @@
 /**
  * Decides whether a request is sent now or waits for engines with less to do. An engine reads the latest part first, so
  * a long prompt that is sent into a crowd delays all that came before it. Answers load in which prompts that take
- * seconds to read arrive faster than they are read.
+ * seconds to read arrive faster than they are read: the reading of engines then has a price, and prompts that are worth
+ * less than it for the time that they take wait for a calmer moment.
  */
 final class SendRule {
     /** Part of its own worth that others may lose by a request that is sent at once. */
     private static final double FREE_HARM = 0.1;
 
-    /** Part of a request's worth that is lost when it is late. */
-    private static final double LATE_WORTH = 0.75;
+    /** Part of its own worth that others may lose by a request that would be late if it waited longer. */
+    private static final double DUE_HARM = 0.4;
 
     /** Reading takes this much longer than forecast when others come after it. */
     private static final double SLOWDOWN = 2;
 
+    /** Worth that a second of an engine's reading serves when the engines are crowded. */
+    private static final double CROWDED_WORTH_PER_SECOND = 4;
+
+    /** Reading that waits at each engine, on the mean, when they are crowded. */
+    private static final double CROWDED_MS = 400;
+
+    private static final double MS_PER_SECOND = 1_000;
+
     private SendRule() {}
 
     /**
      * Whether to send now.
      *
-     * @param worth what the request's answer on time is worth
-     * @param dueMs when its first token is late
-     * @param lostMs when its caller has given up
+     * @param waitingMs reading that waits at each engine, on the mean
      */
-    static boolean sendsNow(ReadPlan plan, double worth, double dueMs, double lostMs, double nowMs) {
-        if (plan.harm() <= FREE_HARM * worth) {
+    static boolean sendsNow(ReadPlan plan, ReadPlanner.Wanted wanted, double waitingMs, double nowMs) {
+        double engineSeconds = plan.readMs() * (plan.readers().size() + 1) / MS_PER_SECOND;
+        double price = CROWDED_WORTH_PER_SECOND * Math.min(1, waitingMs / CROWDED_MS);
+        double harm = plan.harm() + engineSeconds * price;
+        if (harm <= FREE_HARM * wanted.worth()) {
             return true;
         }
         double neededMs = SLOWDOWN * (plan.doneMs() - nowMs);
-        boolean mustStartForDue = nowMs + neededMs >= dueMs && plan.doneMs() < dueMs;
-        if (mustStartForDue && plan.harm() < LATE_WORTH * worth) {
+        boolean mustStartForDue = nowMs + neededMs >= wanted.dueMs() && plan.doneMs() < wanted.dueMs();
+        if (mustStartForDue && harm < DUE_HARM * wanted.worth()) {
             return true;
         }
-        return nowMs + neededMs >= lostMs;
+        return nowMs + neededMs >= wanted.lostMs();
     }
 }
