--- a/figspan-policy/src/main/java/io/figspan/policy/placing/SendRule.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/SendRule.java
@@ -8,11 +8,14 @@
  */
 final class SendRule {
     /** Part of its own worth that others may lose by a request that is sent at once. */
-    private static final double FREE_HARM = 0.1;
+    private static final double FREE_HARM = 0.25;
 
     /** Part of its own worth that others may lose by a request that would be late if it waited longer. */
     private static final double DUE_HARM = 0.4;
 
+    /** Part of its own worth that others may lose by a request whose caller would leave if it waited longer. */
+    private static final double LOST_HARM = 0.25;
+
     /** Reading takes this much longer than forecast when others come after it. */
     private static final double SLOWDOWN = 2;
 
@@ -43,6 +46,6 @@
         if (mustStartForDue && harm < DUE_HARM * wanted.worth()) {
             return true;
         }
-        return nowMs + neededMs >= wanted.lostMs();
+        return nowMs + neededMs >= wanted.lostMs() && harm < LOST_HARM * wanted.worth();
     }
 }
