--- a/figspan-policy/src/main/java/io/figspan/policy/placing/EnginePlacer.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/EnginePlacer.java
@@ -37,6 +37,9 @@
     /** Time to come back for a prompt that found no engine. */
     static final long RETRY_AFTER_MS = 400;
 
+    /** Looking for a place takes about a millisecond, so a job that waits does so this often at most. */
+    private static final long RETRY_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(30);
+
     /** Time for which an engine that failed a request gets no other. */
     private static final double AVOID_MS = 500;
 
@@ -50,9 +53,20 @@
     private final Map<BackendServerId, EngineSeat> seats = new TreeMap<>();
     private final Map<Job, OwnWork> placed = new LinkedHashMap<>();
     private final Map<HostId, Map<Long, PeerJob>> peers = new HashMap<>();
-    private final Queue<Job> queue = new ArrayDeque<>();
+    private final Queue<Waiting> queue = new ArrayDeque<>();
     private long nextKey = 1;
 
+    /** A job that waits, and when a place was last looked for. */
+    private static final class Waiting {
+        final Job job;
+        long triedAtNanos;
+
+        Waiting(Job job, long triedAtNanos) {
+            this.job = job;
+            this.triedAtNanos = triedAtNanos;
+        }
+    }
+
     /** A job of this host at its engines. */
     private static final class OwnWork {
         final long key;
@@ -110,7 +124,7 @@
         if (queue.size() >= MAX_WAITING) {
             return List.of(refuse(job, "too many requests wait"));
         }
-        queue.add(job);
+        queue.add(new Waiting(job, nowNanos));
         return List.of();
     }
 
@@ -134,9 +148,15 @@
         }
         ReadPlanner.Wanted wanted = new ReadPlanner.Wanted(
                 promptTokens, memoryTokens, dueMs(job), lostMs(job), gapMs(job), JobWorth.of(job.prompt()));
-        return planner.plan(wanted, firsts, helpers, nowMs)
-                .filter(plan -> SendRule.sendsNow(plan, wanted, waitingMs(), nowMs))
-                .map(plan -> send(job, plan, nowNanos));
+        Optional<ReadPlan> plan = planner.plan(wanted, firsts, helpers, nowMs);
+        if (plan.isEmpty()) {
+            return Optional.empty();
+        }
+        return switch (SendRule.decide(plan.get(), wanted, waitingMs(), nowMs)) {
+            case SEND -> Optional.of(send(job, plan.get(), nowNanos));
+            case REFUSE -> Optional.of(refuse(job, "it can't be read in time"));
+            case WAIT -> Optional.empty();
+        };
     }
 
     /** Reading that waits at each engine, on the mean. */
@@ -229,7 +249,7 @@
 
     @Override
     public void withdrawn(Job job) {
-        queue.remove(job);
+        queue.removeIf(waiting -> waiting.job == job);
     }
 
     @Override
@@ -238,15 +258,19 @@
             return List.of();
         }
         List<Placement> placements = new ArrayList<>();
-        for (Iterator<Job> waiting = queue.iterator(); waiting.hasNext(); ) {
-            Job job = waiting.next();
-            Optional<Placement> placement = place(job, nowNanos);
+        for (Iterator<Waiting> jobs = queue.iterator(); jobs.hasNext(); ) {
+            Waiting waiting = jobs.next();
+            if (nowNanos - waiting.triedAtNanos < RETRY_INTERVAL_NANOS) {
+                continue;
+            }
+            waiting.triedAtNanos = nowNanos;
+            Optional<Placement> placement = place(waiting.job, nowNanos);
             if (placement.isPresent()) {
-                waiting.remove();
+                jobs.remove();
                 placements.add(placement.get());
-            } else if (hasWaitedTooLong(job, nowNanos)) {
-                waiting.remove();
-                placements.add(refuse(job, "no engine became free in time"));
+            } else if (hasWaitedTooLong(waiting.job, nowNanos)) {
+                jobs.remove();
+                placements.add(refuse(waiting.job, "no engine became free in time"));
             }
         }
         return placements;
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/SendRule.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/SendRule.java
@@ -14,7 +14,7 @@
     private static final double DUE_HARM = 0.4;
 
     /** Part of its own worth that others may lose by a request whose caller would leave if it waited longer. */
-    private static final double LOST_HARM = 0.25;
+    private static final double LOST_HARM = 0.5;
 
     /** Reading takes this much longer than forecast when others come after it. */
     private static final double SLOWDOWN = 2;
@@ -29,23 +29,36 @@
 
     private SendRule() {}
 
+    /** What to do with a request now. */
+    enum Verdict {
+        SEND,
+        WAIT,
+        /** It can't be read before its caller gives up. */
+        REFUSE
+    }
+
     /**
-     * Whether to send now.
+     * Decides on a request.
      *
      * @param waitingMs reading that waits at each engine, on the mean
      */
-    static boolean sendsNow(ReadPlan plan, ReadPlanner.Wanted wanted, double waitingMs, double nowMs) {
+    static Verdict decide(ReadPlan plan, ReadPlanner.Wanted wanted, double waitingMs, double nowMs) {
+        if (plan.doneMs() >= wanted.lostMs()) {
+            return Verdict.REFUSE;
+        }
         double engineSeconds = plan.readMs() * (plan.readers().size() + 1) / MS_PER_SECOND;
         double price = CROWDED_WORTH_PER_SECOND * Math.min(1, waitingMs / CROWDED_MS);
         double harm = plan.harm() + engineSeconds * price;
-        if (harm <= FREE_HARM * wanted.worth()) {
-            return true;
-        }
+        return harm <= allowedHarm(plan, wanted, nowMs) * wanted.worth() ? Verdict.SEND : Verdict.WAIT;
+    }
+
+    /** Part of the request's worth that others may lose by it: more when it can't wait any longer. */
+    private static double allowedHarm(ReadPlan plan, ReadPlanner.Wanted wanted, double nowMs) {
         double neededMs = SLOWDOWN * (plan.doneMs() - nowMs);
-        boolean mustStartForDue = nowMs + neededMs >= wanted.dueMs() && plan.doneMs() < wanted.dueMs();
-        if (mustStartForDue && harm < DUE_HARM * wanted.worth()) {
-            return true;
+        if (nowMs + neededMs >= wanted.lostMs()) {
+            return LOST_HARM;
         }
-        return nowMs + neededMs >= wanted.lostMs() && harm < LOST_HARM * wanted.worth();
+        boolean mustStartForDue = nowMs + neededMs >= wanted.dueMs() && plan.doneMs() < wanted.dueMs();
+        return mustStartForDue ? DUE_HARM : FREE_HARM;
     }
 }
