Price reading by how crowded the engines were lately, and test the placing

Cause: a giant on idle engines waited, since what it would do to later requests counted as avoidable harm. It counts now only as far as the engines were crowded in the last two seconds.

--- a/figspan-policy/src/main/java/io/figspan/policy/placing/EnginePlacer.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/EnginePlacer.java
@@ -53,6 +53,7 @@
     private final Map<BackendServerId, EngineSeat> seats = new TreeMap<>();
     private final Map<Job, OwnWork> placed = new LinkedHashMap<>();
     private final Map<HostId, Map<Long, PeerJob>> peers = new HashMap<>();
+    private final Crowding crowding = new Crowding();
     private final Queue<Waiting> queue = new ArrayDeque<>();
     private long nextKey = 1;
 
@@ -152,7 +153,7 @@
         if (plan.isEmpty()) {
             return Optional.empty();
         }
-        return switch (SendRule.decide(plan.get(), wanted, waitingMs(), nowMs)) {
+        return switch (SendRule.decide(plan.get(), wanted, crowding.averageMs(), nowMs)) {
             case SEND -> Optional.of(send(job, plan.get(), nowNanos));
             case REFUSE -> Optional.of(refuse(job, "it can't be read in time"));
             case WAIT -> Optional.empty();
@@ -254,6 +255,7 @@
 
     @Override
     public List<Placement> tick(long nowNanos) {
+        crowding.observe(waitingMs(), ms(nowNanos));
         if (queue.isEmpty()) {
             return List.of();
         }
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/ReadPlanner.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/ReadPlanner.java
@@ -5,7 +5,6 @@
 import io.figspan.policy.engine.PassSimulation.RequestTraits;
 import io.figspan.policy.engine.ReadShare;
 import io.figspan.policy.placing.ReadPlan.Reader;
-import io.figspan.settings.gateway.EngineProfile;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
@@ -42,7 +41,11 @@
     /** Part of the free memory that is asked for, since requests there go on writing. */
     private static final double USABLE_MEMORY = 0.95;
 
-    /** Worth lost to requests still to come, for an engine that reads for a second. */
+    /**
+     * Worth lost to requests that are still to come, for an engine that reads for a second. All of its reading is in
+     * their way, so the loss grows with the square of it. The part that is due to the present reading can be avoided by
+     * waiting, so it counts as harm.
+     */
     private static final double BLOCKING_LOSS_PER_SQUARE_SECOND = 0.5;
 
     private static final double MS_PER_SECOND = 1_000;
@@ -170,17 +173,26 @@
                 harm += candidate.harm();
             }
         }
-        EngineProfile profile = first.seat().profile();
-        double loss =
-                harm + openingLoss(wanted, first.seat()) + readers * LOSS_PER_READER + ownLoss(wanted, doneMs, nowMs);
-        return new ReadPlan(first.seat(), chosen, share.readMs(profile), doneMs, harm, loss);
+        double readMs = share.readMs(first.seat().profile());
+        double seconds = readMs / MS_PER_SECOND;
+        double loss = harm
+                + openingLoss(wanted, first.seat())
+                + readers * LOSS_PER_READER
+                + (readers + 1) * BLOCKING_LOSS_PER_SQUARE_SECOND * seconds * seconds
+                + ownLoss(wanted, doneMs, nowMs);
+        return new ReadPlan(first.seat(), chosen, readMs, doneMs, harm, loss);
     }
 
     private Candidate candidate(Able engine, ReadShare share, Wanted wanted, double nowMs) {
         Optional<RequestTraits> writer = engine.mayRun() ? Optional.of(wanted.traits()) : Optional.empty();
         Forecast forecast = engine.seat().simulation().forecast(share, writer, lateLoss, engine.harmBefore(), nowMs);
-        double harm = forecast.harm() + blockingLoss(engine.seat(), share);
-        double loss = harm + ownLoss(wanted, forecast.doneMs(), nowMs) + (forecast.doneMs() - nowMs) * LOSS_PER_MS;
+        double presentSeconds = engine.seat().simulation().readingMs() / MS_PER_SECOND;
+        double addedSeconds = share.readMs(engine.seat().profile()) / MS_PER_SECOND;
+        double harm = forecast.harm() + BLOCKING_LOSS_PER_SQUARE_SECOND * 2 * addedSeconds * presentSeconds;
+        double loss = harm
+                + BLOCKING_LOSS_PER_SQUARE_SECOND * addedSeconds * addedSeconds
+                + ownLoss(wanted, forecast.doneMs(), nowMs)
+                + (forecast.doneMs() - nowMs) * LOSS_PER_MS;
         return new Candidate(engine.seat(), engine.mayRun(), forecast, harm, loss);
     }
 
@@ -189,16 +201,6 @@
         return wanted.worth() * lateLoss.ofFirstToken(doneMs, wanted.dueMs(), wanted.lostMs(), nowMs);
     }
 
-    /**
-     * What requests that are still to come lose by reading that is added to an engine: all of its reading is in their
-     * way, so the loss grows with the square of it.
-     */
-    private static double blockingLoss(EngineSeat seat, ReadShare share) {
-        double present = seat.simulation().readingMs() / MS_PER_SECOND;
-        double added = share.readMs(seat.profile()) / MS_PER_SECOND;
-        return BLOCKING_LOSS_PER_SQUARE_SECOND * added * (added + 2 * present);
-    }
-
     private static Candidate bestFirst(Wanted wanted, List<Candidate> candidates) {
         Candidate best = null;
         double bestLoss = Double.POSITIVE_INFINITY;
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/SendRule.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/SendRule.java
@@ -20,7 +20,10 @@
     private static final double SLOWDOWN = 2;
 
     /** Worth that a second of an engine's reading serves when the engines are crowded. */
-    private static final double CROWDED_WORTH_PER_SECOND = 4;
+    private static final double CROWDED_WORTH_PER_SECOND = 2;
+
+    /** Added to it for each second that each engine reads, since the reading is in the way of what comes meanwhile. */
+    private static final double CROWDED_WORTH_PER_SQUARE_SECOND = 0.5;
 
     /** Reading that waits at each engine, on the mean, when they are crowded. */
     private static final double CROWDED_MS = 400;
@@ -40,15 +43,16 @@
     /**
      * Decides on a request.
      *
-     * @param waitingMs reading that waits at each engine, on the mean
+     * @param waitingMs reading that waited at each engine lately, on the mean
      */
     static Verdict decide(ReadPlan plan, ReadPlanner.Wanted wanted, double waitingMs, double nowMs) {
         if (plan.doneMs() >= wanted.lostMs()) {
             return Verdict.REFUSE;
         }
+        double crowded = Math.min(1, waitingMs / CROWDED_MS);
         double engineSeconds = plan.readMs() * (plan.readers().size() + 1) / MS_PER_SECOND;
-        double price = CROWDED_WORTH_PER_SECOND * Math.min(1, waitingMs / CROWDED_MS);
-        double harm = plan.harm() + engineSeconds * price;
+        double price = CROWDED_WORTH_PER_SECOND + CROWDED_WORTH_PER_SQUARE_SECOND * plan.readMs() / MS_PER_SECOND;
+        double harm = plan.harm() + engineSeconds * price * crowded;
         return harm <= allowedHarm(plan, wanted, nowMs) * wanted.worth() ? Verdict.SEND : Verdict.WAIT;
     }
 
--- /dev/null
+++ b/figspan-policy/src/test/java/io/figspan/policy/placing/EnginePlacerTest.java
@@ -0,0 +1,192 @@
+package io.figspan.policy.placing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.figspan.core.error.RunState;
+import io.figspan.core.id.BackendServerId;
+import io.figspan.core.id.HostId;
+import io.figspan.core.time.Deadline;
+import io.figspan.core.work.PlacedReader;
+import io.figspan.core.work.PlacedWork;
+import io.figspan.policy.placing.Placer.EndOfWork;
+import io.figspan.policy.placing.Placer.ServerSeat;
+import io.figspan.settings.gateway.EngineProfile;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/** Guards against placements that ignore what engines have to do already. */
+class EnginePlacerTest {
+    private static final EngineProfile ENGINE =
+            new EngineProfile(4, 315_000, 51, 0.85, 0.006, 0.0029, 177, 0.184, 2_048, 200, 0.05);
+    private static final HostId PEER = HostId.of("peer");
+
+    private final EnginePlacer placer = new EnginePlacer(ENGINE);
+    private long nowNanos = TimeUnit.SECONDS.toNanos(100);
+    private int jobs;
+
+    private void engines(int count) {
+        List<ServerSeat> seats = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            seats.add(new ServerSeat(engine(i), ENGINE.slots()));
+        }
+        placer.serversChanged(seats, nowNanos);
+    }
+
+    private static BackendServerId engine(int number) {
+        return BackendServerId.of("engine-" + number);
+    }
+
+    private Job job(long promptTokens, long targetMs, long gapMs) {
+        return new Job(
+                "job-" + jobs++,
+                nowNanos,
+                Deadline.after(nowNanos, 15_000),
+                TimeUnit.MILLISECONDS.toNanos(targetMs),
+                TimeUnit.MILLISECONDS.toNanos(gapMs),
+                1,
+                Optional.of(new PromptShape(promptTokens, 2_000, OptionalInt.empty())));
+    }
+
+    private Job shortJob() {
+        return job(5_000, 300, 250);
+    }
+
+    private Job longestJob(long promptTokens) {
+        return job(promptTokens, 3_000, 1_000);
+    }
+
+    private Placement.Send sent(Job job) {
+        List<Placement> placements = placer.arrived(job, nowNanos);
+        assertEquals(1, placements.size(), "the job is placed at once");
+        return assertInstanceOf(Placement.Send.class, placements.get(0));
+    }
+
+    private void advanceMs(long ms) {
+        nowNanos += TimeUnit.MILLISECONDS.toNanos(ms);
+    }
+
+    @Test
+    void aShortPromptIsSentToOneEngine() {
+        engines(3);
+        assertTrue(sent(shortJob()).readers().isEmpty());
+    }
+
+    @Test
+    void shortPromptsShareEnginesSoThatOthersStayFreeForLongOnes() {
+        engines(6);
+        Set<BackendServerId> used = new HashSet<>();
+        for (int i = 0; i < ENGINE.slots(); i++) {
+            Job job = shortJob();
+            used.add(sent(job).server());
+            advanceMs(100);
+            placer.pieceArrived(job, 1, nowNanos);
+        }
+        assertTrue(used.size() <= 2, "four short prompts use " + used);
+    }
+
+    @Test
+    void aLongPromptIsReadBySeveralEnginesAndNotBesideShortOnes() {
+        engines(6);
+        Job first = shortJob();
+        BackendServerId busy = sent(first).server();
+        advanceMs(100);
+        placer.pieceArrived(first, 1, nowNanos);
+        Placement.Send send = sent(longestJob(154_000));
+        assertFalse(send.readers().isEmpty());
+        assertFalse(send.server().equals(busy));
+        assertTrue(send.readers().stream().noneMatch(reader -> reader.server().equals(busy)));
+    }
+
+    @Test
+    void aPromptLargerThanAnEngineHoldsMemoryElsewhere() {
+        engines(4);
+        Placement.Send send = sent(longestJob(500_000));
+        long held = send.readers().stream().mapToLong(PlacedReader::heldTokens).sum();
+        assertTrue(held >= 500_000 - ENGINE.memoryTokens(), "held elsewhere: " + held);
+        assertTrue(send.readers().get(0).heldTokens() > 0, "engines that hold memory come first");
+    }
+
+    @Test
+    void aJobWaitsWhileAllSlotsAreTakenAndIsPlacedWhenOneIsFree() {
+        engines(1);
+        List<Job> running = new ArrayList<>();
+        for (int i = 0; i < ENGINE.slots(); i++) {
+            running.add(shortJob());
+            sent(running.get(i));
+            advanceMs(40);
+        }
+        Job waiting = shortJob();
+        assertTrue(placer.arrived(waiting, nowNanos).isEmpty());
+        assertEquals(1, placer.waiting());
+        advanceMs(50);
+        List<Placement> placements = placer.ended(running.get(0), EndOfWork.SERVED, nowNanos);
+        assertEquals(waiting, placements.get(0).job());
+        assertEquals(0, placer.waiting());
+    }
+
+    @Test
+    void aJobThatFindsNoEngineBeforeItsCallerLeavesIsRefusedAsNotRun() {
+        engines(1);
+        for (int i = 0; i < ENGINE.slots(); i++) {
+            sent(shortJob());
+        }
+        placer.arrived(shortJob(), nowNanos);
+        advanceMs(2_100);
+        Placement.Refuse refuse =
+                assertInstanceOf(Placement.Refuse.class, placer.tick(nowNanos).get(0));
+        assertEquals(RunState.NOT_RUN, refuse.problem().run());
+        assertTrue(refuse.problem().retryAfterMs() > 0);
+    }
+
+    @Test
+    void workOfOtherHostsTakesSlotsUntilItIsGone() {
+        engines(1);
+        List<PlacedWork> work = new ArrayList<>();
+        for (int i = 0; i < ENGINE.slots(); i++) {
+            work.add(new PlacedWork(i, engine(0), List.of(), 5_000, 1_000, 52, 500, -200, 250));
+        }
+        placer.peerWork(PEER, work, nowNanos);
+        assertTrue(placer.arrived(shortJob(), nowNanos).isEmpty());
+        advanceMs(50);
+        assertEquals(1, placer.peerWork(PEER, List.of(), nowNanos).size());
+    }
+
+    @Test
+    void theWorkThatIsToldToOthersIsWhatWasPlaced() {
+        engines(4);
+        Job job = longestJob(500_000);
+        Placement.Send send = sent(job);
+        PlacedWork told = placer.ownWork(nowNanos).get(0);
+        assertEquals(send.server(), told.server());
+        assertEquals(send.readers(), told.readers());
+        assertEquals(500_000, told.promptTokens());
+        placer.ended(job, EndOfWork.SERVED, nowNanos);
+        assertTrue(placer.ownWork(nowNanos).isEmpty());
+    }
+
+    @Test
+    void anEngineThatLeavesGetsNothingNew() {
+        engines(2);
+        placer.serversChanged(List.of(new ServerSeat(engine(1), ENGINE.slots())), nowNanos);
+        assertEquals(engine(1), sent(shortJob()).server());
+        assertEquals(engine(1), sent(job(8_000, 300, 250)).server());
+    }
+
+    @Test
+    void anEngineThatBrokeIsAvoidedForAWhile() {
+        engines(2);
+        Job job = shortJob();
+        BackendServerId broken = sent(job).server();
+        placer.ended(job, EndOfWork.BROKEN, nowNanos);
+        assertFalse(sent(shortJob()).server().equals(broken));
+    }
+}
