Open the port for callers first and let early requests wait for the settings

Cause: after all processes are killed, callers who came while a host started were turned away, and their one retry was spent.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
@@ -30,6 +30,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -87,10 +88,14 @@
         this.shutdown = new Shutdown(loop, log, callers, peers, config.stopMs());
     }
 
-    /** Opens the ports and begins to follow the store. */
-    public void start() {
+    /**
+     * Opens the ports and begins to follow the store.
+     *
+     * @param callerPort the open port for callers
+     */
+    public void start(ServerSocketChannel callerPort) {
         log.info(Part.ENTRY, "started").text("host", config.host()).write();
-        callers.listen(config.callers()).syncUninterruptibly();
+        callers.serve(callerPort).syncUninterruptibly();
         peers.listen().syncUninterruptibly();
         SmallServer.listen(loop, config.readiness(), this::answerReadiness).syncUninterruptibly();
         SmallServer.listen(loop, config.directory(), this::answerDirectory).syncUninterruptibly();
@@ -118,11 +123,16 @@
         holds.tick(nowNanos);
         callers.tick(nowNanos);
         shutdown.tick(nowNanos);
+        openWhenKnown(nowNanos);
+        peers.tick(nowNanos);
+        forwarder.sharedBy(peers.hostCount());
+    }
+
+    private void openWhenKnown(long nowNanos) {
         if (isReady()) {
+            forwarder.open();
             peers.join(nowNanos);
         }
-        peers.tick(nowNanos);
-        forwarder.sharedBy(peers.hostCount());
     }
 
     private boolean isReady() {
@@ -135,11 +145,13 @@
     public void onSettings(GatewaySettings settings) {
         forwarder.apply(settings);
         callers.limitsChanged(settings.callerLimits());
+        openWhenKnown(System.nanoTime());
     }
 
     @Override
     public void onServersChanged() {
         forwarder.serversChanged();
+        openWhenKnown(System.nanoTime());
     }
 
     // Other hosts
--- a/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerConnection.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerConnection.java
@@ -2,8 +2,8 @@
 
 import io.figspan.core.error.Problem;
 import io.figspan.core.error.ProblemKind;
+import io.figspan.gateway.forward.CallerCall;
 import io.figspan.gateway.forward.CallerExchange;
-import io.figspan.gateway.forward.ForwardCall;
 import io.figspan.gateway.forward.ProblemResponses;
 import io.figspan.gateway.http.Channels;
 import io.figspan.settings.gateway.CallerLimits;
@@ -48,8 +48,9 @@
     private Channel channel;
     private HttpRequest head;
     private ByteBuf body;
-    private ForwardCall call;
+    private CallerCall call;
     private boolean answering;
+    private long requests;
     private boolean keepAlive = true;
     private boolean closing;
     private long lastActiveNanos = System.nanoTime();
@@ -73,7 +74,7 @@
         releaseBody();
         pipelined.forEach(ReferenceCountUtil::release);
         pipelined.clear();
-        ForwardCall left = call;
+        CallerCall left = call;
         call = null;
         if (left != null) {
             left.callerLeft();
@@ -177,8 +178,10 @@
         answering = true;
         ByteBuf whole = body;
         body = null;
-        Optional<ForwardCall> accepted = server.accept(head, whole, this);
-        if (answering) {
+        long number = ++requests;
+        Optional<CallerCall> accepted = server.accept(head, whole, this);
+        boolean answeredMeanwhile = !answering || requests != number;
+        if (!answeredMeanwhile) {
             call = accepted.orElse(null);
         }
     }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerServer.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerServer.java
@@ -2,8 +2,8 @@
 
 import io.figspan.core.error.Problem;
 import io.figspan.core.error.ProblemKind;
+import io.figspan.gateway.forward.CallerCall;
 import io.figspan.gateway.forward.CallerExchange;
-import io.figspan.gateway.forward.ForwardCall;
 import io.figspan.gateway.forward.Forwarder;
 import io.figspan.gateway.forward.ProblemResponses;
 import io.figspan.gateway.http.Channels;
@@ -22,7 +22,10 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpServerCodec;
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.channels.ServerSocketChannel;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.Optional;
@@ -51,11 +54,19 @@
         this.protocol = protocol;
     }
 
-    public ChannelFuture listen(InetSocketAddress address) {
-        ChannelFuture bound = new ServerBootstrap()
+    /** Opens the port without taking connections from it yet; they wait until {@link #serve} is called. */
+    public static ServerSocketChannel open(InetSocketAddress address) throws IOException {
+        ServerSocketChannel port = ServerSocketChannel.open();
+        port.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+        port.bind(address, BACKLOG);
+        return port;
+    }
+
+    /** Takes connections from an open port. */
+    public ChannelFuture serve(ServerSocketChannel port) {
+        ChannelFuture registered = new ServerBootstrap()
                 .group(loop)
-                .channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .channelFactory(() -> new NioServerSocketChannel(port))
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<>() {
                     @Override
@@ -63,9 +74,9 @@
                         initialize(ch);
                     }
                 })
-                .bind(address);
-        listener = bound.channel();
-        return bound;
+                .register();
+        listener = registered.channel();
+        return registered;
     }
 
     private void initialize(Channel channel) {
@@ -114,7 +125,7 @@
         return draining;
     }
 
-    Optional<ForwardCall> accept(HttpRequest head, ByteBuf body, CallerExchange exchange) {
+    Optional<CallerCall> accept(HttpRequest head, ByteBuf body, CallerExchange exchange) {
         if (refusing) {
             body.release();
             Problem problem = Problem.notRun(ProblemKind.SHUTTING_DOWN, "this host is shutting down");
--- /dev/null
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/CallerCall.java
@@ -0,0 +1,10 @@
+package io.figspan.gateway.forward;
+
+/** A request in progress, as the caller's connection sees it. */
+public interface CallerCall {
+    /** The caller has closed its connection. */
+    void callerLeft();
+
+    /** The caller's connection takes pieces again, or does not. */
+    void callerWritable(boolean writable);
+}
--- /dev/null
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/EarlyCalls.java
@@ -0,0 +1,89 @@
+package io.figspan.gateway.forward;
+
+import io.figspan.gateway.protocol.CallerRequest;
+import io.netty.buffer.ByteBuf;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Requests that came in the first moments of the process, before it knew the settings and the backend servers. They
+ * wait for them for a short time, since a caller that is turned away comes back later than that.
+ */
+final class EarlyCalls {
+    /** Most requests that wait; each costs its body's memory. */
+    static final int MAX_WAITING = 256;
+
+    /** Reading the settings takes a fraction of this; a store that needs longer is down. */
+    static final long MAX_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
+
+    private final Queue<EarlyCall> waiting = new ArrayDeque<>();
+
+    /** One request that waits, and then what became of it. */
+    static final class EarlyCall implements CallerCall {
+        final CallerRequest request;
+        final ByteBuf body;
+        final CallerExchange caller;
+        final long arrivedNanos;
+        private Optional<CallerCall> accepted = Optional.empty();
+        private boolean left;
+
+        EarlyCall(CallerRequest request, ByteBuf body, CallerExchange caller, long arrivedNanos) {
+            this.request = request;
+            this.body = body;
+            this.caller = caller;
+            this.arrivedNanos = arrivedNanos;
+        }
+
+        void acceptedAs(Optional<CallerCall> call) {
+            accepted = call;
+        }
+
+        @Override
+        public void callerLeft() {
+            left = true;
+            accepted.ifPresent(CallerCall::callerLeft);
+        }
+
+        @Override
+        public void callerWritable(boolean writable) {
+            accepted.ifPresent(call -> call.callerWritable(writable));
+        }
+    }
+
+    /** Lets a request wait; empty when too many do. */
+    Optional<EarlyCall> add(CallerRequest request, ByteBuf body, CallerExchange caller, long nowNanos) {
+        if (waiting.size() >= MAX_WAITING) {
+            return Optional.empty();
+        }
+        EarlyCall call = new EarlyCall(request, body, caller, nowNanos);
+        waiting.add(call);
+        return Optional.of(call);
+    }
+
+    /** Removes the requests whose callers are still there. */
+    List<EarlyCall> takeAll() {
+        return take(Long.MAX_VALUE, 0);
+    }
+
+    /** Removes the requests that have waited for too long. */
+    List<EarlyCall> takeExpired(long nowNanos) {
+        return take(nowNanos, MAX_WAIT_NANOS);
+    }
+
+    private List<EarlyCall> take(long nowNanos, long waitNanos) {
+        List<EarlyCall> taken = new ArrayList<>();
+        while (!waiting.isEmpty() && (waitNanos == 0 || nowNanos - waiting.peek().arrivedNanos >= waitNanos)) {
+            EarlyCall call = waiting.poll();
+            if (call.left) {
+                call.body.release();
+            } else {
+                taken.add(call);
+            }
+        }
+        return taken;
+    }
+}
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
@@ -40,7 +40,7 @@
  * One request of a caller from its receipt to its final answer: waits for a placement, sends the request, passes the
  * answer on, and sends again where that is allowed. All methods run on the event loop.
  */
-public final class ForwardCall {
+public final class ForwardCall implements CallerCall {
     /** Attempts to get memory at several engines before the request is refused. */
     private static final int MAX_RESERVATIONS = 3;
 
@@ -91,7 +91,7 @@
         lane.submit(this, job, nowNanos);
     }
 
-    /** The caller has closed its connection. */
+    @Override
     public void callerLeft() {
         if (finished) {
             return;
@@ -108,7 +108,7 @@
         }
     }
 
-    /** The caller's connection takes pieces again, or does not. */
+    @Override
     public void callerWritable(boolean writable) {
         if (attempt != null) {
             attempt.connection.setReading(writable);
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
@@ -11,6 +11,7 @@
 import io.figspan.gateway.backend.BackendPools;
 import io.figspan.gateway.backend.BackendServer;
 import io.figspan.gateway.backend.MemoryHolds;
+import io.figspan.gateway.forward.EarlyCalls.EarlyCall;
 import io.figspan.gateway.log.DecisionLog;
 import io.figspan.gateway.protocol.BackendProtocol;
 import io.figspan.gateway.protocol.CallerProtocol;
@@ -57,6 +58,8 @@
     private final RandomGenerator random;
     private final RetryAllowance allowance;
     private final Map<ServiceId, ServiceLane> lanes = new HashMap<>();
+    private final EarlyCalls early = new EarlyCalls();
+    private boolean isOpen;
     private Runnable workListener = () -> {};
     private GatewaySettings settings;
     private RouteTable routes = new RouteTable(List.of());
@@ -125,14 +128,38 @@
         seats.forEach((service, servers) -> lane(service).serversChanged(servers, nowNanos));
     }
 
+    /** Begins to forward: the settings and the backend servers are known. Requests that waited for it go on. */
+    public void open() {
+        if (isOpen) {
+            return;
+        }
+        isOpen = true;
+        for (EarlyCall call : early.takeAll()) {
+            call.acceptedAs(forward(call.request, call.body, call.caller, call.arrivedNanos));
+        }
+    }
+
     /** Takes a whole request. The call is empty when it was answered at once. */
-    public Optional<ForwardCall> accept(CallerRequest request, ByteBuf body, CallerExchange caller) {
+    public Optional<CallerCall> accept(CallerRequest request, ByteBuf body, CallerExchange caller) {
         long nowNanos = System.nanoTime();
-        Problem problem;
-        if (settings == null) {
-            problem = Problem.notRun(ProblemKind.NO_BACKEND_SERVER, "no settings are known yet");
-            return refuse(request, body, caller, problem.withRetryAfterMs(RETRY_AFTER_MS));
+        if (isOpen) {
+            return forward(request, body, caller, nowNanos);
         }
+        Optional<EarlyCall> waiting = early.add(request, body, caller, nowNanos);
+        if (waiting.isEmpty()) {
+            refuse(request, body, caller, notOpen());
+        }
+        return waiting.map(call -> call);
+    }
+
+    private static Problem notOpen() {
+        return Problem.notRun(ProblemKind.NO_BACKEND_SERVER, "no settings are known yet")
+                .withRetryAfterMs(RETRY_AFTER_MS);
+    }
+
+    private Optional<CallerCall> forward(
+            CallerRequest request, ByteBuf body, CallerExchange caller, long arrivedNanos) {
+        Problem problem;
         Optional<Route> route = routes.find(request.hostName(), request.path());
         if (route.isEmpty()) {
             problem = Problem.notRun(ProblemKind.NOT_FOUND, "no route for " + request.path());
@@ -148,17 +175,17 @@
             problem = Problem.notRun(ProblemKind.NO_BACKEND_SERVER, "the route leads nowhere");
             return refuse(request, body, caller, problem.withRetryAfterMs(RETRY_AFTER_MS));
         }
-        return Optional.of(forward(request, body, caller, route.get(), service.get(), organisation, nowNanos));
+        return Optional.of(start(request, body, caller, route.get(), service.get(), organisation, arrivedNanos));
     }
 
-    private ForwardCall forward(
+    private ForwardCall start(
             CallerRequest request,
             ByteBuf body,
             CallerExchange caller,
             Route route,
             ServiceId service,
             Optional<OrganisationKeys> organisation,
-            long nowNanos) {
+            long arrivedNanos) {
         long allowedMs = Math.min(request.waitMs().orElse(route.timeoutMs()), route.timeoutMs());
         int rank = organisation
                 .map(OrganisationKeys::rank)
@@ -167,13 +194,14 @@
                 .orElse(route.rank());
         Job job = new Job(
                 request.attemptId(),
-                nowNanos,
-                Deadline.after(nowNanos, allowedMs),
+                arrivedNanos,
+                Deadline.after(arrivedNanos, allowedMs),
                 TimeUnit.MILLISECONDS.toNanos(route.targetLatencyMs()),
                 TimeUnit.MILLISECONDS.toNanos(route.maxGapMs()),
                 rank,
                 request.prompt());
         ServiceLane lane = lane(service);
+        long nowNanos = System.nanoTime();
         lane.budget().requestArrived(nowNanos);
         ForwardCall call =
                 new ForwardCall(this, lane, route, request, body, caller, organisation.map(OrganisationKeys::id), job);
@@ -181,7 +209,7 @@
         return call;
     }
 
-    private Optional<ForwardCall> refuse(CallerRequest request, ByteBuf body, CallerExchange caller, Problem problem) {
+    private Optional<CallerCall> refuse(CallerRequest request, ByteBuf body, CallerExchange caller, Problem problem) {
         body.release();
         log.info(Part.ENTRY, "refused")
                 .text("request", request.attemptId())
@@ -237,6 +265,9 @@
 
     /** Runs what is due in all lanes. */
     public void tick(long nowNanos) {
+        for (EarlyCall call : early.takeExpired(nowNanos)) {
+            refuse(call.request, call.body, call.caller, notOpen());
+        }
         lanes.values().forEach(lane -> lane.tick(nowNanos));
         pools.closeIdle(nowNanos);
     }
