--- /dev/null
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
@@ -0,0 +1,174 @@
+package io.figspan.gateway;
+
+import io.figspan.core.id.AvailabilityZoneId;
+import io.figspan.core.id.BackendServerId;
+import io.figspan.core.id.HostId;
+import io.figspan.core.id.HostIncarnation;
+import io.figspan.core.id.OrganisationId;
+import io.figspan.core.id.ServiceId;
+import io.figspan.core.id.SettingsVersion;
+import io.figspan.gateway.backend.BackendPools;
+import io.figspan.gateway.backend.BackendServer;
+import io.figspan.gateway.backend.MemoryHolds;
+import io.figspan.gateway.caller.CallerServer;
+import io.figspan.gateway.forward.Forwarder;
+import io.figspan.gateway.log.DecisionLog;
+import io.figspan.settings.gateway.CallerLimits;
+import io.figspan.settings.gateway.EngineProfile;
+import io.figspan.settings.gateway.GatewaySettings;
+import io.figspan.settings.gateway.OrganisationKeys;
+import io.figspan.settings.gateway.RequestKind;
+import io.figspan.settings.gateway.Route;
+import io.figspan.settings.gateway.ServiceProfile;
+import io.figspan.settings.gateway.WeightedService;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+
+/** The forwarding path of one host on loopback: the port for callers in front of scripted backend servers. */
+public final class GatewayHarness implements AutoCloseable {
+    public static final ServiceId PLAIN = ServiceId.of("plain");
+    public static final ServiceId ENGINES = ServiceId.of("engines");
+    public static final String KEY = "k-1";
+
+    private static final int LIMIT_MS = 20_000;
+
+    private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+    private final io.netty.channel.EventLoop loop = group.next();
+    private final TestProtocol protocol = new TestProtocol();
+    private final BackendPools pools = new BackendPools(loop);
+    private final Forwarder forwarder;
+    private final CallerServer callers;
+    private final InetSocketAddress address;
+    private long version = 1;
+
+    public GatewayHarness() throws IOException {
+        DecisionLog log = new DecisionLog();
+        HostIncarnation self = new HostIncarnation(HostId.of("host"), 1);
+        forwarder = new Forwarder(
+                loop,
+                protocol,
+                protocol,
+                pools,
+                new MemoryHolds(loop, pools, protocol, log, self),
+                log,
+                new SplittableRandom(1),
+                new Forwarder.RetryAllowance(0.2, 10, 10_000));
+        callers = new CallerServer(loop, forwarder, protocol);
+        ServerSocketChannel port = CallerServer.open(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        address = (InetSocketAddress) port.getLocalAddress();
+        callers.serve(port).syncUninterruptibly();
+    }
+
+    /** Runs on the event loop and waits for it. */
+    public void onLoop(Runnable action) {
+        loop.submit(action).syncUninterruptibly();
+    }
+
+    public Forwarder forwarder() {
+        return forwarder;
+    }
+
+    public CallerServer callers() {
+        return callers;
+    }
+
+    /** Registers servers and puts settings with the usual routes into force. */
+    public void open(Map<String, ScriptedServer> servers) {
+        onLoop(() -> {
+            servers.forEach((name, server) -> pools.put(serverOf(name, server)));
+            forwarder.apply(settings(2_000));
+            forwarder.serversChanged();
+            forwarder.open();
+        });
+    }
+
+    private static BackendServer serverOf(String name, ScriptedServer server) {
+        ServiceId service = name.startsWith("engine") ? ENGINES : PLAIN;
+        return new BackendServer(
+                BackendServerId.of(name), service, server.address(), AvailabilityZoneId.of("zone"), 4, false, 0);
+    }
+
+    /** Settings of the next version in which all routes have this time-out. */
+    public GatewaySettings settings(long timeoutMs) {
+        EngineProfile engine = new EngineProfile(4, 100_000, 50, 1, 0, 0, 177, 0.1, 2_048, 200, 0);
+        Map<ServiceId, ServiceProfile> services = new HashMap<>();
+        services.put(PLAIN, new ServiceProfile(PLAIN, "", 0, Optional.empty()));
+        services.put(ENGINES, new ServiceProfile(ENGINES, "", 0, Optional.of(engine)));
+        return new GatewaySettings(
+                new SettingsVersion(version++),
+                List.of(
+                        route("read", "/read/", RequestKind.IDEMPOTENT, PLAIN, timeoutMs, false),
+                        route("order", "/order/", RequestKind.NON_IDEMPOTENT, PLAIN, timeoutMs, false),
+                        route("open", "/open/", RequestKind.IDEMPOTENT, PLAIN, timeoutMs, true),
+                        route("stream", "/stream/", RequestKind.STREAM, ENGINES, timeoutMs, false)),
+                services,
+                CallerLimits.DEFAULT,
+                List.of(new OrganisationKeys(OrganisationId.of("house-1"), List.of(KEY), OptionalInt.empty())));
+    }
+
+    private static Route route(
+            String name, String prefix, RequestKind kind, ServiceId service, long timeoutMs, boolean isPublic) {
+        return new Route(
+                name,
+                "a.example",
+                prefix,
+                kind,
+                timeoutMs,
+                300,
+                1,
+                List.of(new WeightedService(service, 1)),
+                2,
+                isPublic,
+                kind.isStreaming(),
+                kind.isStreaming(),
+                kind.isStreaming() ? 250 : 0);
+    }
+
+    /** Opens a connection as a caller does. */
+    public Socket connect() throws IOException {
+        Socket socket = new Socket(address.getAddress(), address.getPort());
+        socket.setSoTimeout(LIMIT_MS);
+        return socket;
+    }
+
+    /** The bytes of a request with the usual headers. */
+    public static byte[] request(String method, String target, String moreHeaders, String body) {
+        return requestAs(KEY, method, target, moreHeaders, body);
+    }
+
+    private static byte[] requestAs(String key, String method, String target, String moreHeaders, String body) {
+        String text = method + " " + target + " HTTP/1.1\r\nhost: a.example\r\nattempt: a-1\r\nkey: " + key + "\r\n"
+                + moreHeaders + "content-length: " + body.length() + "\r\n\r\n" + body;
+        return text.getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    /** Sends one request on a connection of its own and returns all that comes until the connection is closed. */
+    public String call(String method, String target, String moreHeaders, String body) throws IOException {
+        return callAs(KEY, method, target, moreHeaders, body);
+    }
+
+    /** The same with another key. */
+    public String callAs(String key, String method, String target, String moreHeaders, String body) throws IOException {
+        try (Socket socket = connect()) {
+            socket.getOutputStream().write(requestAs(key, method, target, "connection: close\r\n" + moreHeaders, body));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        }
+    }
+
+    @Override
+    public void close() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+}
--- /dev/null
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/ScriptedServer.java
@@ -0,0 +1,154 @@
+package io.figspan.gateway;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/** A backend server whose answers are bytes that a test writes. Each connection has a thread. */
+public final class ScriptedServer implements AutoCloseable {
+    private final ServerSocket listener;
+    private final Script script;
+    private final List<Received> received = new CopyOnWriteArrayList<>();
+    private final List<Socket> sockets = new CopyOnWriteArrayList<>();
+
+    /** What the server does with a request. */
+    public interface Script {
+        void answer(Received request, Connection connection) throws IOException;
+    }
+
+    /** A request with its headers in lower case. */
+    public record Received(String method, String target, Map<String, String> headers, String body, int connection) {
+        public String header(String name) {
+            return headers.getOrDefault(name, "");
+        }
+    }
+
+    /** The server's side of a connection. */
+    public static final class Connection {
+        private final Socket socket;
+
+        private Connection(Socket socket) {
+            this.socket = socket;
+        }
+
+        public void write(String text) throws IOException {
+            OutputStream out = socket.getOutputStream();
+            out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+            out.flush();
+        }
+
+        /** Answers as a sound server does. */
+        public void answer(Received request, int status, String moreHeaders, String body) throws IOException {
+            write("HTTP/1.1 " + status + " x\r\nattempt: " + request.header("attempt") + "\r\nsignature: s\r\n"
+                    + moreHeaders + "content-length: " + body.length() + "\r\n\r\n" + body);
+        }
+
+        public void close() throws IOException {
+            socket.close();
+        }
+
+        public void reset() throws IOException {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }
+
+        /** Blocks until the other side has closed. */
+        public void awaitClose() throws IOException {
+            int read = 0;
+            while (read >= 0) {
+                read = socket.getInputStream().read();
+            }
+        }
+    }
+
+    public ScriptedServer(Script script) throws IOException {
+        this.script = script;
+        this.listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        Thread acceptor = new Thread(this::accept, "scripted-server");
+        acceptor.setDaemon(true);
+        acceptor.start();
+    }
+
+    public InetSocketAddress address() {
+        return new InetSocketAddress(listener.getInetAddress(), listener.getLocalPort());
+    }
+
+    public List<Received> received() {
+        return received;
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket socket = listener.accept();
+                sockets.add(socket);
+                int number = sockets.size();
+                Thread thread = new Thread(() -> serve(socket, number), "scripted-connection");
+                thread.setDaemon(true);
+                thread.start();
+            }
+        } catch (IOException e) {
+            // The listener was closed at the end of the test.
+        }
+    }
+
+    private void serve(Socket socket, int number) {
+        try {
+            InputStream in = new BufferedInputStream(socket.getInputStream());
+            while (true) {
+                Received request = read(in, number);
+                received.add(request);
+                script.answer(request, new Connection(socket));
+            }
+        } catch (IOException e) {
+            // The connection was closed by one side, as scripts do.
+        }
+    }
+
+    private static Received read(InputStream in, int number) throws IOException {
+        String[] requestLine = readLine(in).split(" ", -1);
+        Map<String, String> headers = new TreeMap<>();
+        for (String line = readLine(in); !line.isEmpty(); line = readLine(in)) {
+            int colon = line.indexOf(':');
+            headers.put(
+                    line.substring(0, colon).toLowerCase(Locale.ROOT),
+                    line.substring(colon + 1).strip());
+        }
+        int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
+        String body = new String(in.readNBytes(length), StandardCharsets.ISO_8859_1);
+        return new Received(requestLine[0], requestLine[1], headers, body, number);
+    }
+
+    private static String readLine(InputStream in) throws IOException {
+        ByteArrayOutputStream line = new ByteArrayOutputStream();
+        for (int b = in.read(); b != '\n'; b = in.read()) {
+            if (b < 0) {
+                throw new IOException("closed");
+            }
+            if (b != '\r') {
+                line.write(b);
+            }
+        }
+        return line.toString(StandardCharsets.ISO_8859_1);
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+    }
+}
--- /dev/null
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/StreamingTest.java
@@ -0,0 +1,148 @@
+package io.figspan.gateway.forward;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.figspan.gateway.GatewayHarness;
+import io.figspan.gateway.ScriptedServer;
+import io.figspan.gateway.ScriptedServer.Connection;
+import io.figspan.gateway.ScriptedServer.Received;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against streams with missing, repeated or broken events, and against ends that look complete. */
+class StreamingTest {
+    private static final Pattern ID = Pattern.compile("id: (\\d+)");
+    private static final String END_OF_CHUNKS = "0\r\n\r\n";
+
+    private GatewayHarness gateway;
+
+    @BeforeEach
+    void start() throws IOException {
+        gateway = new GatewayHarness();
+    }
+
+    @AfterEach
+    void stop() {
+        gateway.close();
+    }
+
+    private static void writeHead(Received request, Connection connection) throws IOException {
+        connection.write("HTTP/1.1 200 x\r\nattempt: " + request.header("attempt") + "\r\nsignature: s"
+                + "\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n");
+    }
+
+    private static void writeChunk(Connection connection, String text) throws IOException {
+        connection.write(Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+    }
+
+    private static String event(int id) {
+        return "id: " + id + "\ndata: piece " + id + "\n\n";
+    }
+
+    private static List<Integer> ids(String response) {
+        List<Integer> ids = new ArrayList<>();
+        Matcher matcher = ID.matcher(response);
+        while (matcher.find()) {
+            ids.add(Integer.parseInt(matcher.group(1)));
+        }
+        return ids;
+    }
+
+    private String stream() throws IOException {
+        return gateway.call("POST", "/stream/1", "prompt-tokens: 5000\r\n", "prompt");
+    }
+
+    @Test
+    void eventsArePassedOnInOrderAndTheEndIsMarked() throws IOException {
+        try (ScriptedServer server = new ScriptedServer((request, c) -> {
+            writeHead(request, c);
+            writeChunk(c, event(1) + event(2).substring(0, 5));
+            writeChunk(c, event(2).substring(5) + event(3));
+            c.write(END_OF_CHUNKS);
+        })) {
+            gateway.open(Map.of("engine-1", server));
+            String response = stream();
+            assertEquals(List.of(1, 2, 3), ids(response));
+            assertTrue(response.endsWith(END_OF_CHUNKS));
+            assertTrue(response.contains("signature: s"));
+        }
+    }
+
+    @Test
+    void aStreamThatBreaksGoesOnAtAnotherServerBehindItsLastWholeEvent() throws IOException {
+        ScriptedServer.Script script = (request, c) -> {
+            writeHead(request, c);
+            int last =
+                    request.header("last-event-id").isEmpty() ? 0 : Integer.parseInt(request.header("last-event-id"));
+            if (last == 0) {
+                writeChunk(c, event(1) + event(2) + "id: 3\ndata: pie");
+                c.reset();
+                return;
+            }
+            for (int id = last + 1; id <= 4; id++) {
+                writeChunk(c, event(id));
+            }
+            c.write(END_OF_CHUNKS);
+        };
+        try (ScriptedServer one = new ScriptedServer(script);
+                ScriptedServer two = new ScriptedServer(script)) {
+            gateway.open(Map.of("engine-1", one, "engine-2", two));
+            String response = stream();
+            assertEquals(List.of(1, 2, 3, 4), ids(response));
+            assertTrue(response.endsWith(END_OF_CHUNKS));
+            assertEquals(1, one.received().size());
+            assertEquals(1, two.received().size());
+        }
+    }
+
+    @Test
+    void aStreamThatCannotGoOnIsBrokenOffAndNotEnded() throws IOException {
+        ScriptedServer.Script script = (request, c) -> {
+            writeHead(request, c);
+            writeChunk(c, event(1));
+            c.reset();
+        };
+        try (ScriptedServer one = new ScriptedServer(script);
+                ScriptedServer two = new ScriptedServer((request, c) -> c.reset())) {
+            gateway.open(Map.of("engine-1", one, "engine-2", two));
+            String response = stream();
+            assertFalse(response.endsWith(END_OF_CHUNKS), response);
+        }
+    }
+
+    @Test
+    void aStreamThatEndsWithinAnEventIsNotComplete() throws IOException {
+        ScriptedServer.Script script = (request, c) -> {
+            writeHead(request, c);
+            writeChunk(c, event(1) + "id: 2\ndata: pi");
+            c.write(END_OF_CHUNKS);
+        };
+        try (ScriptedServer one = new ScriptedServer(script)) {
+            gateway.open(Map.of("engine-1", one));
+            assertFalse(stream().endsWith(END_OF_CHUNKS));
+        }
+    }
+
+    @Test
+    void aStreamIsBrokenOffWhenItsTimeIsOver() throws IOException {
+        try (ScriptedServer server = new ScriptedServer((request, c) -> {
+            writeHead(request, c);
+            writeChunk(c, event(1));
+            c.awaitClose();
+        })) {
+            gateway.open(Map.of("engine-1", server));
+            String response = gateway.call("POST", "/stream/1", "prompt-tokens: 50\r\nwait-ms: 300\r\n", "p");
+            assertEquals(List.of(1), ids(response));
+            assertFalse(response.endsWith(END_OF_CHUNKS));
+        }
+    }
+}
--- /dev/null
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/store/PrefixFollowerTest.java
@@ -0,0 +1,73 @@
+package io.figspan.gateway.store;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.figspan.gateway.protocol.StoreProtocol.Item;
+import io.figspan.gateway.protocol.StoreProtocol.Page;
+import io.figspan.gateway.store.PrefixFollower.Action;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/** Guards against changes that are missed between reading and watching, and against calls in a tight loop. */
+class PrefixFollowerTest {
+    private final PrefixFollower follower = new PrefixFollower(new SplittableRandom(3));
+
+    private static Item item(String key, long revision) {
+        return new Item(key, Optional.of(new byte[] {1}), revision);
+    }
+
+    @Test
+    void allPagesAreReadBeforeChangesAreWatchedFromTheFirstPage() {
+        assertEquals(new Action.ReadPage(""), follower.resume());
+        assertEquals(
+                List.of(new Action.ReadPage("b")),
+                follower.pageRead(new Page(List.of(item("a", 1), item("b", 2)), true, 10)));
+        List<Action> actions = follower.pageRead(new Page(List.of(item("c", 3)), false, 15));
+        Action.Whole whole = assertInstanceOf(Action.Whole.class, actions.get(0));
+        assertEquals(
+                List.of("a", "b", "c"), whole.items().stream().map(Item::key).toList());
+        assertEquals(10, whole.revision());
+        assertEquals(new Action.Watch(10, PrefixFollower.WATCH_WAIT_MS), actions.get(1));
+    }
+
+    @Test
+    void watchesGoOnBehindTheLastAnswer() {
+        follower.pageRead(new Page(List.of(), false, 10));
+        List<Item> changes = List.of(item("a", 12));
+        List<Action> actions = follower.changesRead(new Page(changes, false, 14));
+        assertEquals(new Action.Changed(changes), actions.get(0));
+        assertEquals(new Action.Watch(14, PrefixFollower.WATCH_WAIT_MS), actions.get(1));
+    }
+
+    @Test
+    void everythingIsReadAgainWhenTheHistoryIsGone() {
+        follower.pageRead(new Page(List.of(), false, 10));
+        assertEquals(List.of(new Action.ReadPage("")), follower.historyGone());
+    }
+
+    @Test
+    void failuresPauseForLongerAndLongerAndThenGoOnWhereTheyWere() {
+        follower.pageRead(new Page(List.of(), false, 10));
+        long longest = 0;
+        for (int i = 0; i < 10; i++) {
+            Action.Pause pause =
+                    assertInstanceOf(Action.Pause.class, follower.failed().get(0));
+            assertTrue(pause.nanos() >= PrefixFollower.FIRST_BACKOFF_NANOS / 2);
+            assertTrue(pause.nanos() <= PrefixFollower.MAX_BACKOFF_NANOS);
+            longest = Math.max(longest, pause.nanos());
+            assertEquals(new Action.Watch(10, PrefixFollower.WATCH_WAIT_MS), follower.resume());
+        }
+        assertTrue(longest > PrefixFollower.FIRST_BACKOFF_NANOS);
+    }
+
+    @Test
+    void aFailureBetweenPagesStartsWithTheFirstPage() {
+        follower.pageRead(new Page(List.of(item("a", 1)), true, 10));
+        follower.failed();
+        assertEquals(new Action.ReadPage(""), follower.resume());
+    }
+}
