Split the forwarded call into its lifecycle, its sendings and its log, and serve metrics in one shared text form

The metrics text moves from the host's operator port to the core, and the gateway serves its counters and histograms with it.

--- /dev/null
+++ b/figspan-core/src/main/java/io/figspan/core/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Metrics as text. */
+package io.figspan.core.metrics;
--- a/figspan-gateway/src/main/java/io/figspan/gateway/GatewayConfig.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/GatewayConfig.java
@@ -13,6 +13,7 @@
  * @param directory address that tells callers where to connect
  * @param peers address of the port for datagrams of other hosts
  * @param copies address where other hosts read this host's copies of the store's items
+ * @param metrics address where the metrics are read
  * @param seeds addresses where other hosts may be found
  * @param store address of the store of settings and registered backend servers
  * @param stopMs time from the request to stop until the process is killed
@@ -28,6 +29,7 @@
         InetSocketAddress directory,
         InetSocketAddress peers,
         InetSocketAddress copies,
+        InetSocketAddress metrics,
         List<InetSocketAddress> seeds,
         InetSocketAddress store,
         long stopMs,
--- a/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
@@ -5,6 +5,7 @@
 import io.figspan.core.event.Part;
 import io.figspan.core.id.HostId;
 import io.figspan.core.id.HostIncarnation;
+import io.figspan.core.metrics.MetricsText;
 import io.figspan.core.work.PlacedWork;
 import io.figspan.gateway.backend.BackendPools;
 import io.figspan.gateway.backend.MemoryHolds;
@@ -13,6 +14,7 @@
 import io.figspan.gateway.forward.Forwarder;
 import io.figspan.gateway.http.SmallServer;
 import io.figspan.gateway.log.DecisionLog;
+import io.figspan.gateway.metrics.GatewayMetrics;
 import io.figspan.gateway.peer.CopyReader;
 import io.figspan.gateway.peer.PeerListener;
 import io.figspan.gateway.peer.Peers;
@@ -25,12 +27,14 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -45,6 +49,7 @@
     /** How long a caller keeps the answer of the directory. */
     private static final int KEEP_SECONDS = 1;
 
+    private static final String METRICS_PATH = "/metrics";
     private static final String SETTINGS_COPY = "settings";
     private static final String SERVERS_COPY = "servers";
 
@@ -53,6 +58,7 @@
     private final RandomGenerator random;
     private final EventLoop loop = new NioEventLoopGroup(1, new DefaultThreadFactory("gateway")).next();
     private final DecisionLog log = new DecisionLog();
+    private final GatewayMetrics metrics = new GatewayMetrics();
     private final BackendPools pools = new BackendPools(loop);
     private final MemoryHolds holds;
     private final FleetState fleet;
@@ -78,6 +84,7 @@
                 pools,
                 holds,
                 log,
+                metrics,
                 random,
                 new Forwarder.RetryAllowance(config.retryFraction(), config.retryAllowance(), config.retryWindowMs()));
         this.callers = new CallerServer(loop, forwarder, adapter.callers());
@@ -100,6 +107,8 @@
         SmallServer.listen(loop, config.readiness(), this::answerReadiness).syncUninterruptibly();
         SmallServer.listen(loop, config.directory(), this::answerDirectory).syncUninterruptibly();
         SmallServer.listen(loop, config.copies(), this::answerCopy).syncUninterruptibly();
+        SmallServer.listen(loop, config.metrics(), this::answerMetrics).syncUninterruptibly();
+        registerGauges();
         follow(adapter.fleet().settingsPrefix(), fleet.settingsFromStore());
         follow(adapter.fleet().serversPrefix(), fleet.serversFromStore());
         var unused = loop.scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
@@ -214,6 +223,25 @@
         };
     }
 
+    private FullHttpResponse answerMetrics(HttpRequest request) {
+        if (!request.uri().equals(METRICS_PATH)) {
+            return empty(HttpResponseStatus.NOT_FOUND);
+        }
+        FullHttpResponse response = bytes(metrics.text().getBytes(StandardCharsets.UTF_8));
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, MetricsText.MEDIA_TYPE);
+        return response;
+    }
+
+    private void registerGauges() {
+        metrics.gauge("requests.waiting", forwarder::waiting);
+        metrics.gauge("connections.busy", callers::busy);
+        metrics.gauge("settings.version", () -> forwarder.settingsVersion().number());
+        metrics.gauge("settings.revision", () -> fleet.settings().revision());
+        metrics.gauge("servers.revision", () -> fleet.servers().revision());
+        metrics.gauge("hosts.known", peers::hostCount);
+        metrics.gauge("holds.open", holds::open);
+    }
+
     private static FullHttpResponse bytes(byte[] body) {
         return new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, Unpooled.wrappedBuffer(body));
     }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/backend/MemoryHolds.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/backend/MemoryHolds.java
@@ -91,6 +91,11 @@
         }
     }
 
+    /** Number of holds that are not given back yet. */
+    public long open() {
+        return ledger.size();
+    }
+
     /** Renews leases and repeats releases. */
     public void tick(long nowNanos) {
         if (ledger.size() > 0) {
--- /dev/null
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/CallLog.java
@@ -0,0 +1,143 @@
+package io.figspan.gateway.forward;
+
+import io.figspan.core.error.Problem;
+import io.figspan.core.event.Part;
+import io.figspan.core.id.BackendServerId;
+import io.figspan.core.work.PlacedReader;
+import io.figspan.gateway.log.DecisionLog;
+import io.figspan.gateway.metrics.GatewayMetrics;
+import io.figspan.gateway.metrics.GatewayMetrics.RequestEnd;
+import io.figspan.policy.placing.Job;
+import io.figspan.policy.placing.Placement;
+import io.figspan.policy.placing.PromptShape;
+import io.figspan.settings.gateway.Route;
+import java.util.concurrent.TimeUnit;
+
+/** Log lines and metrics of one request. */
+final class CallLog {
+    private final DecisionLog log;
+    private final GatewayMetrics metrics;
+    private final Job job;
+    private final Route route;
+
+    CallLog(DecisionLog log, GatewayMetrics metrics, Job job, Route route) {
+        this.log = log;
+        this.metrics = metrics;
+        this.job = job;
+        this.route = route;
+    }
+
+    private DecisionLog.Line line(String event) {
+        return log.info(Part.ENTRY, event).text("request", job.requestId());
+    }
+
+    private long sinceArrivalNanos() {
+        return System.nanoTime() - job.arrivedNanos();
+    }
+
+    private long sinceArrivalMs() {
+        return TimeUnit.NANOSECONDS.toMillis(sinceArrivalNanos());
+    }
+
+    void reserving(Placement.Send placement, int engines) {
+        line("reserving")
+                .number("engines", engines)
+                .text("why", placement.reason())
+                .write();
+    }
+
+    void reservationFailed(String reason) {
+        metrics.count("reservations.failed");
+        line("reservationFailed").text("reason", reason).write();
+    }
+
+    void sent(Placement.Send placement, int attempt, long nowNanos) {
+        metrics.sent(nowNanos - job.arrivedNanos());
+        line("sent")
+                .text("route", route.name())
+                .text("server", placement.server())
+                .number("attempt", attempt)
+                .number("waitedMs", TimeUnit.NANOSECONDS.toMillis(nowNanos - job.arrivedNanos()))
+                .number("leftMs", job.deadline().leftMs(nowNanos))
+                .number(
+                        "promptTokens",
+                        job.prompt().map(PromptShape::promptTokens).orElse(0L))
+                .text("why", placement.reason())
+                .text(
+                        "readers",
+                        placement.readers().stream().map(PlacedReader::server).toList())
+                .write();
+    }
+
+    void answerBegan(BackendServerId server) {
+        metrics.firstPiece(sinceArrivalNanos());
+        line("answerBegan")
+                .text("server", server)
+                .number("afterMs", sinceArrivalMs())
+                .write();
+    }
+
+    void attemptFailed(BackendServerId server, AttemptEnd end, String reason, long sentNanos, long events) {
+        metrics.attemptFailed(end.name());
+        line("attemptFailed")
+                .text("server", server)
+                .text("end", end)
+                .text("reason", reason)
+                .number("afterMs", TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentNanos))
+                .number("events", events)
+                .write();
+    }
+
+    void answered(int status, BackendServerId server, long events) {
+        RequestEnd end = status < 500 ? RequestEnd.ANSWERED : RequestEnd.FAILED_BY_SERVER;
+        metrics.requestEnded(end, sinceArrivalNanos());
+        line("answered")
+                .number("status", status)
+                .text("server", server)
+                .number("afterMs", sinceArrivalMs())
+                .number("events", events)
+                .write();
+    }
+
+    void refused(Problem problem, String reason, int attempts) {
+        metrics.requestEnded(RequestEnd.REFUSED, sinceArrivalNanos());
+        line("refused")
+                .text("route", route.name())
+                .number("status", problem.kind().httpStatus())
+                .text("run", problem.run())
+                .text("reason", reason)
+                .number("retryAfterMs", problem.retryAfterMs())
+                .number("attempts", attempts)
+                .number("afterMs", sinceArrivalMs())
+                .write();
+    }
+
+    void brokenOff(String reason, long events) {
+        metrics.requestEnded(RequestEnd.BROKEN_OFF, sinceArrivalNanos());
+        line("brokenOff")
+                .text("route", route.name())
+                .text("reason", reason)
+                .number("events", events)
+                .number("afterMs", sinceArrivalMs())
+                .write();
+    }
+
+    void callerLeft(int attempts, long events) {
+        metrics.requestEnded(RequestEnd.CALLER_LEFT, sinceArrivalNanos());
+        line("callerLeft")
+                .text("route", route.name())
+                .number("attempts", attempts)
+                .number("events", events)
+                .number("afterMs", sinceArrivalMs())
+                .write();
+    }
+
+    void unexpected(CallState state, CallEvent event) {
+        metrics.count("calls.unexpected");
+        log.warn(Part.ENTRY, "unexpectedEvent")
+                .text("request", job.requestId())
+                .text("state", state)
+                .text("occurred", event)
+                .write();
+    }
+}
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
@@ -13,6 +13,8 @@
 import io.figspan.gateway.backend.MemoryHolds;
 import io.figspan.gateway.forward.EarlyCalls.EarlyCall;
 import io.figspan.gateway.log.DecisionLog;
+import io.figspan.gateway.metrics.GatewayMetrics;
+import io.figspan.gateway.metrics.GatewayMetrics.RequestEnd;
 import io.figspan.gateway.protocol.BackendProtocol;
 import io.figspan.gateway.protocol.CallerProtocol;
 import io.figspan.gateway.protocol.CallerRequest;
@@ -43,9 +45,6 @@
 
 /** Takes the requests of callers, finds where they go and hands them to their service. */
 public final class Forwarder {
-    /** An event of a stream is a few hundred bytes; one of this length is no event. */
-    static final int MAX_EVENT_BYTES = 256 * 1_024;
-
     /** Time to come back when nothing better is known. */
     private static final long RETRY_AFTER_MS = 300;
 
@@ -55,6 +54,7 @@
     private final BackendPools pools;
     private final MemoryHolds holds;
     private final DecisionLog log;
+    private final GatewayMetrics metrics;
     private final RandomGenerator random;
     private final RetryAllowance allowance;
     private final Map<ServiceId, ServiceLane> lanes = new HashMap<>();
@@ -75,6 +75,7 @@
             BackendPools pools,
             MemoryHolds holds,
             DecisionLog log,
+            GatewayMetrics metrics,
             RandomGenerator random,
             RetryAllowance allowance) {
         this.loop = loop;
@@ -83,6 +84,7 @@
         this.pools = pools;
         this.holds = holds;
         this.log = log;
+        this.metrics = metrics;
         this.random = random;
         this.allowance = allowance;
     }
@@ -92,6 +94,7 @@
         if (settings != null && !newer.version().isNewerThan(settings.version())) {
             return;
         }
+        metrics.count("settings.applied");
         log.info(Part.SETTINGS, "settingsInForce")
                 .number("version", newer.version().number())
                 .number("before", settingsVersion().number())
@@ -211,6 +214,7 @@
 
     private Optional<CallerCall> refuse(CallerRequest request, ByteBuf body, CallerExchange caller, Problem problem) {
         body.release();
+        metrics.requestEnded(RequestEnd.REFUSED, 0);
         log.info(Part.ENTRY, "refused")
                 .text("request", request.attemptId())
                 .number("status", problem.kind().httpStatus())
@@ -253,6 +257,11 @@
         }
     }
 
+    /** Number of requests that wait for a place. */
+    public long waiting() {
+        return lanes.values().stream().mapToLong(ServiceLane::waiting).sum();
+    }
+
     /** The number of hosts that share the budgets of retries. */
     public void sharedBy(int hostCount) {
         lanes.values().forEach(lane -> lane.budget().sharedBy(hostCount));
@@ -296,6 +305,10 @@
         return pools;
     }
 
+    GatewayMetrics metrics() {
+        return metrics;
+    }
+
     DecisionLog log() {
         return log;
     }
--- /dev/null
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Counters and latencies of the gateway. */
+package io.figspan.gateway.metrics;
--- a/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
@@ -13,6 +13,7 @@
 import io.figspan.gateway.caller.CallerServer;
 import io.figspan.gateway.forward.Forwarder;
 import io.figspan.gateway.log.DecisionLog;
+import io.figspan.gateway.metrics.GatewayMetrics;
 import io.figspan.settings.gateway.CallerLimits;
 import io.figspan.settings.gateway.EngineProfile;
 import io.figspan.settings.gateway.GatewaySettings;
@@ -63,6 +64,7 @@
                 pools,
                 new MemoryHolds(loop, pools, protocol, log, self),
                 log,
+                new GatewayMetrics(),
                 new SplittableRandom(1),
                 new Forwarder.RetryAllowance(0.2, 10, 10_000));
         callers = new CallerServer(loop, forwarder, protocol);
--- a/figspan-host/src/main/java/io/figspan/host/operator/OperatorServer.java
+++ b/figspan-host/src/main/java/io/figspan/host/operator/OperatorServer.java
@@ -1,13 +1,9 @@
 package io.figspan.host.operator;
 
-import com.codahale.metrics.Counter;
-import com.codahale.metrics.Gauge;
-import com.codahale.metrics.Metric;
-import com.codahale.metrics.Snapshot;
-import com.codahale.metrics.Timer;
 import com.fasterxml.jackson.annotation.JsonProperty;
 import io.figspan.core.error.Problem;
 import io.figspan.core.event.TimelineEvent;
+import io.figspan.core.metrics.MetricsText;
 import io.figspan.host.HostContext;
 import io.figspan.host.backend.BackendTable;
 import io.vertx.core.Future;
@@ -23,7 +19,6 @@
 /** The operator port: status, timeline, metrics and health. */
 public final class OperatorServer {
     private static final int MAX_TIMELINE_EVENTS = 5_000;
-    private static final double NANOS_PER_SECOND = 1e9;
 
     /** One backend server in the status. */
     record BackendStatus(
@@ -98,7 +93,7 @@
             case "GET /metrics" ->
                 request.response()
                         .putHeader("Content-Type", "text/plain; version=0.0.4")
-                        .end(exposition());
+                        .end(MetricsText.of(context.metrics()));
             case "GET /health/live" -> json(request, 200, Map.of("live", true));
             case "GET /health/ready" -> {
                 boolean ready = gauges.get().ready();
@@ -150,49 +145,6 @@
                 .toList();
     }
 
-    /** Metrics in the text exposition format 0.0.4. */
-    private String exposition() {
-        StringBuilder text = new StringBuilder();
-        for (Map.Entry<String, Metric> entry : context.metrics().getMetrics().entrySet()) {
-            String name = name(entry.getKey());
-            if (entry.getValue() instanceof Counter counter) {
-                sample(text, name + "_total", "counter", counter.getCount());
-            } else if (entry.getValue() instanceof Gauge<?> gauge) {
-                sample(text, name, "gauge", gauge.getValue());
-            } else if (entry.getValue() instanceof Timer timer) {
-                summary(text, name + "_seconds", timer);
-            }
-        }
-        return text.toString();
-    }
-
-    private static void sample(StringBuilder text, String name, String type, Object value) {
-        text.append("# TYPE ").append(name).append(' ').append(type).append('\n');
-        text.append(name).append(' ').append(value).append('\n');
-    }
-
-    private static void summary(StringBuilder text, String name, Timer timer) {
-        Snapshot snapshot = timer.getSnapshot();
-        text.append("# TYPE ").append(name).append(" summary\n");
-        quantile(text, name, "0.5", snapshot.getMedian());
-        quantile(text, name, "0.95", snapshot.get95thPercentile());
-        quantile(text, name, "0.99", snapshot.get99thPercentile());
-        text.append(name).append("_count ").append(timer.getCount()).append('\n');
-    }
-
-    private static void quantile(StringBuilder text, String name, String quantile, double nanos) {
-        text.append(name)
-                .append("{quantile=\"")
-                .append(quantile)
-                .append("\"} ")
-                .append(nanos / NANOS_PER_SECOND)
-                .append('\n');
-    }
-
-    private static String name(String metric) {
-        return "figspan_" + metric.replace('.', '_');
-    }
-
     private static void json(HttpServerRequest request, int status, Object body) {
         request.response()
                 .setStatusCode(status)
