Reload the configuration on a signal or a changed file, and hold removals heard with the store's return

SIGHUP ended the process: the JVM's default. A removal that is heard while the store is out of reach, or in its first answer after that, counts only when the entry is still missing 2.2 s later; before, all lapsed servers were dropped at the store's return.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/GatewayConfig.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/GatewayConfig.java
@@ -39,4 +39,23 @@
     public GatewayConfig {
         seeds = List.copyOf(seeds);
     }
+
+    /** This configuration with what takes effect without a restart from another one. */
+    GatewayConfig withReloadable(GatewayConfig other) {
+        return new GatewayConfig(
+                host,
+                zone,
+                callers,
+                readiness,
+                directory,
+                peers,
+                copies,
+                metrics,
+                seeds,
+                other.store,
+                other.stopMs,
+                other.retryFraction,
+                other.retryAllowance,
+                other.retryWindowMs);
+    }
 }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
@@ -46,6 +46,9 @@
     /** Time between two looks at waiting jobs and time limits. */
     private static final long TICK_MS = 20;
 
+    /** Time between two looks at the source of the configuration. */
+    private static final long RELOAD_INTERVAL_MS = 1_000;
+
     /** How long a caller keeps the answer of the directory. */
     private static final int KEEP_SECONDS = 1;
 
@@ -68,31 +71,26 @@
     private final CopyReader settingsReader;
     private final CopyReader serversReader;
     private final Shutdown shutdown;
+    private final Reload reload;
+    private final List<StoreFollower> followers = new ArrayList<>();
     private long reports;
 
-    public GatewayProcess(GatewayConfig config, Adapter adapter, RandomGenerator random) {
-        this.config = config;
+    public GatewayProcess(ConfigSource source, Adapter adapter, RandomGenerator random) {
+        this.config = source.read();
         this.adapter = adapter;
         this.random = random;
         HostIncarnation self = new HostIncarnation(config.host(), System.currentTimeMillis());
         this.holds = new MemoryHolds(loop, pools, adapter.backends(), log, self);
-        this.fleet = new FleetState(adapter.fleet(), pools, log, this);
+        this.fleet = new FleetState(adapter.fleet(), pools, log, this, System::nanoTime);
         this.forwarder = new Forwarder(
-                loop,
-                adapter.callers(),
-                adapter.backends(),
-                pools,
-                holds,
-                log,
-                metrics,
-                random,
-                new Forwarder.RetryAllowance(config.retryFraction(), config.retryAllowance(), config.retryWindowMs()));
+                loop, adapter.callers(), adapter.backends(), pools, holds, log, metrics, random, allowanceOf(config));
         this.callers = new CallerServer(loop, forwarder, adapter.callers());
         this.peers = new Peers(loop, config, log, random, this, this::report);
         this.forwarder.onWorkChanged(peers::workChanged);
         this.settingsReader = new CopyReader(loop, log, SETTINGS_COPY, fleet.settings(), fleet::settingsFromPeer);
         this.serversReader = new CopyReader(loop, log, SERVERS_COPY, fleet.servers(), fleet::serversFromPeer);
         this.shutdown = new Shutdown(loop, log, callers, peers, config.stopMs());
+        this.reload = new Reload(source, config, log, this::configChanged);
     }
 
     /**
@@ -111,7 +109,32 @@
         registerGauges();
         follow(adapter.fleet().settingsPrefix(), fleet.settingsFromStore());
         follow(adapter.fleet().serversPrefix(), fleet.serversFromStore());
-        var unused = loop.scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+        every(TICK_MS, this::tick);
+        every(RELOAD_INTERVAL_MS, reload::tick);
+    }
+
+    private void every(long intervalMs, Runnable action) {
+        var unused = loop.scheduleWithFixedDelay(action, intervalMs, intervalMs, TimeUnit.MILLISECONDS);
+    }
+
+    /** The configuration in force at the start. */
+    public GatewayConfig config() {
+        return config;
+    }
+
+    /** Reads the configuration again. */
+    public void reload() {
+        loop.execute(() -> reload.reload("the process was told to"));
+    }
+
+    private void configChanged(GatewayConfig changed) {
+        followers.forEach(follower -> follower.moveTo(changed.store()));
+        forwarder.allowRetries(allowanceOf(changed));
+        shutdown.stopWithin(changed.stopMs());
+    }
+
+    private static Forwarder.RetryAllowance allowanceOf(GatewayConfig config) {
+        return new Forwarder.RetryAllowance(config.retryFraction(), config.retryAllowance(), config.retryWindowMs());
     }
 
     /** Stops taking requests and finishes those in progress; the latch opens when the process may end. */
@@ -123,6 +146,7 @@
     private void follow(String prefix, StoreListener listener) {
         StoreFollower follower =
                 new StoreFollower(loop, config.store(), prefix, adapter.store(), listener, log, random);
+        followers.add(follower);
         loop.execute(follower::start);
     }
 
@@ -130,6 +154,7 @@
         long nowNanos = System.nanoTime();
         forwarder.tick(nowNanos);
         holds.tick(nowNanos);
+        fleet.tick();
         callers.tick(nowNanos);
         shutdown.tick(nowNanos);
         openWhenKnown(nowNanos);
--- a/figspan-gateway/src/main/java/io/figspan/gateway/Shutdown.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/Shutdown.java
@@ -24,8 +24,8 @@
     private final DecisionLog log;
     private final CallerServer callers;
     private final Peers peers;
-    private final long stopMs;
     private final CountDownLatch done = new CountDownLatch(1);
+    private long stopMs;
     private boolean begun;
     private boolean refusing;
     private long begunNanos;
@@ -42,6 +42,11 @@
         return begun;
     }
 
+    /** Takes another time from the request to stop until the process is killed; a stop in progress keeps its own. */
+    void stopWithin(long newStopMs) {
+        stopMs = newStopMs;
+    }
+
     CountDownLatch done() {
         return done;
     }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/fleet/FleetState.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/fleet/FleetState.java
@@ -13,6 +13,7 @@
 import io.figspan.gateway.store.StoreListener;
 import io.figspan.settings.gateway.GatewaySettings;
 import java.util.List;
+import java.util.function.LongSupplier;
 
 /** Keeps copies of the store's items and puts what they say into force. All methods run on the event loop. */
 public final class FleetState {
@@ -20,9 +21,12 @@
     private final BackendPools pools;
     private final DecisionLog log;
     private final FleetListener listener;
+    private final LongSupplier nanoClock;
+    private final HeldRemovals heldRemovals = new HeldRemovals();
     private final ItemCopy settings = new ItemCopy();
     private final ItemCopy servers = new ItemCopy();
     private boolean serversKnown;
+    private boolean serversOutOfReach;
 
     /** Hears what came into force. */
     public interface FleetListener {
@@ -31,11 +35,17 @@
         void onServersChanged();
     }
 
-    public FleetState(FleetProtocol protocol, BackendPools pools, DecisionLog log, FleetListener listener) {
+    public FleetState(
+            FleetProtocol protocol,
+            BackendPools pools,
+            DecisionLog log,
+            FleetListener listener,
+            LongSupplier nanoClock) {
         this.protocol = protocol;
         this.pools = pools;
         this.log = log;
         this.listener = listener;
+        this.nanoClock = nanoClock;
     }
 
     public ItemCopy settings() {
@@ -62,6 +72,11 @@
             public void onChanged(List<Item> items) {
                 settingsChanged(settings.apply(items));
             }
+
+            @Override
+            public void onLost() {
+                // The settings in force stay until newer ones are heard.
+            }
         };
     }
 
@@ -70,11 +85,18 @@
             @Override
             public void onWhole(List<Item> items, long revision) {
                 serversChanged(servers.applyWhole(items, revision));
+                serversOutOfReach = false;
             }
 
             @Override
             public void onChanged(List<Item> items) {
                 serversChanged(servers.apply(items));
+                serversOutOfReach = false;
+            }
+
+            @Override
+            public void onLost() {
+                serversOutOfReach = true;
             }
         };
     }
@@ -113,6 +135,8 @@
         for (Item item : changes) {
             if (item.value().isPresent()) {
                 put(item);
+            } else if (serversOutOfReach) {
+                hold(item);
             } else {
                 remove(item);
             }
@@ -122,7 +146,17 @@
         }
     }
 
+    /** Removes the servers whose entries did not come back in time. */
+    public void tick() {
+        List<Item> due = heldRemovals.takeDue(nanoClock.getAsLong());
+        due.forEach(this::remove);
+        if (!due.isEmpty()) {
+            listener.onServersChanged();
+        }
+    }
+
     private void put(Item item) {
+        heldRemovals.cancel(item.key());
         Result<BackendServer> read =
                 protocol.decodeServer(item.key(), item.value().orElseThrow());
         if (read instanceof Result.Ok<BackendServer> ok) {
@@ -144,7 +178,16 @@
         }
     }
 
+    private void hold(Item item) {
+        heldRemovals.hold(item, nanoClock.getAsLong());
+        log.info(Part.MEMBER, "serverLapsed")
+                .text("key", item.key())
+                .number("revision", item.revision())
+                .write();
+    }
+
     private void remove(Item item) {
+        heldRemovals.cancel(item.key());
         try {
             BackendServerId id = BackendServerId.of(protocol.serverName(item.key()));
             pools.remove(id);
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
@@ -56,9 +56,9 @@
     private final DecisionLog log;
     private final GatewayMetrics metrics;
     private final RandomGenerator random;
-    private final RetryAllowance allowance;
     private final Map<ServiceId, ServiceLane> lanes = new HashMap<>();
     private final EarlyCalls early = new EarlyCalls();
+    private RetryAllowance allowance;
     private boolean isOpen;
     private Runnable workListener = () -> {};
     private GatewaySettings settings;
@@ -66,7 +66,11 @@
     private KeyIndex keys = new KeyIndex(List.of());
 
     /** The budget of retries of all hosts for one service. */
-    public record RetryAllowance(double fraction, double allowance, long windowMs) {}
+    public record RetryAllowance(double fraction, double allowance, long windowMs) {
+        WindowedRetryBudget newBudget() {
+            return new WindowedRetryBudget(fraction, allowance, windowMs);
+        }
+    }
 
     public Forwarder(
             EventLoop loop,
@@ -228,11 +232,8 @@
     private ServiceLane lane(ServiceId service) {
         return lanes.computeIfAbsent(
                 service,
-                ignored -> new ServiceLane(
-                        service,
-                        newPlacer(service),
-                        new WindowedRetryBudget(allowance.fraction(), allowance.allowance(), allowance.windowMs()),
-                        () -> workListener.run()));
+                ignored ->
+                        new ServiceLane(service, newPlacer(service), allowance.newBudget(), () -> workListener.run()));
     }
 
     private Placer newPlacer(ServiceId service) {
@@ -262,6 +263,15 @@
         return lanes.values().stream().mapToLong(ServiceLane::waiting).sum();
     }
 
+    /** Replaces the budgets of retries, where the allowance differs; what was spent before is forgotten. */
+    public void allowRetries(RetryAllowance newAllowance) {
+        if (newAllowance.equals(allowance)) {
+            return;
+        }
+        allowance = newAllowance;
+        lanes.values().forEach(lane -> lane.replaceBudget(newAllowance.newBudget()));
+    }
+
     /** The number of hosts that share the budgets of retries. */
     public void sharedBy(int hostCount) {
         lanes.values().forEach(lane -> lane.budget().sharedBy(hostCount));
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceLane.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceLane.java
@@ -17,9 +17,9 @@
 final class ServiceLane {
     private final ServiceId service;
     private final Placer placer;
-    private final WindowedRetryBudget budget;
     private final Runnable workListener;
     private final Map<Job, ForwardCall> calls = new HashMap<>();
+    private WindowedRetryBudget budget;
 
     ServiceLane(ServiceId service, Placer placer, WindowedRetryBudget budget, Runnable workListener) {
         this.service = service;
@@ -36,6 +36,10 @@
         return budget;
     }
 
+    void replaceBudget(WindowedRetryBudget newBudget) {
+        budget = newBudget;
+    }
+
     int waiting() {
         return placer.waiting();
     }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/store/StoreFollower.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/store/StoreFollower.java
@@ -24,12 +24,12 @@
     private static final int OK = 200;
 
     private final EventLoop loop;
-    private final InetSocketAddress address;
     private final String prefix;
     private final StoreProtocol protocol;
     private final StoreListener listener;
     private final DecisionLog log;
     private final PrefixFollower follower;
+    private InetSocketAddress address;
     private HttpConnection connection;
     private boolean reachable = true;
     private boolean stopped;
@@ -57,11 +57,20 @@
 
     public void stop() {
         stopped = true;
+        closeConnection();
+    }
+
+    private void closeConnection() {
         if (connection != null) {
             connection.abort();
         }
     }
 
+    /** Makes all later calls at another address. */
+    public void moveTo(InetSocketAddress newAddress) {
+        address = newAddress;
+    }
+
     private void carryOut(List<Action> actions) {
         actions.forEach(this::carryOut);
     }
@@ -85,7 +94,11 @@
     }
 
     private void call(boolean watch, String target, long timeoutMs) {
-        if (connection == null || !connection.isIdle()) {
+        boolean usable = connection != null
+                && connection.isIdle()
+                && connection.address().equals(address);
+        if (!usable) {
+            closeConnection();
             connection = HttpConnection.open(loop, address, CONNECT_TIMEOUT_MS, () -> {});
         }
         WholeAnswer.get(loop, connection, target, timeoutMs, new WholeAnswer.Listener() {
@@ -134,6 +147,7 @@
                     .text("prefix", prefix)
                     .text("reason", reason)
                     .write();
+            listener.onLost();
         }
         carryOut(follower.failed());
     }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/store/StoreListener.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/store/StoreListener.java
@@ -10,4 +10,7 @@
 
     /** Items were written, or removed when they have no value; the oldest change comes first. May be empty. */
     void onChanged(List<Item> items);
+
+    /** The store is out of reach from now on, until the next items are heard. */
+    void onLost();
 }
--- /dev/null
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/ReloadTest.java
@@ -0,0 +1,127 @@
+package io.figspan.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.figspan.core.error.FigspanException;
+import io.figspan.core.error.Location;
+import io.figspan.core.error.ProblemKind;
+import io.figspan.core.id.AvailabilityZoneId;
+import io.figspan.core.id.HostId;
+import io.figspan.gateway.log.DecisionLog;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class ReloadTest {
+    private final List<GatewayConfig> taken = new ArrayList<>();
+    private final ScriptedSource source = new ScriptedSource();
+    private final Reload reload = new Reload(source, config(1, 0.2), new DecisionLog(), taken::add);
+
+    @Test
+    void aChangedSourceIsReadWithoutASignal() {
+        source.next = config(1, 0.5);
+
+        reload.tick();
+
+        assertEquals(List.of(config(1, 0.5)), taken);
+    }
+
+    @Test
+    void anUnchangedSourceIsNotRead() {
+        source.changed = false;
+        source.next = config(1, 0.5);
+
+        reload.tick();
+
+        assertTrue(taken.isEmpty());
+    }
+
+    @Test
+    void theSameConfigurationIsNotTakenTwice() {
+        source.next = config(1, 0.5);
+
+        reload.reload("test");
+        reload.reload("test");
+
+        assertEquals(1, taken.size());
+    }
+
+    @Test
+    void aConfigurationThatCannotBeReadLeavesTheFormerOneInForce() {
+        source.next = null;
+
+        reload.reload("test");
+
+        assertTrue(taken.isEmpty());
+    }
+
+    @Test
+    void portsAndIdentityAreNotReloadable() {
+        GatewayConfig moved = config(2, 0.5);
+
+        GatewayConfig reloaded = config(1, 0.2).withReloadable(moved);
+
+        assertEquals(config(1, 0.2).callers(), reloaded.callers());
+        assertEquals(0.5, reloaded.retryFraction());
+    }
+
+    @Test
+    void aHangupSignalRunsTheActionInsteadOfEndingTheProcess() throws Exception {
+        List<String> heard = Collections.synchronizedList(new ArrayList<>());
+        HangupSignal.handle(() -> heard.add("hangup"));
+
+        raiseHangup();
+
+        for (int attempt = 0; heard.isEmpty() && attempt < 200; attempt++) {
+            Thread.sleep(10);
+        }
+        assertEquals(List.of("hangup"), heard);
+    }
+
+    private static void raiseHangup() throws IOException, InterruptedException {
+        long pid = ProcessHandle.current().pid();
+        new ProcessBuilder("kill", "-HUP", Long.toString(pid)).start().waitFor();
+    }
+
+    private static GatewayConfig config(int port, double retryFraction) {
+        InetSocketAddress address = InetSocketAddress.createUnresolved("host", port);
+        return new GatewayConfig(
+                HostId.of("host"),
+                AvailabilityZoneId.of("zone"),
+                address,
+                address,
+                address,
+                address,
+                address,
+                address,
+                List.of(),
+                address,
+                1_000,
+                retryFraction,
+                100,
+                10_000);
+    }
+
+    /** A source that gives what the test sets, or can't be read. */
+    private static final class ScriptedSource implements ConfigSource {
+        private boolean changed = true;
+        private GatewayConfig next;
+
+        @Override
+        public boolean hasChanged() {
+            return changed;
+        }
+
+        @Override
+        public GatewayConfig read() {
+            if (next == null) {
+                throw new FigspanException(ProblemKind.HOST_FILE_INVALID, "no such field", Location.of("test"));
+            }
+            return next;
+        }
+    }
+}
--- /dev/null
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/fleet/FleetStateTest.java
@@ -0,0 +1,187 @@
+package io.figspan.gateway.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.figspan.core.error.Problem;
+import io.figspan.core.error.ProblemKind;
+import io.figspan.core.error.Result;
+import io.figspan.core.id.AvailabilityZoneId;
+import io.figspan.core.id.BackendServerId;
+import io.figspan.core.id.ServiceId;
+import io.figspan.gateway.backend.BackendPools;
+import io.figspan.gateway.backend.BackendServer;
+import io.figspan.gateway.log.DecisionLog;
+import io.figspan.gateway.protocol.FleetProtocol;
+import io.figspan.gateway.protocol.StoreProtocol.Item;
+import io.figspan.gateway.store.ItemCopy;
+import io.figspan.settings.gateway.GatewaySettings;
+import io.netty.channel.DefaultEventLoop;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class FleetStateTest {
+    private static final BackendServerId SERVER = BackendServerId.of("s-1");
+
+    private final DefaultEventLoop loop = new DefaultEventLoop();
+    private final BackendPools pools = new BackendPools(loop);
+    private long nowNanos;
+    private int changes;
+    private final FleetState fleet =
+            new FleetState(new PlainEntries(), pools, new DecisionLog(), new Listener(), () -> nowNanos);
+
+    @AfterEach
+    void stopLoop() {
+        loop.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
+    }
+
+    @Test
+    void aServerThatIsRemovedWhileTheStoreIsReachedIsGoneAtOnce() {
+        fleet.serversFromStore().onChanged(List.of(registered(1)));
+
+        fleet.serversFromStore().onChanged(List.of(removed(2)));
+
+        assertTrue(pools.find(SERVER).isEmpty());
+    }
+
+    @Test
+    void aServerThatIsMissingWhenTheStoreIsBackStaysInUseForAWhile() {
+        fleet.serversFromStore().onChanged(List.of(registered(1)));
+        fleet.serversFromStore().onLost();
+
+        fleet.serversFromStore().onWhole(List.of(), 5);
+        advanceMs(2_000);
+
+        assertTrue(pools.find(SERVER).isPresent());
+    }
+
+    @Test
+    void aServerThatIsStillMissingAfterThatIsGone() {
+        fleet.serversFromStore().onChanged(List.of(registered(1)));
+        fleet.serversFromStore().onLost();
+        fleet.serversFromStore().onChanged(List.of(removed(5)));
+        int changesBefore = changes;
+
+        advanceMs(2_500);
+
+        assertTrue(pools.find(SERVER).isEmpty());
+        assertEquals(changesBefore + 1, changes);
+    }
+
+    @Test
+    void aServerThatRegistersAgainInTimeStays() {
+        fleet.serversFromStore().onChanged(List.of(registered(1)));
+        fleet.serversFromStore().onLost();
+        fleet.serversFromStore().onChanged(List.of(removed(5)));
+        advanceMs(1_000);
+
+        fleet.serversFromStore().onChanged(List.of(registered(6)));
+        advanceMs(10_000);
+
+        assertTrue(pools.find(SERVER).isPresent());
+    }
+
+    @Test
+    void aRemovalAfterTheFirstAnswerOfTheStoreCountsAtOnce() {
+        fleet.serversFromStore().onChanged(List.of(registered(1)));
+        fleet.serversFromStore().onLost();
+        fleet.serversFromStore().onChanged(List.of());
+
+        fleet.serversFromStore().onChanged(List.of(removed(5)));
+
+        assertTrue(pools.find(SERVER).isEmpty());
+    }
+
+    @Test
+    void aRemovalThatAnotherHostTellsOfIsHeldToo() {
+        fleet.serversFromStore().onChanged(List.of(registered(1)));
+        fleet.serversFromStore().onLost();
+        ItemCopy ofPeer = new ItemCopy();
+        ofPeer.apply(List.of(registered(1), removed(5)));
+
+        fleet.serversFromPeer(ofPeer);
+
+        assertTrue(pools.find(SERVER).isPresent());
+    }
+
+    @Test
+    void anEntryThatCannotBeReadNamesNoServer() {
+        fleet.serversFromStore().onChanged(List.of(registered(1)));
+
+        fleet.serversFromStore()
+                .onChanged(List.of(new Item(SERVER.value(), Optional.of("junk".getBytes(StandardCharsets.UTF_8)), 2)));
+
+        assertTrue(pools.find(SERVER).isEmpty());
+    }
+
+    private void advanceMs(long ms) {
+        nowNanos += TimeUnit.MILLISECONDS.toNanos(ms);
+        fleet.tick();
+    }
+
+    private static Item registered(long revision) {
+        return new Item(SERVER.value(), Optional.of("server".getBytes(StandardCharsets.UTF_8)), revision);
+    }
+
+    private static Item removed(long revision) {
+        return new Item(SERVER.value(), Optional.empty(), revision);
+    }
+
+    private final class Listener implements FleetState.FleetListener {
+        @Override
+        public void onSettings(GatewaySettings settings) {}
+
+        @Override
+        public void onServersChanged() {
+            changes++;
+        }
+    }
+
+    /** Entries whose value is the word "server"; anything else can't be read. */
+    private static final class PlainEntries implements FleetProtocol {
+        @Override
+        public String settingsPrefix() {
+            return "settings/";
+        }
+
+        @Override
+        public boolean isSettings(String key) {
+            return false;
+        }
+
+        @Override
+        public Result<GatewaySettings> decodeSettings(byte[] value) {
+            throw new UnsupportedOperationException("there are no settings in this test");
+        }
+
+        @Override
+        public String serversPrefix() {
+            return "";
+        }
+
+        @Override
+        public String serverName(String key) {
+            return key;
+        }
+
+        @Override
+        public Result<BackendServer> decodeServer(String key, byte[] value) {
+            if (!new String(value, StandardCharsets.UTF_8).equals("server")) {
+                return Result.failed(Problem.notRun(ProblemKind.INVALID_VALUE, "junk"));
+            }
+            return Result.ok(new BackendServer(
+                    BackendServerId.of(key),
+                    ServiceId.of("plain"),
+                    InetSocketAddress.createUnresolved("server", 1),
+                    AvailabilityZoneId.of("zone"),
+                    4,
+                    false,
+                    0));
+        }
+    }
+}
