--- a/figspan-gateway/src/main/java/io/figspan/gateway/backend/BackendPools.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/backend/BackendPools.java
@@ -1,8 +1,10 @@
 package io.figspan.gateway.backend;
 
+import io.figspan.core.id.AvailabilityZoneId;
 import io.figspan.core.id.BackendServerId;
 import io.figspan.gateway.http.HttpConnection;
 import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -11,6 +13,7 @@
 public final class BackendPools {
     private final EventLoop loop;
     private final Map<BackendServerId, Entry> entries = new HashMap<>();
+    private final Map<AvailabilityZoneId, ConnectTimes> connectTimes = new HashMap<>();
 
     private record Entry(BackendServer server, ConnectionPool pool) {}
 
@@ -25,10 +28,15 @@
         if (known != null && !sameAddress) {
             known.pool().closeAllIdle();
         }
-        ConnectionPool pool = sameAddress ? known.pool() : new ConnectionPool(loop, server.address());
+        ConnectionPool pool = sameAddress ? known.pool() : newPool(server);
         entries.put(server.id(), new Entry(server, pool));
     }
 
+    private ConnectionPool newPool(BackendServer server) {
+        ConnectTimes times = connectTimes.computeIfAbsent(server.zone(), ignored -> new ConnectTimes());
+        return new ConnectionPool(loop, server.address(), times);
+    }
+
     /** Forgets a server; exchanges in progress go on. */
     public void remove(BackendServerId id) {
         Entry entry = entries.remove(id);
@@ -41,6 +49,17 @@
         return Optional.ofNullable(entries.get(id)).map(Entry::server);
     }
 
+    /** The server at an address, given as text; empty when none is known there. */
+    public Optional<BackendServer> findByAddress(String address) {
+        for (Entry entry : entries.values()) {
+            InetSocketAddress known = entry.server().address();
+            if (address.equals(known.getHostString() + ":" + known.getPort())) {
+                return Optional.of(entry.server());
+            }
+        }
+        return Optional.empty();
+    }
+
     public Iterable<BackendServer> all() {
         return entries.values().stream().map(Entry::server).toList();
     }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/backend/ConnectionPool.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/backend/ConnectionPool.java
@@ -12,9 +12,6 @@
  * keeps them. All methods run on the event loop.
  */
 final class ConnectionPool {
-    /** A server in the same region accepts within a few milliseconds; one that needs longer is down or cut off. */
-    static final int CONNECT_TIMEOUT_MS = 400;
-
     /** Longest idle time when the server names none. */
     static final long DEFAULT_IDLE_NANOS = TimeUnit.SECONDS.toNanos(3);
 
@@ -23,12 +20,14 @@
 
     private final EventLoop loop;
     private final InetSocketAddress address;
+    private final ConnectTimes connectTimes;
     private final Deque<HttpConnection> idle = new ArrayDeque<>();
     private int open;
 
-    ConnectionPool(EventLoop loop, InetSocketAddress address) {
+    ConnectionPool(EventLoop loop, InetSocketAddress address, ConnectTimes connectTimes) {
         this.loop = loop;
         this.address = address;
+        this.connectTimes = connectTimes;
     }
 
     /** An idle connection, or a new one. */
@@ -46,11 +45,12 @@
     /** A connection that has carried no exchange yet. */
     HttpConnection acquireNew() {
         open++;
-        return HttpConnection.open(loop, address, CONNECT_TIMEOUT_MS, () -> open--);
+        return HttpConnection.open(loop, address, connectTimes.timeoutMs(), () -> open--);
     }
 
     /** Takes back a connection whose exchange is complete. */
     void release(HttpConnection connection) {
+        connectTimes.connected(connection.connectNanos());
         if (connection.isIdle()) {
             idle.addLast(connection);
         }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Attempt.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Attempt.java
@@ -12,6 +12,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpResponse;
+import java.net.InetSocketAddress;
 import java.util.OptionalLong;
 
 /**
@@ -167,7 +168,8 @@
             end();
             owner.onDiscardedEnd(this);
         } else if (answer.provesNotRun()) {
-            fail(AttemptEnd.TURNED_AWAY, "status " + answer.status() + faultyServer());
+            AttemptEnd how = isFaultOfAnother() ? AttemptEnd.HELPER_FAILED : AttemptEnd.TURNED_AWAY;
+            fail(how, "status " + answer.status() + faultyServer());
         } else if (isStream()) {
             completeStream();
         } else {
@@ -178,6 +180,12 @@
         }
     }
 
+    private boolean isFaultOfAnother() {
+        InetSocketAddress own = connection.address();
+        String ownText = own.getHostString() + ":" + own.getPort();
+        return answer.faultyServer().filter(at -> !at.equals(ownText)).isPresent();
+    }
+
     private String faultyServer() {
         return answer.faultyServer().map(address -> " for " + address).orElse("");
     }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
@@ -41,6 +41,9 @@
     /** Servers that could not be reached before the request is refused; none of them has seen it. */
     private static final int MAX_UNREACHABLE = 3;
 
+    /** Sendings to one server that failed for its helpers before the request is refused. */
+    private static final int MAX_HELPER_FAILURES = 3;
+
     /** Requests of the longest prompts are done within a few seconds. */
     private static final long MEMORY_RETRY_MS = 1_000;
 
@@ -64,6 +67,7 @@
     private Attempt attempt;
     private int attempts;
     private int unreachable;
+    private int helperFailures;
     private int reservations;
     private boolean mayHaveRun;
     private OptionalLong lastEventId;
@@ -329,6 +333,15 @@
             attempts--;
             unreachable++;
         }
+        if (end == AttemptEnd.HELPER_FAILED) {
+            attempts--;
+            helperFailures++;
+            failed.answer()
+                    .faultyServer()
+                    .flatMap(forwarder.pools()::findByAddress)
+                    .ifPresent(helper -> lane.helperFailed(helper.id(), nowNanos));
+            job.keepTo(failed.server());
+        }
         boolean again = !isDone() && maySendAgain(end, nowNanos);
         if (again) {
             move(CallEvent.FAILED);
@@ -350,6 +363,16 @@
         giveUp(problem.withRetryAfterMs(forwarder.retryAfterMs()), reason);
     }
 
+    /** The server of the present sending is silent: sends the request elsewhere, where that is allowed. */
+    void onServerSilent() {
+        if (isDone() || attempt == null || !route.mayRepeat()) {
+            return;
+        }
+        Attempt silent = attempt;
+        silent.cancel();
+        attemptFailed(silent, AttemptEnd.SILENT, "silent for longer than expected", Optional.empty());
+    }
+
     private boolean maySendAgain(AttemptEnd end, long nowNanos) {
         boolean repeatable = !end.mayHaveRun() || route.mayRepeat();
         boolean resumable = !hasBegunAnswer() || route.isResumable();
@@ -360,6 +383,9 @@
         if (end == AttemptEnd.NOT_CONNECTED) {
             return unreachable < MAX_UNREACHABLE;
         }
+        if (helperFailures >= MAX_HELPER_FAILURES) {
+            return false;
+        }
         return lane.budget().tryRetry(nowNanos);
     }
 
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceLane.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceLane.java
@@ -1,5 +1,6 @@
 package io.figspan.gateway.forward;
 
+import io.figspan.core.id.BackendServerId;
 import io.figspan.core.id.HostId;
 import io.figspan.core.id.ServiceId;
 import io.figspan.core.work.PlacedWork;
@@ -74,6 +75,10 @@
         workListener.run();
     }
 
+    void helperFailed(BackendServerId server, long nowNanos) {
+        placer.helperFailed(server, nowNanos);
+    }
+
     /** The call needs no placement any more. */
     void forget(Job job) {
         calls.remove(job);
@@ -81,6 +86,12 @@
     }
 
     void tick(long nowNanos) {
+        for (Job job : placer.overdue(nowNanos)) {
+            ForwardCall call = calls.get(job);
+            if (call != null) {
+                call.onServerSilent();
+            }
+        }
         carryOut(placer.tick(nowNanos));
     }
 
--- a/figspan-gateway/src/main/java/io/figspan/gateway/http/HttpConnection.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/http/HttpConnection.java
@@ -31,6 +31,8 @@
     private ExchangeListener exchange;
     private FullHttpRequest waitingRequest;
     private ChannelFuture written;
+    private final long openedNanos = System.nanoTime();
+    private long connectNanos = Long.MAX_VALUE;
     private boolean connected;
     private boolean headReceived;
     private boolean keepAlive;
@@ -81,6 +83,11 @@
         return !closed && exchange == null && (connected || exchanges == 0);
     }
 
+    /** How long it took to connect; {@link Long#MAX_VALUE} before that. */
+    public long connectNanos() {
+        return connectNanos;
+    }
+
     /** Number of exchanges begun. */
     public long exchanges() {
         return exchanges;
@@ -140,6 +147,7 @@
             fail(ConnectionFailure.NOT_CONNECTED);
             return;
         }
+        connectNanos = System.nanoTime() - openedNanos;
         if (waitingRequest != null && exchange != null) {
             FullHttpRequest request = waitingRequest;
             waitingRequest = null;
--- a/figspan-gateway/src/main/java/io/figspan/gateway/protocol/BackendAnswer.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/protocol/BackendAnswer.java
@@ -10,7 +10,7 @@
  * @param notExecuted whether the server says that it has not run the request and will not
  * @param wrongServer whether another server than the expected one answered; nothing was run
  * @param load how busy the server is, when it says so
- * @param faultyServer address of the server that failed, when it was another one than the one that answers
+ * @param faultyServer IP address and port of the server that is the reason, which may be the one that answers
  */
 public record BackendAnswer(
         String attemptId,
--- a/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
@@ -43,6 +43,7 @@
     public static final ServiceId ENGINES = ServiceId.of("engines");
     public static final String KEY = "k-1";
 
+    private static final long TICK_MS = 20;
     private static final int LIMIT_MS = 20_000;
 
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
@@ -71,6 +72,8 @@
         ServerSocketChannel port = CallerServer.open(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
         address = (InetSocketAddress) port.getLocalAddress();
         callers.serve(port).syncUninterruptibly();
+        var unused = loop.scheduleWithFixedDelay(
+                () -> forwarder.tick(System.nanoTime()), TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
     }
 
     /** Runs on the event loop and waits for it. */
--- a/figspan-gateway/src/test/java/io/figspan/gateway/ReloadTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/ReloadTest.java
@@ -12,11 +12,14 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
 class ReloadTest {
+    private static final long LIMIT_S = 20;
+
     private final List<GatewayConfig> taken = new ArrayList<>();
     private final ScriptedSource source = new ScriptedSource();
     private final Reload reload = new Reload(source, config(1, 0.2), new DecisionLog(), taken::add);
@@ -71,15 +74,12 @@
 
     @Test
     void aHangupSignalRunsTheActionInsteadOfEndingTheProcess() throws Exception {
-        List<String> heard = Collections.synchronizedList(new ArrayList<>());
-        HangupSignal.handle(() -> heard.add("hangup"));
+        CountDownLatch heard = new CountDownLatch(1);
+        HangupSignal.handle(heard::countDown);
 
         raiseHangup();
 
-        for (int attempt = 0; heard.isEmpty() && attempt < 200; attempt++) {
-            Thread.sleep(10);
-        }
-        assertEquals(List.of("hangup"), heard);
+        assertTrue(heard.await(LIMIT_S, TimeUnit.SECONDS));
     }
 
     private static void raiseHangup() throws IOException, InterruptedException {
--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/StreamingTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/StreamingTest.java
@@ -145,4 +145,29 @@
             assertFalse(response.endsWith(END_OF_CHUNKS));
         }
     }
+
+    @Test
+    void aStreamWhoseServerFallsSilentGoesOnAtAnotherServer() throws IOException {
+        ScriptedServer.Script script = (request, c) -> {
+            writeHead(request, c);
+            int last =
+                    request.header("last-event-id").isEmpty() ? 0 : Integer.parseInt(request.header("last-event-id"));
+            if (last == 0) {
+                writeChunk(c, event(1) + event(2));
+                c.awaitClose();
+                return;
+            }
+            for (int id = last + 1; id <= 4; id++) {
+                writeChunk(c, event(id));
+            }
+            c.write(END_OF_CHUNKS);
+        };
+        try (ScriptedServer one = new ScriptedServer(script);
+                ScriptedServer two = new ScriptedServer(script)) {
+            gateway.open(Map.of("engine-1", one, "engine-2", two));
+            String response = stream();
+            assertEquals(List.of(1, 2, 3, 4), ids(response));
+            assertTrue(response.endsWith(END_OF_CHUNKS));
+        }
+    }
 }
--- a/figspan-policy/src/main/java/io/figspan/policy/engine/PassSimulation.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/engine/PassSimulation.java
@@ -171,6 +171,11 @@
         return pace;
     }
 
+    /** When the pass in progress ends, which is when the next pieces come; the present time while none is. */
+    public double passEndMs() {
+        return inPass ? passEndMs : timeMs;
+    }
+
     // Events
 
     /**
--- a/figspan-policy/src/main/java/io/figspan/policy/engine/ReadShare.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/engine/ReadShare.java
@@ -10,7 +10,7 @@
  * @param engines number of engines that read parts of the prompt
  */
 public record ReadShare(double tokens, double pairs, int engines) {
-    private static final double PAIRS_PER_MILLION = 1_000_000;
+    private static final double MILLION_PAIRS = 1_000_000;
 
     /** The share of each of {@code engines} engines that read a prompt together. */
     public static ReadShare of(double promptTokens, int engines) {
@@ -25,6 +25,6 @@
 
     /** Time that the reading takes without the steps around it, in milliseconds. */
     public double readMs(EngineProfile profile) {
-        return tokens / profile.readTokensPerMs() + pairs / PAIRS_PER_MILLION * profile.readMsPerMillionPairs();
+        return tokens / profile.readTokensPerMs() + pairs / MILLION_PAIRS * profile.readMsPerMillionPairs();
     }
 }
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/EnginePlacer.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/EnginePlacer.java
@@ -40,12 +40,17 @@
     /** Looking for a place takes about a millisecond, so a job that waits does so this often at most. */
     private static final long RETRY_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(30);
 
-    /** Time for which an engine that failed a request gets no other. */
-    private static final double AVOID_MS = 500;
+    /** An engine makes a piece every 50 to 300 ms; one that is later than expected by this is dead or cut off. */
+    private static final double SILENCE_MS = 600;
 
-    /** Callers leave when nothing has come after this many times the target, but not before the time below it. */
+    /** The same with helpers: the engine itself says within 1.5 s that one of them is dead. */
+    private static final double HELPED_SILENCE_MS = 1_800;
+
+    /** Callers leave when nothing has come for the longest of so many targets, so many gaps, and the time below. */
     private static final double PATIENCE_TARGETS = 4;
 
+    private static final double PATIENCE_GAPS = 8;
+
     private static final double MIN_PATIENCE_MS = 2_000;
 
     private final EngineProfile profile;
@@ -76,13 +81,29 @@
         final long sentNanos;
         final long outputTokens;
         long writtenTokens;
-
-        OwnWork(long key, EngineSeat first, List<Reader> readers, long sentNanos, long outputTokens) {
+        double nextPieceMs;
+        boolean reportedOverdue;
+
+        OwnWork(
+                long key,
+                EngineSeat first,
+                List<Reader> readers,
+                long sentNanos,
+                long outputTokens,
+                double nextPieceMs) {
             this.key = key;
             this.first = first;
             this.readers = readers;
             this.sentNanos = sentNanos;
             this.outputTokens = outputTokens;
+            this.nextPieceMs = nextPieceMs;
+        }
+
+        /** Whether the engine is silent although it should have made a piece of this or of another answer. */
+        boolean isOverdue(double nowMs) {
+            boolean helped = writtenTokens == 0 && !readers.isEmpty();
+            double silenceMs = helped ? HELPED_SILENCE_MS : SILENCE_MS;
+            return nowMs > Math.max(nextPieceMs, first.heardMs()) + silenceMs;
         }
 
         /** The readers that matter to other hosts: once the prompt is read, only those that hold memory. */
@@ -143,7 +164,7 @@
                 continue;
             }
             helpers.add(seat);
-            if (seat.hasSlot() && !job.tried().contains(seat.id())) {
+            if (seat.hasSlot() && job.maySendTo(seat.id())) {
                 firsts.add(seat);
             }
         }
@@ -172,7 +193,7 @@
     private Placement send(Job job, ReadPlan plan, long nowNanos) {
         double nowMs = ms(nowNanos);
         long outputTokens = job.prompt().map(PromptShape::maxOutputTokens).orElse(0L);
-        OwnWork work = new OwnWork(nextKey++, plan.first(), plan.readers(), nowNanos, outputTokens);
+        OwnWork work = new OwnWork(nextKey++, plan.first(), plan.readers(), nowNanos, outputTokens, plan.doneMs());
         placed.put(job, work);
         job.tried().add(plan.first().id());
         double contextTokens = promptTokens(job) - plan.heldElsewhereTokens();
@@ -220,11 +241,13 @@
 
     @Override
     public void pieceArrived(Job job, long pieces, long nowNanos) {
+        job.pieceArrived(nowNanos);
         OwnWork work = placed.get(job);
         if (work == null) {
             return;
         }
         double nowMs = ms(nowNanos);
+        work.first.heard(nowMs);
         if (work.writtenTokens == 0) {
             work.readers.forEach(reader -> reader.seat().simulation().remove(work.key, nowMs));
             work.first.simulation().firstTokenSeen(work.key, nowMs);
@@ -232,6 +255,27 @@
             work.first.simulation().passEnded(nowMs);
         }
         work.writtenTokens = 1 + (pieces - 1) * profile.strideSteps();
+        work.nextPieceMs = Math.max(nowMs, work.first.simulation().passEndMs());
+    }
+
+    @Override
+    public List<Job> overdue(long nowNanos) {
+        List<Job> overdue = new ArrayList<>();
+        placed.forEach((job, work) -> {
+            if (!work.reportedOverdue && work.isOverdue(ms(nowNanos))) {
+                work.reportedOverdue = true;
+                overdue.add(job);
+            }
+        });
+        return overdue;
+    }
+
+    @Override
+    public void helperFailed(BackendServerId server, long nowNanos) {
+        EngineSeat seat = seats.get(server);
+        if (seat != null) {
+            seat.avoidance().failed(ms(nowNanos));
+        }
     }
 
     @Override
@@ -242,8 +286,10 @@
         }
         double nowMs = ms(nowNanos);
         remove(work.key, work.first, work.readers, nowMs);
-        if (end == EndOfWork.BROKEN || end == EndOfWork.TURNED_AWAY) {
-            work.first.avoidUntil(nowMs + AVOID_MS);
+        if (end == EndOfWork.BROKEN) {
+            work.first.avoidance().failed(nowMs);
+        } else if (end == EndOfWork.TURNED_AWAY) {
+            work.first.avoidance().turnedAway(nowMs);
         }
         return tick(nowNanos);
     }
@@ -387,13 +433,15 @@
     }
 
     private static double dueMs(Job job) {
-        return ms(job.arrivedNanos() + job.targetLatencyNanos());
+        return ms(job.waitingSinceNanos() + job.onTimeNanos());
     }
 
-    /** Callers wait for a few times the target, and no longer than they said. */
+    /** Callers wait for a few times the target or the longest pause, and no longer than they said. */
     private static double lostMs(Job job) {
-        double patienceMs = PATIENCE_TARGETS * ms(job.targetLatencyNanos());
-        return Math.min(ms(job.deadline().atNanos()), ms(job.arrivedNanos()) + Math.max(MIN_PATIENCE_MS, patienceMs));
+        double ofTargetMs = PATIENCE_TARGETS * ms(job.targetLatencyNanos());
+        double ofGapMs = PATIENCE_GAPS * ms(job.maxGapNanos());
+        double patienceMs = Math.max(MIN_PATIENCE_MS, Math.max(ofTargetMs, ofGapMs));
+        return Math.min(ms(job.deadline().atNanos()), ms(job.waitingSinceNanos()) + patienceMs);
     }
 
     /** The same for a request of another host, whose target follows from when it was sent and when it is due. */
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/EngineSeat.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/EngineSeat.java
@@ -14,7 +14,8 @@
     private final Map<Long, Long> holds = new HashMap<>();
     private int slots;
     private boolean open = true;
-    private double avoidedUntilMs = Double.NEGATIVE_INFINITY;
+    private final Avoidance avoidance = new Avoidance();
+    private double heardMs = Double.NEGATIVE_INFINITY;
 
     EngineSeat(BackendServerId id, EngineProfile profile, double nowMs) {
         this.id = id;
@@ -47,12 +48,23 @@
         return open;
     }
 
-    void avoidUntil(double untilMs) {
-        avoidedUntilMs = Math.max(avoidedUntilMs, untilMs);
+    Avoidance avoidance() {
+        return avoidance;
     }
 
     boolean isUsable(double nowMs) {
-        return open && nowMs >= avoidedUntilMs;
+        return open && !avoidance.isAvoided(nowMs);
+    }
+
+    /** A piece of an answer came from the engine. */
+    void heard(double nowMs) {
+        heardMs = nowMs;
+        avoidance.served();
+    }
+
+    /** When the engine was last heard of. */
+    double heardMs() {
+        return heardMs;
     }
 
     /** Whether another request would run at once. */
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/Job.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/Job.java
@@ -16,6 +16,9 @@
     private final int rank;
     private final Optional<PromptShape> prompt;
     private final Set<BackendServerId> tried = new HashSet<>();
+    private Optional<BackendServerId> onlyServer = Optional.empty();
+    private boolean answerBegun;
+    private long pieceAtNanos;
 
     /**
      * A job.
@@ -73,11 +76,38 @@
         return prompt;
     }
 
+    /** A piece of the answer has arrived. */
+    public void pieceArrived(long nowNanos) {
+        answerBegun = true;
+        pieceAtNanos = nowNanos;
+    }
+
+    /** Since when the caller waits: for the first piece, or for the next one. */
+    long waitingSinceNanos() {
+        return answerBegun ? pieceAtNanos : arrivedNanos;
+    }
+
+    /** How long the caller may wait with the answer still on time. */
+    long onTimeNanos() {
+        return answerBegun ? maxGapNanos : targetLatencyNanos;
+    }
+
     /** The servers that it was sent to. */
     public Set<BackendServerId> tried() {
         return tried;
     }
 
+    /** Lets the job be sent to this server again, and to no other. */
+    public void keepTo(BackendServerId server) {
+        tried.remove(server);
+        onlyServer = Optional.of(server);
+    }
+
+    /** Whether the job may be sent to a server now. */
+    boolean maySendTo(BackendServerId server) {
+        return !tried.contains(server) && onlyServer.map(server::equals).orElse(true);
+    }
+
     @Override
     public String toString() {
         return requestId;
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/LeastBusyPlacer.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/LeastBusyPlacer.java
@@ -11,7 +11,6 @@
 import java.util.Map;
 import java.util.OptionalInt;
 import java.util.Queue;
-import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
 /**
@@ -34,9 +33,8 @@
         final BackendServerId id;
         int slots;
         int running;
+        final Avoidance avoidance = new Avoidance();
         boolean open = true;
-        boolean avoided;
-        long avoidedUntilNanos;
 
         ServerState(BackendServerId id) {
             this.id = id;
@@ -78,9 +76,13 @@
             return List.of();
         }
         server.running--;
-        if (end == EndOfWork.BROKEN || end == EndOfWork.TURNED_AWAY) {
-            server.avoided = true;
-            server.avoidedUntilNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(RETRY_AFTER_MS);
+        double nowMs = nowNanos / 1e6;
+        if (end == EndOfWork.BROKEN) {
+            server.avoidance.failed(nowMs);
+        } else if (end == EndOfWork.TURNED_AWAY) {
+            server.avoidance.turnedAway(nowMs);
+        } else if (end == EndOfWork.SERVED) {
+            server.avoidance.served();
         }
         return tick(nowNanos);
     }
@@ -127,11 +129,10 @@
     }
 
     private static boolean isUsable(ServerState server, Job job, long nowNanos) {
-        boolean avoided = server.avoided && nowNanos - server.avoidedUntilNanos < 0;
         return server.open
                 && server.running < server.slots
-                && !avoided
-                && !job.tried().contains(server.id);
+                && !server.avoidance.isAvoided(nowNanos / 1e6)
+                && job.maySendTo(server.id);
     }
 
     private Placement send(Job job, ServerState server) {
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/Placer.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/Placer.java
@@ -19,6 +19,14 @@
     /** A job that was sent is no longer at its server. */
     List<Placement> ended(Job job, EndOfWork end, long nowNanos);
 
+    /** A server failed in its part of a job that was sent to another one. */
+    default void helperFailed(BackendServerId server, long nowNanos) {}
+
+    /** Jobs at servers that have been silent for much longer than expected; each is named once for each sending. */
+    default List<Job> overdue(long nowNanos) {
+        return List.of();
+    }
+
     /** A job that waits is withdrawn. */
     void withdrawn(Job job);
 
@@ -52,8 +60,10 @@
         FAILED,
         /** The server said that it has not run the job. */
         TURNED_AWAY,
-        /** The server can't be reached or the connection broke. */
+        /** The server can't be reached, the connection broke, or the server is silent. */
         BROKEN,
+        /** The server said that another one failed in its part, so it has not run the job. */
+        HELPER_FAILED,
         /** The caller left, or its time was over. */
         CANCELLED
     }
--- a/figspan-policy/src/test/java/io/figspan/policy/placing/EnginePlacerTest.java
+++ b/figspan-policy/src/test/java/io/figspan/policy/placing/EnginePlacerTest.java
@@ -189,4 +189,100 @@
         placer.ended(job, EndOfWork.BROKEN, nowNanos);
         assertFalse(sent(shortJob()).server().equals(broken));
     }
+
+    @Test
+    void aSilentEngineIsOverdueSoonAfterItsFirstTokenWasExpected() {
+        engines(2);
+        Job job = shortJob();
+        sent(job);
+
+        advanceMs(300);
+        assertTrue(placer.overdue(nowNanos).isEmpty());
+        advanceMs(700);
+        assertEquals(List.of(job), placer.overdue(nowNanos));
+        assertTrue(placer.overdue(nowNanos).isEmpty(), "each sending is named once");
+    }
+
+    @Test
+    void anEngineThatWritesAnotherAnswerIsNotOverdue() {
+        engines(1);
+        Job writing = shortJob();
+        sent(writing);
+        Job reading = shortJob();
+        sent(reading);
+
+        for (int piece = 1; piece <= 20; piece++) {
+            advanceMs(100);
+            placer.pieceArrived(writing, piece, nowNanos);
+        }
+
+        assertTrue(placer.overdue(nowNanos).isEmpty());
+    }
+
+    @Test
+    void anEngineThatStopsWithinAnAnswerIsOverdue() {
+        engines(1);
+        Job job = shortJob();
+        sent(job);
+        advanceMs(100);
+        placer.pieceArrived(job, 1, nowNanos);
+        advanceMs(60);
+        placer.pieceArrived(job, 2, nowNanos);
+
+        advanceMs(800);
+
+        assertEquals(List.of(job), placer.overdue(nowNanos));
+    }
+
+    @Test
+    void aHelpedPromptIsGivenTheTimeInWhichTheEngineNoticesADeadHelper() {
+        engines(8);
+        Job job = longestJob(154_000);
+        assertFalse(sent(job).readers().isEmpty());
+
+        advanceMs(2_000);
+        assertTrue(placer.overdue(nowNanos).isEmpty());
+        advanceMs(2_500);
+        assertEquals(List.of(job), placer.overdue(nowNanos));
+    }
+
+    @Test
+    void aHelperThatFailedReadsNoOtherPart() {
+        engines(24);
+        Placement.Send first = sent(longestJob(154_000));
+        BackendServerId helper = first.readers().get(0).server();
+
+        placer.helperFailed(helper, nowNanos);
+        Placement.Send second = sent(longestJob(154_000));
+
+        assertFalse(second.server().equals(helper));
+        assertTrue(second.readers().stream().noneMatch(reader -> reader.server().equals(helper)));
+    }
+
+    @Test
+    void aJobWhoseHelperFailedGoesToItsEngineAgain() {
+        engines(4);
+        Job job = longestJob(154_000);
+        Placement.Send first = sent(job);
+        placer.helperFailed(first.readers().get(0).server(), nowNanos);
+
+        job.keepTo(first.server());
+        placer.ended(job, EndOfWork.HELPER_FAILED, nowNanos);
+
+        assertEquals(first.server(), sent(job).server());
+    }
+
+    @Test
+    void anAnswerThatBrokeOffLongAfterItsTargetGoesOnElsewhere() {
+        engines(2);
+        Job job = shortJob();
+        sent(job);
+        for (int piece = 1; piece <= 30; piece++) {
+            advanceMs(100);
+            placer.pieceArrived(job, piece, nowNanos);
+        }
+        placer.ended(job, EndOfWork.BROKEN, nowNanos);
+
+        sent(job);
+    }
 }
