--- a/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
@@ -87,6 +87,7 @@
         this.callers = new CallerServer(loop, forwarder, adapter.callers());
         this.peers = new Peers(loop, config, log, random, this, this::report);
         this.forwarder.onWorkChanged(peers::workChanged);
+        this.forwarder.viewsWorkThrough(() -> peers.oldestReportMs(System.nanoTime()));
         this.settingsReader = new CopyReader(loop, log, SETTINGS_COPY, fleet.settings(), fleet::settingsFromPeer);
         this.serversReader = new CopyReader(loop, log, SERVERS_COPY, fleet.servers(), fleet::serversFromPeer);
         this.shutdown = new Shutdown(loop, log, callers, peers, config.stopMs());
--- a/figspan-gateway/src/main/java/io/figspan/gateway/backend/BackendPools.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/backend/BackendPools.java
@@ -4,7 +4,6 @@
 import io.figspan.core.id.BackendServerId;
 import io.figspan.gateway.http.HttpConnection;
 import io.netty.channel.EventLoop;
-import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -49,17 +48,6 @@
         return Optional.ofNullable(entries.get(id)).map(Entry::server);
     }
 
-    /** The server at an address, given as text; empty when none is known there. */
-    public Optional<BackendServer> findByAddress(String address) {
-        for (Entry entry : entries.values()) {
-            InetSocketAddress known = entry.server().address();
-            if (address.equals(known.getHostString() + ":" + known.getPort())) {
-                return Optional.of(entry.server());
-            }
-        }
-        return Optional.empty();
-    }
-
     public Iterable<BackendServer> all() {
         return entries.values().stream().map(Entry::server).toList();
     }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/backend/BackendServer.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/backend/BackendServer.java
@@ -20,4 +20,14 @@
         AvailabilityZoneId zone,
         int slots,
         boolean isLeaving,
-        long warmUpMs) {}
+        long warmUpMs) {
+    /** Whether this is its address, written as IP:PORT. */
+    public boolean isAt(String text) {
+        return isSame(address, text);
+    }
+
+    /** Whether the text, IP:PORT, names the address. */
+    public static boolean isSame(InetSocketAddress address, String text) {
+        return text.equals(address.getHostString() + ":" + address.getPort());
+    }
+}
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Attempt.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Attempt.java
@@ -2,6 +2,7 @@
 
 import io.figspan.core.id.BackendServerId;
 import io.figspan.gateway.backend.BackendPools;
+import io.figspan.gateway.backend.BackendServer;
 import io.figspan.gateway.backend.HoldGroup;
 import io.figspan.gateway.http.ConnectionFailure;
 import io.figspan.gateway.http.EventSplitter;
@@ -13,6 +14,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpResponse;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.OptionalLong;
 
 /**
@@ -29,6 +31,7 @@
     private final BackendServerId server;
     private final HttpConnection connection;
     private final HoldGroup holds;
+    private final List<BackendServerId> readers;
     private final String attemptId;
     private final boolean streaming;
     private final long sentNanos = System.nanoTime();
@@ -65,6 +68,7 @@
             BackendServerId server,
             HttpConnection connection,
             HoldGroup holds,
+            List<BackendServerId> readers,
             String attemptId,
             boolean streaming) {
         this.owner = owner;
@@ -73,6 +77,7 @@
         this.server = server;
         this.connection = connection;
         this.holds = holds;
+        this.readers = readers;
         this.attemptId = attemptId;
         this.streaming = streaming;
     }
@@ -86,6 +91,11 @@
         return holds;
     }
 
+    /** The other engines that read parts of the prompt. */
+    List<BackendServerId> readers() {
+        return readers;
+    }
+
     long sentNanos() {
         return sentNanos;
     }
@@ -182,8 +192,9 @@
 
     private boolean isFaultOfAnother() {
         InetSocketAddress own = connection.address();
-        String ownText = own.getHostString() + ":" + own.getPort();
-        return answer.faultyServer().filter(at -> !at.equals(ownText)).isPresent();
+        return answer.faultyServer()
+                .filter(address -> !BackendServer.isSame(own, address))
+                .isPresent();
     }
 
     private String faultyServer() {
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/CallLog.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/CallLog.java
@@ -12,6 +12,7 @@
 import io.figspan.policy.placing.PromptShape;
 import io.figspan.settings.gateway.Route;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 /** Log lines and metrics of one request. */
 final class CallLog {
@@ -19,12 +20,16 @@
     private final GatewayMetrics metrics;
     private final Job job;
     private final Route route;
+    private final long settingsVersion;
+    private final LongSupplier workViewAgeMs;
 
-    CallLog(DecisionLog log, GatewayMetrics metrics, Job job, Route route) {
-        this.log = log;
-        this.metrics = metrics;
+    CallLog(Forwarder forwarder, Job job, Route route) {
+        this.log = forwarder.log();
+        this.metrics = forwarder.metrics();
         this.job = job;
         this.route = route;
+        this.settingsVersion = forwarder.settingsVersion().number();
+        this.workViewAgeMs = forwarder::workViewAgeMs;
     }
 
     private DecisionLog.Line line(String event) {
@@ -55,6 +60,8 @@
         metrics.sent(nowNanos - job.arrivedNanos());
         line("sent")
                 .text("route", route.name())
+                .number("settings", settingsVersion)
+                .number("viewAgeMs", workViewAgeMs.getAsLong())
                 .text("server", placement.server())
                 .number("attempt", attempt)
                 .number("waitedMs", TimeUnit.NANOSECONDS.toMillis(nowNanos - job.arrivedNanos()))
@@ -103,6 +110,7 @@
         metrics.requestEnded(RequestEnd.REFUSED, sinceArrivalNanos());
         line("refused")
                 .text("route", route.name())
+                .number("settings", settingsVersion)
                 .number("status", problem.kind().httpStatus())
                 .text("run", problem.run())
                 .text("reason", reason)
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
@@ -4,6 +4,7 @@
 import io.figspan.core.error.Problem;
 import io.figspan.core.error.ProblemKind;
 import io.figspan.core.error.Result;
+import io.figspan.core.id.BackendServerId;
 import io.figspan.core.id.OrganisationId;
 import io.figspan.core.work.PlacedReader;
 import io.figspan.gateway.backend.BackendServer;
@@ -42,7 +43,7 @@
     private static final int MAX_UNREACHABLE = 3;
 
     /** Sendings to one server that failed for its helpers before the request is refused. */
-    private static final int MAX_HELPER_FAILURES = 3;
+    private static final int MAX_HELPER_FAILURES = 6;
 
     /** Requests of the longest prompts are done within a few seconds. */
     private static final long MEMORY_RETRY_MS = 1_000;
@@ -90,7 +91,7 @@
         this.caller = caller;
         this.organisation = organisation;
         this.job = job;
-        this.log = new CallLog(forwarder.log(), forwarder.metrics(), job, route);
+        this.log = new CallLog(forwarder, job, route);
         this.lastEventId = request.lastEventId();
     }
 
@@ -221,6 +222,7 @@
                 placement.server(),
                 connection,
                 group,
+                placement.readers().stream().map(PlacedReader::server).toList(),
                 request.attemptId(),
                 route.kind().isStreaming());
         Send send = new Send(
@@ -336,10 +338,7 @@
         if (end == AttemptEnd.HELPER_FAILED) {
             attempts--;
             helperFailures++;
-            failed.answer()
-                    .faultyServer()
-                    .flatMap(forwarder.pools()::findByAddress)
-                    .ifPresent(helper -> lane.helperFailed(helper.id(), nowNanos));
+            faultyHelper(failed).ifPresent(helper -> lane.helperFailed(helper, nowNanos));
             job.keepTo(failed.server());
         }
         boolean again = !isDone() && maySendAgain(end, nowNanos);
@@ -363,6 +362,18 @@
         giveUp(problem.withRetryAfterMs(forwarder.retryAfterMs()), reason);
     }
 
+    /** The helper that the server's answer names. Its address may also be that of another server by now. */
+    private Optional<BackendServerId> faultyHelper(Attempt failed) {
+        Optional<String> address = failed.answer().faultyServer();
+        return failed.readers().stream()
+                .filter(reader -> address.isPresent() && isAt(reader, address.get()))
+                .findFirst();
+    }
+
+    private boolean isAt(BackendServerId id, String address) {
+        return forwarder.pools().find(id).filter(server -> server.isAt(address)).isPresent();
+    }
+
     /** The server of the present sending is silent: sends the request elsewhere, where that is allowed. */
     void onServerSilent() {
         if (isDone() || attempt == null || !route.mayRepeat()) {
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
@@ -41,6 +41,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 
 /** Takes the requests of callers, finds where they go and hands them to their service. */
@@ -61,6 +62,7 @@
     private RetryAllowance allowance;
     private boolean isOpen;
     private Runnable workListener = () -> {};
+    private LongSupplier workViewAgeMs = () -> 0;
     private GatewaySettings settings;
     private RouteTable routes = new RouteTable(List.of());
     private KeyIndex keys = new KeyIndex(List.of());
@@ -282,6 +284,15 @@
         workListener = listener;
     }
 
+    /** Where the age of the oldest report of another host's work comes from. */
+    public void viewsWorkThrough(LongSupplier ageMs) {
+        workViewAgeMs = ageMs;
+    }
+
+    long workViewAgeMs() {
+        return workViewAgeMs.getAsLong();
+    }
+
     /** Runs what is due in all lanes. */
     public void tick(long nowNanos) {
         for (EarlyCall call : early.takeExpired(nowNanos)) {
--- a/figspan-gateway/src/main/java/io/figspan/gateway/http/SmallServer.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/http/SmallServer.java
@@ -16,11 +16,16 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.ScheduledFuture;
 import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
 /** Answers small requests at once, such as readiness checks and metrics. Bodies of requests are ignored. */
 public final class SmallServer {
+    /** Checks come once a second; a connection without any for longer has lost its other side. */
+    private static final long IDLE_LIMIT_S = 15;
+
     private SmallServer() {}
 
     public static ChannelFuture listen(
@@ -40,13 +45,32 @@
     /** Answers the requests of one connection. */
     private static final class Answering extends ChannelInboundHandlerAdapter {
         private final Function<HttpRequest, FullHttpResponse> handler;
+        private ScheduledFuture<?> idle;
 
         Answering(Function<HttpRequest, FullHttpResponse> handler) {
             this.handler = handler;
         }
 
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            restartIdleTimer(ctx);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            idle.cancel(false);
+        }
+
+        private void restartIdleTimer(ChannelHandlerContext ctx) {
+            if (idle != null) {
+                idle.cancel(false);
+            }
+            idle = ctx.executor().schedule(() -> Channels.close(ctx.channel()), IDLE_LIMIT_S, TimeUnit.SECONDS);
+        }
+
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
+            restartIdleTimer(ctx);
             try {
                 if (message instanceof HttpRequest request) {
                     answer(ctx, request);
--- a/figspan-gateway/src/main/java/io/figspan/gateway/peer/Peers.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/peer/Peers.java
@@ -128,6 +128,15 @@
         return serving;
     }
 
+    /** Age of the oldest of the newest reports of each other host; 0 when there are none. */
+    public long oldestReportMs(long nowNanos) {
+        long oldestNanos = 0;
+        for (Heard last : heard.values()) {
+            oldestNanos = Math.max(oldestNanos, nowNanos - last.atNanos);
+        }
+        return TimeUnit.NANOSECONDS.toMillis(oldestNanos);
+    }
+
     /** Number of hosts that share budgets, this one included. */
     public int hostCount() {
         return 1 + others().size();
@@ -211,15 +220,23 @@
             } else if (action instanceof ClusterAction.Reply reply && sender != null) {
                 port.send(membership.self(), reply.message(), List.of(sender.address()));
             } else if (action instanceof ClusterAction.MemberChanged changed) {
-                log.info(Part.MEMBER, changed.live() ? "hostLive" : "hostGone")
-                        .text("host", changed.peer())
-                        .write();
+                memberChanged(changed);
             } else if (action instanceof ClusterAction.Superseded superseded) {
                 supersede(superseded.newer(), nowNanos);
             }
         }
     }
 
+    /** A host that has just come learns at once what this one has placed. */
+    private void memberChanged(ClusterAction.MemberChanged changed) {
+        log.info(Part.MEMBER, changed.live() ? "hostLive" : "hostGone")
+                .text("host", changed.peer())
+                .write();
+        if (changed.live()) {
+            workChanged();
+        }
+    }
+
     /** The time of day went back between two starts of this host, so its number must go beyond the former one. */
     private void supersede(HostIncarnation newer, long nowNanos) {
         log.warn(Part.MEMBER, "incarnationRaised").text("above", newer).write();
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/EnginePlacer.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/EnginePlacer.java
@@ -15,6 +15,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -22,6 +23,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Queue;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 
@@ -41,11 +43,14 @@
     private static final long RETRY_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(30);
 
     /** An engine makes a piece every 50 to 300 ms; one that is later than expected by this is dead or cut off. */
-    private static final double SILENCE_MS = 600;
+    private static final double SILENCE_MS = 800;
 
     /** The same with helpers: the engine itself says within 1.5 s that one of them is dead. */
     private static final double HELPED_SILENCE_MS = 1_800;
 
+    /** When more engines than one in so many are silent, they read a prompt together, or this host is cut off. */
+    private static final int MOST_SILENT_OF = 4;
+
     /** Callers leave when nothing has come for the longest of so many targets, so many gaps, and the time below. */
     private static final double PATIENCE_TARGETS = 4;
 
@@ -260,14 +265,20 @@
 
     @Override
     public List<Job> overdue(long nowNanos) {
-        List<Job> overdue = new ArrayList<>();
+        Map<Job, OwnWork> silent = new LinkedHashMap<>();
+        Set<EngineSeat> silentSeats = new HashSet<>();
         placed.forEach((job, work) -> {
-            if (!work.reportedOverdue && work.isOverdue(ms(nowNanos))) {
-                work.reportedOverdue = true;
-                overdue.add(job);
+            if (work.isOverdue(ms(nowNanos))) {
+                silent.put(job, work);
+                silentSeats.add(work.first);
             }
         });
-        return overdue;
+        if (silentSeats.size() > Math.max(1, seats.size() / MOST_SILENT_OF)) {
+            return List.of();
+        }
+        silent.values().removeIf(work -> work.reportedOverdue);
+        silent.values().forEach(work -> work.reportedOverdue = true);
+        return List.copyOf(silent.keySet());
     }
 
     @Override
