--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/StreamingTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/StreamingTest.java
@@ -57,6 +57,22 @@
         return ids;
     }
 
+    /** Begins a stream and ends it in its own way; goes on to event 4 when it is asked to resume. */
+    private static ScriptedServer.Script resumable(ScriptedServer.Script beginning) {
+        return (request, c) -> {
+            writeHead(request, c);
+            String last = request.header("last-event-id");
+            if (last.isEmpty()) {
+                beginning.answer(request, c);
+                return;
+            }
+            for (int id = Integer.parseInt(last) + 1; id <= 4; id++) {
+                writeChunk(c, event(id));
+            }
+            c.write(END_OF_CHUNKS);
+        };
+    }
+
     private String stream() throws IOException {
         return gateway.call("POST", "/stream/1", "prompt-tokens: 5000\r\n", "prompt");
     }
@@ -79,20 +95,10 @@
 
     @Test
     void aStreamThatBreaksGoesOnAtAnotherServerBehindItsLastWholeEvent() throws IOException {
-        ScriptedServer.Script script = (request, c) -> {
-            writeHead(request, c);
-            int last =
-                    request.header("last-event-id").isEmpty() ? 0 : Integer.parseInt(request.header("last-event-id"));
-            if (last == 0) {
-                writeChunk(c, event(1) + event(2) + "id: 3\ndata: pie");
-                c.reset();
-                return;
-            }
-            for (int id = last + 1; id <= 4; id++) {
-                writeChunk(c, event(id));
-            }
-            c.write(END_OF_CHUNKS);
-        };
+        ScriptedServer.Script script = resumable((request, c) -> {
+            writeChunk(c, event(1) + event(2) + "id: 3\ndata: pie");
+            c.reset();
+        });
         try (ScriptedServer one = new ScriptedServer(script);
                 ScriptedServer two = new ScriptedServer(script)) {
             gateway.open(Map.of("engine-1", one, "engine-2", two));
@@ -148,20 +154,10 @@
 
     @Test
     void aStreamWhoseServerFallsSilentGoesOnAtAnotherServer() throws IOException {
-        ScriptedServer.Script script = (request, c) -> {
-            writeHead(request, c);
-            int last =
-                    request.header("last-event-id").isEmpty() ? 0 : Integer.parseInt(request.header("last-event-id"));
-            if (last == 0) {
-                writeChunk(c, event(1) + event(2));
-                c.awaitClose();
-                return;
-            }
-            for (int id = last + 1; id <= 4; id++) {
-                writeChunk(c, event(id));
-            }
-            c.write(END_OF_CHUNKS);
-        };
+        ScriptedServer.Script script = resumable((request, c) -> {
+            writeChunk(c, event(1) + event(2));
+            c.awaitClose();
+        });
         try (ScriptedServer one = new ScriptedServer(script);
                 ScriptedServer two = new ScriptedServer(script)) {
             gateway.open(Map.of("engine-1", one, "engine-2", two));
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/EnginePlacer.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/EnginePlacer.java
@@ -7,14 +7,11 @@
 import io.figspan.core.work.PlacedReader;
 import io.figspan.core.work.PlacedWork;
 import io.figspan.policy.engine.LateLoss;
-import io.figspan.policy.engine.PassSimulation;
 import io.figspan.policy.engine.PassSimulation.RequestTraits;
-import io.figspan.policy.engine.ReadShare;
 import io.figspan.policy.placing.ReadPlan.Reader;
 import io.figspan.settings.gateway.EngineProfile;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -42,30 +39,17 @@
     /** Looking for a place takes about a millisecond, so a job that waits does so this often at most. */
     private static final long RETRY_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(30);
 
-    /** An engine makes a piece every 50 to 300 ms; one that is later than expected by this is dead or cut off. */
-    private static final double SILENCE_MS = 800;
-
-    /** The same with helpers: the engine itself says within 1.5 s that one of them is dead. */
-    private static final double HELPED_SILENCE_MS = 1_800;
-
     /** When more engines than one in so many are silent, they read a prompt together, or this host is cut off. */
     private static final int MOST_SILENT_OF = 4;
 
-    /** Callers leave when nothing has come for the longest of so many targets, so many gaps, and the time below. */
-    private static final double PATIENCE_TARGETS = 4;
-
-    private static final double PATIENCE_GAPS = 8;
-
-    private static final double MIN_PATIENCE_MS = 2_000;
-
     private final EngineProfile profile;
     private final ReadPlanner planner = new ReadPlanner(LateLoss.DEFAULT);
     private final Map<BackendServerId, EngineSeat> seats = new TreeMap<>();
     private final Map<Job, OwnWork> placed = new LinkedHashMap<>();
-    private final Map<HostId, Map<Long, PeerJob>> peers = new HashMap<>();
+    private long nextKey = 1;
+    private final PeerJobs peers = new PeerJobs(seats, this::takeKey);
     private final Crowding crowding = new Crowding();
     private final Queue<Waiting> queue = new ArrayDeque<>();
-    private long nextKey = 1;
 
     /** A job that waits, and when a place was last looked for. */
     private static final class Waiting {
@@ -78,55 +62,14 @@
         }
     }
 
-    /** A job of this host at its engines. */
-    private static final class OwnWork {
-        final long key;
-        final EngineSeat first;
-        final List<Reader> readers;
-        final long sentNanos;
-        final long outputTokens;
-        long writtenTokens;
-        double nextPieceMs;
-        boolean reportedOverdue;
-
-        OwnWork(
-                long key,
-                EngineSeat first,
-                List<Reader> readers,
-                long sentNanos,
-                long outputTokens,
-                double nextPieceMs) {
-            this.key = key;
-            this.first = first;
-            this.readers = readers;
-            this.sentNanos = sentNanos;
-            this.outputTokens = outputTokens;
-            this.nextPieceMs = nextPieceMs;
-        }
-
-        /** Whether the engine is silent although it should have made a piece of this or of another answer. */
-        boolean isOverdue(double nowMs) {
-            boolean helped = writtenTokens == 0 && !readers.isEmpty();
-            double silenceMs = helped ? HELPED_SILENCE_MS : SILENCE_MS;
-            return nowMs > Math.max(nextPieceMs, first.heardMs()) + silenceMs;
-        }
-
-        /** The readers that matter to other hosts: once the prompt is read, only those that hold memory. */
-        List<PlacedReader> placedReaders() {
-            return readers.stream()
-                    .filter(reader -> writtenTokens == 0 || reader.heldTokens() > 0)
-                    .map(Reader::placed)
-                    .toList();
-        }
-    }
-
-    /** A job of another host, by its key in the simulations. */
-    private record PeerJob(long key, PlacedWork work) {}
-
     public EnginePlacer(EngineProfile profile) {
         this.profile = profile;
     }
 
+    private long takeKey() {
+        return nextKey++;
+    }
+
     // Engines
 
     @Override
@@ -174,7 +117,7 @@
             }
         }
         ReadPlanner.Wanted wanted = new ReadPlanner.Wanted(
-                promptTokens, memoryTokens, dueMs(job), lostMs(job), gapMs(job), JobWorth.of(job.prompt()));
+                promptTokens, memoryTokens, dueMs(job), Patience.endMs(job), gapMs(job), JobWorth.of(job.prompt()));
         Optional<ReadPlan> plan = planner.plan(wanted, firsts, helpers, nowMs);
         if (plan.isEmpty()) {
             return Optional.empty();
@@ -198,13 +141,13 @@
     private Placement send(Job job, ReadPlan plan, long nowNanos) {
         double nowMs = ms(nowNanos);
         long outputTokens = job.prompt().map(PromptShape::maxOutputTokens).orElse(0L);
-        OwnWork work = new OwnWork(nextKey++, plan.first(), plan.readers(), nowNanos, outputTokens, plan.doneMs());
+        OwnWork work = new OwnWork(takeKey(), plan.first(), plan.readers(), nowNanos, outputTokens, plan.doneMs());
         placed.put(job, work);
         job.tried().add(plan.first().id());
         double contextTokens = promptTokens(job) - plan.heldElsewhereTokens();
-        RequestTraits traits =
-                new RequestTraits(contextTokens, dueMs(job), lostMs(job), gapMs(job), JobWorth.of(job.prompt()));
-        add(work.key, plan.first(), plan.readers(), promptTokens(job), traits, nowMs);
+        RequestTraits traits = new RequestTraits(
+                contextTokens, dueMs(job), Patience.endMs(job), gapMs(job), JobWorth.of(job.prompt()));
+        SeatWork.add(work.key, plan.first(), plan.readers(), promptTokens(job), traits, nowMs);
         String reason = String.format(
                 "readers=%d held=%d dueInMs=%.0f readInMs=%.0f loss=%.2f writers=%d",
                 plan.readers().size(),
@@ -217,33 +160,6 @@
         return new Placement.Send(job, plan.first().id(), OptionalInt.empty(), readers, reason);
     }
 
-    private static void add(
-            long key, EngineSeat first, List<Reader> readers, double promptTokens, RequestTraits traits, double nowMs) {
-        ReadShare share = ReadShare.of(promptTokens, readers.size() + 1);
-        double othersReadyMs = nowMs;
-        for (Reader reader : readers) {
-            PassSimulation simulation = reader.seat().simulation();
-            othersReadyMs = Math.max(
-                    othersReadyMs,
-                    simulation
-                            .forecast(share, Optional.empty(), LateLoss.DEFAULT, 0, nowMs)
-                            .doneMs());
-            simulation.addPart(key, traits, share, nowMs);
-            if (reader.heldTokens() > 0) {
-                reader.seat().hold(key, reader.heldTokens());
-            }
-        }
-        first.simulation().addRequest(key, traits, share, othersReadyMs, nowMs);
-    }
-
-    private static void remove(long key, EngineSeat first, List<Reader> readers, double nowMs) {
-        first.simulation().remove(key, nowMs);
-        for (Reader reader : readers) {
-            reader.seat().simulation().remove(key, nowMs);
-            reader.seat().releaseHold(key);
-        }
-    }
-
     @Override
     public void pieceArrived(Job job, long pieces, long nowNanos) {
         job.pieceArrived(nowNanos);
@@ -296,7 +212,7 @@
             return List.of();
         }
         double nowMs = ms(nowNanos);
-        remove(work.key, work.first, work.readers, nowMs);
+        SeatWork.remove(work.key, work.first, work.readers, nowMs);
         if (end == EndOfWork.BROKEN) {
             work.first.avoidance().failed(nowMs);
         } else if (end == EndOfWork.TURNED_AWAY) {
@@ -336,7 +252,7 @@
     }
 
     private static boolean hasWaitedTooLong(Job job, long nowNanos) {
-        return ms(nowNanos) >= lostMs(job);
+        return ms(nowNanos) >= Patience.endMs(job);
     }
 
     @Override
@@ -353,74 +269,10 @@
 
     @Override
     public List<Placement> peerWork(HostId host, List<PlacedWork> work, long nowNanos) {
-        double nowMs = ms(nowNanos);
-        Map<Long, PeerJob> before = peers.getOrDefault(host, Map.of());
-        Map<Long, PeerJob> after = new HashMap<>();
-        for (PlacedWork item : work) {
-            PeerJob known = before.get(item.id());
-            after.put(item.id(), known == null ? addPeerJob(item, nowMs) : updatePeerJob(known, item, nowMs));
-        }
-        for (PeerJob job : before.values()) {
-            if (!after.containsKey(job.work().id())) {
-                removePeerJob(job, nowMs);
-            }
-        }
-        if (after.isEmpty()) {
-            peers.remove(host);
-        } else {
-            peers.put(host, after);
-        }
+        peers.replace(host, work, ms(nowNanos));
         return tick(nowNanos);
     }
 
-    private PeerJob addPeerJob(PlacedWork work, double nowMs) {
-        PeerJob job = new PeerJob(nextKey++, work);
-        EngineSeat first = seats.get(work.server());
-        if (first == null) {
-            return job;
-        }
-        List<Reader> readers = readersOf(work);
-        long heldElsewhere = readers.stream().mapToLong(Reader::heldTokens).sum();
-        RequestTraits traits = new RequestTraits(
-                (double) work.promptTokens() - heldElsewhere,
-                nowMs + work.dueInMs(),
-                lostMs(work, nowMs),
-                work.maxGapMs(),
-                JobWorth.of(work));
-        if (work.writtenTokens() > 0) {
-            first.simulation().addWriter(job.key(), traits, (double) work.writtenTokens(), nowMs);
-            readers.forEach(reader -> reader.seat().hold(job.key(), reader.heldTokens()));
-        } else {
-            add(job.key(), first, readers, (double) work.promptTokens(), traits, nowMs);
-        }
-        return job;
-    }
-
-    private List<Reader> readersOf(PlacedWork work) {
-        return work.readers().stream()
-                .filter(reader -> seats.containsKey(reader.server()))
-                .map(reader -> new Reader(seats.get(reader.server()), reader.heldTokens()))
-                .toList();
-    }
-
-    private PeerJob updatePeerJob(PeerJob known, PlacedWork work, double nowMs) {
-        boolean beganWriting = known.work().writtenTokens() == 0 && work.writtenTokens() > 0;
-        EngineSeat first = seats.get(work.server());
-        if (beganWriting && first != null) {
-            readersOf(known.work()).forEach(reader -> reader.seat().simulation().remove(known.key(), nowMs));
-            first.simulation().firstTokenSeen(known.key(), nowMs);
-            return new PeerJob(known.key(), work);
-        }
-        return known;
-    }
-
-    private void removePeerJob(PeerJob job, double nowMs) {
-        EngineSeat first = seats.get(job.work().server());
-        if (first != null) {
-            remove(job.key(), first, readersOf(job.work()), nowMs);
-        }
-    }
-
     @Override
     public List<PlacedWork> ownWork(long nowNanos) {
         List<PlacedWork> work = new ArrayList<>();
@@ -447,20 +299,6 @@
         return ms(job.waitingSinceNanos() + job.onTimeNanos());
     }
 
-    /** Callers wait for a few times the target or the longest pause, and no longer than they said. */
-    private static double lostMs(Job job) {
-        double ofTargetMs = PATIENCE_TARGETS * ms(job.targetLatencyNanos());
-        double ofGapMs = PATIENCE_GAPS * ms(job.maxGapNanos());
-        double patienceMs = Math.max(MIN_PATIENCE_MS, Math.max(ofTargetMs, ofGapMs));
-        return Math.min(ms(job.deadline().atNanos()), ms(job.waitingSinceNanos()) + patienceMs);
-    }
-
-    /** The same for a request of another host, whose target follows from when it was sent and when it is due. */
-    private static double lostMs(PlacedWork work, double nowMs) {
-        double targetMs = Math.max(0, work.sentAgoMs() + work.dueInMs());
-        return nowMs - work.sentAgoMs() + Math.max(MIN_PATIENCE_MS, PATIENCE_TARGETS * targetMs);
-    }
-
     private static double gapMs(Job job) {
         return ms(job.maxGapNanos());
     }
--- /dev/null
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/PeerJobs.java
@@ -0,0 +1,100 @@
+package io.figspan.policy.placing;
+
+import io.figspan.core.id.BackendServerId;
+import io.figspan.core.id.HostId;
+import io.figspan.core.work.PlacedWork;
+import io.figspan.policy.engine.PassSimulation.RequestTraits;
+import io.figspan.policy.placing.ReadPlan.Reader;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.LongSupplier;
+
+/** What the other hosts have at the engines, entered into the simulations of this host. */
+final class PeerJobs {
+    private final Map<BackendServerId, EngineSeat> seats;
+    private final LongSupplier nextKey;
+    private final Map<HostId, Map<Long, PeerJob>> peers = new HashMap<>();
+
+    /** A job of another host, by its key in the simulations. */
+    private record PeerJob(long key, PlacedWork work) {}
+
+    /**
+     * No jobs yet.
+     *
+     * @param seats the engines, kept up to date by the owner
+     * @param nextKey gives keys that no other job has
+     */
+    PeerJobs(Map<BackendServerId, EngineSeat> seats, LongSupplier nextKey) {
+        this.seats = seats;
+        this.nextKey = nextKey;
+    }
+
+    /** Takes all that a host has at the engines now. */
+    void replace(HostId host, List<PlacedWork> work, double nowMs) {
+        Map<Long, PeerJob> before = peers.getOrDefault(host, Map.of());
+        Map<Long, PeerJob> after = new HashMap<>();
+        for (PlacedWork item : work) {
+            PeerJob known = before.get(item.id());
+            after.put(item.id(), known == null ? add(item, nowMs) : update(known, item, nowMs));
+        }
+        for (PeerJob job : before.values()) {
+            if (!after.containsKey(job.work().id())) {
+                remove(job, nowMs);
+            }
+        }
+        if (after.isEmpty()) {
+            peers.remove(host);
+        } else {
+            peers.put(host, after);
+        }
+    }
+
+    private PeerJob add(PlacedWork work, double nowMs) {
+        PeerJob job = new PeerJob(nextKey.getAsLong(), work);
+        EngineSeat first = seats.get(work.server());
+        if (first == null) {
+            return job;
+        }
+        List<Reader> readers = readersOf(work);
+        long heldElsewhere = readers.stream().mapToLong(Reader::heldTokens).sum();
+        RequestTraits traits = new RequestTraits(
+                (double) work.promptTokens() - heldElsewhere,
+                nowMs + work.dueInMs(),
+                Patience.endMs(work, nowMs),
+                work.maxGapMs(),
+                JobWorth.of(work));
+        if (work.writtenTokens() > 0) {
+            first.simulation().addWriter(job.key(), traits, (double) work.writtenTokens(), nowMs);
+            readers.forEach(reader -> reader.seat().hold(job.key(), reader.heldTokens()));
+        } else {
+            SeatWork.add(job.key(), first, readers, (double) work.promptTokens(), traits, nowMs);
+        }
+        return job;
+    }
+
+    private List<Reader> readersOf(PlacedWork work) {
+        return work.readers().stream()
+                .filter(reader -> seats.containsKey(reader.server()))
+                .map(reader -> new Reader(seats.get(reader.server()), reader.heldTokens()))
+                .toList();
+    }
+
+    private PeerJob update(PeerJob known, PlacedWork work, double nowMs) {
+        boolean beganWriting = known.work().writtenTokens() == 0 && work.writtenTokens() > 0;
+        EngineSeat first = seats.get(work.server());
+        if (beganWriting && first != null) {
+            readersOf(known.work()).forEach(reader -> reader.seat().simulation().remove(known.key(), nowMs));
+            first.simulation().firstTokenSeen(known.key(), nowMs);
+            return new PeerJob(known.key(), work);
+        }
+        return known;
+    }
+
+    private void remove(PeerJob job, double nowMs) {
+        EngineSeat first = seats.get(job.work().server());
+        if (first != null) {
+            SeatWork.remove(job.key(), first, readersOf(job.work()), nowMs);
+        }
+    }
+}
