--- a/figspan-bench/src/main/java/io/figspan/bench/placing/PlacingCommand.java
+++ b/figspan-bench/src/main/java/io/figspan/bench/placing/PlacingCommand.java
@@ -71,7 +71,7 @@
     @Override
     public boolean run(PrintStream out) {
         Map<String, Function<EngineProfile, Placer>> placers = new LinkedHashMap<>();
-        placers.put("passes", EnginePlacer::new);
+        placers.put("passes", profile -> new EnginePlacer(profile, new SplittableRandom(1)));
         if (naive) {
             placers.put("least-busy", profile -> new LeastBusyPlacer(new SplittableRandom(1)));
         }
--- a/figspan-bench/src/test/java/io/figspan/bench/placing/PlacingTargetsTest.java
+++ b/figspan-bench/src/test/java/io/figspan/bench/placing/PlacingTargetsTest.java
@@ -57,14 +57,14 @@
 
     @Test
     void the95thOf100FirstTokensComesWithinThePlannedTime() {
-        assertAll(play(EnginePlacer::new).stream()
+        assertAll(play(profile -> new EnginePlacer(profile, new SplittableRandom(1))).stream()
                 .map(tally -> () ->
                         assertTrue(firstTokenP95Ms(tally) <= FIRST_TOKEN_P95_MS, firstTokenP95Ms(tally) + " ms")));
     }
 
     @Test
     void noKindOfRequestIsStarvedForAnother() {
-        for (PlacingTally tally : play(EnginePlacer::new)) {
+        for (PlacingTally tally : play(profile -> new EnginePlacer(profile, new SplittableRandom(1)))) {
             double served = tally.classes().values().stream()
                     .mapToDouble(PlacingTargetsTest::served)
                     .average()
@@ -77,7 +77,7 @@
 
     @Test
     void callersGetMoreThanFromTheLeastBusyEngine() {
-        List<PlacingTally> byPasses = play(EnginePlacer::new);
+        List<PlacingTally> byPasses = play(profile -> new EnginePlacer(profile, new SplittableRandom(1)));
         List<PlacingTally> byLoad = play(profile -> new LeastBusyPlacer(new SplittableRandom(1)));
         for (int seed = 0; seed < SEEDS; seed++) {
             double gained = byPasses.get(seed).share() - byLoad.get(seed).share();
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
@@ -241,7 +241,8 @@
     private Placer newPlacer(ServiceId service) {
         Optional<EngineProfile> engine =
                 Optional.ofNullable(settings.services().get(service)).flatMap(ServiceProfile::engine);
-        return engine.<Placer>map(EnginePlacer::new).orElseGet(() -> new LeastBusyPlacer(random));
+        return engine.<Placer>map(profile -> new EnginePlacer(profile, random))
+                .orElseGet(() -> new LeastBusyPlacer(random));
     }
 
     /** All that this host has at model engines. */
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/EnginePlacer.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/EnginePlacer.java
@@ -12,6 +12,7 @@
 import io.figspan.settings.gateway.EngineProfile;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -20,9 +21,10 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Queue;
+import java.util.Random;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
 
 /**
  * Places prompts at model engines. It follows what each engine does by a simulation of its passes, fed with what this
@@ -44,7 +46,8 @@
 
     private final EngineProfile profile;
     private final ReadPlanner planner = new ReadPlanner(LateLoss.DEFAULT);
-    private final Map<BackendServerId, EngineSeat> seats = new TreeMap<>();
+    private final RandomGenerator random;
+    private final Map<BackendServerId, EngineSeat> seats = new LinkedHashMap<>();
     private final Map<Job, OwnWork> placed = new LinkedHashMap<>();
     private long nextKey = 1;
     private final PeerJobs peers = new PeerJobs(seats, this::takeKey);
@@ -62,8 +65,14 @@
         }
     }
 
-    public EnginePlacer(EngineProfile profile) {
+    /**
+     * A placer without engines.
+     *
+     * @param random orders engines that are equally good; hosts must not all begin with the same one
+     */
+    public EnginePlacer(EngineProfile profile, RandomGenerator random) {
         this.profile = profile;
+        this.random = random;
     }
 
     private long takeKey() {
@@ -75,7 +84,7 @@
     @Override
     public void serversChanged(List<ServerSeat> servers, long nowNanos) {
         seats.values().forEach(seat -> seat.setOpen(false));
-        for (ServerSeat server : servers) {
+        for (ServerSeat server : shuffled(servers)) {
             EngineSeat seat = seats.computeIfAbsent(server.id(), id -> new EngineSeat(id, profile, ms(nowNanos)));
             seat.setOpen(true);
             seat.setSlots(server.slots());
@@ -83,6 +92,12 @@
         seats.values().removeIf(seat -> !seat.isOpen() && seat.isIdle());
     }
 
+    private List<ServerSeat> shuffled(List<ServerSeat> servers) {
+        List<ServerSeat> shuffled = new ArrayList<>(servers);
+        Collections.shuffle(shuffled, new Random(random.nextLong()));
+        return shuffled;
+    }
+
     // Jobs
 
     @Override
--- a/figspan-policy/src/test/java/io/figspan/policy/placing/EnginePlacerTest.java
+++ b/figspan-policy/src/test/java/io/figspan/policy/placing/EnginePlacerTest.java
@@ -20,6 +20,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
@@ -29,7 +30,7 @@
             new EngineProfile(4, 315_000, 51, 0.85, 0.006, 0.0029, 177, 0.184, 2_048, 200, 0.05);
     private static final HostId PEER = HostId.of("peer");
 
-    private final EnginePlacer placer = new EnginePlacer(ENGINE);
+    private final EnginePlacer placer = new EnginePlacer(ENGINE, new SplittableRandom(1));
     private long nowNanos = TimeUnit.SECONDS.toNanos(100);
     private int jobs;
 
@@ -297,4 +298,19 @@
 
         assertTrue(placer.overdue(nowNanos).isEmpty());
     }
+
+    @Test
+    void hostsThatStartTogetherDoNotAllBeginWithTheSameEngine() {
+        Set<BackendServerId> begunWith = new HashSet<>();
+        for (int host = 0; host < 8; host++) {
+            EnginePlacer ofHost = new EnginePlacer(ENGINE, new SplittableRandom(host));
+            List<ServerSeat> seats = new ArrayList<>();
+            for (int i = 0; i < 20; i++) {
+                seats.add(new ServerSeat(engine(i), ENGINE.slots()));
+            }
+            ofHost.serversChanged(seats, nowNanos);
+            begunWith.add(((Placement.Send) ofHost.arrived(shortJob(), nowNanos).get(0)).server());
+        }
+        assertTrue(begunWith.size() > 4, begunWith.toString());
+    }
 }
