Ask engines that use memory held elsewhere whether they live, and give the memory back when one is dead

Cause, from its log: a prompt of 410,000 tokens was sent to an engine that went dark 0.2 s later; the forecast was 3.6 s of reading, so silence counted only after 5.4 s, and the two holders' leases were renewed until then, although one of them had refused the renewal 2.4 s earlier. Change: an engine that uses memory of others is asked once a second; two failures, or a holder that no longer holds, end the sending, and the memory goes back.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/backend/HoldGroup.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/backend/HoldGroup.java
@@ -34,6 +34,10 @@
         return handles.values();
     }
 
+    boolean holds(HoldHandle handle) {
+        return handles.containsValue(handle);
+    }
+
     boolean isDecided() {
         return missing == 0 || !failure.isEmpty();
     }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/backend/MemoryHolds.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/backend/MemoryHolds.java
@@ -29,6 +29,9 @@
     /** An engine answers within a few milliseconds; one that needs longer is down, cut off or ignores orders. */
     private static final long ANSWER_TIMEOUT_MS = 250;
 
+    private static final int CHECK_CONNECT_TIMEOUT_MS = 400;
+    private static final long CHECK_TIMEOUT_MS = 500;
+
     /** Memory of a dead host comes back within this time. */
     private static final long LEASE_MS = 3_000;
 
@@ -45,6 +48,7 @@
     private final BackendProtocol protocol;
     private final DecisionLog log;
     private final HoldLedger ledger;
+    private final HoldUses uses = new HoldUses();
     private final Map<HoldHandle, Pending> pending = new HashMap<>();
 
     /** A group whose reserve call is not answered yet. */
@@ -82,8 +86,19 @@
         }
     }
 
+    /**
+     * An engine begins to use the memory of a group. The listener hears once if the engine is found dead or a part of
+     * the memory is lost before the group is given back.
+     */
+    public void use(HoldGroup group, BackendServer engine, Runnable lostListener) {
+        if (group != HoldGroup.NONE) {
+            uses.begin(group, engine, lostListener, System.nanoTime());
+        }
+    }
+
     /** Gives the memory of a group back, also what an engine may still take late. */
     public void release(HoldGroup group) {
+        uses.end(group);
         long nowNanos = System.nanoTime();
         for (HoldHandle handle : group.handles()) {
             pending.remove(handle);
@@ -96,13 +111,45 @@
         return ledger.size();
     }
 
-    /** Renews leases and repeats releases. */
+    /** Renews leases, repeats releases and asks the engines that use the memory. */
     public void tick(long nowNanos) {
+        uses.due(nowNanos).forEach(this::check);
         if (ledger.size() > 0) {
             ledger.onTick(nowNanos).forEach(this::carryOut);
         }
     }
 
+    private void check(HoldUses.Use use) {
+        HttpConnection connection = HttpConnection.open(loop, use.address(), CHECK_CONNECT_TIMEOUT_MS, () -> {});
+        FullHttpRequest request = protocol.report(use.engine());
+        WholeAnswer.send(loop, connection, request, CHECK_TIMEOUT_MS, new WholeAnswer.Listener() {
+            @Override
+            public void onAnswer(int status, byte[] body) {
+                connection.close();
+                checked(use, protocol.isDone(status), "status " + status);
+            }
+
+            @Override
+            public void onFailure(String reason) {
+                checked(use, false, reason);
+            }
+        });
+    }
+
+    private void checked(HoldUses.Use use, boolean isAlive, String reason) {
+        if (uses.checked(use, isAlive)) {
+            lost(use, reason);
+        }
+    }
+
+    private void lost(HoldUses.Use use, String reason) {
+        log.warn(Part.HOLD, "useLost")
+                .text("server", use.engine())
+                .text("reason", reason)
+                .write();
+        use.lostListener().run();
+    }
+
     private void carryOut(HoldAction action) {
         BackendServerId server = action.engine().server();
         if (pools.find(server).isEmpty()) {
@@ -156,6 +203,7 @@
         } else if (reason.isEmpty()) {
             ledger.onRefused(handle);
             decide(handle, "an engine has too little memory");
+            uses.holdLost(handle).ifPresent(use -> lost(use, "an engine no longer holds the memory"));
         } else {
             decide(handle, reason);
         }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
@@ -225,6 +225,8 @@
                 placement.readers().stream().map(PlacedReader::server).toList(),
                 request.attemptId(),
                 route.kind().isStreaming());
+        Attempt sending = attempt;
+        forwarder.holds().use(group, server.get(), () -> onMemoryLost(sending));
         Send send = new Send(
                 placement.server(),
                 job.deadline().leftMs(nowNanos),
@@ -379,9 +381,19 @@
         if (isDone() || attempt == null || !route.mayRepeat()) {
             return;
         }
-        Attempt silent = attempt;
+        abandon(attempt, "silent for longer than expected");
+    }
+
+    /** The engine that uses memory of others is dead, or one of these no longer holds it. */
+    private void onMemoryLost(Attempt sending) {
+        if (attempt == sending) {
+            abandon(sending, "the engine or the memory that it uses is gone");
+        }
+    }
+
+    private void abandon(Attempt silent, String reason) {
         silent.cancel();
-        attemptFailed(silent, AttemptEnd.SILENT, "silent for longer than expected", Optional.empty());
+        attemptFailed(silent, AttemptEnd.SILENT, reason, Optional.empty());
     }
 
     private boolean maySendAgain(AttemptEnd end, long nowNanos) {
--- a/figspan-gateway/src/main/java/io/figspan/gateway/protocol/BackendProtocol.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/protocol/BackendProtocol.java
@@ -23,6 +23,9 @@
     /** A request to give the memory of a hold back. */
     FullHttpRequest release(BackendServerId server, String hold);
 
-    /** Whether the status says that the memory is held, or was given back. */
+    /** A request that a server answers at once while it lives. */
+    FullHttpRequest report(BackendServerId server);
+
+    /** Whether the status says that the server did what it was asked for. */
     boolean isDone(int status);
 }
--- a/figspan-gateway/src/test/java/io/figspan/gateway/TestProtocol.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/TestProtocol.java
@@ -85,6 +85,11 @@
         return order("/release?" + hold);
     }
 
+    @Override
+    public FullHttpRequest report(BackendServerId server) {
+        return order("/report");
+    }
+
     private static FullHttpRequest order(String target) {
         return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, target, Unpooled.EMPTY_BUFFER);
     }
