--- a/figspan-gateway/src/test/java/io/figspan/gateway/TestProtocol.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/TestProtocol.java
@@ -28,7 +28,12 @@
     @Override
     public CallerRequest decode(HttpRequest head) {
         HttpHeaders headers = head.headers();
-        HttpHeaders passedOn = headers.copy().remove("key").remove("connection").remove("content-length");
+        HttpHeaders passedOn = headers.copy()
+                .remove("key")
+                .remove("connection")
+                .remove("expect")
+                .remove("transfer-encoding")
+                .remove("content-length");
         return new CallerRequest(
                 head.method(),
                 head.uri(),
--- /dev/null
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/caller/CallerConnectionTest.java
@@ -0,0 +1,110 @@
+package io.figspan.gateway.caller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.figspan.gateway.GatewayHarness;
+import io.figspan.gateway.ScriptedServer;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against answers in the wrong order, and against callers that send too much or nothing that can be read. */
+class CallerConnectionTest {
+    private GatewayHarness gateway;
+    private ScriptedServer server;
+
+    @BeforeEach
+    void start() throws IOException {
+        gateway = new GatewayHarness();
+        server = new ScriptedServer(
+                (request, connection) -> connection.answer(request, 200, "", request.target() + request.body()));
+        gateway.open(Map.of("s-1", server));
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        gateway.close();
+        server.close();
+    }
+
+    private String send(String text) throws IOException {
+        try (Socket socket = gateway.connect()) {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        }
+    }
+
+    private static String head(String method, String target, String moreHeaders) {
+        return method + " " + target + " HTTP/1.1\r\nhost: a.example\r\nattempt: a-1\r\nkey: " + GatewayHarness.KEY
+                + "\r\n" + moreHeaders + "\r\n";
+    }
+
+    private static String status(String response) {
+        return response.substring(0, response.indexOf("\r\n"));
+    }
+
+    @Test
+    void requestsThatAreSentAheadAreAnsweredInTheirOrder() throws IOException {
+        String response = send(head("GET", "/read/1", "")
+                + head("GET", "/read/2", "")
+                + head("GET", "/read/3", "connection: close\r\n"));
+
+        List<Integer> places =
+                List.of(response.indexOf("/read/1"), response.indexOf("/read/2"), response.indexOf("/read/3"));
+        assertTrue(places.get(0) > 0, response);
+        assertEquals(places.stream().sorted().toList(), places);
+    }
+
+    @Test
+    void aBodyInChunksReachesTheServerWhole() throws IOException {
+        String response = send(head("POST", "/read/1", "connection: close\r\ntransfer-encoding: chunked\r\n")
+                + "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+
+        assertTrue(response.endsWith("/read/1abcde"), response);
+    }
+
+    @Test
+    void aBodyThatIsTooLongIsRefusedBeforeItArrives() throws IOException {
+        String response = send(head("POST", "/read/1", "content-length: 2000000000\r\n"));
+
+        assertTrue(status(response).contains("413"), response);
+        assertEquals(0, server.received().size());
+    }
+
+    @Test
+    void headersThatAreTooLongAreRefused() throws IOException {
+        String response = send(head("GET", "/read/1", "long: " + "x".repeat(200_000) + "\r\n"));
+
+        assertTrue(status(response).contains("431"), response);
+        assertEquals(0, server.received().size());
+    }
+
+    @Test
+    void bytesThatAreNoRequestAreRefusedAndTheConnectionIsClosed() throws IOException {
+        String response = send("no request at all\r\n\r\n");
+
+        assertTrue(status(response).contains("400"), response);
+        assertEquals(0, server.received().size());
+    }
+
+    @Test
+    void aCallerThatAsksFirstIsToldToGoOn() throws IOException {
+        try (Socket socket = gateway.connect()) {
+            String asked =
+                    head("POST", "/read/1", "connection: close\r\nexpect: 100-continue\r\ncontent-length: 2\r\n");
+            socket.getOutputStream().write(asked.getBytes(StandardCharsets.ISO_8859_1));
+            byte[] goOn = socket.getInputStream().readNBytes("HTTP/1.1 100".length());
+            socket.getOutputStream().write("ok".getBytes(StandardCharsets.ISO_8859_1));
+            String rest = new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+
+            assertEquals("HTTP/1.1 100", new String(goOn, StandardCharsets.ISO_8859_1));
+            assertTrue(rest.endsWith("/read/1ok"), rest);
+        }
+    }
+}
