Wait on for a silent server when the request may not be sent again

Found in review: a stream whose last allowed server was silent for 0.8 s was cut, although the server might only be slow; and an engine was given up although no other one could take its work. Now both are waited for. StreamingTest and EnginePlacerTest show it.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
@@ -329,10 +329,7 @@
     private void attemptFailed(
             Attempt failed, AttemptEnd end, String reason, Optional<FullHttpResponse> serversAnswer) {
         long nowNanos = System.nanoTime();
-        attempt = null;
-        mayHaveRun |= end.mayHaveRun();
-        log.attemptFailed(failed.server(), end, reason, failed.sentNanos(), events);
-        forwarder.holds().release(failed.holds());
+        ended(failed, end, reason);
         if (end == AttemptEnd.NOT_CONNECTED) {
             attempts--;
             unreachable++;
@@ -343,16 +340,12 @@
             faultyHelper(failed).ifPresent(helper -> lane.helperFailed(helper, nowNanos));
             job.keepTo(failed.server());
         }
-        boolean again = !isDone() && maySendAgain(end, nowNanos);
-        if (again) {
-            move(CallEvent.FAILED);
-        }
-        lane.ended(job, end.endOfWork(), nowNanos);
-        if (again) {
+        if (!isDone() && maySendAgain(end, nowNanos)) {
             serversAnswer.ifPresent(FullHttpResponse::release);
-            lane.submit(this, job, nowNanos);
+            sendAgain(end, nowNanos);
             return;
         }
+        lane.ended(job, end.endOfWork(), nowNanos);
         if (serversAnswer.isPresent() && !isDone() && !hasBegunAnswer()) {
             finish();
             log.answered(failed.answer().status(), failed.server(), events);
@@ -364,6 +357,19 @@
         giveUp(problem.withRetryAfterMs(forwarder.retryAfterMs()), reason);
     }
 
+    private void ended(Attempt failed, AttemptEnd end, String reason) {
+        attempt = null;
+        mayHaveRun |= end.mayHaveRun();
+        log.attemptFailed(failed.server(), end, reason, failed.sentNanos(), events);
+        forwarder.holds().release(failed.holds());
+    }
+
+    private void sendAgain(AttemptEnd end, long nowNanos) {
+        move(CallEvent.FAILED);
+        lane.ended(job, end.endOfWork(), nowNanos);
+        lane.submit(this, job, nowNanos);
+    }
+
     /** The helper that the server's answer names. Its address may also be that of another server by now. */
     private Optional<BackendServerId> faultyHelper(Attempt failed) {
         Optional<String> address = failed.answer().faultyServer();
@@ -376,26 +382,27 @@
         return forwarder.pools().find(id).filter(server -> server.isAt(address)).isPresent();
     }
 
-    /** The server of the present sending is silent: sends the request elsewhere, where that is allowed. */
+    /** The present server is silent: sends the request elsewhere where that is allowed, else waits on. */
     void onServerSilent() {
-        if (isDone() || attempt == null || !route.mayRepeat()) {
+        long nowNanos = System.nanoTime();
+        if (isDone() || attempt == null || !route.mayRepeat() || !maySendAgain(AttemptEnd.SILENT, nowNanos)) {
             return;
         }
-        abandon(attempt, "silent for longer than expected");
+        Attempt silent = attempt;
+        silent.cancel();
+        ended(silent, AttemptEnd.SILENT, "silent for longer than expected");
+        sendAgain(AttemptEnd.SILENT, nowNanos);
     }
 
     /** The engine that uses memory of others is dead, or one of these no longer holds it. */
     private void onMemoryLost(Attempt sending) {
         if (attempt == sending) {
-            abandon(sending, "the engine or the memory that it uses is gone");
+            sending.cancel();
+            String reason = "the engine or the memory that it uses is gone";
+            attemptFailed(sending, AttemptEnd.SILENT, reason, Optional.empty());
         }
     }
 
-    private void abandon(Attempt silent, String reason) {
-        silent.cancel();
-        attemptFailed(silent, AttemptEnd.SILENT, reason, Optional.empty());
-    }
-
     private boolean maySendAgain(AttemptEnd end, long nowNanos) {
         boolean repeatable = !end.mayHaveRun() || route.mayRepeat();
         boolean resumable = !hasBegunAnswer() || route.isResumable();
--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/StreamingTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/StreamingTest.java
@@ -166,4 +166,39 @@
             assertTrue(response.endsWith(END_OF_CHUNKS));
         }
     }
+
+    @Test
+    void aStreamThatMayNotBeSentAgainIsWaitedFor() throws IOException {
+        ScriptedServer.Script slow = (request, c) -> {
+            writeHead(request, c);
+            if (request.header("last-event-id").isEmpty()) {
+                writeChunk(c, event(1) + event(2));
+                c.awaitClose();
+                return;
+            }
+            writeChunk(c, event(3));
+            pause();
+            writeChunk(c, event(4));
+            c.write(END_OF_CHUNKS);
+        };
+        try (ScriptedServer one = new ScriptedServer(slow);
+                ScriptedServer two = new ScriptedServer(slow);
+                ScriptedServer three = new ScriptedServer(slow)) {
+            gateway.open(Map.of("engine-1", one, "engine-2", two, "engine-3", three));
+            gateway.onLoop(() -> gateway.forwarder().apply(gateway.settings(10_000)));
+            String response = stream();
+            assertEquals(List.of(1, 2, 3, 4), ids(response));
+            assertTrue(response.endsWith(END_OF_CHUNKS));
+        }
+    }
+
+    /** Longer than an engine may be silent before its work is sent elsewhere. */
+    private static void pause() throws IOException {
+        try {
+            Thread.sleep(1_200);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted", e);
+        }
+    }
 }
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/EnginePlacer.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/EnginePlacer.java
@@ -207,9 +207,19 @@
         if (silentSeats.size() > Math.max(1, seats.size() / MOST_SILENT_OF)) {
             return List.of();
         }
-        silent.values().removeIf(work -> work.reportedOverdue);
-        silent.values().forEach(work -> work.reportedOverdue = true);
-        return List.copyOf(silent.keySet());
+        List<Job> overdue = new ArrayList<>();
+        silent.forEach((job, work) -> {
+            if (!work.reportedOverdue && hasOtherEngine(job, nowNanos)) {
+                work.reportedOverdue = true;
+                overdue.add(job);
+            }
+        });
+        return overdue;
+    }
+
+    private boolean hasOtherEngine(Job job, long nowNanos) {
+        return seats.values().stream()
+                .anyMatch(seat -> seat.isUsable(ms(nowNanos)) && seat.hasSlot() && job.maySendTo(seat.id()));
     }
 
     @Override
--- a/figspan-policy/src/test/java/io/figspan/policy/placing/EnginePlacerTest.java
+++ b/figspan-policy/src/test/java/io/figspan/policy/placing/EnginePlacerTest.java
@@ -222,7 +222,7 @@
 
     @Test
     void anEngineThatStopsWithinAnAnswerIsOverdue() {
-        engines(1);
+        engines(2);
         Job job = shortJob();
         sent(job);
         advanceMs(100);
@@ -313,4 +313,14 @@
         }
         assertTrue(begunWith.size() > 4, begunWith.toString());
     }
+
+    @Test
+    void aJobIsNotOverdueWhileNoOtherEngineCouldTakeIt() {
+        engines(1);
+        sent(shortJob());
+
+        advanceMs(2_000);
+
+        assertTrue(placer.overdue(nowNanos).isEmpty());
+    }
 }
