--- /dev/null
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/peer/PeersTest.java
@@ -0,0 +1,165 @@
+package io.figspan.gateway.peer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.figspan.cluster.message.Peer;
+import io.figspan.cluster.message.PeerMessage;
+import io.figspan.core.id.AvailabilityZoneId;
+import io.figspan.core.id.BackendServerId;
+import io.figspan.core.id.HostId;
+import io.figspan.core.work.PlacedWork;
+import io.figspan.gateway.GatewayConfig;
+import io.figspan.gateway.log.DecisionLog;
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Plays several hosts on loopback that find each other and tell each other of their work. */
+class PeersTest {
+    private static final long LIMIT_S = 20;
+    private static final long TICK_MS = 20;
+
+    private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+    private final EventLoop loop = group.next();
+    private final List<Host> hosts = new ArrayList<>();
+
+    @AfterEach
+    void stop() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+
+    /** What a host has heard of another one. */
+    private record Heard(HostId host, int jobs) {}
+
+    /** One host; all run on the same event loop. */
+    private final class Host implements PeerListener {
+        final HostId id;
+        final BlockingQueue<Heard> heard = new LinkedBlockingQueue<>();
+        final BlockingQueue<HostId> gone = new LinkedBlockingQueue<>();
+        final Peers peers;
+        int jobs;
+        private long sequence;
+
+        Host(String name, InetSocketAddress address, InetSocketAddress seed) {
+            id = HostId.of(name);
+            GatewayConfig config = new GatewayConfig(
+                    id,
+                    AvailabilityZoneId.of("zone"),
+                    address,
+                    address,
+                    address,
+                    address,
+                    address,
+                    address,
+                    List.of(seed),
+                    address,
+                    1_000,
+                    0.2,
+                    100,
+                    10_000);
+            peers = new Peers(loop, config, new DecisionLog(), new SplittableRandom(1), this, this::report);
+            peers.listen().syncUninterruptibly();
+            onLoop(() -> peers.join(System.nanoTime()));
+            var unused = loop.scheduleWithFixedDelay(
+                    () -> peers.tick(System.nanoTime()), TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+        }
+
+        private PeerMessage.WorkReport report() {
+            List<PlacedWork> work = new ArrayList<>();
+            for (int job = 0; job < jobs; job++) {
+                work.add(new PlacedWork(job, BackendServerId.of("engine"), List.of(), 1_000, 100, 0, 5, 300, 250));
+            }
+            return new PeerMessage.WorkReport(++sequence, 7, 8, work);
+        }
+
+        @Override
+        public void onWork(HostId host, List<PlacedWork> work) {
+            heard.add(new Heard(host, work.size()));
+        }
+
+        @Override
+        public void onHostGone(HostId host) {
+            gone.add(host);
+        }
+
+        @Override
+        public void onNewerItems(Peer peer, long settingsRevision, long serversRevision) {
+            assertEquals(7, settingsRevision);
+            assertEquals(8, serversRevision);
+        }
+    }
+
+    private void onLoop(Runnable action) {
+        loop.submit(action).syncUninterruptibly();
+    }
+
+    private static InetSocketAddress freeAddress() throws IOException {
+        try (DatagramSocket socket = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+            return (InetSocketAddress) socket.getLocalSocketAddress();
+        }
+    }
+
+    private void startHosts(int count) throws IOException {
+        InetSocketAddress seed = freeAddress();
+        hosts.add(new Host("host-0", seed, seed));
+        for (int host = 1; host < count; host++) {
+            hosts.add(new Host("host-" + host, freeAddress(), seed));
+        }
+    }
+
+    private static void await(Host host, HostId from, int jobs) throws InterruptedException {
+        Heard last;
+        do {
+            last = host.heard.poll(LIMIT_S, TimeUnit.SECONDS);
+        } while (last != null && !(last.host().equals(from) && last.jobs() == jobs));
+        assertTrue(last != null, host.id + " heard nothing of " + jobs + " jobs at " + from);
+    }
+
+    @Test
+    void hostsThatKnowOneSeedFindEachOther() throws Exception {
+        startHosts(3);
+
+        await(hosts.get(1), hosts.get(2).id, 0);
+        await(hosts.get(2), hosts.get(1).id, 0);
+
+        onLoop(() -> assertEquals(3, hosts.get(0).peers.hostCount()));
+    }
+
+    @Test
+    void workThatWasPlacedIsToldToAllOthers() throws Exception {
+        startHosts(3);
+        await(hosts.get(1), hosts.get(0).id, 0);
+        await(hosts.get(2), hosts.get(0).id, 0);
+
+        onLoop(() -> {
+            hosts.get(0).jobs = 4;
+            hosts.get(0).peers.workChanged();
+        });
+
+        await(hosts.get(1), hosts.get(0).id, 4);
+        await(hosts.get(2), hosts.get(0).id, 4);
+    }
+
+    @Test
+    void aHostThatLeavesIsNoLongerNamedToCallersAndItsWorkIsForgotten() throws Exception {
+        startHosts(2);
+        await(hosts.get(0), hosts.get(1).id, 0);
+
+        onLoop(hosts.get(1).peers::leave);
+
+        assertEquals(hosts.get(1).id, hosts.get(0).gone.poll(LIMIT_S, TimeUnit.SECONDS));
+        onLoop(() -> assertEquals(List.of(), hosts.get(0).peers.serving(System.nanoTime())));
+    }
+}
