--- a/figspan-gateway/src/main/java/io/figspan/gateway/backend/ConnectionPool.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/backend/ConnectionPool.java
@@ -22,7 +22,6 @@
     private final InetSocketAddress address;
     private final ConnectTimes connectTimes;
     private final Deque<HttpConnection> idle = new ArrayDeque<>();
-    private int open;
 
     ConnectionPool(EventLoop loop, InetSocketAddress address, ConnectTimes connectTimes) {
         this.loop = loop;
@@ -44,8 +43,7 @@
 
     /** A connection that has carried no exchange yet. */
     HttpConnection acquireNew() {
-        open++;
-        return HttpConnection.open(loop, address, connectTimes.timeoutMs(), () -> open--);
+        return HttpConnection.open(loop, address, connectTimes.timeoutMs());
     }
 
     /** Takes back a connection whose exchange is complete. */
@@ -71,10 +69,6 @@
         idle.clear();
     }
 
-    int open() {
-        return open;
-    }
-
     private static boolean hasIdledOut(HttpConnection connection, long nowNanos) {
         long keptNanos = Math.min(DEFAULT_IDLE_NANOS, connection.keepAliveNanos() - IDLE_MARGIN_NANOS);
         return nowNanos - connection.idleSinceNanos() >= keptNanos;
--- a/figspan-gateway/src/main/java/io/figspan/gateway/backend/MemoryHolds.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/backend/MemoryHolds.java
@@ -120,7 +120,7 @@
     }
 
     private void check(HoldUses.Use use) {
-        HttpConnection connection = HttpConnection.open(loop, use.address(), CHECK_CONNECT_TIMEOUT_MS, () -> {});
+        HttpConnection connection = HttpConnection.open(loop, use.address(), CHECK_CONNECT_TIMEOUT_MS);
         FullHttpRequest request = protocol.report(use.engine());
         WholeAnswer.send(loop, connection, request, CHECK_TIMEOUT_MS, new WholeAnswer.Listener() {
             @Override
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
@@ -234,8 +234,7 @@
     private ServiceLane lane(ServiceId service) {
         return lanes.computeIfAbsent(
                 service,
-                ignored ->
-                        new ServiceLane(service, newPlacer(service), allowance.newBudget(), () -> workListener.run()));
+                ignored -> new ServiceLane(newPlacer(service), allowance.newBudget(), () -> workListener.run()));
     }
 
     private Placer newPlacer(ServiceId service) {
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceLane.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceLane.java
@@ -2,7 +2,6 @@
 
 import io.figspan.core.id.BackendServerId;
 import io.figspan.core.id.HostId;
-import io.figspan.core.id.ServiceId;
 import io.figspan.core.work.PlacedWork;
 import io.figspan.policy.placing.Job;
 import io.figspan.policy.placing.Placement;
@@ -16,23 +15,17 @@
 
 /** The jobs of one service and the placer that decides on them. All methods run on the event loop. */
 final class ServiceLane {
-    private final ServiceId service;
     private final Placer placer;
     private final Runnable workListener;
     private final Map<Job, ForwardCall> calls = new HashMap<>();
     private WindowedRetryBudget budget;
 
-    ServiceLane(ServiceId service, Placer placer, WindowedRetryBudget budget, Runnable workListener) {
-        this.service = service;
+    ServiceLane(Placer placer, WindowedRetryBudget budget, Runnable workListener) {
         this.placer = placer;
         this.budget = budget;
         this.workListener = workListener;
     }
 
-    ServiceId service() {
-        return service;
-    }
-
     WindowedRetryBudget budget() {
         return budget;
     }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/http/HttpConnection.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/http/HttpConnection.java
@@ -26,7 +26,6 @@
  */
 public final class HttpConnection extends ChannelInboundHandlerAdapter {
     private final InetSocketAddress address;
-    private final Runnable closeListener;
     private Channel channel;
     private ExchangeListener exchange;
     private FullHttpRequest waitingRequest;
@@ -38,25 +37,21 @@
     private boolean keepAlive;
     private boolean broken;
     private boolean closed;
-    private boolean closeReported;
-    private long exchanges;
+    private boolean used;
     private long idleSinceNanos;
     private long keepAliveNanos = Long.MAX_VALUE;
 
-    private HttpConnection(InetSocketAddress address, Runnable closeListener) {
+    private HttpConnection(InetSocketAddress address) {
         this.address = address;
-        this.closeListener = closeListener;
     }
 
     /**
      * Starts to connect.
      *
      * @param connectTimeoutMs time after which the attempt fails
-     * @param closeListener called once when the connection is closed or could not be made
      */
-    public static HttpConnection open(
-            EventLoop loop, InetSocketAddress address, int connectTimeoutMs, Runnable closeListener) {
-        HttpConnection connection = new HttpConnection(address, closeListener);
+    public static HttpConnection open(EventLoop loop, InetSocketAddress address, int connectTimeoutMs) {
+        HttpConnection connection = new HttpConnection(address);
         Bootstrap bootstrap = new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
@@ -80,7 +75,7 @@
 
     /** Whether a request may be sent now. */
     public boolean isIdle() {
-        return !closed && exchange == null && (connected || exchanges == 0);
+        return !closed && exchange == null && (connected || !used);
     }
 
     /** How long it took to connect; {@link Long#MAX_VALUE} before that. */
@@ -88,11 +83,6 @@
         return connectNanos;
     }
 
-    /** Number of exchanges begun. */
-    public long exchanges() {
-        return exchanges;
-    }
-
     /** When the last exchange ended, on the monotonic clock. */
     public long idleSinceNanos() {
         return idleSinceNanos;
@@ -109,7 +99,7 @@
             throw new IllegalStateException("a request on a connection that is not idle");
         }
         exchange = listener;
-        exchanges++;
+        used = true;
         headReceived = false;
         if (connected) {
             write(request);
@@ -123,11 +113,6 @@
         channel.config().setAutoRead(reading);
     }
 
-    /** Whether the request, or its start, was handed to the connection. */
-    public boolean isRequestWritten() {
-        return written != null;
-    }
-
     /** Closes the connection without telling the listener of the exchange in progress. */
     public void abort() {
         exchange = null;
@@ -238,10 +223,6 @@
         if (!closed) {
             close();
         }
-        if (!closeReported) {
-            closeReported = true;
-            closeListener.run();
-        }
         if (failed != null) {
             failed.onFailure(failure);
         }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/peer/CopyReader.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/peer/CopyReader.java
@@ -57,14 +57,6 @@
         var unused = loop.schedule(() -> readIfBehind(host, revision), PATIENCE_MS, TimeUnit.MILLISECONDS);
     }
 
-    /** Reads the copy of a host whatever it has, because this one knows nothing yet. */
-    public void readFrom(InetSocketAddress host) {
-        if (!busy) {
-            busy = true;
-            read(host);
-        }
-    }
-
     private void readIfBehind(InetSocketAddress host, long revision) {
         if (revision <= copy.revision()) {
             busy = false;
@@ -74,7 +66,7 @@
     }
 
     private void read(InetSocketAddress host) {
-        HttpConnection connection = HttpConnection.open(loop, host, CONNECT_TIMEOUT_MS, () -> {});
+        HttpConnection connection = HttpConnection.open(loop, host, CONNECT_TIMEOUT_MS);
         WholeAnswer.get(loop, connection, PATH + name, ANSWER_TIMEOUT_MS, new WholeAnswer.Listener() {
             @Override
             public void onAnswer(int status, byte[] body) {
--- a/figspan-gateway/src/main/java/io/figspan/gateway/store/StoreFollower.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/store/StoreFollower.java
@@ -32,7 +32,6 @@
     private InetSocketAddress address;
     private HttpConnection connection;
     private boolean reachable = true;
-    private boolean stopped;
 
     public StoreFollower(
             EventLoop loop,
@@ -55,17 +54,6 @@
         carryOut(follower.resume());
     }
 
-    public void stop() {
-        stopped = true;
-        closeConnection();
-    }
-
-    private void closeConnection() {
-        if (connection != null) {
-            connection.abort();
-        }
-    }
-
     /** Makes all later calls at another address. */
     public void moveTo(InetSocketAddress newAddress) {
         address = newAddress;
@@ -76,9 +64,6 @@
     }
 
     private void carryOut(Action action) {
-        if (stopped) {
-            return;
-        }
         if (action instanceof Action.ReadPage read) {
             call(false, protocol.rangeTarget(prefix, read.afterKey()), ANSWER_TIMEOUT_MS);
         } else if (action instanceof Action.Watch watch) {
@@ -98,8 +83,10 @@
                 && connection.isIdle()
                 && connection.address().equals(address);
         if (!usable) {
-            closeConnection();
-            connection = HttpConnection.open(loop, address, CONNECT_TIMEOUT_MS, () -> {});
+            if (connection != null) {
+                connection.abort();
+            }
+            connection = HttpConnection.open(loop, address, CONNECT_TIMEOUT_MS);
         }
         WholeAnswer.get(loop, connection, target, timeoutMs, new WholeAnswer.Listener() {
             @Override
--- a/figspan-policy/src/main/java/io/figspan/policy/engine/PassSimulation.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/engine/PassSimulation.java
@@ -167,10 +167,6 @@
         pace = Math.max(1, newPace);
     }
 
-    public double pace() {
-        return pace;
-    }
-
     /** When the pass in progress ends, which is when the next pieces come; the present time while none is. */
     public double passEndMs() {
         return inPass ? passEndMs : timeMs;
