Use one rule for patience, one text of addresses and one conversion of units

How long callers wait for a piece stood in LateLoss and in Patience; HOST:PORT was put together in four places; times were divided by 1e6 in three classes. The traits of a request were worked out a second time when it was sent; they now come from what was planned.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/backend/BackendServer.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/backend/BackendServer.java
@@ -3,6 +3,7 @@
 import io.figspan.core.id.AvailabilityZoneId;
 import io.figspan.core.id.BackendServerId;
 import io.figspan.core.id.ServiceId;
+import io.figspan.gateway.http.HostPort;
 import java.net.InetSocketAddress;
 
 /**
@@ -23,11 +24,6 @@
         long warmUpMs) {
     /** Whether this is its address, written as IP:PORT. */
     public boolean isAt(String text) {
-        return isSame(address, text);
-    }
-
-    /** Whether the text, IP:PORT, names the address. */
-    public static boolean isSame(InetSocketAddress address, String text) {
-        return text.equals(address.getHostString() + ":" + address.getPort());
+        return text.equals(HostPort.of(address));
     }
 }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Attempt.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Attempt.java
@@ -2,18 +2,17 @@
 
 import io.figspan.core.id.BackendServerId;
 import io.figspan.gateway.backend.BackendPools;
-import io.figspan.gateway.backend.BackendServer;
 import io.figspan.gateway.backend.HoldGroup;
 import io.figspan.gateway.http.ConnectionFailure;
 import io.figspan.gateway.http.EventSplitter;
 import io.figspan.gateway.http.ExchangeListener;
+import io.figspan.gateway.http.HostPort;
 import io.figspan.gateway.http.HttpConnection;
 import io.figspan.gateway.protocol.BackendAnswer;
 import io.figspan.gateway.protocol.BackendProtocol;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpResponse;
-import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.OptionalLong;
 
@@ -191,10 +190,8 @@
     }
 
     private boolean isFaultOfAnother() {
-        InetSocketAddress own = connection.address();
-        return answer.faultyServer()
-                .filter(address -> !BackendServer.isSame(own, address))
-                .isPresent();
+        String own = HostPort.of(connection.address());
+        return answer.faultyServer().filter(address -> !address.equals(own)).isPresent();
     }
 
     private String faultyServer() {
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/EarlyCalls.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/EarlyCalls.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Queue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 
 /**
  * Requests that came in the first moments of the process, before it knew the settings and the backend servers. They
@@ -66,17 +67,17 @@
 
     /** Removes the requests whose callers are still there. */
     List<EarlyCall> takeAll() {
-        return take(Long.MAX_VALUE, 0);
+        return takeWhile(call -> true);
     }
 
     /** Removes the requests that have waited for too long. */
     List<EarlyCall> takeExpired(long nowNanos) {
-        return take(nowNanos, MAX_WAIT_NANOS);
+        return takeWhile(call -> nowNanos - call.arrivedNanos >= MAX_WAIT_NANOS);
     }
 
-    private List<EarlyCall> take(long nowNanos, long waitNanos) {
+    private List<EarlyCall> takeWhile(Predicate<EarlyCall> isDue) {
         List<EarlyCall> taken = new ArrayList<>();
-        while (!waiting.isEmpty() && (waitNanos == 0 || nowNanos - waiting.peek().arrivedNanos >= waitNanos)) {
+        while (!waiting.isEmpty() && isDue.test(waiting.peek())) {
             EarlyCall call = waiting.poll();
             if (call.left) {
                 call.body.release();
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
@@ -280,10 +280,7 @@
         if (!hasBegunAnswer()) {
             beginStream(from);
         }
-        attempt = null;
-        forwarder.holds().release(from.holds());
-        finish();
-        log.answered(from.answer().status(), from.server(), events);
+        settle(from);
         caller.end();
         lane.ended(job, EndOfWork.SERVED, System.nanoTime());
     }
@@ -295,12 +292,17 @@
             attemptFailed(from, AttemptEnd.FAILED, "status " + from.answer().status(), Optional.of(response));
             return;
         }
+        settle(from);
+        caller.answer(response);
+        lane.ended(job, EndOfWork.SERVED, System.nanoTime());
+    }
+
+    /** The server's answer is the final one. */
+    private void settle(Attempt from) {
         attempt = null;
         forwarder.holds().release(from.holds());
         finish();
         log.answered(from.answer().status(), from.server(), events);
-        caller.answer(response);
-        lane.ended(job, EndOfWork.SERVED, System.nanoTime());
     }
 
     private FullHttpResponse wholeAnswer(Attempt from, ByteBuf answerBody) {
--- a/figspan-gateway/src/main/java/io/figspan/gateway/http/WholeAnswer.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/http/WholeAnswer.java
@@ -49,9 +49,7 @@
     /** Sends a request, which is taken over. When it fails the connection is closed. */
     public static void send(
             EventLoop loop, HttpConnection connection, FullHttpRequest request, long timeoutMs, Listener listener) {
-        String host = connection.address().getHostString() + ":"
-                + connection.address().getPort();
-        request.headers().set(HttpHeaderNames.HOST, host);
+        request.headers().set(HttpHeaderNames.HOST, HostPort.of(connection.address()));
         connection.send(request, new WholeAnswer(loop, connection, listener, timeoutMs));
     }
 
--- a/figspan-policy/src/main/java/io/figspan/policy/engine/LateLoss.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/engine/LateLoss.java
@@ -46,11 +46,15 @@
 
     /** The part lost by a pause; callers leave when it is much longer than the longest one that is on time. */
     public double ofGap(double gapMs, double maxGapMs) {
-        double leftAtMs = Math.max(MIN_PATIENCE_MS, PATIENCE_GAPS * maxGapMs);
-        double givenUp = clamp((gapMs / leftAtMs - GIVE_UP_START) / (1 - GIVE_UP_START));
+        double givenUp = clamp((gapMs / patienceMs(maxGapMs) - GIVE_UP_START) / (1 - GIVE_UP_START));
         return LATE * ramp((gapMs + netMs) / maxGapMs, gapStart) + (1 - LATE) * givenUp;
     }
 
+    /** How long a caller waits for a piece before it leaves, as far as it follows from the longest pause on time. */
+    public static double patienceMs(double maxGapMs) {
+        return Math.max(MIN_PATIENCE_MS, PATIENCE_GAPS * maxGapMs);
+    }
+
     private double ramp(double part, double start) {
         return clamp((part - start) / (certain - start));
     }
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/EnginePlacer.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/EnginePlacer.java
@@ -85,7 +85,8 @@
     public void serversChanged(List<ServerSeat> servers, long nowNanos) {
         seats.values().forEach(seat -> seat.setOpen(false));
         for (ServerSeat server : shuffled(servers)) {
-            EngineSeat seat = seats.computeIfAbsent(server.id(), id -> new EngineSeat(id, profile, ms(nowNanos)));
+            EngineSeat seat =
+                    seats.computeIfAbsent(server.id(), id -> new EngineSeat(id, profile, Millis.of(nowNanos)));
             seat.setOpen(true);
             seat.setSlots(server.slots());
         }
@@ -114,7 +115,7 @@
     }
 
     private Optional<Placement> place(Job job, long nowNanos) {
-        double nowMs = ms(nowNanos);
+        double nowMs = Millis.of(nowNanos);
         double promptTokens = promptTokens(job);
         double memoryTokens = job.prompt().map(PromptShape::maxMemoryTokens).orElse(0L);
         if (seats.isEmpty()) {
@@ -138,7 +139,7 @@
             return Optional.empty();
         }
         return switch (SendRule.decide(plan.get(), wanted, crowding.averageMs(), nowMs)) {
-            case SEND -> Optional.of(send(job, plan.get(), nowNanos));
+            case SEND -> Optional.of(send(job, plan.get(), wanted, nowNanos));
             case REFUSE -> Optional.of(refuse(job, "it can't be read in time"));
             case WAIT -> Optional.empty();
         };
@@ -153,21 +154,19 @@
         return total / Math.max(1, seats.size());
     }
 
-    private Placement send(Job job, ReadPlan plan, long nowNanos) {
-        double nowMs = ms(nowNanos);
+    private Placement send(Job job, ReadPlan plan, ReadPlanner.Wanted wanted, long nowNanos) {
+        double nowMs = Millis.of(nowNanos);
         long outputTokens = job.prompt().map(PromptShape::maxOutputTokens).orElse(0L);
         OwnWork work = new OwnWork(takeKey(), plan.first(), plan.readers(), nowNanos, outputTokens, plan.doneMs());
         placed.put(job, work);
         job.tried().add(plan.first().id());
-        double contextTokens = promptTokens(job) - plan.heldElsewhereTokens();
-        RequestTraits traits = new RequestTraits(
-                contextTokens, dueMs(job), Patience.endMs(job), gapMs(job), JobWorth.of(job.prompt()));
-        SeatWork.add(work.key, plan.first(), plan.readers(), promptTokens(job), traits, nowMs);
+        RequestTraits traits = wanted.traits(wanted.promptTokens() - plan.heldElsewhereTokens());
+        SeatWork.add(work.key, plan.first(), plan.readers(), wanted.promptTokens(), traits, nowMs);
         String reason = String.format(
                 "readers=%d held=%d dueInMs=%.0f readInMs=%.0f loss=%.2f writers=%d",
                 plan.readers().size(),
                 plan.heldElsewhereTokens(),
-                dueMs(job) - nowMs,
+                wanted.dueMs() - nowMs,
                 plan.doneMs() - nowMs,
                 plan.loss(),
                 plan.first().simulation().writers());
@@ -182,7 +181,7 @@
         if (work == null) {
             return;
         }
-        double nowMs = ms(nowNanos);
+        double nowMs = Millis.of(nowNanos);
         work.first.heard(nowMs);
         if (work.writtenTokens == 0) {
             work.readers.forEach(reader -> reader.seat().simulation().remove(work.key, nowMs));
@@ -199,7 +198,7 @@
         Map<Job, OwnWork> silent = new LinkedHashMap<>();
         Set<EngineSeat> silentSeats = new HashSet<>();
         placed.forEach((job, work) -> {
-            if (work.isOverdue(ms(nowNanos))) {
+            if (work.isOverdue(Millis.of(nowNanos))) {
                 silent.put(job, work);
                 silentSeats.add(work.first);
             }
@@ -219,14 +218,14 @@
 
     private boolean hasOtherEngine(Job job, long nowNanos) {
         return seats.values().stream()
-                .anyMatch(seat -> seat.isUsable(ms(nowNanos)) && seat.hasSlot() && job.maySendTo(seat.id()));
+                .anyMatch(seat -> seat.isUsable(Millis.of(nowNanos)) && seat.hasSlot() && job.maySendTo(seat.id()));
     }
 
     @Override
     public void helperFailed(BackendServerId server, long nowNanos) {
         EngineSeat seat = seats.get(server);
         if (seat != null) {
-            seat.avoidance().failed(ms(nowNanos));
+            seat.avoidance().failed(Millis.of(nowNanos));
         }
     }
 
@@ -236,7 +235,7 @@
         if (work == null) {
             return List.of();
         }
-        double nowMs = ms(nowNanos);
+        double nowMs = Millis.of(nowNanos);
         SeatWork.remove(work.key, work.first, work.readers, nowMs);
         if (end == EndOfWork.BROKEN) {
             work.first.avoidance().failed(nowMs);
@@ -253,7 +252,7 @@
 
     @Override
     public List<Placement> tick(long nowNanos) {
-        crowding.observe(waitingMs(), ms(nowNanos));
+        crowding.observe(waitingMs(), Millis.of(nowNanos));
         if (queue.isEmpty()) {
             return List.of();
         }
@@ -277,7 +276,7 @@
     }
 
     private static boolean hasWaitedTooLong(Job job, long nowNanos) {
-        return ms(nowNanos) >= Patience.endMs(job);
+        return Millis.of(nowNanos) >= Patience.endMs(job);
     }
 
     @Override
@@ -294,7 +293,7 @@
 
     @Override
     public List<Placement> peerWork(HostId host, List<PlacedWork> work, long nowNanos) {
-        peers.replace(host, work, ms(nowNanos));
+        peers.replace(host, work, Millis.of(nowNanos));
         return tick(nowNanos);
     }
 
@@ -309,7 +308,7 @@
                 own.outputTokens,
                 own.writtenTokens,
                 Math.max(0, TimeUnit.NANOSECONDS.toMillis(nowNanos - own.sentNanos)),
-                (long) (dueMs(job) - ms(nowNanos)),
+                (long) (dueMs(job) - Millis.of(nowNanos)),
                 (long) gapMs(job))));
         return work;
     }
@@ -321,14 +320,10 @@
     }
 
     private static double dueMs(Job job) {
-        return ms(job.waitingSinceNanos() + job.onTimeNanos());
+        return Millis.of(job.waitingSinceNanos() + job.onTimeNanos());
     }
 
     private static double gapMs(Job job) {
-        return ms(job.maxGapNanos());
-    }
-
-    private static double ms(long nanos) {
-        return nanos / 1e6;
+        return Millis.of(job.maxGapNanos());
     }
 }
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/LeastBusyPlacer.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/LeastBusyPlacer.java
@@ -76,7 +76,7 @@
             return List.of();
         }
         server.running--;
-        double nowMs = nowNanos / 1e6;
+        double nowMs = Millis.of(nowNanos);
         if (end == EndOfWork.BROKEN) {
             server.avoidance.failed(nowMs);
         } else if (end == EndOfWork.TURNED_AWAY) {
@@ -131,7 +131,7 @@
     private static boolean isUsable(ServerState server, Job job, long nowNanos) {
         return server.open
                 && server.running < server.slots
-                && !server.avoidance.isAvoided(nowNanos / 1e6)
+                && !server.avoidance.isAvoided(Millis.of(nowNanos))
                 && job.maySendTo(server.id);
     }
 
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/ReadPlanner.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/ReadPlanner.java
@@ -64,8 +64,9 @@
      */
     record Wanted(
             double promptTokens, double memoryTokens, double dueMs, double lostMs, double maxGapMs, double worth) {
-        RequestTraits traits() {
-            return new RequestTraits(promptTokens, dueMs, lostMs, maxGapMs, worth);
+        /** The request as an engine sees it whose memory holds so many tokens of the prompt. */
+        RequestTraits traits(double contextTokens) {
+            return new RequestTraits(contextTokens, dueMs, lostMs, maxGapMs, worth);
         }
     }
 
@@ -184,7 +185,8 @@
     }
 
     private Candidate candidate(Able engine, ReadShare share, Wanted wanted, double nowMs) {
-        Optional<RequestTraits> writer = engine.mayRun() ? Optional.of(wanted.traits()) : Optional.empty();
+        Optional<RequestTraits> writer =
+                engine.mayRun() ? Optional.of(wanted.traits(wanted.promptTokens())) : Optional.empty();
         Forecast forecast = engine.seat().simulation().forecast(share, writer, lateLoss, engine.harmBefore(), nowMs);
         double presentSeconds = engine.seat().simulation().readingMs() / MS_PER_SECOND;
         double addedSeconds = share.readMs(engine.seat().profile()) / MS_PER_SECOND;
