--- a/figspan-gateway/src/test/java/io/figspan/gateway/ReloadTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/ReloadTest.java
@@ -6,7 +6,6 @@
 import io.figspan.core.error.FigspanException;
 import io.figspan.core.error.Location;
 import io.figspan.core.error.ProblemKind;
-import io.figspan.core.id.AvailabilityZoneId;
 import io.figspan.core.id.HostId;
 import io.figspan.gateway.log.DecisionLog;
 import java.io.IOException;
@@ -89,21 +88,7 @@
 
     private static GatewayConfig config(int port, double retryFraction) {
         InetSocketAddress address = InetSocketAddress.createUnresolved("host", port);
-        return new GatewayConfig(
-                HostId.of("host"),
-                AvailabilityZoneId.of("zone"),
-                address,
-                address,
-                address,
-                address,
-                address,
-                address,
-                List.of(),
-                address,
-                1_000,
-                retryFraction,
-                100,
-                10_000);
+        return TestConfigs.of(HostId.of("host"), address, List.of(), retryFraction);
     }
 
     /** A source that gives what the test sets, or can't be read. */
--- /dev/null
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/TestConfigs.java
@@ -0,0 +1,30 @@
+package io.figspan.gateway;
+
+import io.figspan.core.id.AvailabilityZoneId;
+import io.figspan.core.id.HostId;
+import java.net.InetSocketAddress;
+import java.util.List;
+
+/** Configurations of hosts in tests, in which one address stands for all. */
+public final class TestConfigs {
+    private TestConfigs() {}
+
+    public static GatewayConfig of(
+            HostId host, InetSocketAddress address, List<InetSocketAddress> seeds, double retryFraction) {
+        return new GatewayConfig(
+                host,
+                AvailabilityZoneId.of("zone"),
+                address,
+                address,
+                address,
+                address,
+                address,
+                address,
+                seeds,
+                address,
+                1_000,
+                retryFraction,
+                100,
+                10_000);
+    }
+}
--- a/figspan-gateway/src/test/java/io/figspan/gateway/peer/PeersTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/peer/PeersTest.java
@@ -5,11 +5,11 @@
 
 import io.figspan.cluster.message.Peer;
 import io.figspan.cluster.message.PeerMessage;
-import io.figspan.core.id.AvailabilityZoneId;
 import io.figspan.core.id.BackendServerId;
 import io.figspan.core.id.HostId;
 import io.figspan.core.work.PlacedWork;
 import io.figspan.gateway.GatewayConfig;
+import io.figspan.gateway.TestConfigs;
 import io.figspan.gateway.log.DecisionLog;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -54,21 +54,7 @@
 
         Host(String name, InetSocketAddress address, InetSocketAddress seed) {
             id = HostId.of(name);
-            GatewayConfig config = new GatewayConfig(
-                    id,
-                    AvailabilityZoneId.of("zone"),
-                    address,
-                    address,
-                    address,
-                    address,
-                    address,
-                    address,
-                    List.of(seed),
-                    address,
-                    1_000,
-                    0.2,
-                    100,
-                    10_000);
+            GatewayConfig config = TestConfigs.of(id, address, List.of(seed), 0.2);
             peers = new Peers(loop, config, new DecisionLog(), new SplittableRandom(1), this, this::report);
             peers.listen().syncUninterruptibly();
             onLoop(() -> peers.join(System.nanoTime()));
