Bound what a server may send, and go on after an unexpected error of a timer

Cause, found by reading: Attempt collected the body of a plain answer without a limit, and read on without end for a caller that had left; comments of an event stream counted as progress, so a stalled stream that sent one now and then was never taken from its server; GatewayProcess scheduled its tick so that one unchecked exception ended all timers.

The endless heads, trailers and chunk extensions already ended, by the codec's limits or the route's time-out; their tests keep it so.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
@@ -115,7 +115,8 @@
     }
 
     private void every(long intervalMs, Runnable action) {
-        var unused = loop.scheduleWithFixedDelay(action, intervalMs, intervalMs, TimeUnit.MILLISECONDS);
+        Runnable guarded = new GuardedTask(action, log, metrics);
+        var unused = loop.scheduleWithFixedDelay(guarded, intervalMs, intervalMs, TimeUnit.MILLISECONDS);
     }
 
     /** The configuration in force at the start. */
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Attempt.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Attempt.java
@@ -3,6 +3,7 @@
 import io.figspan.core.id.BackendServerId;
 import io.figspan.gateway.backend.BackendPools;
 import io.figspan.gateway.backend.HoldGroup;
+import io.figspan.gateway.http.ByteBudget;
 import io.figspan.gateway.http.ConnectionFailure;
 import io.figspan.gateway.http.EventSplitter;
 import io.figspan.gateway.http.ExchangeListener;
@@ -11,7 +12,6 @@
 import io.figspan.gateway.protocol.BackendAnswer;
 import io.figspan.gateway.protocol.BackendProtocol;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.List;
 import java.util.OptionalLong;
@@ -24,6 +24,9 @@
     /** An event of a stream is a few hundred bytes; one of this length is no event. */
     private static final int MAX_EVENT_BYTES = 256 * 1_024;
 
+    /** Longest rest of an answer that is read for nobody, to learn when the server is done. */
+    private static final long MAX_DISCARDED_BYTES = CollectedBody.MAX_BYTES;
+
     private final Owner owner;
     private final BackendProtocol protocol;
     private final BackendPools pools;
@@ -35,7 +38,8 @@
     private final boolean streaming;
     private final long sentNanos = System.nanoTime();
     private final EventSplitter splitter = new EventSplitter(MAX_EVENT_BYTES);
-    private ByteBuf whole = Unpooled.EMPTY_BUFFER;
+    private final CollectedBody whole;
+    private long discardedBytes;
     private HttpResponse head;
     private BackendAnswer answer;
     private long pieces;
@@ -69,7 +73,8 @@
             HoldGroup holds,
             List<BackendServerId> readers,
             String attemptId,
-            boolean streaming) {
+            boolean streaming,
+            ByteBudget bodies) {
         this.owner = owner;
         this.protocol = protocol;
         this.pools = pools;
@@ -79,6 +84,7 @@
         this.readers = readers;
         this.attemptId = attemptId;
         this.streaming = streaming;
+        this.whole = new CollectedBody(bodies);
     }
 
     BackendServerId server() {
@@ -144,6 +150,7 @@
     @Override
     public void onContent(ByteBuf content) {
         if (discarded) {
+            drop(content);
             return;
         }
         if (isStream()) {
@@ -152,10 +159,18 @@
             }
             return;
         }
-        if (whole.capacity() == 0) {
-            whole = Unpooled.buffer(content.readableBytes());
+        if (!whole.add(content)) {
+            abort("answer is too long");
+        }
+    }
+
+    private void drop(ByteBuf content) {
+        discardedBytes += content.readableBytes();
+        if (discardedBytes > MAX_DISCARDED_BYTES) {
+            connection.abort();
+            end();
+            owner.onDiscardedEnd(this);
         }
-        whole.writeBytes(content, content.readerIndex(), content.readableBytes());
     }
 
     private void passOn(ByteBuf event, OptionalLong id) {
@@ -182,8 +197,7 @@
         } else if (isStream()) {
             completeStream();
         } else {
-            ByteBuf body = whole;
-            whole = Unpooled.EMPTY_BUFFER;
+            ByteBuf body = whole.take();
             end();
             owner.onWholeAnswer(this, body);
         }
@@ -234,7 +248,6 @@
             ended = true;
             splitter.release();
             whole.release();
-            whole = Unpooled.EMPTY_BUFFER;
         }
     }
 }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
@@ -224,7 +224,8 @@
                 group,
                 placement.readers().stream().map(PlacedReader::server).toList(),
                 request.attemptId(),
-                route.kind().isStreaming());
+                route.kind().isStreaming(),
+                forwarder.bodies());
         Attempt sending = attempt;
         forwarder.holds().use(group, server.get(), () -> onMemoryLost(sending));
         Send send = new Send(
@@ -259,7 +260,9 @@
             lastEventId = id;
         }
         events++;
-        lane.pieceArrived(job, pieces, System.nanoTime());
+        if (id.isPresent()) {
+            lane.pieceArrived(job, pieces, System.nanoTime());
+        }
         caller.write(event);
         if (!caller.isWritable()) {
             from.setReading(false);
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
@@ -12,6 +12,7 @@
 import io.figspan.gateway.backend.BackendServer;
 import io.figspan.gateway.backend.MemoryHolds;
 import io.figspan.gateway.forward.EarlyCalls.EarlyCall;
+import io.figspan.gateway.http.ByteBudget;
 import io.figspan.gateway.log.DecisionLog;
 import io.figspan.gateway.metrics.GatewayMetrics;
 import io.figspan.gateway.metrics.GatewayMetrics.RequestEnd;
@@ -49,6 +50,9 @@
     /** Time to come back when nothing better is known. */
     private static final long RETRY_AFTER_MS = 300;
 
+    /** Answers that are collected as a whole, all together; most are below a kilobyte. */
+    private static final long MAX_BODIES_BYTES = 12 * 1_024 * 1_024;
+
     private final EventLoop loop;
     private final CallerProtocol callerProtocol;
     private final BackendProtocol backendProtocol;
@@ -59,6 +63,7 @@
     private final RandomGenerator random;
     private final Map<ServiceId, ServiceLane> lanes = new HashMap<>();
     private final EarlyCalls early = new EarlyCalls();
+    private final ByteBudget bodies = new ByteBudget(MAX_BODIES_BYTES);
     private RetryAllowance allowance;
     private boolean isOpen;
     private Runnable workListener = () -> {};
@@ -322,6 +327,11 @@
         return holds;
     }
 
+    /** The memory for answers that are collected as a whole. */
+    ByteBudget bodies() {
+        return bodies;
+    }
+
     BackendPools pools() {
         return pools;
     }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/http/HttpConnection.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/http/HttpConnection.java
@@ -1,6 +1,7 @@
 package io.figspan.gateway.http;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -25,6 +26,9 @@
  * exchange asked for. All methods run on its event loop.
  */
 public final class HttpConnection extends ChannelInboundHandlerAdapter {
+    /** Longest head, with all that comes before it: informational answers and empty lines. */
+    private static final long MAX_HEAD_BYTES = 64 * 1_024;
+
     private final InetSocketAddress address;
     private Channel channel;
     private ExchangeListener exchange;
@@ -34,6 +38,7 @@
     private long connectNanos = Long.MAX_VALUE;
     private boolean connected;
     private boolean headReceived;
+    private long headBytes;
     private boolean keepAlive;
     private boolean broken;
     private boolean closed;
@@ -60,7 +65,7 @@
                 .handler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel ch) {
-                        ch.pipeline().addLast(new HttpClientCodec(), connection);
+                        ch.pipeline().addLast(connection.new HeadBound(), new HttpClientCodec(), connection);
                     }
                 });
         ChannelFuture connecting = bootstrap.connect(address);
@@ -101,6 +106,7 @@
         exchange = listener;
         used = true;
         headReceived = false;
+        headBytes = 0;
         if (connected) {
             write(request);
         } else {
@@ -146,6 +152,22 @@
 
     // Inbound
 
+    /** Ends the exchange when bytes come without end and no head is among them. */
+    private final class HeadBound extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object bytes) {
+            if (!headReceived) {
+                headBytes += ((ByteBuf) bytes).readableBytes();
+            }
+            if (headBytes <= MAX_HEAD_BYTES) {
+                ctx.fireChannelRead(bytes);
+                return;
+            }
+            ReferenceCountUtil.release(bytes);
+            fail(ConnectionFailure.MALFORMED);
+        }
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         try {
--- /dev/null
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/log/StackText.java
@@ -0,0 +1,19 @@
+package io.figspan.gateway.log;
+
+import java.util.Arrays;
+import java.util.stream.Collectors;
+
+/** The place of an error, short enough for one line of a log. */
+public final class StackText {
+    private static final int MAX_FRAMES = 12;
+
+    private StackText() {}
+
+    /** The innermost calls, in the order of a stack trace. */
+    public static String of(Throwable error) {
+        return Arrays.stream(error.getStackTrace())
+                .limit(MAX_FRAMES)
+                .map(StackTraceElement::toString)
+                .collect(Collectors.joining(" < "));
+    }
+}
--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/StreamingTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/StreamingTest.java
@@ -21,6 +21,9 @@
 /** Guards against streams with missing, repeated or broken events, and against ends that look complete. */
 class StreamingTest {
     private static final Pattern ID = Pattern.compile("id: (\\d+)");
+    /** Lasts longer than the time of the route. */
+    private static final int MAX_COMMENTS = 400;
+
     private static final String END_OF_CHUNKS = "0\r\n\r\n";
 
     private GatewayHarness gateway;
@@ -167,6 +170,26 @@
         }
     }
 
+    @Test
+    void commentsAreNoProgressOfAStream() throws IOException {
+        ScriptedServer.Script script = resumable((request, c) -> {
+            writeChunk(c, event(1) + event(2));
+            for (int sent = 0; sent < MAX_COMMENTS; sent++) {
+                writeChunk(c, ": still here\n\n");
+                pauseShortly();
+            }
+        });
+        try (ScriptedServer one = new ScriptedServer(script);
+                ScriptedServer two = new ScriptedServer(script)) {
+            gateway.open(Map.of("engine-1", one, "engine-2", two));
+            gateway.onLoop(() -> gateway.forwarder().apply(gateway.settings(10_000)));
+            String response = stream();
+            assertEquals(List.of(1, 2, 3, 4), ids(response));
+            assertEquals(
+                    2, one.received().size() + two.received().size(), "the stream did not go on at the other server");
+        }
+    }
+
     @Test
     void aStreamThatMayNotBeSentAgainIsWaitedFor() throws IOException {
         ScriptedServer.Script slow = (request, c) -> {
@@ -194,8 +217,17 @@
 
     /** Longer than an engine may be silent before its work is sent elsewhere. */
     private static void pause() throws IOException {
+        pause(1_200);
+    }
+
+    /** Shorter than an engine may be silent. */
+    private static void pauseShortly() throws IOException {
+        pause(50);
+    }
+
+    private static void pause(long ms) throws IOException {
         try {
-            Thread.sleep(1_200);
+            Thread.sleep(ms);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IOException("interrupted", e);
