Divide large fleets into cells of engines and hosts

Cause: every host told every other one its work and weighed all engines for each prompt, so messages and processor time grew with the square of the fleet, and many hosts chose the same engine within the time that a report takes. A caller uses 64 addresses of the directory at most, so hosts behind the first 64 got no callers on a fleet of 95.

A host places at its own cell's engines and reports to its hosts; work known before its engine was in scope is entered when it is. A host that has just come is greeted, so that all find each other without reports to all. Suspected hosts outside the cell are not named to callers. Each host names a choice of 64 of its own.

--- a/figspan-bench/src/main/java/io/figspan/bench/placing/PlacingTally.java
+++ b/figspan-bench/src/main/java/io/figspan/bench/placing/PlacingTally.java
@@ -14,6 +14,7 @@
     private final Map<String, ClassTally> classes = new TreeMap<>();
     private final Map<Integer, double[]> windows = new TreeMap<>();
     private double engineBusy;
+    private long messages;
 
     /** The outcomes of one kind of request. */
     static final class ClassTally {
@@ -64,6 +65,15 @@
         window[1] += owed;
     }
 
+    void messages(long count) {
+        messages = count;
+    }
+
+    /** Reports of work that hosts sent to each other. */
+    long messages() {
+        return messages;
+    }
+
     void engines(double busy) {
         engineBusy = busy;
     }
--- a/figspan-bench/src/main/java/io/figspan/bench/placing/RequestClass.java
+++ b/figspan-bench/src/main/java/io/figspan/bench/placing/RequestClass.java
@@ -42,6 +42,14 @@
                 new RequestClass("longest", 0.924 * rate, 154_000, 0.55, 700_000, 16.5, 3_000, 1_000, 15_000, 21, 5.2));
     }
 
+    /** The classes of the largest deployment. */
+    static List<RequestClass> large(double rate) {
+        return List.of(
+                new RequestClass("short", 166 * rate, 4_960, 0.9, 23_800, 23.5, 400, 300, 10_000, 1.3, 0.33),
+                new RequestClass("long", 12.2 * rate, 45_000, 0.5, 110_000, 14.1, 1_500, 800, 10_000, 3.1, 0.78),
+                new RequestClass("longest", 4.04 * rate, 220_000, 0.55, 700_000, 11.8, 4_000, 1_200, 15_000, 26, 6.5));
+    }
+
     double drawPromptTokens(Random random) {
         return Math.max(100, Math.min(maxPromptTokens, logNormal(meanPromptTokens, spread, random)));
     }
--- a/figspan-cluster/src/main/java/io/figspan/cluster/membership/Membership.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/membership/Membership.java
@@ -136,6 +136,13 @@
         return table.find(host).filter(Member::isLive).map(Member::peer);
     }
 
+    /** Whether a live member did not answer lately, and may be dead. */
+    public boolean isSuspect(HostId host) {
+        return table.find(host)
+                .filter(member -> member.state() == Member.State.SUSPECT)
+                .isPresent();
+    }
+
     /** Up to {@code count} other live members chosen at random. */
     public List<Peer> randomPeers(int count) {
         return schedule.randomLive(table, count, self.host()).stream()
--- a/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
@@ -18,9 +18,11 @@
 import io.figspan.gateway.peer.CopyReader;
 import io.figspan.gateway.peer.PeerListener;
 import io.figspan.gateway.peer.Peers;
+import io.figspan.gateway.peer.WorkSource;
 import io.figspan.gateway.protocol.Adapter;
 import io.figspan.gateway.store.StoreFollower;
 import io.figspan.gateway.store.StoreListener;
+import io.figspan.policy.entry.EntryList;
 import io.figspan.settings.gateway.GatewaySettings;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
@@ -36,13 +38,16 @@
 import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
 /** The gateway of one host. It runs on one event loop. */
-public final class GatewayProcess implements FleetState.FleetListener, PeerListener {
+public final class GatewayProcess implements FleetState.FleetListener, PeerListener, WorkSource {
     /** Time between two looks at waiting jobs and time limits. */
     private static final long TICK_MS = 20;
 
@@ -83,9 +88,18 @@
         this.holds = new MemoryHolds(loop, pools, adapter.backends(), log, self);
         this.fleet = new FleetState(adapter.fleet(), pools, log, this, System::nanoTime);
         this.forwarder = new Forwarder(
-                loop, adapter.callers(), adapter.backends(), pools, holds, log, metrics, random, allowanceOf(config));
+                loop,
+                config.host(),
+                adapter.callers(),
+                adapter.backends(),
+                pools,
+                holds,
+                log,
+                metrics,
+                random,
+                allowanceOf(config));
         this.callers = new CallerServer(loop, forwarder, adapter.callers());
-        this.peers = new Peers(loop, config, log, random, this, this::report);
+        this.peers = new Peers(loop, config, log, random, this, this);
         this.forwarder.onWorkChanged(peers::workChanged);
         this.forwarder.viewsWorkThrough(() -> peers.oldestReportMs(System.nanoTime()));
         this.settingsReader = new CopyReader(loop, log, SETTINGS_COPY, fleet.settings(), fleet::settingsFromPeer);
@@ -192,11 +206,22 @@
 
     // Other hosts
 
-    private PeerMessage.WorkReport report() {
+    @Override
+    public PeerMessage.WorkReport report() {
         return new PeerMessage.WorkReport(
                 ++reports, fleet.settings().revision(), fleet.servers().revision(), forwarder.ownWork());
     }
 
+    @Override
+    public Set<HostId> audience() {
+        return forwarder.audience();
+    }
+
+    @Override
+    public void onHostsChanged(Set<HostId> hosts) {
+        forwarder.hostsChanged(hosts);
+    }
+
     @Override
     public void onWork(HostId host, List<PlacedWork> work) {
         forwarder.peerWork(host, work);
@@ -228,18 +253,28 @@
         if (!adapter.operator().asksForHosts(request)) {
             return empty(HttpResponseStatus.NOT_FOUND);
         }
-        List<InetSocketAddress> addresses = new ArrayList<>();
+        Map<HostId, InetSocketAddress> addresses = new HashMap<>();
         if (isReady()) {
-            addresses.add(config.callers());
+            addresses.put(config.host(), config.callers());
         }
         for (Peer peer : peers.serving(System.nanoTime())) {
-            addresses.add(new InetSocketAddress(
-                    peer.address().address(), config.callers().getPort()));
+            addresses.put(
+                    peer.host(),
+                    new InetSocketAddress(
+                            peer.address().address(), config.callers().getPort()));
         }
         if (addresses.isEmpty()) {
             return empty(HttpResponseStatus.SERVICE_UNAVAILABLE);
         }
-        return adapter.operator().hosts(addresses, KEEP_SECONDS);
+        List<InetSocketAddress> chosen =
+                EntryList.choose(
+                                config.host(),
+                                addresses.keySet(),
+                                adapter.operator().maxHosts())
+                        .stream()
+                        .map(addresses::get)
+                        .toList();
+        return adapter.operator().hosts(chosen, KEEP_SECONDS);
     }
 
     private FullHttpResponse answerCopy(HttpRequest request) {
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
@@ -37,10 +37,12 @@
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
@@ -54,6 +56,7 @@
     private static final long MAX_BODIES_BYTES = 12 * 1_024 * 1_024;
 
     private final EventLoop loop;
+    private final HostId self;
     private final CallerProtocol callerProtocol;
     private final BackendProtocol backendProtocol;
     private final BackendPools pools;
@@ -64,6 +67,7 @@
     private final Map<ServiceId, ServiceLane> lanes = new HashMap<>();
     private final EarlyCalls early = new EarlyCalls();
     private final ByteBudget bodies = new ByteBudget(MAX_BODIES_BYTES);
+    private Set<HostId> hosts;
     private RetryAllowance allowance;
     private boolean isOpen;
     private Runnable workListener = () -> {};
@@ -81,6 +85,7 @@
 
     public Forwarder(
             EventLoop loop,
+            HostId self,
             CallerProtocol callerProtocol,
             BackendProtocol backendProtocol,
             BackendPools pools,
@@ -90,6 +95,8 @@
             RandomGenerator random,
             RetryAllowance allowance) {
         this.loop = loop;
+        this.self = self;
+        this.hosts = Set.of(self);
         this.callerProtocol = callerProtocol;
         this.backendProtocol = backendProtocol;
         this.pools = pools;
@@ -139,7 +146,7 @@
         }
         lanes.keySet().forEach(service -> seats.putIfAbsent(service, List.of()));
         long nowNanos = System.nanoTime();
-        seats.forEach((service, servers) -> lane(service).serversChanged(servers, nowNanos));
+        seats.forEach((service, servers) -> lane(service).serversChanged(servers, hosts, nowNanos));
     }
 
     /** Begins to forward: the settings and the backend servers are known. Requests that waited for it go on. */
@@ -237,16 +244,16 @@
     }
 
     private ServiceLane lane(ServiceId service) {
-        return lanes.computeIfAbsent(
-                service,
-                ignored -> new ServiceLane(newPlacer(service), allowance.newBudget(), () -> workListener.run()));
+        return lanes.computeIfAbsent(service, this::newLane);
     }
 
-    private Placer newPlacer(ServiceId service) {
+    private ServiceLane newLane(ServiceId service) {
         Optional<EngineProfile> engine =
                 Optional.ofNullable(settings.services().get(service)).flatMap(ServiceProfile::engine);
-        return engine.<Placer>map(profile -> new EnginePlacer(profile, random))
+        Placer placer = engine.<Placer>map(profile -> new EnginePlacer(profile, random))
                 .orElseGet(() -> new LeastBusyPlacer(random));
+        ServerScope scope = engine.isPresent() ? new ServerScope.OwnCell(self, hosts) : new ServerScope.All();
+        return new ServiceLane(placer, scope, allowance.newBudget(), () -> workListener.run());
     }
 
     /** All that this host has at model engines. */
@@ -265,6 +272,21 @@
         }
     }
 
+    /** The live hosts, this one included, are others than before. */
+    public void hostsChanged(Set<HostId> newHosts) {
+        hosts = Set.copyOf(newHosts);
+        long nowNanos = System.nanoTime();
+        lanes.values().forEach(lane -> lane.hostsChanged(hosts, nowNanos));
+    }
+
+    /** The hosts that this host's work at model engines concerns. */
+    public Set<HostId> audience() {
+        long nowNanos = System.nanoTime();
+        Set<HostId> audience = new HashSet<>();
+        lanes.values().forEach(lane -> audience.addAll(lane.audience(nowNanos)));
+        return audience;
+    }
+
     /** Number of requests that wait for a place. */
     public long waiting() {
         return lanes.values().stream().mapToLong(ServiceLane::waiting).sum();
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceLane.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceLane.java
@@ -12,16 +12,20 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** The jobs of one service and the placer that decides on them. All methods run on the event loop. */
 final class ServiceLane {
     private final Placer placer;
+    private final ServerScope scope;
     private final Runnable workListener;
     private final Map<Job, ForwardCall> calls = new HashMap<>();
+    private List<ServerSeat> servers = List.of();
     private WindowedRetryBudget budget;
 
-    ServiceLane(Placer placer, WindowedRetryBudget budget, Runnable workListener) {
+    ServiceLane(Placer placer, ServerScope scope, WindowedRetryBudget budget, Runnable workListener) {
         this.placer = placer;
+        this.scope = scope;
         this.budget = budget;
         this.workListener = workListener;
     }
@@ -38,11 +42,20 @@
         return placer.waiting();
     }
 
-    void serversChanged(List<ServerSeat> seats, long nowNanos) {
-        placer.serversChanged(seats, nowNanos);
+    void serversChanged(List<ServerSeat> newServers, Set<HostId> newHosts, long nowNanos) {
+        servers = newServers;
+        hostsChanged(newHosts, nowNanos);
+    }
+
+    void hostsChanged(Set<HostId> newHosts, long nowNanos) {
+        placer.serversChanged(scope.choose(servers, newHosts), nowNanos);
         carryOut(placer.tick(nowNanos));
     }
 
+    Set<HostId> audience(long nowNanos) {
+        return scope.audience(placer.ownWork(nowNanos));
+    }
+
     void submit(ForwardCall call, Job job, long nowNanos) {
         calls.put(job, call);
         carryOut(placer.arrived(job, nowNanos));
--- a/figspan-gateway/src/main/java/io/figspan/gateway/peer/Peers.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/peer/Peers.java
@@ -9,7 +9,6 @@
 import io.figspan.core.event.Part;
 import io.figspan.core.id.HostId;
 import io.figspan.core.id.HostIncarnation;
-import io.figspan.core.work.PlacedWork;
 import io.figspan.gateway.GatewayConfig;
 import io.figspan.gateway.log.DecisionLog;
 import io.netty.channel.ChannelFuture;
@@ -17,17 +16,18 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
 /**
  * The other hosts: who serves, and what each has placed where. Membership finds them; besides, each host reports its
- * work to all others as soon as it changes and a few times a second at least, so that a host that falls silent is
- * noticed soon. All methods run on the event loop.
+ * work to those that place at the same engines, as soon as it changes and a few times a second at least, so that one of
+ * these that falls silent is noticed soon. All methods run on the event loop.
  */
 public final class Peers {
     /** Changes within this time go into one report. */
@@ -35,7 +35,7 @@
 
     private static final long REPORT_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
-    /** Four reports; a host that is silent for longer is not named to callers. */
+    /** Four reports; a host that should report and is silent for longer is not named to callers. */
     private static final long SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
 
     /** Work of a silent host is counted for as long as most requests last. */
@@ -46,12 +46,13 @@
     private final DecisionLog log;
     private final RandomGenerator random;
     private final PeerListener listener;
-    private final Supplier<PeerMessage.WorkReport> report;
+    private final WorkSource work;
     private final PeerPort port;
     private final List<PeerAddress> seeds;
     private final Map<HostId, Heard> heard = new HashMap<>();
     private Membership membership;
     private boolean reportScheduled;
+    private boolean hostsChanged;
     private long reportedAtNanos;
 
     /** The newest report of one host. */
@@ -64,7 +65,7 @@
     /**
      * The other hosts.
      *
-     * @param report makes the report of this host's work
+     * @param work this host's work and whom it concerns
      */
     public Peers(
             EventLoop loop,
@@ -72,13 +73,13 @@
             DecisionLog log,
             RandomGenerator random,
             PeerListener listener,
-            Supplier<PeerMessage.WorkReport> report) {
+            WorkSource work) {
         this.loop = loop;
         this.config = config;
         this.log = log;
         this.random = random;
         this.listener = listener;
-        this.report = report;
+        this.work = work;
         this.port = new PeerPort(loop, log, this::receive);
         this.seeds = config.seeds().stream().map(Peers::addressOf).toList();
     }
@@ -98,6 +99,7 @@
         Peer self = new Peer(
                 new HostIncarnation(config.host(), incarnationNumber), config.zone(), addressOf(config.peers()));
         membership = new Membership(self, seeds, MembershipTuning.DEFAULTS, random, nowNanos);
+        hostsChanged = true;
         log.info(Part.MEMBER, "joined").text("self", self).write();
     }
 
@@ -108,7 +110,7 @@
         }
     }
 
-    /** The work of this host has changed; the others hear of it within a few milliseconds. */
+    /** The work of this host has changed; those that it concerns hear of it within a few milliseconds. */
     public void workChanged() {
         if (!reportScheduled) {
             reportScheduled = true;
@@ -119,15 +121,23 @@
     /** The other hosts that serve callers. */
     public List<Peer> serving(long nowNanos) {
         List<Peer> serving = new ArrayList<>();
+        Set<HostId> reporting = work.audience();
         for (Peer peer : others()) {
-            Heard last = heard.get(peer.host());
-            if (last != null && nowNanos - last.atNanos < SILENCE_NANOS) {
+            boolean serves = reporting.contains(peer.host())
+                    ? isHeard(peer.host(), nowNanos)
+                    : !membership.isSuspect(peer.host());
+            if (serves) {
                 serving.add(peer);
             }
         }
         return serving;
     }
 
+    private boolean isHeard(HostId host, long nowNanos) {
+        Heard last = heard.get(host);
+        return last != null && nowNanos - last.atNanos < SILENCE_NANOS;
+    }
+
     /** Age of the oldest of the newest reports of each other host; 0 when there are none. */
     public long oldestReportMs(long nowNanos) {
         long oldestNanos = 0;
@@ -157,18 +167,32 @@
             return;
         }
         carryOut(membership.tick(nowNanos), null, nowNanos);
+        tellOfHosts();
         if (nowNanos - reportedAtNanos >= REPORT_INTERVAL_NANOS) {
             workChanged();
         }
         forgetSilent(nowNanos);
     }
 
+    /** Hosts come and go in groups; the listener hears of each group once. */
+    private void tellOfHosts() {
+        if (hostsChanged) {
+            hostsChanged = false;
+            Set<HostId> hosts = new HashSet<>(Set.of(config.host()));
+            others().forEach(peer -> hosts.add(peer.host()));
+            listener.onHostsChanged(hosts);
+        }
+    }
+
     private void forgetSilent(long nowNanos) {
         for (Iterator<Map.Entry<HostId, Heard>> hosts = heard.entrySet().iterator(); hosts.hasNext(); ) {
             Map.Entry<HostId, Heard> host = hosts.next();
             if (nowNanos - host.getValue().atNanos >= FORGET_NANOS) {
                 hosts.remove();
-                log.warn(Part.MEMBER, "hostSilent").text("host", host.getKey()).write();
+                log.info(Part.MEMBER, "hostSilent")
+                        .text("host", host.getKey())
+                        .text("placesHere", work.audience().contains(host.getKey()))
+                        .write();
                 listener.onHostGone(host.getKey());
             }
         }
@@ -180,10 +204,12 @@
             return;
         }
         reportedAtNanos = System.nanoTime();
-        port.send(
-                membership.self(),
-                report.get(),
-                others().stream().map(Peer::address).toList());
+        Set<HostId> audience = work.audience();
+        List<PeerAddress> addresses = others().stream()
+                .filter(peer -> audience.contains(peer.host()))
+                .map(Peer::address)
+                .toList();
+        port.send(membership.self(), work.report(), addresses);
     }
 
     private void receive(Peer from, PeerMessage message) {
@@ -191,26 +217,25 @@
             return;
         }
         long nowNanos = System.nanoTime();
-        if (message instanceof PeerMessage.WorkReport work) {
-            receiveWork(from, work, nowNanos);
+        if (message instanceof PeerMessage.WorkReport received) {
+            receiveWork(from, received, nowNanos);
         }
         if (membership != null) {
             carryOut(membership.receive(from, message, nowNanos), from, nowNanos);
         }
     }
 
-    private void receiveWork(Peer from, PeerMessage.WorkReport work, long nowNanos) {
+    private void receiveWork(Peer from, PeerMessage.WorkReport received, long nowNanos) {
         Heard last = heard.computeIfAbsent(from.host(), ignored -> new Heard());
         boolean sameProcess = from.incarnation().equals(last.incarnation);
-        if (sameProcess && work.sequence() <= last.sequence) {
+        if (sameProcess && received.sequence() <= last.sequence) {
             return;
         }
         last.incarnation = from.incarnation();
-        last.sequence = work.sequence();
+        last.sequence = received.sequence();
         last.atNanos = nowNanos;
-        List<PlacedWork> placed = work.work();
-        listener.onWork(from.host(), placed);
-        listener.onNewerItems(from, work.settingsRevision(), work.serversRevision());
+        listener.onWork(from.host(), received.work());
+        listener.onNewerItems(from, received.settingsRevision(), received.serversRevision());
     }
 
     private void carryOut(List<ClusterAction> actions, Peer sender, long nowNanos) {
@@ -227,13 +252,14 @@
         }
     }
 
-    /** A host that has just come learns at once what this one has placed. */
+    /** A host that has just come hears of this one, and of what it has placed, at once. */
     private void memberChanged(ClusterAction.MemberChanged changed) {
         log.info(Part.MEMBER, changed.live() ? "hostLive" : "hostGone")
                 .text("host", changed.peer())
                 .write();
+        hostsChanged = true;
         if (changed.live()) {
-            workChanged();
+            port.send(membership.self(), work.report(), List.of(changed.peer().address()));
         }
     }
 
--- a/figspan-gateway/src/main/java/io/figspan/gateway/protocol/OperatorProtocol.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/protocol/OperatorProtocol.java
@@ -9,6 +9,9 @@
 public interface OperatorProtocol {
     boolean asksForHosts(HttpRequest request);
 
+    /** Most addresses of an answer that a caller uses; it ignores those after them. */
+    int maxHosts();
+
     /** The addresses that a caller may connect to, and how long it may keep them. */
     FullHttpResponse hosts(List<InetSocketAddress> addresses, int keepSeconds);
 
--- a/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
@@ -60,6 +60,7 @@
         HostIncarnation self = new HostIncarnation(HostId.of("host"), 1);
         forwarder = new Forwarder(
                 loop,
+                self.host(),
                 protocol,
                 protocol,
                 pools,
--- a/figspan-policy/src/main/java/io/figspan/policy/entry/EntryList.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/entry/EntryList.java
@@ -3,7 +3,9 @@
 import io.figspan.core.error.FigspanException;
 import io.figspan.core.error.Location;
 import io.figspan.core.error.ProblemKind;
+import io.figspan.core.id.HostId;
 import io.figspan.core.id.OrganisationId;
+import io.figspan.core.util.RendezvousHash;
 import io.figspan.policy.subset.ZoneOrder;
 import java.util.Collection;
 import java.util.List;
@@ -35,6 +37,16 @@
         return Math.min(hosts, Math.max(MIN_HOSTS, wanted));
     }
 
+    /**
+     * The hosts that one host names to its callers where a list has a limit. Each host keeps to a choice of its own, so
+     * that callers of all hosts together reach every host, and a caller finds the same ones when it asks again.
+     */
+    public static List<HostId> choose(HostId naming, Collection<HostId> hosts, int maxHosts) {
+        return RendezvousHash.order(naming.value(), hosts).stream()
+                .limit(maxHosts)
+                .toList();
+    }
+
     /** The hosts for an organisation, best first. */
     public static List<EntryHost> choose(OrganisationId organisation, double share, Collection<EntryHost> hosts) {
         List<EntryHost> ordered = ZoneOrder.order(organisation.value(), hosts, EntryHost::zone);
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/PeerJobs.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/PeerJobs.java
@@ -16,8 +16,13 @@
     private final LongSupplier nextKey;
     private final Map<HostId, Map<Long, PeerJob>> peers = new HashMap<>();
 
-    /** A job of another host, by its key in the simulations. */
-    private record PeerJob(long key, PlacedWork work) {}
+    /**
+     * A job of another host.
+     *
+     * @param key names it in the simulations
+     * @param entered whether its engine was known, so that it is in the simulations
+     */
+    private record PeerJob(long key, PlacedWork work, boolean entered) {}
 
     /**
      * No jobs yet.
@@ -51,8 +56,8 @@
     }
 
     private PeerJob add(PlacedWork work, double nowMs) {
-        PeerJob job = new PeerJob(nextKey.getAsLong(), work);
         EngineSeat first = seats.get(work.server());
+        PeerJob job = new PeerJob(nextKey.getAsLong(), work, first != null);
         if (first == null) {
             return job;
         }
@@ -81,19 +86,22 @@
     }
 
     private PeerJob update(PeerJob known, PlacedWork work, double nowMs) {
+        if (!known.entered()) {
+            return add(work, nowMs);
+        }
         boolean beganWriting = known.work().writtenTokens() == 0 && work.writtenTokens() > 0;
         EngineSeat first = seats.get(work.server());
         if (beganWriting && first != null) {
             readersOf(known.work()).forEach(reader -> reader.seat().simulation().remove(known.key(), nowMs));
             first.simulation().firstTokenSeen(known.key(), nowMs);
-            return new PeerJob(known.key(), work);
+            return new PeerJob(known.key(), work, true);
         }
         return known;
     }
 
     private void remove(PeerJob job, double nowMs) {
         EngineSeat first = seats.get(job.work().server());
-        if (first != null) {
+        if (first != null && job.entered()) {
             SeatWork.remove(job.key(), first, readersOf(job.work()), nowMs);
         }
     }
--- /dev/null
+++ b/figspan-policy/src/test/java/io/figspan/policy/cell/CellPlanTest.java
@@ -0,0 +1,113 @@
+package io.figspan.policy.cell;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.figspan.core.id.BackendServerId;
+import io.figspan.core.id.HostId;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.IntFunction;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/** Guards against cells that leave members out, are of unlike size or move many members at a change. */
+class CellPlanTest {
+    /** A cell may be this much larger than the mean, in members. */
+    private static final int UNEVENNESS = 1;
+
+    private static <T> List<T> named(int count, IntFunction<T> name) {
+        return new ArrayList<>(IntStream.range(0, count).mapToObj(name).toList());
+    }
+
+    private static List<HostId> hosts(int count) {
+        return named(count, i -> HostId.of("host-" + i));
+    }
+
+    private static List<BackendServerId> engines(int count) {
+        return named(count, i -> BackendServerId.of("engine-" + i));
+    }
+
+    @Test
+    void aSmallFleetIsOneCell() {
+        CellPlan plan = CellPlan.divide(hosts(7), engines(21));
+
+        assertEquals(1, plan.count());
+        for (BackendServerId engine : engines(21)) {
+            assertTrue(plan.mayUse(HostId.of("host-3"), engine));
+        }
+    }
+
+    @Test
+    void eachCellHasItsEvenPartOfHostsAndEngines() {
+        for (int[] fleet : new int[][] {{95, 172}, {75, 60}, {73, 69}, {400, 630}}) {
+            List<HostId> hosts = hosts(fleet[0]);
+            List<BackendServerId> engines = engines(fleet[1]);
+            CellPlan plan = CellPlan.divide(hosts, engines);
+            for (HostId host : hosts) {
+                long usable = engines.stream()
+                        .filter(engine -> plan.mayUse(host, engine))
+                        .count();
+                assertEquals((double) fleet[1] / plan.count(), (double) usable, UNEVENNESS);
+                assertEquals(
+                        (double) fleet[0] / plan.count(), plan.hostsWith(host).size(), UNEVENNESS);
+            }
+            for (BackendServerId engine : engines) {
+                assertTrue(!plan.hostsAt(engine).isEmpty(), engine + " has no host");
+            }
+        }
+    }
+
+    @Test
+    void theOrderInWhichMembersAreKnownMakesNoDifference() {
+        List<HostId> hosts = hosts(95);
+        List<BackendServerId> engines = engines(172);
+        CellPlan plan = CellPlan.divide(hosts, engines);
+        Collections.shuffle(hosts, new Random(1));
+        Collections.shuffle(engines, new Random(2));
+        CellPlan other = CellPlan.divide(hosts, engines);
+
+        for (HostId host : hosts) {
+            assertEquals(plan.hostsWith(host), other.hostsWith(host));
+        }
+        for (BackendServerId engine : engines) {
+            assertEquals(plan.hostsAt(engine), other.hostsAt(engine));
+        }
+    }
+
+    @Test
+    void anEngineThatLeavesMovesAtMostOneOtherAcrossEachCut() {
+        List<HostId> hosts = hosts(95);
+        List<BackendServerId> engines = engines(172);
+        CellPlan before = CellPlan.divide(hosts, engines);
+        for (int gone = 0; gone < engines.size(); gone++) {
+            List<BackendServerId> left = new ArrayList<>(engines);
+            left.remove(gone);
+            CellPlan after = CellPlan.divide(hosts, left);
+            long moved = left.stream()
+                    .filter(engine -> !before.hostsAt(engine).equals(after.hostsAt(engine)))
+                    .count();
+            assertTrue(moved < before.count(), moved + " engines moved");
+        }
+    }
+
+    @Test
+    void theHostsThatUseAnEngineAreThoseOfOneCell() {
+        CellPlan plan = CellPlan.divide(hosts(95), engines(172));
+        for (BackendServerId engine : engines(172)) {
+            Set<HostId> using = new HashSet<>();
+            hosts(95).stream().filter(host -> plan.mayUse(host, engine)).forEach(using::add);
+            assertEquals(plan.hostsAt(engine), using);
+        }
+    }
+
+    @Test
+    void noCellIsLeftWithFewHosts() {
+        assertEquals(1, CellPlan.divide(hosts(5), engines(172)).count());
+        assertEquals(3, CellPlan.divide(hosts(9), engines(172)).count());
+    }
+}
--- a/figspan-policy/src/test/java/io/figspan/policy/placing/EnginePlacerTest.java
+++ b/figspan-policy/src/test/java/io/figspan/policy/placing/EnginePlacerTest.java
@@ -161,6 +161,23 @@
         assertEquals(1, placer.peerWork(PEER, List.of(), nowNanos).size());
     }
 
+    @Test
+    void workOfOtherHostsCountsAtAnEngineThatIsAddedLater() {
+        List<PlacedWork> work = new ArrayList<>();
+        for (int i = 0; i < ENGINE.slots(); i++) {
+            work.add(new PlacedWork(i, engine(1), List.of(), 5_000, 1_000, 52, 500, -200, 250));
+        }
+        engines(1);
+        placer.peerWork(PEER, work, nowNanos);
+        engines(2);
+        placer.peerWork(PEER, work, nowNanos);
+
+        for (int i = 0; i < ENGINE.slots(); i++) {
+            assertEquals(engine(0), sent(shortJob()).server());
+        }
+        assertTrue(placer.arrived(shortJob(), nowNanos).isEmpty(), "both engines are full");
+    }
+
     @Test
     void theWorkThatIsToldToOthersIsWhatWasPlaced() {
         engines(4);
