Let a few hosts of each cell follow the store, and tell all hosts of silent ones

Change: FollowDuty lets the first three hosts of a cell follow the store; the others read the changes behind their own revision from a host that reports a newer one, at once. Reports say how long ago the store answered their sender; a host that hears of no recent answer follows the store itself for 10 s at least, and one that rests looks for missed changes about every 10 s. Copies list removals, so that changes suffice. A cell of fewer than nine hosts works as before. Hosts that hear that one of their cell fell silent tell all others, which doubt it at once and don't name it to callers; a live one refutes it. Datagrams whose sender is not where it says are refused. Membership's comparison of digests has a class of its own.

Ruled out: longer waits of watches; most answers came from changes.

--- a/figspan-cluster/src/main/java/io/figspan/cluster/membership/Membership.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/membership/Membership.java
@@ -12,6 +12,7 @@
 import io.figspan.core.id.HostIncarnation;
 import io.figspan.core.id.SettingsVersion;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import java.util.SortedMap;
@@ -33,19 +34,12 @@
     /** Hosts told at once about a graceful leave. */
     private static final int LEAVE_FANOUT = 6;
 
+    /** Number of an acknowledgement that answers no probe. */
+    private static final long NO_PROBE = 0;
+
     private static final int MAX_PAGE_MEMBERS = 100;
     private static final int MAX_QUEUED_UPDATES = 1_024;
 
-    /** Differing digests in a row after which the lists are compared; fewer differ while news is still spreading. */
-    private static final int DIFFERENT_DIGESTS = 5;
-
-    /** Comparing the lists of 400 hosts costs 18 KB, so it is limited to one in this time. */
-    private static final long COMPARE_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(30);
-
-    /** The first minute after a start compares more often, so that hosts that start together find each other soon. */
-    private static final long EARLY_COMPARE_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(4);
-
-    private static final long EARLY_NANOS = TimeUnit.MINUTES.toNanos(1);
     private static final long JOIN_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     /** While other members are known, seeds are only asked this often, to find a part of the fleet that was cut off. */
@@ -61,17 +55,15 @@
     private final Relays relays = new Relays();
     private final LeavingNotices notices = new LeavingNotices();
     private final UpdateQueue<HostId, MemberUpdate> updates = new UpdateQueue<>(MAX_QUEUED_UPDATES);
-    private final long startedNanos;
+    private final ViewComparison comparison;
     private SettingsVersion settings = SettingsVersion.NONE;
     private int refutation;
     private long lastProbe;
     private Probe probe;
     private long nextProbeAtNanos;
     private long nextSeedAtNanos;
-    private long nextCompareAtNanos;
     private long lastTickNanos;
     private long lastHeardNanos;
-    private int differentDigests;
     private boolean joined;
     /** False only while no member is suspect, so that a tick at rest does not scan the table. */
     private boolean hasSuspects;
@@ -87,9 +79,8 @@
         this.table = new MemberTable(tuning.maxMembers());
         this.schedule = new ProbeSchedule(random);
         this.nextProbeAtNanos = nowNanos + random.nextLong(tuning.probeIntervalNanos());
-        this.startedNanos = nowNanos;
+        this.comparison = new ViewComparison(random, nowNanos);
         this.nextSeedAtNanos = nowNanos;
-        this.nextCompareAtNanos = nowNanos;
         this.lastTickNanos = nowNanos;
         this.lastHeardNanos = nowNanos;
     }
@@ -249,6 +240,38 @@
         return actions;
     }
 
+    /**
+     * Suspects hosts that should report to this one and are no longer heard, and tells all other hosts at once: probes
+     * alone take seconds to find many hosts that die together. A host that is alive refutes it.
+     */
+    public List<ClusterAction> fellSilent(Collection<HostId> hosts, long nowNanos) {
+        List<MemberUpdate> suspicions = new ArrayList<>();
+        for (HostId host : hosts) {
+            Optional<Member> alive = table.find(host).filter(member -> member.state() == Member.State.ALIVE);
+            alive.ifPresent(member -> {
+                suspect(member, member.refutation(), self.host(), nowNanos);
+                suspicions.add(member.statement(self.host()));
+            });
+        }
+        List<ClusterAction> actions = new ArrayList<>();
+        for (int from = 0; from < suspicions.size(); from += tuning.maxUpdates()) {
+            int to = Math.min(suspicions.size(), from + tuning.maxUpdates());
+            tellAll(suspicions.subList(from, to), actions);
+        }
+        return actions;
+    }
+
+    /** Sends news to all live hosts in a message that none of them answers. */
+    private void tellAll(List<MemberUpdate> news, List<ClusterAction> actions) {
+        Piggyback carried = new Piggyback(settings, table.liveDigest(self.incarnation()), news, List.of());
+        PeerMessage message = new PeerMessage.Ack(NO_PROBE, false, carried);
+        for (Member member : table.all()) {
+            if (member.isLive()) {
+                actions.add(new ClusterAction.Send(member.peer().address(), message));
+            }
+        }
+    }
+
     // Probing
 
     private void noticePause(long nowNanos) {
@@ -384,7 +407,9 @@
             apply(update, nowNanos, actions);
         }
         takeNotices(piggyback.leaving(), actions);
-        compareDigests(from, piggyback.viewDigest(), nowNanos, actions);
+        if (comparison.isDue(piggyback.viewDigest(), table.liveDigest(self.incarnation()), nowNanos)) {
+            actions.add(new ClusterAction.Send(from.address(), new PeerMessage.MembersPull("")));
+        }
     }
 
     private void apply(MemberUpdate update, long nowNanos, List<ClusterAction> actions) {
@@ -527,21 +552,6 @@
         return new Piggyback(settings, table.liveDigest(self.incarnation()), carried, leaving);
     }
 
-    private void compareDigests(Peer from, int digest, long nowNanos, List<ClusterAction> actions) {
-        if (digest == table.liveDigest(self.incarnation())) {
-            differentDigests = 0;
-            return;
-        }
-        differentDigests++;
-        if (differentDigests >= DIFFERENT_DIGESTS && nowNanos - nextCompareAtNanos >= 0) {
-            differentDigests = 0;
-            long intervalNanos =
-                    nowNanos - startedNanos < EARLY_NANOS ? EARLY_COMPARE_INTERVAL_NANOS : COMPARE_INTERVAL_NANOS;
-            nextCompareAtNanos = nowNanos + intervalNanos / 2 + random.nextLong(intervalNanos);
-            actions.add(new ClusterAction.Send(from.address(), new PeerMessage.MembersPull("")));
-        }
-    }
-
     private PeerMessage.MembersPage page(String after) {
         List<MemberUpdate> entries = new ArrayList<>();
         if (after.isEmpty()) {
--- a/figspan-cluster/src/main/java/io/figspan/cluster/message/PeerMessage.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/message/PeerMessage.java
@@ -96,8 +96,11 @@
      * @param sequence grows with each report of a process
      * @param settingsRevision newest revision of the settings that the sender knows, in the store's counting
      * @param serversRevision newest revision among the entries of backend servers that the sender knows
+     * @param storeAgeMs time since the store last answered the sender; negative when the sender does not follow it, or
+     *     does not reach it
      */
-    record WorkReport(long sequence, long settingsRevision, long serversRevision, List<PlacedWork> work)
+    record WorkReport(
+            long sequence, long settingsRevision, long serversRevision, long storeAgeMs, List<PlacedWork> work)
             implements PeerMessage {
         public WorkReport {
             work = List.copyOf(work);
--- a/figspan-cluster/src/test/java/io/figspan/cluster/membership/MembershipTest.java
+++ b/figspan-cluster/src/test/java/io/figspan/cluster/membership/MembershipTest.java
@@ -85,6 +85,33 @@
         fleet.requireReferenceWithin(1);
     }
 
+    /** Host 2 no longer hears another one that should report to it. */
+    private static HostId fellSilent(LogicalFleet fleet, int index) {
+        HostId silent = fleet.nodes.get(index).peer().host();
+        LogicalFleet.Node teller = fleet.nodes.get(2);
+        teller.carryOut(teller.host.membership().fellSilent(List.of(silent), fleet.nowNanos), 2);
+        return silent;
+    }
+
+    @Test
+    void allHostsDoubtASilentHostAsSoonAsOneTells() {
+        LogicalFleet fleet = started(6);
+        fleet.nodes.get(5).kill();
+        HostId silent = fellSilent(fleet, 5);
+        fleet.run(1);
+        fleet.running().forEach(node -> assertTrue(node.host.membership().isSuspect(silent)));
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void aHostThatIsAliveRefutesThatItFellSilent(long seed) {
+        LogicalFleet fleet = started(seed);
+        HostId accused = fellSilent(fleet, 5);
+        fleet.run(DETECTION_SECONDS);
+        fleet.running().forEach(node -> assertFalse(node.host.membership().isSuspect(accused)));
+        fleet.requireReferenceWithin(1);
+    }
+
     @Test
     void aLinkCutInOneDirectionBetweenTwoHostsKillsNeither() {
         LogicalFleet fleet = started(5);
--- a/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
@@ -6,6 +6,7 @@
 import io.figspan.core.id.HostId;
 import io.figspan.core.id.HostIncarnation;
 import io.figspan.core.metrics.MetricsText;
+import io.figspan.core.util.RendezvousHash;
 import io.figspan.core.work.PlacedWork;
 import io.figspan.gateway.backend.BackendPools;
 import io.figspan.gateway.backend.MemoryHolds;
@@ -20,6 +21,8 @@
 import io.figspan.gateway.peer.Peers;
 import io.figspan.gateway.peer.WorkSource;
 import io.figspan.gateway.protocol.Adapter;
+import io.figspan.gateway.store.FollowDuty;
+import io.figspan.gateway.store.ItemCopy;
 import io.figspan.gateway.store.StoreFollower;
 import io.figspan.gateway.store.StoreListener;
 import io.figspan.policy.entry.EntryList;
@@ -33,6 +36,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.QueryStringDecoder;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
@@ -54,6 +58,12 @@
     /** Time between two looks at the source of the configuration. */
     private static final long RELOAD_INTERVAL_MS = 1_000;
 
+    /** Time between two looks at whether this host has to follow the store. */
+    private static final long FOLLOW_INTERVAL_MS = 200;
+
+    /** Key of the order in which the hosts of a cell follow the store. */
+    private static final String FOLLOWERS_KEY = "store";
+
     /** How long a caller keeps the answer of the directory. */
     private static final int KEEP_SECONDS = 1;
 
@@ -78,6 +88,8 @@
     private final Shutdown shutdown;
     private final Reload reload;
     private final List<StoreFollower> followers = new ArrayList<>();
+    private final FollowDuty followDuty = new FollowDuty();
+    private boolean followsStore = true;
     private long reports;
 
     public GatewayProcess(ConfigSource source, Adapter adapter, RandomGenerator random) {
@@ -102,8 +114,10 @@
         this.peers = new Peers(loop, config, log, random, this, this);
         this.forwarder.onWorkChanged(peers::workChanged);
         this.forwarder.viewsWorkThrough(() -> peers.oldestReportMs(System.nanoTime()));
-        this.settingsReader = new CopyReader(loop, log, SETTINGS_COPY, fleet.settings(), fleet::settingsFromPeer);
-        this.serversReader = new CopyReader(loop, log, SERVERS_COPY, fleet.servers(), fleet::serversFromPeer);
+        this.settingsReader =
+                new CopyReader(loop, log, SETTINGS_COPY, fleet.settings(), fleet::settingsFromPeer, () -> followsStore);
+        this.serversReader =
+                new CopyReader(loop, log, SERVERS_COPY, fleet.servers(), fleet::serversFromPeer, () -> followsStore);
         this.shutdown = new Shutdown(loop, log, callers, peers, config.stopMs());
         this.reload = new Reload(source, config, log, this::configChanged);
     }
@@ -125,6 +139,7 @@
         follow(adapter.fleet().settingsPrefix(), fleet.settingsFromStore());
         follow(adapter.fleet().serversPrefix(), fleet.serversFromStore());
         every(TICK_MS, this::tick);
+        every(FOLLOW_INTERVAL_MS, this::reviewFollowing);
         every(RELOAD_INTERVAL_MS, reload::tick);
     }
 
@@ -178,6 +193,37 @@
         forwarder.sharedBy(peers.hostCount());
     }
 
+    /** Follows the store, or leaves it to other hosts of the cell. */
+    private void reviewFollowing() {
+        long nowNanos = System.nanoTime();
+        Set<HostId> cell = forwarder.cell();
+        int rank = RendezvousHash.order(FOLLOWERS_KEY, cell).indexOf(config.host());
+        boolean follows = followDuty.follows(rank, cell.size(), peers.storeAgesMs(cell, nowNanos), nowNanos);
+        if (follows == followsStore || !isReady()) {
+            return;
+        }
+        followsStore = follows;
+        log.info(Part.SETTINGS, follows ? "storeFollowed" : "storeLeftToOthers")
+                .number("rank", rank)
+                .number("cell", cell.size())
+                .write();
+        followers.forEach(follower -> follower.setFollowing(follows));
+    }
+
+    /** Time since the store answered about both prefixes; negative when it does not. */
+    private long storeAgeMs() {
+        long nowNanos = System.nanoTime();
+        long oldestMs = 0;
+        for (StoreFollower follower : followers) {
+            long ageMs = follower.answerAgeMs(nowNanos);
+            if (ageMs < 0) {
+                return ageMs;
+            }
+            oldestMs = Math.max(oldestMs, ageMs);
+        }
+        return oldestMs;
+    }
+
     private void openWhenKnown(long nowNanos) {
         if (isReady()) {
             forwarder.open();
@@ -194,6 +240,7 @@
     @Override
     public void onSettings(GatewaySettings settings) {
         forwarder.apply(settings);
+        peers.workChanged();
         callers.limitsChanged(settings.callerLimits());
         openWhenKnown(System.nanoTime());
     }
@@ -201,6 +248,7 @@
     @Override
     public void onServersChanged() {
         forwarder.serversChanged();
+        peers.workChanged();
         openWhenKnown(System.nanoTime());
     }
 
@@ -209,7 +257,7 @@
     @Override
     public PeerMessage.WorkReport report() {
         return new PeerMessage.WorkReport(
-                ++reports, fleet.settings().revision(), fleet.servers().revision(), forwarder.ownWork());
+                ++reports, fleet.settings().revision(), fleet.servers().revision(), storeAgeMs(), forwarder.ownWork());
     }
 
     @Override
@@ -278,13 +326,23 @@
     }
 
     private FullHttpResponse answerCopy(HttpRequest request) {
-        return switch (request.uri()) {
-            case CopyReader.PATH + SETTINGS_COPY -> bytes(fleet.settings().encode());
-            case CopyReader.PATH + SERVERS_COPY -> bytes(fleet.servers().encode());
+        QueryStringDecoder target = new QueryStringDecoder(request.uri());
+        return switch (target.path()) {
+            case CopyReader.PATH + SETTINGS_COPY -> copy(fleet.settings(), target);
+            case CopyReader.PATH + SERVERS_COPY -> copy(fleet.servers(), target);
             default -> empty(HttpResponseStatus.NOT_FOUND);
         };
     }
 
+    private static FullHttpResponse copy(ItemCopy copy, QueryStringDecoder target) {
+        List<String> after = target.parameters().getOrDefault(CopyReader.AFTER, List.of("0"));
+        try {
+            return bytes(copy.encode(Long.parseLong(after.get(0))));
+        } catch (NumberFormatException e) {
+            return empty(HttpResponseStatus.BAD_REQUEST);
+        }
+    }
+
     private FullHttpResponse answerMetrics(HttpRequest request) {
         if (!request.uri().equals(METRICS_PATH)) {
             return empty(HttpResponseStatus.NOT_FOUND);
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
@@ -279,6 +279,13 @@
         lanes.values().forEach(lane -> lane.hostsChanged(hosts, nowNanos));
     }
 
+    /** The hosts that share model engines with this one, which is among them; none when there are no engines. */
+    public Set<HostId> cell() {
+        Set<HostId> cell = new HashSet<>();
+        lanes.values().forEach(lane -> cell.addAll(lane.cell()));
+        return cell;
+    }
+
     /** The hosts that this host's work at model engines concerns. */
     public Set<HostId> audience() {
         long nowNanos = System.nanoTime();
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceLane.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceLane.java
@@ -52,6 +52,12 @@
         carryOut(placer.tick(nowNanos));
     }
 
+    /** The hosts that share the servers with this one. */
+    Set<HostId> cell() {
+        return scope.audience(List.of());
+    }
+
+    /** The hosts that this host's work concerns. */
     Set<HostId> audience(long nowNanos) {
         return scope.audience(placer.ownWork(nowNanos));
     }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/peer/CopyReader.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/peer/CopyReader.java
@@ -9,6 +9,7 @@
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 /**
@@ -19,7 +20,10 @@
     /** Path of a copy on the port for other hosts; the name of the copy follows. */
     public static final String PATH = "/copies/";
 
-    /** The store tells all hosts of a change within a few milliseconds of each other. */
+    /** Query field with the revision that the reader has. */
+    public static final String AFTER = "after";
+
+    /** The store tells all hosts that follow it of a change within a few milliseconds of each other. */
     private static final long PATIENCE_MS = 150;
 
     private static final int CONNECT_TIMEOUT_MS = 400;
@@ -31,6 +35,7 @@
     private final String name;
     private final ItemCopy copy;
     private final Consumer<ItemCopy> listener;
+    private final BooleanSupplier followsStore;
     private boolean busy;
 
     /**
@@ -39,13 +44,21 @@
      * @param name which copy
      * @param copy this host's copy
      * @param listener takes what was read
+     * @param followsStore whether this host hears of changes from the store itself
      */
-    public CopyReader(EventLoop loop, DecisionLog log, String name, ItemCopy copy, Consumer<ItemCopy> listener) {
+    public CopyReader(
+            EventLoop loop,
+            DecisionLog log,
+            String name,
+            ItemCopy copy,
+            Consumer<ItemCopy> listener,
+            BooleanSupplier followsStore) {
         this.loop = loop;
         this.log = log;
         this.name = name;
         this.copy = copy;
         this.listener = listener;
+        this.followsStore = followsStore;
     }
 
     /** A host has this revision. */
@@ -54,7 +67,8 @@
             return;
         }
         busy = true;
-        var unused = loop.schedule(() -> readIfBehind(host, revision), PATIENCE_MS, TimeUnit.MILLISECONDS);
+        long patienceMs = followsStore.getAsBoolean() ? PATIENCE_MS : 0;
+        var unused = loop.schedule(() -> readIfBehind(host, revision), patienceMs, TimeUnit.MILLISECONDS);
     }
 
     private void readIfBehind(InetSocketAddress host, long revision) {
@@ -67,7 +81,8 @@
 
     private void read(InetSocketAddress host) {
         HttpConnection connection = HttpConnection.open(loop, host, CONNECT_TIMEOUT_MS);
-        WholeAnswer.get(loop, connection, PATH + name, ANSWER_TIMEOUT_MS, new WholeAnswer.Listener() {
+        String target = PATH + name + "?" + AFTER + "=" + copy.revision();
+        WholeAnswer.get(loop, connection, target, ANSWER_TIMEOUT_MS, new WholeAnswer.Listener() {
             @Override
             public void onAnswer(int status, byte[] body) {
                 connection.close();
--- a/figspan-gateway/src/main/java/io/figspan/gateway/peer/PeerPort.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/peer/PeerPort.java
@@ -83,12 +83,26 @@
     private void receive(DatagramPacket packet) {
         try {
             DatagramCodec.Received received = DatagramCodec.decode(ByteBufUtil.getBytes(packet.content()));
+            if (!cameFrom(packet.sender(), received.from().address())) {
+                refuse(packet, "the sender names another address: " + received.from());
+                return;
+            }
             listener.accept(received.from(), received.message());
         } catch (FigspanException e) {
-            log.warn(Part.WIRE, "datagramRefused")
-                    .text("from", packet.sender())
-                    .text("reason", e.detail())
-                    .write();
+            refuse(packet, e.detail());
         }
     }
+
+    /** Whether a packet came from the address that its sender claims, so that answers and reads go to nobody else. */
+    private static boolean cameFrom(InetSocketAddress sender, PeerAddress claimed) {
+        return sender.getPort() == claimed.port()
+                && sender.getAddress().getHostAddress().equals(claimed.address());
+    }
+
+    private void refuse(DatagramPacket packet, String reason) {
+        log.warn(Part.WIRE, "datagramRefused")
+                .text("from", packet.sender())
+                .text("reason", reason)
+                .write();
+    }
 }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/peer/Peers.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/peer/Peers.java
@@ -9,6 +9,7 @@
 import io.figspan.core.event.Part;
 import io.figspan.core.id.HostId;
 import io.figspan.core.id.HostIncarnation;
+import io.figspan.core.util.RendezvousHash;
 import io.figspan.gateway.GatewayConfig;
 import io.figspan.gateway.log.DecisionLog;
 import io.netty.channel.ChannelFuture;
@@ -41,6 +42,11 @@
     /** Work of a silent host is counted for as long as most requests last. */
     private static final long FORGET_NANOS = TimeUnit.SECONDS.toNanos(3);
 
+    /** Hosts of a cell that tell the fleet of a silent one; more than one, since datagrams are lost. */
+    private static final int TELLERS = 3;
+
+    private static final String TELLERS_KEY = "tellers";
+
     private final EventLoop loop;
     private final GatewayConfig config;
     private final DecisionLog log;
@@ -60,6 +66,8 @@
         HostIncarnation incarnation;
         long sequence = -1;
         long atNanos;
+        long storeAgeMs = -1;
+        boolean reportedSilent;
     }
 
     /**
@@ -147,6 +155,17 @@
         return TimeUnit.NANOSECONDS.toMillis(oldestNanos);
     }
 
+    /** For each of the hosts that follows the store, the time since it was answered, in milliseconds. */
+    public List<Long> storeAgesMs(Set<HostId> hosts, long nowNanos) {
+        List<Long> agesMs = new ArrayList<>();
+        heard.forEach((host, last) -> {
+            if (hosts.contains(host) && last.storeAgeMs >= 0) {
+                agesMs.add(last.storeAgeMs + TimeUnit.NANOSECONDS.toMillis(nowNanos - last.atNanos));
+            }
+        });
+        return agesMs;
+    }
+
     /** Number of hosts that share budgets, this one included. */
     public int hostCount() {
         return 1 + others().size();
@@ -168,6 +187,7 @@
         }
         carryOut(membership.tick(nowNanos), null, nowNanos);
         tellOfHosts();
+        tellOfSilent(nowNanos);
         if (nowNanos - reportedAtNanos >= REPORT_INTERVAL_NANOS) {
             workChanged();
         }
@@ -184,6 +204,31 @@
         }
     }
 
+    /** The first hosts of the cell that are heard tell all others of those that are not. */
+    private void tellOfSilent(long nowNanos) {
+        Set<HostId> cell = work.audience();
+        List<HostId> silent = new ArrayList<>();
+        Set<HostId> audible = new HashSet<>(Set.of(config.host()));
+        heard.forEach((host, last) -> {
+            if (nowNanos - last.atNanos < SILENCE_NANOS) {
+                audible.add(host);
+            } else if (!last.reportedSilent && cell.contains(host)) {
+                last.reportedSilent = true;
+                silent.add(host);
+            }
+        });
+        if (silent.isEmpty()) {
+            return;
+        }
+        audible.retainAll(cell);
+        boolean tells = RendezvousHash.order(TELLERS_KEY, audible).stream()
+                .limit(TELLERS)
+                .anyMatch(config.host()::equals);
+        if (tells) {
+            carryOut(membership.fellSilent(silent, nowNanos), null, nowNanos);
+        }
+    }
+
     private void forgetSilent(long nowNanos) {
         for (Iterator<Map.Entry<HostId, Heard>> hosts = heard.entrySet().iterator(); hosts.hasNext(); ) {
             Map.Entry<HostId, Heard> host = hosts.next();
@@ -234,6 +279,8 @@
         last.incarnation = from.incarnation();
         last.sequence = received.sequence();
         last.atNanos = nowNanos;
+        last.reportedSilent = false;
+        last.storeAgeMs = received.storeAgeMs();
         listener.onWork(from.host(), received.work());
         listener.onNewerItems(from, received.settingsRevision(), received.serversRevision());
     }
@@ -270,6 +317,9 @@
     }
 
     private static PeerAddress addressOf(InetSocketAddress address) {
-        return new PeerAddress(address.getHostString(), address.getPort());
+        String literal = address.isUnresolved()
+                ? address.getHostString()
+                : address.getAddress().getHostAddress();
+        return new PeerAddress(literal, address.getPort());
     }
 }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/store/ItemCopy.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/store/ItemCopy.java
@@ -7,6 +7,8 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -18,16 +20,27 @@
 import org.msgpack.core.MessageUnpacker;
 
 /**
- * This host's copy of the items under one prefix. Hosts that can't reach the store read it from others: a MessagePack
- * sequence of the newest revision, the number of items, and key, revision and value of each.
+ * This host's copy of the items under one prefix. Other hosts read it instead of the store: a MessagePack sequence of
+ * the newest revision, the revision that it is relative to (0 when it is whole), the number of items, and key, revision
+ * and value of each, with nil for the value of one that was removed.
  */
 public final class ItemCopy {
     /** Most items that are taken from another host; six times the backend servers of the design scale. */
     private static final int MAX_ITEMS = 4_096;
 
+    /** Removals that are remembered for hosts that ask for the changes only. */
+    private static final int MAX_REMOVALS = 1_024;
+
     private final Map<String, Item> items = new TreeMap<>();
+    private final Map<String, Item> removals = new LinkedHashMap<>();
     private long revision;
 
+    /** All removals behind this revision are remembered. */
+    private long removalsKnownSince;
+
+    /** The revision that this copy lists the changes behind; 0 when it lists all items. */
+    private long baseRevision;
+
     /** The newest revision among the changes that were applied; 0 before the first. */
     public long revision() {
         return revision;
@@ -40,12 +53,16 @@
             Item known = items.get(change.key());
             boolean isNews = known == null ? change.value().isPresent() : change.revision() > known.revision();
             revision = Math.max(revision, change.revision());
+            if (change.value().isEmpty()) {
+                remember(change);
+            }
             if (!isNews) {
                 continue;
             }
             news.add(change);
             if (change.value().isPresent()) {
                 items.put(change.key(), change);
+                removals.remove(change.key());
             } else {
                 items.remove(change.key());
             }
@@ -53,11 +70,22 @@
         return news;
     }
 
+    private void remember(Item removal) {
+        removals.remove(removal.key());
+        removals.put(removal.key(), removal);
+        if (removals.size() > MAX_REMOVALS) {
+            Iterator<Item> oldest = removals.values().iterator();
+            removalsKnownSince = Math.max(removalsKnownSince, oldest.next().revision());
+            oldest.remove();
+        }
+    }
+
     /** Takes all items as of a revision; those that are missing were removed. Returns the changes. */
     public List<Item> applyWhole(List<Item> whole, long asOfRevision) {
         if (asOfRevision < revision) {
             return List.of();
         }
+        removalsKnownSince = asOfRevision;
         Set<String> keys = new HashSet<>();
         whole.forEach(item -> keys.add(item.key()));
         List<Item> changes = new ArrayList<>();
@@ -72,22 +100,38 @@
 
     /** Takes the copy of another host, where it is newer. Returns the changes. */
     public List<Item> applyCopy(ItemCopy other) {
-        List<Item> changes = applyWhole(List.copyOf(other.items.values()), other.revision);
+        if (other.revision < revision || other.baseRevision > revision) {
+            return List.of();
+        }
+        List<Item> listed = new ArrayList<>(other.removals.values());
+        listed.addAll(other.items.values());
+        List<Item> changes = other.baseRevision == 0 ? applyWhole(listed, other.revision) : apply(listed);
         revision = Math.max(revision, other.revision);
         return changes;
     }
 
-    /** The form that other hosts read. */
-    public byte[] encode() {
+    /**
+     * The form that other hosts read: the changes behind a revision, or all items when not all changes are known.
+     *
+     * @param afterRevision what the other host has; 0 asks for all items
+     */
+    public byte[] encode(long afterRevision) {
+        boolean whole = afterRevision <= 0 || afterRevision < removalsKnownSince;
+        List<Item> listed = new ArrayList<>();
+        if (!whole) {
+            removals.values().stream()
+                    .filter(item -> item.revision() > afterRevision)
+                    .forEach(listed::add);
+        }
+        items.values().stream()
+                .filter(item -> whole || item.revision() > afterRevision)
+                .forEach(listed::add);
         try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
             packer.packLong(revision);
-            packer.packArrayHeader(items.size());
-            for (Item item : items.values()) {
-                byte[] value = item.value().orElseThrow();
-                packer.packString(item.key());
-                packer.packLong(item.revision());
-                packer.packBinaryHeader(value.length);
-                packer.writePayload(value);
+            packer.packLong(whole ? 0 : afterRevision);
+            packer.packArrayHeader(listed.size());
+            for (Item item : listed) {
+                pack(item, packer);
             }
             return packer.toByteArray();
         } catch (IOException e) {
@@ -95,11 +139,24 @@
         }
     }
 
-    /** Reads the form of {@link #encode()}; throws a {@code MALFORMED_BODY} exception for anything else. */
+    private static void pack(Item item, MessageBufferPacker packer) throws IOException {
+        packer.packString(item.key());
+        packer.packLong(item.revision());
+        if (item.value().isEmpty()) {
+            packer.packNil();
+            return;
+        }
+        byte[] value = item.value().get();
+        packer.packBinaryHeader(value.length);
+        packer.writePayload(value);
+    }
+
+    /** Reads the form of {@link #encode}; throws a {@code MALFORMED_BODY} exception for anything else. */
     public static ItemCopy decode(byte[] bytes) {
         try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
             ItemCopy copy = new ItemCopy();
             copy.revision = unpacker.unpackLong();
+            copy.baseRevision = unpacker.unpackLong();
             int count = unpacker.unpackArrayHeader();
             if (count > MAX_ITEMS) {
                 throw malformed("more than " + MAX_ITEMS + " items");
@@ -107,6 +164,10 @@
             for (int i = 0; i < count; i++) {
                 String key = unpacker.unpackString();
                 long itemRevision = unpacker.unpackLong();
+                if (unpacker.tryUnpackNil()) {
+                    copy.removals.put(key, new Item(key, Optional.empty(), itemRevision));
+                    continue;
+                }
                 int length = unpacker.unpackBinaryHeader();
                 if (length > bytes.length) {
                     throw malformed("a value longer than the copy");
--- a/figspan-gateway/src/main/java/io/figspan/gateway/store/PrefixFollower.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/store/PrefixFollower.java
@@ -15,6 +15,8 @@
     /** Longest wait of one watch. A connection that went silent is noticed a little later than this. */
     static final long WATCH_WAIT_MS = 2_000;
 
+    private static final long LOOK_WAIT_MS = 1;
+
     static final long FIRST_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
     static final long MAX_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
 
@@ -63,6 +65,11 @@
                 pages.isEmpty() ? "" : pages.get(pages.size() - 1).key());
     }
 
+    /** Asks for the changes up to now without waiting for more. */
+    public Action look() {
+        return watchedRevision >= 0 ? new Action.Watch(watchedRevision, LOOK_WAIT_MS) : resume();
+    }
+
     public List<Action> pageRead(Page page) {
         backoffNanos = FIRST_BACKOFF_NANOS;
         if (pages.isEmpty()) {
--- a/figspan-gateway/src/main/java/io/figspan/gateway/store/StoreFollower.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/store/StoreFollower.java
@@ -23,15 +23,22 @@
 
     private static final int OK = 200;
 
+    /** Mean time between two looks of a host that is told by others. */
+    private static final long REST_NANOS = TimeUnit.SECONDS.toNanos(10);
+
     private final EventLoop loop;
     private final String prefix;
     private final StoreProtocol protocol;
     private final StoreListener listener;
     private final DecisionLog log;
     private final PrefixFollower follower;
+    private final RandomGenerator random;
     private InetSocketAddress address;
     private HttpConnection connection;
     private boolean reachable = true;
+    private boolean following = true;
+    private boolean resting;
+    private long answeredNanos = Long.MIN_VALUE;
 
     public StoreFollower(
             EventLoop loop,
@@ -48,6 +55,7 @@
         this.listener = listener;
         this.log = log;
         this.follower = new PrefixFollower(random);
+        this.random = random;
     }
 
     public void start() {
@@ -59,11 +67,48 @@
         address = newAddress;
     }
 
+    /** Follows the store from now on, or rests after the present call except for a look now and then. */
+    public void setFollowing(boolean nowFollowing) {
+        following = nowFollowing;
+        if (following && resting) {
+            resting = false;
+            carryOut(follower.resume());
+        }
+    }
+
+    /** Time since the store last answered, in milliseconds; negative while it is not followed or not reached. */
+    public long answerAgeMs(long nowNanos) {
+        boolean inTouch = following && !resting && reachable && answeredNanos != Long.MIN_VALUE;
+        return inTouch ? TimeUnit.NANOSECONDS.toMillis(nowNanos - answeredNanos) : -1;
+    }
+
+    private void rest() {
+        resting = true;
+        long nanos = REST_NANOS / 2 + random.nextLong(REST_NANOS);
+        var unused = loop.schedule(this::look, nanos, TimeUnit.NANOSECONDS);
+    }
+
+    /** Takes what other hosts may have missed to tell. */
+    private void look() {
+        if (resting) {
+            resting = false;
+            begin(follower.look());
+        }
+    }
+
     private void carryOut(List<Action> actions) {
         actions.forEach(this::carryOut);
     }
 
     private void carryOut(Action action) {
+        if (action instanceof Action.Watch && !following && reachable) {
+            rest();
+            return;
+        }
+        begin(action);
+    }
+
+    private void begin(Action action) {
         if (action instanceof Action.ReadPage read) {
             call(false, protocol.rangeTarget(prefix, read.afterKey()), ANSWER_TIMEOUT_MS);
         } else if (action instanceof Action.Watch watch) {
@@ -113,6 +158,7 @@
         }
         try {
             Page page = watch ? protocol.decodeWatch(body) : protocol.decodeRange(body);
+            answeredNanos = System.nanoTime();
             reached();
             carryOut(watch ? follower.changesRead(page) : follower.pageRead(page));
         } catch (JsonProcessingException e) {
--- a/figspan-gateway/src/test/java/io/figspan/gateway/peer/PeersTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/peer/PeersTest.java
@@ -4,16 +4,21 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.figspan.cluster.message.Peer;
+import io.figspan.cluster.message.PeerAddress;
 import io.figspan.cluster.message.PeerMessage;
+import io.figspan.core.id.AvailabilityZoneId;
 import io.figspan.core.id.BackendServerId;
 import io.figspan.core.id.HostId;
+import io.figspan.core.id.HostIncarnation;
 import io.figspan.core.work.PlacedWork;
 import io.figspan.gateway.GatewayConfig;
 import io.figspan.gateway.TestConfigs;
 import io.figspan.gateway.log.DecisionLog;
+import io.figspan.wire.DatagramCodec;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
+import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -47,6 +52,7 @@
     /** One host; all run on the same event loop. */
     private final class Host implements PeerListener, WorkSource {
         final HostId id;
+        final InetSocketAddress address;
         final BlockingQueue<Heard> heard = new LinkedBlockingQueue<>();
         final BlockingQueue<HostId> gone = new LinkedBlockingQueue<>();
         final BlockingQueue<Set<HostId>> hostsKnown = new LinkedBlockingQueue<>();
@@ -57,6 +63,7 @@
 
         Host(String name, InetSocketAddress address, InetSocketAddress seed) {
             id = HostId.of(name);
+            this.address = address;
             GatewayConfig config = TestConfigs.of(id, address, List.of(seed), 0.2);
             peers = new Peers(loop, config, new DecisionLog(), new SplittableRandom(1), this, this);
             peers.listen().syncUninterruptibly();
@@ -71,7 +78,7 @@
             for (int job = 0; job < jobs; job++) {
                 work.add(new PlacedWork(job, BackendServerId.of("engine"), List.of(), 1_000, 100, 0, 5, 300, 250));
             }
-            return new PeerMessage.WorkReport(++sequence, 7, 8, work);
+            return new PeerMessage.WorkReport(++sequence, 7, 8, -1, work);
         }
 
         @Override
@@ -193,6 +200,27 @@
         });
     }
 
+    @Test
+    void aMessageWhoseSenderNamesAnotherAddressIsIgnored() throws Exception {
+        startHosts(2);
+        await(hosts.get(0), hosts.get(1).id, 0);
+        Peer forged = new Peer(
+                new HostIncarnation(hosts.get(1).id, Long.MAX_VALUE),
+                AvailabilityZoneId.of("zone"),
+                new PeerAddress("127.0.0.1", 1));
+        byte[] datagram = DatagramCodec.encode(forged, new PeerMessage.MembersPull(""));
+        try (DatagramSocket socket = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+            socket.send(new DatagramPacket(datagram, datagram.length, hosts.get(0).address));
+        }
+        onLoop(() -> {
+            hosts.get(0).jobs = 2;
+            hosts.get(0).audience = Set.of(hosts.get(1).id);
+            hosts.get(0).peers.workChanged();
+        });
+
+        await(hosts.get(1), hosts.get(0).id, 2);
+    }
+
     @Test
     void theHostsThatAreLiveAreTold() throws Exception {
         startHosts(3);
--- /dev/null
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/store/FollowDutyTest.java
@@ -0,0 +1,53 @@
+package io.figspan.gateway.store;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/** Guards against cells in which nobody, or everybody, follows the store. */
+class FollowDutyTest {
+    private static final int CELL = 12;
+
+    private final FollowDuty duty = new FollowDuty();
+    private long nowNanos = TimeUnit.SECONDS.toNanos(50);
+
+    private boolean follows(int rank, Long... sourceAgesMs) {
+        return duty.follows(rank, CELL, List.of(sourceAgesMs), nowNanos);
+    }
+
+    @Test
+    void theFirstHostsOfACellFollowTheStoreWhateverOthersTell() {
+        for (int rank = 0; rank < FollowDuty.FOLLOWERS; rank++) {
+            assertTrue(follows(rank, 5L, 5L));
+        }
+    }
+
+    @Test
+    void allHostsOfASmallCellFollowTheStore() {
+        assertTrue(duty.follows(7, FollowDuty.MIN_SHARED_CELL - 1, List.of(5L), nowNanos));
+    }
+
+    @Test
+    void theOthersRelyOnAHostThatIsInTouchWithTheStore() {
+        assertFalse(follows(5, 5L));
+        assertFalse(follows(5, 9_000L, 100L));
+    }
+
+    @Test
+    void aHostThatIsToldByNobodyFollowsTheStore() {
+        assertTrue(follows(5));
+        assertTrue(follows(6, FollowDuty.MAX_SOURCE_AGE_MS + 1));
+    }
+
+    @Test
+    void aHostThatTookOverKeepsOnForAWhile() {
+        assertTrue(follows(5));
+        nowNanos += FollowDuty.KEEP_NANOS - 1;
+        assertTrue(follows(5, 5L));
+        nowNanos += 1;
+        assertFalse(follows(5, 5L));
+    }
+}
--- a/figspan-gateway/src/test/java/io/figspan/gateway/store/ItemCopyTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/store/ItemCopyTest.java
@@ -55,11 +55,64 @@
         ItemCopy other = new ItemCopy();
         other.apply(List.of(item("a", 5), item("b", 6), removed("c", 9)));
         copy.apply(List.of(item("a", 5), item("c", 2)));
-        ItemCopy read = ItemCopy.decode(other.encode());
+        ItemCopy read = ItemCopy.decode(other.encode(0));
         List<Item> changes = copy.applyCopy(read);
         assertEquals(List.of("c", "b"), changes.stream().map(Item::key).toList());
         assertEquals(9, copy.revision());
-        assertArrayEquals(other.encode(), copy.encode());
+        assertArrayEquals(other.encode(0), copy.encode(0));
+    }
+
+    @Test
+    void changesBehindARevisionAreEnoughForAHostThatHasIt() {
+        ItemCopy other = new ItemCopy();
+        other.applyWhole(List.of(item("a", 5), item("b", 6)), 6);
+        copy.applyCopy(ItemCopy.decode(other.encode(0)));
+        other.apply(List.of(removed("a", 7), item("c", 8), removed("never-seen", 9)));
+
+        ItemCopy changes = ItemCopy.decode(other.encode(copy.revision()));
+        assertEquals(
+                List.of("a", "c"),
+                copy.applyCopy(changes).stream().map(Item::key).toList());
+        assertEquals(9, copy.revision());
+        assertArrayEquals(other.encode(0), copy.encode(0));
+    }
+
+    @Test
+    void aHostWhoseItemsAreOlderThanTheRememberedRemovalsGetsAllItems() {
+        copy.apply(List.of(item("a", 3)));
+        ItemCopy other = new ItemCopy();
+        other.applyWhole(List.of(item("b", 6)), 8);
+
+        copy.applyCopy(ItemCopy.decode(other.encode(copy.revision())));
+
+        assertArrayEquals(other.encode(0), copy.encode(0));
+    }
+
+    @Test
+    void aHostThatReadsACopyCanGiveItsOwnChangesOn() {
+        ItemCopy store = new ItemCopy();
+        store.applyWhole(List.of(item("a", 5), item("b", 6)), 6);
+        ItemCopy third = new ItemCopy();
+        copy.applyCopy(ItemCopy.decode(store.encode(0)));
+        third.applyCopy(ItemCopy.decode(store.encode(0)));
+        store.apply(List.of(removed("b", 7)));
+        copy.applyCopy(ItemCopy.decode(store.encode(copy.revision())));
+
+        third.applyCopy(ItemCopy.decode(copy.encode(third.revision())));
+
+        assertArrayEquals(store.encode(0), third.encode(0));
+    }
+
+    @Test
+    void changesThatComeAfterNewerOnesAreIgnored() {
+        ItemCopy other = new ItemCopy();
+        other.applyWhole(List.of(item("a", 5)), 5);
+        copy.applyCopy(ItemCopy.decode(other.encode(0)));
+        other.apply(List.of(item("b", 6)));
+        ItemCopy late = ItemCopy.decode(other.encode(5));
+        copy.apply(List.of(item("b", 6), removed("b", 7)));
+
+        assertTrue(copy.applyCopy(late).isEmpty());
     }
 
     @Property(seed = "31")
@@ -74,7 +127,7 @@
     @Test
     void aCutCopyIsRefused() {
         copy.apply(List.of(item("a", 5)));
-        byte[] whole = copy.encode();
+        byte[] whole = copy.encode(0);
         byte[] cut = java.util.Arrays.copyOf(whole, whole.length - 1);
         assertThrows(FigspanException.class, () -> ItemCopy.decode(cut));
     }
--- a/figspan-wire/src/main/java/io/figspan/wire/DatagramCodec.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/DatagramCodec.java
@@ -17,7 +17,7 @@
  */
 public final class DatagramCodec {
     /** Changes with each change of the messages that older processes can't read. */
-    private static final int PROTOCOL = 1;
+    private static final int PROTOCOL = 2;
 
     private DatagramCodec() {}
 
--- a/figspan-wire/src/main/java/io/figspan/wire/MessageReader.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/MessageReader.java
@@ -78,6 +78,7 @@
         long sequence = unpacker.unpackLong();
         long settingsRevision = unpacker.unpackLong();
         long serversRevision = unpacker.unpackLong();
+        long storeAgeMs = unpacker.unpackLong();
         List<BackendServerId> places = new ArrayList<>();
         int placeCount = readCount();
         for (int i = 0; i < placeCount; i++) {
@@ -88,7 +89,7 @@
         for (int i = 0; i < workCount; i++) {
             work.add(readWork(places));
         }
-        return new PeerMessage.WorkReport(sequence, settingsRevision, serversRevision, work);
+        return new PeerMessage.WorkReport(sequence, settingsRevision, serversRevision, storeAgeMs, work);
     }
 
     private PlacedWork readWork(List<BackendServerId> places) throws IOException {
--- a/figspan-wire/src/main/java/io/figspan/wire/MessageWriter.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/MessageWriter.java
@@ -115,6 +115,7 @@
         packer.packLong(report.sequence());
         packer.packLong(report.settingsRevision());
         packer.packLong(report.serversRevision());
+        packer.packLong(report.storeAgeMs());
         Map<BackendServerId, Integer> places = new LinkedHashMap<>();
         for (PlacedWork work : report.work()) {
             places.putIfAbsent(work.server(), places.size());
--- a/figspan-wire/src/test/java/io/figspan/wire/FrameCodecProperties.java
+++ b/figspan-wire/src/test/java/io/figspan/wire/FrameCodecProperties.java
@@ -61,7 +61,7 @@
             new PeerMessage.ForwardOrder(4, "ticket", "org", "request", 1_500, SOME),
             new PeerMessage.OutcomeQuery(5, "ticket", "org"),
             new PeerMessage.OrderOutcome(5, 200, "application/json", SOME),
-            new PeerMessage.WorkReport(6, 410, 512, List.of(placed("engine-1"), placed("engine-2"))));
+            new PeerMessage.WorkReport(6, 410, 512, 30, List.of(placed("engine-1"), placed("engine-2"))));
 
     private static PlacedWork placed(String server) {
         List<PlacedReader> readers = List.of(
