Gather changes of the store and ends of work before telling them on

In the cells, two of three reports to the other hosts tell of a first token or an end, which nobody has to hear within 3 ms.

Change: a follower pauses for 100 ms after an answer with changes, so that one call reads all of them. Reports of ended or begun work gather for 25 ms, those of placed work for 3 ms as before. The list of the other hosts is kept instead of being made at each tick, and silent hosts are looked for every 60 ms.

--- a/figspan-bench/src/main/java/io/figspan/bench/placing/PlacingPlay.java
+++ b/figspan-bench/src/main/java/io/figspan/bench/placing/PlacingPlay.java
@@ -4,6 +4,7 @@
 import io.figspan.core.id.HostId;
 import io.figspan.core.time.Deadline;
 import io.figspan.core.work.PlacedReader;
+import io.figspan.core.work.WorkNews;
 import io.figspan.policy.cell.CellPlan;
 import io.figspan.policy.placing.Job;
 import io.figspan.policy.placing.Placement;
@@ -27,9 +28,6 @@
 final class PlacingPlay {
     private static final double NETWORK_MS = 1;
 
-    /** Changes within this time go into one report to the other hosts. */
-    private static final double REPORT_DELAY_MS = 3;
-
     private static final double TICK_MS = 20;
     private static final int MAX_ATTEMPTS = 2;
 
@@ -120,7 +118,7 @@
         final HostId id;
         final Placer placer;
         final Map<Job, Call> calls = new HashMap<>();
-        boolean reportScheduled;
+        double reportDueMs = Double.POSITIVE_INFINITY;
 
         Host(HostId id, Placer placer) {
             this.id = id;
@@ -142,7 +140,7 @@
                 }
             }
             if (!placements.isEmpty()) {
-                workChanged();
+                workChanged(WorkNews.PLACED);
             }
         }
 
@@ -150,13 +148,18 @@
             return cells == null || cells.hostsWith(id).contains(other.id);
         }
 
-        void workChanged() {
-            if (reportScheduled) {
+        void workChanged(WorkNews news) {
+            double delayMs = (double) news.delayMs();
+            double dueMs = events.nowMs() + delayMs;
+            if (dueMs >= reportDueMs) {
                 return;
             }
-            reportScheduled = true;
-            events.after(REPORT_DELAY_MS, () -> {
-                reportScheduled = false;
+            reportDueMs = dueMs;
+            events.after(delayMs, () -> {
+                if (reportDueMs > events.nowMs()) {
+                    return;
+                }
+                reportDueMs = Double.POSITIVE_INFINITY;
                 var work = placer.ownWork(events.nowNanos());
                 for (Host other : hosts) {
                     if (other != this && concerns(other)) {
@@ -234,7 +237,7 @@
                 }
                 if (firstMs < 0) {
                     firstMs = events.nowMs();
-                    host.workChanged();
+                    host.workChanged(WorkNews.EASED);
                 } else {
                     longestGapMs = Math.max(longestGapMs, events.nowMs() - lastMs);
                 }
@@ -268,7 +271,7 @@
                 } else {
                     finish(Outcome.REFUSED);
                 }
-                host.workChanged();
+                host.workChanged(WorkNews.EASED);
             });
         }
 
@@ -296,7 +299,7 @@
         private void ended(EndOfWork end) {
             host.placer.withdrawn(job);
             host.carryOut(host.placer.ended(job, end, events.nowNanos()));
-            host.workChanged();
+            host.workChanged(WorkNews.EASED);
         }
 
         private void finish(Outcome outcome) {
--- a/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
@@ -240,7 +240,7 @@
     @Override
     public void onSettings(GatewaySettings settings) {
         forwarder.apply(settings);
-        peers.workChanged();
+        peers.itemsChanged();
         callers.limitsChanged(settings.callerLimits());
         openWhenKnown(System.nanoTime());
     }
@@ -248,7 +248,7 @@
     @Override
     public void onServersChanged() {
         forwarder.serversChanged();
-        peers.workChanged();
+        peers.itemsChanged();
         openWhenKnown(System.nanoTime());
     }
 
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
@@ -8,6 +8,7 @@
 import io.figspan.core.id.SettingsVersion;
 import io.figspan.core.time.Deadline;
 import io.figspan.core.work.PlacedWork;
+import io.figspan.core.work.WorkNews;
 import io.figspan.gateway.backend.BackendPools;
 import io.figspan.gateway.backend.BackendServer;
 import io.figspan.gateway.backend.MemoryHolds;
@@ -44,6 +45,7 @@
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 
@@ -70,7 +72,7 @@
     private Set<HostId> hosts;
     private RetryAllowance allowance;
     private boolean isOpen;
-    private Runnable workListener = () -> {};
+    private Consumer<WorkNews> workListener = news -> {};
     private LongSupplier workViewAgeMs = () -> 0;
     private GatewaySettings settings;
     private RouteTable routes = new RouteTable(List.of());
@@ -253,7 +255,7 @@
         Placer placer = engine.<Placer>map(profile -> new EnginePlacer(profile, random))
                 .orElseGet(() -> new LeastBusyPlacer(random));
         ServerScope scope = engine.isPresent() ? new ServerScope.OwnCell(self, hosts) : new ServerScope.All();
-        return new ServiceLane(placer, scope, allowance.newBudget(), () -> workListener.run());
+        return new ServiceLane(placer, scope, allowance.newBudget(), news -> workListener.accept(news));
     }
 
     /** All that this host has at model engines. */
@@ -314,7 +316,7 @@
     }
 
     /** Called when this host's work at model engines has changed. */
-    public void onWorkChanged(Runnable listener) {
+    public void onWorkChanged(Consumer<WorkNews> listener) {
         workListener = listener;
     }
 
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceLane.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceLane.java
@@ -3,6 +3,7 @@
 import io.figspan.core.id.BackendServerId;
 import io.figspan.core.id.HostId;
 import io.figspan.core.work.PlacedWork;
+import io.figspan.core.work.WorkNews;
 import io.figspan.policy.placing.Job;
 import io.figspan.policy.placing.Placement;
 import io.figspan.policy.placing.Placer;
@@ -13,17 +14,18 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 
 /** The jobs of one service and the placer that decides on them. All methods run on the event loop. */
 final class ServiceLane {
     private final Placer placer;
     private final ServerScope scope;
-    private final Runnable workListener;
+    private final Consumer<WorkNews> workListener;
     private final Map<Job, ForwardCall> calls = new HashMap<>();
     private List<ServerSeat> servers = List.of();
     private WindowedRetryBudget budget;
 
-    ServiceLane(Placer placer, ServerScope scope, WindowedRetryBudget budget, Runnable workListener) {
+    ServiceLane(Placer placer, ServerScope scope, WindowedRetryBudget budget, Consumer<WorkNews> workListener) {
         this.placer = placer;
         this.scope = scope;
         this.budget = budget;
@@ -70,7 +72,7 @@
     void pieceArrived(Job job, long pieces, long nowNanos) {
         placer.pieceArrived(job, pieces, nowNanos);
         if (pieces == 1) {
-            workListener.run();
+            workListener.accept(WorkNews.EASED);
         }
     }
 
@@ -84,7 +86,7 @@
 
     void ended(Job job, EndOfWork end, long nowNanos) {
         carryOut(placer.ended(job, end, nowNanos));
-        workListener.run();
+        workListener.accept(WorkNews.EASED);
     }
 
     void helperFailed(BackendServerId server, long nowNanos) {
@@ -115,7 +117,7 @@
             }
         }
         if (!placements.isEmpty()) {
-            workListener.run();
+            workListener.accept(WorkNews.PLACED);
         }
     }
 }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/peer/Peers.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/peer/Peers.java
@@ -10,10 +10,12 @@
 import io.figspan.core.id.HostId;
 import io.figspan.core.id.HostIncarnation;
 import io.figspan.core.util.RendezvousHash;
+import io.figspan.core.work.WorkNews;
 import io.figspan.gateway.GatewayConfig;
 import io.figspan.gateway.log.DecisionLog;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -31,8 +33,8 @@
  * these that falls silent is noticed soon. All methods run on the event loop.
  */
 public final class Peers {
-    /** Changes within this time go into one report. */
-    private static final long REPORT_DELAY_MS = 3;
+    /** Time between two looks at probes and silent hosts; well below {@link Membership#TICK_NANOS}. */
+    private static final long TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(60);
 
     private static final long REPORT_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
@@ -57,7 +59,10 @@
     private final List<PeerAddress> seeds;
     private final Map<HostId, Heard> heard = new HashMap<>();
     private Membership membership;
-    private boolean reportScheduled;
+    private ScheduledFuture<?> reporting;
+    private long reportDueNanos;
+    private long tickedNanos;
+    private List<Peer> others = List.of();
     private boolean hostsChanged;
     private long reportedAtNanos;
 
@@ -107,7 +112,7 @@
         Peer self = new Peer(
                 new HostIncarnation(config.host(), incarnationNumber), config.zone(), addressOf(config.peers()));
         membership = new Membership(self, seeds, MembershipTuning.DEFAULTS, random, nowNanos);
-        hostsChanged = true;
+        findOthers();
         log.info(Part.MEMBER, "joined").text("self", self).write();
     }
 
@@ -118,12 +123,26 @@
         }
     }
 
-    /** The work of this host has changed; those that it concerns hear of it within a few milliseconds. */
-    public void workChanged() {
-        if (!reportScheduled) {
-            reportScheduled = true;
-            var unused = loop.schedule(this::sendReport, REPORT_DELAY_MS, TimeUnit.MILLISECONDS);
+    /** The work of this host has changed; those that it concerns hear of it soon. */
+    public void workChanged(WorkNews news) {
+        reportWithin(news.delayMs());
+    }
+
+    /** Newer items of the store were read; the hosts that rely on this one hear of it at once. */
+    public void itemsChanged() {
+        reportWithin(0);
+    }
+
+    private void reportWithin(long delayMs) {
+        long dueNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(delayMs);
+        if (reporting != null && reportDueNanos - dueNanos <= 0) {
+            return;
+        }
+        if (reporting != null) {
+            reporting.cancel(false);
         }
+        reportDueNanos = dueNanos;
+        reporting = loop.schedule(this::sendReport, delayMs, TimeUnit.MILLISECONDS);
     }
 
     /** The other hosts that serve callers. */
@@ -172,24 +191,27 @@
     }
 
     private List<Peer> others() {
-        if (membership == null) {
-            return List.of();
-        }
-        return membership.live().stream()
+        return others;
+    }
+
+    private void findOthers() {
+        hostsChanged = true;
+        others = membership.live().stream()
                 .filter(peer -> !peer.host().equals(config.host()))
                 .toList();
     }
 
     /** Runs what is due; called at least every {@link Membership#TICK_NANOS}. */
     public void tick(long nowNanos) {
-        if (membership == null) {
+        if (membership == null || nowNanos - tickedNanos < TICK_NANOS) {
             return;
         }
+        tickedNanos = nowNanos;
         carryOut(membership.tick(nowNanos), null, nowNanos);
         tellOfHosts();
         tellOfSilent(nowNanos);
         if (nowNanos - reportedAtNanos >= REPORT_INTERVAL_NANOS) {
-            workChanged();
+            reportWithin(0);
         }
         forgetSilent(nowNanos);
     }
@@ -244,7 +266,7 @@
     }
 
     private void sendReport() {
-        reportScheduled = false;
+        reporting = null;
         if (membership == null || membership.isStopped()) {
             return;
         }
@@ -304,7 +326,7 @@
         log.info(Part.MEMBER, changed.live() ? "hostLive" : "hostGone")
                 .text("host", changed.peer())
                 .write();
-        hostsChanged = true;
+        findOthers();
         if (changed.live()) {
             port.send(membership.self(), work.report(), List.of(changed.peer().address()));
         }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/store/PrefixFollower.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/store/PrefixFollower.java
@@ -17,6 +17,9 @@
 
     private static final long LOOK_WAIT_MS = 1;
 
+    /** Changes within this time are read by one call, since many servers register or leave together. */
+    static final long GATHER_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
     static final long FIRST_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
     static final long MAX_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
 
@@ -89,7 +92,8 @@
     public List<Action> changesRead(Page page) {
         backoffNanos = FIRST_BACKOFF_NANOS;
         watchedRevision = Math.max(watchedRevision, page.revision());
-        return List.of(new Action.Changed(page.items()), resume());
+        Action next = page.items().isEmpty() ? resume() : new Action.Pause(GATHER_NANOS);
+        return List.of(new Action.Changed(page.items()), next);
     }
 
     /** The store has lost the changes behind the watched revision. */
--- a/figspan-gateway/src/test/java/io/figspan/gateway/peer/PeersTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/peer/PeersTest.java
@@ -11,6 +11,7 @@
 import io.figspan.core.id.HostId;
 import io.figspan.core.id.HostIncarnation;
 import io.figspan.core.work.PlacedWork;
+import io.figspan.core.work.WorkNews;
 import io.figspan.gateway.GatewayConfig;
 import io.figspan.gateway.TestConfigs;
 import io.figspan.gateway.log.DecisionLog;
@@ -153,7 +154,7 @@
         onLoop(() -> {
             hosts.get(0).jobs = 4;
             hosts.get(0).audience = Set.of(hosts.get(1).id, hosts.get(2).id);
-            hosts.get(0).peers.workChanged();
+            hosts.get(0).peers.workChanged(WorkNews.PLACED);
         });
 
         await(hosts.get(1), hosts.get(0).id, 4);
@@ -169,13 +170,13 @@
         onLoop(() -> {
             hosts.get(0).jobs = 4;
             hosts.get(0).audience = Set.of(hosts.get(1).id);
-            hosts.get(0).peers.workChanged();
+            hosts.get(0).peers.workChanged(WorkNews.PLACED);
         });
         await(hosts.get(1), hosts.get(0).id, 4);
         onLoop(() -> {
             hosts.get(0).jobs = 5;
             hosts.get(0).audience = Set.of(hosts.get(2).id);
-            hosts.get(0).peers.workChanged();
+            hosts.get(0).peers.workChanged(WorkNews.PLACED);
         });
 
         Heard last;
@@ -215,7 +216,7 @@
         onLoop(() -> {
             hosts.get(0).jobs = 2;
             hosts.get(0).audience = Set.of(hosts.get(1).id);
-            hosts.get(0).peers.workChanged();
+            hosts.get(0).peers.workChanged(WorkNews.PLACED);
         });
 
         await(hosts.get(1), hosts.get(0).id, 2);
--- a/figspan-gateway/src/test/java/io/figspan/gateway/store/PrefixFollowerTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/store/PrefixFollowerTest.java
@@ -40,6 +40,14 @@
         List<Item> changes = List.of(item("a", 12));
         List<Action> actions = follower.changesRead(new Page(changes, false, 14));
         assertEquals(new Action.Changed(changes), actions.get(0));
+        assertEquals(new Action.Pause(PrefixFollower.GATHER_NANOS), actions.get(1));
+        assertEquals(new Action.Watch(14, PrefixFollower.WATCH_WAIT_MS), follower.resume());
+    }
+
+    @Test
+    void aWatchThatEndsWithoutChangesIsRepeatedAtOnce() {
+        follower.pageRead(new Page(List.of(), false, 10));
+        List<Action> actions = follower.changesRead(new Page(List.of(), false, 14));
         assertEquals(new Action.Watch(14, PrefixFollower.WATCH_WAIT_MS), actions.get(1));
     }
 
