--- a/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
@@ -38,6 +38,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
@@ -49,6 +50,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import org.slf4j.LoggerFactory;
 
 /** The gateway of one host. It runs on one event loop. */
 public final class GatewayProcess implements FleetState.FleetListener, PeerListener, WorkSource {
@@ -64,6 +66,9 @@
     /** Key of the order in which the hosts of a cell follow the store. */
     private static final String FOLLOWERS_KEY = "store";
 
+    /** Longest wait for the event loop to take a stop. */
+    private static final long STOP_PATIENCE_MS = 500;
+
     /** How long a caller keeps the answer of the directory. */
     private static final int KEEP_SECONDS = 1;
 
@@ -168,9 +173,17 @@
         return new Forwarder.RetryAllowance(config.retryFraction(), config.retryAllowance(), config.retryWindowMs());
     }
 
-    /** Stops taking requests and finishes those in progress; the latch opens when the process may end. */
+    /**
+     * Stops taking requests and finishes those in progress. This host is no longer ready when the method returns,
+     * unless its event loop is stuck.
+     *
+     * @return opens when the process may end
+     */
     public CountDownLatch stop() {
-        loop.execute(() -> shutdown.begin(System.nanoTime()));
+        Future<?> begun = loop.submit(() -> shutdown.begin(System.nanoTime()));
+        if (!begun.awaitUninterruptibly(STOP_PATIENCE_MS)) {
+            LoggerFactory.getLogger(GatewayProcess.class).warn("the event loop did not take the stop in time");
+        }
         return shutdown.done();
     }
 
