Don't rely on a silent host for news of the store

Cause, found by reading: with all three followers of a cell dead at once, the others waited for the age of the last answer that they had told, 2.6 s, before they followed the store themselves; a deployment may allow 2 s. Change: a host counts as a source only while it was heard within 0.6 s.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/peer/Peers.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/peer/Peers.java
@@ -41,6 +41,9 @@
     /** Four reports; a host that should report and is silent for longer is not named to callers. */
     private static final long SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
 
+    /** Two reports; a host that is silent for longer is not relied on for news of the store. */
+    private static final long SOURCE_SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
+
     /** Work of a silent host is counted for as long as most requests last. */
     private static final long FORGET_NANOS = TimeUnit.SECONDS.toNanos(3);
 
@@ -174,11 +177,12 @@
         return TimeUnit.NANOSECONDS.toMillis(oldestNanos);
     }
 
-    /** For each of the hosts that follows the store, the time since it was answered, in milliseconds. */
+    /** For each of the hosts that is heard and follows the store, the time since it was answered, in milliseconds. */
     public List<Long> storeAgesMs(Set<HostId> hosts, long nowNanos) {
         List<Long> agesMs = new ArrayList<>();
         heard.forEach((host, last) -> {
-            if (hosts.contains(host) && last.storeAgeMs >= 0) {
+            boolean heardLately = nowNanos - last.atNanos < SOURCE_SILENCE_NANOS;
+            if (hosts.contains(host) && last.storeAgeMs >= 0 && heardLately) {
                 agesMs.add(last.storeAgeMs + TimeUnit.NANOSECONDS.toMillis(nowNanos - last.atNanos));
             }
         });
--- a/figspan-gateway/src/test/java/io/figspan/gateway/peer/PeersTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/peer/PeersTest.java
@@ -59,6 +59,7 @@
         final BlockingQueue<Set<HostId>> hostsKnown = new LinkedBlockingQueue<>();
         final Peers peers;
         volatile Set<HostId> audience = Set.of();
+        volatile long storeAgeMs = -1;
         int jobs;
         private long sequence;
 
@@ -79,7 +80,7 @@
             for (int job = 0; job < jobs; job++) {
                 work.add(new PlacedWork(job, BackendServerId.of("engine"), List.of(), 1_000, 100, 0, 5, 300, 250));
             }
-            return new PeerMessage.WorkReport(++sequence, 7, 8, -1, work);
+            return new PeerMessage.WorkReport(++sequence, 7, 8, storeAgeMs, work);
         }
 
         @Override
@@ -222,6 +223,27 @@
         await(hosts.get(1), hosts.get(0).id, 2);
     }
 
+    @Test
+    void aHostThatFallsSilentIsNoLongerReliedOnForNewsOfTheStore() throws Exception {
+        startHosts(2);
+        await(hosts.get(0), hosts.get(1).id, 0);
+        Set<HostId> cell = Set.of(hosts.get(1).id);
+        onLoop(() -> {
+            hosts.get(1).storeAgeMs = 40;
+            hosts.get(1).jobs = 3;
+            hosts.get(1).audience = Set.of(hosts.get(0).id);
+            hosts.get(1).peers.workChanged(WorkNews.PLACED);
+        });
+        await(hosts.get(0), hosts.get(1).id, 3);
+
+        onLoop(() -> {
+            long nowNanos = System.nanoTime();
+            assertEquals(1, hosts.get(0).peers.storeAgesMs(cell, nowNanos).size());
+            long laterNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(700);
+            assertEquals(List.of(), hosts.get(0).peers.storeAgesMs(cell, laterNanos));
+        });
+    }
+
     @Test
     void theHostsThatAreLiveAreTold() throws Exception {
         startHosts(3);
