--- a/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
@@ -5,15 +5,12 @@
 import io.figspan.core.event.Part;
 import io.figspan.core.id.HostId;
 import io.figspan.core.id.HostIncarnation;
-import io.figspan.core.metrics.MetricsText;
-import io.figspan.core.util.RendezvousHash;
 import io.figspan.core.work.PlacedWork;
 import io.figspan.gateway.backend.BackendPools;
 import io.figspan.gateway.backend.MemoryHolds;
 import io.figspan.gateway.caller.CallerServer;
 import io.figspan.gateway.fleet.FleetState;
 import io.figspan.gateway.forward.Forwarder;
-import io.figspan.gateway.http.SmallServer;
 import io.figspan.gateway.log.DecisionLog;
 import io.figspan.gateway.metrics.GatewayMetrics;
 import io.figspan.gateway.peer.CopyReader;
@@ -21,31 +18,16 @@
 import io.figspan.gateway.peer.Peers;
 import io.figspan.gateway.peer.WorkSource;
 import io.figspan.gateway.protocol.Adapter;
-import io.figspan.gateway.store.FollowDuty;
-import io.figspan.gateway.store.ItemCopy;
 import io.figspan.gateway.store.StoreFollower;
 import io.figspan.gateway.store.StoreListener;
-import io.figspan.policy.entry.EntryList;
 import io.figspan.settings.gateway.GatewaySettings;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.QueryStringDecoder;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -63,19 +45,9 @@
     /** Time between two looks at whether this host has to follow the store. */
     private static final long FOLLOW_INTERVAL_MS = 200;
 
-    /** Key of the order in which the hosts of a cell follow the store. */
-    private static final String FOLLOWERS_KEY = "store";
-
     /** Longest wait for the event loop to take a stop. */
     private static final long STOP_PATIENCE_MS = 500;
 
-    /** How long a caller keeps the answer of the directory. */
-    private static final int KEEP_SECONDS = 1;
-
-    private static final String METRICS_PATH = "/metrics";
-    private static final String SETTINGS_COPY = "settings";
-    private static final String SERVERS_COPY = "servers";
-
     private final GatewayConfig config;
     private final Adapter adapter;
     private final RandomGenerator random;
@@ -92,9 +64,8 @@
     private final CopyReader serversReader;
     private final Shutdown shutdown;
     private final Reload reload;
-    private final List<StoreFollower> followers = new ArrayList<>();
-    private final FollowDuty followDuty = new FollowDuty();
-    private boolean followsStore = true;
+    private final StoreFollowing store;
+    private final SmallAnswers smallAnswers;
     private long reports;
 
     public GatewayProcess(ConfigSource source, Adapter adapter, RandomGenerator random) {
@@ -119,10 +90,12 @@
         this.peers = new Peers(loop, config, log, random, this, this);
         this.forwarder.onWorkChanged(peers::workChanged);
         this.forwarder.viewsWorkThrough(() -> peers.oldestReportMs(System.nanoTime()));
-        this.settingsReader =
-                new CopyReader(loop, log, SETTINGS_COPY, fleet.settings(), fleet::settingsFromPeer, () -> followsStore);
-        this.serversReader =
-                new CopyReader(loop, log, SERVERS_COPY, fleet.servers(), fleet::serversFromPeer, () -> followsStore);
+        this.store = new StoreFollowing(config.host(), log);
+        this.settingsReader = new CopyReader(
+                loop, log, SmallAnswers.SETTINGS_COPY, fleet.settings(), fleet::settingsFromPeer, store::isFollowing);
+        this.serversReader = new CopyReader(
+                loop, log, SmallAnswers.SERVERS_COPY, fleet.servers(), fleet::serversFromPeer, store::isFollowing);
+        this.smallAnswers = new SmallAnswers(config, adapter.operator(), peers, fleet, metrics, this::isReady);
         this.shutdown = new Shutdown(loop, log, callers, peers, config.stopMs());
         this.reload = new Reload(source, config, log, this::configChanged);
     }
@@ -136,10 +109,7 @@
         log.info(Part.ENTRY, "started").text("host", config.host()).write();
         callers.serve(callerPort).syncUninterruptibly();
         peers.listen().syncUninterruptibly();
-        SmallServer.listen(loop, config.readiness(), this::answerReadiness).syncUninterruptibly();
-        SmallServer.listen(loop, config.directory(), this::answerDirectory).syncUninterruptibly();
-        SmallServer.listen(loop, config.copies(), this::answerCopy).syncUninterruptibly();
-        SmallServer.listen(loop, config.metrics(), this::answerMetrics).syncUninterruptibly();
+        smallAnswers.listen(loop);
         registerGauges();
         follow(adapter.fleet().settingsPrefix(), fleet.settingsFromStore());
         follow(adapter.fleet().serversPrefix(), fleet.serversFromStore());
@@ -164,7 +134,7 @@
     }
 
     private void configChanged(GatewayConfig changed) {
-        followers.forEach(follower -> follower.moveTo(changed.store()));
+        store.moveTo(changed.store());
         forwarder.allowRetries(allowanceOf(changed));
         shutdown.stopWithin(changed.stopMs());
     }
@@ -190,7 +160,7 @@
     private void follow(String prefix, StoreListener listener) {
         StoreFollower follower =
                 new StoreFollower(loop, config.store(), prefix, adapter.store(), listener, log, random);
-        followers.add(follower);
+        store.add(follower);
         loop.execute(follower::start);
     }
 
@@ -206,35 +176,14 @@
         forwarder.sharedBy(peers.hostCount());
     }
 
-    /** Follows the store, or leaves it to other hosts of the cell. */
+    /** A host that serves nobody yet follows the store in any case. */
     private void reviewFollowing() {
-        long nowNanos = System.nanoTime();
-        Set<HostId> cell = forwarder.cell();
-        int rank = RendezvousHash.order(FOLLOWERS_KEY, cell).indexOf(config.host());
-        boolean follows = followDuty.follows(rank, cell.size(), peers.storeAgesMs(cell, nowNanos), nowNanos);
-        if (follows == followsStore || !isReady()) {
+        if (!isReady()) {
             return;
         }
-        followsStore = follows;
-        log.info(Part.SETTINGS, follows ? "storeFollowed" : "storeLeftToOthers")
-                .number("rank", rank)
-                .number("cell", cell.size())
-                .write();
-        followers.forEach(follower -> follower.setFollowing(follows));
-    }
-
-    /** Time since the store answered about both prefixes; negative when it does not. */
-    private long storeAgeMs() {
         long nowNanos = System.nanoTime();
-        long oldestMs = 0;
-        for (StoreFollower follower : followers) {
-            long ageMs = follower.answerAgeMs(nowNanos);
-            if (ageMs < 0) {
-                return ageMs;
-            }
-            oldestMs = Math.max(oldestMs, ageMs);
-        }
-        return oldestMs;
+        Set<HostId> cell = forwarder.cell();
+        store.review(cell, peers.storeAgesMs(cell, nowNanos), nowNanos);
     }
 
     private void openWhenKnown(long nowNanos) {
@@ -270,7 +219,11 @@
     @Override
     public PeerMessage.WorkReport report() {
         return new PeerMessage.WorkReport(
-                ++reports, fleet.settings().revision(), fleet.servers().revision(), storeAgeMs(), forwarder.ownWork());
+                ++reports,
+                fleet.settings().revision(),
+                fleet.servers().revision(),
+                store.answerAgeMs(System.nanoTime()),
+                forwarder.ownWork());
     }
 
     @Override
@@ -301,70 +254,6 @@
         serversReader.newerAt(address, serversRevision);
     }
 
-    // Small answers
-
-    private FullHttpResponse answerReadiness(HttpRequest request) {
-        if (!adapter.operator().asksForReadiness(request)) {
-            return empty(HttpResponseStatus.NOT_FOUND);
-        }
-        return empty(isReady() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE);
-    }
-
-    private FullHttpResponse answerDirectory(HttpRequest request) {
-        if (!adapter.operator().asksForHosts(request)) {
-            return empty(HttpResponseStatus.NOT_FOUND);
-        }
-        Map<HostId, InetSocketAddress> addresses = new HashMap<>();
-        if (isReady()) {
-            addresses.put(config.host(), config.callers());
-        }
-        for (Peer peer : peers.serving(System.nanoTime())) {
-            addresses.put(
-                    peer.host(),
-                    new InetSocketAddress(
-                            peer.address().address(), config.callers().getPort()));
-        }
-        if (addresses.isEmpty()) {
-            return empty(HttpResponseStatus.SERVICE_UNAVAILABLE);
-        }
-        List<InetSocketAddress> chosen =
-                EntryList.choose(
-                                config.host(),
-                                addresses.keySet(),
-                                adapter.operator().maxHosts())
-                        .stream()
-                        .map(addresses::get)
-                        .toList();
-        return adapter.operator().hosts(chosen, KEEP_SECONDS);
-    }
-
-    private FullHttpResponse answerCopy(HttpRequest request) {
-        QueryStringDecoder target = new QueryStringDecoder(request.uri());
-        return switch (target.path()) {
-            case CopyReader.PATH + SETTINGS_COPY -> copy(fleet.settings(), target);
-            case CopyReader.PATH + SERVERS_COPY -> copy(fleet.servers(), target);
-            default -> empty(HttpResponseStatus.NOT_FOUND);
-        };
-    }
-
-    private static FullHttpResponse copy(ItemCopy copy, QueryStringDecoder target) {
-        List<String> after = target.parameters().getOrDefault(CopyReader.AFTER, List.of("0"));
-        try {
-            return bytes(copy.encode(Long.parseLong(after.get(0))));
-        } catch (NumberFormatException e) {
-            return empty(HttpResponseStatus.BAD_REQUEST);
-        }
-    }
-
-    private FullHttpResponse answerMetrics(HttpRequest request) {
-        if (!request.uri().equals(METRICS_PATH)) {
-            return empty(HttpResponseStatus.NOT_FOUND);
-        }
-        FullHttpResponse response = bytes(metrics.text().getBytes(StandardCharsets.UTF_8));
-        response.headers().set(HttpHeaderNames.CONTENT_TYPE, MetricsText.MEDIA_TYPE);
-        return response;
-    }
-
     private void registerGauges() {
         metrics.gauge("requests.waiting", forwarder::waiting);
         metrics.gauge("connections.busy", callers::busy);
@@ -374,12 +263,4 @@
         metrics.gauge("hosts.known", peers::hostCount);
         metrics.gauge("holds.open", holds::open);
     }
-
-    private static FullHttpResponse bytes(byte[] body) {
-        return new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, Unpooled.wrappedBuffer(body));
-    }
-
-    private static FullHttpResponse empty(HttpResponseStatus status) {
-        return new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
-    }
 }
--- /dev/null
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/SmallAnswers.java
@@ -0,0 +1,140 @@
+package io.figspan.gateway;
+
+import io.figspan.cluster.message.Peer;
+import io.figspan.core.id.HostId;
+import io.figspan.core.metrics.MetricsText;
+import io.figspan.gateway.fleet.FleetState;
+import io.figspan.gateway.http.SmallServer;
+import io.figspan.gateway.metrics.GatewayMetrics;
+import io.figspan.gateway.peer.CopyReader;
+import io.figspan.gateway.peer.Peers;
+import io.figspan.gateway.protocol.OperatorProtocol;
+import io.figspan.gateway.store.ItemCopy;
+import io.figspan.policy.entry.EntryList;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+
+/** The answers around the callers' port: readiness, directory, copies of the store's items for other hosts, metrics. */
+final class SmallAnswers {
+    /** How long a caller keeps the answer of the directory. */
+    private static final int KEEP_SECONDS = 1;
+
+    static final String SETTINGS_COPY = "settings";
+    static final String SERVERS_COPY = "servers";
+
+    private static final String METRICS_PATH = "/metrics";
+
+    private final GatewayConfig config;
+    private final OperatorProtocol operator;
+    private final Peers peers;
+    private final FleetState fleet;
+    private final GatewayMetrics metrics;
+    private final BooleanSupplier ready;
+
+    /**
+     * The answers of one host.
+     *
+     * @param ready whether this host takes callers
+     */
+    SmallAnswers(
+            GatewayConfig config,
+            OperatorProtocol operator,
+            Peers peers,
+            FleetState fleet,
+            GatewayMetrics metrics,
+            BooleanSupplier ready) {
+        this.config = config;
+        this.operator = operator;
+        this.peers = peers;
+        this.fleet = fleet;
+        this.metrics = metrics;
+        this.ready = ready;
+    }
+
+    /** Opens the ports. */
+    void listen(EventLoop loop) {
+        SmallServer.listen(loop, config.readiness(), this::answerReadiness).syncUninterruptibly();
+        SmallServer.listen(loop, config.directory(), this::answerDirectory).syncUninterruptibly();
+        SmallServer.listen(loop, config.copies(), this::answerCopy).syncUninterruptibly();
+        SmallServer.listen(loop, config.metrics(), this::answerMetrics).syncUninterruptibly();
+    }
+
+    private FullHttpResponse answerReadiness(HttpRequest request) {
+        if (!operator.asksForReadiness(request)) {
+            return empty(HttpResponseStatus.NOT_FOUND);
+        }
+        return empty(ready.getAsBoolean() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE);
+    }
+
+    private FullHttpResponse answerDirectory(HttpRequest request) {
+        if (!operator.asksForHosts(request)) {
+            return empty(HttpResponseStatus.NOT_FOUND);
+        }
+        Map<HostId, InetSocketAddress> addresses = new HashMap<>();
+        if (ready.getAsBoolean()) {
+            addresses.put(config.host(), config.callers());
+        }
+        for (Peer peer : peers.serving(System.nanoTime())) {
+            addresses.put(
+                    peer.host(),
+                    new InetSocketAddress(
+                            peer.address().address(), config.callers().getPort()));
+        }
+        if (addresses.isEmpty()) {
+            return empty(HttpResponseStatus.SERVICE_UNAVAILABLE);
+        }
+        List<InetSocketAddress> chosen =
+                EntryList.choose(config.host(), addresses.keySet(), operator.maxHosts()).stream()
+                        .map(addresses::get)
+                        .toList();
+        return operator.hosts(chosen, KEEP_SECONDS);
+    }
+
+    private FullHttpResponse answerCopy(HttpRequest request) {
+        QueryStringDecoder target = new QueryStringDecoder(request.uri());
+        return switch (target.path()) {
+            case CopyReader.PATH + SETTINGS_COPY -> copy(fleet.settings(), target);
+            case CopyReader.PATH + SERVERS_COPY -> copy(fleet.servers(), target);
+            default -> empty(HttpResponseStatus.NOT_FOUND);
+        };
+    }
+
+    private static FullHttpResponse copy(ItemCopy copy, QueryStringDecoder target) {
+        List<String> after = target.parameters().getOrDefault(CopyReader.AFTER, List.of("0"));
+        try {
+            return bytes(copy.encode(Long.parseLong(after.get(0))));
+        } catch (NumberFormatException e) {
+            return empty(HttpResponseStatus.BAD_REQUEST);
+        }
+    }
+
+    private FullHttpResponse answerMetrics(HttpRequest request) {
+        if (!request.uri().equals(METRICS_PATH)) {
+            return empty(HttpResponseStatus.NOT_FOUND);
+        }
+        FullHttpResponse response = bytes(metrics.text().getBytes(StandardCharsets.UTF_8));
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, MetricsText.MEDIA_TYPE);
+        return response;
+    }
+
+    private static FullHttpResponse bytes(byte[] body) {
+        return new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, Unpooled.wrappedBuffer(body));
+    }
+
+    private static FullHttpResponse empty(HttpResponseStatus status) {
+        return new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
+    }
+}
