--- a/figspan-gateway/src/main/java/io/figspan/gateway/store/StoreFollower.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/store/StoreFollower.java
@@ -9,6 +9,7 @@
 import io.figspan.gateway.protocol.StoreProtocol.Page;
 import io.figspan.gateway.store.PrefixFollower.Action;
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -38,6 +39,7 @@
     private boolean reachable = true;
     private boolean following = true;
     private boolean resting;
+    private ScheduledFuture<?> nextLook;
     private long answeredNanos = Long.MIN_VALUE;
 
     public StoreFollower(
@@ -72,6 +74,7 @@
         following = nowFollowing;
         if (following && resting) {
             resting = false;
+            nextLook.cancel(false);
             carryOut(follower.resume());
         }
     }
@@ -85,15 +88,13 @@
     private void rest() {
         resting = true;
         long nanos = REST_NANOS / 2 + random.nextLong(REST_NANOS);
-        var unused = loop.schedule(this::look, nanos, TimeUnit.NANOSECONDS);
+        nextLook = loop.schedule(this::look, nanos, TimeUnit.NANOSECONDS);
     }
 
     /** Takes what other hosts may have missed to tell. */
     private void look() {
-        if (resting) {
-            resting = false;
-            begin(follower.look());
-        }
+        resting = false;
+        begin(follower.look());
     }
 
     private void carryOut(List<Action> actions) {
--- /dev/null
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/store/StoreFollowerTest.java
@@ -0,0 +1,147 @@
+package io.figspan.gateway.store;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.figspan.gateway.http.SmallServer;
+import io.figspan.gateway.log.DecisionLog;
+import io.figspan.gateway.protocol.StoreProtocol;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Plays a store on loopback that counts the calls of a follower that is told to rest and to go on. */
+class StoreFollowerTest {
+    private static final long LIMIT_S = 20;
+
+    private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+    private final EventLoop loop = group.next();
+    private final BlockingQueue<String> calls = new LinkedBlockingQueue<>();
+    private final BlockingQueue<List<StoreProtocol.Item>> changes = new LinkedBlockingQueue<>();
+    private StoreFollower follower;
+    private long revision = 10;
+
+    /** Targets and bodies are plain text: a call's name and its revision, and the store's revision. */
+    private static final class TextProtocol implements StoreProtocol {
+        @Override
+        public String rangeTarget(String prefix, String afterKey) {
+            return "/range";
+        }
+
+        @Override
+        public String watchTarget(String prefix, long afterRevision, long waitMs) {
+            return "/watch/" + afterRevision;
+        }
+
+        @Override
+        public Page decodeRange(byte[] body) {
+            return page(body);
+        }
+
+        @Override
+        public Page decodeWatch(byte[] body) {
+            return page(body);
+        }
+
+        private static Page page(byte[] body) {
+            long revision = Long.parseLong(new String(body, StandardCharsets.US_ASCII));
+            return new Page(List.of(new Item("key", Optional.of(body), revision)), false, revision);
+        }
+
+        @Override
+        public int historyGoneStatus() {
+            return HttpResponseStatus.GONE.code();
+        }
+    }
+
+    private final class Listener implements StoreListener {
+        @Override
+        public void onWhole(List<StoreProtocol.Item> items, long asOfRevision) {
+            changes.add(items);
+        }
+
+        @Override
+        public void onChanged(List<StoreProtocol.Item> items) {
+            changes.add(items);
+        }
+
+        @Override
+        public void onLost() {
+            changes.add(List.of());
+        }
+    }
+
+    @BeforeEach
+    void start() {
+        InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        InetSocketAddress store = (InetSocketAddress) SmallServer.listen(loop, anyPort, this::answer)
+                .syncUninterruptibly()
+                .channel()
+                .localAddress();
+        follower = new StoreFollower(
+                loop, store, "", new TextProtocol(), new Listener(), new DecisionLog(), new SplittableRandom(1));
+    }
+
+    @AfterEach
+    void stop() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+
+    private FullHttpResponse answer(HttpRequest request) {
+        calls.add(request.uri());
+        byte[] body = Long.toString(revision++).getBytes(StandardCharsets.US_ASCII);
+        return new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, Unpooled.wrappedBuffer(body));
+    }
+
+    private void onLoop(Runnable action) {
+        loop.submit(action).syncUninterruptibly();
+    }
+
+    private String nextCall() throws InterruptedException {
+        return calls.poll(LIMIT_S, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void aFollowerReadsAllItemsAndWatchesBehindThem() throws Exception {
+        onLoop(follower::start);
+
+        assertEquals("/range", nextCall());
+        assertEquals("/watch/10", nextCall());
+        assertEquals("/watch/11", nextCall());
+        onLoop(() -> assertTrue(follower.answerAgeMs(System.nanoTime()) >= 0));
+    }
+
+    @Test
+    void aFollowerThatRestsIsNoSourceForOthersAndGoesOnBehindWhatItHasRead() throws Exception {
+        onLoop(() -> {
+            follower.setFollowing(false);
+            follower.start();
+        });
+        assertEquals("/range", nextCall());
+        assertTrue(changes.poll(LIMIT_S, TimeUnit.SECONDS) != null, "the items were not told");
+        onLoop(() -> {
+            assertEquals(-1, follower.answerAgeMs(System.nanoTime()));
+            assertTrue(calls.isEmpty(), "a follower that rests called " + calls);
+            follower.setFollowing(true);
+        });
+
+        assertEquals("/watch/10", nextCall());
+    }
+}
