--- a/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
@@ -37,7 +37,7 @@
 /** The gateway of one host. It runs on one event loop. */
 public final class GatewayProcess implements FleetState.FleetListener, PeerListener, WorkSource {
     /** Time between two looks at waiting jobs and time limits. */
-    private static final long TICK_MS = 20;
+    private static final long TICK_MS = 40;
 
     /** Time between two looks at the source of the configuration. */
     private static final long RELOAD_INTERVAL_MS = 1_000;
--- a/figspan-gateway/src/main/java/io/figspan/gateway/peer/PeerPort.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/peer/PeerPort.java
@@ -44,7 +44,9 @@
         ChannelFuture bound = new Bootstrap()
                 .group(loop)
                 .channel(NioDatagramChannel.class)
-                .option(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MAX_DATAGRAM_BYTES))
+                .option(
+                        ChannelOption.RCVBUF_ALLOCATOR,
+                        new FixedRecvByteBufAllocator(MAX_DATAGRAM_BYTES).maxMessagesPerRead(1))
                 .handler(new SimpleChannelInboundHandler<DatagramPacket>() {
                     @Override
                     protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
--- a/figspan-gateway/src/main/java/io/figspan/gateway/peer/Peers.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/peer/Peers.java
@@ -36,13 +36,13 @@
     /** Time between two looks at probes and silent hosts; well below {@link Membership#TICK_NANOS}. */
     private static final long TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(60);
 
-    private static final long REPORT_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+    private static final long REPORT_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(320);
 
-    /** Four reports; a host that should report and is silent for longer is not named to callers. */
+    /** Three reports; a host that should report and is silent for longer is not named to callers. */
     private static final long SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
 
     /** Two reports; a host that is silent for longer is not relied on for news of the store. */
-    private static final long SOURCE_SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
+    private static final long SOURCE_SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(750);
 
     /** Work of a silent host is counted for as long as most requests last. */
     private static final long FORGET_NANOS = TimeUnit.SECONDS.toNanos(3);
