Let only hosts that hear others accuse a silent one

Cause, found by reading the diff: a host that wakes from a pause, or that is cut off, hears nobody of its cell and told the whole fleet that all of them were silent; with a tenth of the hosts frozen, no host would have been named to callers for seconds.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/peer/Peers.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/peer/Peers.java
@@ -9,7 +9,6 @@
 import io.figspan.core.event.Part;
 import io.figspan.core.id.HostId;
 import io.figspan.core.id.HostIncarnation;
-import io.figspan.core.util.RendezvousHash;
 import io.figspan.core.work.WorkNews;
 import io.figspan.gateway.GatewayConfig;
 import io.figspan.gateway.log.DecisionLog;
@@ -47,10 +46,8 @@
     /** Work of a silent host is counted for as long as most requests last. */
     private static final long FORGET_NANOS = TimeUnit.SECONDS.toNanos(3);
 
-    /** Hosts of a cell that tell the fleet of a silent one; more than one, since datagrams are lost. */
-    private static final int TELLERS = 3;
-
-    private static final String TELLERS_KEY = "tellers";
+    /** A host that ran so late was paused itself, and has yet to read what came meanwhile. */
+    private static final long PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
     private final EventLoop loop;
     private final GatewayConfig config;
@@ -65,6 +62,7 @@
     private ScheduledFuture<?> reporting;
     private long reportDueNanos;
     private long tickedNanos;
+    private long pausedNanos;
     private List<Peer> others = List.of();
     private boolean hostsChanged;
     private long reportedAtNanos;
@@ -98,6 +96,8 @@
         this.work = work;
         this.port = new PeerPort(loop, log, this::receive);
         this.seeds = config.seeds().stream().map(Peers::addressOf).toList();
+        this.tickedNanos = System.nanoTime();
+        this.pausedNanos = tickedNanos;
     }
 
     public ChannelFuture listen() {
@@ -210,6 +210,9 @@
         if (membership == null || nowNanos - tickedNanos < TICK_NANOS) {
             return;
         }
+        if (nowNanos - tickedNanos > PAUSE_NANOS) {
+            pausedNanos = nowNanos;
+        }
         tickedNanos = nowNanos;
         carryOut(membership.tick(nowNanos), null, nowNanos);
         tellOfHosts();
@@ -230,11 +233,14 @@
         }
     }
 
-    /** The first hosts of the cell that are heard tell all others of those that are not. */
+    /** Some of the hosts of the cell that are heard tell all others of those that are not. */
     private void tellOfSilent(long nowNanos) {
+        if (nowNanos - pausedNanos < SILENCE_NANOS) {
+            return;
+        }
         Set<HostId> cell = work.audience();
         List<HostId> silent = new ArrayList<>();
-        Set<HostId> audible = new HashSet<>(Set.of(config.host()));
+        Set<HostId> audible = new HashSet<>();
         heard.forEach((host, last) -> {
             if (nowNanos - last.atNanos < SILENCE_NANOS) {
                 audible.add(host);
@@ -243,14 +249,8 @@
                 silent.add(host);
             }
         });
-        if (silent.isEmpty()) {
-            return;
-        }
         audible.retainAll(cell);
-        boolean tells = RendezvousHash.order(TELLERS_KEY, audible).stream()
-                .limit(TELLERS)
-                .anyMatch(config.host()::equals);
-        if (tells) {
+        if (!silent.isEmpty() && SilenceRule.tells(config.host(), audible)) {
             carryOut(membership.fellSilent(silent, nowNanos), null, nowNanos);
         }
     }
