A host that is stopping accuses nobody

Change: Membership suspects nobody after it has left. MembershipTest's aHostThatHasLeftAccusesNobody covers it. News of silent hosts is one message.

--- a/figspan-cluster/src/main/java/io/figspan/cluster/membership/Membership.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/membership/Membership.java
@@ -241,22 +241,23 @@
     }
 
     /**
-     * Suspects hosts that should report to this one and are no longer heard, and tells all other hosts at once: probes
-     * alone take seconds to find many hosts that die together. A host that is alive refutes it.
+     * Suspects hosts that should report to this one and are no longer heard, and tells all others at once: probes take
+     * seconds to find many that die together. Live ones refute it. A host that has left is not reported to any more.
      */
     public List<ClusterAction> fellSilent(Collection<HostId> hosts, long nowNanos) {
+        if (stopped) {
+            return List.of();
+        }
         List<MemberUpdate> suspicions = new ArrayList<>();
-        for (HostId host : hosts) {
-            Optional<Member> alive = table.find(host).filter(member -> member.state() == Member.State.ALIVE);
-            alive.ifPresent(member -> {
+        for (Member member : List.copyOf(table.all())) {
+            if (hosts.contains(member.host()) && member.state() == Member.State.ALIVE) {
                 suspect(member, member.refutation(), self.host(), nowNanos);
                 suspicions.add(member.statement(self.host()));
-            });
+            }
         }
         List<ClusterAction> actions = new ArrayList<>();
-        for (int from = 0; from < suspicions.size(); from += tuning.maxUpdates()) {
-            int to = Math.min(suspicions.size(), from + tuning.maxUpdates());
-            tellAll(suspicions.subList(from, to), actions);
+        if (!suspicions.isEmpty()) {
+            tellAll(suspicions, actions);
         }
         return actions;
     }
@@ -265,10 +266,8 @@
     private void tellAll(List<MemberUpdate> news, List<ClusterAction> actions) {
         Piggyback carried = new Piggyback(settings, table.liveDigest(self.incarnation()), news, List.of());
         PeerMessage message = new PeerMessage.Ack(NO_PROBE, false, carried);
-        for (Member member : table.all()) {
-            if (member.isLive()) {
-                actions.add(new ClusterAction.Send(member.peer().address(), message));
-            }
+        for (Member member : schedule.randomLive(table, table.liveCount(), self.host())) {
+            actions.add(new ClusterAction.Send(member.peer().address(), message));
         }
     }
 
--- a/figspan-cluster/src/test/java/io/figspan/cluster/membership/MembershipTest.java
+++ b/figspan-cluster/src/test/java/io/figspan/cluster/membership/MembershipTest.java
@@ -112,6 +112,16 @@
         fleet.requireReferenceWithin(1);
     }
 
+    @Test
+    void aHostThatHasLeftAccusesNobody() {
+        LogicalFleet fleet = started(7);
+        LogicalFleet.Node leaving = fleet.nodes.get(2);
+        leaving.carryOut(leaving.host.membership().leave(), 2);
+        HostId heardNoMore = fellSilent(fleet, 5);
+        fleet.run(1);
+        assertFalse(fleet.nodes.get(8).host.membership().isSuspect(heardNoMore));
+    }
+
     @Test
     void aLinkCutInOneDirectionBetweenTwoHostsKillsNeither() {
         LogicalFleet fleet = started(5);
