Give what hosts tell each other of the store's items a type of its own

ItemCopy was both a host's copy and the message that other hosts read: a copy carried a base revision that was always 0, and a message carried the table of removals. ItemChanges is the message with its encoding; ItemCopy makes and takes it. The bytes and the behaviour stay as they are; the tests keep their assertions and call the new names.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/SmallAnswers.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/SmallAnswers.java
@@ -115,7 +115,7 @@
     private static FullHttpResponse copy(ItemCopy copy, QueryStringDecoder target) {
         List<String> after = target.parameters().getOrDefault(CopyReader.AFTER, List.of("0"));
         try {
-            return bytes(copy.encode(Long.parseLong(after.get(0))));
+            return bytes(copy.changesAfter(Long.parseLong(after.get(0))).encode());
         } catch (NumberFormatException e) {
             return empty(HttpResponseStatus.BAD_REQUEST);
         }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/fleet/FleetState.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/fleet/FleetState.java
@@ -9,6 +9,7 @@
 import io.figspan.gateway.log.DecisionLog;
 import io.figspan.gateway.protocol.FleetProtocol;
 import io.figspan.gateway.protocol.StoreProtocol.Item;
+import io.figspan.gateway.store.ItemChanges;
 import io.figspan.gateway.store.ItemCopy;
 import io.figspan.gateway.store.StoreListener;
 import io.figspan.settings.gateway.GatewaySettings;
@@ -101,12 +102,12 @@
         };
     }
 
-    public void settingsFromPeer(ItemCopy copy) {
-        settingsChanged(settings.applyCopy(copy));
+    public void settingsFromPeer(ItemChanges changes) {
+        settingsChanged(settings.applyChanges(changes));
     }
 
-    public void serversFromPeer(ItemCopy copy) {
-        serversChanged(servers.applyCopy(copy));
+    public void serversFromPeer(ItemChanges changes) {
+        serversChanged(servers.applyChanges(changes));
     }
 
     private void settingsChanged(List<Item> changes) {
--- a/figspan-gateway/src/main/java/io/figspan/gateway/peer/CopyReader.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/peer/CopyReader.java
@@ -5,6 +5,7 @@
 import io.figspan.gateway.http.HttpConnection;
 import io.figspan.gateway.http.WholeAnswer;
 import io.figspan.gateway.log.DecisionLog;
+import io.figspan.gateway.store.ItemChanges;
 import io.figspan.gateway.store.ItemCopy;
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
@@ -34,7 +35,7 @@
     private final DecisionLog log;
     private final String name;
     private final ItemCopy copy;
-    private final Consumer<ItemCopy> listener;
+    private final Consumer<ItemChanges> listener;
     private final BooleanSupplier followsStore;
     private boolean busy;
 
@@ -51,7 +52,7 @@
             DecisionLog log,
             String name,
             ItemCopy copy,
-            Consumer<ItemCopy> listener,
+            Consumer<ItemChanges> listener,
             BooleanSupplier followsStore) {
         this.loop = loop;
         this.log = log;
@@ -107,7 +108,7 @@
             return;
         }
         try {
-            ItemCopy read = ItemCopy.decode(body);
+            ItemChanges read = ItemChanges.decode(body);
             log.info(Part.SETTINGS, "copyRead")
                     .text("copy", name)
                     .text("host", host)
--- /dev/null
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/store/ItemChanges.java
@@ -0,0 +1,98 @@
+package io.figspan.gateway.store;
+
+import io.figspan.core.error.FigspanException;
+import io.figspan.core.error.Location;
+import io.figspan.core.error.ProblemKind;
+import io.figspan.gateway.protocol.StoreProtocol.Item;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * What one host tells another of the items under one prefix: a MessagePack sequence of the two revisions, the number of
+ * items, and key, revision and value of each, with nil for the value of one that was removed.
+ *
+ * @param revision newest revision that the sender has
+ * @param baseRevision the revision behind which the items are all changes; 0 when they are all items
+ */
+public record ItemChanges(long revision, long baseRevision, List<Item> items) {
+    /** Most items that are taken from another host; six times the backend servers of the design scale. */
+    private static final int MAX_ITEMS = 4_096;
+
+    public ItemChanges {
+        items = List.copyOf(items);
+    }
+
+    /** Whether items that are not listed were removed. */
+    boolean isWhole() {
+        return baseRevision == 0;
+    }
+
+    /** The form that other hosts read. */
+    public byte[] encode() {
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            packer.packLong(revision);
+            packer.packLong(baseRevision);
+            packer.packArrayHeader(items.size());
+            for (Item item : items) {
+                pack(item, packer);
+            }
+            return packer.toByteArray();
+        } catch (IOException e) {
+            throw new IllegalStateException("writing to memory failed", e);
+        }
+    }
+
+    private static void pack(Item item, MessageBufferPacker packer) throws IOException {
+        packer.packString(item.key());
+        packer.packLong(item.revision());
+        if (item.value().isEmpty()) {
+            packer.packNil();
+            return;
+        }
+        byte[] value = item.value().get();
+        packer.packBinaryHeader(value.length);
+        packer.writePayload(value);
+    }
+
+    /** Reads the form of {@link #encode()}; throws a {@code MALFORMED_BODY} exception for anything else. */
+    public static ItemChanges decode(byte[] bytes) {
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+            long revision = unpacker.unpackLong();
+            long baseRevision = unpacker.unpackLong();
+            int count = unpacker.unpackArrayHeader();
+            if (count > MAX_ITEMS) {
+                throw malformed("more than " + MAX_ITEMS + " items");
+            }
+            List<Item> items = new ArrayList<>();
+            for (int i = 0; i < count; i++) {
+                items.add(unpack(unpacker, bytes.length));
+            }
+            return new ItemChanges(revision, baseRevision, items);
+        } catch (IOException | MessagePackException e) {
+            throw malformed(e.getMessage());
+        }
+    }
+
+    private static Item unpack(MessageUnpacker unpacker, int maxBytes) throws IOException {
+        String key = unpacker.unpackString();
+        long revision = unpacker.unpackLong();
+        if (unpacker.tryUnpackNil()) {
+            return new Item(key, Optional.empty(), revision);
+        }
+        int length = unpacker.unpackBinaryHeader();
+        if (length > maxBytes) {
+            throw malformed("a value longer than the copy");
+        }
+        return new Item(key, Optional.of(unpacker.readPayload(length)), revision);
+    }
+
+    private static FigspanException malformed(String detail) {
+        return new FigspanException(ProblemKind.MALFORMED_BODY, detail, Location.of("copy of another host"));
+    }
+}
--- a/figspan-gateway/src/test/java/io/figspan/gateway/store/ItemCopyTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/store/ItemCopyTest.java
@@ -55,26 +55,27 @@
         ItemCopy other = new ItemCopy();
         other.apply(List.of(item("a", 5), item("b", 6), removed("c", 9)));
         copy.apply(List.of(item("a", 5), item("c", 2)));
-        ItemCopy read = ItemCopy.decode(other.encode(0));
-        List<Item> changes = copy.applyCopy(read);
+        ItemChanges read = ItemChanges.decode(other.changesAfter(0).encode());
+        List<Item> changes = copy.applyChanges(read);
         assertEquals(List.of("c", "b"), changes.stream().map(Item::key).toList());
         assertEquals(9, copy.revision());
-        assertArrayEquals(other.encode(0), copy.encode(0));
+        assertArrayEquals(other.changesAfter(0).encode(), copy.changesAfter(0).encode());
     }
 
     @Test
     void changesBehindARevisionAreEnoughForAHostThatHasIt() {
         ItemCopy other = new ItemCopy();
         other.applyWhole(List.of(item("a", 5), item("b", 6)), 6);
-        copy.applyCopy(ItemCopy.decode(other.encode(0)));
+        copy.applyChanges(ItemChanges.decode(other.changesAfter(0).encode()));
         other.apply(List.of(removed("a", 7), item("c", 8), removed("never-seen", 9)));
 
-        ItemCopy changes = ItemCopy.decode(other.encode(copy.revision()));
+        ItemChanges changes =
+                ItemChanges.decode(other.changesAfter(copy.revision()).encode());
         assertEquals(
                 List.of("a", "c"),
-                copy.applyCopy(changes).stream().map(Item::key).toList());
+                copy.applyChanges(changes).stream().map(Item::key).toList());
         assertEquals(9, copy.revision());
-        assertArrayEquals(other.encode(0), copy.encode(0));
+        assertArrayEquals(other.changesAfter(0).encode(), copy.changesAfter(0).encode());
     }
 
     @Test
@@ -83,9 +84,9 @@
         ItemCopy other = new ItemCopy();
         other.applyWhole(List.of(item("b", 6)), 8);
 
-        copy.applyCopy(ItemCopy.decode(other.encode(copy.revision())));
+        copy.applyChanges(ItemChanges.decode(other.changesAfter(copy.revision()).encode()));
 
-        assertArrayEquals(other.encode(0), copy.encode(0));
+        assertArrayEquals(other.changesAfter(0).encode(), copy.changesAfter(0).encode());
     }
 
     @Test
@@ -93,32 +94,33 @@
         ItemCopy store = new ItemCopy();
         store.applyWhole(List.of(item("a", 5), item("b", 6)), 6);
         ItemCopy third = new ItemCopy();
-        copy.applyCopy(ItemCopy.decode(store.encode(0)));
-        third.applyCopy(ItemCopy.decode(store.encode(0)));
+        copy.applyChanges(ItemChanges.decode(store.changesAfter(0).encode()));
+        third.applyChanges(ItemChanges.decode(store.changesAfter(0).encode()));
         store.apply(List.of(removed("b", 7)));
-        copy.applyCopy(ItemCopy.decode(store.encode(copy.revision())));
+        copy.applyChanges(ItemChanges.decode(store.changesAfter(copy.revision()).encode()));
 
-        third.applyCopy(ItemCopy.decode(copy.encode(third.revision())));
+        third.applyChanges(
+                ItemChanges.decode(copy.changesAfter(third.revision()).encode()));
 
-        assertArrayEquals(store.encode(0), third.encode(0));
+        assertArrayEquals(store.changesAfter(0).encode(), third.changesAfter(0).encode());
     }
 
     @Test
     void changesThatComeAfterNewerOnesAreIgnored() {
         ItemCopy other = new ItemCopy();
         other.applyWhole(List.of(item("a", 5)), 5);
-        copy.applyCopy(ItemCopy.decode(other.encode(0)));
+        copy.applyChanges(ItemChanges.decode(other.changesAfter(0).encode()));
         other.apply(List.of(item("b", 6)));
-        ItemCopy late = ItemCopy.decode(other.encode(5));
+        ItemChanges late = ItemChanges.decode(other.changesAfter(5).encode());
         copy.apply(List.of(item("b", 6), removed("b", 7)));
 
-        assertTrue(copy.applyCopy(late).isEmpty());
+        assertTrue(copy.applyChanges(late).isEmpty());
     }
 
     @Property(seed = "31")
     void randomBytesAreOnlyEverRefused(@ForAll @Size(max = 100) byte[] bytes) {
         try {
-            ItemCopy.decode(bytes);
+            ItemChanges.decode(bytes);
         } catch (FigspanException refusal) {
             assertEquals(ProblemKind.MALFORMED_BODY, refusal.kind());
         }
@@ -127,8 +129,8 @@
     @Test
     void aCutCopyIsRefused() {
         copy.apply(List.of(item("a", 5)));
-        byte[] whole = copy.encode(0);
+        byte[] whole = copy.changesAfter(0).encode();
         byte[] cut = java.util.Arrays.copyOf(whole, whole.length - 1);
-        assertThrows(FigspanException.class, () -> ItemCopy.decode(cut));
+        assertThrows(FigspanException.class, () -> ItemChanges.decode(cut));
     }
 }
