Look up hosts and cells once instead of at each change and tick

Every tick gathered all own work to find the cell, though mostly nobody is silent; it does so now only when somebody is. CellPlan searched all hosts for those of a cell at each question, and keeps them now. No behaviour changes.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/peer/Peers.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/peer/Peers.java
@@ -63,7 +63,9 @@
     private long reportDueNanos;
     private long tickedNanos;
     private long pausedNanos;
-    private List<Peer> others = List.of();
+    /** The other live hosts; null when they have to be looked up again. */
+    private List<Peer> others;
+
     private boolean hostsChanged;
     private long reportedAtNanos;
 
@@ -115,7 +117,7 @@
         Peer self = new Peer(
                 new HostIncarnation(config.host(), incarnationNumber), config.zone(), addressOf(config.peers()));
         membership = new Membership(self, seeds, MembershipTuning.DEFAULTS, random, nowNanos);
-        findOthers();
+        othersChanged();
         log.info(Part.MEMBER, "joined").text("self", self).write();
     }
 
@@ -195,14 +197,20 @@
     }
 
     private List<Peer> others() {
+        if (membership == null) {
+            return List.of();
+        }
+        if (others == null) {
+            others = membership.live().stream()
+                    .filter(peer -> !peer.host().equals(config.host()))
+                    .toList();
+        }
         return others;
     }
 
-    private void findOthers() {
+    private void othersChanged() {
         hostsChanged = true;
-        others = membership.live().stream()
-                .filter(peer -> !peer.host().equals(config.host()))
-                .toList();
+        others = null;
     }
 
     /** Runs what is due; called at least every {@link Membership#TICK_NANOS}. */
@@ -238,18 +246,22 @@
         if (nowNanos - pausedNanos < SILENCE_NANOS) {
             return;
         }
-        Set<HostId> cell = work.audience();
-        List<HostId> silent = new ArrayList<>();
+        Set<HostId> silent = new HashSet<>();
         Set<HostId> audible = new HashSet<>();
         heard.forEach((host, last) -> {
-            if (nowNanos - last.atNanos < SILENCE_NANOS) {
+            if (isHeard(host, nowNanos)) {
                 audible.add(host);
-            } else if (!last.reportedSilent && cell.contains(host)) {
-                last.reportedSilent = true;
+            } else if (!last.reportedSilent) {
                 silent.add(host);
             }
         });
+        if (silent.isEmpty()) {
+            return;
+        }
+        Set<HostId> cell = work.audience();
+        silent.retainAll(cell);
         audible.retainAll(cell);
+        silent.forEach(host -> heard.get(host).reportedSilent = true);
         if (!silent.isEmpty() && SilenceRule.tells(config.host(), audible)) {
             carryOut(membership.fellSilent(silent, nowNanos), null, nowNanos);
         }
@@ -330,7 +342,7 @@
         log.info(Part.MEMBER, changed.live() ? "hostLive" : "hostGone")
                 .text("host", changed.peer())
                 .write();
-        findOthers();
+        othersChanged();
         if (changed.live()) {
             port.send(membership.self(), work.report(), List.of(changed.peer().address()));
         }
--- a/figspan-policy/src/main/java/io/figspan/policy/cell/CellPlan.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/cell/CellPlan.java
@@ -4,6 +4,7 @@
 import io.figspan.core.id.HostId;
 import io.figspan.core.util.RendezvousHash;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -32,11 +33,14 @@
     private final int count;
     private final Map<HostId, Integer> cellOfHost;
     private final Map<BackendServerId, Integer> cellOfEngine;
+    private final Map<Integer, Set<HostId>> hostsOfCell = new HashMap<>();
 
     private CellPlan(int count, Map<HostId, Integer> cellOfHost, Map<BackendServerId, Integer> cellOfEngine) {
         this.count = count;
         this.cellOfHost = cellOfHost;
         this.cellOfEngine = cellOfEngine;
+        cellOfHost.forEach((host, cell) ->
+                hostsOfCell.computeIfAbsent(cell, ignored -> new HashSet<>()).add(host));
     }
 
     /** Divides hosts and engines into cells; a small fleet is one cell. */
@@ -72,23 +76,15 @@
 
     /** The hosts of a host's cell, that one included; none for a host that is not known. */
     public Set<HostId> hostsWith(HostId host) {
-        Integer cell = cellOfHost.get(host);
-        return cell == null ? Set.of() : hostsOf(cell);
+        return hostsOf(cellOfHost.get(host));
     }
 
     /** The hosts that place requests at an engine; none for an engine that is not known. */
     public Set<HostId> hostsAt(BackendServerId engine) {
-        Integer cell = cellOfEngine.get(engine);
-        return cell == null ? Set.of() : hostsOf(cell);
+        return hostsOf(cellOfEngine.get(engine));
     }
 
     private Set<HostId> hostsOf(Integer cell) {
-        Set<HostId> hosts = new HashSet<>();
-        cellOfHost.forEach((host, of) -> {
-            if (of.equals(cell)) {
-                hosts.add(host);
-            }
-        });
-        return hosts;
+        return Collections.unmodifiableSet(hostsOfCell.getOrDefault(cell, Set.of()));
     }
 }
