--- a/figspan-bench/src/main/java/io/figspan/bench/placing/PlacingCommand.java
+++ b/figspan-bench/src/main/java/io/figspan/bench/placing/PlacingCommand.java
@@ -24,6 +24,8 @@
 public final class PlacingCommand implements BenchCommand {
     private static final double LENGTH_MS = 34_000;
     private static final double BURST_MS = 9_500;
+    private static final int LARGE_ENGINES = 172;
+    private static final int LARGE_HOSTS = 95;
 
     @Parameter(names = "--seeds", description = "Number of seeds, from 1 up")
     private int seeds = 8;
@@ -84,8 +86,8 @@
     @Override
     public boolean run(PrintStream out) {
         if (large) {
-            engines = 172;
-            hosts = 95;
+            engines = LARGE_ENGINES;
+            hosts = LARGE_HOSTS;
         }
         Function<EngineProfile, Placer> passes = profile -> new EnginePlacer(profile, new SplittableRandom(1));
         Map<String, LongFunction<PlacingTally>> plays = new LinkedHashMap<>();
--- a/figspan-gateway/src/test/java/io/figspan/gateway/ScriptedServer.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/ScriptedServer.java
@@ -49,10 +49,19 @@
             out.flush();
         }
 
+        /** Begins an answer as a sound server does; each of the further headers ends with a line break. */
+        public void begin(Received request, int status, String moreHeaders) throws IOException {
+            write(head(request, status, moreHeaders));
+        }
+
         /** Answers as a sound server does. */
         public void answer(Received request, int status, String moreHeaders, String body) throws IOException {
-            write("HTTP/1.1 " + status + " x\r\nattempt: " + request.header("attempt") + "\r\nsignature: s\r\n"
-                    + moreHeaders + "content-length: " + body.length() + "\r\n\r\n" + body);
+            write(head(request, status, moreHeaders + "content-length: " + body.length() + "\r\n") + body);
+        }
+
+        private static String head(Received request, int status, String moreHeaders) {
+            return "HTTP/1.1 " + status + " x\r\nattempt: " + request.header("attempt") + "\r\nsignature: s\r\n"
+                    + moreHeaders + "\r\n";
         }
 
         public void close() throws IOException {
--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/EndlessAnswersTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/EndlessAnswersTest.java
@@ -21,6 +21,7 @@
     /** The time limit of the harness's routes is far longer than reading what is allowed takes. */
     private static final int MAX_MEGABYTES = 64;
 
+    private static final String CHUNKED = "transfer-encoding: chunked\r\n";
     private static final String MEGABYTE = "x".repeat(1_024 * 1_024);
 
     private final CountDownLatch closed = new CountDownLatch(1);
@@ -62,7 +63,7 @@
     @Test
     void aBodyWithoutLengthThatNeverEndsFailsItsRequest() throws Exception {
         assertFailsAndCloses((request, c) -> {
-            c.write("HTTP/1.1 200 x\r\nattempt: " + request.header("attempt") + "\r\nsignature: s\r\n\r\n");
+            c.begin(request, 200, "");
             writeOn(c, MEGABYTE);
         });
     }
@@ -70,8 +71,7 @@
     @Test
     void aBodyOfEndlessChunksFailsItsRequest() throws Exception {
         assertFailsAndCloses((request, c) -> {
-            c.write("HTTP/1.1 200 x\r\nattempt: " + request.header("attempt")
-                    + "\r\nsignature: s\r\ntransfer-encoding: chunked\r\n\r\n");
+            c.begin(request, 200, CHUNKED);
             writeOn(c, Integer.toHexString(MEGABYTE.length()) + "\r\n" + MEGABYTE + "\r\n");
         });
     }
@@ -97,8 +97,8 @@
     @Test
     void trailersWithoutEndFailTheRequest() throws Exception {
         assertFailsAndCloses((request, c) -> {
-            c.write("HTTP/1.1 200 x\r\nattempt: " + request.header("attempt")
-                    + "\r\nsignature: s\r\ntransfer-encoding: chunked\r\n\r\n0\r\n");
+            c.begin(request, 200, CHUNKED);
+            c.write("0\r\n");
             writeOn(c, "name: value\r\n".repeat(1_000));
         });
     }
@@ -106,8 +106,8 @@
     @Test
     void aChunkExtensionWithoutEndFailsTheRequest() throws Exception {
         assertFailsAndCloses((request, c) -> {
-            c.write("HTTP/1.1 200 x\r\nattempt: " + request.header("attempt")
-                    + "\r\nsignature: s\r\ntransfer-encoding: chunked\r\n\r\n5;ext=");
+            c.begin(request, 200, CHUNKED);
+            c.write("5;ext=");
             writeOn(c, "z".repeat(10_000));
         });
     }
--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/StreamingTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/StreamingTest.java
@@ -39,8 +39,7 @@
     }
 
     private static void writeHead(Received request, Connection connection) throws IOException {
-        connection.write("HTTP/1.1 200 x\r\nattempt: " + request.header("attempt") + "\r\nsignature: s"
-                + "\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n");
+        connection.begin(request, 200, "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n");
     }
 
     private static void writeChunk(Connection connection, String text) throws IOException {
