Pick all ports of a test at once, so that none is named twice

Ruled out: the port of the metrics (each test has an address of its own) and outgoing connections (they leave from 127.0.0.1).

--- a/figspan-core/src/main/java/io/figspan/core/util/package-info.java
+++ b/figspan-core/src/main/java/io/figspan/core/util/package-info.java
@@ -1,2 +1,2 @@
-/** Hashing and name helpers. */
+/** Hashing, name and port helpers. */
 package io.figspan.core.util;
--- a/figspan-host/src/test/java/io/figspan/host/peer/PeerNodeTest.java
+++ b/figspan-host/src/test/java/io/figspan/host/peer/PeerNodeTest.java
@@ -20,6 +20,7 @@
 import io.figspan.core.time.HybridClock;
 import io.figspan.core.time.HybridTimestamp;
 import io.figspan.core.time.MonotonicClock;
+import io.figspan.core.util.FreePorts;
 import io.figspan.wire.PeerKey;
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Maybe;
@@ -27,8 +28,6 @@
 import io.reactivex.rxjava3.processors.BehaviorProcessor;
 import io.vertx.core.Vertx;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -165,10 +164,8 @@
 
     private void start(int count) throws IOException {
         List<PeerAddress> addresses = new ArrayList<>();
-        for (int i = 0; i < count; i++) {
-            try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-                addresses.add(new PeerAddress("127.0.0.1", socket.getLocalPort()));
-            }
+        for (int port : FreePorts.pick("127.0.0.1", count)) {
+            addresses.add(new PeerAddress("127.0.0.1", port));
         }
         for (int i = 0; i < count; i++) {
             String host = String.valueOf((char) ('a' + i));
--- a/figspan-standin/src/main/java/io/figspan/standin/StandinFiles.java
+++ b/figspan-standin/src/main/java/io/figspan/standin/StandinFiles.java
@@ -1,10 +1,9 @@
 package io.figspan.standin;
 
+import io.figspan.core.util.FreePorts;
 import io.figspan.standin.engine.EngineServer;
 import io.figspan.standin.service.PlainService;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -16,6 +15,8 @@
     /** Key of tickets and resume tokens in the settings of the stand-ins; it protects nothing outside them. */
     public static final String TOKEN_KEY = "stand-in-token-key-0123456789abcdef";
 
+    private static final int PORTS_OF_A_HOST = 3;
+
     private static final String PEER_KEY = "stand-in-peer-key-0123456789abcdefg";
 
     /** Ports of one host. */
@@ -34,25 +35,15 @@
      * the host then fails to start.
      */
     public static List<HostPorts> pickPorts(String address, int hosts) throws IOException {
-        List<ServerSocket> sockets = new ArrayList<>();
-        try {
-            List<HostPorts> picked = new ArrayList<>();
-            for (int i = 0; i < hosts; i++) {
-                int[] ports = new int[3];
-                for (int p = 0; p < ports.length; p++) {
-                    ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(address));
-                    sockets.add(socket);
-                    ports[p] = socket.getLocalPort();
-                }
-                String zone = StandinFleet.ZONES.get(i % StandinFleet.ZONES.size());
-                picked.add(new HostPorts("host-" + (i + 1), zone, ports[0], ports[1], ports[2]));
-            }
-            return picked;
-        } finally {
-            for (ServerSocket socket : sockets) {
-                socket.close();
-            }
+        List<Integer> ports = FreePorts.pick(address, hosts * PORTS_OF_A_HOST);
+        List<HostPorts> picked = new ArrayList<>();
+        for (int i = 0; i < hosts; i++) {
+            int first = i * PORTS_OF_A_HOST;
+            String zone = StandinFleet.ZONES.get(i % StandinFleet.ZONES.size());
+            picked.add(new HostPorts(
+                    "host-" + (i + 1), zone, ports.get(first), ports.get(first + 1), ports.get(first + 2)));
         }
+        return picked;
     }
 
     /** Writes all files. */
