--- a/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
@@ -12,7 +12,9 @@
 import io.figspan.gateway.fleet.FleetState;
 import io.figspan.gateway.forward.Forwarder;
 import io.figspan.gateway.log.DecisionLog;
+import io.figspan.gateway.metrics.Activity;
 import io.figspan.gateway.metrics.GatewayMetrics;
+import io.figspan.gateway.metrics.ProcessorTime;
 import io.figspan.gateway.peer.CopyReader;
 import io.figspan.gateway.peer.PeerListener;
 import io.figspan.gateway.peer.Peers;
@@ -45,6 +47,9 @@
     /** Time between two looks at whether this host has to follow the store. */
     private static final long FOLLOW_INTERVAL_MS = 200;
 
+    /** Time between two log lines on what the processor's time was spent on. */
+    private static final long PROCESSOR_TIME_INTERVAL_MS = 5_000;
+
     /** Longest wait for the event loop to take a stop. */
     private static final long STOP_PATIENCE_MS = 500;
 
@@ -87,7 +92,7 @@
                 random,
                 allowanceOf(config));
         this.callers = new CallerServer(loop, forwarder, adapter.callers());
-        this.peers = new Peers(loop, config, log, random, this, this);
+        this.peers = new Peers(loop, config, log, random, this, this, metrics.processorTime());
         this.forwarder.onWorkChanged(peers::workChanged);
         this.forwarder.viewsWorkThrough(() -> peers.oldestReportMs(System.nanoTime()));
         this.store = new StoreFollowing(config.host(), log);
@@ -113,9 +118,10 @@
         registerGauges();
         follow(adapter.fleet().settingsPrefix(), fleet.settingsFromStore());
         follow(adapter.fleet().serversPrefix(), fleet.serversFromStore());
-        every(TICK_MS, this::tick);
+        every(TICK_MS, () -> metrics.processorTime().spend(Activity.TIMERS, this::tick));
         every(FOLLOW_INTERVAL_MS, this::reviewFollowing);
         every(RELOAD_INTERVAL_MS, reload::tick);
+        every(PROCESSOR_TIME_INTERVAL_MS, this::tellOfProcessorTime);
     }
 
     private void every(long intervalMs, Runnable action) {
@@ -193,6 +199,14 @@
         }
     }
 
+    private void tellOfProcessorTime() {
+        DecisionLog.Line line = log.info(Part.ENTRY, "processorTime").number("processMs", ProcessorTime.ofProcessMs());
+        for (Activity activity : Activity.values()) {
+            line.number(activity.wireName() + "Ms", metrics.processorTime().spentMs(activity));
+        }
+        line.write();
+    }
+
     private boolean isReady() {
         return forwarder.hasSettings() && fleet.areServersKnown() && !shutdown.hasBegun();
     }
@@ -262,5 +276,10 @@
         metrics.gauge("servers.revision", () -> fleet.servers().revision());
         metrics.gauge("hosts.known", peers::hostCount);
         metrics.gauge("holds.open", holds::open);
+        metrics.gauge("processor.process.ms", ProcessorTime::ofProcessMs);
+        ProcessorTime processorTime = metrics.processorTime();
+        for (Activity activity : Activity.values()) {
+            metrics.gauge("processor." + activity.wireName() + ".ms", () -> processorTime.spentMs(activity));
+        }
     }
 }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
@@ -255,7 +255,8 @@
         Placer placer = engine.<Placer>map(profile -> new EnginePlacer(profile, random))
                 .orElseGet(() -> new LeastBusyPlacer(random));
         ServerScope scope = engine.isPresent() ? new ServerScope.OwnCell(self, hosts) : new ServerScope.All();
-        return new ServiceLane(placer, scope, allowance.newBudget(), news -> workListener.accept(news));
+        return new ServiceLane(
+                placer, scope, allowance.newBudget(), metrics.processorTime(), news -> workListener.accept(news));
     }
 
     /** All that this host has at model engines. */
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceLane.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceLane.java
@@ -4,6 +4,8 @@
 import io.figspan.core.id.HostId;
 import io.figspan.core.work.PlacedWork;
 import io.figspan.core.work.WorkNews;
+import io.figspan.gateway.metrics.Activity;
+import io.figspan.gateway.metrics.ProcessorTime;
 import io.figspan.policy.placing.Job;
 import io.figspan.policy.placing.Placement;
 import io.figspan.policy.placing.Placer;
@@ -15,20 +17,28 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 /** The jobs of one service and the placer that decides on them. All methods run on the event loop. */
 final class ServiceLane {
     private final Placer placer;
     private final ServerScope scope;
+    private final ProcessorTime processorTime;
     private final Consumer<WorkNews> workListener;
     private final Map<Job, ForwardCall> calls = new HashMap<>();
     private List<ServerSeat> servers = List.of();
     private WindowedRetryBudget budget;
 
-    ServiceLane(Placer placer, ServerScope scope, WindowedRetryBudget budget, Consumer<WorkNews> workListener) {
+    ServiceLane(
+            Placer placer,
+            ServerScope scope,
+            WindowedRetryBudget budget,
+            ProcessorTime processorTime,
+            Consumer<WorkNews> workListener) {
         this.placer = placer;
         this.scope = scope;
         this.budget = budget;
+        this.processorTime = processorTime;
         this.workListener = workListener;
     }
 
@@ -50,8 +60,10 @@
     }
 
     void hostsChanged(Set<HostId> newHosts, long nowNanos) {
-        placer.serversChanged(scope.choose(servers, newHosts), nowNanos);
-        carryOut(placer.tick(nowNanos));
+        place(() -> {
+            placer.serversChanged(scope.choose(servers, newHosts), nowNanos);
+            return placer.tick(nowNanos);
+        });
     }
 
     /** The hosts that share the servers with this one. */
@@ -66,18 +78,18 @@
 
     void submit(ForwardCall call, Job job, long nowNanos) {
         calls.put(job, call);
-        carryOut(placer.arrived(job, nowNanos));
+        place(() -> placer.arrived(job, nowNanos));
     }
 
     void pieceArrived(Job job, long pieces, long nowNanos) {
-        placer.pieceArrived(job, pieces, nowNanos);
+        processorTime.spend(Activity.PLACING, () -> placer.pieceArrived(job, pieces, nowNanos));
         if (pieces == 1) {
             workListener.accept(WorkNews.EASED);
         }
     }
 
     void peerWork(HostId host, List<PlacedWork> work, long nowNanos) {
-        carryOut(placer.peerWork(host, work, nowNanos));
+        place(() -> placer.peerWork(host, work, nowNanos));
     }
 
     List<PlacedWork> ownWork(long nowNanos) {
@@ -85,7 +97,7 @@
     }
 
     void ended(Job job, EndOfWork end, long nowNanos) {
-        carryOut(placer.ended(job, end, nowNanos));
+        place(() -> placer.ended(job, end, nowNanos));
         workListener.accept(WorkNews.EASED);
     }
 
@@ -106,7 +118,11 @@
                 call.onServerSilent();
             }
         }
-        carryOut(placer.tick(nowNanos));
+        place(() -> placer.tick(nowNanos));
+    }
+
+    private void place(Supplier<List<Placement>> decision) {
+        carryOut(processorTime.spend(Activity.PLACING, decision));
     }
 
     private void carryOut(List<Placement> placements) {
--- /dev/null
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/metrics/Activity.java
@@ -0,0 +1,26 @@
+package io.figspan.gateway.metrics;
+
+/** What the event loop spends processor time on. */
+public enum Activity {
+    /** Connections, requests and answers, and all else that is not named here. */
+    FORWARDING("forwarding"),
+    /** Looking for places, and following what the engines do. */
+    PLACING("placing"),
+    /** Messages of other hosts. */
+    HEARING_HOSTS("hearingHosts"),
+    /** Messages to other hosts. */
+    TELLING_HOSTS("tellingHosts"),
+    /** Time limits, probes and other work of the clock. */
+    TIMERS("timers");
+
+    private final String wireName;
+
+    Activity(String wireName) {
+        this.wireName = wireName;
+    }
+
+    /** The name in logs and metrics. */
+    public String wireName() {
+        return wireName;
+    }
+}
--- a/figspan-gateway/src/main/java/io/figspan/gateway/metrics/GatewayMetrics.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/metrics/GatewayMetrics.java
@@ -16,6 +16,7 @@
     private static final int WINDOW = 512;
 
     private final MetricRegistry registry = new MetricRegistry();
+    private final ProcessorTime processorTime = ProcessorTime.ofCallingThread();
     private final Timer firstPiece = timer("first.piece");
     private final Timer wholeAnswer = timer("whole.answer");
     private final Timer placement = timer("placement.wait");
@@ -33,6 +34,11 @@
         return registry.timer(name, () -> new Timer(new SlidingWindowReservoir(WINDOW)));
     }
 
+    /** What the event loop spends its time on. */
+    public ProcessorTime processorTime() {
+        return processorTime;
+    }
+
     /** A request has ended; {@code nanos} is the time since it was received. */
     public void requestEnded(RequestEnd end, long nanos) {
         counter("requests." + end.name().toLowerCase(Locale.ROOT)).inc();
--- /dev/null
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/metrics/ProcessorTime.java
@@ -0,0 +1,77 @@
+package io.figspan.gateway.metrics;
+
+import java.lang.management.ManagementFactory;
+import java.time.Duration;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+
+/**
+ * Processor time of one thread by activity. Each moment counts for the innermost activity. All methods run on that
+ * thread, but for {@link #spentMs}, which may be a little behind elsewhere.
+ */
+public final class ProcessorTime {
+    private final LongSupplier spentNanos;
+    private final Map<Activity, Long> spentNanosOn = new EnumMap<>(Activity.class);
+    private Activity current = Activity.FORWARDING;
+    private long sinceNanos;
+
+    /** Measures the thread that calls the methods. */
+    public static ProcessorTime ofCallingThread() {
+        return new ProcessorTime(ManagementFactory.getThreadMXBean()::getCurrentThreadCpuTime);
+    }
+
+    /**
+     * No time spent yet.
+     *
+     * @param spentNanos processor time of the thread until now
+     */
+    ProcessorTime(LongSupplier spentNanos) {
+        this.spentNanos = spentNanos;
+        for (Activity activity : Activity.values()) {
+            spentNanosOn.put(activity, 0L);
+        }
+    }
+
+    /** Runs something that counts for the activity. */
+    public void spend(Activity activity, Runnable action) {
+        spend(activity, () -> {
+            action.run();
+            return null;
+        });
+    }
+
+    /** Runs something that counts for the activity. */
+    public <T> T spend(Activity activity, Supplier<T> action) {
+        Activity outer = current;
+        change(activity);
+        try {
+            return action.get();
+        } finally {
+            change(outer);
+        }
+    }
+
+    private void change(Activity next) {
+        long nowNanos = spentNanos.getAsLong();
+        spentNanosOn.merge(current, nowNanos - sinceNanos, Long::sum);
+        sinceNanos = nowNanos;
+        current = next;
+    }
+
+    /** Time spent on an activity, in milliseconds. */
+    public long spentMs(Activity activity) {
+        return TimeUnit.NANOSECONDS.toMillis(spentNanosOn.get(activity));
+    }
+
+    /** Time that all threads of the process have spent, in milliseconds; 0 where the system doesn't tell. */
+    public static long ofProcessMs() {
+        return ProcessHandle.current()
+                .info()
+                .totalCpuDuration()
+                .map(Duration::toMillis)
+                .orElse(0L);
+    }
+}
--- a/figspan-gateway/src/main/java/io/figspan/gateway/peer/PeerPort.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/peer/PeerPort.java
@@ -7,6 +7,8 @@
 import io.figspan.core.event.Part;
 import io.figspan.gateway.http.Channels;
 import io.figspan.gateway.log.DecisionLog;
+import io.figspan.gateway.metrics.Activity;
+import io.figspan.gateway.metrics.ProcessorTime;
 import io.figspan.wire.DatagramCodec;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
@@ -31,12 +33,14 @@
 
     private final EventLoop loop;
     private final DecisionLog log;
+    private final ProcessorTime processorTime;
     private final BiConsumer<Peer, PeerMessage> listener;
     private Channel channel;
 
-    PeerPort(EventLoop loop, DecisionLog log, BiConsumer<Peer, PeerMessage> listener) {
+    PeerPort(EventLoop loop, DecisionLog log, ProcessorTime processorTime, BiConsumer<Peer, PeerMessage> listener) {
         this.loop = loop;
         this.log = log;
+        this.processorTime = processorTime;
         this.listener = listener;
     }
 
@@ -50,7 +54,7 @@
                 .handler(new SimpleChannelInboundHandler<DatagramPacket>() {
                     @Override
                     protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
-                        receive(packet);
+                        processorTime.spend(Activity.HEARING_HOSTS, () -> receive(packet));
                     }
 
                     @Override
--- a/figspan-gateway/src/main/java/io/figspan/gateway/peer/Peers.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/peer/Peers.java
@@ -12,6 +12,8 @@
 import io.figspan.core.work.WorkNews;
 import io.figspan.gateway.GatewayConfig;
 import io.figspan.gateway.log.DecisionLog;
+import io.figspan.gateway.metrics.Activity;
+import io.figspan.gateway.metrics.ProcessorTime;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -55,6 +57,7 @@
     private final RandomGenerator random;
     private final PeerListener listener;
     private final WorkSource work;
+    private final ProcessorTime processorTime;
     private final PeerPort port;
     private final List<PeerAddress> seeds;
     private final Map<HostId, Heard> heard = new HashMap<>();
@@ -89,14 +92,16 @@
             DecisionLog log,
             RandomGenerator random,
             PeerListener listener,
-            WorkSource work) {
+            WorkSource work,
+            ProcessorTime processorTime) {
         this.loop = loop;
         this.config = config;
         this.log = log;
         this.random = random;
         this.listener = listener;
         this.work = work;
-        this.port = new PeerPort(loop, log, this::receive);
+        this.processorTime = processorTime;
+        this.port = new PeerPort(loop, log, processorTime, this::receive);
         this.seeds = config.seeds().stream().map(Peers::addressOf).toList();
         this.tickedNanos = System.nanoTime();
         this.pausedNanos = tickedNanos;
@@ -147,7 +152,8 @@
             reporting.cancel(false);
         }
         reportDueNanos = dueNanos;
-        reporting = loop.schedule(this::sendReport, delayMs, TimeUnit.MILLISECONDS);
+        reporting = loop.schedule(
+                () -> processorTime.spend(Activity.TELLING_HOSTS, this::sendReport), delayMs, TimeUnit.MILLISECONDS);
     }
 
     /** The other hosts that serve callers. */
--- /dev/null
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/metrics/ProcessorTimeTest.java
@@ -0,0 +1,48 @@
+package io.figspan.gateway.metrics;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+class ProcessorTimeTest {
+    private long nowNanos;
+
+    private final ProcessorTime time = new ProcessorTime(() -> nowNanos);
+
+    private void work(long ms) {
+        nowNanos += TimeUnit.MILLISECONDS.toNanos(ms);
+    }
+
+    @Test
+    void timeCountsForTheInnermostActivity() {
+        work(2);
+        time.spend(Activity.TIMERS, () -> {
+            work(10);
+            time.spend(Activity.PLACING, () -> work(30));
+            work(5);
+        });
+        time.spend(Activity.HEARING_HOSTS, () -> work(1));
+
+        assertEquals(15, time.spentMs(Activity.TIMERS));
+        assertEquals(30, time.spentMs(Activity.PLACING));
+        assertEquals(1, time.spentMs(Activity.HEARING_HOSTS));
+        assertEquals(2, time.spentMs(Activity.FORWARDING));
+    }
+
+    @Test
+    void anErrorEndsItsActivity() {
+        assertThrows(
+                IllegalStateException.class,
+                () -> time.spend(Activity.PLACING, () -> {
+                    work(3);
+                    throw new IllegalStateException("a fault");
+                }));
+        work(4);
+        time.spend(Activity.TIMERS, () -> work(1));
+
+        assertEquals(3, time.spentMs(Activity.PLACING));
+        assertEquals(4, time.spentMs(Activity.FORWARDING));
+    }
+}
--- a/figspan-gateway/src/test/java/io/figspan/gateway/peer/PeersTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/peer/PeersTest.java
@@ -15,6 +15,7 @@
 import io.figspan.gateway.GatewayConfig;
 import io.figspan.gateway.TestConfigs;
 import io.figspan.gateway.log.DecisionLog;
+import io.figspan.gateway.metrics.ProcessorTime;
 import io.figspan.wire.DatagramCodec;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -67,7 +68,14 @@
             id = HostId.of(name);
             this.address = address;
             GatewayConfig config = TestConfigs.of(id, address, List.of(seed), 0.2);
-            peers = new Peers(loop, config, new DecisionLog(), new SplittableRandom(1), this, this);
+            peers = new Peers(
+                    loop,
+                    config,
+                    new DecisionLog(),
+                    new SplittableRandom(1),
+                    this,
+                    this,
+                    ProcessorTime.ofCallingThread());
             peers.listen().syncUninterruptibly();
             onLoop(() -> peers.join(System.nanoTime()));
             var unused = loop.scheduleWithFixedDelay(
