--- a/figspan-core/src/main/java/io/figspan/core/work/WorkNews.java
+++ b/figspan-core/src/main/java/io/figspan/core/work/WorkNews.java
@@ -5,7 +5,7 @@
     /** Work was placed: until others know, they may place at the same server. */
     PLACED(3),
     /** A server has less to do than before: others that don't know yet only place elsewhere. */
-    EASED(100);
+    EASED(200);
 
     private final long delayMs;
 
--- a/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
@@ -200,7 +200,8 @@
     }
 
     private void tellOfProcessorTime() {
-        DecisionLog.Line line = log.info(Part.ENTRY, "processorTime").number("processMs", ProcessorTime.ofProcessMs());
+        DecisionLog.Line line = log.info(Part.ENTRY, "processorTime");
+        ProcessorTime.ofProcessMs().ifPresent(spentMs -> line.number("processMs", spentMs));
         for (Activity activity : Activity.values()) {
             line.number(activity.wireName() + "Ms", metrics.processorTime().spentMs(activity));
         }
@@ -276,7 +277,10 @@
         metrics.gauge("servers.revision", () -> fleet.servers().revision());
         metrics.gauge("hosts.known", peers::hostCount);
         metrics.gauge("holds.open", holds::open);
-        metrics.gauge("processor.process.ms", ProcessorTime::ofProcessMs);
+        if (ProcessorTime.ofProcessMs().isPresent()) {
+            metrics.gauge(
+                    "processor.process.ms", () -> ProcessorTime.ofProcessMs().orElse(0));
+        }
         ProcessorTime processorTime = metrics.processorTime();
         for (Activity activity : Activity.values()) {
             metrics.gauge("processor." + activity.wireName() + ".ms", () -> processorTime.spentMs(activity));
--- a/figspan-gateway/src/main/java/io/figspan/gateway/metrics/ProcessorTime.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/metrics/ProcessorTime.java
@@ -1,9 +1,9 @@
 package io.figspan.gateway.metrics;
 
 import java.lang.management.ManagementFactory;
-import java.time.Duration;
 import java.util.EnumMap;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -17,6 +17,7 @@
     private final Map<Activity, Long> spentNanosOn = new EnumMap<>(Activity.class);
     private Activity current = Activity.FORWARDING;
     private long sinceNanos;
+    private boolean begun;
 
     /** Measures the thread that calls the methods. */
     public static ProcessorTime ofCallingThread() {
@@ -24,7 +25,7 @@
     }
 
     /**
-     * No time spent yet.
+     * No time spent yet; counts from the first activity on.
      *
      * @param spentNanos processor time of the thread until now
      */
@@ -56,7 +57,10 @@
 
     private void change(Activity next) {
         long nowNanos = spentNanos.getAsLong();
-        spentNanosOn.merge(current, nowNanos - sinceNanos, Long::sum);
+        if (begun) {
+            spentNanosOn.merge(current, nowNanos - sinceNanos, Long::sum);
+        }
+        begun = true;
         sinceNanos = nowNanos;
         current = next;
     }
@@ -66,12 +70,12 @@
         return TimeUnit.NANOSECONDS.toMillis(spentNanosOn.get(activity));
     }
 
-    /** Time that all threads of the process have spent, in milliseconds; 0 where the system doesn't tell. */
-    public static long ofProcessMs() {
+    /** Time that all threads of the process have spent, in milliseconds; empty where the system doesn't tell. */
+    public static OptionalLong ofProcessMs() {
         return ProcessHandle.current()
                 .info()
                 .totalCpuDuration()
-                .map(Duration::toMillis)
-                .orElse(0L);
+                .map(spent -> OptionalLong.of(spent.toMillis()))
+                .orElseGet(OptionalLong::empty);
     }
 }
--- a/figspan-gateway/src/test/java/io/figspan/gateway/metrics/ProcessorTimeTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/metrics/ProcessorTimeTest.java
@@ -17,12 +17,12 @@
 
     @Test
     void timeCountsForTheInnermostActivity() {
-        work(2);
         time.spend(Activity.TIMERS, () -> {
             work(10);
             time.spend(Activity.PLACING, () -> work(30));
             work(5);
         });
+        work(2);
         time.spend(Activity.HEARING_HOSTS, () -> work(1));
 
         assertEquals(15, time.spentMs(Activity.TIMERS));
@@ -31,6 +31,15 @@
         assertEquals(2, time.spentMs(Activity.FORWARDING));
     }
 
+    @Test
+    void theClockNeedNotBeginAtZero() {
+        work(1_000_000);
+        time.spend(Activity.TIMERS, () -> work(1));
+
+        assertEquals(0, time.spentMs(Activity.FORWARDING));
+        assertEquals(1, time.spentMs(Activity.TIMERS));
+    }
+
     @Test
     void anErrorEndsItsActivity() {
         assertThrows(
--- a/figspan-policy/src/main/java/io/figspan/policy/engine/PassSimulation.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/engine/PassSimulation.java
@@ -29,6 +29,9 @@
     private final EngineProfile profile;
     private final List<Task> reading = new ArrayList<>();
     private final List<Task> writing = new ArrayList<>();
+    /** Those whose reading ended in the latest step. */
+    private final List<Task> finished = new ArrayList<>();
+
     private double timeMs;
     private double passStartMs;
     private double passEndMs;
@@ -264,6 +267,7 @@
 
     /** Goes on to the end of a pass or of a prompt, or to the limit; false when there is nothing to do. */
     private boolean step(double limitMs) {
+        finished.clear();
         if (inPass) {
             if (passEndMs > limitMs) {
                 return false;
@@ -353,6 +357,7 @@
         boolean othersReady = !task.writesHere || task.othersReadyMs <= timeMs;
         if (othersReady) {
             tasks.remove();
+            finished.add(task);
             write(task);
         }
     }
@@ -364,6 +369,7 @@
             if (task.othersReadyMs <= limitMs) {
                 timeMs = Math.max(timeMs, task.othersReadyMs);
                 tasks.remove();
+                finished.add(task);
                 write(task);
                 return true;
             }
@@ -414,7 +420,6 @@
         for (int pass = 0; pass < MAX_FORECAST_PASSES && !reading.isEmpty(); pass++) {
             double startMs = timeMs;
             boolean wasInPass = inPass;
-            List<Task> before = List.copyOf(reading);
             if (!step(Double.MAX_VALUE)) {
                 break;
             }
@@ -423,10 +428,7 @@
                 harm += gapHarm(timeMs - startMs, loss);
             }
             double slowdown = passEnded ? 1 : SLOWDOWN;
-            for (Task task : before) {
-                if (reading.contains(task)) {
-                    continue;
-                }
+            for (Task task : finished) {
                 if (task.key == key) {
                     doneMs = timeMs;
                 } else {
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/EnginePlacer.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/EnginePlacer.java
@@ -8,6 +8,7 @@
 import io.figspan.core.work.PlacedWork;
 import io.figspan.policy.engine.LateLoss;
 import io.figspan.policy.engine.PassSimulation.RequestTraits;
+import io.figspan.policy.engine.ReadShare;
 import io.figspan.policy.placing.ReadPlan.Reader;
 import io.figspan.settings.gateway.EngineProfile;
 import java.util.ArrayDeque;
@@ -38,8 +39,7 @@
     /** Time to come back for a prompt that found no engine. */
     static final long RETRY_AFTER_MS = 400;
 
-    /** Looking for a place takes about a millisecond, so a job that waits does so this often at most. */
-    private static final long RETRY_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(30);
+    private static final double PERCENT = 100;
 
     /** When more engines than one in so many are silent, they read a prompt together, or this host is cut off. */
     private static final int MOST_SILENT_OF = 4;
@@ -57,10 +57,12 @@
     /** A job that waits, and when a place was last looked for. */
     private static final class Waiting {
         final Job job;
+        final long lookIntervalNanos;
         long triedAtNanos;
 
-        Waiting(Job job, long triedAtNanos) {
+        Waiting(Job job, long lookIntervalNanos, long triedAtNanos) {
             this.job = job;
+            this.lookIntervalNanos = lookIntervalNanos;
             this.triedAtNanos = triedAtNanos;
         }
     }
@@ -110,7 +112,8 @@
         if (queue.size() >= MAX_WAITING) {
             return List.of(refuse(job, "too many requests wait"));
         }
-        queue.add(new Waiting(job, nowNanos));
+        double readMs = ReadShare.of(promptTokens(job), 1).readMs(profile);
+        queue.add(new Waiting(job, LookInterval.nanos(readMs), nowNanos));
         return List.of();
     }
 
@@ -162,14 +165,12 @@
         job.tried().add(plan.first().id());
         RequestTraits traits = wanted.traits(wanted.promptTokens() - plan.heldElsewhereTokens());
         SeatWork.add(work.key, plan.first(), plan.readers(), wanted.promptTokens(), traits, nowMs);
-        String reason = String.format(
-                "readers=%d held=%d dueInMs=%.0f readInMs=%.0f loss=%.2f writers=%d",
-                plan.readers().size(),
-                plan.heldElsewhereTokens(),
-                wanted.dueMs() - nowMs,
-                plan.doneMs() - nowMs,
-                plan.loss(),
-                plan.first().simulation().writers());
+        String reason = "readers=" + plan.readers().size()
+                + " held=" + plan.heldElsewhereTokens()
+                + " dueInMs=" + Math.round(wanted.dueMs() - nowMs)
+                + " readInMs=" + Math.round(plan.doneMs() - nowMs)
+                + " lossPercent=" + Math.round(plan.loss() * PERCENT)
+                + " writers=" + plan.first().simulation().writers();
         List<PlacedReader> readers = plan.readers().stream().map(Reader::placed).toList();
         return new Placement.Send(job, plan.first().id(), OptionalInt.empty(), readers, reason);
     }
@@ -259,7 +260,7 @@
         List<Placement> placements = new ArrayList<>();
         for (Iterator<Waiting> jobs = queue.iterator(); jobs.hasNext(); ) {
             Waiting waiting = jobs.next();
-            if (nowNanos - waiting.triedAtNanos < RETRY_INTERVAL_NANOS) {
+            if (nowNanos - waiting.triedAtNanos < waiting.lookIntervalNanos) {
                 continue;
             }
             waiting.triedAtNanos = nowNanos;
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/ReadPlanner.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/ReadPlanner.java
@@ -126,7 +126,9 @@
             List<Reader> holders,
             double nowMs) {
         List<Able> able = new ArrayList<>();
-        for (EngineSeat seat : helpers) {
+        boolean stayWhole =
+                holders.isEmpty() && isShort(wanted, firsts.iterator().next());
+        for (EngineSeat seat : stayWhole ? Shortlist.of(firsts, seat -> openingLoss(wanted, seat)) : helpers) {
             able.add(new Able(seat, firsts.contains(seat), seat.simulation().harmSoon(lateLoss, nowMs)));
         }
         ReadPlan best = null;
@@ -146,9 +148,11 @@
     }
 
     private static boolean isWorthSplitting(Wanted wanted, ReadPlan best) {
-        double readMs =
-                ReadShare.of(wanted.promptTokens(), 1).readMs(best.first().profile());
-        return readMs > SHORT_READ_MS || best.loss() > LOSS_PER_READER;
+        return !isShort(wanted, best.first()) || best.loss() > LOSS_PER_READER;
+    }
+
+    private static boolean isShort(Wanted wanted, EngineSeat engine) {
+        return ReadShare.of(wanted.promptTokens(), 1).readMs(engine.profile()) <= SHORT_READ_MS;
     }
 
     private ReadPlan planWith(Wanted wanted, List<Able> able, List<Reader> holders, int readers, double nowMs) {
