--- a/figspan-policy/src/main/java/io/figspan/policy/placing/Shortlist.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/Shortlist.java
@@ -7,9 +7,9 @@
 import java.util.function.ToDoubleFunction;
 
 /**
- * The engines that are weighed for a prompt that one engine reads quickly: those with the least in its way, and at which
- * it is the least in the way of long prompts. Answers load in which most requests are short, so that weighing each
- * engine for each of them would take the host's processor without a better choice.
+ * The engines that are weighed for a prompt that one engine reads quickly: those with the least in its way, and at
+ * which it is the least in the way of long prompts. Answers load in which most requests are short, so that weighing
+ * each engine for each of them would take the host's processor without a better choice.
  */
 final class Shortlist {
     /** Enough that some of them are good in ways that the order doesn't show. */
--- /dev/null
+++ b/figspan-policy/src/test/java/io/figspan/policy/placing/ShortlistTest.java
@@ -0,0 +1,71 @@
+package io.figspan.policy.placing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.figspan.core.id.BackendServerId;
+import io.figspan.policy.engine.PassSimulation.RequestTraits;
+import io.figspan.policy.engine.ReadShare;
+import io.figspan.settings.gateway.EngineProfile;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class ShortlistTest {
+    private static final EngineProfile ENGINE =
+            new EngineProfile(4, 315_000, 51, 0.85, 0.006, 0.0029, 177, 0.184, 2_048, 200, 0.05);
+    private static final RequestTraits TRAITS = new RequestTraits(5_000, 1_000, 4_000, 300, 1);
+
+    private final List<EngineSeat> engines = new ArrayList<>();
+
+    private EngineSeat engine() {
+        EngineSeat engine = new EngineSeat(BackendServerId.of("e" + engines.size()), ENGINE, 0);
+        engines.add(engine);
+        return engine;
+    }
+
+    private void engines(int count) {
+        for (int i = 0; i < count; i++) {
+            engine();
+        }
+    }
+
+    @Test
+    void itsLengthDoesNotGrowWithTheNumberOfEngines() {
+        engines(100);
+
+        assertEquals(Shortlist.MAX_ENGINES, Shortlist.of(engines, engine -> 0).size());
+    }
+
+    @Test
+    void allOfFewEnginesAreWeighed() {
+        engines(3);
+
+        assertEquals(3, Shortlist.of(engines, engine -> 0).size());
+    }
+
+    @Test
+    void enginesThatReadComeAfterThoseThatAreFree() {
+        EngineSeat reads = engine();
+        reads.simulation().addPart(1, TRAITS, ReadShare.of(50_000, 1), 0);
+        EngineSeat writes = engine();
+        writes.simulation().addWriter(2, TRAITS, 1, 0);
+        EngineSeat free = engine();
+
+        assertEquals(List.of(free, writes, reads), Shortlist.of(engines, engine -> 0));
+    }
+
+    @Test
+    void anEngineThatShouldStayFreeOfShortPausesComesAfterOneThatWrites() {
+        engines(20);
+        EngineSeat writes = engine();
+        writes.simulation().addWriter(1, TRAITS, 1, 0);
+
+        List<EngineSeat> weighed = Shortlist.of(engines, engine -> engine == writes ? 0 : 0.5);
+
+        assertEquals(writes, weighed.get(0));
+        assertTrue(weighed.contains(engines.get(0)));
+        assertFalse(weighed.contains(engines.get(19)));
+    }
+}
