Hosts tell and hear their work with less computing, and never look up a name for a datagram

Who is named to callers and who is told of as silent follows the hosts of the cell, which report back, not those that hear of leftover work in other cells.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
@@ -242,8 +242,13 @@
     }
 
     @Override
-    public Set<HostId> audience() {
-        return forwarder.audience();
+    public Set<HostId> cell() {
+        return forwarder.cell();
+    }
+
+    @Override
+    public Set<HostId> audience(List<PlacedWork> work) {
+        return forwarder.audience(work);
     }
 
     @Override
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
@@ -289,11 +289,10 @@
         return cell;
     }
 
-    /** The hosts that this host's work at model engines concerns. */
-    public Set<HostId> audience() {
-        long nowNanos = System.nanoTime();
+    /** The hosts that work of this host at model engines concerns. */
+    public Set<HostId> audience(List<PlacedWork> work) {
         Set<HostId> audience = new HashSet<>();
-        lanes.values().forEach(lane -> audience.addAll(lane.audience(nowNanos)));
+        lanes.values().forEach(lane -> audience.addAll(lane.audience(work)));
         return audience;
     }
 
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServerScope.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServerScope.java
@@ -51,18 +51,23 @@
 
         @Override
         public Set<HostId> audience(List<PlacedWork> work) {
-            Set<BackendServerId> used = new HashSet<>();
+            Set<HostId> audience = plan.hostsWith(self);
             for (PlacedWork item : work) {
-                used.add(item.server());
-                item.readers().stream().map(PlacedReader::server).forEach(used::add);
-            }
-            Set<HostId> audience = new HashSet<>(plan.hostsWith(self));
-            for (BackendServerId server : used) {
-                if (!plan.mayUse(self, server)) {
-                    audience.addAll(plan.hostsAt(server));
+                audience = withHostsAt(item.server(), audience);
+                for (PlacedReader reader : item.readers()) {
+                    audience = withHostsAt(reader.server(), audience);
                 }
             }
             return audience;
         }
+
+        private Set<HostId> withHostsAt(BackendServerId server, Set<HostId> audience) {
+            if (plan.mayUse(self, server)) {
+                return audience;
+            }
+            Set<HostId> more = new HashSet<>(audience);
+            more.addAll(plan.hostsAt(server));
+            return more;
+        }
     }
 }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceLane.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceLane.java
@@ -71,9 +71,9 @@
         return scope.audience(List.of());
     }
 
-    /** The hosts that this host's work concerns. */
-    Set<HostId> audience(long nowNanos) {
-        return scope.audience(placer.ownWork(nowNanos));
+    /** The hosts that work of this host concerns. */
+    Set<HostId> audience(List<PlacedWork> work) {
+        return scope.audience(work);
     }
 
     void submit(ForwardCall call, Job job, long nowNanos) {
--- a/figspan-gateway/src/main/java/io/figspan/gateway/peer/PeerPort.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/peer/PeerPort.java
@@ -33,6 +33,7 @@
 
     private final EventLoop loop;
     private final DecisionLog log;
+    private final LiteralAddresses known = new LiteralAddresses();
     private final ProcessorTime processorTime;
     private final BiConsumer<Peer, PeerMessage> listener;
     private Channel channel;
@@ -80,8 +81,9 @@
         }
         ByteBuf bytes = Unpooled.wrappedBuffer(datagram);
         for (PeerAddress address : addresses) {
-            InetSocketAddress to = new InetSocketAddress(address.address(), address.port());
-            Channels.writeAndFlush(channel, new DatagramPacket(bytes.retainedDuplicate(), to));
+            known.find(address)
+                    .ifPresent(
+                            to -> Channels.writeAndFlush(channel, new DatagramPacket(bytes.retainedDuplicate(), to)));
         }
         bytes.release();
     }
@@ -100,9 +102,8 @@
     }
 
     /** Whether a packet came from the address that its sender claims, so that answers and reads go to nobody else. */
-    private static boolean cameFrom(InetSocketAddress sender, PeerAddress claimed) {
-        return sender.getPort() == claimed.port()
-                && sender.getAddress().getHostAddress().equals(claimed.address());
+    private boolean cameFrom(InetSocketAddress sender, PeerAddress claimed) {
+        return known.find(claimed).filter(sender::equals).isPresent();
     }
 
     private void refuse(DatagramPacket packet, String reason) {
--- a/figspan-gateway/src/main/java/io/figspan/gateway/peer/Peers.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/peer/Peers.java
@@ -69,6 +69,11 @@
     /** The other live hosts; null when they have to be looked up again. */
     private List<Peer> others;
 
+    /** The hosts that the latest report went to, and where they are; null when they have to be looked up again. */
+    private Set<HostId> toldHosts;
+
+    private List<PeerAddress> toldAddresses = List.of();
+
     private boolean hostsChanged;
     private long reportedAtNanos;
 
@@ -78,6 +83,7 @@
         long sequence = -1;
         long atNanos;
         long storeAgeMs = -1;
+        boolean hasWork = true;
         boolean reportedSilent;
     }
 
@@ -159,7 +165,7 @@
     /** The other hosts that serve callers. */
     public List<Peer> serving(long nowNanos) {
         List<Peer> serving = new ArrayList<>();
-        Set<HostId> reporting = work.audience();
+        Set<HostId> reporting = work.cell();
         for (Peer peer : others()) {
             boolean serves = reporting.contains(peer.host())
                     ? isHeard(peer.host(), nowNanos)
@@ -217,6 +223,7 @@
     private void othersChanged() {
         hostsChanged = true;
         others = null;
+        toldHosts = null;
     }
 
     /** Runs what is due; called at least every {@link Membership#TICK_NANOS}. */
@@ -264,7 +271,7 @@
         if (silent.isEmpty()) {
             return;
         }
-        Set<HostId> cell = work.audience();
+        Set<HostId> cell = work.cell();
         silent.retainAll(cell);
         audible.retainAll(cell);
         silent.forEach(host -> heard.get(host).reportedSilent = true);
@@ -280,7 +287,7 @@
                 hosts.remove();
                 log.info(Part.MEMBER, "hostSilent")
                         .text("host", host.getKey())
-                        .text("placesHere", work.audience().contains(host.getKey()))
+                        .text("placesHere", work.cell().contains(host.getKey()))
                         .write();
                 listener.onHostGone(host.getKey());
             }
@@ -293,12 +300,19 @@
             return;
         }
         reportedAtNanos = System.nanoTime();
-        Set<HostId> audience = work.audience();
-        List<PeerAddress> addresses = others().stream()
-                .filter(peer -> audience.contains(peer.host()))
-                .map(Peer::address)
-                .toList();
-        port.send(membership.self(), work.report(), addresses);
+        PeerMessage.WorkReport report = work.report();
+        port.send(membership.self(), report, addressesOf(work.audience(report.work())));
+    }
+
+    private List<PeerAddress> addressesOf(Set<HostId> audience) {
+        if (!audience.equals(toldHosts)) {
+            toldHosts = Set.copyOf(audience);
+            toldAddresses = others().stream()
+                    .filter(peer -> audience.contains(peer.host()))
+                    .map(Peer::address)
+                    .toList();
+        }
+        return toldAddresses;
     }
 
     private void receive(Peer from, PeerMessage message) {
@@ -325,7 +339,10 @@
         last.atNanos = nowNanos;
         last.reportedSilent = false;
         last.storeAgeMs = received.storeAgeMs();
-        listener.onWork(from.host(), received.work());
+        if (last.hasWork || !received.work().isEmpty()) {
+            listener.onWork(from.host(), received.work());
+        }
+        last.hasWork = !received.work().isEmpty();
         listener.onNewerItems(from, received.settingsRevision(), received.serversRevision());
     }
 
--- a/figspan-gateway/src/main/java/io/figspan/gateway/peer/WorkSource.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/peer/WorkSource.java
@@ -2,6 +2,8 @@
 
 import io.figspan.cluster.message.PeerMessage;
 import io.figspan.core.id.HostId;
+import io.figspan.core.work.PlacedWork;
+import java.util.List;
 import java.util.Set;
 
 /** This host's work as the other hosts are told of it. */
@@ -9,6 +11,9 @@
     /** All that this host has at model engines now. */
     PeerMessage.WorkReport report();
 
-    /** The hosts that place requests at the engines that this host uses. They report to this one as well. */
-    Set<HostId> audience();
+    /** The hosts that share model engines with this one, which report to it as it does to them. */
+    Set<HostId> cell();
+
+    /** The hosts that place requests at the engines of the work: the cell, and others where work lies outside it. */
+    Set<HostId> audience(List<PlacedWork> work);
 }
--- /dev/null
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/peer/LiteralAddressesTest.java
@@ -0,0 +1,33 @@
+package io.figspan.gateway.peer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.figspan.cluster.message.PeerAddress;
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+class LiteralAddressesTest {
+    private final LiteralAddresses addresses = new LiteralAddresses();
+
+    @Test
+    void aLiteralIsTheSocketAddressThatPacketsComeFrom() {
+        assertEquals(
+                Optional.of(new InetSocketAddress("127.0.0.9", 7)), addresses.find(new PeerAddress("127.0.0.9", 7)));
+    }
+
+    @Test
+    void aNameIsNotLookedUp() {
+        assertTrue(addresses.find(new PeerAddress("localhost", 7)).isEmpty());
+    }
+
+    @Test
+    void forgedSendersFillNoMemory() {
+        for (int port = 1; port <= 3 * LiteralAddresses.MAX_KEPT; port++) {
+            addresses.find(new PeerAddress("10.0.0.1", port));
+        }
+
+        assertEquals(LiteralAddresses.MAX_KEPT, addresses.kept());
+    }
+}
--- a/figspan-gateway/src/test/java/io/figspan/gateway/peer/PeersTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/peer/PeersTest.java
@@ -92,7 +92,12 @@
         }
 
         @Override
-        public Set<HostId> audience() {
+        public Set<HostId> cell() {
+            return audience;
+        }
+
+        @Override
+        public Set<HostId> audience(List<PlacedWork> work) {
             return audience;
         }
 
