--- a/figspan-policy/src/main/java/io/figspan/policy/placing/PeerJobs.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/PeerJobs.java
@@ -6,8 +6,11 @@
 import io.figspan.policy.engine.PassSimulation.RequestTraits;
 import io.figspan.policy.placing.ReadPlan.Reader;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.LongSupplier;
 
 /** What the other hosts have at the engines, entered into the simulations of this host. */
@@ -37,21 +40,27 @@
 
     /** Takes all that a host has at the engines now. */
     void replace(HostId host, List<PlacedWork> work, double nowMs) {
-        Map<Long, PeerJob> before = peers.getOrDefault(host, Map.of());
-        Map<Long, PeerJob> after = new HashMap<>();
+        Map<Long, PeerJob> jobs = peers.computeIfAbsent(host, ignored -> new HashMap<>());
         for (PlacedWork item : work) {
-            PeerJob known = before.get(item.id());
-            after.put(item.id(), known == null ? add(item, nowMs) : update(known, item, nowMs));
+            jobs.compute(item.id(), (id, known) -> known == null ? add(item, nowMs) : update(known, item, nowMs));
         }
-        for (PeerJob job : before.values()) {
-            if (!after.containsKey(job.work().id())) {
-                remove(job, nowMs);
-            }
+        if (jobs.size() > work.size()) {
+            removeAllBut(work, jobs, nowMs);
         }
-        if (after.isEmpty()) {
+        if (jobs.isEmpty()) {
             peers.remove(host);
-        } else {
-            peers.put(host, after);
+        }
+    }
+
+    private void removeAllBut(List<PlacedWork> work, Map<Long, PeerJob> jobs, double nowMs) {
+        Set<Long> kept = new HashSet<>();
+        work.forEach(item -> kept.add(item.id()));
+        for (Iterator<PeerJob> left = jobs.values().iterator(); left.hasNext(); ) {
+            PeerJob job = left.next();
+            if (!kept.contains(job.work().id())) {
+                left.remove();
+                remove(job, nowMs);
+            }
         }
     }
 
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/Shortlist.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/Shortlist.java
@@ -21,6 +21,9 @@
     /** Reading that is as bad as the loss of an answer. */
     private static final double READING_MS_PER_LOSS = 1_000;
 
+    /** An engine with what is in the way there. */
+    private record Rated(EngineSeat engine, double busyMs) {}
+
     private Shortlist() {}
 
     /**
@@ -29,10 +32,13 @@
      * @param openingLoss worth that is lost when an engine gets its first request of short pauses
      */
     static List<EngineSeat> of(Collection<EngineSeat> engines, ToDoubleFunction<EngineSeat> openingLoss) {
-        List<EngineSeat> best = new ArrayList<>(engines);
-        best.sort(Comparator.comparingDouble(
-                engine -> busyMs(engine) + READING_MS_PER_LOSS * openingLoss.applyAsDouble(engine)));
-        return best.subList(0, Math.min(MAX_ENGINES, best.size()));
+        List<Rated> rated = new ArrayList<>();
+        for (EngineSeat engine : engines) {
+            double lossMs = READING_MS_PER_LOSS * openingLoss.applyAsDouble(engine);
+            rated.add(new Rated(engine, busyMs(engine) + lossMs));
+        }
+        rated.sort(Comparator.comparingDouble(Rated::busyMs));
+        return rated.stream().limit(MAX_ENGINES).map(Rated::engine).toList();
     }
 
     private static double busyMs(EngineSeat engine) {
