Bound the memory and the time of request bodies as they arrive

Now a body's memory grows with what has come, all bodies together fill 16 MB at most (503, not run, with Retry-After), and a body has the idle time and a second for each thousand bytes (408, not run). Tests: with the bounds taken out aBodyThatTricklesIsEndedWithARefusalAndNotRun and bodiesOfAllCallersTogetherFillBoundedMemory fail.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerConnection.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerConnection.java
@@ -42,12 +42,16 @@
     /** Messages that a caller may send ahead before reading from its connection stops. */
     private static final int MAX_PIPELINED_MESSAGES = 64;
 
+    /** Time to come back when the memory for bodies is full. */
+    private static final long NO_ROOM_RETRY_MS = 500;
+
     private final CallerServer server;
     private final CallerLimits limits;
     private final Deque<HttpObject> pipelined = new ArrayDeque<>();
     private Channel channel;
     private HttpRequest head;
-    private ByteBuf body;
+    private RequestBody body;
+    private long headNanos;
     private CallerCall call;
     private boolean answering;
     private long requests;
@@ -71,7 +75,7 @@
     public void channelInactive(ChannelHandlerContext ctx) {
         server.closed(this);
         closing = true;
-        releaseBody();
+        endBody();
         pipelined.forEach(ReferenceCountUtil::release);
         pipelined.clear();
         CallerCall left = call;
@@ -141,11 +145,12 @@
     private void begin(HttpRequest request) {
         bytesBeforeHead = false;
         lastActiveNanos = System.nanoTime();
+        headNanos = lastActiveNanos;
         head = request;
         keepAlive = HttpUtil.isKeepAlive(request);
-        body = Unpooled.EMPTY_BUFFER;
+        body = new RequestBody(server.bodies(), limits.maxBodyBytes());
         if (HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes()) {
-            refuseBody();
+            refuse(bodyTooLong());
             return;
         }
         if (HttpUtil.is100ContinueExpected(request)) {
@@ -157,27 +162,20 @@
     }
 
     private void addBody(HttpContent content) {
-        ByteBuf piece = content.content();
-        if (body.readableBytes() + piece.readableBytes() > limits.maxBodyBytes()) {
-            refuseBody();
-            return;
-        }
-        if (piece.isReadable()) {
-            if (!body.isReadable()) {
-                int expected = (int) Math.min(limits.maxBodyBytes(), HttpUtil.getContentLength(head, 0L));
-                body = Unpooled.buffer(Math.max(expected, piece.readableBytes()));
-            }
-            body.writeBytes(piece, piece.readerIndex(), piece.readableBytes());
-        }
-        if (content instanceof LastHttpContent) {
+        RequestBody.Outcome outcome = body.add(content.content());
+        if (outcome == RequestBody.Outcome.TOO_LONG) {
+            refuse(bodyTooLong());
+        } else if (outcome == RequestBody.Outcome.NO_ROOM) {
+            refuse(Problem.notRun(ProblemKind.OVERLOADED, "the bodies of requests in progress fill the memory")
+                    .withRetryAfterMs(NO_ROOM_RETRY_MS));
+        } else if (content instanceof LastHttpContent) {
             requestRead();
         }
     }
 
     private void requestRead() {
         answering = true;
-        ByteBuf whole = body;
-        body = null;
+        ByteBuf whole = body.takeWhole();
         long number = ++requests;
         Optional<CallerCall> accepted = server.accept(head, whole, this);
         boolean answeredMeanwhile = !answering || requests != number;
@@ -186,30 +184,34 @@
         }
     }
 
-    private void refuseBody() {
+    private Problem bodyTooLong() {
+        return Problem.notRun(ProblemKind.BODY_TOO_LARGE, "the body has more than " + limits.maxBodyBytes() + " bytes");
+    }
+
+    private void refuse(Problem problem) {
+        refuse(ProblemResponses.of(problem));
+    }
+
+    /** Refuses a request that has not arrived as a whole; the rest of it can't be told from another one. */
+    private void refuse(FullHttpResponse response) {
         keepAlive = false;
-        releaseBody();
         answering = true;
-        answer(ProblemResponses.of(Problem.notRun(
-                ProblemKind.BODY_TOO_LARGE, "the body has more than " + limits.maxBodyBytes() + " bytes")));
+        answer(response);
     }
 
     private void refuseUnreadable(Throwable cause) {
-        keepAlive = false;
-        releaseBody();
-        answering = true;
         FullHttpResponse response = ProblemResponses.of(Problem.notRun(ProblemKind.INVALID_VALUE, cause.getMessage()));
         if (cause instanceof TooLongHttpHeaderException) {
             response.setStatus(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE);
         } else if (cause instanceof TooLongHttpLineException) {
             response.setStatus(HttpResponseStatus.REQUEST_URI_TOO_LONG);
         }
-        answer(response);
+        refuse(response);
     }
 
-    private void releaseBody() {
+    private void endBody() {
         if (body != null) {
-            body.release();
+            body.end();
             body = null;
         }
     }
@@ -269,6 +271,7 @@
     private void finish(Object lastMessage) {
         call = null;
         head = null;
+        endBody();
         lastActiveNanos = System.nanoTime();
         if (!keepAlive) {
             closing = true;
@@ -298,20 +301,23 @@
         }
         long quietMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - lastActiveNanos);
         if (bytesBeforeHead && quietMs > limits.headerTimeoutMs()) {
-            refuseSlow();
+            refuseSlow("the headers did not arrive in time");
+        } else if (head != null && BodyPace.isTooSlow(sinceHeadMs(nowNanos), body.lengthBytes(), limits)) {
+            refuseSlow("the body did not arrive in time");
         } else if (quietMs > limits.idleTimeoutMs()) {
             closing = true;
             Channels.close(channel);
         }
     }
 
-    private void refuseSlow() {
-        keepAlive = false;
-        answering = true;
-        FullHttpResponse response =
-                ProblemResponses.of(Problem.notRun(ProblemKind.INVALID_VALUE, "the headers did not arrive in time"));
+    private long sinceHeadMs(long nowNanos) {
+        return TimeUnit.NANOSECONDS.toMillis(nowNanos - headNanos);
+    }
+
+    private void refuseSlow(String reason) {
+        FullHttpResponse response = ProblemResponses.of(Problem.notRun(ProblemKind.INVALID_VALUE, reason));
         response.setStatus(HttpResponseStatus.REQUEST_TIMEOUT);
-        answer(response);
+        refuse(response);
     }
 
     /** Closes the connection if no request is in progress on it. */
--- a/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerServer.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerServer.java
@@ -6,6 +6,7 @@
 import io.figspan.gateway.forward.CallerExchange;
 import io.figspan.gateway.forward.Forwarder;
 import io.figspan.gateway.forward.ProblemResponses;
+import io.figspan.gateway.http.ByteBudget;
 import io.figspan.gateway.http.Channels;
 import io.figspan.gateway.protocol.CallerProtocol;
 import io.figspan.settings.gateway.CallerLimits;
@@ -36,12 +37,16 @@
     /** Connections that wait to be accepted while the process is busy. */
     private static final int BACKLOG = 1_024;
 
+    /** Memory that the bodies of all requests in progress may fill; a part of the heap of the smallest host. */
+    static final long MAX_BODIES_BYTES = 16L * 1_024 * 1_024;
+
     /** Time to come back for callers that may go to another host at once. */
     private static final long ELSEWHERE_RETRY_MS = 20;
 
     private final EventLoop loop;
     private final Forwarder forwarder;
     private final CallerProtocol protocol;
+    private final ByteBudget bodies = new ByteBudget(MAX_BODIES_BYTES);
     private final Set<CallerConnection> connections = new HashSet<>();
     private CallerLimits limits = CallerLimits.DEFAULT;
     private boolean draining;
@@ -121,6 +126,11 @@
         new ArrayList<>(connections).forEach(connection -> connection.checkTimes(nowNanos));
     }
 
+    /** The memory for the bodies of requests. */
+    ByteBudget bodies() {
+        return bodies;
+    }
+
     boolean isDraining() {
         return draining;
     }
--- a/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
@@ -73,8 +73,13 @@
         ServerSocketChannel port = CallerServer.open(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
         address = (InetSocketAddress) port.getLocalAddress();
         callers.serve(port).syncUninterruptibly();
-        var unused = loop.scheduleWithFixedDelay(
-                () -> forwarder.tick(System.nanoTime()), TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+        var unused =
+                loop.scheduleWithFixedDelay(() -> tick(System.nanoTime()), TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void tick(long nowNanos) {
+        forwarder.tick(nowNanos);
+        callers.tick(nowNanos);
     }
 
     /** Runs on the event loop and waits for it. */
--- a/figspan-gateway/src/test/java/io/figspan/gateway/caller/CallerConnectionTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/caller/CallerConnectionTest.java
@@ -5,11 +5,16 @@
 
 import io.figspan.gateway.GatewayHarness;
 import io.figspan.gateway.ScriptedServer;
+import io.figspan.settings.gateway.CallerLimits;
 import java.io.IOException;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -107,4 +112,72 @@
             assertTrue(rest.endsWith("/read/1ok"), rest);
         }
     }
+
+    @Test
+    void aBodyThatTricklesIsEndedWithARefusalAndNotRun() throws Exception {
+        gateway.onLoop(() -> gateway.callers().limitsChanged(new CallerLimits(16_384, 4_096, 300, 400)));
+        try (Socket socket = gateway.connect()) {
+            socket.getOutputStream()
+                    .write(head("POST", "/read/1", "content-length: 4000\r\n").getBytes(StandardCharsets.ISO_8859_1));
+            long untilNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
+            while (socket.getInputStream().available() == 0 && System.nanoTime() < untilNanos) {
+                socket.getOutputStream().write('x');
+                Thread.sleep(50);
+            }
+            String response = new String(socket.getInputStream().readNBytes(20), StandardCharsets.ISO_8859_1);
+
+            assertTrue(response.contains("408"), response);
+            assertEquals(0, server.received().size());
+        }
+    }
+
+    @Test
+    void bodiesOfAllCallersTogetherFillBoundedMemory() throws Exception {
+        byte[] piece = new byte[3 * 1_024 * 1_024];
+        byte[] head = head("POST", "/read/1", "content-length: 4000000\r\n").getBytes(StandardCharsets.ISO_8859_1);
+        List<Socket> callers = new ArrayList<>();
+        String refused = "";
+        while (refused.isEmpty() && callers.size() < 10) {
+            Socket socket = gateway.connect();
+            callers.add(socket);
+            socket.getOutputStream().write(head);
+            sendSome(socket, piece);
+            refused = answerWithin(socket, 300);
+        }
+
+        assertTrue(refused.contains(" 503 "), refused);
+        assertTrue(refused.toLowerCase(Locale.ROOT).contains("retry-after"), refused);
+        assertTrue(gateway.callers().bodies().takenBytes() <= CallerServer.MAX_BODIES_BYTES);
+        for (Socket socket : callers) {
+            socket.close();
+        }
+        String later = send(head("POST", "/read/1", "connection: close\r\ncontent-length: 2\r\n") + "ok");
+        assertTrue(later.endsWith("/read/1ok"), later);
+    }
+
+    @Test
+    void theMemoryOfABodyIsGivenBackWithItsAnswer() throws Exception {
+        send(head("POST", "/read/1", "connection: close\r\ncontent-length: 2\r\n") + "ok");
+        send(head("POST", "/read/1", "content-length: 2000000000\r\n"));
+
+        gateway.onLoop(() -> assertEquals(0, gateway.callers().bodies().takenBytes()));
+    }
+
+    /** A caller that was refused may be cut off while it still sends. */
+    private static void sendSome(Socket socket, byte[] piece) {
+        try {
+            socket.getOutputStream().write(piece);
+        } catch (IOException e) {
+            assertTrue(socket.isConnected(), e.toString());
+        }
+    }
+
+    private static String answerWithin(Socket socket, int ms) throws IOException {
+        socket.setSoTimeout(ms);
+        try {
+            return new String(socket.getInputStream().readNBytes(300), StandardCharsets.ISO_8859_1);
+        } catch (SocketTimeoutException e) {
+            return "";
+        }
+    }
 }
