An unexpected error in taking a request is answered, logged and counted instead of cutting the caller off

The answer says that nobody knows whether the request ran, and the connection is closed after it, as an answer may still come. Seen to fail first: with accept called without the guard the caller got nothing. HttpConnection and SmallServer still drop the cause: their requests end with a reason of their own, but the log has no line of the error.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
@@ -12,6 +12,7 @@
 import io.figspan.gateway.fleet.FleetState;
 import io.figspan.gateway.forward.Forwarder;
 import io.figspan.gateway.log.DecisionLog;
+import io.figspan.gateway.log.UnexpectedErrors;
 import io.figspan.gateway.metrics.Activity;
 import io.figspan.gateway.metrics.GatewayMetrics;
 import io.figspan.gateway.metrics.ProcessorTime;
@@ -59,6 +60,7 @@
     private final EventLoop loop = new NioEventLoopGroup(1, new DefaultThreadFactory("gateway")).next();
     private final DecisionLog log = new DecisionLog();
     private final GatewayMetrics metrics = new GatewayMetrics();
+    private final UnexpectedErrors errors = new UnexpectedErrors(log, metrics);
     private final BackendPools pools = new BackendPools(loop);
     private final MemoryHolds holds;
     private final FleetState fleet;
@@ -91,7 +93,7 @@
                 metrics,
                 random,
                 allowanceOf(config));
-        this.callers = new CallerServer(loop, forwarder, adapter.callers());
+        this.callers = new CallerServer(loop, forwarder, adapter.callers(), errors);
         this.peers = new Peers(loop, config, log, random, this, this, metrics.processorTime());
         this.forwarder.onWorkChanged(peers::workChanged);
         this.forwarder.viewsWorkThrough(() -> peers.oldestReportMs(System.nanoTime()));
@@ -125,7 +127,7 @@
     }
 
     private void every(long intervalMs, Runnable action) {
-        Runnable guarded = new GuardedTask(action, log, metrics);
+        Runnable guarded = new GuardedTask(action, errors);
         var unused = loop.scheduleWithFixedDelay(guarded, intervalMs, intervalMs, TimeUnit.MILLISECONDS);
     }
 
--- a/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerConnection.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerConnection.java
@@ -29,6 +29,7 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
@@ -94,6 +95,10 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        boolean isOfNetwork = cause instanceof IOException;
+        if (!isOfNetwork) {
+            server.errors().report(cause);
+        }
         Channels.close(ctx.channel());
     }
 
@@ -177,13 +182,30 @@
         answering = true;
         ByteBuf whole = body.takeWhole();
         long number = ++requests;
-        Optional<CallerCall> accepted = server.accept(head, whole, this);
+        Optional<CallerCall> accepted = accept(whole, number);
         boolean answeredMeanwhile = !answering || requests != number;
         if (!answeredMeanwhile) {
             call = accepted.orElse(null);
         }
     }
 
+    /**
+     * An unexpected error costs this request and no other one; nobody knows whether it ran. The connection is closed,
+     * as an answer may still come.
+     */
+    private Optional<CallerCall> accept(ByteBuf whole, long number) {
+        try {
+            return server.accept(head, whole, this);
+        } catch (RuntimeException e) {
+            server.errors().report(e);
+            keepAlive = false;
+            if (answering && requests == number) {
+                answer(ProblemResponses.of(Problem.unknown(ProblemKind.INTERNAL, "unexpected error")));
+            }
+            return Optional.empty();
+        }
+    }
+
     private Problem bodyTooLong() {
         return Problem.notRun(ProblemKind.BODY_TOO_LARGE, "the body has more than " + limits.maxBodyBytes() + " bytes");
     }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerServer.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerServer.java
@@ -8,6 +8,7 @@
 import io.figspan.gateway.forward.ProblemResponses;
 import io.figspan.gateway.http.ByteBudget;
 import io.figspan.gateway.http.Channels;
+import io.figspan.gateway.log.UnexpectedErrors;
 import io.figspan.gateway.protocol.CallerProtocol;
 import io.figspan.settings.gateway.CallerLimits;
 import io.netty.bootstrap.ServerBootstrap;
@@ -46,6 +47,7 @@
     private final EventLoop loop;
     private final Forwarder forwarder;
     private final CallerProtocol protocol;
+    private final UnexpectedErrors errors;
     private final ByteBudget bodies = new ByteBudget(MAX_BODIES_BYTES);
     private final Set<CallerConnection> connections = new HashSet<>();
     private CallerLimits limits = CallerLimits.DEFAULT;
@@ -53,10 +55,11 @@
     private boolean refusing;
     private Channel listener;
 
-    public CallerServer(EventLoop loop, Forwarder forwarder, CallerProtocol protocol) {
+    public CallerServer(EventLoop loop, Forwarder forwarder, CallerProtocol protocol, UnexpectedErrors errors) {
         this.loop = loop;
         this.forwarder = forwarder;
         this.protocol = protocol;
+        this.errors = errors;
     }
 
     /** Opens the port without taking connections from it yet; they wait until {@link #serve} is called. */
@@ -145,6 +148,10 @@
         return forwarder.accept(protocol.decode(head), body, exchange);
     }
 
+    UnexpectedErrors errors() {
+        return errors;
+    }
+
     void opened(CallerConnection connection) {
         connections.add(connection);
     }
--- a/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
@@ -13,6 +13,7 @@
 import io.figspan.gateway.caller.CallerServer;
 import io.figspan.gateway.forward.Forwarder;
 import io.figspan.gateway.log.DecisionLog;
+import io.figspan.gateway.log.UnexpectedErrors;
 import io.figspan.gateway.metrics.GatewayMetrics;
 import io.figspan.settings.gateway.CallerLimits;
 import io.figspan.settings.gateway.EngineProfile;
@@ -48,6 +49,7 @@
 
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final io.netty.channel.EventLoop loop = group.next();
+    private final GatewayMetrics metrics = new GatewayMetrics();
     private final TestProtocol protocol = new TestProtocol();
     private final BackendPools pools = new BackendPools(loop);
     private final Forwarder forwarder;
@@ -66,10 +68,10 @@
                 pools,
                 new MemoryHolds(loop, pools, protocol, log, self),
                 log,
-                new GatewayMetrics(),
+                metrics,
                 new SplittableRandom(1),
                 new Forwarder.RetryAllowance(0.2, 10, 10_000));
-        callers = new CallerServer(loop, forwarder, protocol);
+        callers = new CallerServer(loop, forwarder, protocol, new UnexpectedErrors(log, metrics));
         ServerSocketChannel port = CallerServer.open(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
         address = (InetSocketAddress) port.getLocalAddress();
         callers.serve(port).syncUninterruptibly();
@@ -87,6 +89,10 @@
         loop.submit(action).syncUninterruptibly();
     }
 
+    public GatewayMetrics metrics() {
+        return metrics;
+    }
+
     public Forwarder forwarder() {
         return forwarder;
     }
--- a/figspan-gateway/src/test/java/io/figspan/gateway/GuardedTaskTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/GuardedTaskTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.figspan.gateway.log.DecisionLog;
+import io.figspan.gateway.log.UnexpectedErrors;
 import io.figspan.gateway.metrics.GatewayMetrics;
 import org.junit.jupiter.api.Test;
 
@@ -13,7 +14,7 @@
     private final GatewayMetrics metrics = new GatewayMetrics();
 
     private GuardedTask guarded(Runnable task) {
-        return new GuardedTask(task, new DecisionLog(), metrics);
+        return new GuardedTask(task, new UnexpectedErrors(new DecisionLog(), metrics));
     }
 
     @Test
--- a/figspan-gateway/src/test/java/io/figspan/gateway/TestProtocol.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/TestProtocol.java
@@ -25,8 +25,14 @@
 
 /** Plain names for the messages of callers and backend servers in tests. */
 public final class TestProtocol implements CallerProtocol, BackendProtocol {
+    /** A request with this header meets an unexpected error. */
+    public static final String FAULT = "fault";
+
     @Override
     public CallerRequest decode(HttpRequest head) {
+        if (head.headers().contains(FAULT)) {
+            throw new IllegalStateException("a fault of the program");
+        }
         HttpHeaders headers = head.headers();
         HttpHeaders passedOn = headers.copy()
                 .remove("key")
--- a/figspan-gateway/src/test/java/io/figspan/gateway/caller/CallerConnectionTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/caller/CallerConnectionTest.java
@@ -5,6 +5,7 @@
 
 import io.figspan.gateway.GatewayHarness;
 import io.figspan.gateway.ScriptedServer;
+import io.figspan.gateway.TestProtocol;
 import io.figspan.settings.gateway.CallerLimits;
 import java.io.IOException;
 import java.net.Socket;
@@ -163,6 +164,18 @@
         gateway.onLoop(() -> assertEquals(0, gateway.callers().bodies().takenBytes()));
     }
 
+    @Test
+    void anUnexpectedErrorIsAnsweredAndCountedAndCostsNoOtherRequest() throws IOException {
+        String response = send(head("GET", "/read/1", TestProtocol.FAULT + ": 1\r\n"));
+        String other = send(head("GET", "/read/2", "connection: close\r\n"));
+
+        assertTrue(status(response).contains("500"), response);
+        assertTrue(other.endsWith("/read/2"), other);
+        assertTrue(
+                gateway.metrics().text().contains("errors_unexpected_total 1"),
+                gateway.metrics().text());
+    }
+
     /** A caller that was refused may be cut off while it still sends. */
     private static void sendSome(Socket socket, byte[] piece) {
         try {
