--- a/figspan-gateway/src/main/java/io/figspan/gateway/http/EventSplitter.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/http/EventSplitter.java
@@ -13,11 +13,15 @@
 public final class EventSplitter {
     private static final byte LINE_FEED = '\n';
     private static final byte CARRIAGE_RETURN = '\r';
-    private static final String ID_FIELD = "id:";
+    private static final byte[] ID_FIELD = {'i', 'd', ':'};
 
     private final int maxEventBytes;
     private ByteBuf pending = Unpooled.EMPTY_BUFFER;
     private int scanned;
+    /** Where the value of the first id of the event in work lies, from its start; 0 while none was seen. */
+    private int idStart;
+
+    private int idEnd;
 
     public EventSplitter(int maxEventBytes) {
         this.maxEventBytes = maxEventBytes;
@@ -33,9 +37,10 @@
         pending = join(bytes);
         int end;
         while ((end = endOfEvent()) > 0) {
+            OptionalLong id = readId();
             ByteBuf event = pending.readRetainedSlice(end);
-            scanned = 0;
-            events.accept(event, idOf(event));
+            startEvent();
+            events.accept(event, id);
         }
         if (!pending.isReadable()) {
             release();
@@ -51,7 +56,13 @@
     public void release() {
         pending.release();
         pending = Unpooled.EMPTY_BUFFER;
+        startEvent();
+    }
+
+    private void startEvent() {
         scanned = 0;
+        idStart = 0;
+        idEnd = 0;
     }
 
     private ByteBuf join(ByteBuf bytes) {
@@ -78,6 +89,10 @@
             if (isEmptyLine(lineStart, lineEnd)) {
                 return lineEnd + 1 - start;
             }
+            if (idStart == 0 && isId(lineStart, lineEnd)) {
+                idStart = lineStart + ID_FIELD.length - start;
+                idEnd = lineEnd - start;
+            }
             lineStart = lineEnd + 1;
         }
     }
@@ -86,19 +101,25 @@
         return lineEnd == lineStart || (lineEnd == lineStart + 1 && pending.getByte(lineStart) == CARRIAGE_RETURN);
     }
 
-    private static OptionalLong idOf(ByteBuf event) {
-        String text = event.toString(StandardCharsets.UTF_8);
-        for (String line : (Iterable<String>) text.lines()::iterator) {
-            if (line.startsWith(ID_FIELD)) {
-                return parse(line.substring(ID_FIELD.length()).strip());
+    private boolean isId(int lineStart, int lineEnd) {
+        if (lineEnd - lineStart < ID_FIELD.length) {
+            return false;
+        }
+        for (int i = 0; i < ID_FIELD.length; i++) {
+            if (pending.getByte(lineStart + i) != ID_FIELD[i]) {
+                return false;
             }
         }
-        return OptionalLong.empty();
+        return true;
     }
 
-    private static OptionalLong parse(String id) {
+    private OptionalLong readId() {
+        if (idStart == 0) {
+            return OptionalLong.empty();
+        }
+        String id = pending.toString(pending.readerIndex() + idStart, idEnd - idStart, StandardCharsets.UTF_8);
         try {
-            return OptionalLong.of(Long.parseLong(id));
+            return OptionalLong.of(Long.parseLong(id.strip()));
         } catch (NumberFormatException e) {
             return OptionalLong.empty();
         }
