--- a/figspan-gateway/src/test/java/io/figspan/gateway/http/EventSplitterProperties.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/http/EventSplitterProperties.java
@@ -33,6 +33,7 @@
     @Property(seed = "41", tries = 200)
     void wholeEventsComeOutWhereverTheBytesAreCut(@ForAll @IntRange(max = 100_000) int seed) {
         events.clear();
+        ids.clear();
         Random random = new Random(seed);
         List<String> sent = new ArrayList<>();
         for (int id = 1; id <= 5; id++) {
@@ -46,11 +47,13 @@
             int to = Math.min(text.length(), from + 1 + random.nextInt(20));
             fresh.add(Unpooled.copiedBuffer(text.substring(from, to), StandardCharsets.UTF_8), (event, id) -> {
                 events.add(event.toString(StandardCharsets.UTF_8));
+                ids.add(id.orElse(-1));
                 event.release();
             });
             from = to;
         }
         assertEquals(sent, events);
+        assertEquals(List.of(1L, 2L, 3L, 4L, 5L), ids);
         assertTrue(fresh.hasPartialEvent());
         fresh.release();
     }
@@ -62,6 +65,12 @@
         assertFalse(splitter.hasPartialEvent());
     }
 
+    @Test
+    void theFirstIdCountsAndTextThatLooksLikeOneDoesNot() {
+        assertTrue(add("data: id: 4\nid: 5\nid: 6\n\nid: five\n\ni\nid\n\n: id: 9\n\n"));
+        assertEquals(List.of(5L, -1L, -1L, -1L), ids);
+    }
+
     @Test
     void anEventThatIsTooLongIsRefused() {
         assertFalse(add("data: " + "x".repeat(MAX_EVENT_BYTES)));
