Collect the bodies of requests and of answers by one class

RequestBody was written beside CollectedBody, which did the same for answers: bounded alone and by a budget, memory that grows with what has come. One class in http/ serves both; its memory counts until end(), which Attempt calls right after it takes the bytes, so nothing else changes. StackText is used within its package only.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerConnection.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerConnection.java
@@ -6,6 +6,7 @@
 import io.figspan.gateway.forward.CallerExchange;
 import io.figspan.gateway.forward.ProblemResponses;
 import io.figspan.gateway.http.Channels;
+import io.figspan.gateway.http.CollectedBody;
 import io.figspan.settings.gateway.CallerLimits;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -51,7 +52,7 @@
     private final Deque<HttpObject> pipelined = new ArrayDeque<>();
     private Channel channel;
     private HttpRequest head;
-    private RequestBody body;
+    private CollectedBody body;
     private long headNanos;
     private CallerCall call;
     private boolean answering;
@@ -153,7 +154,7 @@
         headNanos = lastActiveNanos;
         head = request;
         keepAlive = HttpUtil.isKeepAlive(request);
-        body = new RequestBody(server.bodies(), limits.maxBodyBytes());
+        body = new CollectedBody(server.bodies(), limits.maxBodyBytes());
         if (HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes()) {
             refuse(bodyTooLong());
             return;
@@ -167,10 +168,10 @@
     }
 
     private void addBody(HttpContent content) {
-        RequestBody.Outcome outcome = body.add(content.content());
-        if (outcome == RequestBody.Outcome.TOO_LONG) {
+        CollectedBody.Outcome outcome = body.add(content.content());
+        if (outcome == CollectedBody.Outcome.TOO_LONG) {
             refuse(bodyTooLong());
-        } else if (outcome == RequestBody.Outcome.NO_ROOM) {
+        } else if (outcome == CollectedBody.Outcome.NO_ROOM) {
             refuse(Problem.notRun(ProblemKind.OVERLOADED, "the bodies of requests in progress fill the memory")
                     .withRetryAfterMs(NO_ROOM_RETRY_MS));
         } else if (content instanceof LastHttpContent) {
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Attempt.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Attempt.java
@@ -4,6 +4,7 @@
 import io.figspan.gateway.backend.BackendPools;
 import io.figspan.gateway.backend.HoldGroup;
 import io.figspan.gateway.http.ByteBudget;
+import io.figspan.gateway.http.CollectedBody;
 import io.figspan.gateway.http.ConnectionFailure;
 import io.figspan.gateway.http.EventSplitter;
 import io.figspan.gateway.http.ExchangeListener;
@@ -24,8 +25,11 @@
     /** An event of a stream is a few hundred bytes; one of this length is no event. */
     private static final int MAX_EVENT_BYTES = 256 * 1_024;
 
+    /** Longest body of one answer that is passed on as a whole. */
+    private static final int MAX_BODY_BYTES = 4 * 1_024 * 1_024;
+
     /** Longest rest of an answer that is read for nobody, to learn when the server is done. */
-    private static final long MAX_DISCARDED_BYTES = CollectedBody.MAX_BYTES;
+    private static final long MAX_DISCARDED_BYTES = MAX_BODY_BYTES;
 
     private final Owner owner;
     private final BackendProtocol protocol;
@@ -84,7 +88,7 @@
         this.readers = readers;
         this.attemptId = attemptId;
         this.streaming = streaming;
-        this.whole = new CollectedBody(bodies);
+        this.whole = new CollectedBody(bodies, MAX_BODY_BYTES);
     }
 
     BackendServerId server() {
@@ -159,7 +163,7 @@
             }
             return;
         }
-        if (!whole.add(content)) {
+        if (whole.add(content) != CollectedBody.Outcome.TAKEN) {
             abort("answer is too long");
         }
     }
@@ -197,7 +201,7 @@
         } else if (isStream()) {
             completeStream();
         } else {
-            ByteBuf body = whole.take();
+            ByteBuf body = whole.takeWhole();
             end();
             owner.onWholeAnswer(this, body);
         }
@@ -247,7 +251,7 @@
         if (!ended) {
             ended = true;
             splitter.release();
-            whole.release();
+            whole.end();
         }
     }
 }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/log/StackText.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/log/StackText.java
@@ -4,13 +4,13 @@
 import java.util.stream.Collectors;
 
 /** The place of an error, short enough for one line of a log. */
-public final class StackText {
+final class StackText {
     private static final int MAX_FRAMES = 12;
 
     private StackText() {}
 
     /** The innermost calls, in the order of a stack trace. */
-    public static String of(Throwable error) {
+    static String of(Throwable error) {
         return Arrays.stream(error.getStackTrace())
                 .limit(MAX_FRAMES)
                 .map(StackTraceElement::toString)
