Log size and duration of copies and every failed read; move the decision to read one to a pure class

When and from whom a host reads is decided by CopyFetcher (figspan-cluster), which performs no I/O, so that a test can play a whole cell in logical time.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/AuxiliaryEndpoints.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/AuxiliaryEndpoints.java
@@ -115,10 +115,13 @@
         };
     }
 
-    private static FullHttpResponse copyResponse(ItemCopy copy, QueryStringDecoder target) {
+    private FullHttpResponse copyResponse(ItemCopy copy, QueryStringDecoder target) {
         List<String> after = target.parameters().getOrDefault(CopyReader.AFTER, List.of("0"));
         try {
-            return okResponse(copy.changesAfter(Long.parseLong(after.get(0))).encode());
+            byte[] body = copy.changesAfter(Long.parseLong(after.get(0))).encode();
+            metrics.count("copies.served");
+            metrics.count("copies.bytes", body.length);
+            return okResponse(body);
         } catch (NumberFormatException e) {
             return emptyResponse(HttpResponseStatus.BAD_REQUEST);
         }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
@@ -28,7 +28,6 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import io.netty.util.concurrent.Future;
-import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.util.List;
 import java.util.Set;
@@ -102,6 +101,7 @@
                 loop,
                 log,
                 AuxiliaryEndpoints.SETTINGS_COPY,
+                config.copies().getPort(),
                 fleet.settings(),
                 fleet::applyPeerSettings,
                 storeWatchers::isWatching);
@@ -109,6 +109,7 @@
                 loop,
                 log,
                 AuxiliaryEndpoints.SERVERS_COPY,
+                config.copies().getPort(),
                 fleet.servers(),
                 fleet::applyPeerServers,
                 storeWatchers::isWatching);
@@ -279,10 +280,8 @@
 
     @Override
     public void onNewerItems(Peer peer, long settingsRevision, long serversRevision) {
-        InetSocketAddress address =
-                new InetSocketAddress(peer.address().address(), config.copies().getPort());
-        settingsReader.onPeerRevision(address, settingsRevision);
-        serversReader.onPeerRevision(address, serversRevision);
+        settingsReader.onPeerRevision(peer, settingsRevision);
+        serversReader.onPeerRevision(peer, serversRevision);
     }
 
     private void registerGauges() {
--- a/figspan-gateway/src/main/java/io/figspan/gateway/metrics/GatewayMetrics.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/metrics/GatewayMetrics.java
@@ -68,6 +68,11 @@
         counter(name).inc();
     }
 
+    /** Adds to a counter. */
+    public void count(String name, long amount) {
+        counter(name).inc(amount);
+    }
+
     /** Registers a gauge that is evaluated when the text is written. */
     public void gauge(String name, LongSupplier value) {
         Gauge<Long> gauge = value::getAsLong;
--- a/figspan-gateway/src/main/java/io/figspan/gateway/peer/CopyReader.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/peer/CopyReader.java
@@ -1,5 +1,9 @@
 package io.figspan.gateway.peer;
 
+import io.figspan.cluster.copy.CopyFetcher;
+import io.figspan.cluster.copy.CopyFetcher.Decision;
+import io.figspan.cluster.copy.ReadResult;
+import io.figspan.cluster.message.Peer;
 import io.figspan.core.error.FigspanException;
 import io.figspan.core.event.Part;
 import io.figspan.gateway.http.BufferedExchange;
@@ -8,6 +12,7 @@
 import io.figspan.gateway.store.ItemChanges;
 import io.figspan.gateway.store.ItemCopy;
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -15,7 +20,7 @@
 
 /**
  * Reads another host's copy of the store's items, when this host learns that it lacks changes and the store does not
- * deliver them in time. All methods run on the event loop.
+ * deliver them in time. Executes the decisions of a {@link CopyFetcher}. All methods run on the event loop.
  */
 public final class CopyReader {
     /** Path of the copies on the port for other hosts; the name of the copy follows. */
@@ -24,27 +29,24 @@
     /** Query parameter with the revision of the reader's copy. */
     public static final String AFTER = "after";
 
-    /**
-     * Wait for the store's own notification, which reaches all watching hosts within a few milliseconds of each other.
-     */
-    private static final long NOTIFICATION_WAIT_MS = 150;
-
     private static final int CONNECT_TIMEOUT_MS = 400;
-    private static final long RESPONSE_TIMEOUT_MS = 1_000;
     private static final int OK = 200;
 
     private final EventLoop loop;
     private final DecisionLog log;
     private final String name;
+    private final int copyPort;
     private final ItemCopy copy;
     private final Consumer<ItemChanges> listener;
     private final BooleanSupplier watchesStore;
-    private boolean reading;
+    private final CopyFetcher fetcher = new CopyFetcher();
+    private ScheduledFuture<?> nextDecision;
 
     /**
      * Creates a reader.
      *
      * @param name name of the copy
+     * @param copyPort port on which the other hosts serve their copies
      * @param copy this host's copy
      * @param listener receives the changes that were read
      * @param watchesStore whether this host gets changes from the store itself
@@ -53,77 +55,94 @@
             EventLoop loop,
             DecisionLog log,
             String name,
+            int copyPort,
             ItemCopy copy,
             Consumer<ItemChanges> listener,
             BooleanSupplier watchesStore) {
         this.loop = loop;
         this.log = log;
         this.name = name;
+        this.copyPort = copyPort;
         this.copy = copy;
         this.listener = listener;
         this.watchesStore = watchesStore;
     }
 
-    /** Reads the copy of a host that has the given revision, unless this host catches up by itself first. */
-    public void onPeerRevision(InetSocketAddress host, long revision) {
-        if (reading || revision <= copy.revision()) {
-            return;
+    /** Another host has the given revision. Reads a copy, unless this host catches up by itself first. */
+    public void onPeerRevision(Peer peer, long revision) {
+        fetcher.announced(peer, revision, copy.revision(), System.nanoTime());
+        decide();
+    }
+
+    private void decide() {
+        Decision decision = fetcher.next(copy.revision(), watchesStore.getAsBoolean(), System.nanoTime());
+        if (decision instanceof Decision.Read read) {
+            read(read.source());
+        } else if (decision instanceof Decision.Wait wait) {
+            decideAfter(wait.nanos());
         }
-        reading = true;
-        long waitMs = watchesStore.getAsBoolean() ? NOTIFICATION_WAIT_MS : 0;
-        var unused = loop.schedule(() -> readIfBehind(host, revision), waitMs, TimeUnit.MILLISECONDS);
     }
 
-    private void readIfBehind(InetSocketAddress host, long revision) {
-        if (revision <= copy.revision()) {
-            reading = false;
-            return;
+    private void decideAfter(long nanos) {
+        if (nextDecision != null) {
+            nextDecision.cancel(false);
         }
-        read(host);
+        nextDecision = loop.schedule(this::decide, nanos, TimeUnit.NANOSECONDS);
     }
 
-    private void read(InetSocketAddress host) {
-        HttpConnection connection = HttpConnection.open(loop, host, CONNECT_TIMEOUT_MS);
+    private void read(Peer source) {
+        InetSocketAddress address = new InetSocketAddress(source.address().address(), copyPort);
+        HttpConnection connection = HttpConnection.open(loop, address, CONNECT_TIMEOUT_MS);
         String target = PATH + name + "?" + AFTER + "=" + copy.revision();
-        BufferedExchange.get(loop, connection, target, RESPONSE_TIMEOUT_MS, new BufferedExchange.Listener() {
+        long startNanos = System.nanoTime();
+        BufferedExchange.get(loop, connection, target, CopyFetcher.READ_TIMEOUT_MS, new BufferedExchange.Listener() {
             @Override
             public void onResponse(int status, byte[] body) {
                 connection.close();
-                reading = false;
-                handleResponse(host, status, body);
+                ended(source, status == OK ? apply(source, body, startNanos) : notRead(source, "status " + status));
             }
 
             @Override
             public void onFailure(String reason) {
-                reading = false;
-                log.info(Part.SETTINGS, "copyNotRead")
-                        .text("copy", name)
-                        .text("host", host)
-                        .text("reason", reason)
-                        .write();
+                ended(source, notRead(source, reason));
             }
         });
     }
 
-    private void handleResponse(InetSocketAddress host, int status, byte[] body) {
-        if (status != OK) {
-            return;
-        }
+    private void ended(Peer source, ReadResult result) {
+        fetcher.readEnded(source, result, System.nanoTime());
+        decide();
+    }
+
+    private ReadResult notRead(Peer source, String reason) {
+        log.info(Part.SETTINGS, "copyNotRead")
+                .text("copy", name)
+                .text("host", source.host())
+                .text("reason", reason)
+                .write();
+        return ReadResult.FAILED;
+    }
+
+    private ReadResult apply(Peer source, byte[] body, long startNanos) {
         try {
             ItemChanges changes = ItemChanges.decode(body);
             log.info(Part.SETTINGS, "copyRead")
                     .text("copy", name)
-                    .text("host", host)
+                    .text("host", source.host())
                     .number("revision", changes.revision())
                     .number("before", copy.revision())
+                    .number("bytes", body.length)
+                    .number("afterMs", TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos))
                     .write();
             listener.accept(changes);
+            return ReadResult.COMPLETE;
         } catch (FigspanException e) {
             log.warn(Part.SETTINGS, "copyRefused")
                     .text("copy", name)
-                    .text("host", host)
+                    .text("host", source.host())
                     .text("reason", e.detail())
                     .write();
+            return ReadResult.FAILED;
         }
     }
 }
