--- /dev/null
+++ b/figspan-cluster/src/test/java/io/figspan/cluster/copy/SimulatedCell.java
@@ -0,0 +1,161 @@
+package io.figspan.cluster.copy;
+
+import io.figspan.cluster.copy.CopyFetcher.Decision;
+import io.figspan.cluster.message.Peer;
+import io.figspan.cluster.message.PeerAddress;
+import io.figspan.core.id.AvailabilityZoneId;
+import io.figspan.core.id.HostId;
+import io.figspan.core.id.HostIncarnation;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+
+/**
+ * Hosts of one cell in logical time. A few of them read a new version from the store; all others run a {@link
+ * CopyFetcher}. The transfers of a host share the bandwidth of its link evenly, in each direction.
+ */
+final class SimulatedCell {
+    private static final long STEP_MS = 2;
+    private static final long REPORT_INTERVAL_MS = 320;
+
+    /** The watching hosts get the store's notification within this time of each other. */
+    private static final int NOTIFICATION_SPREAD_MS = 80;
+
+    private static final long OLD_REVISION = 1;
+    private static final long NEW_REVISION = 2;
+
+    private final List<Host> hosts = new ArrayList<>();
+    private final List<Transfer> transfers = new ArrayList<>();
+    private final double linkBytesPerMs;
+    private final int copyBytes;
+    private long nowMs;
+
+    private static final class Host {
+        final Peer peer;
+        final CopyFetcher fetcher = new CopyFetcher();
+        long updateMs;
+        long nextReportMs;
+        long revision = OLD_REVISION;
+        int uploads;
+        int downloads;
+
+        Host(Peer peer, long updateMs, long nextReportMs) {
+            this.peer = peer;
+            this.updateMs = updateMs;
+            this.nextReportMs = nextReportMs;
+        }
+    }
+
+    private static final class Transfer {
+        final Host source;
+        final Host reader;
+        final long startMs;
+        double bytesLeft;
+
+        Transfer(Host source, Host reader, long startMs, double bytes) {
+            this.source = source;
+            this.reader = reader;
+            this.startMs = startMs;
+            this.bytesLeft = bytes;
+        }
+    }
+
+    SimulatedCell(int hostCount, int watchingCount, long linkBytesPerS, int copyBytes, RandomGenerator random) {
+        this.linkBytesPerMs = linkBytesPerS / 1_000.0;
+        this.copyBytes = copyBytes;
+        for (int index = 0; index < hostCount; index++) {
+            boolean watches = index < watchingCount;
+            long updateMs = watches ? random.nextInt(NOTIFICATION_SPREAD_MS) : Long.MAX_VALUE;
+            hosts.add(new Host(peer(index), updateMs, random.nextLong(REPORT_INTERVAL_MS)));
+        }
+    }
+
+    private static Peer peer(int index) {
+        return new Peer(
+                new HostIncarnation(HostId.of("host-" + index), 1),
+                AvailabilityZoneId.of("zone"),
+                new PeerAddress("10.0.0." + (index + 1), 7_000));
+    }
+
+    void runFor(long durationMs) {
+        long endMs = nowMs + durationMs;
+        while (nowMs < endMs) {
+            step();
+        }
+    }
+
+    /** The hosts that don't have the new version. */
+    List<HostId> outdatedHosts() {
+        return hosts.stream()
+                .filter(host -> host.revision < NEW_REVISION)
+                .map(host -> host.peer.host())
+                .toList();
+    }
+
+    private void step() {
+        nowMs += STEP_MS;
+        hosts.stream().filter(host -> host.updateMs <= nowMs).forEach(this::update);
+        hosts.stream().filter(host -> host.nextReportMs <= nowMs).forEach(this::report);
+        hosts.forEach(this::decide);
+        transfers.forEach(this::transmit);
+        List.copyOf(transfers).forEach(this::endIfDue);
+    }
+
+    /** A new version is reported at once. */
+    private void update(Host host) {
+        host.revision = NEW_REVISION;
+        host.updateMs = Long.MAX_VALUE;
+        host.nextReportMs = nowMs;
+    }
+
+    private void report(Host from) {
+        from.nextReportMs = nowMs + REPORT_INTERVAL_MS;
+        for (Host host : hosts) {
+            if (host != from) {
+                host.fetcher.announced(from.peer, from.revision, host.revision, nowNanos());
+            }
+        }
+    }
+
+    private void decide(Host host) {
+        if (host.fetcher.next(host.revision, false, nowNanos()) instanceof Decision.Read read) {
+            beginTransfer(host, hostOf(read.source()));
+        }
+    }
+
+    private void beginTransfer(Host reader, Host source) {
+        source.uploads++;
+        reader.downloads++;
+        transfers.add(new Transfer(source, reader, nowMs, copyBytes));
+    }
+
+    private Host hostOf(Peer peer) {
+        return hosts.stream().filter(host -> host.peer.equals(peer)).findAny().orElseThrow();
+    }
+
+    private void transmit(Transfer transfer) {
+        int sharers = Math.max(transfer.source.uploads, transfer.reader.downloads);
+        transfer.bytesLeft -= linkBytesPerMs * STEP_MS / sharers;
+    }
+
+    private void endIfDue(Transfer transfer) {
+        if (transfer.bytesLeft <= 0) {
+            end(transfer, ReadResult.COMPLETE);
+            update(transfer.reader);
+        } else if (nowMs - transfer.startMs >= CopyFetcher.READ_TIMEOUT_MS) {
+            end(transfer, ReadResult.FAILED);
+        }
+    }
+
+    private void end(Transfer transfer, ReadResult result) {
+        transfers.remove(transfer);
+        transfer.source.uploads--;
+        transfer.reader.downloads--;
+        transfer.reader.fetcher.readEnded(transfer.source.peer, result, nowNanos());
+    }
+
+    private long nowNanos() {
+        return TimeUnit.MILLISECONDS.toNanos(nowMs);
+    }
+}
