Spread copies of the store's items from host to host: random source, bounded sending, time limit by progress

Cause: when three hosts of a cell had read a new version from the store, the twenty others read the copy at once from the first of them that reported. The full links cut off two of the sources from the store as well (storeLost, no response within 3000 ms).

Ruled out: processor (2 to 10% used), store (nine hosts had the version 0.5 s after it was sent).

Change: a reader chooses at random among all hosts that announced a newer revision and turns to the next one at once if a source is busy or fails. A host sends one large copy at a time, or small ones up to 128 KB together, and answers 503 to the others, so that the number of sources doubles with each round. A read is given up after 1 s without a byte, or 4 s in all; the same holds for the store's responses, with their own wait before the first byte. The encoded copy is kept, since most readers ask for the same changes.

--- a/figspan-cluster/src/main/java/io/figspan/cluster/copy/CopyFetcher.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/copy/CopyFetcher.java
@@ -1,12 +1,18 @@
 package io.figspan.cluster.copy;
 
 import io.figspan.cluster.message.Peer;
+import io.figspan.core.id.HostId;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
 
 /**
- * Decides when this host reads a copy of the store's items from another host, and from which one. The driver reports
- * the revisions that other hosts announce and the results of reads, and asks for the next decision after each of them.
- * It performs no I/O.
+ * Decides when this host reads a copy of the store's items from another host, and from which one. Sources are chosen at
+ * random among the hosts with a newer revision, so that those which have read a copy soon serve others. The driver
+ * reports the revisions that other hosts announce and the results of reads, and asks for the next decision after each
+ * of them. It performs no I/O.
  */
 public final class CopyFetcher {
     /**
@@ -14,17 +20,39 @@
      */
     static final long NOTIFICATION_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
 
-    /** Longest duration of one read. */
-    public static final long READ_TIMEOUT_MS = 1_000;
+    /** Three intervals of the announcements; a host that is silent for longer may be gone. */
+    static final long ANNOUNCEMENT_VALID_NANOS = TimeUnit.SECONDS.toNanos(1);
 
-    private Peer source;
-    private long sourceRevision;
-    private long announcedNanos;
+    /** Longest time of a read in which no byte arrives. */
+    public static final long STALL_TIMEOUT_MS = 1_000;
+
+    /** Longest duration of a read that makes progress: a megabyte over a link of 2 Mbit/s. */
+    public static final long READ_TIMEOUT_MS = 4_000;
+
+    /** More hosts than a cell has; further ones are ignored until others are up to date or silent. */
+    static final int MAX_SOURCES = 64;
+
+    private final RandomGenerator random;
+    private final Map<HostId, Source> sources = new HashMap<>();
     private boolean reading;
+    private boolean behind;
+    private long behindSinceNanos;
+
+    /** A host that has announced a newer revision than this host has. */
+    private static final class Source {
+        Peer peer;
+        long revision;
+        long announcedNanos;
+        long retryNanos;
+
+        boolean isUseful(long ownRevision, long nowNanos) {
+            return revision > ownRevision && nowNanos - announcedNanos <= ANNOUNCEMENT_VALID_NANOS;
+        }
+    }
 
     /** Instruction to the driver. */
     public sealed interface Decision {
-        /** Does nothing until another host announces a revision. */
+        /** Does nothing until another host announces a revision or a read has ended. */
         record Idle() implements Decision {}
 
         /** Asks for a decision again after a delay. */
@@ -34,14 +62,34 @@
         record Read(Peer source) implements Decision {}
     }
 
+    public CopyFetcher(RandomGenerator random) {
+        this.random = random;
+    }
+
     /** Another host has announced the newest revision that it has. */
     public void announced(Peer peer, long revision, long ownRevision, long nowNanos) {
-        if (source != null || revision <= ownRevision) {
+        if (revision <= ownRevision) {
+            sources.remove(peer.host());
             return;
         }
-        source = peer;
-        sourceRevision = revision;
-        announcedNanos = nowNanos;
+        if (sources.size() >= MAX_SOURCES && !sources.containsKey(peer.host())) {
+            return;
+        }
+        Source source = sources.computeIfAbsent(peer.host(), ignored -> newSource(nowNanos));
+        source.peer = peer;
+        source.revision = revision;
+        source.announcedNanos = nowNanos;
+    }
+
+    private static Source newSource(long nowNanos) {
+        Source source = new Source();
+        source.retryNanos = nowNanos;
+        return source;
+    }
+
+    /** Whether another host has recently announced a newer revision than this host has. */
+    public boolean isBehind(long ownRevision, long nowNanos) {
+        return sources.values().stream().anyMatch(source -> source.isUseful(ownRevision, nowNanos));
     }
 
     /**
@@ -51,24 +99,45 @@
      * @param watchesStore whether this host gets changes from the store itself
      */
     public Decision next(long ownRevision, boolean watchesStore, long nowNanos) {
-        if (reading || source == null) {
+        sources.values().removeIf(source -> !source.isUseful(ownRevision, nowNanos));
+        updateBehind(!sources.isEmpty(), nowNanos);
+        if (!behind || reading) {
             return new Decision.Idle();
         }
-        if (sourceRevision <= ownRevision) {
-            source = null;
-            return new Decision.Idle();
-        }
-        long waitNanos = watchesStore ? announcedNanos + NOTIFICATION_WAIT_NANOS - nowNanos : 0;
+        long waitNanos = watchesStore ? behindSinceNanos + NOTIFICATION_WAIT_NANOS - nowNanos : 0;
         if (waitNanos > 0) {
             return new Decision.Wait(waitNanos);
         }
+        List<Source> ready = sources.values().stream()
+                .filter(source -> nowNanos - source.retryNanos >= 0)
+                .toList();
+        if (ready.isEmpty()) {
+            return new Decision.Wait(nanosUntilFirstRetry(nowNanos));
+        }
         reading = true;
-        return new Decision.Read(source);
+        return new Decision.Read(ready.get(random.nextInt(ready.size())).peer);
+    }
+
+    private void updateBehind(boolean isBehind, long nowNanos) {
+        if (isBehind && !behind) {
+            behindSinceNanos = nowNanos;
+        }
+        behind = isBehind;
+    }
+
+    private long nanosUntilFirstRetry(long nowNanos) {
+        return sources.values().stream()
+                .mapToLong(source -> source.retryNanos - nowNanos)
+                .min()
+                .orElseThrow();
     }
 
     /** The read of a host's copy has ended. */
     public void readEnded(Peer peer, ReadResult result, long nowNanos) {
         reading = false;
-        source = null;
+        Source source = sources.get(peer.host());
+        if (source != null) {
+            source.retryNanos = nowNanos + result.pauseNanos(random);
+        }
     }
 }
--- a/figspan-cluster/src/main/java/io/figspan/cluster/copy/ReadResult.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/copy/ReadResult.java
@@ -1,10 +1,27 @@
 package io.figspan.cluster.copy;
 
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+
 /** Outcome of reading a copy from another host. */
 public enum ReadResult {
     /** The copy was read and applied. */
-    COMPLETE,
+    COMPLETE(0),
+
+    /** The host sends copies to others at the moment. */
+    BUSY(TimeUnit.MILLISECONDS.toNanos(40)),
 
     /** The host did not respond in time, or with something else than a copy. */
-    FAILED
+    FAILED(TimeUnit.SECONDS.toNanos(1));
+
+    private final long pauseNanos;
+
+    ReadResult(long pauseNanos) {
+        this.pauseNanos = pauseNanos;
+    }
+
+    /** Time until the same host is asked again; between one and two pauses, so that hosts don't ask in step. */
+    long pauseNanos(RandomGenerator random) {
+        return pauseNanos == 0 ? 0 : pauseNanos + random.nextLong(pauseNanos);
+    }
 }
--- a/figspan-cluster/src/test/java/io/figspan/cluster/copy/SimulatedCell.java
+++ b/figspan-cluster/src/test/java/io/figspan/cluster/copy/SimulatedCell.java
@@ -8,12 +8,14 @@
 import io.figspan.core.id.HostIncarnation;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
 /**
  * Hosts of one cell in logical time. A few of them read a new version from the store; all others run a {@link
- * CopyFetcher}. The transfers of a host share the bandwidth of its link evenly, in each direction.
+ * CopyFetcher} and read from each other through a {@link CopyTransferLimiter}. The transfers of a host share the
+ * bandwidth of its link evenly, in each direction.
  */
 final class SimulatedCell {
     private static final long STEP_MS = 2;
@@ -33,15 +35,17 @@
 
     private static final class Host {
         final Peer peer;
-        final CopyFetcher fetcher = new CopyFetcher();
+        final CopyFetcher fetcher;
+        final CopyTransferLimiter limiter = new CopyTransferLimiter();
         long updateMs;
         long nextReportMs;
         long revision = OLD_REVISION;
         int uploads;
         int downloads;
 
-        Host(Peer peer, long updateMs, long nextReportMs) {
+        Host(Peer peer, CopyFetcher fetcher, long updateMs, long nextReportMs) {
             this.peer = peer;
+            this.fetcher = fetcher;
             this.updateMs = updateMs;
             this.nextReportMs = nextReportMs;
         }
@@ -50,12 +54,14 @@
     private static final class Transfer {
         final Host source;
         final Host reader;
+        final CopyTransferLimiter.Transfer slot;
         final long startMs;
         double bytesLeft;
 
-        Transfer(Host source, Host reader, long startMs, double bytes) {
+        Transfer(Host source, Host reader, CopyTransferLimiter.Transfer slot, long startMs, double bytes) {
             this.source = source;
             this.reader = reader;
+            this.slot = slot;
             this.startMs = startMs;
             this.bytesLeft = bytes;
         }
@@ -67,7 +73,7 @@
         for (int index = 0; index < hostCount; index++) {
             boolean watches = index < watchingCount;
             long updateMs = watches ? random.nextInt(NOTIFICATION_SPREAD_MS) : Long.MAX_VALUE;
-            hosts.add(new Host(peer(index), updateMs, random.nextLong(REPORT_INTERVAL_MS)));
+            hosts.add(new Host(peer(index), new CopyFetcher(random), updateMs, random.nextLong(REPORT_INTERVAL_MS)));
         }
     }
 
@@ -98,10 +104,20 @@
         hosts.stream().filter(host -> host.updateMs <= nowMs).forEach(this::update);
         hosts.stream().filter(host -> host.nextReportMs <= nowMs).forEach(this::report);
         hosts.forEach(this::decide);
+        checkUploads();
         transfers.forEach(this::transmit);
         List.copyOf(transfers).forEach(this::endIfDue);
     }
 
+    /** Guards against a source whose link is shared by so many large copies that none gets through. */
+    private void checkUploads() {
+        for (Host host : hosts) {
+            if (host.uploads > 1 && (long) host.uploads * copyBytes > CopyTransferLimiter.MAX_BYTES) {
+                throw new AssertionError(host.uploads + " copies at once are sent by " + host.peer);
+            }
+        }
+    }
+
     /** A new version is reported at once. */
     private void update(Host host) {
         host.revision = NEW_REVISION;
@@ -125,9 +141,14 @@
     }
 
     private void beginTransfer(Host reader, Host source) {
+        Optional<CopyTransferLimiter.Transfer> slot = source.limiter.begin(copyBytes, nowNanos());
+        if (slot.isEmpty()) {
+            reader.fetcher.readEnded(source.peer, ReadResult.BUSY, nowNanos());
+            return;
+        }
         source.uploads++;
         reader.downloads++;
-        transfers.add(new Transfer(source, reader, nowMs, copyBytes));
+        transfers.add(new Transfer(source, reader, slot.get(), nowMs, copyBytes));
     }
 
     private Host hostOf(Peer peer) {
@@ -150,6 +171,7 @@
 
     private void end(Transfer transfer, ReadResult result) {
         transfers.remove(transfer);
+        transfer.source.limiter.end(transfer.slot);
         transfer.source.uploads--;
         transfer.reader.downloads--;
         transfer.reader.fetcher.readEnded(transfer.source.peer, result, nowNanos());
--- a/figspan-gateway/src/main/java/io/figspan/gateway/AuxiliaryEndpoints.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/AuxiliaryEndpoints.java
@@ -3,13 +3,11 @@
 import io.figspan.cluster.message.Peer;
 import io.figspan.core.id.HostId;
 import io.figspan.core.metrics.PrometheusText;
-import io.figspan.gateway.fleet.FleetState;
 import io.figspan.gateway.http.SimpleHttpServer;
 import io.figspan.gateway.metrics.GatewayMetrics;
-import io.figspan.gateway.peer.CopyReader;
+import io.figspan.gateway.peer.CopyEndpoint;
 import io.figspan.gateway.peer.PeerTracker;
 import io.figspan.gateway.protocol.OperatorProtocol;
-import io.figspan.gateway.store.ItemCopy;
 import io.figspan.policy.entry.EntryList;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
@@ -19,7 +17,6 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.QueryStringDecoder;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
@@ -35,34 +32,32 @@
     /** Time for which a caller may cache a directory response. */
     private static final int DIRECTORY_TTL_SECONDS = 1;
 
-    static final String SETTINGS_COPY = "settings";
-    static final String SERVERS_COPY = "servers";
-
     private static final String METRICS_PATH = "/metrics";
 
     private final GatewayConfig config;
     private final OperatorProtocol operator;
     private final PeerTracker peers;
-    private final FleetState fleet;
+    private final CopyEndpoint copies;
     private final GatewayMetrics metrics;
     private final BooleanSupplier ready;
 
     /**
      * Creates the endpoints of one host.
      *
+     * @param copies serves the copies of the store's items
      * @param ready whether this host accepts callers
      */
     AuxiliaryEndpoints(
             GatewayConfig config,
             OperatorProtocol operator,
             PeerTracker peers,
-            FleetState fleet,
+            CopyEndpoint copies,
             GatewayMetrics metrics,
             BooleanSupplier ready) {
         this.config = config;
         this.operator = operator;
         this.peers = peers;
-        this.fleet = fleet;
+        this.copies = copies;
         this.metrics = metrics;
         this.ready = ready;
     }
@@ -71,7 +66,7 @@
     void listen(EventLoop loop) {
         SimpleHttpServer.listen(loop, config.readiness(), this::answerReadiness).syncUninterruptibly();
         SimpleHttpServer.listen(loop, config.directory(), this::answerDirectory).syncUninterruptibly();
-        SimpleHttpServer.listen(loop, config.copies(), this::answerCopy).syncUninterruptibly();
+        SimpleHttpServer.listenWithReplies(loop, config.copies(), copies::reply).syncUninterruptibly();
         SimpleHttpServer.listen(loop, config.metrics(), this::answerMetrics).syncUninterruptibly();
     }
 
@@ -106,27 +101,6 @@
         return operator.hosts(chosen, DIRECTORY_TTL_SECONDS);
     }
 
-    private FullHttpResponse answerCopy(HttpRequest request) {
-        QueryStringDecoder target = new QueryStringDecoder(request.uri());
-        return switch (target.path()) {
-            case CopyReader.PATH + SETTINGS_COPY -> copyResponse(fleet.settings(), target);
-            case CopyReader.PATH + SERVERS_COPY -> copyResponse(fleet.servers(), target);
-            default -> emptyResponse(HttpResponseStatus.NOT_FOUND);
-        };
-    }
-
-    private FullHttpResponse copyResponse(ItemCopy copy, QueryStringDecoder target) {
-        List<String> after = target.parameters().getOrDefault(CopyReader.AFTER, List.of("0"));
-        try {
-            byte[] body = copy.changesAfter(Long.parseLong(after.get(0))).encode();
-            metrics.count("copies.served");
-            metrics.count("copies.bytes", body.length);
-            return okResponse(body);
-        } catch (NumberFormatException e) {
-            return emptyResponse(HttpResponseStatus.BAD_REQUEST);
-        }
-    }
-
     private FullHttpResponse answerMetrics(HttpRequest request) {
         if (!request.uri().equals(METRICS_PATH)) {
             return emptyResponse(HttpResponseStatus.NOT_FOUND);
--- a/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
@@ -16,6 +16,7 @@
 import io.figspan.gateway.metrics.Activity;
 import io.figspan.gateway.metrics.GatewayMetrics;
 import io.figspan.gateway.metrics.ProcessorTime;
+import io.figspan.gateway.peer.CopyEndpoint;
 import io.figspan.gateway.peer.CopyReader;
 import io.figspan.gateway.peer.PeerListener;
 import io.figspan.gateway.peer.PeerTracker;
@@ -30,6 +31,7 @@
 import io.netty.util.concurrent.Future;
 import java.nio.channels.ServerSocketChannel;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -53,6 +55,11 @@
     /** Longest wait for the event loop to begin the shutdown. */
     private static final long STOP_TIMEOUT_MS = 500;
 
+    /** Names of the copies of the store's items. */
+    private static final String SETTINGS_COPY = "settings";
+
+    private static final String SERVERS_COPY = "servers";
+
     private final GatewayConfig config;
     private final ProtocolAdapter adapter;
     private final RandomGenerator random;
@@ -100,20 +107,26 @@
         this.settingsReader = new CopyReader(
                 loop,
                 log,
-                AuxiliaryEndpoints.SETTINGS_COPY,
+                metrics,
+                SETTINGS_COPY,
                 config.copies().getPort(),
                 fleet.settings(),
                 fleet::applyPeerSettings,
-                storeWatchers::isWatching);
+                storeWatchers::isWatching,
+                random);
         this.serversReader = new CopyReader(
                 loop,
                 log,
-                AuxiliaryEndpoints.SERVERS_COPY,
+                metrics,
+                SERVERS_COPY,
                 config.copies().getPort(),
                 fleet.servers(),
                 fleet::applyPeerServers,
-                storeWatchers::isWatching);
-        this.endpoints = new AuxiliaryEndpoints(config, adapter.operator(), peers, fleet, metrics, this::isReady);
+                storeWatchers::isWatching,
+                random);
+        CopyEndpoint copies =
+                new CopyEndpoint(Map.of(SETTINGS_COPY, fleet.settings(), SERVERS_COPY, fleet.servers()), metrics);
+        this.endpoints = new AuxiliaryEndpoints(config, adapter.operator(), peers, copies, metrics, this::isReady);
         this.shutdown = new Shutdown(loop, log, callers, peers, config.shutdownGraceMs());
         this.reloader = new ConfigReloader(source, config, log, this::configChanged);
     }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/http/BufferedExchange.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/http/BufferedExchange.java
@@ -16,11 +16,14 @@
 public final class BufferedExchange implements ExchangeListener {
     private static final int MAX_RESPONSE_BYTES = 8 * 1_024 * 1_024;
 
+    private final EventLoop loop;
     private final HttpConnection connection;
     private final Listener listener;
-    private final long timeoutMs;
+    private final ExchangeTimeout timeout;
     private final ByteBuf body = Unpooled.buffer();
-    private final ScheduledFuture<?> timeoutTimer;
+    private final long startNanos = System.nanoTime();
+    private long lastProgressNanos = startNanos;
+    private ScheduledFuture<?> timeoutTimer;
     private int status;
     private boolean finished;
 
@@ -31,40 +34,68 @@
         void onFailure(String reason);
     }
 
-    private BufferedExchange(EventLoop loop, HttpConnection connection, Listener listener, long timeoutMs) {
+    private BufferedExchange(EventLoop loop, HttpConnection connection, Listener listener, ExchangeTimeout timeout) {
+        this.loop = loop;
         this.connection = connection;
         this.listener = listener;
-        this.timeoutMs = timeoutMs;
-        this.timeoutTimer = loop.schedule(this::onTimeout, timeoutMs, TimeUnit.MILLISECONDS);
+        this.timeout = timeout;
+        startTimer(timeout.remainingNanos(startNanos, lastProgressNanos, startNanos));
     }
 
     /** Sends a GET request. On failure, which includes a timeout, the connection is closed. */
     public static void get(
             EventLoop loop, HttpConnection connection, String target, long timeoutMs, Listener listener) {
+        get(loop, connection, target, ExchangeTimeout.ofTotal(timeoutMs), listener);
+    }
+
+    /** Sends a GET request. On failure, which includes a timeout, the connection is closed. */
+    public static void get(
+            EventLoop loop, HttpConnection connection, String target, ExchangeTimeout timeout, Listener listener) {
         FullHttpRequest request =
                 new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, target, Unpooled.EMPTY_BUFFER);
-        send(loop, connection, request, timeoutMs, listener);
+        send(loop, connection, request, timeout, listener);
     }
 
     /** Sends a request and takes ownership of it. On failure, which includes a timeout, the connection is closed. */
     public static void send(
             EventLoop loop, HttpConnection connection, FullHttpRequest request, long timeoutMs, Listener listener) {
+        send(loop, connection, request, ExchangeTimeout.ofTotal(timeoutMs), listener);
+    }
+
+    private static void send(
+            EventLoop loop,
+            HttpConnection connection,
+            FullHttpRequest request,
+            ExchangeTimeout timeout,
+            Listener listener) {
         request.headers().set(HttpHeaderNames.HOST, HostPort.of(connection.address()));
-        connection.send(request, new BufferedExchange(loop, connection, listener, timeoutMs));
+        connection.send(request, new BufferedExchange(loop, connection, listener, timeout));
+    }
+
+    private void startTimer(long nanos) {
+        timeoutTimer = loop.schedule(this::onTimer, nanos, TimeUnit.NANOSECONDS);
     }
 
-    private void onTimeout() {
+    private void onTimer() {
+        long nowNanos = System.nanoTime();
+        long leftNanos = timeout.remainingNanos(startNanos, lastProgressNanos, nowNanos);
+        if (leftNanos > 0) {
+            startTimer(leftNanos);
+            return;
+        }
         connection.abort();
-        fail("no response within " + timeoutMs + " ms");
+        fail(timeout.reason(startNanos, nowNanos));
     }
 
     @Override
     public void onHead(HttpResponse head) {
+        lastProgressNanos = System.nanoTime();
         status = head.status().code();
     }
 
     @Override
     public void onContent(ByteBuf content) {
+        lastProgressNanos = System.nanoTime();
         if (body.readableBytes() + content.readableBytes() > MAX_RESPONSE_BYTES) {
             connection.abort();
             fail("the response is longer than " + MAX_RESPONSE_BYTES + " bytes");
--- a/figspan-gateway/src/main/java/io/figspan/gateway/http/SimpleHttpServer.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/http/SimpleHttpServer.java
@@ -31,9 +31,18 @@
 
     private SimpleHttpServer() {}
 
+    /** A response with an action for when it has been written or its connection is closed. */
+    public record Reply(FullHttpResponse response, Runnable writtenListener) {}
+
     /** Binds the address and serves requests with the handler. */
     public static ChannelFuture listen(
             EventLoop loop, InetSocketAddress address, Function<HttpRequest, FullHttpResponse> handler) {
+        return listenWithReplies(loop, address, request -> new Reply(handler.apply(request), () -> {}));
+    }
+
+    /** Binds the address and serves requests with a handler that is notified when a response has been written. */
+    public static ChannelFuture listenWithReplies(
+            EventLoop loop, InetSocketAddress address, Function<HttpRequest, Reply> handler) {
         return new ServerBootstrap()
                 .group(loop)
                 .channel(NioServerSocketChannel.class)
@@ -48,10 +57,10 @@
 
     /** Serves the requests of one connection. */
     private static final class RequestHandler extends ChannelInboundHandlerAdapter {
-        private final Function<HttpRequest, FullHttpResponse> handler;
+        private final Function<HttpRequest, Reply> handler;
         private ScheduledFuture<?> idleTimer;
 
-        RequestHandler(Function<HttpRequest, FullHttpResponse> handler) {
+        RequestHandler(Function<HttpRequest, Reply> handler) {
             this.handler = handler;
         }
 
@@ -89,15 +98,19 @@
                 Channels.close(ctx.channel());
                 return;
             }
-            FullHttpResponse response = handler.apply(request);
+            Reply reply = handler.apply(request);
+            FullHttpResponse response = reply.response();
             response.headers()
                     .setInt(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
-            if (HttpUtil.isKeepAlive(request)) {
-                Channels.writeAndFlush(ctx.channel(), response);
-                return;
+            boolean keepAlive = HttpUtil.isKeepAlive(request);
+            if (!keepAlive) {
+                response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            }
+            ChannelFuture written = ctx.writeAndFlush(response);
+            written.addListener(ignored -> reply.writtenListener().run());
+            if (!keepAlive) {
+                written.addListener(ChannelFutureListener.CLOSE);
             }
-            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-            ctx.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
         }
 
         @Override
--- /dev/null
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/peer/CopyEndpoint.java
@@ -0,0 +1,111 @@
+package io.figspan.gateway.peer;
+
+import io.figspan.cluster.copy.CopyTransferLimiter;
+import io.figspan.gateway.http.SimpleHttpServer.Reply;
+import io.figspan.gateway.metrics.GatewayMetrics;
+import io.figspan.gateway.store.ItemCopy;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Serves this host's copies of the store's items to other hosts. A host that sends enough already answers 503, and the
+ * reader turns to another one. All methods run on the event loop.
+ */
+public final class CopyEndpoint {
+    /** Path of the copies; the name of the copy follows. */
+    static final String PATH = "/copies/";
+
+    /** Query parameter with the revision of the reader's copy. */
+    static final String AFTER = "after";
+
+    private final Map<String, ItemCopy> copies;
+    private final GatewayMetrics metrics;
+    private final CopyTransferLimiter limiter = new CopyTransferLimiter();
+    private final Map<String, Encoded> encodedCopies = new HashMap<>();
+
+    /** The changes of a copy after a revision, as sent to other hosts. */
+    private static final class Encoded {
+        final long revision;
+        final long afterRevision;
+        final byte[] body;
+
+        Encoded(ItemCopy copy, long afterRevision) {
+            this.revision = copy.revision();
+            this.afterRevision = afterRevision;
+            this.body = copy.changesAfter(afterRevision).encode();
+        }
+    }
+
+    /**
+     * Creates the endpoint.
+     *
+     * @param copies the copies by name
+     */
+    public CopyEndpoint(Map<String, ItemCopy> copies, GatewayMetrics metrics) {
+        this.copies = Map.copyOf(copies);
+        this.metrics = metrics;
+    }
+
+    /** Answers with the changes after the reader's revision. */
+    public Reply reply(HttpRequest request) {
+        QueryStringDecoder target = new QueryStringDecoder(request.uri());
+        if (!target.path().startsWith(PATH)) {
+            return emptyReply(HttpResponseStatus.NOT_FOUND);
+        }
+        String name = target.path().substring(PATH.length());
+        ItemCopy copy = copies.get(name);
+        if (copy == null) {
+            return emptyReply(HttpResponseStatus.NOT_FOUND);
+        }
+        try {
+            return copyReply(name, copy, afterRevision(target));
+        } catch (NumberFormatException e) {
+            return emptyReply(HttpResponseStatus.BAD_REQUEST);
+        }
+    }
+
+    private static long afterRevision(QueryStringDecoder target) {
+        return Long.parseLong(
+                target.parameters().getOrDefault(AFTER, List.of("0")).get(0));
+    }
+
+    private Reply copyReply(String name, ItemCopy copy, long afterRevision) {
+        byte[] body = encoded(name, copy, afterRevision).body;
+        Optional<CopyTransferLimiter.Transfer> transfer = limiter.begin(body.length, System.nanoTime());
+        if (transfer.isEmpty()) {
+            metrics.count("copies.refused");
+            return emptyReply(HttpResponseStatus.SERVICE_UNAVAILABLE);
+        }
+        metrics.count("copies.served");
+        metrics.count("copies.bytes", body.length);
+        return new Reply(response(HttpResponseStatus.OK, body), () -> limiter.end(transfer.get()));
+    }
+
+    /** Most readers of a copy ask for the same changes, so the last response of each copy is kept. */
+    private Encoded encoded(String name, ItemCopy copy, long afterRevision) {
+        Encoded last = encodedCopies.get(name);
+        if (last != null && last.revision == copy.revision() && last.afterRevision == afterRevision) {
+            return last;
+        }
+        Encoded encoded = new Encoded(copy, afterRevision);
+        encodedCopies.put(name, encoded);
+        return encoded;
+    }
+
+    private static Reply emptyReply(HttpResponseStatus status) {
+        return new Reply(response(status, new byte[0]), () -> {});
+    }
+
+    private static FullHttpResponse response(HttpResponseStatus status, byte[] body) {
+        return new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(body));
+    }
+}
--- a/figspan-gateway/src/main/java/io/figspan/gateway/peer/CopyReader.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/peer/CopyReader.java
@@ -7,8 +7,10 @@
 import io.figspan.core.error.FigspanException;
 import io.figspan.core.event.Part;
 import io.figspan.gateway.http.BufferedExchange;
+import io.figspan.gateway.http.ExchangeTimeout;
 import io.figspan.gateway.http.HttpConnection;
 import io.figspan.gateway.log.DecisionLog;
+import io.figspan.gateway.metrics.GatewayMetrics;
 import io.figspan.gateway.store.ItemChanges;
 import io.figspan.gateway.store.ItemCopy;
 import io.netty.channel.EventLoop;
@@ -17,29 +19,29 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
 
 /**
  * Reads another host's copy of the store's items, when this host learns that it lacks changes and the store does not
  * deliver them in time. Executes the decisions of a {@link CopyFetcher}. All methods run on the event loop.
  */
 public final class CopyReader {
-    /** Path of the copies on the port for other hosts; the name of the copy follows. */
-    public static final String PATH = "/copies/";
-
-    /** Query parameter with the revision of the reader's copy. */
-    public static final String AFTER = "after";
+    private static final ExchangeTimeout TIMEOUT =
+            new ExchangeTimeout(CopyFetcher.STALL_TIMEOUT_MS, CopyFetcher.READ_TIMEOUT_MS);
 
     private static final int CONNECT_TIMEOUT_MS = 400;
     private static final int OK = 200;
+    private static final int BUSY = 503;
 
     private final EventLoop loop;
     private final DecisionLog log;
+    private final GatewayMetrics metrics;
     private final String name;
     private final int copyPort;
     private final ItemCopy copy;
     private final Consumer<ItemChanges> listener;
     private final BooleanSupplier watchesStore;
-    private final CopyFetcher fetcher = new CopyFetcher();
+    private final CopyFetcher fetcher;
     private ScheduledFuture<?> nextDecision;
 
     /**
@@ -54,18 +56,22 @@
     public CopyReader(
             EventLoop loop,
             DecisionLog log,
+            GatewayMetrics metrics,
             String name,
             int copyPort,
             ItemCopy copy,
             Consumer<ItemChanges> listener,
-            BooleanSupplier watchesStore) {
+            BooleanSupplier watchesStore,
+            RandomGenerator random) {
         this.loop = loop;
         this.log = log;
+        this.metrics = metrics;
         this.name = name;
         this.copyPort = copyPort;
         this.copy = copy;
         this.listener = listener;
         this.watchesStore = watchesStore;
+        this.fetcher = new CopyFetcher(random);
     }
 
     /** Another host has the given revision. Reads a copy, unless this host catches up by itself first. */
@@ -93,13 +99,13 @@
     private void read(Peer source) {
         InetSocketAddress address = new InetSocketAddress(source.address().address(), copyPort);
         HttpConnection connection = HttpConnection.open(loop, address, CONNECT_TIMEOUT_MS);
-        String target = PATH + name + "?" + AFTER + "=" + copy.revision();
+        String target = CopyEndpoint.PATH + name + "?" + CopyEndpoint.AFTER + "=" + copy.revision();
         long startNanos = System.nanoTime();
-        BufferedExchange.get(loop, connection, target, CopyFetcher.READ_TIMEOUT_MS, new BufferedExchange.Listener() {
+        BufferedExchange.get(loop, connection, target, TIMEOUT, new BufferedExchange.Listener() {
             @Override
             public void onResponse(int status, byte[] body) {
                 connection.close();
-                ended(source, status == OK ? apply(source, body, startNanos) : notRead(source, "status " + status));
+                ended(source, responded(source, status, body, startNanos));
             }
 
             @Override
@@ -114,6 +120,17 @@
         decide();
     }
 
+    private ReadResult responded(Peer source, int status, byte[] body, long startNanos) {
+        return switch (status) {
+            case OK -> apply(source, body, startNanos);
+            case BUSY -> {
+                metrics.count("copies.busy");
+                yield ReadResult.BUSY;
+            }
+            default -> notRead(source, "status " + status);
+        };
+    }
+
     private ReadResult notRead(Peer source, String reason) {
         log.info(Part.SETTINGS, "copyNotRead")
                 .text("copy", name)
--- a/figspan-gateway/src/main/java/io/figspan/gateway/store/StoreWatcher.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/store/StoreWatcher.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import io.figspan.core.event.Part;
 import io.figspan.gateway.http.BufferedExchange;
+import io.figspan.gateway.http.ExchangeTimeout;
 import io.figspan.gateway.http.HttpConnection;
 import io.figspan.gateway.log.DecisionLog;
 import io.figspan.gateway.protocol.StoreProtocol;
@@ -25,6 +26,9 @@
     /** The store responds within milliseconds; one that takes longer than this is down, slow or partitioned. */
     private static final long RESPONSE_TIMEOUT_MS = 1_000;
 
+    /** Time for a large response over a slow link, while its bytes arrive. */
+    private static final long TRANSFER_TIMEOUT_MS = 4_000;
+
     private static final int OK = 200;
 
     /** Mean interval between the polls of a host that relies on the reports of others. */
@@ -129,7 +133,7 @@
         }
     }
 
-    private void call(boolean watch, String target, long timeoutMs) {
+    private void call(boolean watch, String target, long stallTimeoutMs) {
         boolean reusable = connection != null
                 && connection.isIdle()
                 && connection.address().equals(address);
@@ -139,7 +143,8 @@
             }
             connection = HttpConnection.open(loop, address, CONNECT_TIMEOUT_MS);
         }
-        BufferedExchange.get(loop, connection, target, timeoutMs, new BufferedExchange.Listener() {
+        ExchangeTimeout timeout = new ExchangeTimeout(stallTimeoutMs, stallTimeoutMs + TRANSFER_TIMEOUT_MS);
+        BufferedExchange.get(loop, connection, target, timeout, new BufferedExchange.Listener() {
             @Override
             public void onResponse(int status, byte[] body) {
                 responseReceived(watch, status, body);
