Compress the copies that hosts send each other

Large settings consist of similar routes, and each change sends all of them to every host. With versions in quick succession, uncompressed copies alone would fill the links of the small hosts.

A reader asks for the content coding deflate (RFC 9110); a host of an earlier build ignores that, and its readers get uncompressed copies as before. The compressed copy is kept with the encoded one. Decompressed bodies are bounded like others. CopyEndpointTest: 10,000 similar entries become less than a tenth.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/http/BufferedExchange.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/http/BufferedExchange.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.zip.DataFormatException;
 
 /** An HTTP exchange with a timeout whose whole response is buffered in memory. */
 public final class BufferedExchange implements ExchangeListener {
@@ -25,6 +26,7 @@
     private long lastProgressNanos = startNanos;
     private ScheduledFuture<?> timeoutTimer;
     private int status;
+    private boolean isCompressed;
     private boolean finished;
 
     /** Receives the outcome on the event loop; exactly one method is called. */
@@ -51,11 +53,21 @@
     /** Sends a GET request. On failure, which includes a timeout, the connection is closed. */
     public static void get(
             EventLoop loop, HttpConnection connection, String target, ExchangeTimeout timeout, Listener listener) {
-        FullHttpRequest request =
-                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, target, Unpooled.EMPTY_BUFFER);
+        send(loop, connection, getRequest(target), timeout, listener);
+    }
+
+    /** Sends a GET request whose response may be compressed; the listener receives the decompressed body. */
+    public static void getCompressed(
+            EventLoop loop, HttpConnection connection, String target, ExchangeTimeout timeout, Listener listener) {
+        FullHttpRequest request = getRequest(target);
+        request.headers().set(HttpHeaderNames.ACCEPT_ENCODING, DeflateCoding.NAME);
         send(loop, connection, request, timeout, listener);
     }
 
+    private static FullHttpRequest getRequest(String target) {
+        return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, target, Unpooled.EMPTY_BUFFER);
+    }
+
     /** Sends a request and takes ownership of it. On failure, which includes a timeout, the connection is closed. */
     public static void send(
             EventLoop loop, HttpConnection connection, FullHttpRequest request, long timeoutMs, Listener listener) {
@@ -91,6 +103,7 @@
     public void onHead(HttpResponse head) {
         lastProgressNanos = System.nanoTime();
         status = head.status().code();
+        isCompressed = head.headers().contains(HttpHeaderNames.CONTENT_ENCODING, DeflateCoding.NAME, true);
     }
 
     @Override
@@ -106,14 +119,31 @@
 
     @Override
     public void onComplete() {
-        if (markFinished()) {
-            byte[] bytes = new byte[body.readableBytes()];
-            body.readBytes(bytes);
-            body.release();
+        if (!markFinished()) {
+            return;
+        }
+        byte[] bytes = new byte[body.readableBytes()];
+        body.readBytes(bytes);
+        body.release();
+        if (isCompressed) {
+            decompress(bytes);
+        } else {
             listener.onResponse(status, bytes);
         }
     }
 
+    private void decompress(byte[] bytes) {
+        byte[] decompressed;
+        try {
+            decompressed = DeflateCoding.decompress(bytes, MAX_RESPONSE_BYTES);
+        } catch (DataFormatException e) {
+            connection.abort();
+            listener.onFailure("malformed compressed response: " + e.getMessage());
+            return;
+        }
+        listener.onResponse(status, decompressed);
+    }
+
     @Override
     public void onFailure(ConnectionFailure failure) {
         fail(failure.toString());
--- a/figspan-gateway/src/main/java/io/figspan/gateway/peer/CopyEndpoint.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/peer/CopyEndpoint.java
@@ -1,12 +1,14 @@
 package io.figspan.gateway.peer;
 
 import io.figspan.cluster.copy.CopyTransferLimiter;
+import io.figspan.gateway.http.DeflateCoding;
 import io.figspan.gateway.http.SimpleHttpServer.Reply;
 import io.figspan.gateway.metrics.GatewayMetrics;
 import io.figspan.gateway.store.ItemCopy;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
@@ -36,12 +38,15 @@
     private static final class Encoded {
         final long revision;
         final long afterRevision;
+        final boolean isCompressed;
         final byte[] body;
 
-        Encoded(ItemCopy copy, long afterRevision) {
+        Encoded(ItemCopy copy, long afterRevision, boolean isCompressed) {
             this.revision = copy.revision();
             this.afterRevision = afterRevision;
-            this.body = copy.changesAfter(afterRevision).encode();
+            this.isCompressed = isCompressed;
+            byte[] changes = copy.changesAfter(afterRevision).encode();
+            this.body = isCompressed ? DeflateCoding.compress(changes) : changes;
         }
     }
 
@@ -67,7 +72,9 @@
             return emptyReply(HttpResponseStatus.NOT_FOUND);
         }
         try {
-            return copyReply(name, copy, afterRevision(target));
+            boolean isCompressed =
+                    request.headers().containsValue(HttpHeaderNames.ACCEPT_ENCODING, DeflateCoding.NAME, true);
+            return copyReply(encoded(name, copy, afterRevision(target), isCompressed));
         } catch (NumberFormatException e) {
             return emptyReply(HttpResponseStatus.BAD_REQUEST);
         }
@@ -78,8 +85,8 @@
                 target.parameters().getOrDefault(AFTER, List.of("0")).get(0));
     }
 
-    private Reply copyReply(String name, ItemCopy copy, long afterRevision) {
-        byte[] body = encoded(name, copy, afterRevision).body;
+    private Reply copyReply(Encoded encoded) {
+        byte[] body = encoded.body;
         Optional<CopyTransferLimiter.Transfer> transfer = limiter.begin(body.length, System.nanoTime());
         if (transfer.isEmpty()) {
             metrics.count("copies.refused");
@@ -87,16 +94,24 @@
         }
         metrics.count("copies.served");
         metrics.count("copies.bytes", body.length);
-        return new Reply(response(HttpResponseStatus.OK, body), () -> limiter.end(transfer.get()));
+        FullHttpResponse response = response(HttpResponseStatus.OK, body);
+        if (encoded.isCompressed) {
+            response.headers().set(HttpHeaderNames.CONTENT_ENCODING, DeflateCoding.NAME);
+        }
+        return new Reply(response, () -> limiter.end(transfer.get()));
     }
 
     /** Most readers of a copy ask for the same changes, so the last response of each copy is kept. */
-    private Encoded encoded(String name, ItemCopy copy, long afterRevision) {
+    private Encoded encoded(String name, ItemCopy copy, long afterRevision, boolean isCompressed) {
         Encoded last = encodedCopies.get(name);
-        if (last != null && last.revision == copy.revision() && last.afterRevision == afterRevision) {
+        boolean isSame = last != null
+                && last.revision == copy.revision()
+                && last.afterRevision == afterRevision
+                && last.isCompressed == isCompressed;
+        if (isSame) {
             return last;
         }
-        Encoded encoded = new Encoded(copy, afterRevision);
+        Encoded encoded = new Encoded(copy, afterRevision, isCompressed);
         encodedCopies.put(name, encoded);
         return encoded;
     }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/peer/CopyReader.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/peer/CopyReader.java
@@ -101,7 +101,7 @@
         HttpConnection connection = HttpConnection.open(loop, address, CONNECT_TIMEOUT_MS);
         String target = CopyEndpoint.PATH + name + "?" + CopyEndpoint.AFTER + "=" + copy.revision();
         long startNanos = System.nanoTime();
-        BufferedExchange.get(loop, connection, target, TIMEOUT, new BufferedExchange.Listener() {
+        BufferedExchange.getCompressed(loop, connection, target, TIMEOUT, new BufferedExchange.Listener() {
             @Override
             public void onResponse(int status, byte[] body) {
                 connection.close();
--- a/figspan-gateway/src/test/java/io/figspan/gateway/peer/CopyEndpointTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/peer/CopyEndpointTest.java
@@ -1,7 +1,11 @@
 package io.figspan.gateway.peer;
 
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.figspan.gateway.http.DeflateCoding;
 import io.figspan.gateway.http.SimpleHttpServer.Reply;
 import io.figspan.gateway.metrics.GatewayMetrics;
 import io.figspan.gateway.protocol.StoreProtocol.Item;
@@ -9,8 +13,11 @@
 import io.figspan.gateway.store.ItemCopy;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -26,7 +33,7 @@
 
     @BeforeEach
     void putLargeItem() {
-        settings.apply(List.of(item("op/a", 5), item("op/b", 6)));
+        settings.apply(List.of(item("a", 5), item("b", 6)));
     }
 
     private static Item item(String key, long revision) {
@@ -55,7 +62,7 @@
 
         assertEquals(2, changes(all).items().size());
         assertEquals(
-                List.of("op/b"), changes(newer).items().stream().map(Item::key).toList());
+                List.of("b"), changes(newer).items().stream().map(Item::key).toList());
     }
 
     /** Guards against a host that sends a large copy to all hosts of its cell at once. */
@@ -74,11 +81,39 @@
     @Test
     void aCopyThatHasChangedIsEncodedAgain() {
         get("/copies/settings?after=6").writtenListener().run();
-        settings.apply(List.of(item("op/c", 7)));
+        settings.apply(List.of(item("c", 7)));
 
         assertEquals(7, changes(get("/copies/settings?after=6")).revision());
     }
 
+    /** Guards against copies of large settings that fill the links between hosts. */
+    @Test
+    void aCopyOfManySimilarRoutesIsCompressedForReadersThatAcceptIt() throws Exception {
+        ItemCopy similar = new ItemCopy();
+        byte[] routes = "{\"kind\":\"safe\",\"timeout_ms\":2000}".repeat(10_000).getBytes(StandardCharsets.UTF_8);
+        similar.apply(List.of(new Item("settings", Optional.of(routes), 5)));
+        CopyEndpoint compressing = new CopyEndpoint(Map.of("settings", similar), new GatewayMetrics());
+        HttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/copies/settings");
+        request.headers().set(HttpHeaderNames.ACCEPT_ENCODING, DeflateCoding.NAME);
+
+        Reply reply = compressing.reply(request);
+        byte[] body = ByteBufUtil.getBytes(reply.response().content());
+
+        assertEquals(DeflateCoding.NAME, reply.response().headers().get(HttpHeaderNames.CONTENT_ENCODING));
+        assertTrue(body.length < routes.length / 10, body.length + " bytes");
+        ItemChanges decoded = ItemChanges.decode(DeflateCoding.decompress(body, 2 * routes.length));
+        assertArrayEquals(routes, decoded.items().get(0).value().orElseThrow());
+    }
+
+    /** Hosts of earlier builds don't accept a compressed response. */
+    @Test
+    void aReaderThatAcceptsNoCodingGetsAnUncompressedCopy() {
+        Reply reply = get("/copies/settings");
+
+        assertFalse(reply.response().headers().contains(HttpHeaderNames.CONTENT_ENCODING));
+        assertEquals(2, changes(reply).items().size());
+    }
+
     @Test
     void unknownCopiesAndMalformedRevisionsAreRefused() {
         assertEquals(404, status(get("/copies/other")));
