Answer 503 instead of 404 and 401 while newer settings are known to exist

Cause: a host refused by the settings in force although the reports of other hosts had told it that they were outdated. Class of fault: acting on a belief that is known to be old.

The gauge settings.outdated shows it.

--- a/figspan-core/src/main/java/io/figspan/core/error/ProblemKind.java
+++ b/figspan-core/src/main/java/io/figspan/core/error/ProblemKind.java
@@ -24,6 +24,7 @@
     OVERLOADED(503, "Overloaded", "Wait for the time in Retry-After."),
     NO_BACKEND_SERVER(503, "No backend server is available", "Wait for the time in Retry-After."),
     BACKEND_FAILED(502, "Backend server failed", "Send the request again."),
+    SETTINGS_NOT_READ(503, "Newer settings are not read yet", "Wait for the time in Retry-After or use another host."),
     SHUTTING_DOWN(503, "Host is shutting down", "Use another host of the entry list."),
     SETTINGS_INVALID(422, "Settings are invalid", "Correct the named key and publish a higher version."),
     SETTINGS_OUTDATED(409, "Settings version is older than the one in force", "Publish a higher version."),
--- a/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
@@ -124,6 +124,7 @@
                 fleet::applyPeerServers,
                 storeWatchers::isWatching,
                 random);
+        this.forwarder.setSettingsOutdated(settingsReader::isBehind);
         CopyEndpoint copies =
                 new CopyEndpoint(Map.of(SETTINGS_COPY, fleet.settings(), SERVERS_COPY, fleet.servers()), metrics);
         this.endpoints = new AuxiliaryEndpoints(config, adapter.operator(), peers, copies, metrics, this::isReady);
@@ -301,6 +302,7 @@
         metrics.gauge("requests.waiting", forwarder::waitingCount);
         metrics.gauge("connections.busy", callers::busy);
         metrics.gauge("settings.version", () -> forwarder.settingsVersion().number());
+        metrics.gauge("settings.outdated", () -> settingsReader.isBehind() ? 1 : 0);
         metrics.gauge("settings.revision", () -> fleet.settings().revision());
         metrics.gauge("servers.revision", () -> fleet.servers().revision());
         metrics.gauge("hosts.known", peers::hostCount);
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
@@ -45,6 +45,7 @@
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
@@ -77,6 +78,7 @@
     private boolean isOpen;
     private Consumer<WorkChange> workListener = news -> {};
     private LongSupplier workViewAgeMs = () -> 0;
+    private BooleanSupplier areSettingsOutdated = () -> false;
     private GatewaySettings settings;
     private RouteTable routes = new RouteTable(List.of());
     private ApiKeyIndex keys = new ApiKeyIndex(List.of());
@@ -195,12 +197,12 @@
         Optional<Route> route = routes.find(request.hostName(), request.path());
         if (route.isEmpty()) {
             problem = Problem.notRun(ProblemKind.NOT_FOUND, "no route for " + request.path());
-            return refuse(request, body, caller, problem);
+            return refuse(request, body, caller, unlessOutdated(problem));
         }
         Optional<OrganisationKeys> organisation = request.key().flatMap(keys::find);
         if (organisation.isEmpty() && settings.requiresKeys() && !route.get().isPublic()) {
             problem = Problem.notRun(ProblemKind.UNAUTHENTICATED, "the key is unknown");
-            return refuse(request, body, caller, problem);
+            return refuse(request, body, caller, unlessOutdated(problem));
         }
         Optional<ServiceId> service = ServiceSelector.choose(route.get(), random);
         if (service.isEmpty()) {
@@ -210,6 +212,15 @@
         return Optional.of(start(request, body, caller, route.get(), service.get(), organisation, arrivedNanos));
     }
 
+    /** A route or key that is unknown here may be part of newer settings, so the refusal is not final until then. */
+    private Problem unlessOutdated(Problem problem) {
+        if (!areSettingsOutdated.getAsBoolean()) {
+            return problem;
+        }
+        return Problem.notRun(ProblemKind.SETTINGS_NOT_READ, problem.detail() + " in outdated settings")
+                .withRetryAfterMs(DEFAULT_RETRY_AFTER_MS);
+    }
+
     private ForwardCall start(
             CallerRequest request,
             ByteBuf body,
@@ -331,6 +342,11 @@
         workListener = listener;
     }
 
+    /** Sets the source for whether newer settings are known to exist than those in force. */
+    public void setSettingsOutdated(BooleanSupplier outdated) {
+        areSettingsOutdated = outdated;
+    }
+
     /** Sets the source for the age in milliseconds of the oldest report of another host's work. */
     public void setWorkViewAge(LongSupplier viewAgeMs) {
         workViewAgeMs = viewAgeMs;
--- a/figspan-gateway/src/main/java/io/figspan/gateway/peer/CopyReader.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/peer/CopyReader.java
@@ -80,6 +80,11 @@
         decide();
     }
 
+    /** Whether another host is known to have newer items than this one. */
+    public boolean isBehind() {
+        return fetcher.isBehind(copy.revision(), System.nanoTime());
+    }
+
     private void decide() {
         Decision decision = fetcher.next(copy.revision(), watchesStore.getAsBoolean(), System.nanoTime());
         if (decision instanceof Decision.Read read) {
