Tell callers refused by a full startup queue to return when it has room

Cause: a request that found the startup queue full was told to come back after 300 ms, although the queue may stay full for up to 800 ms, so the caller could spend a second retry on the same full queue. The class comment claimed that refused callers come back later than queued requests wait.

Change: Retry-After of a full queue is the time until its oldest request has left, plus the interval of the check, and 300 ms at least. A request that expires leaves room, so its caller still returns after 300 ms. The comment states what queueing saves the caller.

With Retry-After fixed at 300 ms, retryAfterOfAFullQueueCoversTheWaitOfItsOldestRequest fails.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
@@ -179,14 +179,16 @@
         }
         Optional<QueuedCall> waiting = startupQueue.add(request, body, caller, nowNanos);
         if (waiting.isEmpty()) {
-            refuse(request, body, caller, notOpenProblem());
+            refuse(request, body, caller, notOpenProblem(nowNanos));
         }
         return waiting.map(call -> call);
     }
 
-    private static Problem notOpenProblem() {
+    /** A full queue means that the settings take long, so its callers return when the queue has room for them. */
+    private Problem notOpenProblem(long nowNanos) {
+        long retryAfterMs = Math.max(DEFAULT_RETRY_AFTER_MS, startupQueue.timeUntilRoomMs(nowNanos));
         return Problem.notRun(ProblemKind.NO_BACKEND_SERVER, "no settings are known yet")
-                .withRetryAfterMs(DEFAULT_RETRY_AFTER_MS);
+                .withRetryAfterMs(retryAfterMs);
     }
 
     private Optional<InFlightCall> forward(
@@ -343,7 +345,7 @@
     /** Expires queued requests, runs the timers of all dispatchers and closes idle connections. */
     public void tick(long nowNanos) {
         for (QueuedCall call : startupQueue.drainExpired(nowNanos)) {
-            refuse(call.request, call.body, call.caller, notOpenProblem());
+            refuse(call.request, call.body, call.caller, notOpenProblem(nowNanos));
         }
         dispatchers.values().forEach(dispatcher -> dispatcher.tick(nowNanos));
         pools.closeIdle(nowNanos);
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/StartupQueue.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/StartupQueue.java
@@ -11,8 +11,9 @@
 import java.util.function.Predicate;
 
 /**
- * Bounded queue for requests that arrive before the process knows the settings and the backend servers. They wait for a
- * short time, because a caller that is refused comes back later than that. Not thread-safe.
+ * Bounded queue for requests that arrive before the process knows the settings and the backend servers. A queued
+ * request is forwarded as soon as they are known; a refused one costs its caller a retry and the time in Retry-After.
+ * Not thread-safe.
  */
 final class StartupQueue {
     /** Maximum number of queued requests; each holds its body in memory. */
@@ -21,6 +22,9 @@
     /** Maximum time in the queue. Reading the settings takes a fraction of this; a store that takes longer is down. */
     static final long MAX_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
 
+    /** Upper bound of the time until the next tick of the process, which removes the expired requests. */
+    static final long EXPIRY_MARGIN_MS = 50;
+
     private final Queue<QueuedCall> queue = new ArrayDeque<>();
 
     /** A queued request. Once it is forwarded, it delegates to the call that forwards it. */
@@ -57,7 +61,7 @@
 
     /** Queues a request; empty if the queue is full. */
     Optional<QueuedCall> add(CallerRequest request, ByteBuf body, CallerExchange caller, long nowNanos) {
-        if (queue.size() >= MAX_WAITING) {
+        if (isFull()) {
             return Optional.empty();
         }
         QueuedCall call = new QueuedCall(request, body, caller, nowNanos);
@@ -65,6 +69,19 @@
         return Optional.of(call);
     }
 
+    private boolean isFull() {
+        return queue.size() >= MAX_WAITING;
+    }
+
+    /** Time until the oldest request has left at the latest; 0 if there is room already. */
+    long timeUntilRoomMs(long nowNanos) {
+        if (!isFull()) {
+            return 0;
+        }
+        long remainingNanos = queue.peek().arrivedNanos + MAX_WAIT_NANOS - nowNanos;
+        return TimeUnit.NANOSECONDS.toMillis(Math.max(0, remainingNanos)) + EXPIRY_MARGIN_MS;
+    }
+
     /** Removes the requests whose callers are still connected. */
     List<QueuedCall> drain() {
         return drainWhile(call -> true);
