Correct the comment on the drain period of a shutdown

Cause: the comment said that the period is three times as long as callers cache a directory response (1 s); it is 2.5 times as long.

Change: the comment only. Some callers cache a response for 3 s, so those that connect from 2.5 s on are refused; a refused connection carries no request, and the caller uses another address. A longer period would accept requests up to the 3 s after SIGTERM from which the platform counts a request that is cut at the end of the grace period, with no margin for the check of the period, so the value is not clearly wrong.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/Shutdown.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/Shutdown.java
@@ -9,12 +9,16 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Graceful shutdown. Other hosts and the readiness check are notified at once. Callers that still connect are served
- * for as long as they may use a cached directory response; later ones are sent elsewhere. The process ends when no
- * request is in progress, or shortly before it is killed.
+ * Graceful shutdown. Other hosts and the readiness check are notified at once. Callers that still connect because of a
+ * cached directory response are served for a while; later connections are refused, and their callers use another host.
+ * The process ends when no request is in progress, or shortly before it is killed.
  */
 final class Shutdown {
-    /** Three times the period for which callers cache a directory response; some cache it for that long. */
+    /**
+     * Period in which new connections are served. Most callers cache a directory response for 1 s, some for 3 s; those
+     * that connect in the last half second are refused before they send a request. The rest of the grace period is left
+     * for the requests that were accepted last.
+     */
     private static final long DRAIN_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
 
     /** Time reserved for the exit of the process itself. */
