Split ForwardCall into classes with one job each

Cause: ForwardCall was the largest file of the gateway (486 lines) and held the state chart, the timer, the conversion of responses, the sending of attempts and the limits of retries beside the course of a request.

Change, without a change of behaviour: AttemptHistory counts the attempts and decides on retries, AttemptStarter opens and sends an attempt, CallResponse converts and forwards the response, CallStateMachine holds the state and DeadlineTimer the timer. Reservation and failure are shorter functions. An attempt is opened before it is sent, as before, because sending may fail at once. ForwardCall has 364 lines left: the course of a request.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Attempt.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Attempt.java
@@ -13,8 +13,10 @@
 import io.figspan.gateway.protocol.BackendProtocol;
 import io.figspan.gateway.protocol.BackendResponse;
 import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 
 /**
@@ -121,6 +123,23 @@
         return response;
     }
 
+    /** The helper that the response names by its address as faulty; the address may belong to another server by now. */
+    Optional<BackendServerId> faultyHelper() {
+        Optional<String> address = response.faultyServer();
+        return readers.stream()
+                .filter(reader -> address.isPresent() && hasAddress(reader, address.get()))
+                .findFirst();
+    }
+
+    private boolean hasAddress(BackendServerId id, String address) {
+        return pools.find(id).filter(found -> found.hasAddress(address)).isPresent();
+    }
+
+    /** Sends the request to the server. */
+    void send(FullHttpRequest request) {
+        connection.send(request, this);
+    }
+
     /** Pauses or resumes reading from the server. */
     void setReading(boolean reading) {
         connection.setReading(reading);
--- /dev/null
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/AttemptStarter.java
@@ -0,0 +1,90 @@
+package io.figspan.gateway.forward;
+
+import io.figspan.core.id.BackendServerId;
+import io.figspan.core.id.OrganisationId;
+import io.figspan.core.work.PrefillReader;
+import io.figspan.gateway.backend.BackendServer;
+import io.figspan.gateway.backend.HoldGroup;
+import io.figspan.gateway.http.HttpConnection;
+import io.figspan.gateway.protocol.AttemptParameters;
+import io.figspan.gateway.protocol.CallerRequest;
+import io.figspan.policy.placing.Job;
+import io.figspan.policy.placing.Placement;
+import io.figspan.settings.gateway.Route;
+import io.netty.buffer.ByteBuf;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/** Opens the attempts of one request and sends the request to their backend servers. */
+final class AttemptStarter {
+    private final Forwarder forwarder;
+    private final Route route;
+    private final CallerRequest request;
+    private final ByteBuf body;
+    private final Optional<OrganisationId> organisation;
+    private final Job job;
+
+    /**
+     * Creates a starter.
+     *
+     * @param body remains owned by the caller of this constructor, and must not be released before the last send
+     */
+    AttemptStarter(
+            Forwarder forwarder,
+            Route route,
+            CallerRequest request,
+            ByteBuf body,
+            Optional<OrganisationId> organisation,
+            Job job) {
+        this.forwarder = forwarder;
+        this.route = route;
+        this.request = request;
+        this.body = body;
+        this.organisation = organisation;
+        this.job = job;
+    }
+
+    /** Opens an attempt without sending anything, so that its listener knows it before it can fail. */
+    Attempt open(Placement.Send placement, HoldGroup holds, Attempt.Listener listener, long nowNanos) {
+        HttpConnection connection = forwarder.pools().acquire(placement.server(), !route.mayRepeat(), nowNanos);
+        return new Attempt(
+                listener,
+                forwarder.backendProtocol(),
+                forwarder.pools(),
+                placement.server(),
+                connection,
+                holds,
+                placement.readers().stream().map(PrefillReader::server).toList(),
+                request.attemptId(),
+                route.kind().isStreaming(),
+                forwarder.responseBodyBudget());
+    }
+
+    /**
+     * Sends the request to the server of an attempt.
+     *
+     * @param lastEventId id of the event behind which the server resumes a stream
+     */
+    void send(Attempt attempt, Placement.Send placement, OptionalLong lastEventId, long nowNanos) {
+        AttemptParameters parameters = new AttemptParameters(
+                attempt.server(),
+                job.deadline().leftMs(nowNanos),
+                organisation,
+                placement.urgency(),
+                readersOf(attempt),
+                lastEventId);
+        attempt.send(forwarder.backendProtocol().encode(request, body.retainedDuplicate(), parameters));
+    }
+
+    private List<AttemptParameters.Reader> readersOf(Attempt attempt) {
+        List<AttemptParameters.Reader> readers = new ArrayList<>();
+        for (BackendServerId reader : attempt.readers()) {
+            Optional<String> holdName = attempt.holds().holdNameAt(reader);
+            Optional<BackendServer> server = forwarder.pools().find(reader);
+            server.ifPresent(found -> readers.add(new AttemptParameters.Reader(found.address(), holdName)));
+        }
+        return readers;
+    }
+}
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
@@ -1,78 +1,42 @@
 package io.figspan.gateway.forward;
 
-import io.figspan.core.chart.StateChart;
 import io.figspan.core.error.Problem;
 import io.figspan.core.error.ProblemKind;
-import io.figspan.core.error.Result;
-import io.figspan.core.id.BackendServerId;
 import io.figspan.core.id.OrganisationId;
-import io.figspan.core.work.PrefillReader;
 import io.figspan.gateway.backend.BackendServer;
 import io.figspan.gateway.backend.HoldGroup;
 import io.figspan.gateway.backend.MemoryHolds.HoldRequest;
-import io.figspan.gateway.http.HttpConnection;
-import io.figspan.gateway.protocol.AttemptParameters;
 import io.figspan.gateway.protocol.CallerRequest;
 import io.figspan.policy.placing.Job;
 import io.figspan.policy.placing.Placement;
 import io.figspan.policy.placing.Placer.AttemptOutcome;
 import io.figspan.settings.gateway.Route;
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpVersion;
-import io.netty.util.concurrent.ScheduledFuture;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.concurrent.TimeUnit;
 
 /**
  * One request of a caller from its receipt to its final response: waits for a placement, sends the request to a backend
  * server, forwards the response, and retries where that is allowed. All methods must be called on the event loop.
  */
 public final class ForwardCall implements InFlightCall, Attempt.Listener {
-    /** Failed attempts to reserve memory at several engines after which the request is refused. */
-    private static final int MAX_FAILED_RESERVATIONS = 3;
-
-    /** Unreachable servers after which the request is refused; none of them has received it. */
-    private static final int MAX_UNREACHABLE_SERVERS = 3;
-
-    /** Attempts on one server that failed because of its helpers, after which the request is refused. */
-    private static final int MAX_HELPER_FAILURES = 6;
-
     /** Retry-After when no engines have the memory; requests with the longest prompts finish within a few seconds. */
     private static final long MEMORY_RETRY_AFTER_MS = 1_000;
 
-    /** Status code that guarantees that the request has not run and will not run. */
-    private static final int HTTP_SERVICE_UNAVAILABLE = 503;
-
-    private static final StateChart<CallState, CallEvent> CHART =
-            StateChart.load("/charts/forward-call.toml", CallState.class, CallEvent.class);
-
     private final Forwarder forwarder;
     private final ServiceDispatcher dispatcher;
     private final Route route;
-    private final CallerRequest request;
     private final ByteBuf body;
-    private final CallerExchange caller;
-    private final Optional<OrganisationId> organisation;
     private final Job job;
     private final CallLog log;
-    private CallState state = CHART.initial();
-    private ScheduledFuture<?> deadlineTimer;
+    private final CallResponse response;
+    private final AttemptHistory history;
+    private final AttemptStarter starter;
+    private final CallStateMachine state;
+    private final DeadlineTimer deadlineTimer;
     private Attempt attempt;
-    private int attempts;
-    private int unreachableServers;
-    private int helperFailures;
-    private int failedReservations;
-    private boolean mayHaveRun;
-    private OptionalLong lastEventId;
-    private long forwardedEvents;
 
     ForwardCall(
             Forwarder forwarder,
@@ -86,48 +50,29 @@
         this.forwarder = forwarder;
         this.dispatcher = dispatcher;
         this.route = route;
-        this.request = request;
         this.body = body;
-        this.caller = caller;
-        this.organisation = organisation;
         this.job = job;
         this.log = new CallLog(forwarder, job, route);
-        this.lastEventId = request.lastEventId();
+        this.response = new CallResponse(forwarder.callerProtocol(), caller, request.lastEventId());
+        this.history = new AttemptHistory(route, job.deadline(), dispatcher::budget);
+        this.starter = new AttemptStarter(forwarder, route, request, body, organisation, job);
+        this.state = new CallStateMachine(log);
+        this.deadlineTimer = new DeadlineTimer(forwarder.loop(), job.deadline());
     }
 
     void start(long nowNanos) {
-        deadlineTimer = forwarder.loop().schedule(this::onDeadline, remainingNanos(nowNanos), TimeUnit.NANOSECONDS);
+        deadlineTimer.start(this::onDeadline, nowNanos);
         dispatcher.submit(this, job, nowNanos);
     }
 
-    private long remainingNanos(long nowNanos) {
-        return Math.max(0, job.deadline().atNanos() - nowNanos);
-    }
-
-    private void transition(CallEvent event) {
-        if (CHART.next(state, event) instanceof Result.Ok<CallState> next) {
-            state = next.value();
-        } else {
-            log.unexpectedEvent(state, event);
-        }
-    }
-
-    private boolean isDone() {
-        return state == CallState.DONE;
-    }
-
-    private boolean hasBegunResponse() {
-        return state == CallState.ANSWERING || state == CallState.RESUMING;
-    }
-
     // Caller
 
     @Override
     public void onCallerDisconnected() {
-        if (isDone()) {
+        if (state.isDone()) {
             return;
         }
-        log.callerLeft(attempts, forwardedEvents);
+        log.callerLeft(history.attempts(), response.forwardedEvents());
         finish();
         if (attempt == null) {
             return;
@@ -137,8 +82,7 @@
             return;
         }
         attempt.discard();
-        deadlineTimer =
-                forwarder.loop().schedule(this::cancelAttempt, remainingNanos(System.nanoTime()), TimeUnit.NANOSECONDS);
+        deadlineTimer.start(this::cancelAttempt, System.nanoTime());
     }
 
     @Override
@@ -167,27 +111,29 @@
             send(placement, HoldGroup.NONE);
             return;
         }
-        transition(CallEvent.PLACED);
+        state.transition(CallEvent.PLACED);
         log.reserving(placement, requests.size());
         forwarder.holds().reserve(requests, job.deadline(), group -> onReservationResult(placement, group));
     }
 
     private void onReservationResult(Placement.Send placement, HoldGroup group) {
-        if (isDone()) {
+        if (state.isDone()) {
             forwarder.holds().release(group);
-            return;
-        }
-        if (group.isComplete()) {
+        } else if (group.isComplete()) {
             send(placement, group);
-            return;
+        } else {
+            reservationFailed(placement, group);
         }
+    }
+
+    private void reservationFailed(Placement.Send placement, HoldGroup group) {
         long nowNanos = System.nanoTime();
         forwarder.holds().release(group);
         log.reservationFailed(group.failure());
-        failedReservations++;
-        transition(CallEvent.FAILED);
+        history.recordFailedReservation();
+        state.transition(CallEvent.FAILED);
         dispatcher.ended(job, AttemptOutcome.CANCELLED, nowNanos);
-        if (failedReservations < MAX_FAILED_RESERVATIONS && !job.deadline().hasPassed(nowNanos)) {
+        if (history.mayReserveAgain(nowNanos)) {
             job.tried().remove(placement.server());
             dispatcher.submit(this, job, nowNanos);
             return;
@@ -199,108 +145,78 @@
     /** Sends the request, unless its deadline has passed or the server no longer accepts new requests. */
     private void send(Placement.Send placement, HoldGroup group) {
         long nowNanos = System.nanoTime();
-        Optional<BackendServer> server = forwarder.pools().find(placement.server());
         if (job.deadline().hasPassed(nowNanos)) {
-            forwarder.holds().release(group);
-            dispatcher.ended(job, AttemptOutcome.CANCELLED, nowNanos);
+            giveUpPlacement(group, nowNanos);
             endWithProblem(
                     Problem.notRun(ProblemKind.DEADLINE_UNREACHABLE, "no time is left"),
                     "the deadline passed before the request was sent");
             return;
         }
+        Optional<BackendServer> server = forwarder.pools().find(placement.server());
         if (server.isEmpty() || server.get().isLeaving()) {
-            forwarder.holds().release(group);
-            dispatcher.ended(job, AttemptOutcome.CANCELLED, nowNanos);
+            giveUpPlacement(group, nowNanos);
             dispatcher.submit(this, job, nowNanos);
             return;
         }
-        attempts++;
-        transition(CallEvent.SENT);
-        log.sent(placement, attempts, nowNanos);
-        HttpConnection connection = forwarder.pools().acquire(placement.server(), !route.mayRepeat(), nowNanos);
-        attempt = new Attempt(
-                this,
-                forwarder.backendProtocol(),
-                forwarder.pools(),
-                placement.server(),
-                connection,
-                group,
-                placement.readers().stream().map(PrefillReader::server).toList(),
-                request.attemptId(),
-                route.kind().isStreaming(),
-                forwarder.responseBodyBudget());
-        Attempt attemptWithHolds = attempt;
-        forwarder.holds().monitorUse(group, server.get(), () -> onMemoryLost(attemptWithHolds));
-        AttemptParameters send = new AttemptParameters(
-                placement.server(),
-                job.deadline().leftMs(nowNanos),
-                organisation,
-                placement.urgency(),
-                readersOf(placement, group),
-                lastEventId);
-        connection.send(forwarder.backendProtocol().encode(request, body.retainedDuplicate(), send), attempt);
+        startAttempt(placement, group, server.get(), nowNanos);
     }
 
-    private List<AttemptParameters.Reader> readersOf(Placement.Send placement, HoldGroup group) {
-        List<AttemptParameters.Reader> readers = new ArrayList<>();
-        for (PrefillReader reader : placement.readers()) {
-            forwarder
-                    .pools()
-                    .find(reader.server())
-                    .ifPresent(server -> readers.add(
-                            new AttemptParameters.Reader(server.address(), group.holdNameAt(reader.server()))));
-        }
-        return readers;
+    private void giveUpPlacement(HoldGroup group, long nowNanos) {
+        forwarder.holds().release(group);
+        dispatcher.ended(job, AttemptOutcome.CANCELLED, nowNanos);
+    }
+
+    private void startAttempt(Placement.Send placement, HoldGroup group, BackendServer server, long nowNanos) {
+        history.recordSent();
+        state.transition(CallEvent.SENT);
+        log.sent(placement, history.attempts(), nowNanos);
+        Attempt opened = starter.open(placement, group, this, nowNanos);
+        attempt = opened;
+        forwarder.holds().monitorUse(group, server, () -> onMemoryLost(opened));
+        starter.send(opened, placement, response.lastEventId(), nowNanos);
     }
 
     // Response
 
     @Override
     public void onEvent(Attempt from, ByteBuf event, OptionalLong id, long eventCount) {
-        if (!hasBegunResponse()) {
+        if (!state.hasBegunResponse()) {
             beginStream(from);
         }
-        if (id.isPresent()) {
-            lastEventId = id;
-        }
-        forwardedEvents++;
         if (id.isPresent()) {
             dispatcher.pieceArrived(job, eventCount, System.nanoTime());
         }
-        caller.write(event);
-        if (!caller.isWritable()) {
+        response.forward(event, id);
+        if (!response.isWritable()) {
             from.setReading(false);
         }
     }
 
     private void beginStream(Attempt from) {
-        transition(CallEvent.ANSWER_BEGAN);
+        state.transition(CallEvent.ANSWER_BEGAN);
         log.answerBegan(from.server());
-        HttpResponse head = forwarder.callerProtocol().responseHead(from.head());
-        head.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
-        head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-        caller.beginResponse(head);
+        response.beginStream(from.head());
     }
 
     @Override
     public void onStreamEnd(Attempt from) {
-        if (!hasBegunResponse()) {
+        if (!state.hasBegunResponse()) {
             beginStream(from);
         }
         endWithResponse(from);
-        caller.end();
+        response.endStream();
         dispatcher.ended(job, AttemptOutcome.SERVED, System.nanoTime());
     }
 
     @Override
     public void onBufferedResponse(Attempt from, ByteBuf responseBody) {
-        FullHttpResponse response = bufferedResponse(from, responseBody);
+        FullHttpResponse converted = response.convert(from.head(), responseBody);
         if (!from.response().isSuccess()) {
-            attemptFailed(from, AttemptEnd.FAILED, "status " + from.response().status(), Optional.of(response));
+            attemptFailed(from, AttemptEnd.FAILED, "status " + from.response().status(), Optional.of(converted));
             return;
         }
         endWithResponse(from);
-        caller.respond(response);
+        response.respond(converted);
         dispatcher.ended(job, AttemptOutcome.SERVED, System.nanoTime());
     }
 
@@ -309,22 +225,17 @@
         attempt = null;
         forwarder.holds().release(from.holds());
         finish();
-        log.answered(from.response().status(), from.server(), forwardedEvents);
+        logAnswered(from);
     }
 
-    private FullHttpResponse bufferedResponse(Attempt from, ByteBuf responseBody) {
-        HttpResponse head = forwarder.callerProtocol().responseHead(from.head());
-        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, head.status(), responseBody);
-        response.headers().set(head.headers());
-        response.headers().remove(HttpHeaderNames.TRANSFER_ENCODING);
-        response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, responseBody.readableBytes());
-        return response;
+    private void logAnswered(Attempt from) {
+        log.answered(from.response().status(), from.server(), response.forwardedEvents());
     }
 
     @Override
     public void onDiscardedEnd(Attempt from) {
         attempt = null;
-        deadlineTimer.cancel(false);
+        deadlineTimer.cancel();
         dispatcher.ended(job, AttemptOutcome.SERVED, System.nanoTime());
     }
 
@@ -339,26 +250,32 @@
             Attempt failed, AttemptEnd end, String reason, Optional<FullHttpResponse> serverResponse) {
         long nowNanos = System.nanoTime();
         recordFailure(failed, end, reason);
-        if (end == AttemptEnd.NOT_CONNECTED) {
-            attempts--;
-            unreachableServers++;
-        }
         if (end == AttemptEnd.HELPER_FAILED) {
-            attempts--;
-            helperFailures++;
-            faultyHelper(failed).ifPresent(helper -> dispatcher.helperFailed(helper, nowNanos));
+            failed.faultyHelper().ifPresent(helper -> dispatcher.helperFailed(helper, nowNanos));
             job.pinTo(failed.server());
         }
-        if (!isDone() && mayRetry(end, nowNanos)) {
+        if (!state.isDone() && history.tryRetry(end, state.hasBegunResponse(), nowNanos)) {
             serverResponse.ifPresent(FullHttpResponse::release);
             retry(end, nowNanos);
             return;
         }
         dispatcher.ended(job, end.attemptOutcome(), nowNanos);
-        if (serverResponse.isPresent() && !isDone() && !hasBegunResponse()) {
+        endWithFailure(failed, reason, serverResponse);
+    }
+
+    private void recordFailure(Attempt failed, AttemptEnd end, String reason) {
+        attempt = null;
+        history.recordFailure(end);
+        log.attemptFailed(failed.server(), end, reason, failed.sentNanos(), response.forwardedEvents());
+        forwarder.holds().release(failed.holds());
+    }
+
+    /** Ends the request with the server's error response, or with a problem if there is none to forward. */
+    private void endWithFailure(Attempt failed, String reason, Optional<FullHttpResponse> serverResponse) {
+        if (serverResponse.isPresent() && !state.isDone() && !state.hasBegunResponse()) {
             finish();
-            log.answered(failed.response().status(), failed.server(), forwardedEvents);
-            caller.respond(serverResponse.get());
+            logAnswered(failed);
+            response.respond(serverResponse.get());
             return;
         }
         serverResponse.ifPresent(FullHttpResponse::release);
@@ -366,39 +283,19 @@
         endWithProblem(problem.withRetryAfterMs(forwarder.defaultRetryAfterMs()), reason);
     }
 
-    private void recordFailure(Attempt failed, AttemptEnd end, String reason) {
-        attempt = null;
-        mayHaveRun |= end.mayHaveRun();
-        log.attemptFailed(failed.server(), end, reason, failed.sentNanos(), forwardedEvents);
-        forwarder.holds().release(failed.holds());
-    }
-
     private void retry(AttemptEnd end, long nowNanos) {
-        transition(CallEvent.FAILED);
+        state.transition(CallEvent.FAILED);
         dispatcher.ended(job, end.attemptOutcome(), nowNanos);
         dispatcher.submit(this, job, nowNanos);
     }
 
-    /** The helper that the server's response names by its address, which may belong to another server by now. */
-    private Optional<BackendServerId> faultyHelper(Attempt failed) {
-        Optional<String> address = failed.response().faultyServer();
-        return failed.readers().stream()
-                .filter(reader -> address.isPresent() && hasAddress(reader, address.get()))
-                .findFirst();
-    }
-
-    private boolean hasAddress(BackendServerId id, String address) {
-        return forwarder
-                .pools()
-                .find(id)
-                .filter(server -> server.hasAddress(address))
-                .isPresent();
-    }
-
     /** Handles a silent server: retries on another one if that is allowed, otherwise keeps waiting. */
     void onServerSilent() {
         long nowNanos = System.nanoTime();
-        if (isDone() || attempt == null || !route.mayRepeat() || !mayRetry(AttemptEnd.SILENT, nowNanos)) {
+        if (state.isDone() || attempt == null || !route.mayRepeat()) {
+            return;
+        }
+        if (!history.tryRetry(AttemptEnd.SILENT, state.hasBegunResponse(), nowNanos)) {
             return;
         }
         Attempt silent = attempt;
@@ -416,52 +313,33 @@
         }
     }
 
-    private boolean mayRetry(AttemptEnd end, long nowNanos) {
-        boolean repeatable = !end.mayHaveRun() || route.mayRepeat();
-        boolean resumable = !hasBegunResponse() || route.isResumable();
-        boolean hasTime = !job.deadline().hasPassed(nowNanos);
-        if (!repeatable || !resumable || !hasTime || attempts >= route.maxAttempts()) {
-            return false;
-        }
-        if (end == AttemptEnd.NOT_CONNECTED) {
-            return unreachableServers < MAX_UNREACHABLE_SERVERS;
-        }
-        if (helperFailures >= MAX_HELPER_FAILURES) {
-            return false;
-        }
-        return dispatcher.budget().tryRetry(nowNanos);
-    }
-
     private void onDeadline() {
-        if (isDone()) {
+        if (state.isDone()) {
             return;
         }
-        Problem problem = attempts == 0
+        Problem problem = history.attempts() == 0
                 ? Problem.notRun(ProblemKind.DEADLINE_UNREACHABLE, "no backend server was free in time")
                 : Problem.unknown(ProblemKind.DEADLINE_PASSED, "no answer in time");
         endWithProblem(problem, "the deadline has passed");
     }
 
     /**
-     * Ends the request without a response of a server: aborts a response that has head, otherwise responds with the
-     * problem. A problem that guarantees that nothing was run is replaced if the request may have run.
+     * Ends the request without a response of a server: aborts a response that has begun, otherwise responds with the
+     * problem, or with another one if the request may have run and the problem claims that it did not.
      */
     private void endWithProblem(Problem problem, String reason) {
-        if (isDone()) {
+        if (state.isDone()) {
             return;
         }
-        boolean responseBegan = hasBegunResponse();
+        boolean responseBegan = state.hasBegunResponse();
         finish();
         if (responseBegan) {
-            log.brokenOff(reason, forwardedEvents);
-            caller.abort();
+            log.brokenOff(reason, response.forwardedEvents());
+            response.abort();
         } else {
-            boolean claimsNotRun = problem.kind().httpStatus() == HTTP_SERVICE_UNAVAILABLE;
-            Problem reported = mayHaveRun && claimsNotRun
-                    ? Problem.unknown(ProblemKind.BACKEND_FAILED, problem.detail())
-                    : problem;
-            log.refused(reported, reason, attempts);
-            caller.respond(ProblemResponses.of(reported));
+            Problem reported = history.withTrueRunState(problem);
+            log.refused(reported, reason, history.attempts());
+            response.respond(reported);
         }
         cancelAttempt();
     }
@@ -478,8 +356,8 @@
     }
 
     private void finish() {
-        transition(CallEvent.ENDED);
-        deadlineTimer.cancel(false);
+        state.transition(CallEvent.ENDED);
+        deadlineTimer.cancel();
         dispatcher.forget(job);
         body.release();
     }
