Never stop reading copies after an unexpected error, and don't ask a source again at once that gave nothing new

A listener that throws left the reader in the state of a read in progress, so that it would never have read again. A source that restarted between its announcement and the read has less than it announced, and would have been read in a loop for up to a second. CopyReaderTest: the first case fails without the change (read in progress for good); the second has no test.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/peer/CopyReader.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/peer/CopyReader.java
@@ -110,7 +110,12 @@
             @Override
             public void onResponse(int status, byte[] body) {
                 connection.close();
-                ended(source, responded(source, status, body, startNanos));
+                ReadResult result = ReadResult.FAILED;
+                try {
+                    result = responded(source, status, body, startNanos);
+                } finally {
+                    ended(source, result);
+                }
             }
 
             @Override
@@ -148,16 +153,18 @@
     private ReadResult apply(Peer source, byte[] body, long startNanos) {
         try {
             ItemChanges changes = ItemChanges.decode(body);
+            long before = copy.revision();
             log.info(Part.SETTINGS, "copyRead")
                     .text("copy", name)
                     .text("host", source.host())
                     .number("revision", changes.revision())
-                    .number("before", copy.revision())
+                    .number("before", before)
                     .number("bytes", body.length)
                     .number("afterMs", TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos))
                     .write();
             listener.accept(changes);
-            return ReadResult.COMPLETE;
+            // A source that restarted may have less than it announced; it isn't asked again at once.
+            return copy.revision() > before ? ReadResult.COMPLETE : ReadResult.FAILED;
         } catch (FigspanException e) {
             log.warn(Part.SETTINGS, "copyRefused")
                     .text("copy", name)
