MemoryHolds: logical time in its test, sockets in a class of their own

Cause: the verdict of MemoryHoldsTest hung on the real 250 ms of RESPONSE_TIMEOUT_MS. On a loaded machine the engines of the test answered too late, so its tests failed without a fault.

Change: MemoryHolds gets a MonotonicClock and an EngineClient, which sends a request with a timeout and reports an EngineOutcome. HttpEngineClient is the former code over connection pools. The timeouts of requests and checks stay in MemoryHolds and are the same. MemoryHoldsTest plays answering, refusing and silent engines whose leases end in logical time (SimulatedEngines), and checks after each tick that no engine holds memory that isn't tracked. The three behaviours tested before are tested more strictly: a silent engine is detected and all holds are released before the deadline of 15 s (before: detected within 20 s of real time); a refused renewal also releases the group's other hold; the holds of a live engine outlive their leases. New: single failed checks, refused and unanswered reservations, immediate and repeated releases, an engine that ended. The log line notHeld now also gives the status of a refusal as its reason.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
@@ -5,8 +5,10 @@
 import io.figspan.core.event.Part;
 import io.figspan.core.id.HostId;
 import io.figspan.core.id.HostIncarnation;
+import io.figspan.core.time.MonotonicClock;
 import io.figspan.core.work.PlacedRequest;
 import io.figspan.gateway.backend.BackendPools;
+import io.figspan.gateway.backend.HttpEngineClient;
 import io.figspan.gateway.backend.MemoryHolds;
 import io.figspan.gateway.caller.CallerServer;
 import io.figspan.gateway.fleet.FleetState;
@@ -80,7 +82,8 @@
         this.adapter = adapter;
         this.random = random;
         HostIncarnation self = new HostIncarnation(config.host(), System.currentTimeMillis());
-        this.holds = new MemoryHolds(loop, pools, adapter.backends(), log, self);
+        HttpEngineClient engines = new HttpEngineClient(loop, pools, adapter.backends());
+        this.holds = new MemoryHolds(engines, log, self, MonotonicClock.system());
         this.fleet = new FleetState(adapter.fleet(), pools, log, this, System::nanoTime);
         this.forwarder = new Forwarder(
                 loop,
--- /dev/null
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/backend/HttpEngineClient.java
@@ -0,0 +1,87 @@
+package io.figspan.gateway.backend;
+
+import io.figspan.control.hold.HoldAction;
+import io.figspan.core.id.BackendServerId;
+import io.figspan.gateway.http.BufferedExchange;
+import io.figspan.gateway.http.HttpConnection;
+import io.figspan.gateway.protocol.BackendProtocol;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.FullHttpRequest;
+import java.net.InetSocketAddress;
+import java.util.function.Consumer;
+
+/**
+ * Sends requests to engines over HTTP. Reservations and releases use pooled connections. Each probe opens a connection
+ * of its own, because the engine may no longer be registered and then has no pool.
+ */
+public final class HttpEngineClient implements EngineClient {
+    private static final int PROBE_CONNECT_TIMEOUT_MS = 400;
+
+    private final EventLoop loop;
+    private final BackendPools pools;
+    private final BackendProtocol protocol;
+
+    public HttpEngineClient(EventLoop loop, BackendPools pools, BackendProtocol protocol) {
+        this.loop = loop;
+        this.pools = pools;
+        this.protocol = protocol;
+    }
+
+    @Override
+    public boolean isRegistered(BackendServerId engine) {
+        return pools.find(engine).isPresent();
+    }
+
+    @Override
+    public void reserve(HoldAction.Reserve reserve, long timeoutMs, Consumer<EngineOutcome> listener) {
+        BackendServerId engine = reserve.engine().server();
+        String name = reserve.handle().toString();
+        FullHttpRequest request = protocol.reserve(engine, name, reserve.tokens(), reserve.timeLeftMs());
+        sendPooled(engine, request, timeoutMs, listener);
+    }
+
+    @Override
+    public void release(HoldAction.Release release, long timeoutMs, Consumer<EngineOutcome> listener) {
+        BackendServerId engine = release.engine().server();
+        FullHttpRequest request = protocol.release(engine, release.handle().toString());
+        sendPooled(engine, request, timeoutMs, listener);
+    }
+
+    private void sendPooled(
+            BackendServerId engine, FullHttpRequest request, long timeoutMs, Consumer<EngineOutcome> listener) {
+        HttpConnection connection = pools.acquire(engine, false, System.nanoTime());
+        Runnable returnToPool = () -> pools.release(engine, connection);
+        BufferedExchange.send(loop, connection, request, timeoutMs, new OutcomeListener(returnToPool, listener));
+    }
+
+    @Override
+    public void probe(
+            BackendServerId engine, InetSocketAddress address, long timeoutMs, Consumer<EngineOutcome> listener) {
+        HttpConnection connection = HttpConnection.open(loop, address, PROBE_CONNECT_TIMEOUT_MS);
+        FullHttpRequest request = protocol.report(engine);
+        BufferedExchange.send(loop, connection, request, timeoutMs, new OutcomeListener(connection::close, listener));
+    }
+
+    /** Translates the result of an exchange. A failed exchange has closed its connection already. */
+    private final class OutcomeListener implements BufferedExchange.Listener {
+        private final Runnable releaseConnection;
+        private final Consumer<EngineOutcome> listener;
+
+        private OutcomeListener(Runnable releaseConnection, Consumer<EngineOutcome> listener) {
+            this.releaseConnection = releaseConnection;
+            this.listener = listener;
+        }
+
+        @Override
+        public void onResponse(int status, byte[] body) {
+            releaseConnection.run();
+            boolean isDone = protocol.isDone(status);
+            listener.accept(isDone ? EngineOutcome.done() : EngineOutcome.refused("status " + status));
+        }
+
+        @Override
+        public void onFailure(String reason) {
+            listener.accept(EngineOutcome.noResponse(reason));
+        }
+    }
+}
--- a/figspan-gateway/src/main/java/io/figspan/gateway/backend/MemoryHolds.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/backend/MemoryHolds.java
@@ -10,12 +10,8 @@
 import io.figspan.core.id.HoldHandle;
 import io.figspan.core.id.HostIncarnation;
 import io.figspan.core.time.Deadline;
-import io.figspan.gateway.http.BufferedExchange;
-import io.figspan.gateway.http.HttpConnection;
+import io.figspan.core.time.MonotonicClock;
 import io.figspan.gateway.log.DecisionLog;
-import io.figspan.gateway.protocol.BackendProtocol;
-import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.FullHttpRequest;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -29,7 +25,6 @@
     /** Engines respond within a few milliseconds; one that takes longer is down, unreachable or ignores requests. */
     private static final long RESPONSE_TIMEOUT_MS = 250;
 
-    private static final int CHECK_CONNECT_TIMEOUT_MS = 400;
     private static final long CHECK_RESPONSE_TIMEOUT_MS = 500;
 
     /** Lease of a hold; the memory reserved by a dead host is freed within this time. */
@@ -43,10 +38,9 @@
     /** Maximum number of holds; far more than one host has in progress. */
     private static final int MAX_HOLDS = 1_024;
 
-    private final EventLoop loop;
-    private final BackendPools pools;
-    private final BackendProtocol protocol;
+    private final EngineClient engines;
     private final DecisionLog log;
+    private final MonotonicClock clock;
     private final HoldLedger ledger;
     private final HoldUserMonitor holdUsers = new HoldUserMonitor();
     private final Map<HoldHandle, Pending> pending = new HashMap<>();
@@ -57,12 +51,10 @@
     /** A request for memory at one engine. */
     public record HoldRequest(BackendServerId server, long tokens) {}
 
-    public MemoryHolds(
-            EventLoop loop, BackendPools pools, BackendProtocol protocol, DecisionLog log, HostIncarnation self) {
-        this.loop = loop;
-        this.pools = pools;
-        this.protocol = protocol;
+    public MemoryHolds(EngineClient engines, DecisionLog log, HostIncarnation self, MonotonicClock clock) {
+        this.engines = engines;
         this.log = log;
+        this.clock = clock;
         this.ledger = new HoldLedger(
                 self, new HoldLedgerConfig(MAX_HOLDS, RELEASE_GRACE_MS, RELEASE_RETRY_MS).withLeaseMs(LEASE_MS));
     }
@@ -72,7 +64,7 @@
      * first one fails.
      */
     public void reserve(List<HoldRequest> requests, Deadline deadline, Consumer<HoldGroup> listener) {
-        long nowNanos = System.nanoTime();
+        long nowNanos = clock.nowNanos();
         HoldGroup group = new HoldGroup();
         for (HoldRequest hold : requests) {
             BackendIncarnation engine = new BackendIncarnation(hold.server(), 0);
@@ -95,14 +87,14 @@
      */
     public void monitorUse(HoldGroup group, BackendServer engine, Runnable lostListener) {
         if (group != HoldGroup.NONE) {
-            holdUsers.add(group, engine, lostListener, System.nanoTime());
+            holdUsers.add(group, engine, lostListener, clock.nowNanos());
         }
     }
 
     /** Releases all holds of a group, including those whose reservation an engine may still carry out late. */
     public void release(HoldGroup group) {
         holdUsers.remove(group);
-        long nowNanos = System.nanoTime();
+        long nowNanos = clock.nowNanos();
         for (HoldHandle handle : group.handles()) {
             pending.remove(handle);
             ledger.release(handle, nowNanos).forEach(this::execute);
@@ -123,25 +115,12 @@
     }
 
     private void check(HoldUserMonitor.HoldUser user) {
-        HttpConnection connection = HttpConnection.open(loop, user.address(), CHECK_CONNECT_TIMEOUT_MS);
-        FullHttpRequest request = protocol.report(user.engine());
-        BufferedExchange.send(loop, connection, request, CHECK_RESPONSE_TIMEOUT_MS, new BufferedExchange.Listener() {
-            @Override
-            public void onResponse(int status, byte[] body) {
-                connection.close();
-                onChecked(user, protocol.isDone(status), "status " + status);
-            }
-
-            @Override
-            public void onFailure(String reason) {
-                onChecked(user, false, reason);
-            }
-        });
+        engines.probe(user.engine(), user.address(), CHECK_RESPONSE_TIMEOUT_MS, outcome -> onChecked(user, outcome));
     }
 
-    private void onChecked(HoldUserMonitor.HoldUser user, boolean isAlive, String reason) {
-        if (holdUsers.recordCheck(user, isAlive)) {
-            onUseLost(user, reason);
+    private void onChecked(HoldUserMonitor.HoldUser user, EngineOutcome outcome) {
+        if (holdUsers.recordCheck(user, outcome.isDone())) {
+            onUseLost(user, outcome.reason());
         }
     }
 
@@ -154,66 +133,41 @@
     }
 
     private void execute(HoldAction action) {
-        BackendServerId server = action.engine().server();
-        if (pools.find(server).isEmpty()) {
+        if (!engines.isRegistered(action.engine().server())) {
             ledger.onEngineGone(action.engine());
             resolve(action.handle(), "the engine is no longer registered");
             return;
         }
         if (action instanceof HoldAction.Reserve reserve) {
-            String name = reserve.handle().toString();
-            FullHttpRequest request = protocol.reserve(server, name, reserve.tokens(), reserve.timeLeftMs());
-            send(server, request, (done, reason) -> onReserveResponse(reserve, done, reason));
+            engines.reserve(reserve, RESPONSE_TIMEOUT_MS, outcome -> onReserveOutcome(reserve, outcome));
         } else if (action instanceof HoldAction.Release release) {
-            FullHttpRequest request = protocol.release(server, release.handle().toString());
-            send(server, request, (done, reason) -> onReleaseResponse(release, done));
+            engines.release(release, RESPONSE_TIMEOUT_MS, outcome -> onReleaseOutcome(release, outcome));
         }
     }
 
-    /** Receives whether an engine did what was requested; the reason is empty if the engine responded at all. */
-    private interface ResponseListener {
-        void onResponse(boolean done, String reason);
-    }
-
-    private void send(BackendServerId server, FullHttpRequest request, ResponseListener listener) {
-        HttpConnection connection = pools.acquire(server, false, System.nanoTime());
-        BufferedExchange.send(loop, connection, request, RESPONSE_TIMEOUT_MS, new BufferedExchange.Listener() {
-            @Override
-            public void onResponse(int status, byte[] body) {
-                pools.release(server, connection);
-                listener.onResponse(protocol.isDone(status), "");
-            }
-
-            @Override
-            public void onFailure(String reason) {
-                listener.onResponse(false, reason);
-            }
-        });
-    }
-
-    private void onReserveResponse(HoldAction.Reserve reserve, boolean done, String reason) {
+    private void onReserveOutcome(HoldAction.Reserve reserve, EngineOutcome outcome) {
         HoldHandle handle = reserve.handle();
-        log.info(Part.HOLD, done ? "held" : "notHeld")
+        log.info(Part.HOLD, outcome.isDone() ? "held" : "notHeld")
                 .text("hold", handle)
                 .text("server", reserve.engine().server())
                 .number("tokens", reserve.tokens())
                 .number("leaseMs", reserve.timeLeftMs())
-                .text("reason", reason)
+                .text("reason", outcome.reason())
                 .write();
-        if (done) {
-            ledger.onReserved(handle, System.nanoTime()).forEach(this::execute);
+        if (outcome.isDone()) {
+            ledger.onReserved(handle, clock.nowNanos()).forEach(this::execute);
             resolve(handle, "");
-        } else if (reason.isEmpty()) {
+        } else if (outcome.kind() == EngineOutcome.Kind.REFUSED) {
             ledger.onRefused(handle);
             resolve(handle, "an engine has too little free memory");
             holdUsers.removeByHold(handle).ifPresent(user -> onUseLost(user, "an engine no longer holds the memory"));
         } else {
-            resolve(handle, reason);
+            resolve(handle, outcome.reason());
         }
     }
 
-    private void onReleaseResponse(HoldAction.Release release, boolean done) {
-        if (done) {
+    private void onReleaseOutcome(HoldAction.Release release, EngineOutcome outcome) {
+        if (outcome.isDone()) {
             ledger.onReleaseAnswered(release.handle(), true);
             log.info(Part.HOLD, "released").text("hold", release.handle()).write();
         }
--- a/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
@@ -7,8 +7,10 @@
 import io.figspan.core.id.OrganisationId;
 import io.figspan.core.id.ServiceId;
 import io.figspan.core.id.SettingsVersion;
+import io.figspan.core.time.MonotonicClock;
 import io.figspan.gateway.backend.BackendPools;
 import io.figspan.gateway.backend.BackendServer;
+import io.figspan.gateway.backend.HttpEngineClient;
 import io.figspan.gateway.backend.MemoryHolds;
 import io.figspan.gateway.caller.CallerServer;
 import io.figspan.gateway.forward.Forwarder;
@@ -66,7 +68,7 @@
                 protocol,
                 protocol,
                 pools,
-                new MemoryHolds(loop, pools, protocol, log, self),
+                new MemoryHolds(new HttpEngineClient(loop, pools, protocol), log, self, MonotonicClock.system()),
                 log,
                 metrics,
                 new SplittableRandom(1),
--- a/figspan-gateway/src/test/java/io/figspan/gateway/backend/MemoryHoldsTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/backend/MemoryHoldsTest.java
@@ -1,5 +1,6 @@
 package io.figspan.gateway.backend;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -9,19 +10,15 @@
 import io.figspan.core.id.HostIncarnation;
 import io.figspan.core.id.ServiceId;
 import io.figspan.core.time.Deadline;
-import io.figspan.gateway.ScriptedServer;
-import io.figspan.gateway.ScriptedServer.Received;
-import io.figspan.gateway.TestProtocol;
 import io.figspan.gateway.backend.MemoryHolds.HoldRequest;
+import io.figspan.gateway.backend.SimulatedEngines.Behaviour;
+import io.figspan.gateway.backend.SimulatedEngines.RequestKind;
 import io.figspan.gateway.log.DecisionLog;
-import io.netty.channel.EventLoop;
-import io.netty.channel.nio.NioEventLoopGroup;
-import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import org.junit.jupiter.api.AfterEach;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -30,110 +27,195 @@
  * engine has dropped a hold of the same group.
  */
 class MemoryHoldsTest {
-    private static final long TIMEOUT_S = 20;
     private static final long TICK_MS = 20;
+    private static final long DEADLINE_MS = 15_000;
+    private static final long TOKENS = 1_000;
     private static final BackendServerId HOLDER = BackendServerId.of("holder");
+    private static final BackendServerId OTHER_HOLDER = BackendServerId.of("other-holder");
     private static final BackendServerId USER = BackendServerId.of("user");
 
-    private final NioEventLoopGroup group = new NioEventLoopGroup(1);
-    private final EventLoop loop = group.next();
-    private final BackendPools pools = new BackendPools(loop);
-    private final MemoryHolds holds = new MemoryHolds(
-            loop, pools, new TestProtocol(), new DecisionLog(), new HostIncarnation(HostId.of("host"), 1));
+    private final SimulatedEngines engines = new SimulatedEngines();
+    private final MemoryHolds holds =
+            new MemoryHolds(engines, new DecisionLog(), new HostIncarnation(HostId.of("host"), 1), engines);
+    private final List<HoldGroup> reserved = new ArrayList<>();
+    private final List<HoldGroup> lost = new ArrayList<>();
 
     @BeforeEach
-    void tick() {
-        var unused = loop.scheduleWithFixedDelay(
-                () -> holds.tick(System.nanoTime()), TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+    void addEngines() {
+        Stream.of(HOLDER, OTHER_HOLDER, USER).forEach(engine -> engines.add(engine, Behaviour.ANSWER));
     }
 
-    @AfterEach
-    void stop() {
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    private void reserve(BackendServerId... holders) {
+        List<HoldRequest> requests = Stream.of(holders)
+                .map(holder -> new HoldRequest(holder, TOKENS))
+                .toList();
+        holds.reserve(requests, Deadline.after(engines.nowNanos(), DEADLINE_MS), reserved::add);
     }
 
-    private static BackendServer server(BackendServerId id, ScriptedServer server) {
-        return new BackendServer(
-                id, ServiceId.of("engines"), server.address(), AvailabilityZoneId.of("zone"), 4, false, 0);
+    private HoldGroup reserveComplete(BackendServerId... holders) {
+        reserve(holders);
+        runUntil(TICK_MS);
+        assertEquals(1, reserved.size(), "calls of the listener");
+        HoldGroup group = reserved.get(0);
+        assertTrue(group.isComplete(), group.failure());
+        return group;
     }
 
-    private HoldGroup reserve(ScriptedServer holder) throws Exception {
-        CompletableFuture<HoldGroup> reserved = new CompletableFuture<>();
-        loop.execute(() -> {
-            pools.put(server(HOLDER, holder));
-            holds.reserve(
-                    List.of(new HoldRequest(HOLDER, 1_000)),
-                    Deadline.after(System.nanoTime(), 15_000),
-                    reserved::complete);
+    private void use(HoldGroup group) {
+        BackendServer user = new BackendServer(
+                USER,
+                ServiceId.of("engines"),
+                InetSocketAddress.createUnresolved("user", 1),
+                AvailabilityZoneId.of("zone"),
+                4,
+                false,
+                0);
+        holds.monitorUse(group, user, () -> {
+            lost.add(group);
+            holds.release(group);
         });
-        return reserved.get(TIMEOUT_S, TimeUnit.SECONDS);
     }
 
-    private CountDownLatch use(HoldGroup held, ScriptedServer user) {
-        CountDownLatch lost = new CountDownLatch(1);
-        loop.submit(() -> holds.monitorUse(held, server(USER, user), lost::countDown))
-                .syncUninterruptibly();
-        return lost;
+    /** Runs until a time after the start of the test. */
+    private void runUntil(long endMs) {
+        long endNanos = TimeUnit.MILLISECONDS.toNanos(endMs);
+        while (engines.nowNanos() < endNanos) {
+            engines.advanceTo(engines.nowNanos() + TimeUnit.MILLISECONDS.toNanos(TICK_MS));
+            holds.tick(engines.nowNanos());
+            assertTrue(engines.heldCount() <= holds.openCount(), "an engine holds memory that is not tracked");
+        }
     }
 
-    private static boolean isRelease(Received request) {
-        return request.target().startsWith("/release");
+    private void runUntilJustBeforeTheDeadline() {
+        runUntil(DEADLINE_MS - TICK_MS);
     }
 
-    private static void answer(Received request, ScriptedServer.Connection connection) throws IOException {
-        connection.answer(request, 200, "", "");
+    private void assertLostAndReleased(HoldGroup group) {
+        assertEquals(List.of(group), lost);
+        assertEquals(0, engines.heldCount(), "holds at the engines");
+        assertEquals(0, holds.openCount(), "open holds");
     }
 
     @Test
-    void anUnresponsiveEngineIsDetectedBeforeTheDeadline() throws Exception {
-        try (ScriptedServer holder = new ScriptedServer(MemoryHoldsTest::answer);
-                ScriptedServer user = new ScriptedServer((request, connection) -> connection.awaitClose())) {
-            HoldGroup held = reserve(holder);
-            assertTrue(held.isComplete(), held.failure());
+    void anUnresponsiveEngineIsDetectedBeforeTheDeadline() {
+        HoldGroup group = reserveComplete(HOLDER, OTHER_HOLDER);
+        engines.setBehaviour(USER, Behaviour.NEVER_ANSWER);
 
-            CountDownLatch lost = use(held, user);
+        use(group);
+        runUntilJustBeforeTheDeadline();
 
-            assertTrue(lost.await(TIMEOUT_S, TimeUnit.SECONDS), "the unresponsive engine was not detected");
-            loop.submit(() -> holds.release(held)).syncUninterruptibly();
-        }
+        assertLostAndReleased(group);
+        assertEquals(1, engines.sentCount(HOLDER, RequestKind.RELEASE));
+        assertEquals(1, engines.sentCount(OTHER_HOLDER, RequestKind.RELEASE));
     }
 
     @Test
-    void theUseIsLostWhenOneEngineRefusesToRenewItsHold() throws Exception {
-        ScriptedServer.Script refusesToRenew = new ScriptedServer.Script() {
-            private int reservations;
-
-            @Override
-            public synchronized void answer(Received request, ScriptedServer.Connection connection) throws IOException {
-                boolean isFirst = isRelease(request) || reservations++ == 0;
-                connection.answer(request, isFirst ? 200 : 409, "", "");
-            }
-        };
-        try (ScriptedServer holder = new ScriptedServer(refusesToRenew);
-                ScriptedServer user = new ScriptedServer(MemoryHoldsTest::answer)) {
-            HoldGroup held = reserve(holder);
-
-            CountDownLatch lost = use(held, user);
-
-            assertTrue(lost.await(TIMEOUT_S, TimeUnit.SECONDS), "the lost hold was not detected");
-        }
+    void theUseIsLostWhenOneEngineRefusesToRenewItsHold() {
+        HoldGroup group = reserveComplete(HOLDER, OTHER_HOLDER);
+        engines.setBehaviour(HOLDER, RequestKind.RESERVE, Behaviour.REFUSE);
+
+        use(group);
+        runUntilJustBeforeTheDeadline();
+
+        assertLostAndReleased(group);
+        assertEquals(1, engines.sentCount(OTHER_HOLDER, RequestKind.RELEASE));
     }
 
     @Test
-    void theHoldsOfALiveEngineAreKept() throws Exception {
-        CountDownLatch checks = new CountDownLatch(3);
-        try (ScriptedServer holder = new ScriptedServer(MemoryHoldsTest::answer);
-                ScriptedServer user = new ScriptedServer((request, connection) -> {
-                    answer(request, connection);
-                    checks.countDown();
-                })) {
-            HoldGroup held = reserve(holder);
-
-            CountDownLatch lost = use(held, user);
-
-            assertTrue(checks.await(TIMEOUT_S, TimeUnit.SECONDS), "the engine was not checked");
-            assertTrue(lost.getCount() == 1);
-            assertFalse(holder.received().stream().anyMatch(MemoryHoldsTest::isRelease));
+    void theHoldsOfALiveEngineAreKept() {
+        HoldGroup group = reserveComplete(HOLDER, OTHER_HOLDER);
+
+        use(group);
+        runUntilJustBeforeTheDeadline();
+
+        assertTrue(engines.sentCount(USER, RequestKind.PROBE) >= 3, "the engine was not checked");
+        assertEquals(List.of(), lost);
+        assertEquals(1, engines.heldCount(HOLDER));
+        assertEquals(1, engines.heldCount(OTHER_HOLDER));
+        assertEquals(0, engines.sentCount(HOLDER, RequestKind.RELEASE));
+        assertEquals(0, engines.sentCount(OTHER_HOLDER, RequestKind.RELEASE));
+    }
+
+    /** Guards against a single lost packet ending a prompt. */
+    @Test
+    void theUseIsKeptWhenNoTwoConsecutiveChecksFail() {
+        HoldGroup group = reserveComplete(HOLDER);
+
+        use(group);
+        for (int second = 1; second <= 10; second++) {
+            boolean isEven = second % 2 == 0;
+            engines.setBehaviour(USER, isEven ? Behaviour.ANSWER : Behaviour.NEVER_ANSWER);
+            runUntil(TimeUnit.SECONDS.toMillis(second) + 500);
         }
+
+        assertEquals(List.of(), lost);
+        assertEquals(1, engines.heldCount(HOLDER));
+    }
+
+    @Test
+    void aGroupFailsWhenOneEngineRefusesItsReservation() {
+        engines.setBehaviour(OTHER_HOLDER, Behaviour.REFUSE);
+
+        reserve(HOLDER, OTHER_HOLDER);
+        runUntil(TICK_MS);
+
+        assertEquals("an engine has too little free memory", failedGroup().failure());
+        assertEquals(1, holds.openCount(), "holds without the refused one");
+    }
+
+    @Test
+    void aGroupFailsWhenOneEngineDoesNotAnswerItsReservation() {
+        engines.setBehaviour(OTHER_HOLDER, Behaviour.NEVER_ANSWER);
+
+        reserve(HOLDER, OTHER_HOLDER);
+        runUntilJustBeforeTheDeadline();
+
+        assertTrue(
+                failedGroup().failure().startsWith("no response"), failedGroup().failure());
+    }
+
+    @Test
+    void aReleaseIsSentAtOnce() {
+        HoldGroup group = reserveComplete(HOLDER, OTHER_HOLDER);
+
+        holds.release(group);
+        runUntil(2 * TICK_MS);
+
+        assertEquals(0, engines.heldCount(), "holds at the engines");
+        assertEquals(0, holds.openCount(), "open holds");
+    }
+
+    /** Guards against memory that stays held because the first release was lost. */
+    @Test
+    void aReleaseIsRepeatedUntilTheEngineAnswers() {
+        HoldGroup group = reserveComplete(HOLDER);
+        engines.setBehaviour(HOLDER, Behaviour.NEVER_ANSWER);
+
+        holds.release(group);
+        runUntil(1_000);
+        assertEquals(1, holds.openCount());
+        engines.setBehaviour(HOLDER, Behaviour.ANSWER);
+        runUntilJustBeforeTheDeadline();
+
+        assertEquals(0, engines.heldCount(HOLDER));
+        assertEquals(0, holds.openCount());
+    }
+
+    @Test
+    void theHoldOfAnEngineThatHasEndedIsNoLongerTracked() {
+        reserveComplete(HOLDER, OTHER_HOLDER);
+
+        engines.stop(HOLDER);
+        runUntilJustBeforeTheDeadline();
+
+        assertEquals(1, engines.heldCount(OTHER_HOLDER));
+        assertEquals(1, holds.openCount());
+    }
+
+    private HoldGroup failedGroup() {
+        assertEquals(1, reserved.size(), "calls of the listener");
+        HoldGroup group = reserved.get(0);
+        assertFalse(group.isComplete());
+        return group;
     }
 }
