MemoryHolds: a group that can't be requested reserves nothing

A caller of reserve saw: with an unregistered engine in the group, the listener ran inside the loop, and the holds after it were still reserved. The listener had released the group by then, so nobody released them, and they were renewed until 500 ms after the request's deadline. If the ledger became full at such a later hold, the listener ran a second time. From reading ForwardCall, not from a run: it would then submit the same request for placement twice.

Cause: execute reported an unregistered engine to the listener at once, while reserve went on with the next hold.

Change: reserve adds all holds to the ledger before it sends the first request. If an engine is unregistered or the ledger is full, the holds added so far are removed, no engine receives a request, and the listener is called once. execute no longer calls the listener: a reservation that was sent is always resolved by its outcome.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/backend/MemoryHolds.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/backend/MemoryHolds.java
@@ -3,6 +3,8 @@
 import io.figspan.control.hold.HoldAction;
 import io.figspan.control.hold.HoldLedger;
 import io.figspan.control.hold.HoldLedgerConfig;
+import io.figspan.core.error.Problem;
+import io.figspan.core.error.ProblemKind;
 import io.figspan.core.error.Result;
 import io.figspan.core.event.Part;
 import io.figspan.core.id.BackendIncarnation;
@@ -12,6 +14,7 @@
 import io.figspan.core.time.Deadline;
 import io.figspan.core.time.MonotonicClock;
 import io.figspan.gateway.log.DecisionLog;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -36,7 +39,7 @@
     private static final long RELEASE_RETRY_MS = 250;
 
     /** Maximum number of holds; far more than one host has in progress. */
-    private static final int MAX_HOLDS = 1_024;
+    static final int MAX_HOLDS = 1_024;
 
     private final EngineClient engines;
     private final DecisionLog log;
@@ -61,24 +64,40 @@
 
     /**
      * Reserves memory at all engines concurrently. The listener is called once: when all holds are granted, or when the
-     * first one fails.
+     * first one fails. If a hold can't even be requested, nothing is reserved, and the listener is called before this
+     * method returns.
      */
     public void reserve(List<HoldRequest> requests, Deadline deadline, Consumer<HoldGroup> listener) {
-        long nowNanos = clock.nowNanos();
         HoldGroup group = new HoldGroup();
-        for (HoldRequest hold : requests) {
-            BackendIncarnation engine = new BackendIncarnation(hold.server(), 0);
-            Result<HoldAction.Reserve> reserve = ledger.reserve(engine, hold.tokens(), deadline, nowNanos);
-            if (reserve instanceof Result.Ok<HoldAction.Reserve> ok) {
-                group.add(hold.server(), ok.value().handle());
-                pending.put(ok.value().handle(), new Pending(group, listener));
-                execute(ok.value());
-            } else if (reserve instanceof Result.Failed<HoldAction.Reserve> failed) {
+        List<HoldAction.Reserve> reservations = new ArrayList<>();
+        for (HoldRequest request : requests) {
+            Result<HoldAction.Reserve> reservation = addToLedger(request, deadline);
+            if (reservation instanceof Result.Ok<HoldAction.Reserve> ok) {
+                reservations.add(ok.value());
+            } else if (reservation instanceof Result.Failed<HoldAction.Reserve> failed) {
+                reservations.forEach(unsent -> ledger.onRefused(unsent.handle()));
                 group.markFailed(failed.problem().detail());
                 listener.accept(group);
                 return;
             }
         }
+        send(reservations, group, listener);
+    }
+
+    private Result<HoldAction.Reserve> addToLedger(HoldRequest request, Deadline deadline) {
+        if (!engines.isRegistered(request.server())) {
+            return Result.failed(Problem.notRun(ProblemKind.NO_BACKEND_SERVER, "the engine is no longer registered"));
+        }
+        BackendIncarnation engine = new BackendIncarnation(request.server(), 0);
+        return ledger.reserve(engine, request.tokens(), deadline, clock.nowNanos());
+    }
+
+    private void send(List<HoldAction.Reserve> reservations, HoldGroup group, Consumer<HoldGroup> listener) {
+        for (HoldAction.Reserve reservation : reservations) {
+            group.add(reservation.engine().server(), reservation.handle());
+            pending.put(reservation.handle(), new Pending(group, listener));
+        }
+        reservations.forEach(this::execute);
     }
 
     /**
@@ -135,7 +154,6 @@
     private void execute(HoldAction action) {
         if (!engines.isRegistered(action.engine().server())) {
             ledger.onEngineGone(action.engine());
-            resolve(action.handle(), "the engine is no longer registered");
             return;
         }
         if (action instanceof HoldAction.Reserve reserve) {
--- a/figspan-gateway/src/test/java/io/figspan/gateway/backend/MemoryHoldsTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/backend/MemoryHoldsTest.java
@@ -18,6 +18,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -45,11 +46,21 @@
         Stream.of(HOLDER, OTHER_HOLDER, USER).forEach(engine -> engines.add(engine, Behaviour.ANSWER));
     }
 
+    private Deadline deadline() {
+        return Deadline.after(engines.nowNanos(), DEADLINE_MS);
+    }
+
     private void reserve(BackendServerId... holders) {
+        reserve(group -> {}, holders);
+    }
+
+    /** Reserves holds; the listener is called after the group has been recorded. */
+    private void reserve(Consumer<HoldGroup> listener, BackendServerId... holders) {
         List<HoldRequest> requests = Stream.of(holders)
                 .map(holder -> new HoldRequest(holder, TOKENS))
                 .toList();
-        holds.reserve(requests, Deadline.after(engines.nowNanos(), DEADLINE_MS), reserved::add);
+        Consumer<HoldGroup> recorder = reserved::add;
+        holds.reserve(requests, deadline(), recorder.andThen(listener));
     }
 
     private HoldGroup reserveComplete(BackendServerId... holders) {
@@ -212,6 +223,52 @@
         assertEquals(1, holds.openCount());
     }
 
+    /** Guards against holds that nobody releases because they are reserved after the group has failed. */
+    @Test
+    void aGroupWithAnUnregisteredEngineReservesNothingAfterItHasFailed() {
+        engines.stop(HOLDER);
+
+        reserve(group -> holds.release(group), HOLDER, OTHER_HOLDER);
+        runUntilJustBeforeTheDeadline();
+
+        assertEquals("the engine is no longer registered", failedGroup().failure());
+        assertEquals(0, engines.heldCount(), "holds at the engines");
+        assertEquals(0, holds.openCount(), "open holds");
+    }
+
+    @Test
+    void theListenerIsCalledOnceWhenAnEngineIsUnregisteredAndTheLedgerIsFull() {
+        fillLedgerExceptOne();
+        engines.stop(HOLDER);
+
+        reserve(HOLDER, OTHER_HOLDER, USER);
+        runUntil(TICK_MS);
+
+        assertEquals("the engine is no longer registered", failedGroup().failure());
+    }
+
+    /** Guards against entries that keep the ledger full although nothing was reserved. */
+    @Test
+    void aGroupThatDoesNotFitIntoTheLedgerReservesNothing() {
+        fillLedgerExceptOne();
+        long openBefore = holds.openCount();
+
+        reserve(OTHER_HOLDER, USER);
+        runUntil(TICK_MS);
+
+        assertEquals("the hold ledger of this host is full", failedGroup().failure());
+        assertEquals(0, engines.sentCount(OTHER_HOLDER, RequestKind.RESERVE));
+        assertEquals(openBefore, holds.openCount());
+    }
+
+    private void fillLedgerExceptOne() {
+        List<HoldRequest> request = List.of(new HoldRequest(USER, TOKENS));
+        for (int i = 0; i < MemoryHolds.MAX_HOLDS - 1; i++) {
+            holds.reserve(request, deadline(), group -> {});
+        }
+        assertEquals(MemoryHolds.MAX_HOLDS - 1, holds.openCount());
+    }
+
     private HoldGroup failedGroup() {
         assertEquals(1, reserved.size(), "calls of the listener");
         HoldGroup group = reserved.get(0);
