Split the table of latest reports from PeerTracker

PeerReports keeps who reported when, which hosts fell silent and whose work has expired; times are passed in. No change of behaviour; PeerTrackerTest passes unchanged.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/peer/PeerTracker.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/peer/PeerTracker.java
@@ -19,11 +19,8 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
@@ -40,15 +37,6 @@
     /** Interval of this host's reports while nothing changes. */
     private static final long REPORT_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(320);
 
-    /** Three report intervals; a host that should report and is silent for longer is not named to callers. */
-    private static final long REPORT_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
-
-    /** Two report intervals; a host that is silent for longer is not relied on for changes of the store. */
-    private static final long SOURCE_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(750);
-
-    /** Work of a silent host is counted for as long as most requests last. */
-    private static final long WORK_EXPIRY_NANOS = TimeUnit.SECONDS.toNanos(3);
-
     /**
      * A tick that is this late means that this host itself was paused and has yet to read the datagrams that arrived
      * meanwhile.
@@ -64,7 +52,7 @@
     private final ProcessorTime processorTime;
     private final PeerTransport transport;
     private final List<PeerAddress> seeds;
-    private final Map<HostId, LatestReport> latestReports = new HashMap<>();
+    private final PeerReports reports = new PeerReports();
     private Membership membership;
     private ScheduledFuture<?> scheduledReport;
     private long reportDueNanos;
@@ -81,16 +69,6 @@
     private boolean hostsChanged;
     private long lastReportNanos;
 
-    /** The latest report of one host. */
-    private static final class LatestReport {
-        HostIncarnation incarnation;
-        long sequence = -1;
-        long receivedNanos;
-        long storeAgeMs = -1;
-        boolean hasWork = true;
-        boolean silenceHandled;
-    }
-
     /**
      * Creates the tracker; other hosts learn of this one only after {@link #join}.
      *
@@ -172,7 +150,7 @@
         Set<HostId> cell = reportSource.cell();
         for (Peer peer : others()) {
             boolean serves = cell.contains(peer.host())
-                    ? isReporting(peer.host(), nowNanos)
+                    ? reports.isReporting(peer.host(), nowNanos)
                     : !membership.isSuspect(peer.host());
             if (serves) {
                 serving.add(peer);
@@ -181,18 +159,9 @@
         return serving;
     }
 
-    private boolean isReporting(HostId host, long nowNanos) {
-        LatestReport latest = latestReports.get(host);
-        return latest != null && nowNanos - latest.receivedNanos < REPORT_TIMEOUT_NANOS;
-    }
-
     /** Age of the oldest among the latest reports of the other hosts, in milliseconds; 0 if there are none. */
     public long oldestReportAgeMs(long nowNanos) {
-        long oldestNanos = 0;
-        for (LatestReport latest : latestReports.values()) {
-            oldestNanos = Math.max(oldestNanos, nowNanos - latest.receivedNanos);
-        }
-        return TimeUnit.NANOSECONDS.toMillis(oldestNanos);
+        return reports.oldestAgeMs(nowNanos);
     }
 
     /**
@@ -200,14 +169,7 @@
      * milliseconds.
      */
     public List<Long> storeAgesMs(Set<HostId> hosts, long nowNanos) {
-        List<Long> agesMs = new ArrayList<>();
-        latestReports.forEach((host, latest) -> {
-            boolean isRecent = nowNanos - latest.receivedNanos < SOURCE_TIMEOUT_NANOS;
-            if (hosts.contains(host) && latest.storeAgeMs >= 0 && isRecent) {
-                agesMs.add(latest.storeAgeMs + TimeUnit.NANOSECONDS.toMillis(nowNanos - latest.receivedNanos));
-            }
-        });
-        return agesMs;
+        return reports.storeAgesMs(hosts, nowNanos);
     }
 
     /** Number of hosts that share budgets, including this one. */
@@ -263,43 +225,28 @@
 
     /** Reports silent hosts of the cell to the fleet if this host is one of the reporters. */
     private void reportSilentHosts(long nowNanos) {
-        if (nowNanos - pauseEndNanos < REPORT_TIMEOUT_NANOS) {
+        if (nowNanos - pauseEndNanos < PeerReports.REPORT_TIMEOUT_NANOS) {
             return;
         }
-        Set<HostId> silent = new HashSet<>();
-        Set<HostId> heard = new HashSet<>();
-        latestReports.forEach((host, latest) -> {
-            if (isReporting(host, nowNanos)) {
-                heard.add(host);
-            } else if (!latest.silenceHandled) {
-                silent.add(host);
-            }
-        });
+        Set<HostId> cell = reportSource.cell();
+        Set<HostId> silent = reports.takeNewlySilent(cell, nowNanos);
         if (silent.isEmpty()) {
             return;
         }
-        Set<HostId> cell = reportSource.cell();
-        silent.retainAll(cell);
-        heard.retainAll(cell);
-        silent.forEach(host -> latestReports.get(host).silenceHandled = true);
-        if (!silent.isEmpty() && SuspicionReporters.includes(config.host(), heard)) {
+        Set<HostId> reporting = reports.reporting(nowNanos);
+        reporting.retainAll(cell);
+        if (SuspicionReporters.includes(config.host(), reporting)) {
             execute(membership.suspectSilent(silent, nowNanos), null, nowNanos);
         }
     }
 
     private void expireSilentHosts(long nowNanos) {
-        for (Iterator<Map.Entry<HostId, LatestReport>> hosts =
-                        latestReports.entrySet().iterator();
-                hosts.hasNext(); ) {
-            Map.Entry<HostId, LatestReport> host = hosts.next();
-            if (nowNanos - host.getValue().receivedNanos >= WORK_EXPIRY_NANOS) {
-                hosts.remove();
-                log.info(Part.MEMBER, "hostSilent")
-                        .text("host", host.getKey())
-                        .text("placesHere", reportSource.cell().contains(host.getKey()))
-                        .write();
-                listener.onHostSilent(host.getKey());
-            }
+        for (HostId host : reports.takeExpired(nowNanos)) {
+            log.info(Part.MEMBER, "hostSilent")
+                    .text("host", host)
+                    .text("placesHere", reportSource.cell().contains(host))
+                    .write();
+            listener.onHostSilent(host);
         }
     }
 
@@ -338,20 +285,13 @@
     }
 
     private void receiveWork(Peer from, PeerMessage.WorkReport received, long nowNanos) {
-        LatestReport latest = latestReports.computeIfAbsent(from.host(), ignored -> new LatestReport());
-        boolean sameProcess = from.incarnation().equals(latest.incarnation);
-        if (sameProcess && received.sequence() <= latest.sequence) {
+        PeerReports.Reception reception = reports.receive(from.incarnation(), received, nowNanos);
+        if (reception == PeerReports.Reception.OUTDATED) {
             return;
         }
-        latest.incarnation = from.incarnation();
-        latest.sequence = received.sequence();
-        latest.receivedNanos = nowNanos;
-        latest.silenceHandled = false;
-        latest.storeAgeMs = received.storeAgeMs();
-        if (latest.hasWork || !received.work().isEmpty()) {
+        if (reception == PeerReports.Reception.WORK_CHANGED) {
             listener.onWorkReport(from.host(), received.work());
         }
-        latest.hasWork = !received.work().isEmpty();
         listener.onNewerItems(from, received.settingsRevision(), received.serversRevision());
     }
 
