--- a/figspan-cluster/src/test/java/io/figspan/cluster/copy/SimulatedCell.java
+++ b/figspan-cluster/src/test/java/io/figspan/cluster/copy/SimulatedCell.java
@@ -29,7 +29,6 @@
 
     private final List<Host> hosts = new ArrayList<>();
     private final List<Transfer> transfers = new ArrayList<>();
-    private final double linkBytesPerMs;
     private final int copyBytes;
     private long nowMs;
 
@@ -37,15 +36,17 @@
         final Peer peer;
         final CopyFetcher fetcher;
         final CopyTransferLimiter limiter = new CopyTransferLimiter();
+        double linkBytesPerMs;
         long updateMs;
         long nextReportMs;
         long revision = OLD_REVISION;
         int uploads;
         int downloads;
 
-        Host(Peer peer, CopyFetcher fetcher, long updateMs, long nextReportMs) {
+        Host(Peer peer, CopyFetcher fetcher, double linkBytesPerMs, long updateMs, long nextReportMs) {
             this.peer = peer;
             this.fetcher = fetcher;
+            this.linkBytesPerMs = linkBytesPerMs;
             this.updateMs = updateMs;
             this.nextReportMs = nextReportMs;
         }
@@ -68,12 +69,17 @@
     }
 
     SimulatedCell(int hostCount, int watchingCount, long linkBytesPerS, int copyBytes, RandomGenerator random) {
-        this.linkBytesPerMs = linkBytesPerS / 1_000.0;
+        double linkBytesPerMs = linkBytesPerS / 1_000.0;
         this.copyBytes = copyBytes;
         for (int index = 0; index < hostCount; index++) {
             boolean watches = index < watchingCount;
             long updateMs = watches ? random.nextInt(NOTIFICATION_SPREAD_MS) : Long.MAX_VALUE;
-            hosts.add(new Host(peer(index), new CopyFetcher(random), updateMs, random.nextLong(REPORT_INTERVAL_MS)));
+            hosts.add(new Host(
+                    peer(index),
+                    new CopyFetcher(random),
+                    linkBytesPerMs,
+                    updateMs,
+                    random.nextLong(REPORT_INTERVAL_MS)));
         }
     }
 
@@ -84,6 +90,12 @@
                 new PeerAddress("10.0.0." + (index + 1), 7_000));
     }
 
+    /** Gives the last hosts, which don't watch the store, slower links. */
+    void slowLinks(int hostCount, long linkBytesPerS) {
+        hosts.subList(hosts.size() - hostCount, hosts.size())
+                .forEach(host -> host.linkBytesPerMs = linkBytesPerS / 1_000.0);
+    }
+
     void runFor(long durationMs) {
         long endMs = nowMs + durationMs;
         while (nowMs < endMs) {
@@ -156,8 +168,9 @@
     }
 
     private void transmit(Transfer transfer) {
-        int sharers = Math.max(transfer.source.uploads, transfer.reader.downloads);
-        transfer.bytesLeft -= linkBytesPerMs * STEP_MS / sharers;
+        double uploadBytesPerMs = transfer.source.linkBytesPerMs / transfer.source.uploads;
+        double downloadBytesPerMs = transfer.reader.linkBytesPerMs / transfer.reader.downloads;
+        transfer.bytesLeft -= Math.min(uploadBytesPerMs, downloadBytesPerMs) * STEP_MS;
     }
 
     private void endIfDue(Transfer transfer) {
