ItemCopy: claim only the revision up to which it is complete

A listing of several pages may lack a change that came between two pages. The copy took the highest revision of its items as its own, so other hosts that read it asked for later changes only and never got that one, until their own poll of the store after 5 to 15 s; if it was the removal of a server, they went on using it.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/store/ItemCopy.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/store/ItemCopy.java
@@ -23,22 +23,33 @@
     private final Map<String, Item> items = new TreeMap<>();
     private final Map<String, Item> tombstones = new LinkedHashMap<>();
     private long revision;
+    private long changeCount;
 
     /** All removals with a higher revision have a tombstone. */
     private long tombstonesCompleteAfter;
 
-    /** The newest revision among the applied changes; 0 before the first. */
+    /** All changes up to this revision have been applied, and perhaps some later ones; 0 before the first. */
     public long revision() {
         return revision;
     }
 
-    /** Applies changes. Returns those that are newer than this copy, oldest first. */
+    /** Increases with each change of this copy. */
+    public long changeCount() {
+        return changeCount;
+    }
+
+    /** Applies changes that follow this copy without a gap. Returns those that are newer, oldest first. */
     public List<Item> apply(List<Item> changes) {
+        changes.forEach(change -> revision = Math.max(revision, change.revision()));
+        return merge(changes);
+    }
+
+    /** Applies the changes that are newer than the known items, whatever their revisions. Returns these. */
+    private List<Item> merge(List<Item> changes) {
         List<Item> newer = new ArrayList<>();
         for (Item change : changes) {
             Item known = items.get(change.key());
             boolean isNewer = known == null ? change.value().isPresent() : change.revision() > known.revision();
-            revision = Math.max(revision, change.revision());
             if (change.value().isEmpty()) {
                 addTombstone(change);
             }
@@ -46,6 +57,7 @@
                 continue;
             }
             newer.add(change);
+            changeCount++;
             if (change.value().isPresent()) {
                 items.put(change.key(), change);
                 tombstones.remove(change.key());
@@ -85,7 +97,9 @@
             }
         }
         changes.addAll(snapshot);
-        return apply(changes);
+        revision = asOfRevision;
+        changeCount++;
+        return merge(changes);
     }
 
     /** Applies the items of another host where they are newer. Returns the changes. */
@@ -93,9 +107,12 @@
         if (other.revision() < revision || other.baseRevision() > revision) {
             return List.of();
         }
-        List<Item> changes = other.isSnapshot() ? applySnapshot(other.items(), other.revision()) : apply(other.items());
-        revision = Math.max(revision, other.revision());
-        return changes;
+        if (other.isSnapshot()) {
+            return applySnapshot(other.items(), other.revision());
+        }
+        revision = other.revision();
+        changeCount++;
+        return merge(other.items());
     }
 
     /**
--- a/figspan-gateway/src/test/java/io/figspan/gateway/store/ItemCopyTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/store/ItemCopyTest.java
@@ -133,4 +133,17 @@
         byte[] truncated = java.util.Arrays.copyOf(whole, whole.length - 1);
         assertThrows(FigspanException.class, () -> ItemChanges.decode(truncated));
     }
+
+    /** Guards against a change between two pages of a listing that hosts which read the copy before never get. */
+    @Test
+    void aChangeThatFollowsALaterOneIsPassedOnToHostsThatHaveTheLaterOne() {
+        copy.applySnapshot(List.of(item("a", 5), item("z", 12)), 10);
+        ItemCopy reader = new ItemCopy();
+        reader.applyChanges(copy.changesAfter(reader.revision()));
+        copy.apply(List.of(removed("a", 11), item("z", 12)));
+
+        List<Item> changes = reader.applyChanges(copy.changesAfter(reader.revision()));
+
+        assertEquals(List.of("a"), changes.stream().map(Item::key).toList());
+    }
 }
