--- a/figspan-cluster/src/main/java/io/figspan/cluster/copy/CopyTransferLimiter.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/copy/CopyTransferLimiter.java
@@ -6,8 +6,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Bounds the bytes of copies that a host sends at the same time. Each reader then gets its copy fast and serves others
- * itself, while many concurrent transfers of large copies would all be slow and leave no bandwidth for responses to
+ * Bounds the bytes of one copy that a host sends at the same time. Each reader then gets it fast and serves others
+ * itself, while many concurrent transfers of a large copy would all be slow and leave no bandwidth for responses to
  * callers. It performs no I/O.
  */
 public final class CopyTransferLimiter {
@@ -35,7 +35,7 @@
 
     /** Begins a transfer; empty if the host sends too much already. */
     public Optional<Transfer> begin(long bytes, long nowNanos) {
-        transfers.removeIf(transfer -> nowNanos - transfer.startNanos >= MAX_TRANSFER_NANOS);
+        dropExpired(nowNanos);
         long counted = Math.max(bytes, MIN_TRANSFER_BYTES);
         if (!transfers.isEmpty() && bytesInTransfer() + counted > MAX_BYTES) {
             return Optional.empty();
@@ -45,6 +45,16 @@
         return Optional.of(transfer);
     }
 
+    /** Whether no transfer of any size may begin now. */
+    public boolean isFull(long nowNanos) {
+        dropExpired(nowNanos);
+        return !transfers.isEmpty() && bytesInTransfer() + MIN_TRANSFER_BYTES > MAX_BYTES;
+    }
+
+    private void dropExpired(long nowNanos) {
+        transfers.removeIf(transfer -> nowNanos - transfer.startNanos >= MAX_TRANSFER_NANOS);
+    }
+
     /** A transfer has ended, successfully or not. */
     public void end(Transfer transfer) {
         transfers.remove(transfer);
--- a/figspan-cluster/src/test/java/io/figspan/cluster/copy/CopyTransferLimiterTest.java
+++ b/figspan-cluster/src/test/java/io/figspan/cluster/copy/CopyTransferLimiterTest.java
@@ -16,8 +16,10 @@
         CopyTransferLimiter.Transfer first = limiter.begin(LARGE_BYTES, 0).orElseThrow();
         assertTrue(limiter.begin(LARGE_BYTES, 0).isEmpty());
         assertTrue(limiter.begin(1, 0).isEmpty());
+        assertTrue(limiter.isFull(0));
 
         limiter.end(first);
+        assertFalse(limiter.isFull(0));
 
         assertTrue(limiter.begin(LARGE_BYTES, 0).isPresent());
     }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/peer/CopyEndpoint.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/peer/CopyEndpoint.java
@@ -1,6 +1,5 @@
 package io.figspan.gateway.peer;
 
-import io.figspan.cluster.copy.CopyTransferLimiter;
 import io.figspan.gateway.http.DeflateCoding;
 import io.figspan.gateway.http.SimpleHttpServer.Reply;
 import io.figspan.gateway.metrics.GatewayMetrics;
@@ -29,26 +28,8 @@
     /** Query parameter with the revision of the reader's copy. */
     static final String AFTER = "after";
 
-    private final Map<String, ItemCopy> copies;
+    private final Map<String, ServedCopy> copies = new HashMap<>();
     private final GatewayMetrics metrics;
-    private final CopyTransferLimiter limiter = new CopyTransferLimiter();
-    private final Map<String, Encoded> encodedCopies = new HashMap<>();
-
-    /** The changes of a copy after a revision, as sent to other hosts. */
-    private static final class Encoded {
-        final long revision;
-        final long afterRevision;
-        final boolean isCompressed;
-        final byte[] body;
-
-        Encoded(ItemCopy copy, long afterRevision, boolean isCompressed) {
-            this.revision = copy.revision();
-            this.afterRevision = afterRevision;
-            this.isCompressed = isCompressed;
-            byte[] changes = copy.changesAfter(afterRevision).encode();
-            this.body = isCompressed ? DeflateCoding.compress(changes) : changes;
-        }
-    }
 
     /**
      * Creates the endpoint.
@@ -56,7 +37,7 @@
      * @param copies the copies by name
      */
     public CopyEndpoint(Map<String, ItemCopy> copies, GatewayMetrics metrics) {
-        this.copies = Map.copyOf(copies);
+        copies.forEach((name, copy) -> this.copies.put(name, new ServedCopy(copy)));
         this.metrics = metrics;
     }
 
@@ -66,15 +47,14 @@
         if (!target.path().startsWith(PATH)) {
             return emptyReply(HttpResponseStatus.NOT_FOUND);
         }
-        String name = target.path().substring(PATH.length());
-        ItemCopy copy = copies.get(name);
+        ServedCopy copy = copies.get(target.path().substring(PATH.length()));
         if (copy == null) {
             return emptyReply(HttpResponseStatus.NOT_FOUND);
         }
         try {
             boolean isCompressed =
                     request.headers().containsValue(HttpHeaderNames.ACCEPT_ENCODING, DeflateCoding.NAME, true);
-            return copyReply(encoded(name, copy, afterRevision(target), isCompressed));
+            return copyReply(copy, afterRevision(target), isCompressed);
         } catch (NumberFormatException e) {
             return emptyReply(HttpResponseStatus.BAD_REQUEST);
         }
@@ -85,35 +65,21 @@
                 target.parameters().getOrDefault(AFTER, List.of("0")).get(0));
     }
 
-    private Reply copyReply(Encoded encoded) {
-        byte[] body = encoded.body;
-        Optional<CopyTransferLimiter.Transfer> transfer = limiter.begin(body.length, System.nanoTime());
-        if (transfer.isEmpty()) {
+    private Reply copyReply(ServedCopy copy, long afterRevision, boolean isCompressed) {
+        Optional<ServedCopy.Transfer> begun = copy.begin(afterRevision, isCompressed, System.nanoTime());
+        if (begun.isEmpty()) {
             metrics.count("copies.refused");
             return emptyReply(HttpResponseStatus.SERVICE_UNAVAILABLE);
         }
+        ServedCopy.Transfer transfer = begun.get();
+        byte[] body = transfer.changes().body();
         metrics.count("copies.served");
         metrics.count("copies.bytes", body.length);
         FullHttpResponse response = response(HttpResponseStatus.OK, body);
-        if (encoded.isCompressed) {
+        if (transfer.changes().isCompressed()) {
             response.headers().set(HttpHeaderNames.CONTENT_ENCODING, DeflateCoding.NAME);
         }
-        return new Reply(response, () -> limiter.end(transfer.get()));
-    }
-
-    /** Most readers of a copy ask for the same changes, so the last response of each copy is kept. */
-    private Encoded encoded(String name, ItemCopy copy, long afterRevision, boolean isCompressed) {
-        Encoded last = encodedCopies.get(name);
-        boolean isSame = last != null
-                && last.revision == copy.revision()
-                && last.afterRevision == afterRevision
-                && last.isCompressed == isCompressed;
-        if (isSame) {
-            return last;
-        }
-        Encoded encoded = new Encoded(copy, afterRevision, isCompressed);
-        encodedCopies.put(name, encoded);
-        return encoded;
+        return new Reply(response, () -> copy.end(transfer));
     }
 
     private static Reply emptyReply(HttpResponseStatus status) {
--- a/figspan-gateway/src/test/java/io/figspan/gateway/peer/CopyEndpointTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/peer/CopyEndpointTest.java
@@ -29,7 +29,9 @@
     private static final int LARGE_BYTES = 500_000;
 
     private final ItemCopy settings = new ItemCopy();
-    private final CopyEndpoint endpoint = new CopyEndpoint(Map.of("settings", settings), new GatewayMetrics());
+    private final ItemCopy servers = new ItemCopy();
+    private final CopyEndpoint endpoint =
+            new CopyEndpoint(Map.of("settings", settings, "servers", servers), new GatewayMetrics());
 
     @BeforeEach
     void putLargeItem() {
@@ -120,4 +122,42 @@
         assertEquals(404, status(get("/")));
         assertEquals(400, status(get("/copies/settings?after=x")));
     }
+
+    /** Guards against a server that leaves and stays in use because its host waits for others to read settings. */
+    @Test
+    void aSmallChangeOfServersIsServedWhileLargeSettingsAreSent() {
+        servers.apply(List.of(new Item("server", Optional.of(new byte[] {1}), 7)));
+        assertEquals(200, status(get("/copies/settings")));
+
+        assertEquals(200, status(get("/copies/servers?after=6")));
+    }
+
+    /** Guards against encoding a large copy again for each reader that is turned away. */
+    @Test
+    void aReaderThatIsTurnedAwayDoesNotDisplaceTheKeptCopy() {
+        Reply first = get("/copies/settings");
+        assertEquals(503, status(get("/copies/settings?after=5")));
+        first.writtenListener().run();
+
+        byte[] again = get("/copies/settings").response().content().array();
+
+        assertTrue(first.response().content().array() == again, "the copy was encoded again");
+    }
+
+    /** Guards against serving a kept copy without a change between two pages of the store's listing. */
+    @Test
+    void aCopyThatHasChangedAtTheSameRevisionIsEncodedAgain() {
+        servers.applySnapshot(List.of(smallItem("a", 5), smallItem("z", 12)), 10);
+        get("/copies/servers").writtenListener().run();
+        servers.apply(List.of(smallItem("a", 11)));
+
+        ItemChanges served = changes(get("/copies/servers"));
+
+        assertEquals(
+                List.of(11L, 12L), served.items().stream().map(Item::revision).toList());
+    }
+
+    private static Item smallItem(String key, long revision) {
+        return new Item(key, Optional.of(new byte[] {1}), revision);
+    }
 }
