--- a/figspan-cluster/src/main/java/io/figspan/cluster/copy/CopyFetcher.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/copy/CopyFetcher.java
@@ -23,6 +23,12 @@
     /** Three intervals of the announcements; a host that is silent for longer may be gone. */
     static final long ANNOUNCEMENT_VALID_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+    /**
+     * How long a host counts as behind a revision that is no longer announced; bounded for a revision that nobody can
+     * deliver.
+     */
+    static final long MAX_BEHIND_NANOS = TimeUnit.SECONDS.toNanos(10);
+
     /** Longest time of a read in which no byte arrives. */
     public static final long STALL_TIMEOUT_MS = 1_000;
 
@@ -34,6 +40,8 @@
 
     private final RandomGenerator random;
     private final Map<HostId, Source> sources = new HashMap<>();
+    private long newestRevision;
+    private long newestAnnouncedNanos;
     private boolean reading;
     private boolean behind;
     private long behindSinceNanos;
@@ -72,6 +80,10 @@
             sources.remove(peer.host());
             return;
         }
+        if (revision >= newestRevision) {
+            newestRevision = revision;
+            newestAnnouncedNanos = nowNanos;
+        }
         if (sources.size() >= MAX_SOURCES && !sources.containsKey(peer.host())) {
             return;
         }
@@ -87,9 +99,9 @@
         return source;
     }
 
-    /** Whether another host has recently announced a newer revision than this host has. */
+    /** Whether another host has announced a newer revision than this host has, even if it is silent now. */
     public boolean isBehind(long ownRevision, long nowNanos) {
-        return sources.values().stream().anyMatch(source -> source.isUseful(ownRevision, nowNanos));
+        return newestRevision > ownRevision && nowNanos - newestAnnouncedNanos < MAX_BEHIND_NANOS;
     }
 
     /**
