--- a/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerConnection.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerConnection.java
@@ -208,7 +208,8 @@
     }
 
     private Problem bodyTooLong() {
-        return Problem.notRun(ProblemKind.BODY_TOO_LARGE, "the body has more than " + limits.maxBodyBytes() + " bytes");
+        return server.unlessOutdated(Problem.notRun(
+                ProblemKind.BODY_TOO_LARGE, "the body has more than " + limits.maxBodyBytes() + " bytes"));
     }
 
     private void refuse(Problem problem) {
--- a/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerServer.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerServer.java
@@ -148,6 +148,11 @@
         return forwarder.accept(protocol.decode(head), body, exchange);
     }
 
+    /** Makes a refusal by the limits temporary while newer settings are known to exist. */
+    Problem unlessOutdated(Problem problem) {
+        return forwarder.unlessOutdated(problem);
+    }
+
     UnexpectedErrors errors() {
         return errors;
     }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
@@ -214,12 +214,15 @@
         return Optional.of(start(request, body, caller, route.get(), service.get(), organisation, arrivedNanos));
     }
 
-    /** A route or key that is unknown here may be part of newer settings, so the refusal is not final until then. */
-    private Problem unlessOutdated(Problem problem) {
+    /**
+     * Returns the problem of a request that the settings in force don't allow. While newer settings are known to exist,
+     * which may allow it, the refusal is not final.
+     */
+    public Problem unlessOutdated(Problem problem) {
         if (!areSettingsOutdated.getAsBoolean()) {
             return problem;
         }
-        return Problem.notRun(ProblemKind.SETTINGS_NOT_READ, problem.detail() + " in outdated settings")
+        return Problem.notRun(ProblemKind.SETTINGS_NOT_READ, problem.detail() + " by outdated settings")
                 .withRetryAfterMs(DEFAULT_RETRY_AFTER_MS);
     }
 
