Failing tests: an incomplete extra head after a response is mixed into the next one

Cause: HttpConnection notices bytes on an idle connection only when the decoder emits a message. A head without its end emits none, so the connection is kept, and the decoder reads the next response as the continuation of that head. The attempt id then comes from the real response, so the check of the id passes.

Seen: the caller of an idempotent request gets the status and headers of the extra head ("extra: HTTP/1.1 200 x"). If that head is a 503 that states that the request was not run, the caller is told that it was not run after the server ran it. Non-idempotent requests are safe, as they use new connections.

--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/ExtraResponseTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/ExtraResponseTest.java
@@ -226,6 +226,36 @@
         }
     }
 
+    // Incomplete extra responses
+
+    @Test
+    void anIncompleteExtraHeadIsNotMixedIntoTheNextResponse() throws IOException {
+        String incompleteHead = "HTTP/1.1 200 x\r\n" + EXTRA + ": ";
+        try (ScriptedServer server =
+                new ScriptedServer((request, c) -> c.write(buffered(request, "one") + incompleteHead))) {
+            gateway.open(Map.of("s-1", server));
+            assertEquals("one", bodyOf(get("a-1")));
+            String response = get("a-2");
+            assertTrue(response.startsWith("HTTP/1.1 200"), response);
+            assertEquals("one", bodyOf(response));
+            assertFalse(response.contains(EXTRA), response);
+        }
+    }
+
+    @Test
+    void aRequestThatRanIsNotReportedAsNotRunAfterAnIncompleteExtraHead() throws IOException {
+        String incompleteHead = "HTTP/1.1 503 x\r\nnot-run: 1\r\n" + EXTRA + ": ";
+        ScriptedServer.Script script = (request, c) -> c.write(buffered(request, "one") + incompleteHead);
+        try (ScriptedServer one = new ScriptedServer(script);
+                ScriptedServer two = new ScriptedServer(script)) {
+            gateway.open(Map.of("s-1", one, "s-2", two));
+            for (int i = 0; i < REQUESTS; i++) {
+                String id = "a-" + i;
+                assertNotReportedAsNotRunAfterItRan(id, get(id), one, two);
+            }
+        }
+    }
+
     private static void assertNotReportedAsNotRunAfterItRan(String id, String response, ScriptedServer... servers) {
         boolean ran = Arrays.stream(servers)
                 .flatMap(server -> server.received().stream())
