Close a connection on which a backend server sent more than the response due

Cause: bytes after a complete response were noticed only when the decoder made a message of them. A head that is incomplete made none, so the connection went back to the pool, and the next response was read as the continuation.

A connection is now closed by any byte that arrives while no exchange is in progress, and after an exchange that left bytes in the decoder. For that, the decoder is a class of its own, which knows HEAD requests as the client codec did.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/http/HttpConnection.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/http/HttpConnection.java
@@ -11,9 +11,9 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -30,6 +30,7 @@
     private static final long MAX_HEAD_BYTES = 64 * 1_024;
 
     private final InetSocketAddress address;
+    private final ResponseDecoder decoder = new ResponseDecoder();
     private Channel channel;
     private ExchangeListener activeListener;
     private FullHttpRequest pendingRequest;
@@ -65,7 +66,12 @@
                 .handler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel ch) {
-                        ch.pipeline().addLast(connection.new HeadSizeLimiter(), new HttpClientCodec(), connection);
+                        ch.pipeline()
+                                .addLast(
+                                        connection.new InboundGuard(),
+                                        connection.decoder,
+                                        new HttpRequestEncoder(),
+                                        connection);
                     }
                 });
         ChannelFuture connecting = bootstrap.connect(address);
@@ -108,6 +114,7 @@
             throw new IllegalStateException("can't send a request on a connection that is closed or busy");
         }
         activeListener = listener;
+        decoder.expectResponseTo(request.method());
         hasCarriedRequest = true;
         headReceived = false;
         headBytes = 0;
@@ -156,10 +163,18 @@
 
     // Inbound
 
-    /** Fails the exchange if a server sends bytes without end before a complete response head. */
-    private final class HeadSizeLimiter extends ChannelInboundHandlerAdapter {
+    /**
+     * Sees the bytes before they are decoded. Closes the connection if a server sends any while no exchange is in
+     * progress, and fails the exchange if they come without end before a complete response head.
+     */
+    private final class InboundGuard extends ChannelInboundHandlerAdapter {
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object bytes) {
+            if (activeListener == null) {
+                ReferenceCountUtil.release(bytes);
+                fail(ConnectionFailure.MALFORMED);
+                return;
+            }
             if (!headReceived) {
                 headBytes += ((ByteBuf) bytes).readableBytes();
             }
@@ -226,7 +241,7 @@
         activeListener = null;
         idleSinceNanos = System.nanoTime();
         boolean requestSent = writeFuture != null && writeFuture.isSuccess();
-        if (!keepAlive || !requestSent) {
+        if (!keepAlive || !requestSent || decoder.hasUnreadBytes()) {
             close();
         }
         finished.onComplete();
--- /dev/null
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/http/ResponseDecoder.java
@@ -0,0 +1,31 @@
+package io.figspan.gateway.http;
+
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpStatusClass;
+
+/** Decodes the responses of one connection, and tells whether a server has sent more than the responses due. */
+final class ResponseDecoder extends HttpResponseDecoder {
+    private boolean isHeadRequest;
+
+    /** A request is sent; the response to a HEAD request has no body whatever its headers say. */
+    void expectResponseTo(HttpMethod method) {
+        isHeadRequest = HttpMethod.HEAD.equals(method);
+    }
+
+    /** Whether bytes have arrived that belong to no decoded message. */
+    boolean hasUnreadBytes() {
+        return actualReadableBytes() > 0;
+    }
+
+    @Override
+    protected boolean isContentAlwaysEmpty(HttpMessage message) {
+        return (isHeadRequest && !isInformational(message)) || super.isContentAlwaysEmpty(message);
+    }
+
+    private static boolean isInformational(HttpMessage message) {
+        return ((HttpResponse) message).status().codeClass() == HttpStatusClass.INFORMATIONAL;
+    }
+}
