Settings dissemination: test over links with a bandwidth

Whether the settings gossip between hosts has the same fault could not be tested, because the simulated links had a delay but no bandwidth.

SimulatedCluster gets an optional bandwidth for each host's sending direction, shared by its connections in turn.

--- a/figspan-cluster/src/test/java/io/figspan/cluster/SimulatedCluster.java
+++ b/figspan-cluster/src/test/java/io/figspan/cluster/SimulatedCluster.java
@@ -28,16 +28,25 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiPredicate;
 
-/** Simulates hosts in logical time from one seed. Links lose, delay, duplicate and block messages. */
+/**
+ * Simulates hosts in logical time from one seed. Links lose, delay, duplicate and block messages, and can have a
+ * bandwidth.
+ */
 public final class SimulatedCluster {
     private static final int ZONES = 3;
     private static final long MAX_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
 
+    /** Assumed size of a frame without a settings part, and of the fields and headers around one. */
+    private static final int CONTROL_FRAME_BYTES = 300;
+
     public final List<Node> nodes = new ArrayList<>();
     public long nowNanos;
     public double lossProbability;
     public double duplicationProbability;
     public long extraDelayNanos;
+    /** Bandwidth of each host's link in the sending direction; 0 for links without a limit. */
+    public long uplinkBitsPerSecond;
+
     public BiPredicate<Integer, Integer> blocked = (from, to) -> false;
     /** Version that the configuration service returns; null while it is down. */
     public SettingsContent service = SettingsContent.NONE;
@@ -47,6 +56,7 @@
     private final PriorityQueue<Event> events =
             new PriorityQueue<>(Comparator.comparingLong(Event::atNanos).thenComparingLong(Event::order));
     private final Map<Long, Long> lastArrivals = new HashMap<>();
+    private final Map<Integer, SimulatedUplink> uplinks = new HashMap<>();
     private long nextOrder;
 
     private record Event(long atNanos, long order, Runnable action) {}
@@ -228,6 +238,11 @@
         nowNanos = endNanos;
     }
 
+    /** Bytes that all hosts have sent over links with a bandwidth. */
+    public long sentBytes() {
+        return uplinks.values().stream().mapToLong(SimulatedUplink::sentBytes).sum();
+    }
+
     /** The incarnations that are actually live, as the expected view of each process. */
     public Set<String> expectedView() {
         Set<String> live = new TreeSet<>();
@@ -274,15 +289,33 @@
         Peer sender = nodes.get(from).peer();
         int copies = random.nextDouble() < duplicationProbability ? 2 : 1;
         for (int i = 0; i < copies; i++) {
-            long delayNanos = arrivalNanos(from, to) - nowNanos;
-            schedule(delayNanos, () -> {
-                if (!blocked.test(from, to)) {
-                    nodes.get(to).receive(sender, message);
-                }
-            });
+            if (uplinkBitsPerSecond > 0) {
+                uplink(from).send(to, frameBytes(message), () -> arrive(sender, from, to, message));
+            } else {
+                arrive(sender, from, to, message);
+            }
         }
     }
 
+    private void arrive(Peer sender, int from, int to, PeerMessage message) {
+        long delayNanos = arrivalNanos(from, to) - nowNanos;
+        schedule(delayNanos, () -> {
+            if (!blocked.test(from, to)) {
+                nodes.get(to).receive(sender, message);
+            }
+        });
+    }
+
+    private SimulatedUplink uplink(int host) {
+        return uplinks.computeIfAbsent(host, ignored -> new SimulatedUplink(uplinkBitsPerSecond, this::schedule));
+    }
+
+    private static int frameBytes(PeerMessage message) {
+        return message instanceof PeerMessage.SettingsPart part
+                ? CONTROL_FRAME_BYTES + part.change().content().size()
+                : CONTROL_FRAME_BYTES;
+    }
+
     /** Arrival time of a message. It preserves the order of a connection unless extra delay is set, which reorders. */
     private long arrivalNanos(int from, int to) {
         long atNanos = nowNanos + 1 + random.nextLong(MAX_DELAY_NANOS + extraDelayNanos);
