Settings dissemination: large parts in chunks, two readers for each source

Cause: a part travelled as one message, and a pull was given up after 500 ms without a message. A part of a megabyte of random keys (634 KB after compression) takes 362 ms alone on a link of 14 Mbit/s, so two readers at one source already missed the limit. A source took any number of readers.

Change: parts above 64 KB are pulled in chunks, each requested when the one before has arrived, so the 500 ms are a limit on lack of progress. A host serves two readers and answers others with SettingsBusy; these go on at another peer with the manifest and parts that they have, or ask again after 50 to 150 ms. A host that has read or served such a part offers it to 3 random peers each 500 ms for 3 s while it has a free slot, because the slowest hosts were those that had heard of no source. Small changes travel as before. The frames differ, so Hello.PROTOCOL is 2: hosts of the two releases refuse each other's connections.

--- a/figspan-cluster/src/main/java/io/figspan/cluster/ClusterHost.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/ClusterHost.java
@@ -72,6 +72,9 @@
             actions.addAll(settingsGossip.zoneChanged(liveInOwnZone()));
         }
         actions.addAll(settingsGossip.tick(nowNanos));
+        if (settingsGossip.isOfferDue(nowNanos)) {
+            actions.addAll(settingsGossip.offerAgain(membership.randomPeers(SettingsGossip.OFFER_FANOUT), nowNanos));
+        }
         actions.addAll(loans.tick(nowNanos));
         return actions;
     }
--- a/figspan-cluster/src/main/java/io/figspan/cluster/message/PeerMessage.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/message/PeerMessage.java
@@ -70,11 +70,34 @@
         }
     }
 
-    /** Requests one part of the version, as a delta against {@code base} if the receiver has it. */
-    record SettingsPartPull(SettingsVersion version, String name, Bytes base) implements PeerMessage {}
+    /**
+     * Requests one chunk of a part of the version, as a delta against {@code base} if the receiver has it. Answered
+     * with a {@link SettingsPart}, or with {@link SettingsBusy} if the receiver serves other hosts.
+     *
+     * @param offsetBytes position of the chunk in the encoded part
+     * @param lastPart whether the sender needs no further part of the version
+     */
+    record SettingsPartPull(SettingsVersion version, String name, Bytes base, int offsetBytes, boolean lastPart)
+            implements PeerMessage {}
+
+    /**
+     * One chunk of a changed part of a version.
+     *
+     * @param change the encoded part, with the content of this chunk
+     * @param offsetBytes position of the chunk in the encoded part
+     * @param encodedBytes size of the whole encoded part
+     */
+    record SettingsPart(SettingsVersion version, PartChange change, int offsetBytes, int encodedBytes)
+            implements PeerMessage {
+
+        /** The only chunk of a part. */
+        public SettingsPart(SettingsVersion version, PartChange change) {
+            this(version, change, 0, change.content().size());
+        }
+    }
 
-    /** One changed part of a version. */
-    record SettingsPart(SettingsVersion version, PartChange change) implements PeerMessage {}
+    /** Answers a {@link SettingsPartPull} while as many hosts as allowed read parts from the sender. */
+    record SettingsBusy(SettingsVersion version) implements PeerMessage {}
 
     // Limits
 
--- a/figspan-cluster/src/main/java/io/figspan/cluster/spread/SettingsGossip.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/spread/SettingsGossip.java
@@ -12,6 +12,7 @@
 import io.figspan.core.id.SettingsVersion;
 import io.figspan.core.util.RendezvousHash;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -37,12 +38,18 @@
     /** Time after the start, before jitter, in which only versions from peers are adopted. */
     static final long PEERS_ONLY_NANOS = TimeUnit.SECONDS.toNanos(2);
 
-    /** After this time without progress a pull requests single parts or another peer; four fit into the 3 s limit. */
+    /** After this time without a chunk a pull requests single parts or another peer; four fit into the 3 s limit. */
     static final long PULL_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
     /** Failed pulls after which a peer's offer is dropped, until it makes another one. */
     private static final int MAX_FAILED_PULLS = 3;
 
+    /** Time after the transfer of a large part in which its version is offered again; a version takes 3 s to spread. */
+    private static final long OFFER_AGAIN_NANOS = TimeUnit.SECONDS.toNanos(3);
+
+    /** Mean wait before a busy peer is asked again; a reader of half a megabyte frees its slot after 0.3 s. */
+    private static final long BUSY_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
     private static final long OFFER_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
     private static final long READ_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(5);
 
@@ -59,6 +66,7 @@
     private final ContentHistory history = new ContentHistory();
     private final Map<PeerAddress, Offer> offers = new LinkedHashMap<>();
     private final Set<SettingsVersion> rejected = new LinkedHashSet<>();
+    private final TransferSlots transferSlots = new TransferSlots();
     private final long serviceTrustedFromNanos;
     private SettingsPullState pull;
     private SettingsContent pendingAdoption;
@@ -66,15 +74,27 @@
     private long nextOfferAtNanos;
     private long nextReadAtNanos;
     private boolean watching;
+    private long offerAgainUntilNanos;
+    private long nextOfferAgainAtNanos;
+
+    /** A version that a peer has in force, the failed pulls of it from that peer, and when to ask a busy peer again. */
+    private record Offer(SettingsVersion version, int failedPulls, long askAtNanos) {
+        Offer afterFailedPull() {
+            return new Offer(version, failedPulls + 1, askAtNanos);
+        }
 
-    /** A version that a peer has in force, and the number of failed pulls of it from that peer. */
-    private record Offer(SettingsVersion version, int failedPulls) {}
+        Offer askedAgainAt(long atNanos) {
+            return new Offer(version, failedPulls, atNanos);
+        }
+    }
 
     public SettingsGossip(Peer self, List<PeerAddress> seeds, RandomGenerator random, long nowNanos) {
         this.self = self;
         this.seeds = seeds.stream().filter(seed -> !seed.equals(self.address())).toList();
         this.random = random;
         this.nextOfferAtNanos = nowNanos;
+        this.offerAgainUntilNanos = nowNanos;
+        this.nextOfferAgainAtNanos = nowNanos;
         this.serviceTrustedFromNanos =
                 this.seeds.isEmpty() ? nowNanos : nowNanos + PEERS_ONLY_NANOS + random.nextLong(PEERS_ONLY_NANOS / 4);
         this.nextReadAtNanos = serviceTrustedFromNanos;
@@ -93,7 +113,9 @@
     /** Runs due timers. */
     public List<ClusterAction> tick(long nowNanos) {
         List<ClusterAction> actions = new ArrayList<>();
-        if (pull != null && nowNanos - pull.progressAtNanos() >= PULL_TIMEOUT_NANOS) {
+        if (pull != null && pull.isWaitingForSource()) {
+            continuePullElsewhere(nowNanos, actions);
+        } else if (pull != null && nowNanos - pull.progressAtNanos() >= PULL_TIMEOUT_NANOS) {
             retryPull(nowNanos, actions);
         }
         startPull(nowNanos, actions);
@@ -149,7 +171,12 @@
             if (offers.size() >= MAX_OFFERS) {
                 offers.remove(offers.keySet().iterator().next());
             }
-            offers.put(from.address(), new Offer(version, 0));
+            Offer known = offers.get(from.address());
+            boolean repeated = known != null && known.version().equals(version);
+            offers.put(from.address(), new Offer(version, 0, repeated ? known.askAtNanos() : nowNanos));
+            if (pull != null && pull.isWaitingForSource()) {
+                continuePullElsewhere(nowNanos, actions);
+            }
             startPull(nowNanos, actions);
         }
         return actions;
@@ -166,11 +193,13 @@
         } else if (message instanceof PeerMessage.SettingsPull request) {
             answerPull(request.have(), actions);
         } else if (message instanceof PeerMessage.SettingsPartPull request) {
-            answerPartPull(request, actions);
+            answerPartPull(from, request, nowNanos, actions);
         } else if (message instanceof PeerMessage.SettingsManifest manifest) {
             handleManifest(from, manifest, nowNanos, actions);
         } else if (message instanceof PeerMessage.SettingsPart part) {
             handlePart(from, part, nowNanos, actions);
+        } else if (message instanceof PeerMessage.SettingsBusy busy) {
+            handleBusy(from, busy, nowNanos, actions);
         }
         return actions;
     }
@@ -184,13 +213,41 @@
         history.add(pendingAdoption);
         pendingAdoption = null;
         offers.values().removeIf(offer -> !offer.version().isNewerThan(version));
-        for (Peer peer : randomPeers.subList(0, Math.min(OFFER_FANOUT, randomPeers.size()))) {
-            actions.add(new ClusterAction.Send(peer.address(), new PeerMessage.SettingsOffer(version)));
-        }
+        offerTo(randomPeers, actions);
         startPull(nowNanos, actions);
         return actions;
     }
 
+    /**
+     * Whether to call {@link #offerAgain}: this host has a free slot and has read or served a large part of the version
+     * in force so recently that other hosts may lack it.
+     */
+    public boolean isOfferDue(long nowNanos) {
+        return pendingAdoption == null
+                && nowNanos - offerAgainUntilNanos < 0
+                && nowNanos - nextOfferAgainAtNanos >= 0
+                && transferSlots.hasFree(nowNanos);
+    }
+
+    /** Offers the version in force to more peers. */
+    public List<ClusterAction> offerAgain(List<Peer> randomPeers, long nowNanos) {
+        nextOfferAgainAtNanos = nowNanos + OFFER_INTERVAL_NANOS;
+        List<ClusterAction> actions = new ArrayList<>();
+        offerTo(randomPeers, actions);
+        return actions;
+    }
+
+    private void offerAgainSoon(long nowNanos) {
+        offerAgainUntilNanos = nowNanos + OFFER_AGAIN_NANOS;
+        nextOfferAgainAtNanos = nowNanos;
+    }
+
+    private void offerTo(List<Peer> randomPeers, List<ClusterAction> actions) {
+        for (Peer peer : randomPeers.subList(0, Math.min(OFFER_FANOUT, randomPeers.size()))) {
+            actions.add(new ClusterAction.Send(peer.address(), new PeerMessage.SettingsOffer(inForce())));
+        }
+    }
+
     /** Reports that the driver found a version invalid. It is not pulled again; the version in force is unchanged. */
     public void rejected(SettingsVersion version) {
         if (pendingAdoption != null && pendingAdoption.version().equals(version)) {
@@ -221,14 +278,14 @@
         if (pull != null || pendingAdoption != null || offers.isEmpty()) {
             return;
         }
-        Offer best = offers.values().stream()
-                .max(Comparator.comparing(Offer::version).thenComparing(offer -> -offer.failedPulls()))
+        SettingsVersion newest = offers.values().stream()
+                .map(Offer::version)
+                .max(Comparator.naturalOrder())
                 .orElseThrow();
-        List<PeerAddress> sources = offers.entrySet().stream()
-                .filter(entry -> entry.getValue().equals(best))
-                .map(Map.Entry::getKey)
-                .toList();
-        PeerAddress source = sources.get(random.nextInt(sources.size()));
+        PeerAddress source = chooseSource(newest, nowNanos).orElse(null);
+        if (source == null) {
+            return;
+        }
         pull = new SettingsPullState(source, history, nowNanos);
         actions.add(new ClusterAction.Send(source, new PeerMessage.SettingsPull(inForce())));
     }
@@ -241,10 +298,64 @@
         }
         offers.computeIfPresent(
                 pull.source(),
-                (source, offer) -> offer.failedPulls() + 1 >= MAX_FAILED_PULLS
-                        ? null
-                        : new Offer(offer.version(), offer.failedPulls() + 1));
-        pull = null;
+                (source, offer) -> offer.failedPulls() + 1 >= MAX_FAILED_PULLS ? null : offer.afterFailedPull());
+        if (pull.isWaitingForManifest()) {
+            pull = null;
+        } else {
+            continuePullElsewhere(nowNanos, actions);
+        }
+    }
+
+    /** Continues a pull at a peer that is not busy, with the parts that have arrived. */
+    private void continuePullElsewhere(long nowNanos, List<ClusterAction> actions) {
+        SettingsVersion version = pull.version();
+        boolean superseded =
+                offers.values().stream().anyMatch(offer -> offer.version().isNewerThan(version));
+        boolean offered =
+                offers.values().stream().anyMatch(offer -> offer.version().equals(version));
+        if (superseded || !offered) {
+            pull = null;
+            return;
+        }
+        PeerAddress source = chooseSource(version, nowNanos).orElse(null);
+        if (source == null) {
+            pull.waitForSource();
+            return;
+        }
+        pull.continueAt(source, nowNanos).ifPresent(next -> actions.add(new ClusterAction.Send(source, next)));
+    }
+
+    /** A random peer that offers this version and is not busy, among those with the fewest failed pulls. */
+    private Optional<PeerAddress> chooseSource(SettingsVersion version, long nowNanos) {
+        List<Map.Entry<PeerAddress, Offer>> idle = offers.entrySet().stream()
+                .filter(entry -> entry.getValue().version().equals(version))
+                .filter(entry -> nowNanos - entry.getValue().askAtNanos() >= 0)
+                .toList();
+        if (idle.isEmpty()) {
+            return Optional.empty();
+        }
+        int fewestFailed = idle.stream()
+                .mapToInt(entry -> entry.getValue().failedPulls())
+                .min()
+                .orElseThrow();
+        List<PeerAddress> best = idle.stream()
+                .filter(entry -> entry.getValue().failedPulls() == fewestFailed)
+                .map(Map.Entry::getKey)
+                .toList();
+        return Optional.of(best.get(random.nextInt(best.size())));
+    }
+
+    private void handleBusy(Peer from, PeerMessage.SettingsBusy busy, long nowNanos, List<ClusterAction> actions) {
+        boolean expected = pull != null
+                && !pull.isWaitingForSource()
+                && from.address().equals(pull.source())
+                && busy.version().equals(pull.version());
+        if (!expected) {
+            return;
+        }
+        long askAtNanos = nowNanos + BUSY_RETRY_NANOS / 2 + random.nextLong(BUSY_RETRY_NANOS);
+        offers.computeIfPresent(pull.source(), (source, offer) -> offer.askedAgainAt(askAtNanos));
+        continuePullElsewhere(nowNanos, actions);
     }
 
     private void handleManifest(
@@ -260,7 +371,7 @@
         }
         try {
             pull.handleManifest(manifest, nowNanos);
-            continuePull(actions);
+            continuePull(nowNanos, actions);
         } catch (FigspanException e) {
             failPull(manifest.version(), e, nowNanos, actions);
         }
@@ -274,16 +385,20 @@
             return;
         }
         try {
-            pull.handlePart(part.change(), nowNanos);
-            continuePull(actions);
+            if (pull.handlePart(part, nowNanos)) {
+                continuePull(nowNanos, actions);
+            }
         } catch (FigspanException e) {
             failPull(part.version(), e, nowNanos, actions);
         }
     }
 
-    private void continuePull(List<ClusterAction> actions) {
+    private void continuePull(long nowNanos, List<ClusterAction> actions) {
         if (pull.isComplete()) {
             SettingsContent content = pull.content();
+            if (pull.hasRequestedParts()) {
+                offerAgainSoon(nowNanos);
+            }
             pull = null;
             adopt(content, actions);
             return;
@@ -356,7 +471,8 @@
         return inline;
     }
 
-    private void answerPartPull(PeerMessage.SettingsPartPull request, List<ClusterAction> actions) {
+    private void answerPartPull(
+            Peer from, PeerMessage.SettingsPartPull request, long nowNanos, List<ClusterAction> actions) {
         ContentHistory.Entry entry = history.find(request.version()).orElse(null);
         if (entry == null) {
             actions.add(new ClusterAction.Reply(new PeerMessage.SettingsOffer(inForce())));
@@ -366,8 +482,34 @@
         if (digest == null) {
             return;
         }
+        if (!transferSlots.admit(from.address(), nowNanos)) {
+            actions.add(new ClusterAction.Reply(new PeerMessage.SettingsBusy(request.version())));
+            return;
+        }
         Bytes target = entry.content().parts().get(request.name());
-        actions.add(new ClusterAction.Reply(new PeerMessage.SettingsPart(
-                request.version(), history.encode(request.name(), digest, target, request.base()))));
+        PartChange change = history.encode(request.name(), digest, target, request.base());
+        answerChunk(from, request, change, nowNanos, actions);
+    }
+
+    private void answerChunk(
+            Peer from,
+            PeerMessage.SettingsPartPull request,
+            PartChange change,
+            long nowNanos,
+            List<ClusterAction> actions) {
+        int encodedBytes = change.content().size();
+        int offset = request.offsetBytes();
+        if (offset < 0 || offset >= encodedBytes) {
+            return;
+        }
+        int end = Math.min(offset + PartAssembly.CHUNK_BYTES, encodedBytes);
+        Bytes chunk = Bytes.wrap(Arrays.copyOfRange(change.content().unsafeArray(), offset, end));
+        PartChange part = new PartChange(change.name(), change.digest(), change.base(), chunk);
+        actions.add(
+                new ClusterAction.Reply(new PeerMessage.SettingsPart(request.version(), part, offset, encodedBytes)));
+        if (request.lastPart() && end == encodedBytes) {
+            transferSlots.release(from.address());
+            offerAgainSoon(nowNanos);
+        }
     }
 }
--- a/figspan-cluster/src/main/java/io/figspan/cluster/spread/SettingsPullState.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/spread/SettingsPullState.java
@@ -14,17 +14,23 @@
 import java.util.Map;
 import java.util.Optional;
 
-/** State of a settings pull. Assembles one version from the messages of one peer and verifies each digest. */
+/**
+ * State of a settings pull. Assembles one version from the messages of a peer and verifies each digest. The parts that
+ * have arrived are kept when the pull continues at another peer.
+ */
 final class SettingsPullState {
     /** Maximum number of parts in one version, from the design page. */
     private static final int MAX_PARTS = 64;
 
-    private final PeerAddress source;
     private final ContentHistory history;
+    private final PartAssembly assembly = new PartAssembly();
     private final Map<String, Bytes> parts = new HashMap<>();
     private final Map<String, Bytes> missing = new LinkedHashMap<>();
+    private PeerAddress source;
+    private boolean waitingForSource;
     private SettingsVersion version = SettingsVersion.NONE;
     private int expectedInlineParts;
+    private boolean requestedParts;
     private boolean hasManifest;
     private long progressAtNanos;
 
@@ -46,6 +52,11 @@
         return progressAtNanos;
     }
 
+    /** Whether every known source is busy, so that no answer is outstanding. */
+    boolean isWaitingForSource() {
+        return waitingForSource;
+    }
+
     boolean isWaitingForManifest() {
         return !hasManifest;
     }
@@ -54,6 +65,11 @@
         return hasManifest && missing.isEmpty();
     }
 
+    /** Whether parts were too large to come with the manifest. */
+    boolean hasRequestedParts() {
+        return requestedParts;
+    }
+
     SettingsContent content() {
         return SettingsContent.of(version, parts);
     }
@@ -88,13 +104,22 @@
         }
     }
 
-    void handlePart(PartChange change, long nowNanos) {
-        progressAtNanos = nowNanos;
+    /** Handles a chunk; returns false for one that was not expected, such as a duplicate. */
+    boolean handlePart(PeerMessage.SettingsPart part, long nowNanos) {
+        boolean inline = expectedInlineParts > 0;
         expectedInlineParts = Math.max(0, expectedInlineParts - 1);
-        Bytes expected = missing.get(change.name());
-        if (expected == null) {
-            return;
+        Bytes expected = missing.get(part.change().name());
+        boolean accepted = expected != null && assembly.add(part);
+        if (accepted || inline) {
+            progressAtNanos = nowNanos;
+        }
+        if (accepted && assembly.isComplete()) {
+            completePart(assembly.take(), expected);
         }
+        return accepted || inline;
+    }
+
+    private void completePart(PartChange change, Bytes expected) {
         Bytes part = decode(change);
         if (!ContentHistory.sha256(part).equals(expected)) {
             throw invalid("part " + change.name() + " does not match its digest in the manifest");
@@ -104,14 +129,32 @@
         history.cacheChange(change.base(), change);
     }
 
-    /** The request for the next missing part; empty while inline parts are still expected. */
+    /** The request for the next missing chunk; empty while inline parts are still expected. */
     Optional<PeerMessage> nextPartPull() {
         if (!hasManifest || expectedInlineParts > 0 || missing.isEmpty()) {
             return Optional.empty();
         }
+        requestedParts = true;
         String name = missing.keySet().iterator().next();
         Bytes base = history.newest().digests().getOrDefault(name, Bytes.EMPTY);
-        return Optional.of(new PeerMessage.SettingsPartPull(version, name, base));
+        boolean lastPart = missing.size() == 1;
+        return Optional.of(new PeerMessage.SettingsPartPull(version, name, base, assembly.receivedBytes(), lastPart));
+    }
+
+    /** Continues at this peer with the first missing part; a part that has arrived in part is requested again. */
+    Optional<PeerMessage> continueAt(PeerAddress peer, long nowNanos) {
+        if (!peer.equals(source)) {
+            source = peer;
+            assembly.clear();
+        }
+        expectedInlineParts = 0;
+        waitingForSource = false;
+        progressAtNanos = nowNanos;
+        return nextPartPull();
+    }
+
+    void waitForSource() {
+        waitingForSource = true;
     }
 
     /**
--- a/figspan-wire/src/main/java/io/figspan/wire/Hello.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/Hello.java
@@ -9,7 +9,7 @@
  */
 record Hello(int protocol, Bytes nonce, Peer sender) {
     /** Protocol version; incremented when a release can't decode the frames of the previous one. */
-    static final int PROTOCOL = 1;
+    static final int PROTOCOL = 2;
 
     static final int NONCE_BYTES = 16;
 
--- a/figspan-wire/src/main/java/io/figspan/wire/MessageReader.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/MessageReader.java
@@ -48,8 +48,14 @@
                         readVersion(), readVersion(), unpacker.unpackInt(), readDigests(), readNames());
             case SETTINGS_PART ->
                 new PeerMessage.SettingsPart(
-                        readVersion(), new PartChange(readString(), readBytes(), readBytes(), readBytes()));
-            case SETTINGS_PART_PULL -> new PeerMessage.SettingsPartPull(readVersion(), readString(), readBytes());
+                        readVersion(),
+                        new PartChange(readString(), readBytes(), readBytes(), readBytes()),
+                        unpacker.unpackInt(),
+                        unpacker.unpackInt());
+            case SETTINGS_PART_PULL ->
+                new PeerMessage.SettingsPartPull(
+                        readVersion(), readString(), readBytes(), unpacker.unpackInt(), unpacker.unpackBoolean());
+            case SETTINGS_BUSY -> new PeerMessage.SettingsBusy(readVersion());
             case LOAN_REQUEST ->
                 new PeerMessage.LoanRequest(
                         unpacker.unpackLong(), OrganisationId.of(readString()), unpacker.unpackLong());
--- a/figspan-wire/src/main/java/io/figspan/wire/MessageWriter.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/MessageWriter.java
@@ -34,7 +34,7 @@
     void write(PeerMessage message) throws IOException {
         switch (MessageKind.of(message)) {
             case PING, ACK, PING_REQUEST, MEMBERS_PULL, MEMBERS_PAGE, LEAVING_NOTICE -> writeMembership(message);
-            case SETTINGS_OFFER, SETTINGS_PULL, SETTINGS_MANIFEST, SETTINGS_PART, SETTINGS_PART_PULL ->
+            case SETTINGS_OFFER, SETTINGS_PULL, SETTINGS_MANIFEST, SETTINGS_PART, SETTINGS_PART_PULL, SETTINGS_BUSY ->
                 writeSettings(message);
             case LOAN_REQUEST, LOAN_GRANT -> writeLoan(message);
             case WORK_REPORT -> writeWork((PeerMessage.WorkReport) message);
@@ -87,6 +87,8 @@
             packer.packLong(pull.version().number());
             packer.packString(pull.name());
             writeBytes(pull.base());
+            packer.packInt(pull.offsetBytes());
+            packer.packBoolean(pull.lastPart());
         } else if (message instanceof PeerMessage.SettingsPart part) {
             PartChange change = part.change();
             packer.packLong(part.version().number());
@@ -94,6 +96,10 @@
             writeBytes(change.digest());
             writeBytes(change.base());
             writeBytes(change.content());
+            packer.packInt(part.offsetBytes());
+            packer.packInt(part.encodedBytes());
+        } else if (message instanceof PeerMessage.SettingsBusy busy) {
+            packer.packLong(busy.version().number());
         }
     }
 
--- a/figspan-wire/src/test/java/io/figspan/wire/FrameCodecProperties.java
+++ b/figspan-wire/src/test/java/io/figspan/wire/FrameCodecProperties.java
@@ -55,8 +55,10 @@
             new PeerMessage.SettingsPull(VERSION_9),
             new PeerMessage.SettingsManifest(
                     VERSION_9, VERSION_9, 1, List.of(new PartDigest("fleet", SAMPLE_BYTES)), List.of("gone")),
-            new PeerMessage.SettingsPartPull(VERSION_9, "fleet", SAMPLE_BYTES),
-            new PeerMessage.SettingsPart(VERSION_9, new PartChange("fleet", SAMPLE_BYTES, Bytes.EMPTY, SAMPLE_BYTES)),
+            new PeerMessage.SettingsPartPull(VERSION_9, "fleet", SAMPLE_BYTES, 65_536, true),
+            new PeerMessage.SettingsPart(
+                    VERSION_9, new PartChange("fleet", SAMPLE_BYTES, Bytes.EMPTY, SAMPLE_BYTES), 65_536, 65_539),
+            new PeerMessage.SettingsBusy(VERSION_9),
             new PeerMessage.LoanRequest(3, OrganisationId.of("org"), 500),
             new PeerMessage.LoanGrant(3, OrganisationId.of("org"), 500, 2_000),
             new PeerMessage.ForwardOrder(4, "ticket", "org", "request", 1_500, SAMPLE_BYTES),
@@ -108,7 +110,7 @@
 
     @Property(seed = "12")
     void messagesWithAChangedByteAreDecodedOrRefused(
-            @ForAll @IntRange(max = 16) int kind, @ForAll @IntRange(max = 400) int position, @ForAll byte value) {
+            @ForAll @IntRange(max = 17) int kind, @ForAll @IntRange(max = 400) int position, @ForAll byte value) {
         byte[] body = FrameCodec.encode(ONE_OF_EACH.get(kind), HybridTimestamp.ZERO);
         body[position % body.length] = value;
         decodeOrRefuse(body);
