--- a/figspan-host/src/test/java/io/figspan/host/peer/PeerNodeTest.java
+++ b/figspan-host/src/test/java/io/figspan/host/peer/PeerNodeTest.java
@@ -43,6 +43,7 @@
 class PeerNodeTest {
     private static final int LIMIT_SECONDS = 30;
     private static final long SKEW_MS = 30_000;
+    private static final int LARGE_PART_BYTES = 900_000;
     private static final PeerKey KEY = PeerKey.of("0123456789abcdef".getBytes(StandardCharsets.UTF_8));
 
     private final Vertx vertx = Vertx.vertx();
@@ -162,6 +163,16 @@
         assertFalse(nodes.get(0).node.view().liveAt(HostId.of("d")).isPresent());
     }
 
+    /** Guards against parts that pass in simulation but not in the frames between hosts. */
+    @Test
+    void aPartOfManyChunksReachesAllNodes() throws IOException {
+        start(4);
+        byte[] part = new byte[LARGE_PART_BYTES];
+        new SplittableRandom(1).nextBytes(part);
+        published.onNext(SettingsContent.of(new SettingsVersion(7), Map.of("large", Bytes.wrap(part))));
+        nodes.forEach(started -> started.await("version 7"));
+    }
+
     private void start(int count) throws IOException {
         List<PeerAddress> addresses = new ArrayList<>();
         for (int port : FreePorts.pick("127.0.0.1", count)) {
