--- a/figspan-host/src/main/java/io/figspan/host/platform/ConfigurationServiceReader.java
+++ b/figspan-host/src/main/java/io/figspan/host/platform/ConfigurationServiceReader.java
@@ -24,30 +24,22 @@
 import io.vertx.core.http.RequestOptions;
 import java.nio.charset.StandardCharsets;
 import java.util.Collection;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.SortedMap;
 import java.util.TreeMap;
-import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 
 /**
  * Reads and watches the settings at the configuration service: one long-polled watch of the manifest, then one read for
  * each part whose digest has changed, so that one change among 16,000 organisations costs one part. A part that does
- * not have the digest of the manifest fails the read, because the two were read between two writes. Parts that were
- * read before a failure are kept for the next read.
+ * not have the digest of the manifest fails the read, because the two were read between two writes.
  */
 public final class ConfigurationServiceReader implements ConfigurationSource {
-    /** Limit of the time without a byte of the answer. */
-    private static final int READ_TIMEOUT_MS = 2_000;
+    private static final long READ_TIMEOUT_MS = 2_000;
 
     /** A watch that nothing changes is started again after this time, so that a dead connection is noticed. */
-    private static final int WATCH_MS = 30_000;
-
-    private static final int WATCH_TIMEOUT_MS = WATCH_MS + READ_TIMEOUT_MS;
-    private static final int CONNECT_TIMEOUT_MS = 500;
+    private static final long WATCH_MS = 30_000;
 
     private static final Location LOCATION = Location.of("configuration service");
     private static final String INDEX_HEADER = "Config-Index";
@@ -59,30 +51,20 @@
     private record Answer(Optional<String> text, long index) {}
 
     private final PeerAddress service;
-    private final HttpClient readClient;
-    private final HttpClient watchClient;
+    private final HttpClient client;
     private final BiConsumer<SettingsVersion, Problem> refusals;
-    private final Map<String, SettingsPart> knownParts = new ConcurrentHashMap<>();
+    private volatile Map<String, SettingsPart> lastParts = Map.of();
 
     /** {@code refusals} is told of a version that cannot be read whole. */
     public ConfigurationServiceReader(Vertx vertx, PeerAddress service, BiConsumer<SettingsVersion, Problem> refusals) {
         this.refusals = refusals;
         this.service = service;
-        this.readClient = client(vertx, READ_TIMEOUT_MS);
-        this.watchClient = client(vertx, WATCH_TIMEOUT_MS);
-    }
-
-    /** The idle timeout also covers the body, which the timeout of a request does not. */
-    private static HttpClient client(Vertx vertx, int idleTimeoutMs) {
-        return vertx.createHttpClient(new HttpClientOptions()
-                .setConnectTimeout(CONNECT_TIMEOUT_MS)
-                .setIdleTimeout(idleTimeoutMs)
-                .setIdleTimeoutUnit(TimeUnit.MILLISECONDS));
+        this.client = vertx.createHttpClient(new HttpClientOptions().setConnectTimeout(500));
     }
 
     @Override
     public Maybe<SettingsContent> read() {
-        return get(readClient, SettingsManifest.KEY, "", READ_TIMEOUT_MS).flatMapMaybe(this::fetch);
+        return get(SettingsManifest.KEY, "", READ_TIMEOUT_MS).flatMapMaybe(this::fetch);
     }
 
     @Override
@@ -93,7 +75,7 @@
     /** Waits for an index other than {@code seenIndex}, emits that version, and goes on from its index. */
     private Flowable<SettingsContent> watchFrom(long seenIndex) {
         String query = "?watch=" + seenIndex + "&waitMs=" + WATCH_MS;
-        return get(watchClient, SettingsManifest.KEY, query, WATCH_TIMEOUT_MS)
+        return get(SettingsManifest.KEY, query, WATCH_MS + READ_TIMEOUT_MS)
                 .flatMapPublisher(answer ->
                         fetch(answer).toFlowable().concatWith(Flowable.defer(() -> watchFrom(answer.index()))));
     }
@@ -103,24 +85,21 @@
             return Maybe.empty();
         }
         SettingsManifest manifest = SettingsManifest.fromJson(answer.text().get());
-        List<String> names =
-                manifest.parts().stream().map(SettingsManifest.PartDigest::name).toList();
-        knownParts.keySet().retainAll(names);
         return Flowable.fromIterable(manifest.parts())
                 .concatMapSingle(part -> read(manifest.version(), part))
                 .toMap(SettingsPart::name)
+                .doOnSuccess(parts -> lastParts = Map.copyOf(parts))
                 .map(parts -> content(manifest.version(), parts.values()))
                 .toMaybe();
     }
 
     private Single<SettingsPart> read(SettingsVersion version, SettingsManifest.PartDigest wanted) {
-        SettingsPart known = knownParts.get(wanted.name());
+        SettingsPart known = lastParts.get(wanted.name());
         if (known != null && known.sha256().equals(wanted.sha256())) {
             return Single.just(known);
         }
-        return get(readClient, SettingsManifest.partKey(wanted.name()), "", READ_TIMEOUT_MS)
-                .map(value -> checked(version, wanted, value))
-                .doOnSuccess(part -> knownParts.put(part.name(), part));
+        return get(SettingsManifest.partKey(wanted.name()), "", READ_TIMEOUT_MS)
+                .map(value -> checked(version, wanted, value));
     }
 
     private static SettingsContent content(SettingsVersion version, Collection<SettingsPart> parts) {
@@ -140,7 +119,7 @@
         return part;
     }
 
-    private Single<Answer> get(HttpClient client, String key, String query, long timeoutMs) {
+    private Single<Answer> get(String key, String query, long timeoutMs) {
         RequestOptions options = new RequestOptions()
                 .setMethod(HttpMethod.GET)
                 .setHost(service.address())
