--- a/figspan-gateway/src/main/java/io/figspan/gateway/peer/ServedCopy.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/peer/ServedCopy.java
@@ -13,12 +13,14 @@
 
     /** The changes after a revision, encoded for other hosts. */
     static final class Encoded {
+        private final long revision;
         private final long changeCount;
         private final long afterRevision;
         private final boolean isCompressed;
         private final byte[] body;
 
         private Encoded(ItemCopy copy, long afterRevision, boolean isCompressed) {
+            this.revision = copy.revision();
             this.changeCount = copy.changeCount();
             this.afterRevision = afterRevision;
             this.isCompressed = isCompressed;
@@ -58,6 +60,7 @@
     /** Most readers ask for the same changes, so the last response is kept. */
     private Encoded encoded(long afterRevision, boolean isCompressed) {
         boolean isSame = lastEncoded != null
+                && lastEncoded.revision == copy.revision()
                 && lastEncoded.changeCount == copy.changeCount()
                 && lastEncoded.afterRevision == afterRevision
                 && lastEncoded.isCompressed == isCompressed;
--- a/figspan-gateway/src/main/java/io/figspan/gateway/store/ItemCopy.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/store/ItemCopy.java
@@ -33,17 +33,21 @@
         return revision;
     }
 
-    /** Increases with each change of this copy. */
+    /** Increases with each change of an item. */
     public long changeCount() {
         return changeCount;
     }
 
     /** Applies changes that follow this copy without a gap. Returns those that are newer, oldest first. */
     public List<Item> apply(List<Item> changes) {
-        changes.forEach(change -> revision = Math.max(revision, change.revision()));
+        raiseRevision(changes);
         return merge(changes);
     }
 
+    private void raiseRevision(List<Item> changes) {
+        changes.forEach(change -> revision = Math.max(revision, change.revision()));
+    }
+
     /** Applies the changes that are newer than the known items, whatever their revisions. Returns these. */
     private List<Item> merge(List<Item> changes) {
         List<Item> newer = new ArrayList<>();
@@ -97,8 +101,10 @@
             }
         }
         changes.addAll(snapshot);
-        revision = asOfRevision;
-        changeCount++;
+        // Items that were written after the first page don't mean that everything before them is known.
+        raiseRevision(changes.stream()
+                .filter(change -> change.revision() <= asOfRevision)
+                .toList());
         return merge(changes);
     }
 
@@ -111,7 +117,6 @@
             return applySnapshot(other.items(), other.revision());
         }
         revision = other.revision();
-        changeCount++;
         return merge(other.items());
     }
 
--- a/figspan-gateway/src/test/java/io/figspan/gateway/peer/CopyEndpointTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/peer/CopyEndpointTest.java
@@ -157,6 +157,15 @@
                 List.of(11L, 12L), served.items().stream().map(Item::revision).toList());
     }
 
+    /** Guards against readers that never reach a revision without changes, because a kept copy claims an older one. */
+    @Test
+    void aCopyWhoseRevisionAloneHasChangedIsEncodedAgain() {
+        get("/copies/settings").writtenListener().run();
+        settings.applyChanges(new ItemChanges(9, 6, List.of()));
+
+        assertEquals(9, changes(get("/copies/settings")).revision());
+    }
+
     private static Item smallItem(String key, long revision) {
         return new Item(key, Optional.of(new byte[] {1}), revision);
     }
--- a/figspan-gateway/src/test/java/io/figspan/gateway/store/ItemCopyTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/store/ItemCopyTest.java
@@ -146,4 +146,25 @@
 
         assertEquals(List.of("a"), changes.stream().map(Item::key).toList());
     }
+
+    /** Guards against hosts that read from each other although no item has changed. */
+    @Test
+    void aSnapshotClaimsNoLaterRevisionThanThatOfItsItems() {
+        copy.applySnapshot(List.of(item("a", 5), item("b", 7)), 30);
+
+        assertEquals(7, copy.revision());
+    }
+
+    @Test
+    void aRemovalThatASnapshotShowsIsPassedOnToOtherHosts() {
+        copy.applySnapshot(List.of(item("a", 5), item("b", 7)), 10);
+        ItemCopy reader = new ItemCopy();
+        reader.applyChanges(copy.changesAfter(reader.revision()));
+
+        copy.applySnapshot(List.of(item("b", 7)), 30);
+        List<Item> changes = reader.applyChanges(copy.changesAfter(reader.revision()));
+
+        assertEquals(30, copy.revision());
+        assertEquals(List.of("a"), changes.stream().map(Item::key).toList());
+    }
 }
