Bound each read of the platform's services in time, and lose no event of a response

Cause, as far as the dump and the code show: a read that starts on a thread of no event loop sets the handler of the body on that thread, and events that arrived before are lost; and the timeout of a request ends with the head, so nothing ended the wait. PlatformClient, which both readers use now, runs all callbacks on one context, and resets a request whose whole exchange takes longer than its limit.

--- a/figspan-host/src/main/java/io/figspan/host/platform/ConfigurationServiceReader.java
+++ b/figspan-host/src/main/java/io/figspan/host/platform/ConfigurationServiceReader.java
@@ -17,11 +17,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpClient;
-import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientResponse;
-import io.vertx.core.http.HttpMethod;
-import io.vertx.core.http.RequestOptions;
 import java.nio.charset.StandardCharsets;
 import java.util.Collection;
 import java.util.Map;
@@ -50,16 +46,14 @@
     /** A value with its index; the text is empty for a missing key and for a watch that ran out. */
     private record Answer(Optional<String> text, long index) {}
 
-    private final PeerAddress service;
-    private final HttpClient client;
+    private final PlatformClient client;
     private final BiConsumer<SettingsVersion, Problem> refusals;
     private volatile Map<String, SettingsPart> lastParts = Map.of();
 
     /** {@code refusals} is told of a version that cannot be read whole. */
     public ConfigurationServiceReader(Vertx vertx, PeerAddress service, BiConsumer<SettingsVersion, Problem> refusals) {
         this.refusals = refusals;
-        this.service = service;
-        this.client = vertx.createHttpClient(new HttpClientOptions().setConnectTimeout(500));
+        this.client = new PlatformClient(vertx, service);
     }
 
     @Override
@@ -120,17 +114,10 @@
     }
 
     private Single<Answer> get(String key, String query, long timeoutMs) {
-        RequestOptions options = new RequestOptions()
-                .setMethod(HttpMethod.GET)
-                .setHost(service.address())
-                .setPort(service.port())
-                .setURI("/config/" + key + query)
-                .setTimeout(timeoutMs);
-        return Single.create(emitter -> client.request(options)
-                .compose(request -> request.send())
-                .compose(ConfigurationServiceReader::answer)
-                .onSuccess(emitter::onSuccess)
-                .onFailure(emitter::tryOnError));
+        return Single.create(
+                emitter -> client.get("/config/" + key + query, timeoutMs, ConfigurationServiceReader::answer)
+                        .onSuccess(emitter::onSuccess)
+                        .onFailure(emitter::tryOnError));
     }
 
     private static Future<Answer> answer(HttpClientResponse response) {
--- a/figspan-host/src/main/java/io/figspan/host/platform/FleetListPoller.java
+++ b/figspan-host/src/main/java/io/figspan/host/platform/FleetListPoller.java
@@ -5,10 +5,7 @@
 import io.figspan.host.HostContext;
 import io.figspan.settings.FleetList;
 import io.figspan.settings.cfg.PeerAddress;
-import io.vertx.core.http.HttpClient;
-import io.vertx.core.http.HttpClientOptions;
-import io.vertx.core.http.HttpMethod;
-import io.vertx.core.http.RequestOptions;
+import io.vertx.core.http.HttpClientResponse;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -21,17 +18,15 @@
     private static final String PATH = "/hosts";
 
     private final HostContext context;
-    private final PeerAddress platform;
     private final Consumer<FleetList> listener;
-    private final HttpClient client;
+    private final PlatformClient client;
     private boolean inFlight;
     private boolean failing;
 
     public FleetListPoller(HostContext context, PeerAddress platform, Consumer<FleetList> listener) {
         this.context = context;
-        this.platform = platform;
         this.listener = listener;
-        this.client = context.vertx().createHttpClient(new HttpClientOptions().setConnectTimeout(500));
+        this.client = new PlatformClient(context.vertx(), platform);
     }
 
     public void start() {
@@ -44,23 +39,14 @@
             return;
         }
         inFlight = true;
-        RequestOptions options = new RequestOptions()
-                .setMethod(HttpMethod.GET)
-                .setHost(platform.address())
-                .setPort(platform.port())
-                .setURI(PATH)
-                .setTimeout(TIMEOUT_MS);
-        client.request(options)
-                .compose(request -> request.send())
-                .compose(response -> response.body())
-                .onComplete(result -> {
-                    inFlight = false;
-                    if (result.succeeded()) {
-                        accept(result.result().toString());
-                    } else {
-                        note(String.valueOf(result.cause().getMessage()));
-                    }
-                });
+        client.get(PATH, TIMEOUT_MS, HttpClientResponse::body).onComplete(result -> {
+            inFlight = false;
+            if (result.succeeded()) {
+                accept(result.result().toString());
+            } else {
+                note(String.valueOf(result.cause().getMessage()));
+            }
+        });
     }
 
     private void accept(String json) {
--- a/figspan-host/src/test/java/io/figspan/host/platform/ConfigurationServiceReaderTest.java
+++ b/figspan-host/src/test/java/io/figspan/host/platform/ConfigurationServiceReaderTest.java
@@ -10,6 +10,7 @@
 import io.figspan.standin.platform.ConfigurationStore;
 import io.figspan.standin.platform.PlatformStandins;
 import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -63,4 +64,16 @@
         assertThrows(FigspanException.class, () -> reader.read().blockingGet());
         assertEquals(List.of(new SettingsVersion(1)), refused);
     }
+
+    /** Guards against a read, and a watch after it, that never ends because the service stalled within an answer. */
+    @Test
+    void aReadWhoseAnswerStallsAfterTheHeadFails() throws Exception {
+        HttpServer stalling = vertx.createHttpServer()
+                .requestHandler(request ->
+                        request.response().putHeader("Content-Length", "1000").write("begun"));
+        stalling.listen(0, ADDRESS).toCompletionStage().toCompletableFuture().get(LIMIT_SECONDS, TimeUnit.SECONDS);
+        ConfigurationServiceReader stalled = new ConfigurationServiceReader(
+                vertx, new PeerAddress(ADDRESS, stalling.actualPort()), (version, problem) -> refused.add(version));
+        stalled.read().test().awaitDone(LIMIT_SECONDS, TimeUnit.SECONDS).assertError(Throwable.class);
+    }
 }
