--- a/figspan-host/src/test/java/io/figspan/host/platform/ConfigurationServiceReaderTest.java
+++ b/figspan-host/src/test/java/io/figspan/host/platform/ConfigurationServiceReaderTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import io.figspan.cluster.spread.SettingsContent;
 import io.figspan.core.error.FigspanException;
 import io.figspan.core.id.SettingsVersion;
 import io.figspan.settings.SettingsManifest;
@@ -21,6 +22,7 @@
 
 class ConfigurationServiceReaderTest {
     private static final int LIMIT_SECONDS = 30;
+    private static final int MANY_READS = 2_000;
     private static final String ADDRESS = "127.0.0.1";
 
     private final Vertx vertx = Vertx.vertx();
@@ -76,4 +78,15 @@
                 vertx, new PeerAddress(ADDRESS, stalling.actualPort()), (version, problem) -> refused.add(version));
         stalled.read().test().awaitDone(LIMIT_SECONDS, TimeUnit.SECONDS).assertError(Throwable.class);
     }
+
+    /** Guards against a response whose body arrives before its handler is set, which left the read without an end. */
+    @Test
+    void noResponseIsLostWhenReadsStartOnAThreadOfNoEventLoop() {
+        for (int version = 1; version <= MANY_READS; version++) {
+            store.publish(version, Map.of("fleet", "v" + version));
+            SettingsContent content =
+                    reader.read().timeout(LIMIT_SECONDS, TimeUnit.SECONDS).blockingGet();
+            assertEquals(new SettingsVersion(version), content.version());
+        }
+    }
 }
