--- a/figspan-gateway/src/main/java/io/figspan/gateway/store/ItemCopy.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/store/ItemCopy.java
@@ -113,11 +113,9 @@
         if (other.revision() < revision || other.baseRevision() > revision) {
             return List.of();
         }
-        if (other.isSnapshot()) {
-            return applySnapshot(other.items(), other.revision());
-        }
+        List<Item> changes = other.isSnapshot() ? applySnapshot(other.items(), other.revision()) : merge(other.items());
         revision = other.revision();
-        return merge(other.items());
+        return changes;
     }
 
     /**
--- a/figspan-gateway/src/test/java/io/figspan/gateway/store/ItemCopyTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/store/ItemCopyTest.java
@@ -167,4 +167,16 @@
         assertEquals(30, copy.revision());
         assertEquals(List.of("a"), changes.stream().map(Item::key).toList());
     }
+
+    /** Guards against a host that never reaches the revision of another one and reads its copy again and again. */
+    @Test
+    void aSnapshotOfAnotherHostWhoseLastChangeIsARemovalReachesItsRevision() {
+        copy.applySnapshot(List.of(item("a", 5), item("b", 7)), 10);
+        copy.apply(List.of(removed("a", 30)));
+        ItemCopy reader = new ItemCopy();
+
+        reader.applyChanges(copy.changesAfter(reader.revision()));
+
+        assertEquals(30, reader.revision());
+    }
 }
