--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/CallLog.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/CallLog.java
@@ -3,6 +3,7 @@
 import io.figspan.core.error.Problem;
 import io.figspan.core.event.Part;
 import io.figspan.core.id.BackendServerId;
+import io.figspan.core.id.PromptPartId;
 import io.figspan.core.work.PrefillReader;
 import io.figspan.gateway.log.DecisionLog;
 import io.figspan.gateway.metrics.GatewayMetrics;
@@ -11,6 +12,7 @@
 import io.figspan.policy.placing.Placement;
 import io.figspan.policy.placing.PromptLengths;
 import io.figspan.settings.gateway.Route;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
@@ -20,14 +22,16 @@
     private final GatewayMetrics metrics;
     private final Job job;
     private final Route route;
+    private final List<PromptPartId> sharedParts;
     private final long settingsVersion;
     private final LongSupplier workViewAgeMs;
 
-    CallLog(Forwarder forwarder, Job job, Route route) {
+    CallLog(Forwarder forwarder, Job job, Route route, List<PromptPartId> sharedParts) {
         this.log = forwarder.log();
         this.metrics = forwarder.metrics();
         this.job = job;
         this.route = route;
+        this.sharedParts = sharedParts;
         this.settingsVersion = forwarder.settingsVersion().number();
         this.workViewAgeMs = forwarder::workViewAgeMs;
     }
@@ -69,6 +73,7 @@
                 .number(
                         "promptTokens",
                         job.prompt().map(PromptLengths::promptTokens).orElse(0L))
+                .text("parts", sharedParts)
                 .text("why", placement.reason())
                 .text(
                         "readers",
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
@@ -52,7 +52,7 @@
         this.route = route;
         this.body = body;
         this.job = job;
-        this.log = new CallLog(forwarder, job, route);
+        this.log = new CallLog(forwarder, job, route, request.sharedParts());
         this.response = new CallResponse(forwarder.callerProtocol(), caller, request.lastEventId());
         this.history = new AttemptHistory(route, job.deadline(), dispatcher::budget);
         this.starter = new AttemptStarter(forwarder, route, request, body, organisation, job);
--- a/figspan-gateway/src/main/java/io/figspan/gateway/protocol/CallerRequest.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/protocol/CallerRequest.java
@@ -1,8 +1,10 @@
 package io.figspan.gateway.protocol;
 
+import io.figspan.core.id.PromptPartId;
 import io.figspan.policy.placing.PromptLengths;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -17,6 +19,8 @@
  * @param waitMs how long the caller will wait from now on
  * @param key the caller's credential
  * @param prompt lengths of the prompt, if the request has one
+ * @param sharedParts the parts of the prompt that other prompts may share, in their order; at most {@link
+ *     #MAX_SHARED_PARTS}
  * @param lastEventId id of the last event that the caller received of a stream that it resumes
  */
 public record CallerRequest(
@@ -28,7 +32,14 @@
         OptionalLong waitMs,
         Optional<String> key,
         Optional<PromptLengths> prompt,
+        List<PromptPartId> sharedParts,
         OptionalLong lastEventId) {
+    /** Further parts of a prompt are ignored. */
+    public static final int MAX_SHARED_PARTS = 16;
+
+    public CallerRequest {
+        sharedParts = List.copyOf(sharedParts);
+    }
 
     /** The target without its query. */
     public String path() {
--- a/figspan-gateway/src/test/java/io/figspan/gateway/TestProtocol.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/TestProtocol.java
@@ -1,6 +1,7 @@
 package io.figspan.gateway;
 
 import io.figspan.core.id.BackendServerId;
+import io.figspan.core.id.PromptPartId;
 import io.figspan.gateway.protocol.AttemptParameters;
 import io.figspan.gateway.protocol.BackendProtocol;
 import io.figspan.gateway.protocol.BackendResponse;
@@ -50,6 +51,7 @@
                 Optional.ofNullable(headers.get("key")),
                 Optional.ofNullable(headers.getInt("prompt-tokens"))
                         .map(tokens -> new PromptLengths(tokens, 1_000, OptionalInt.empty())),
+                headers.getAll("shared-part").stream().map(PromptPartId::of).toList(),
                 headers.contains("last-event-id")
                         ? OptionalLong.of(headers.getInt("last-event-id"))
                         : OptionalLong.empty());
