--- a/figspan-gateway/src/main/java/io/figspan/gateway/backend/BackendServer.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/backend/BackendServer.java
@@ -1,6 +1,7 @@
 package io.figspan.gateway.backend;
 
 import io.figspan.core.id.AvailabilityZoneId;
+import io.figspan.core.id.BackendIncarnation;
 import io.figspan.core.id.BackendServerId;
 import io.figspan.core.id.ServiceId;
 import io.figspan.gateway.http.HostPort;
@@ -13,6 +14,7 @@
  * @param slots number of requests that it processes concurrently
  * @param isLeaving whether it is draining: it finishes its work and accepts no new requests
  * @param warmUpMs remaining time for which it is slow after its start
+ * @param incarnationNumber differs for each process that starts under the id
  */
 public record BackendServer(
         BackendServerId id,
@@ -21,7 +23,12 @@
         AvailabilityZoneId zone,
         int slots,
         boolean isLeaving,
-        long warmUpMs) {
+        long warmUpMs,
+        long incarnationNumber) {
+    public BackendIncarnation incarnation() {
+        return new BackendIncarnation(id, incarnationNumber);
+    }
+
     /** Whether the server has this address, given as IP:PORT. */
     public boolean hasAddress(String ipAndPort) {
         return ipAndPort.equals(HostPort.of(address));
--- a/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
@@ -118,7 +118,7 @@
     private static BackendServer serverOf(String name, ScriptedServer server) {
         ServiceId service = name.startsWith("engine") ? ENGINES : PLAIN;
         return new BackendServer(
-                BackendServerId.of(name), service, server.address(), AvailabilityZoneId.of("zone"), 4, false, 0);
+                BackendServerId.of(name), service, server.address(), AvailabilityZoneId.of("zone"), 4, false, 0, 1);
     }
 
     /** Settings of the next version in which all routes have this timeout. */
--- a/figspan-gateway/src/test/java/io/figspan/gateway/backend/HttpEngineClientTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/backend/HttpEngineClientTest.java
@@ -59,7 +59,7 @@
 
     private void register(ScriptedServer engine) {
         BackendServer server = new BackendServer(
-                ENGINE, ServiceId.of("engines"), engine.address(), AvailabilityZoneId.of("zone"), 4, false, 0);
+                ENGINE, ServiceId.of("engines"), engine.address(), AvailabilityZoneId.of("zone"), 4, false, 0, 1);
         loop.submit(() -> pools.put(server)).syncUninterruptibly();
     }
 
--- a/figspan-gateway/src/test/java/io/figspan/gateway/backend/MemoryHoldsTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/backend/MemoryHoldsTest.java
@@ -80,7 +80,8 @@
                 AvailabilityZoneId.of("zone"),
                 4,
                 false,
-                0);
+                0,
+                1);
         holds.monitorUse(group, user, () -> {
             lost.add(group);
             holds.release(group);
--- a/figspan-gateway/src/test/java/io/figspan/gateway/backend/ReservationExtraResponseTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/backend/ReservationExtraResponseTest.java
@@ -63,7 +63,7 @@
 
     private void register(ScriptedServer holder) {
         BackendServer server = new BackendServer(
-                HOLDER, ServiceId.of("engines"), holder.address(), AvailabilityZoneId.of("zone"), 4, false, 0);
+                HOLDER, ServiceId.of("engines"), holder.address(), AvailabilityZoneId.of("zone"), 4, false, 0, 1);
         loop.submit(() -> pools.put(server)).syncUninterruptibly();
     }
 
--- a/figspan-gateway/src/test/java/io/figspan/gateway/fleet/FleetStateTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/fleet/FleetStateTest.java
@@ -181,7 +181,8 @@
                     AvailabilityZoneId.of("zone"),
                     4,
                     false,
-                    0));
+                    0,
+                    1));
         }
     }
 }
