--- a/figspan-cluster/src/main/java/io/figspan/cluster/message/PeerMessage.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/message/PeerMessage.java
@@ -131,6 +131,13 @@
         }
     }
 
+    /** What the sender knows of prompt parts that crash model engines. Repeated, and merged by the receiver. */
+    record CrashEvidence(List<PartEvidence> parts) implements PeerMessage {
+        public CrashEvidence {
+            parts = List.copyOf(parts);
+        }
+    }
+
     // Orders, whose fields are not interpreted in this module
 
     /** Forwards an order to the owner of its ticket, with the time left in milliseconds. */
--- /dev/null
+++ b/figspan-cluster/src/test/java/io/figspan/cluster/quarantine/SimulatedFleet.java
@@ -0,0 +1,342 @@
+package io.figspan.cluster.quarantine;
+
+import io.figspan.cluster.message.PeerMessage;
+import io.figspan.core.id.BackendIncarnation;
+import io.figspan.core.id.BackendServerId;
+import io.figspan.core.id.HostId;
+import io.figspan.core.id.PromptPartId;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Hosts in front of engines, in logical time. Prompts with one part crash each engine that begins to answer them. Hosts
+ * exchange messages that take a few milliseconds and may be lost.
+ */
+final class SimulatedFleet {
+    static final PromptPartId CRASHING = PromptPartId.of("c0de");
+    static final PromptPartId COMMON = PromptPartId.of("f1");
+
+    private static final long MS = TimeUnit.MILLISECONDS.toNanos(1);
+    private static final long TICK_NANOS = 40 * MS;
+    private static final long MAX_MESSAGE_NANOS = 5 * MS;
+    private static final long RESTART_NANOS = 3_000 * MS;
+    private static final long MIN_BEGIN_NANOS = 30 * MS;
+    private static final long MAX_BEGIN_NANOS = 300 * MS;
+
+    /** Interval of the events of an answer; the first one comes after this time. */
+    private static final long EVENT_NANOS = 90 * MS;
+
+    private static final int EVENTS = 16;
+    private static final int DOCUMENTS = 40;
+    private static final int MAX_ATTEMPTS = 2;
+
+    /**
+     * What is played.
+     *
+     * @param crashingPerSecond prompts with the crashing part
+     * @param crashingDepth position of the crashing part among the shared parts
+     * @param lossPercent share of the messages between hosts that are lost
+     */
+    record Load(
+            int hosts,
+            int engines,
+            double soundPerSecond,
+            double crashingPerSecond,
+            int crashingDepth,
+            int lossPercent) {}
+
+    private record Event(long atNanos, long order, Runnable action) {}
+
+    /** A prompt on its way. */
+    private static final class Prompt {
+        final List<PromptPartId> parts;
+        int attempts;
+        boolean hasBegun;
+
+        Prompt(List<PromptPartId> parts) {
+            this.parts = parts;
+        }
+
+        boolean isCrashing() {
+            return parts.contains(CRASHING);
+        }
+    }
+
+    /** An attempt at an engine. */
+    private record Attempt(Prompt prompt, Host host, long sentNanos) {}
+
+    private static final class Host {
+        final HostId id;
+        PromptQuarantine quarantine;
+
+        Host(HostId id, PromptQuarantine quarantine) {
+            this.id = id;
+            this.quarantine = quarantine;
+        }
+    }
+
+    private final class Engine {
+        final BackendServerId id;
+        final Set<Attempt> attempts = new HashSet<>();
+        long incarnation = 1;
+        boolean isUp = true;
+
+        Engine(int number) {
+            id = BackendServerId.of("engine-" + number);
+        }
+
+        BackendIncarnation current() {
+            return new BackendIncarnation(id, incarnation);
+        }
+
+        void crash() {
+            List<Attempt> lost = new ArrayList<>(attempts);
+            BackendIncarnation crashed = current();
+            attempts.clear();
+            isUp = false;
+            after(RESTART_NANOS, () -> {
+                incarnation++;
+                isUp = true;
+            });
+            for (Attempt attempt : lost) {
+                connectionLost(attempt, crashed);
+            }
+        }
+    }
+
+    private final Load load;
+    private final SplittableRandom random;
+    private final PriorityQueue<Event> events = new PriorityQueue<>((a, b) -> {
+        int byTime = Long.compare(a.atNanos(), b.atNanos());
+        return byTime != 0 ? byTime : Long.compare(a.order(), b.order());
+    });
+    private final List<Host> hosts = new ArrayList<>();
+    private final List<Engine> engines = new ArrayList<>();
+    private final Set<HostId> hostIds = new HashSet<>();
+    private final List<Long> crashesNanos = new ArrayList<>();
+    private final List<Long> crashingSentNanos = new ArrayList<>();
+    private final List<Long> soundArrivedNanos = new ArrayList<>();
+    private final List<Long> soundRefusedNanos = new ArrayList<>();
+    private long nowNanos;
+    private long nextOrder;
+
+    SimulatedFleet(Load load, long seed) {
+        this.load = load;
+        this.random = new SplittableRandom(seed);
+        for (int host = 0; host < load.hosts(); host++) {
+            hostIds.add(HostId.of("host-" + host));
+        }
+        for (HostId id : hostIds) {
+            hosts.add(new Host(id, newQuarantine(id)));
+        }
+        for (int engine = 0; engine < load.engines(); engine++) {
+            engines.add(new Engine(engine));
+        }
+        hosts.forEach(this::scheduleTick);
+        scheduleArrival(load.soundPerSecond(), false);
+        if (load.crashingPerSecond() > 0) {
+            scheduleArrival(load.crashingPerSecond(), true);
+        }
+    }
+
+    private PromptQuarantine newQuarantine(HostId id) {
+        PromptQuarantine quarantine = new PromptQuarantine(id, nowNanos);
+        quarantine.hostsChanged(hostIds);
+        return quarantine;
+    }
+
+    private void after(long delayNanos, Runnable action) {
+        events.add(new Event(nowNanos + delayNanos, nextOrder++, action));
+    }
+
+    void runFor(long durationMs) {
+        long endNanos = nowNanos + durationMs * MS;
+        while (!events.isEmpty() && events.peek().atNanos() <= endNanos) {
+            Event event = events.poll();
+            nowNanos = event.atNanos();
+            event.action().run();
+        }
+        nowNanos = endNanos;
+    }
+
+    // Hosts
+
+    private void scheduleTick(Host host) {
+        after(TICK_NANOS, () -> {
+            execute(host, host.quarantine.tick(nowNanos));
+            scheduleTick(host);
+        });
+    }
+
+    /** Restarts the first hosts, which lose all that they know. */
+    void restartHosts(int count) {
+        for (Host restarted : hosts.subList(0, count)) {
+            restarted.quarantine = newQuarantine(restarted.id);
+            for (Host other : hosts) {
+                other.quarantine
+                        .evidenceForNewHost(restarted.id, nowNanos)
+                        .ifPresent(evidence -> send(restarted, evidence));
+            }
+        }
+    }
+
+    private void execute(Host host, List<QuarantineAction> actions) {
+        for (QuarantineAction action : actions) {
+            if (action instanceof QuarantineAction.SendToAll all) {
+                hosts.stream().filter(other -> other != host).forEach(other -> send(other, all.message()));
+            } else if (action instanceof QuarantineAction.SendToSome some) {
+                for (int i = 0; i < PromptQuarantine.GOSSIP_FANOUT; i++) {
+                    send(hosts.get(random.nextInt(hosts.size())), some.message());
+                }
+            }
+        }
+    }
+
+    private void send(Host to, PeerMessage.CrashEvidence message) {
+        if (random.nextInt(100) >= load.lossPercent()) {
+            after(random.nextLong(MS, MAX_MESSAGE_NANOS), () -> to.quarantine.receive(message, nowNanos));
+        }
+    }
+
+    // Prompts
+
+    private void scheduleArrival(double perSecond, boolean isCrashing) {
+        long gapNanos = (long) (-Math.log(1 - random.nextDouble()) / perSecond * 1_000 * MS);
+        after(gapNanos, () -> {
+            arrive(isCrashing);
+            scheduleArrival(perSecond, isCrashing);
+        });
+    }
+
+    private void arrive(boolean isCrashing) {
+        List<PromptPartId> parts = new ArrayList<>(List.of(COMMON, PromptPartId.of("d" + random.nextInt(DOCUMENTS))));
+        if (isCrashing) {
+            parts.add(load.crashingDepth(), CRASHING);
+        } else {
+            soundArrivedNanos.add(nowNanos);
+        }
+        send(new Prompt(parts), hosts.get(random.nextInt(hosts.size())));
+    }
+
+    private void send(Prompt prompt, Host host) {
+        List<Engine> up = engines.stream().filter(engine -> engine.isUp).toList();
+        if (up.isEmpty()) {
+            return;
+        }
+        if (host.quarantine.refusalOfSend(prompt.parts, nowNanos).isPresent()) {
+            recordRefusal(prompt);
+            return;
+        }
+        prompt.attempts++;
+        if (prompt.isCrashing()) {
+            crashingSentNanos.add(nowNanos);
+        }
+        Engine engine = up.get(random.nextInt(up.size()));
+        Attempt attempt = new Attempt(prompt, host, nowNanos);
+        engine.attempts.add(attempt);
+        after(random.nextLong(MIN_BEGIN_NANOS, MAX_BEGIN_NANOS), () -> begin(attempt, engine));
+    }
+
+    private void recordRefusal(Prompt prompt) {
+        if (!prompt.isCrashing() && prompt.attempts == 0) {
+            soundRefusedNanos.add(nowNanos);
+        }
+    }
+
+    private void begin(Attempt attempt, Engine engine) {
+        if (!engine.attempts.contains(attempt)) {
+            return;
+        }
+        if (attempt.prompt().isCrashing()) {
+            crashesNanos.add(nowNanos);
+            engine.crash();
+            return;
+        }
+        after(EVENT_NANOS, () -> respond(attempt, engine, 1));
+    }
+
+    private void respond(Attempt attempt, Engine engine, int event) {
+        if (!engine.attempts.contains(attempt)) {
+            return;
+        }
+        PromptQuarantine quarantine = attempt.host().quarantine;
+        attempt.prompt().hasBegun = true;
+        quarantine.serverResponded(engine.current(), attempt.sentNanos(), nowNanos);
+        if (event == 1) {
+            quarantine.answerBegan(attempt.prompt().parts, nowNanos);
+        }
+        if (event < EVENTS) {
+            after(EVENT_NANOS, () -> respond(attempt, engine, event + 1));
+        } else {
+            engine.attempts.remove(attempt);
+        }
+    }
+
+    private void connectionLost(Attempt attempt, BackendIncarnation crashed) {
+        Prompt prompt = attempt.prompt();
+        if (!prompt.hasBegun) {
+            attempt.host().quarantine.serverCrashed(crashed, prompt.parts, nowNanos);
+        }
+        if (prompt.attempts < MAX_ATTEMPTS) {
+            send(prompt, attempt.host());
+        }
+    }
+
+    /** Crashes a share of the engines at once, for a reason of their own. */
+    void crashEngines(int count) {
+        engines.stream().filter(engine -> engine.isUp).limit(count).toList().forEach(Engine::crash);
+    }
+
+    /** Resets all connections of the first host to the engines, which go on. */
+    void resetConnectionsOfFirstHost() {
+        Host host = hosts.get(0);
+        for (Engine engine : engines) {
+            List<Attempt> reset = engine.attempts.stream()
+                    .filter(attempt -> attempt.host() == host)
+                    .toList();
+            engine.attempts.removeAll(reset);
+            reset.forEach(attempt -> connectionLost(attempt, engine.current()));
+        }
+    }
+
+    // Results
+
+    int crashes() {
+        return crashesNanos.size();
+    }
+
+    /** Prompts with the crashing part that were sent later than this after the fifth crash. */
+    long crashingSentAfterFifthCrash(long delayMs) {
+        return countAfterFifthCrash(crashingSentNanos, delayMs);
+    }
+
+    long soundArrivedAfterFifthCrash(long delayMs) {
+        return countAfterFifthCrash(soundArrivedNanos, delayMs);
+    }
+
+    long soundRefusedAfterFifthCrash(long delayMs) {
+        return countAfterFifthCrash(soundRefusedNanos, delayMs);
+    }
+
+    private long countAfterFifthCrash(List<Long> instantsNanos, long delayMs) {
+        int index = Math.min(5, crashesNanos.size()) - 1;
+        if (index < 0) {
+            return 0;
+        }
+        long fromNanos = crashesNanos.get(index) + delayMs * MS;
+        return instantsNanos.stream().filter(at -> at > fromNanos).count();
+    }
+
+    int soundRefused() {
+        return soundRefusedNanos.size();
+    }
+
+    int soundArrived() {
+        return soundArrivedNanos.size();
+    }
+}
--- a/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
@@ -60,6 +60,7 @@
     private final CallerServer callers;
     private final InetSocketAddress address;
     private long version = 1;
+    private long nextIncarnation = 1;
 
     public GatewayHarness() throws IOException {
         DecisionLog log = new DecisionLog();
@@ -115,10 +116,25 @@
         });
     }
 
-    private static BackendServer serverOf(String name, ScriptedServer server) {
+    /** Registers a new process of a server. */
+    public void restart(String name, ScriptedServer server) {
+        onLoop(() -> {
+            pools.put(serverOf(name, server));
+            forwarder.serversChanged();
+        });
+    }
+
+    private BackendServer serverOf(String name, ScriptedServer server) {
         ServiceId service = name.startsWith("engine") ? ENGINES : PLAIN;
         return new BackendServer(
-                BackendServerId.of(name), service, server.address(), AvailabilityZoneId.of("zone"), 4, false, 0, 1);
+                BackendServerId.of(name),
+                service,
+                server.address(),
+                AvailabilityZoneId.of("zone"),
+                4,
+                false,
+                0,
+                nextIncarnation++);
     }
 
     /** Settings of the next version in which all routes have this timeout. */
--- a/figspan-wire/src/main/java/io/figspan/wire/MessageKind.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/MessageKind.java
@@ -26,7 +26,8 @@
     ORDER_OUTCOME(15, PeerMessage.OrderOutcome.class),
     SETTINGS_PART_PULL(16, PeerMessage.SettingsPartPull.class),
     WORK_REPORT(17, PeerMessage.WorkReport.class),
-    SETTINGS_BUSY(18, PeerMessage.SettingsBusy.class);
+    SETTINGS_BUSY(18, PeerMessage.SettingsBusy.class),
+    CRASH_EVIDENCE(19, PeerMessage.CrashEvidence.class);
 
     /** Largest body of any message other than a settings part, as the design page specifies. */
     static final int MAX_CONTROL_BYTES = 65_536;
--- a/figspan-wire/src/main/java/io/figspan/wire/MessageReader.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/MessageReader.java
@@ -4,6 +4,7 @@
 import io.figspan.cluster.message.MemberUpdate;
 import io.figspan.cluster.message.PartChange;
 import io.figspan.cluster.message.PartDigest;
+import io.figspan.cluster.message.PartEvidence;
 import io.figspan.cluster.message.Peer;
 import io.figspan.cluster.message.PeerAddress;
 import io.figspan.cluster.message.PeerMessage;
@@ -14,6 +15,7 @@
 import io.figspan.core.id.HostId;
 import io.figspan.core.id.HostIncarnation;
 import io.figspan.core.id.OrganisationId;
+import io.figspan.core.id.PromptPartId;
 import io.figspan.core.id.SettingsVersion;
 import io.figspan.core.work.PlacedRequest;
 import io.figspan.core.work.PrefillReader;
@@ -40,7 +42,7 @@
             case PING_REQUEST -> new PeerMessage.PingRequest(unpacker.unpackLong(), readIncarnation(), readPiggyback());
             case MEMBERS_PULL -> new PeerMessage.MembersPull(readString());
             case MEMBERS_PAGE -> new PeerMessage.MembersPage(readUpdates(), unpacker.unpackBoolean());
-            case LEAVING_NOTICE -> new PeerMessage.LeavingNotice(readLeaving());
+            case LEAVING_NOTICE -> new PeerMessage.LeavingNotice(readIncarnations());
             case SETTINGS_OFFER -> new PeerMessage.SettingsOffer(readVersion());
             case SETTINGS_PULL -> new PeerMessage.SettingsPull(readVersion());
             case SETTINGS_MANIFEST ->
@@ -66,6 +68,7 @@
                         unpacker.unpackLong(),
                         unpacker.unpackLong());
             case WORK_REPORT -> readWorkReport();
+            case CRASH_EVIDENCE -> new PeerMessage.CrashEvidence(readEvidence());
             case FORWARD_ORDER ->
                 new PeerMessage.ForwardOrder(
                         unpacker.unpackLong(),
@@ -118,6 +121,21 @@
                 unpacker.unpackLong());
     }
 
+    private List<PartEvidence> readEvidence() throws IOException {
+        int count = readCount();
+        List<PartEvidence> parts = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            parts.add(new PartEvidence(
+                    PromptPartId.of(readString()),
+                    unpacker.unpackInt(),
+                    unpacker.unpackBoolean(),
+                    unpacker.unpackLong(),
+                    readIncarnations(),
+                    readIncarnations()));
+        }
+        return parts;
+    }
+
     private BackendServerId readServer(List<BackendServerId> servers) throws IOException {
         int index = unpacker.unpackInt();
         if (index < 0 || index >= servers.size()) {
@@ -127,7 +145,7 @@
     }
 
     private Piggyback readPiggyback() throws IOException {
-        return new Piggyback(readVersion(), unpacker.unpackInt(), readUpdates(), readLeaving());
+        return new Piggyback(readVersion(), unpacker.unpackInt(), readUpdates(), readIncarnations());
     }
 
     private SettingsVersion readVersion() throws IOException {
@@ -156,13 +174,13 @@
         };
     }
 
-    private List<BackendIncarnation> readLeaving() throws IOException {
+    private List<BackendIncarnation> readIncarnations() throws IOException {
         int count = readCount();
-        List<BackendIncarnation> leaving = new ArrayList<>(count);
+        List<BackendIncarnation> servers = new ArrayList<>(count);
         for (int i = 0; i < count; i++) {
-            leaving.add(new BackendIncarnation(BackendServerId.of(readString()), unpacker.unpackLong()));
+            servers.add(new BackendIncarnation(BackendServerId.of(readString()), unpacker.unpackLong()));
         }
-        return leaving;
+        return servers;
     }
 
     private List<PartDigest> readDigests() throws IOException {
--- a/figspan-wire/src/main/java/io/figspan/wire/MessageWriter.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/MessageWriter.java
@@ -4,6 +4,7 @@
 import io.figspan.cluster.message.MemberUpdate;
 import io.figspan.cluster.message.PartChange;
 import io.figspan.cluster.message.PartDigest;
+import io.figspan.cluster.message.PartEvidence;
 import io.figspan.cluster.message.Peer;
 import io.figspan.cluster.message.PeerMessage;
 import io.figspan.cluster.message.Piggyback;
@@ -38,6 +39,7 @@
                 writeSettings(message);
             case LOAN_REQUEST, LOAN_GRANT -> writeLoan(message);
             case WORK_REPORT -> writeWork((PeerMessage.WorkReport) message);
+            case CRASH_EVIDENCE -> writeEvidence((PeerMessage.CrashEvidence) message);
             case FORWARD_ORDER, OUTCOME_QUERY, ORDER_OUTCOME -> writeOrder(message);
             default -> throw new IOException("message kind has no encoding: " + message.getClass());
         }
@@ -61,7 +63,7 @@
             writeUpdates(page.updates());
             packer.packBoolean(page.more());
         } else if (message instanceof PeerMessage.LeavingNotice notice) {
-            writeLeaving(notice.leaving());
+            writeIncarnations(notice.leaving());
         }
     }
 
@@ -153,6 +155,18 @@
         packer.packLong(work.maxGapMs());
     }
 
+    private void writeEvidence(PeerMessage.CrashEvidence evidence) throws IOException {
+        packer.packArrayHeader(evidence.parts().size());
+        for (PartEvidence part : evidence.parts()) {
+            packer.packString(part.part().value());
+            packer.packInt(part.depth());
+            packer.packBoolean(part.isQuarantined());
+            packer.packLong(part.ageMs());
+            writeIncarnations(part.crashes());
+            writeIncarnations(part.refuted());
+        }
+    }
+
     private void writeOrder(PeerMessage message) throws IOException {
         if (message instanceof PeerMessage.ForwardOrder order) {
             packer.packLong(order.correlationId());
@@ -177,7 +191,7 @@
         packer.packLong(piggyback.settings().number());
         packer.packInt(piggyback.viewDigest());
         writeUpdates(piggyback.updates());
-        writeLeaving(piggyback.leaving());
+        writeIncarnations(piggyback.leaving());
     }
 
     private void writeUpdates(List<MemberUpdate> updates) throws IOException {
@@ -204,11 +218,11 @@
         }
     }
 
-    private void writeLeaving(List<BackendIncarnation> leaving) throws IOException {
-        packer.packArrayHeader(leaving.size());
-        for (BackendIncarnation backend : leaving) {
-            packer.packString(backend.server().value());
-            packer.packLong(backend.number());
+    private void writeIncarnations(List<BackendIncarnation> servers) throws IOException {
+        packer.packArrayHeader(servers.size());
+        for (BackendIncarnation server : servers) {
+            packer.packString(server.server().value());
+            packer.packLong(server.number());
         }
     }
 
--- a/figspan-wire/src/test/java/io/figspan/wire/FrameCodecProperties.java
+++ b/figspan-wire/src/test/java/io/figspan/wire/FrameCodecProperties.java
@@ -6,6 +6,7 @@
 import io.figspan.cluster.message.MemberUpdate;
 import io.figspan.cluster.message.PartChange;
 import io.figspan.cluster.message.PartDigest;
+import io.figspan.cluster.message.PartEvidence;
 import io.figspan.cluster.message.Peer;
 import io.figspan.cluster.message.PeerAddress;
 import io.figspan.cluster.message.PeerMessage;
@@ -18,6 +19,7 @@
 import io.figspan.core.id.HostId;
 import io.figspan.core.id.HostIncarnation;
 import io.figspan.core.id.OrganisationId;
+import io.figspan.core.id.PromptPartId;
 import io.figspan.core.id.SettingsVersion;
 import io.figspan.core.time.HybridTimestamp;
 import io.figspan.core.work.PlacedRequest;
@@ -64,7 +66,9 @@
             new PeerMessage.ForwardOrder(4, "ticket", "org", "request", 1_500, SAMPLE_BYTES),
             new PeerMessage.OutcomeQuery(5, "ticket", "org"),
             new PeerMessage.OrderOutcome(5, 200, "application/json", SAMPLE_BYTES),
-            new PeerMessage.WorkReport(6, 410, 512, 30, List.of(placedWork("engine-1"), placedWork("engine-2"))));
+            new PeerMessage.WorkReport(6, 410, 512, 30, List.of(placedWork("engine-1"), placedWork("engine-2"))),
+            new PeerMessage.CrashEvidence(List.of(new PartEvidence(
+                    PromptPartId.of("91bd3f06"), 1, true, 4_200, PIGGYBACK.leaving(), PIGGYBACK.leaving()))));
 
     private static PlacedRequest placedWork(String server) {
         List<PrefillReader> readers = List.of(
@@ -110,7 +114,7 @@
 
     @Property(seed = "12")
     void messagesWithAChangedByteAreDecodedOrRefused(
-            @ForAll @IntRange(max = 17) int kind, @ForAll @IntRange(max = 400) int position, @ForAll byte value) {
+            @ForAll @IntRange(max = 18) int kind, @ForAll @IntRange(max = 400) int position, @ForAll byte value) {
         byte[] body = FrameCodec.encode(ONE_OF_EACH.get(kind), HybridTimestamp.ZERO);
         body[position % body.length] = value;
         decodeOrRefuse(body);
