A stream whose connection ends before its first event is not complete

What callers saw: an empty 200 that looked complete, when an engine ended after the head of a response that has neither a length nor chunks. Cause: the end of such a connection was taken as the end of the stream, with or without an event. Change: without an event it is a broken attempt, which is tried elsewhere; one that ends within an event already was. Measured: aStreamWhoseConnectionEndsBeforeItsFirstEventIsSentToAnotherServer failed before (no event), passes now.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Attempt.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Attempt.java
@@ -15,6 +15,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -243,10 +244,19 @@
             fail(AttemptEnd.BROKEN, "stream ended within an event");
             return;
         }
+        if (eventCount == 0 && isEndedByClose()) {
+            fail(AttemptEnd.BROKEN, "the connection ended before the first event");
+            return;
+        }
         end();
         listener.onStreamEnd(this);
     }
 
+    /** Whether only the end of the connection marks the end of the response. */
+    private boolean isEndedByClose() {
+        return !HttpUtil.isContentLengthSet(head) && !HttpUtil.isTransferEncodingChunked(head);
+    }
+
     @Override
     public void onFailure(ConnectionFailure failure) {
         if (discarded) {
--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/StreamingTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/StreamingTest.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.junit.jupiter.api.AfterEach;
@@ -143,6 +144,26 @@
         }
     }
 
+    /** Guards against an engine that ends, whose empty answer looks complete. */
+    @Test
+    void aStreamWhoseConnectionEndsBeforeItsFirstEventIsSentToAnotherServer() throws IOException {
+        AtomicInteger requests = new AtomicInteger();
+        ScriptedServer.Script script = (request, c) -> {
+            c.begin(request, 200, "content-type: text/event-stream\r\n");
+            if (requests.getAndIncrement() > 0) {
+                c.write(event(1) + event(2));
+            }
+            c.close();
+        };
+        try (ScriptedServer one = new ScriptedServer(script);
+                ScriptedServer two = new ScriptedServer(script)) {
+            gateway.open(Map.of("engine-1", one, "engine-2", two));
+            String response = stream();
+            assertEquals(List.of(1, 2), ids(response));
+            assertTrue(response.endsWith(LAST_CHUNK));
+        }
+    }
+
     @Test
     void aStreamIsAbortedAtItsDeadline() throws IOException {
         try (ScriptedServer server = new ScriptedServer((request, c) -> {
