Keep prompts from the engines that have a part which crashes engines

Cause: a broken connection told a host only about the engine, so that the same prompt, and each later one with the part, was sent to the next engine; nothing tied the crashes together, and what one host saw stayed there. Class: a poison request (query of death) that retries and new requests carry through a fleet.

Change: PromptQuarantine attributes the crash of an engine to the shared parts of the prompts that were about to begin their answers there. An answer that begins on a part, at any host, refutes its crashes; a response of the engine refutes the crash. The part with the most crashes, 3 at different times, is quarantined: prompts with it are refused at once (503, promptQuarantined, with the time to the next trial), those at engines are cancelled. Hosts send each other the evidence at once and repeat it; a new host gets it when it joins. One host sends a single prompt for a trial, after a minute at first and four times as long after each further crash.

--- a/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/PromptQuarantine.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/PromptQuarantine.java
@@ -1,50 +1,370 @@
 package io.figspan.cluster.quarantine;
 
+import io.figspan.cluster.message.PartEvidence;
 import io.figspan.cluster.message.PeerMessage;
 import io.figspan.core.id.BackendIncarnation;
 import io.figspan.core.id.HostId;
 import io.figspan.core.id.PromptPartId;
+import io.figspan.core.util.RendezvousHash;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
-/** Decides which prompts must be kept from the engines because a part of them crashes engines. Refuses none yet. */
+/**
+ * Attributes crashes of model engines to parts of the prompts that were about to begin their answers there, and
+ * quarantines the parts that cause them, so that retries and later prompts don't carry them through the fleet. Hosts
+ * exchange the evidence, since no host alone sees enough crashes.
+ *
+ * <p>A part is suspected of each crash under a prompt with it whose answer had not begun. An answer that begins on the
+ * part, at any host, refutes all its crashes so far, and a response of a server refutes the crash of that server. The
+ * part with more crashes than any other is quarantined; its crashes then no longer count against other parts. While it
+ * is quarantined, one host lets a single prompt through now and then, at increasing intervals.
+ *
+ * <p>Performs no I/O and is not thread-safe; times are monotonic, in nanoseconds.
+ */
 public final class PromptQuarantine {
+    /** Crashes of the only part with so many for which it is quarantined. */
+    static final int MIN_CRASHES = 3;
+
+    /** Crashes for which the most specific part is quarantined if several parts have as many. */
+    static final int MIN_CRASHES_WHEN_TIED = 4;
+
+    /** Bounds the table; the part whose latest crash is the oldest makes room, unless it is quarantined. */
+    static final int MAX_PARTS = 512;
+
+    /** Bounds a message to a few kilobytes. */
+    static final int MAX_PARTS_PER_MESSAGE = 32;
+
     /** Hosts that receive the evidence in each round of gossip. */
     public static final int GOSSIP_FANOUT = 3;
 
+    static final long GOSSIP_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+    /** Refuted crashes are repeated for this long, so that lost messages don't matter. */
+    static final long REFUTATION_REPEAT_NANOS = TimeUnit.SECONDS.toNanos(10);
+
+    /** A part without a new crash for this long is no longer suspected. */
+    static final long SUSPICION_EXPIRY_NANOS = TimeUnit.MINUTES.toNanos(10);
+
+    static final long QUARANTINE_EXPIRY_NANOS = TimeUnit.DAYS.toNanos(1);
+
+    /** Time from the latest crash to the first trial of a part with {@link #MIN_CRASHES} crashes. */
+    static final long FIRST_TRIAL_DELAY_NANOS = TimeUnit.SECONDS.toNanos(60);
+
+    /** Factor of the delay for each further crash. */
+    static final int TRIAL_DELAY_FACTOR = 4;
+
+    /** Time for other hosts to refute a crash before it counts. */
+    static final long SETTLE_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
+    /** Responses that come so soon after a crash may have been sent before it. */
+    static final long IN_FLIGHT_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
+
+    /** Shortest restart of a server; a response to a later request may come from its next process. */
+    static final long MIN_RESTART_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    /** Hosts that send a new host all evidence at once. */
+    private static final int JOIN_SENDERS = 3;
+
+    private static final int MAX_CRASHED_SERVERS = 256;
+
+    private final HostId self;
+    private final Map<PromptPartId, SuspectPart> suspects = new LinkedHashMap<>();
+    private final Map<BackendIncarnation, Long> crashHeardNanos = new LinkedHashMap<>();
+    private final Map<PromptPartId, Long> lastTrialNanos = new LinkedHashMap<>();
+    private final RecentAnswers recentAnswers = new RecentAnswers();
+    private final Set<PromptPartId> unsent = new LinkedHashSet<>();
+    private Set<HostId> hosts;
+    private long lastGossipNanos;
+
     /** A prompt is not sent because of this part; waiting for this time may help. */
     public record Refusal(PromptPartId part, long retryAfterMs) {}
 
-    public PromptQuarantine(HostId self, long nowNanos) {}
+    public PromptQuarantine(HostId self, long nowNanos) {
+        this.self = self;
+        this.hosts = Set.of(self);
+        this.lastGossipNanos = nowNanos;
+    }
 
     /** Replaces the set of live hosts, which includes this one. */
-    public void hostsChanged(Set<HostId> liveHosts) {}
+    public void hostsChanged(Set<HostId> liveHosts) {
+        hosts = Set.copyOf(liveHosts);
+    }
 
-    /** A server closed its connection under a prompt whose answer had not begun. */
-    public void serverCrashed(BackendIncarnation server, List<PromptPartId> parts, long nowNanos) {}
+    // Evidence
+
+    /**
+     * A server closed its connection under a prompt whose answer had not begun.
+     *
+     * @param parts the shared parts of the prompt, in their order
+     */
+    public void serverCrashed(BackendIncarnation server, List<PromptPartId> parts, long nowNanos) {
+        heardOfCrash(server, nowNanos);
+        for (int depth = 0; depth < parts.size(); depth++) {
+            PromptPartId part = parts.get(depth);
+            if (!recentAnswers.hasBegun(part, nowNanos)
+                    && suspect(part, nowNanos, nowNanos).addCrash(server, depth, nowNanos, nowNanos)) {
+                unsent.add(part);
+            }
+        }
+    }
 
-    /** An answer to a prompt with these parts has begun. */
-    public void answerBegan(List<PromptPartId> parts, long nowNanos) {}
+    /** An answer to a prompt with these parts has begun, so none of them causes crashes. */
+    public void answerBegan(List<PromptPartId> parts, long nowNanos) {
+        for (PromptPartId part : parts) {
+            recentAnswers.record(part, nowNanos);
+            SuspectPart suspect = suspects.get(part);
+            if (suspect != null && suspect.refuteAll(nowNanos)) {
+                unsent.add(part);
+            }
+        }
+    }
 
     /** A server has responded to a request that was sent at {@code sentNanos}. */
-    public void serverResponded(BackendIncarnation server, long sentNanos, long nowNanos) {}
+    public void serverResponded(BackendIncarnation server, long sentNanos, long nowNanos) {
+        Long heardNanos = crashHeardNanos.get(server);
+        if (heardNanos == null || nowNanos - heardNanos < IN_FLIGHT_NANOS) {
+            return;
+        }
+        boolean mayHaveRestarted = sentNanos - heardNanos >= 0 && nowNanos - heardNanos > MIN_RESTART_NANOS;
+        if (mayHaveRestarted) {
+            return;
+        }
+        crashHeardNanos.remove(server);
+        for (SuspectPart suspect : suspects.values()) {
+            if (suspect.crashes().contains(server) && suspect.refute(server, nowNanos)) {
+                unsent.add(suspect.part());
+            }
+        }
+    }
 
     /** Another host has sent its evidence. */
-    public void receive(PeerMessage.CrashEvidence evidence, long nowNanos) {}
+    public void receive(PeerMessage.CrashEvidence evidence, long nowNanos) {
+        for (PartEvidence received : evidence.parts()) {
+            if (TimeUnit.MILLISECONDS.toNanos(received.ageMs()) < expiryNanos(received.isQuarantined())) {
+                merge(received, nowNanos);
+            }
+        }
+    }
+
+    private void merge(PartEvidence received, long nowNanos) {
+        received.crashes().forEach(server -> heardOfCrash(server, nowNanos));
+        long crashedNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(received.ageMs());
+        SuspectPart suspect = suspect(received.part(), crashedNanos, nowNanos);
+        suspect.merge(received, crashedNanos, nowNanos);
+        if (suspect.isCoveredBy(received)) {
+            unsent.remove(received.part());
+        }
+        if (recentAnswers.hasBegun(received.part(), nowNanos) && suspect.refuteAll(nowNanos)) {
+            unsent.add(received.part());
+        }
+    }
+
+    private void heardOfCrash(BackendIncarnation server, long nowNanos) {
+        crashHeardNanos.putIfAbsent(server, nowNanos);
+        if (crashHeardNanos.size() > MAX_CRASHED_SERVERS) {
+            crashHeardNanos.remove(crashHeardNanos.keySet().iterator().next());
+        }
+    }
+
+    private SuspectPart suspect(PromptPartId part, long crashedNanos, long nowNanos) {
+        SuspectPart known = suspects.get(part);
+        if (known != null) {
+            return known;
+        }
+        makeRoom();
+        SuspectPart added = new SuspectPart(part, crashedNanos, nowNanos);
+        suspects.put(part, added);
+        return added;
+    }
+
+    private void makeRoom() {
+        if (suspects.size() < MAX_PARTS) {
+            return;
+        }
+        suspects.values().stream()
+                .min(Comparator.comparing(SuspectPart::isQuarantined).thenComparing(SuspectPart::lastCrashNanos))
+                .ifPresent(oldest -> suspects.remove(oldest.part()));
+    }
 
-    /** Whether a prompt with these parts must be refused instead of being sent now. */
+    // Decisions
+
+    private List<QuarantineAction> decide(long nowNanos) {
+        List<QuarantineAction> actions = new ArrayList<>();
+        for (SuspectPart suspect : suspects.values()) {
+            if (suspect.isQuarantined() && suspect.crashCount() < MIN_CRASHES) {
+                suspect.release();
+                unsent.add(suspect.part());
+                actions.add(new QuarantineAction.Released(suspect.part(), suspect.crashCount()));
+            } else if (suspect.isQuarantinedElsewhere() && suspect.crashCount() >= MIN_CRASHES) {
+                quarantine(suspect, actions);
+            }
+        }
+        Optional<SuspectPart> culprit = nextCulprit(nowNanos);
+        while (culprit.isPresent()) {
+            quarantine(culprit.get(), actions);
+            culprit = nextCulprit(nowNanos);
+        }
+        return actions;
+    }
+
+    private void quarantine(SuspectPart suspect, List<QuarantineAction> actions) {
+        if (!suspect.isQuarantined()) {
+            suspect.quarantine();
+            unsent.add(suspect.part());
+            actions.add(new QuarantineAction.Quarantined(suspect.part(), suspect.crashCount()));
+        }
+    }
+
+    /** The part with the most crashes that no quarantined part explains, if that is evidence enough. */
+    private Optional<SuspectPart> nextCulprit(long nowNanos) {
+        boolean hasCandidate = suspects.values().stream()
+                .anyMatch(suspect -> !suspect.isQuarantined() && suspect.crashCount() >= MIN_CRASHES);
+        if (!hasCandidate) {
+            return Optional.empty();
+        }
+        Set<BackendIncarnation> explained = new HashSet<>();
+        suspects.values().stream()
+                .filter(SuspectPart::isQuarantined)
+                .forEach(suspect -> explained.addAll(suspect.crashes()));
+        List<SuspectPart> leading = new ArrayList<>();
+        int most = MIN_CRASHES;
+        for (SuspectPart suspect : suspects.values()) {
+            int crashes = suspect.isQuarantined() ? 0 : suspect.separateCrashes(explained, nowNanos - SETTLE_NANOS);
+            if (crashes > most) {
+                leading.clear();
+                most = crashes;
+            }
+            if (crashes == most) {
+                leading.add(suspect);
+            }
+        }
+        if (leading.size() > 1 && most < MIN_CRASHES_WHEN_TIED) {
+            return Optional.empty();
+        }
+        return leading.stream().max(Comparator.comparing(SuspectPart::depth).thenComparing(SuspectPart::part));
+    }
+
+    /** Whether a prompt with these parts must be refused now. */
+    public Optional<Refusal> refusal(List<PromptPartId> parts, long nowNanos) {
+        return parts.stream()
+                .map(suspects::get)
+                .filter(suspect -> suspect != null && suspect.isQuarantined() && !isTrialDue(suspect, nowNanos))
+                .findFirst()
+                .map(suspect -> new Refusal(suspect.part(), retryAfterMs(suspect, nowNanos)));
+    }
+
+    /** Like {@link #refusal}, right before the prompt is sent; a prompt that is not refused uses up a due trial. */
     public Optional<Refusal> refusalOfSend(List<PromptPartId> parts, long nowNanos) {
-        return Optional.empty();
+        Optional<Refusal> refusal = refusal(parts, nowNanos);
+        if (refusal.isEmpty()) {
+            parts.stream()
+                    .map(suspects::get)
+                    .filter(suspect -> suspect != null && suspect.isQuarantined())
+                    .forEach(suspect -> lastTrialNanos.put(suspect.part(), nowNanos));
+        }
+        return refusal;
+    }
+
+    private boolean isTrialDue(SuspectPart suspect, long nowNanos) {
+        return nowNanos - nextTrialNanos(suspect) >= 0 && isTrialHost(suspect.part());
+    }
+
+    private long nextTrialNanos(SuspectPart suspect) {
+        long afterCrash = suspect.lastCrashNanos() + trialDelayNanos(suspect.crashCount());
+        Long last = lastTrialNanos.get(suspect.part());
+        return last == null ? afterCrash : Math.max(afterCrash, last + FIRST_TRIAL_DELAY_NANOS);
+    }
+
+    private static long trialDelayNanos(int crashes) {
+        long delayNanos = FIRST_TRIAL_DELAY_NANOS;
+        for (int further = MIN_CRASHES; further < crashes; further++) {
+            delayNanos *= TRIAL_DELAY_FACTOR;
+        }
+        return Math.min(delayNanos, QUARANTINE_EXPIRY_NANOS);
     }
 
-    /** Sends what has changed. */
+    /** Whether this host is the one that lets prompts with the part through for a trial. */
+    private boolean isTrialHost(PromptPartId part) {
+        return RendezvousHash.order(part.value(), hosts).get(0).equals(self);
+    }
+
+    private long retryAfterMs(SuspectPart suspect, long nowNanos) {
+        return Math.max(
+                TimeUnit.SECONDS.toMillis(1), TimeUnit.NANOSECONDS.toMillis(nextTrialNanos(suspect) - nowNanos));
+    }
+
+    // Exchange with other hosts
+
+    /**
+     * Decides on the evidence so far, sends what has changed, repeats the evidence now and then, and forgets what has
+     * expired. To be called several times a second.
+     */
     public List<QuarantineAction> tick(long nowNanos) {
-        return List.of();
+        expire(nowNanos);
+        List<QuarantineAction> actions = decide(nowNanos);
+        if (!unsent.isEmpty()) {
+            List<SuspectPart> changed = unsent.stream()
+                    .map(suspects::get)
+                    .filter(suspect -> suspect != null)
+                    .toList();
+            unsent.clear();
+            message(changed, nowNanos).ifPresent(news -> actions.add(new QuarantineAction.SendToAll(news)));
+        }
+        if (nowNanos - lastGossipNanos >= GOSSIP_INTERVAL_NANOS) {
+            lastGossipNanos = nowNanos;
+            evidence(nowNanos).ifPresent(all -> actions.add(new QuarantineAction.SendToSome(all)));
+        }
+        return actions;
+    }
+
+    private void expire(long nowNanos) {
+        suspects.values()
+                .removeIf(suspect -> nowNanos - suspect.lastCrashNanos() >= expiryNanos(suspect.isQuarantined()));
+        lastTrialNanos.keySet().retainAll(suspects.keySet());
     }
 
-    /** The evidence for a host that has just joined. */
+    private static long expiryNanos(boolean isQuarantined) {
+        return isQuarantined ? QUARANTINE_EXPIRY_NANOS : SUSPICION_EXPIRY_NANOS;
+    }
+
+    /** The evidence for a host that has just joined; empty if other hosts send it theirs. */
     public Optional<PeerMessage.CrashEvidence> evidenceForNewHost(HostId newHost, long nowNanos) {
-        return Optional.empty();
+        Set<HostId> senders = new HashSet<>(hosts);
+        senders.remove(newHost);
+        boolean isSender = RendezvousHash.order(newHost.value(), senders).stream()
+                .limit(JOIN_SENDERS)
+                .anyMatch(self::equals);
+        return isSender ? evidence(nowNanos) : Optional.empty();
+    }
+
+    private Optional<PeerMessage.CrashEvidence> evidence(long nowNanos) {
+        return message(suspects.values(), nowNanos);
+    }
+
+    private Optional<PeerMessage.CrashEvidence> message(Collection<SuspectPart> from, long nowNanos) {
+        List<PartEvidence> parts = from.stream()
+                .filter(suspect ->
+                        suspect.crashCount() > 0 || nowNanos - suspect.lastChangeNanos() < REFUTATION_REPEAT_NANOS)
+                .sorted(Comparator.comparing(SuspectPart::isQuarantined)
+                        .thenComparing(SuspectPart::lastChangeNanos)
+                        .reversed())
+                .limit(MAX_PARTS_PER_MESSAGE)
+                .map(suspect -> suspect.toEvidence(nowNanos))
+                .toList();
+        return parts.isEmpty() ? Optional.empty() : Optional.of(new PeerMessage.CrashEvidence(parts));
+    }
+
+    /** Number of parts whose prompts are refused. */
+    public long quarantinedCount() {
+        return suspects.values().stream().filter(SuspectPart::isQuarantined).count();
     }
 }
--- /dev/null
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/SuspectPart.java
@@ -0,0 +1,169 @@
+package io.figspan.cluster.quarantine;
+
+import io.figspan.cluster.message.PartEvidence;
+import io.figspan.core.id.BackendIncarnation;
+import io.figspan.core.id.PromptPartId;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/** The evidence for and against one prompt part, merged from all hosts. Merging is idempotent and commutative. */
+final class SuspectPart {
+    /** Bounds the size of the evidence; more crashes don't change a decision. */
+    static final int MAX_CRASHES = 16;
+
+    /** Crashes that are heard of within this time count as one, since they may have one cause of their own. */
+    static final long SIMULTANEOUS_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
+
+    private static final int MAX_REFUTED = 8;
+
+    private final PromptPartId part;
+    private final Map<BackendIncarnation, Long> heardNanosByCrash = new LinkedHashMap<>();
+    private final Set<BackendIncarnation> refuted = new LinkedHashSet<>();
+    private int depth;
+    private long lastCrashNanos;
+    private long lastChangeNanos;
+    private boolean isQuarantined;
+    private boolean isQuarantinedElsewhere;
+
+    SuspectPart(PromptPartId part, long lastCrashNanos, long nowNanos) {
+        this.part = part;
+        this.lastCrashNanos = lastCrashNanos;
+        this.lastChangeNanos = nowNanos;
+    }
+
+    PromptPartId part() {
+        return part;
+    }
+
+    int depth() {
+        return depth;
+    }
+
+    long lastCrashNanos() {
+        return lastCrashNanos;
+    }
+
+    long lastChangeNanos() {
+        return lastChangeNanos;
+    }
+
+    boolean isQuarantined() {
+        return isQuarantined;
+    }
+
+    void quarantine() {
+        isQuarantined = true;
+    }
+
+    void release() {
+        isQuarantined = false;
+        isQuarantinedElsewhere = false;
+    }
+
+    /** Whether another host has reported that it refuses prompts with the part. */
+    boolean isQuarantinedElsewhere() {
+        return isQuarantinedElsewhere;
+    }
+
+    /** The crashes that the part may have caused. */
+    Set<BackendIncarnation> crashes() {
+        return Collections.unmodifiableSet(heardNanosByCrash.keySet());
+    }
+
+    int crashCount() {
+        return heardNanosByCrash.size();
+    }
+
+    /** Number of crashes at different times up to {@code untilNanos} that none of the given ones explains. */
+    int separateCrashes(Set<BackendIncarnation> explained, long untilNanos) {
+        List<Long> heardNanos = heardNanosByCrash.entrySet().stream()
+                .filter(crash -> !explained.contains(crash.getKey()) && crash.getValue() - untilNanos <= 0)
+                .map(Map.Entry::getValue)
+                .sorted()
+                .toList();
+        int count = 0;
+        long countedNanos = 0;
+        for (long atNanos : heardNanos) {
+            if (count == 0 || atNanos - countedNanos >= SIMULTANEOUS_NANOS) {
+                count++;
+                countedNanos = atNanos;
+            }
+        }
+        return count;
+    }
+
+    /** Adds a crash at this depth, unless it is known already; returns whether anything has changed. */
+    boolean addCrash(BackendIncarnation server, int partDepth, long crashedNanos, long nowNanos) {
+        depth = Math.max(depth, partDepth);
+        boolean isKnown = heardNanosByCrash.containsKey(server) || refuted.contains(server);
+        if (isKnown || (heardNanosByCrash.size() >= MAX_CRASHES && !dropSimultaneousCrash())) {
+            return false;
+        }
+        heardNanosByCrash.put(server, nowNanos);
+        lastCrashNanos = Math.max(lastCrashNanos, crashedNanos);
+        lastChangeNanos = nowNanos;
+        return true;
+    }
+
+    /** Makes room by removing a crash that doesn't count beside an earlier one; returns whether there was one. */
+    private boolean dropSimultaneousCrash() {
+        Long countedNanos = null;
+        for (Map.Entry<BackendIncarnation, Long> crash : heardNanosByCrash.entrySet()) {
+            if (countedNanos != null && crash.getValue() - countedNanos < SIMULTANEOUS_NANOS) {
+                heardNanosByCrash.remove(crash.getKey());
+                return true;
+            }
+            countedNanos = crash.getValue();
+        }
+        return false;
+    }
+
+    /** Refutes a crash, also one that is not known yet; returns whether anything has changed. */
+    boolean refute(BackendIncarnation server, long nowNanos) {
+        if (!refuted.add(server)) {
+            return false;
+        }
+        heardNanosByCrash.remove(server);
+        lastChangeNanos = nowNanos;
+        if (refuted.size() > MAX_REFUTED) {
+            refuted.remove(refuted.iterator().next());
+        }
+        return true;
+    }
+
+    /** Refutes all crashes so far; returns whether there were any. */
+    boolean refuteAll(long nowNanos) {
+        boolean hadCrashes = !heardNanosByCrash.isEmpty();
+        List.copyOf(crashes()).forEach(server -> refute(server, nowNanos));
+        return hadCrashes;
+    }
+
+    /** Merges what another host knows. */
+    void merge(PartEvidence received, long crashedNanos, long nowNanos) {
+        received.refuted().forEach(server -> refute(server, nowNanos));
+        received.crashes().forEach(server -> addCrash(server, received.depth(), crashedNanos, nowNanos));
+        isQuarantinedElsewhere |= received.isQuarantined();
+    }
+
+    /** Whether a host that knows what another one has sent knows all that this one does. */
+    boolean isCoveredBy(PartEvidence sent) {
+        return sent.refuted().containsAll(refuted)
+                && sent.crashes().containsAll(crashes())
+                && sent.isQuarantined() == isQuarantined;
+    }
+
+    PartEvidence toEvidence(long nowNanos) {
+        return new PartEvidence(
+                part,
+                depth,
+                isQuarantined,
+                Math.max(0, TimeUnit.NANOSECONDS.toMillis(nowNanos - lastCrashNanos)),
+                List.copyOf(crashes()),
+                List.copyOf(refuted));
+    }
+}
--- a/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
@@ -13,6 +13,7 @@
 import io.figspan.gateway.caller.CallerServer;
 import io.figspan.gateway.fleet.FleetState;
 import io.figspan.gateway.forward.Forwarder;
+import io.figspan.gateway.forward.PromptCrashes;
 import io.figspan.gateway.log.DecisionLog;
 import io.figspan.gateway.log.UnexpectedErrors;
 import io.figspan.gateway.metrics.Activity;
@@ -72,6 +73,7 @@
     private final BackendPools pools = new BackendPools(loop);
     private final MemoryHolds holds;
     private final FleetState fleet;
+    private final PromptCrashes promptCrashes;
     private final Forwarder forwarder;
     private final CallerServer callers;
     private final PeerTracker peers;
@@ -91,6 +93,7 @@
         HttpEngineClient engines = new HttpEngineClient(loop, pools, adapter.backends());
         this.holds = new MemoryHolds(engines, log, self, MonotonicClock.system());
         this.fleet = new FleetState(adapter.fleet(), pools, log, this, System::nanoTime);
+        this.promptCrashes = new PromptCrashes(config.host(), log, metrics);
         this.forwarder = new Forwarder(
                 loop,
                 config.host(),
@@ -101,9 +104,11 @@
                 log,
                 metrics,
                 random,
+                promptCrashes,
                 retryAllowance(config));
         this.callers = new CallerServer(loop, forwarder, adapter.callers(), errors);
         this.peers = new PeerTracker(loop, config, log, random, this, this, metrics.processorTime());
+        this.promptCrashes.setSender(peers);
         this.forwarder.onWorkChanged(peers::workChanged);
         this.forwarder.setWorkViewAge(() -> peers.oldestReportAgeMs(System.nanoTime()));
         this.storeWatchers = new StoreWatchers(config.host(), log);
@@ -285,6 +290,16 @@
         forwarder.hostsChanged(hosts);
     }
 
+    @Override
+    public void onHostJoined(Peer peer) {
+        promptCrashes.evidenceForNewHost(peer.host()).ifPresent(evidence -> peers.send(evidence, List.of(peer)));
+    }
+
+    @Override
+    public void onCrashEvidence(PeerMessage.CrashEvidence evidence) {
+        promptCrashes.receive(evidence);
+    }
+
     @Override
     public void onWorkReport(HostId host, List<PlacedRequest> work) {
         forwarder.peerWork(host, work);
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Attempt.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Attempt.java
@@ -1,5 +1,6 @@
 package io.figspan.gateway.forward;
 
+import io.figspan.core.id.BackendIncarnation;
 import io.figspan.core.id.BackendServerId;
 import io.figspan.gateway.backend.BackendPools;
 import io.figspan.gateway.backend.HoldGroup;
@@ -37,7 +38,7 @@
     private final Listener listener;
     private final BackendProtocol protocol;
     private final BackendPools pools;
-    private final BackendServerId server;
+    private final BackendIncarnation server;
     private final HttpConnection connection;
     private final HoldGroup holds;
     private final List<BackendServerId> readers;
@@ -51,6 +52,7 @@
     private BackendResponse response;
     private long eventCount;
     private boolean discarded;
+    private boolean lostConnection;
     private boolean ended;
 
     /**
@@ -78,7 +80,7 @@
             Listener listener,
             BackendProtocol protocol,
             BackendPools pools,
-            BackendServerId server,
+            BackendIncarnation server,
             HttpConnection connection,
             HoldGroup holds,
             List<BackendServerId> readers,
@@ -98,9 +100,18 @@
     }
 
     BackendServerId server() {
+        return server.server();
+    }
+
+    BackendIncarnation incarnation() {
         return server;
     }
 
+    /** Whether the attempt ended because the server closed the connection before its response was complete. */
+    boolean hasLostConnection() {
+        return lostConnection;
+    }
+
     /** The holds at other engines for this attempt. */
     HoldGroup holds() {
         return holds;
@@ -211,7 +222,7 @@
 
     @Override
     public void onComplete() {
-        pools.release(server, connection);
+        pools.release(server(), connection);
         if (ended) {
             return;
         }
@@ -241,10 +252,12 @@
 
     private void endStream() {
         if (splitter.hasPartialEvent()) {
+            lostConnection = isEndedByClose();
             fail(AttemptEnd.BROKEN, "stream ended within an event");
             return;
         }
         if (eventCount == 0 && isEndedByClose()) {
+            lostConnection = true;
             fail(AttemptEnd.BROKEN, "the connection ended before the first event");
             return;
         }
@@ -259,6 +272,7 @@
 
     @Override
     public void onFailure(ConnectionFailure failure) {
+        lostConnection = failure.isBreak();
         if (discarded) {
             end();
             listener.onDiscardedEnd(this);
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/AttemptStarter.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/AttemptStarter.java
@@ -47,13 +47,14 @@
     }
 
     /** Opens an attempt without sending anything, so that its listener knows it before it can fail. */
-    Attempt open(Placement.Send placement, HoldGroup holds, Attempt.Listener listener, long nowNanos) {
-        HttpConnection connection = forwarder.pools().acquire(placement.server(), !route.mayRepeat(), nowNanos);
+    Attempt open(
+            BackendServer server, Placement.Send placement, HoldGroup holds, Attempt.Listener listener, long nowNanos) {
+        HttpConnection connection = forwarder.pools().acquire(server.id(), !route.mayRepeat(), nowNanos);
         return new Attempt(
                 listener,
                 forwarder.backendProtocol(),
                 forwarder.pools(),
-                placement.server(),
+                server.incarnation(),
                 connection,
                 holds,
                 placement.readers().stream().map(PrefillReader::server).toList(),
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
@@ -3,6 +3,7 @@
 import io.figspan.core.error.Problem;
 import io.figspan.core.error.ProblemKind;
 import io.figspan.core.id.OrganisationId;
+import io.figspan.core.id.PromptPartId;
 import io.figspan.gateway.backend.BackendServer;
 import io.figspan.gateway.backend.HoldGroup;
 import io.figspan.gateway.backend.MemoryHolds.HoldRequest;
@@ -36,6 +37,7 @@
     private final AttemptStarter starter;
     private final CallStateMachine state;
     private final DeadlineTimer deadlineTimer;
+    private final CrashObserver crashObserver;
     private Attempt attempt;
 
     ForwardCall(
@@ -56,12 +58,18 @@
         this.response = new CallResponse(forwarder.callerProtocol(), caller, request.lastEventId());
         this.history = new AttemptHistory(route, job.deadline(), dispatcher::budget);
         this.starter = new AttemptStarter(forwarder, route, request, body, organisation, job);
+        this.crashObserver = new CrashObserver(forwarder.promptCrashes(), request);
         this.state = new CallStateMachine(log);
         this.deadlineTimer = new DeadlineTimer(forwarder.loop(), job.deadline());
     }
 
     void start(long nowNanos) {
         deadlineTimer.start(this::onDeadline, nowNanos);
+        Optional<Problem> refusal = crashObserver.refusal(nowNanos);
+        if (refusal.isPresent()) {
+            endWithProblem(refusal.get(), refusal.get().detail());
+            return;
+        }
         dispatcher.submit(this, job, nowNanos);
     }
 
@@ -152,6 +160,12 @@
                     "the deadline passed before the request was sent");
             return;
         }
+        Optional<Problem> refusal = crashObserver.refusalOfSend(nowNanos);
+        if (refusal.isPresent()) {
+            giveUpPlacement(group, nowNanos);
+            endWithProblem(refusal.get(), refusal.get().detail());
+            return;
+        }
         Optional<BackendServer> server = forwarder.pools().find(placement.server());
         if (server.isEmpty() || server.get().isLeaving()) {
             giveUpPlacement(group, nowNanos);
@@ -170,7 +184,7 @@
         history.recordSent();
         state.transition(CallEvent.SENT);
         log.sent(placement, history.attempts(), nowNanos);
-        Attempt opened = starter.open(placement, group, this, nowNanos);
+        Attempt opened = starter.open(server, placement, group, this, nowNanos);
         attempt = opened;
         forwarder.holds().monitorUse(group, server, () -> onMemoryLost(opened));
         starter.send(opened, placement, response.lastEventId(), nowNanos);
@@ -180,6 +194,7 @@
 
     @Override
     public void onEvent(Attempt from, ByteBuf event, OptionalLong id, long eventCount) {
+        crashObserver.eventArrived(from, eventCount, System.nanoTime());
         if (!state.hasBegunResponse()) {
             beginStream(from);
         }
@@ -222,6 +237,7 @@
 
     /** Ends the request with the server's response. */
     private void endWithResponse(Attempt from) {
+        crashObserver.responseCompleted(from, System.nanoTime());
         attempt = null;
         forwarder.holds().release(from.holds());
         finish();
@@ -250,6 +266,7 @@
             Attempt failed, AttemptEnd end, String reason, Optional<FullHttpResponse> serverResponse) {
         long nowNanos = System.nanoTime();
         recordFailure(failed, end, reason);
+        crashObserver.attemptFailed(failed, nowNanos);
         if (end == AttemptEnd.HELPER_FAILED) {
             failed.faultyHelper().ifPresent(helper -> dispatcher.helperFailed(helper, nowNanos));
             job.pinTo(failed.server());
@@ -313,6 +330,18 @@
         }
     }
 
+    /** Ends the request if it has a part that was quarantined, so that it doesn't crash the engine that has it now. */
+    void onQuarantined(PromptPartId part) {
+        if (state.isDone() || state.hasBegunResponse() || !crashObserver.hasPart(part)) {
+            return;
+        }
+        String detail = CrashObserver.detail(part);
+        Problem problem = attempt == null
+                ? Problem.notRun(ProblemKind.PROMPT_QUARANTINED, detail)
+                : Problem.unknown(ProblemKind.BACKEND_FAILED, detail);
+        endWithProblem(problem, detail);
+    }
+
     private void onDeadline() {
         if (state.isDone()) {
             return;
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
@@ -4,6 +4,7 @@
 import io.figspan.core.error.ProblemKind;
 import io.figspan.core.event.Part;
 import io.figspan.core.id.HostId;
+import io.figspan.core.id.PromptPartId;
 import io.figspan.core.id.ServiceId;
 import io.figspan.core.id.SettingsVersion;
 import io.figspan.core.time.Deadline;
@@ -70,6 +71,7 @@
     private final DecisionLog log;
     private final GatewayMetrics metrics;
     private final RandomGenerator random;
+    private final PromptCrashes promptCrashes;
     private final Map<ServiceId, ServiceDispatcher> dispatchers = new HashMap<>();
     private final StartupQueue startupQueue = new StartupQueue();
     private final ByteBudget responseBodyBudget = new ByteBudget(MAX_BUFFERED_RESPONSE_BYTES);
@@ -100,6 +102,7 @@
             DecisionLog log,
             GatewayMetrics metrics,
             RandomGenerator random,
+            PromptCrashes promptCrashes,
             RetryBudgetConfig retryBudget) {
         this.loop = loop;
         this.self = self;
@@ -111,6 +114,8 @@
         this.log = log;
         this.metrics = metrics;
         this.random = random;
+        this.promptCrashes = promptCrashes;
+        promptCrashes.onQuarantined(this::promptQuarantined);
         this.retryBudget = retryBudget;
     }
 
@@ -303,6 +308,7 @@
     /** Updates the set of live hosts, which includes this one. */
     public void hostsChanged(Set<HostId> newHosts) {
         hosts = Set.copyOf(newHosts);
+        promptCrashes.hostsChanged(hosts);
         long nowNanos = System.nanoTime();
         dispatchers.values().forEach(dispatcher -> dispatcher.hostsChanged(hosts, nowNanos));
     }
@@ -366,10 +372,19 @@
         for (QueuedCall call : startupQueue.drainExpired(nowNanos)) {
             refuse(call.request, call.body, call.caller, notOpenProblem(nowNanos));
         }
+        promptCrashes.tick(nowNanos);
         dispatchers.values().forEach(dispatcher -> dispatcher.tick(nowNanos));
         pools.closeIdle(nowNanos);
     }
 
+    private void promptQuarantined(PromptPartId part) {
+        dispatchers.values().forEach(dispatcher -> dispatcher.promptQuarantined(part));
+    }
+
+    PromptCrashes promptCrashes() {
+        return promptCrashes;
+    }
+
     long defaultRetryAfterMs() {
         return DEFAULT_RETRY_AFTER_MS;
     }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatcher.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatcher.java
@@ -2,6 +2,7 @@
 
 import io.figspan.core.id.BackendServerId;
 import io.figspan.core.id.HostId;
+import io.figspan.core.id.PromptPartId;
 import io.figspan.core.work.PlacedRequest;
 import io.figspan.core.work.WorkChange;
 import io.figspan.gateway.metrics.Activity;
@@ -124,6 +125,11 @@
         place(() -> placer.tick(nowNanos));
     }
 
+    /** Ends the requests in progress whose prompts have a part that was quarantined. */
+    void promptQuarantined(PromptPartId part) {
+        List.copyOf(calls.values()).forEach(call -> call.onQuarantined(part));
+    }
+
     private void place(Supplier<List<Placement>> decision) {
         dispatch(processorTime.measure(Activity.PLACEMENT, decision));
     }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/http/ConnectionFailure.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/http/ConnectionFailure.java
@@ -11,6 +11,11 @@
     /** The server sent bytes that are no HTTP response, or a response that belongs to another request. */
     MALFORMED;
 
+    /** Whether the server closed the connection, or is gone, without a complete response. */
+    public boolean isBreak() {
+        return this == BROKEN_BEFORE_ANSWER || this == BROKEN_IN_ANSWER;
+    }
+
     /** Whether the server may have received the request. */
     public boolean requestMayHaveArrived() {
         return this != NOT_CONNECTED;
--- a/figspan-gateway/src/main/java/io/figspan/gateway/peer/PeerListener.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/peer/PeerListener.java
@@ -1,6 +1,7 @@
 package io.figspan.gateway.peer;
 
 import io.figspan.cluster.message.Peer;
+import io.figspan.cluster.message.PeerMessage;
 import io.figspan.core.id.HostId;
 import io.figspan.core.work.PlacedRequest;
 import java.util.List;
@@ -17,6 +18,12 @@
     /** A host has stopped reporting. */
     void onHostSilent(HostId host);
 
+    /** A host has joined. */
+    void onHostJoined(Peer peer);
+
+    /** A host has sent what it knows of prompt parts that crash engines. */
+    void onCrashEvidence(PeerMessage.CrashEvidence evidence);
+
     /** A host has newer items of the store than this one. */
     void onNewerItems(Peer peer, long settingsRevision, long serversRevision);
 }
--- /dev/null
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/peer/PeerSender.java
@@ -0,0 +1,11 @@
+package io.figspan.gateway.peer;
+
+import io.figspan.cluster.message.PeerMessage;
+
+/** Sends messages to other hosts. A message may be lost. */
+public interface PeerSender {
+    void sendToAll(PeerMessage message);
+
+    /** Sends to that many random hosts, or to all if there are fewer. */
+    void sendToSome(PeerMessage message, int hostCount);
+}
--- a/figspan-gateway/src/main/java/io/figspan/gateway/peer/PeerTracker.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/peer/PeerTracker.java
@@ -30,7 +30,7 @@
  * addition, each host reports its work to the hosts that place at the same engines, on each change and at least a few
  * times a second, so that a silent one among these is detected soon. All methods run on the event loop.
  */
-public final class PeerTracker {
+public final class PeerTracker implements PeerSender {
     /** Interval of probes and of checks for silent hosts; well below {@link Membership#TICK_NANOS}. */
     private static final long TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(60);
 
@@ -278,6 +278,8 @@
         long nowNanos = System.nanoTime();
         if (message instanceof PeerMessage.WorkReport received) {
             receiveWork(from, received, nowNanos);
+        } else if (message instanceof PeerMessage.CrashEvidence evidence) {
+            listener.onCrashEvidence(evidence);
         }
         if (membership != null) {
             execute(membership.receive(from, message, nowNanos), from, nowNanos);
@@ -320,9 +322,32 @@
                     membership.self(),
                     reportSource.report(),
                     List.of(changed.peer().address()));
+            listener.onHostJoined(changed.peer());
         }
     }
 
+    // Messages of other components
+
+    /** Sends a message to these hosts. */
+    public void send(PeerMessage message, List<Peer> hosts) {
+        if (membership != null && !hosts.isEmpty()) {
+            transport.send(
+                    membership.self(),
+                    message,
+                    hosts.stream().map(Peer::address).toList());
+        }
+    }
+
+    @Override
+    public void sendToAll(PeerMessage message) {
+        send(message, others());
+    }
+
+    @Override
+    public void sendToSome(PeerMessage message, int hostCount) {
+        send(message, membership == null ? List.of() : membership.randomPeers(hostCount));
+    }
+
     /** Joins again with a higher incarnation number: the wall clock went back between two starts of this host. */
     private void rejoinAbove(HostIncarnation newer, long nowNanos) {
         log.warn(Part.MEMBER, "incarnationRaised").text("above", newer).write();
--- a/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
@@ -14,6 +14,7 @@
 import io.figspan.gateway.backend.MemoryHolds;
 import io.figspan.gateway.caller.CallerServer;
 import io.figspan.gateway.forward.Forwarder;
+import io.figspan.gateway.forward.PromptCrashes;
 import io.figspan.gateway.log.DecisionLog;
 import io.figspan.gateway.log.UnexpectedErrors;
 import io.figspan.gateway.metrics.GatewayMetrics;
@@ -56,6 +57,7 @@
     private final GatewayMetrics metrics = new GatewayMetrics();
     private final TestProtocol protocol = new TestProtocol();
     private final BackendPools pools = new BackendPools(loop);
+    private final PromptCrashes promptCrashes;
     private final Forwarder forwarder;
     private final CallerServer callers;
     private final InetSocketAddress address;
@@ -65,6 +67,7 @@
     public GatewayHarness() throws IOException {
         DecisionLog log = new DecisionLog();
         HostIncarnation self = new HostIncarnation(HostId.of("host"), 1);
+        promptCrashes = new PromptCrashes(self.host(), log, metrics);
         forwarder = new Forwarder(
                 loop,
                 self.host(),
@@ -75,6 +78,7 @@
                 log,
                 metrics,
                 new SplittableRandom(1),
+                promptCrashes,
                 new Forwarder.RetryBudgetConfig(0.2, 10, 10_000));
         callers = new CallerServer(loop, forwarder, protocol, new UnexpectedErrors(log, metrics));
         ServerSocketChannel port = CallerServer.open(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
--- a/figspan-gateway/src/test/java/io/figspan/gateway/peer/PeerTrackerTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/peer/PeerTrackerTest.java
@@ -58,6 +58,7 @@
         final BlockingQueue<ReceivedReport> reports = new LinkedBlockingQueue<>();
         final BlockingQueue<HostId> silentHosts = new LinkedBlockingQueue<>();
         final BlockingQueue<Set<HostId>> liveHostSets = new LinkedBlockingQueue<>();
+        final BlockingQueue<PeerMessage.CrashEvidence> evidenceReceived = new LinkedBlockingQueue<>();
         final PeerTracker peers;
         volatile Set<HostId> reportRecipients = Set.of();
         volatile long storeAgeMs = -1;
@@ -116,6 +117,14 @@
             silentHosts.add(host);
         }
 
+        @Override
+        public void onHostJoined(Peer peer) {}
+
+        @Override
+        public void onCrashEvidence(PeerMessage.CrashEvidence evidence) {
+            evidenceReceived.add(evidence);
+        }
+
         @Override
         public void onNewerItems(Peer peer, long settingsRevision, long serversRevision) {
             assertEquals(7, settingsRevision);
