--- /dev/null
+++ b/figspan-cluster/src/test/java/io/figspan/cluster/quarantine/PromptQuarantineTest.java
@@ -0,0 +1,203 @@
+package io.figspan.cluster.quarantine;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.figspan.cluster.message.PeerMessage;
+import io.figspan.core.id.BackendIncarnation;
+import io.figspan.core.id.BackendServerId;
+import io.figspan.core.id.HostId;
+import io.figspan.core.id.PromptPartId;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+class PromptQuarantineTest {
+    private static final HostId HOST = HostId.of("host-1");
+    private static final PromptPartId COMMON = PromptPartId.of("f1");
+    private static final PromptPartId DOCUMENT = PromptPartId.of("d1");
+    private static final PromptPartId CRASHING = PromptPartId.of("c0de");
+    private static final long SECOND_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    private final PromptQuarantine quarantine = new PromptQuarantine(HOST, 0);
+    private final List<QuarantineAction> actions = new ArrayList<>();
+    private long nowNanos;
+
+    private static BackendIncarnation engine(int number) {
+        return new BackendIncarnation(BackendServerId.of("engine-" + number), 1);
+    }
+
+    private void crash(int engine, PromptPartId... parts) {
+        pass(SECOND_NANOS);
+        quarantine.serverCrashed(engine(engine), List.of(parts), nowNanos);
+        pass(SECOND_NANOS);
+    }
+
+    private void pass(long nanos) {
+        nowNanos += nanos;
+        actions.addAll(quarantine.tick(nowNanos));
+    }
+
+    private boolean isRefused(PromptPartId... parts) {
+        return quarantine.refusal(List.of(parts), nowNanos).isPresent();
+    }
+
+    private void quarantineCrashingPart() {
+        crash(1, CRASHING);
+        crash(2, CRASHING);
+        crash(3, CRASHING);
+        assertTrue(isRefused(CRASHING));
+    }
+
+    @Test
+    void aPartIsRefusedAfterThreeCrashesAndNotBefore() {
+        crash(1, COMMON, CRASHING);
+        quarantine.answerBegan(List.of(COMMON), nowNanos);
+        crash(2, COMMON, CRASHING, DOCUMENT);
+        assertFalse(isRefused(COMMON, CRASHING));
+
+        crash(3, COMMON, CRASHING);
+
+        assertTrue(isRefused(COMMON, CRASHING, DOCUMENT));
+        assertFalse(isRefused(COMMON, DOCUMENT));
+        assertTrue(actions.contains(new QuarantineAction.Quarantined(CRASHING, 3)));
+    }
+
+    @Test
+    void simultaneousCrashesCountAsOne() {
+        for (int engine = 0; engine < 6; engine++) {
+            quarantine.serverCrashed(engine(engine), List.of(CRASHING), nowNanos);
+        }
+        pass(SECOND_NANOS);
+
+        assertFalse(isRefused(CRASHING));
+    }
+
+    @Test
+    void partsWithEquallyManyCrashesWaitForAnotherAndThenTheMostSpecificOneIsRefused() {
+        crash(1, COMMON, CRASHING);
+        crash(2, COMMON, CRASHING);
+        crash(3, COMMON, CRASHING);
+        assertFalse(isRefused(COMMON, CRASHING));
+
+        crash(4, COMMON, CRASHING);
+
+        assertTrue(isRefused(CRASHING));
+        assertFalse(isRefused(COMMON));
+    }
+
+    @Test
+    void crashesThatAQuarantinedPartExplainsDontCountAgainstOthers() {
+        quarantineCrashingPart();
+        crash(4, CRASHING, DOCUMENT);
+        crash(5, CRASHING, DOCUMENT);
+        crash(6, CRASHING, DOCUMENT);
+
+        assertFalse(isRefused(DOCUMENT));
+    }
+
+    @Test
+    void anAnswerThatBeginsReleasesThePart() {
+        quarantineCrashingPart();
+
+        quarantine.answerBegan(List.of(CRASHING), nowNanos);
+        pass(SECOND_NANOS);
+
+        assertFalse(isRefused(CRASHING));
+        assertTrue(actions.contains(new QuarantineAction.Released(CRASHING, 0)));
+    }
+
+    @Test
+    void aServerThatRespondsToAnEarlierRequestHasNotCrashed() {
+        crash(1, CRASHING);
+        crash(2, CRASHING);
+        long sentNanos = nowNanos;
+        crash(3, CRASHING);
+
+        quarantine.serverResponded(engine(3), sentNanos, nowNanos);
+        pass(SECOND_NANOS);
+
+        assertFalse(isRefused(CRASHING));
+    }
+
+    @Test
+    void aServerThatStartsAgainUnderItsIdRefutesNothing() {
+        quarantineCrashingPart();
+        pass(5 * SECOND_NANOS);
+
+        quarantine.serverResponded(engine(3), nowNanos, nowNanos + SECOND_NANOS);
+        pass(SECOND_NANOS);
+
+        assertTrue(isRefused(CRASHING));
+    }
+
+    @Test
+    void oneTrialIsAdmittedAfterAMinuteAndTheNextFourTimesAsLongAfterItsCrash() {
+        quarantineCrashingPart();
+        pass(50 * SECOND_NANOS);
+        assertTrue(isRefused(CRASHING));
+
+        pass(20 * SECOND_NANOS);
+        assertTrue(quarantine.refusalOfSend(List.of(CRASHING), nowNanos).isEmpty());
+        assertTrue(quarantine.refusalOfSend(List.of(CRASHING), nowNanos).isPresent());
+
+        crash(4, CRASHING);
+        pass(230 * SECOND_NANOS);
+        assertTrue(isRefused(CRASHING));
+        pass(20 * SECOND_NANOS);
+        assertFalse(isRefused(CRASHING));
+    }
+
+    @Test
+    void onlyOneOfTheHostsAdmitsATrial() {
+        Set<HostId> hosts = Set.of(HOST, HostId.of("host-2"), HostId.of("host-3"), HostId.of("host-4"));
+        PeerMessage.CrashEvidence evidence = evidenceOfQuarantine();
+        int admitting = 0;
+        for (HostId host : hosts) {
+            PromptQuarantine atHost = new PromptQuarantine(host, 0);
+            atHost.hostsChanged(hosts);
+            atHost.receive(evidence, 0);
+            atHost.tick(SECOND_NANOS);
+            assertTrue(atHost.refusal(List.of(CRASHING), SECOND_NANOS).isPresent());
+            if (atHost.refusal(List.of(CRASHING), 70 * SECOND_NANOS).isEmpty()) {
+                admitting++;
+            }
+        }
+        assertEquals(1, admitting);
+    }
+
+    private PeerMessage.CrashEvidence evidenceOfQuarantine() {
+        quarantineCrashingPart();
+        return quarantine.evidenceForNewHost(HostId.of("host-9"), nowNanos).orElseThrow();
+    }
+
+    @Test
+    void aNewHostRefusesWhatTheOthersRefuse() {
+        PromptQuarantine newHost = new PromptQuarantine(HostId.of("host-9"), 0);
+
+        newHost.receive(evidenceOfQuarantine(), 0);
+        newHost.tick(0);
+
+        assertTrue(newHost.refusal(List.of(CRASHING), 0).isPresent());
+    }
+
+    @Test
+    void messagesAndTheTableAreBounded() {
+        quarantineCrashingPart();
+        for (int part = 0; part < 2 * PromptQuarantine.MAX_PARTS; part++) {
+            quarantine.serverCrashed(engine(part), List.of(PromptPartId.of("a" + part)), nowNanos);
+        }
+
+        actions.clear();
+        pass(SECOND_NANOS);
+
+        assertTrue(isRefused(CRASHING));
+        assertTrue(actions.stream()
+                .filter(action -> action instanceof QuarantineAction.SendToAll)
+                .map(action -> ((QuarantineAction.SendToAll) action).message().parts())
+                .allMatch(parts -> parts.size() <= PromptQuarantine.MAX_PARTS_PER_MESSAGE));
+    }
+}
--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/CrashingPromptTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/CrashingPromptTest.java
@@ -21,7 +21,8 @@
     /** Prompts after which the part must be known; each of them crashes two engines at most. */
     private static final int MAX_PROMPTS = 30;
 
-    private static final String CRASHING = "shared-part: c0de\r\n";
+    private static final String CRASHING = "shared-part: f1\r\nshared-part: c0de\r\n";
+    private static final String SOUND = "shared-part: f1\r\n";
     private static final String EVENTS = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
     private static final String HEAD_WITHOUT_LENGTH = "content-type: text/event-stream\r\n";
 
@@ -73,6 +74,7 @@
         int prompts = 0;
         while (!prompt(CRASHING).contains("promptQuarantined")) {
             prompts++;
+            prompt(SOUND);
             assertTrue(prompts < MAX_PROMPTS, crashes.get() + " engines crashed");
         }
         int crashesBefore = crashes.get();
@@ -96,11 +98,11 @@
     }
 
     @Test
-    void soundPromptsWithOtherPartsAreServedMeanwhile() throws IOException {
+    void soundPromptsThatShareKeyAndOtherPartsAreServed() throws IOException {
         startEngines(ScriptedServer.Connection::reset);
         promptsAreQuarantined();
         for (int sound = 0; sound < ENGINES; sound++) {
-            String response = prompt("shared-part: f00d\r\n");
+            String response = prompt(SOUND);
             assertTrue(response.startsWith("HTTP/1.1 200"), response);
             assertTrue(response.contains("id: 2"), response);
         }
--- a/figspan-gateway/src/test/java/io/figspan/gateway/peer/PeerTrackerTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/peer/PeerTrackerTest.java
@@ -212,6 +212,19 @@
         } while (last.jobs() != 5);
     }
 
+    @Test
+    void crashEvidenceReachesAllHosts() throws Exception {
+        startHosts(3);
+        awaitReport(hosts.get(0), hosts.get(1).id, 0);
+        awaitReport(hosts.get(0), hosts.get(2).id, 0);
+        PeerMessage.CrashEvidence evidence = new PeerMessage.CrashEvidence(List.of());
+
+        onLoop(() -> hosts.get(0).peers.sendToAll(evidence));
+
+        assertEquals(evidence, hosts.get(1).evidenceReceived.poll(LIMIT_S, TimeUnit.SECONDS));
+        assertEquals(evidence, hosts.get(2).evidenceReceived.poll(LIMIT_S, TimeUnit.SECONDS));
+    }
+
     @Test
     void aHostThatReportsToOthersIsNamedToCallers() throws Exception {
         startHosts(2);
