--- a/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/PromptQuarantine.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/PromptQuarantine.java
@@ -48,8 +48,11 @@
 
     static final long GOSSIP_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(2);
 
-    /** Refuted crashes are repeated for this long, so that lost messages don't matter. */
-    static final long REFUTATION_REPEAT_NANOS = TimeUnit.SECONDS.toNanos(10);
+    /** The interval while nothing changes, which keeps the traffic low during a quarantine. */
+    static final long QUIET_GOSSIP_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(10);
+
+    /** Changes are repeated at the shorter interval for this long, so that lost messages don't matter. */
+    static final long REPEAT_NANOS = TimeUnit.SECONDS.toNanos(10);
 
     /** A part without a new crash for this long is no longer suspected. */
     static final long SUSPICION_EXPIRY_NANOS = TimeUnit.MINUTES.toNanos(10);
@@ -319,13 +322,19 @@
             unsent.clear();
             message(changed, nowNanos).ifPresent(news -> actions.add(new QuarantineAction.SendToAll(news)));
         }
-        if (nowNanos - lastGossipNanos >= GOSSIP_INTERVAL_NANOS) {
+        if (nowNanos - lastGossipNanos >= gossipIntervalNanos(nowNanos)) {
             lastGossipNanos = nowNanos;
             evidence(nowNanos).ifPresent(all -> actions.add(new QuarantineAction.SendToSome(all)));
         }
         return actions;
     }
 
+    private long gossipIntervalNanos(long nowNanos) {
+        boolean hasChangedLately =
+                suspects.values().stream().anyMatch(suspect -> nowNanos - suspect.lastChangeNanos() < REPEAT_NANOS);
+        return hasChangedLately ? GOSSIP_INTERVAL_NANOS : QUIET_GOSSIP_INTERVAL_NANOS;
+    }
+
     private void expire(long nowNanos) {
         suspects.values()
                 .removeIf(suspect -> nowNanos - suspect.lastCrashNanos() >= expiryNanos(suspect.isQuarantined()));
@@ -352,8 +361,7 @@
 
     private Optional<PeerMessage.CrashEvidence> message(Collection<SuspectPart> from, long nowNanos) {
         List<PartEvidence> parts = from.stream()
-                .filter(suspect ->
-                        suspect.crashCount() > 0 || nowNanos - suspect.lastChangeNanos() < REFUTATION_REPEAT_NANOS)
+                .filter(suspect -> suspect.crashCount() > 0 || nowNanos - suspect.lastChangeNanos() < REPEAT_NANOS)
                 .sorted(Comparator.comparing(SuspectPart::isQuarantined)
                         .thenComparing(SuspectPart::lastChangeNanos)
                         .reversed())
