Log the limits of requests that servers name

Change: the limit is decoded (a decimal number of requests a second), and each change of it is one line, serverLimited or serverLimitEnded. No decision uses it yet.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
@@ -14,6 +14,7 @@
 import io.figspan.gateway.fleet.FleetState;
 import io.figspan.gateway.forward.Forwarder;
 import io.figspan.gateway.forward.PromptCrashes;
+import io.figspan.gateway.forward.RequestLimits;
 import io.figspan.gateway.log.DecisionLog;
 import io.figspan.gateway.log.UnexpectedErrors;
 import io.figspan.gateway.metrics.Activity;
@@ -74,6 +75,7 @@
     private final MemoryHolds holds;
     private final FleetState fleet;
     private final PromptCrashes promptCrashes;
+    private final RequestLimits requestLimits;
     private final Forwarder forwarder;
     private final CallerServer callers;
     private final PeerTracker peers;
@@ -94,6 +96,7 @@
         this.holds = new MemoryHolds(engines, log, self, MonotonicClock.system());
         this.fleet = new FleetState(adapter.fleet(), pools, log, this, System::nanoTime);
         this.promptCrashes = new PromptCrashes(config.host(), log, metrics);
+        this.requestLimits = new RequestLimits(log);
         this.forwarder = new Forwarder(
                 loop,
                 config.host(),
@@ -105,6 +108,7 @@
                 metrics,
                 random,
                 promptCrashes,
+                requestLimits,
                 retryAllowance(config));
         this.callers = new CallerServer(loop, forwarder, adapter.callers(), errors);
         this.peers = new PeerTracker(loop, config, log, random, this, this, metrics.processorTime());
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Attempt.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Attempt.java
@@ -60,6 +60,9 @@
      * #onFailed} or {@link #onDiscardedEnd}.
      */
     interface Listener {
+        /** The head of the response has arrived, and belongs to the request. */
+        void onHead(Attempt attempt);
+
         /** A complete event of a stream, owned by the callee; {@code eventCount} have been received so far. */
         void onEvent(Attempt attempt, ByteBuf event, OptionalLong id, long eventCount);
 
@@ -178,6 +181,8 @@
             abort("answer to another request");
         } else if (response.isSuccess() && !response.isSigned()) {
             abort("success without signature");
+        } else {
+            listener.onHead(this);
         }
     }
 
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
@@ -192,6 +192,11 @@
 
     // Response
 
+    @Override
+    public void onHead(Attempt from) {
+        forwarder.requestLimits().answered(from.incarnation(), from.response());
+    }
+
     @Override
     public void onEvent(Attempt from, ByteBuf event, OptionalLong id, long eventCount) {
         crashObserver.eventArrived(from, eventCount, System.nanoTime());
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
@@ -72,6 +72,7 @@
     private final GatewayMetrics metrics;
     private final RandomGenerator random;
     private final PromptCrashes promptCrashes;
+    private final RequestLimits requestLimits;
     private final Map<ServiceId, ServiceDispatcher> dispatchers = new HashMap<>();
     private final StartupQueue startupQueue = new StartupQueue();
     private final ByteBudget responseBodyBudget = new ByteBudget(MAX_BUFFERED_RESPONSE_BYTES);
@@ -103,6 +104,7 @@
             GatewayMetrics metrics,
             RandomGenerator random,
             PromptCrashes promptCrashes,
+            RequestLimits requestLimits,
             RetryBudgetConfig retryBudget) {
         this.loop = loop;
         this.self = self;
@@ -115,6 +117,7 @@
         this.metrics = metrics;
         this.random = random;
         this.promptCrashes = promptCrashes;
+        this.requestLimits = requestLimits;
         promptCrashes.onQuarantined(this::promptQuarantined);
         this.retryBudget = retryBudget;
     }
@@ -381,6 +384,10 @@
         dispatchers.values().forEach(dispatcher -> dispatcher.promptQuarantined(part));
     }
 
+    RequestLimits requestLimits() {
+        return requestLimits;
+    }
+
     PromptCrashes promptCrashes() {
         return promptCrashes;
     }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/protocol/BackendResponse.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/protocol/BackendResponse.java
@@ -1,6 +1,7 @@
 package io.figspan.gateway.protocol;
 
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 /**
  * The decoded head of a backend server's response.
@@ -10,6 +11,7 @@
  * @param notExecuted whether the server says that it has not run the request and will not run it
  * @param wrongServer whether another server than the expected one responded; nothing was run
  * @param load the server's load, if it reports it
+ * @param requestsPerSecond the rate of requests that the server accepts from all hosts together, if it limits it
  * @param faultyServer IP address and port of the server that caused the failure; it may be the responding server
  */
 public record BackendResponse(
@@ -19,6 +21,7 @@
         boolean notExecuted,
         boolean wrongServer,
         Optional<ServerLoad> load,
+        OptionalDouble requestsPerSecond,
         Optional<String> faultyServer) {
 
     /** Load of a server, in requests. */
--- a/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
@@ -15,6 +15,7 @@
 import io.figspan.gateway.caller.CallerServer;
 import io.figspan.gateway.forward.Forwarder;
 import io.figspan.gateway.forward.PromptCrashes;
+import io.figspan.gateway.forward.RequestLimits;
 import io.figspan.gateway.log.DecisionLog;
 import io.figspan.gateway.log.UnexpectedErrors;
 import io.figspan.gateway.metrics.GatewayMetrics;
@@ -58,6 +59,7 @@
     private final TestProtocol protocol = new TestProtocol();
     private final BackendPools pools = new BackendPools(loop);
     private final PromptCrashes promptCrashes;
+    private final RequestLimits requestLimits;
     private final Forwarder forwarder;
     private final CallerServer callers;
     private final InetSocketAddress address;
@@ -68,6 +70,7 @@
         DecisionLog log = new DecisionLog();
         HostIncarnation self = new HostIncarnation(HostId.of("host"), 1);
         promptCrashes = new PromptCrashes(self.host(), log, metrics);
+        requestLimits = new RequestLimits(log);
         forwarder = new Forwarder(
                 loop,
                 self.host(),
@@ -79,6 +82,7 @@
                 metrics,
                 new SplittableRandom(1),
                 promptCrashes,
+                requestLimits,
                 new Forwarder.RetryBudgetConfig(0.2, 10, 10_000));
         callers = new CallerServer(loop, forwarder, protocol, new UnexpectedErrors(log, metrics));
         ServerSocketChannel port = CallerServer.open(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
--- a/figspan-gateway/src/test/java/io/figspan/gateway/TestProtocol.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/TestProtocol.java
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 
@@ -85,6 +86,9 @@
                 headers.contains("not-run"),
                 head.status().code() == 421,
                 Optional.empty(),
+                headers.contains("limit")
+                        ? OptionalDouble.of(Double.parseDouble(headers.get("limit")))
+                        : OptionalDouble.empty(),
                 Optional.empty());
     }
 
