--- a/figspan-cluster/src/main/java/io/figspan/cluster/message/PeerMessage.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/message/PeerMessage.java
@@ -138,6 +138,13 @@
         }
     }
 
+    /** The limits of backend servers, and how much of them the sender has used. Merged by the receiver. */
+    record ServerLimitUses(List<ServerLimitUse> uses) implements PeerMessage {
+        public ServerLimitUses {
+            uses = List.copyOf(uses);
+        }
+    }
+
     // Orders, whose fields are not interpreted in this module
 
     /** Forwards an order to the owner of its ticket, with the time left in milliseconds. */
--- a/figspan-wire/src/main/java/io/figspan/wire/MessageReader.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/MessageReader.java
@@ -9,6 +9,7 @@
 import io.figspan.cluster.message.PeerAddress;
 import io.figspan.cluster.message.PeerMessage;
 import io.figspan.cluster.message.Piggyback;
+import io.figspan.cluster.message.ServerLimitUse;
 import io.figspan.core.id.AvailabilityZoneId;
 import io.figspan.core.id.BackendIncarnation;
 import io.figspan.core.id.BackendServerId;
@@ -69,6 +70,7 @@
                         unpacker.unpackLong());
             case WORK_REPORT -> readWorkReport();
             case CRASH_EVIDENCE -> new PeerMessage.CrashEvidence(readEvidence());
+            case SERVER_LIMIT_USES -> new PeerMessage.ServerLimitUses(readLimitUses());
             case FORWARD_ORDER ->
                 new PeerMessage.ForwardOrder(
                         unpacker.unpackLong(),
@@ -136,6 +138,20 @@
         return parts;
     }
 
+    private List<ServerLimitUse> readLimitUses() throws IOException {
+        int count = readCount();
+        List<ServerLimitUse> uses = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            uses.add(new ServerLimitUse(
+                    new BackendIncarnation(BackendServerId.of(readString()), unpacker.unpackLong()),
+                    unpacker.unpackBoolean(),
+                    unpacker.unpackDouble(),
+                    unpacker.unpackLong(),
+                    unpacker.unpackLong()));
+        }
+        return uses;
+    }
+
     private BackendServerId readServer(List<BackendServerId> servers) throws IOException {
         int index = unpacker.unpackInt();
         if (index < 0 || index >= servers.size()) {
--- a/figspan-wire/src/main/java/io/figspan/wire/MessageWriter.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/MessageWriter.java
@@ -8,6 +8,7 @@
 import io.figspan.cluster.message.Peer;
 import io.figspan.cluster.message.PeerMessage;
 import io.figspan.cluster.message.Piggyback;
+import io.figspan.cluster.message.ServerLimitUse;
 import io.figspan.core.id.BackendIncarnation;
 import io.figspan.core.id.BackendServerId;
 import io.figspan.core.id.HostIncarnation;
@@ -40,6 +41,7 @@
             case LOAN_REQUEST, LOAN_GRANT -> writeLoan(message);
             case WORK_REPORT -> writeWork((PeerMessage.WorkReport) message);
             case CRASH_EVIDENCE -> writeEvidence((PeerMessage.CrashEvidence) message);
+            case SERVER_LIMIT_USES -> writeLimitUses((PeerMessage.ServerLimitUses) message);
             case FORWARD_ORDER, OUTCOME_QUERY, ORDER_OUTCOME -> writeOrder(message);
             default -> throw new IOException("message kind has no encoding: " + message.getClass());
         }
@@ -167,6 +169,18 @@
         }
     }
 
+    private void writeLimitUses(PeerMessage.ServerLimitUses message) throws IOException {
+        packer.packArrayHeader(message.uses().size());
+        for (ServerLimitUse use : message.uses()) {
+            packer.packString(use.server().server().value());
+            packer.packLong(use.server().number());
+            packer.packBoolean(use.isLimited());
+            packer.packDouble(use.requestsPerSecond());
+            packer.packLong(use.ageMs());
+            packer.packLong(use.sentCount());
+        }
+    }
+
     private void writeOrder(PeerMessage message) throws IOException {
         if (message instanceof PeerMessage.ForwardOrder order) {
             packer.packLong(order.correlationId());
--- a/figspan-wire/src/test/java/io/figspan/wire/FrameCodecProperties.java
+++ b/figspan-wire/src/test/java/io/figspan/wire/FrameCodecProperties.java
@@ -11,6 +11,7 @@
 import io.figspan.cluster.message.PeerAddress;
 import io.figspan.cluster.message.PeerMessage;
 import io.figspan.cluster.message.Piggyback;
+import io.figspan.cluster.message.ServerLimitUse;
 import io.figspan.core.error.FigspanException;
 import io.figspan.core.error.ProblemKind;
 import io.figspan.core.id.AvailabilityZoneId;
@@ -68,7 +69,9 @@
             new PeerMessage.OrderOutcome(5, 200, "application/json", SAMPLE_BYTES),
             new PeerMessage.WorkReport(6, 410, 512, 30, List.of(placedWork("engine-1"), placedWork("engine-2"))),
             new PeerMessage.CrashEvidence(List.of(new PartEvidence(
-                    PromptPartId.of("91bd3f06"), 1, true, 4_200, PIGGYBACK.leaving(), PIGGYBACK.leaving()))));
+                    PromptPartId.of("91bd3f06"), 1, true, 4_200, PIGGYBACK.leaving(), PIGGYBACK.leaving()))),
+            new PeerMessage.ServerLimitUses(
+                    List.of(new ServerLimitUse(PIGGYBACK.leaving().get(0), true, 1.3, 250, 17))));
 
     private static PlacedRequest placedWork(String server) {
         List<PrefillReader> readers = List.of(
@@ -114,7 +117,7 @@
 
     @Property(seed = "12")
     void messagesWithAChangedByteAreDecodedOrRefused(
-            @ForAll @IntRange(max = 18) int kind, @ForAll @IntRange(max = 400) int position, @ForAll byte value) {
+            @ForAll @IntRange(max = 19) int kind, @ForAll @IntRange(max = 400) int position, @ForAll byte value) {
         byte[] body = FrameCodec.encode(ONE_OF_EACH.get(kind), HybridTimestamp.ZERO);
         body[position % body.length] = value;
         decodeOrRefuse(body);
