Keep the requests of all hosts to a server within the limit that it names

Cause: the limit went to the callers as any other header and no decision knew of it; each host alone stayed below it, all together did not. Class: a limit of the whole system that no part of it accounts for.

Change: ServerLimits keeps a token bucket for each server with a limit, which the requests of all hosts drain. The hosts that use the server (those of the cell, or 16 of a plain service) tell each other of each request at once, with counters so that lost and late messages don't matter, and repeat them. So the rate goes to where the traffic is. Each host waits for another level of the bucket, so they don't all send the next one. The part of a live host that is silent is left to it. The placers pass over servers that admit nothing now. A success without limit ends it; a server that accepts nothing is tried every ten seconds.

--- a/figspan-cluster/src/test/java/io/figspan/cluster/serverlimit/SimulatedSenders.java
+++ b/figspan-cluster/src/test/java/io/figspan/cluster/serverlimit/SimulatedSenders.java
@@ -108,10 +108,10 @@
         Host first = hosts.get(0);
         first.isCutOff = true;
         after(REACHABLE_NANOS, () -> {
-            first.limits.reachableHostsChanged(Set.of(first.id));
             Set<HostId> others = new HashSet<>(hostIds);
             others.remove(first.id);
-            hosts.stream().skip(1).forEach(host -> host.limits.reachableHostsChanged(others));
+            first.limits.silentHostsChanged(others);
+            hosts.stream().skip(1).forEach(host -> host.limits.silentHostsChanged(Set.of(first.id)));
         });
     }
 
--- a/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
@@ -96,7 +96,7 @@
         this.holds = new MemoryHolds(engines, log, self, MonotonicClock.system());
         this.fleet = new FleetState(adapter.fleet(), pools, log, this, System::nanoTime);
         this.promptCrashes = new PromptCrashes(config.host(), log, metrics);
-        this.requestLimits = new RequestLimits(log);
+        this.requestLimits = new RequestLimits(config.host(), pools, log, metrics, random);
         this.forwarder = new Forwarder(
                 loop,
                 config.host(),
@@ -113,6 +113,7 @@
         this.callers = new CallerServer(loop, forwarder, adapter.callers(), errors);
         this.peers = new PeerTracker(loop, config, log, random, this, this, metrics.processorTime());
         this.promptCrashes.setSender(peers);
+        this.requestLimits.setSender(peers);
         this.forwarder.onWorkChanged(peers::workChanged);
         this.forwarder.setWorkViewAge(() -> peers.oldestReportAgeMs(System.nanoTime()));
         this.storeWatchers = new StoreWatchers(config.host(), log);
@@ -218,6 +219,9 @@
         openWhenReady(nowNanos);
         peers.tick(nowNanos);
         forwarder.setHostCount(peers.hostCount());
+        if (!requestLimits.isEmpty()) {
+            requestLimits.silentHostsChanged(peers.silentHosts(nowNanos));
+        }
     }
 
     /** Decides whether to watch the store. A host that is not ready yet always watches it. */
@@ -304,6 +308,11 @@
         promptCrashes.receive(evidence);
     }
 
+    @Override
+    public void onServerLimitUses(Peer from, PeerMessage.ServerLimitUses uses) {
+        requestLimits.receive(from, uses);
+    }
+
     @Override
     public void onWorkReport(HostId host, List<PlacedRequest> work) {
         forwarder.peerWork(host, work);
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
@@ -3,6 +3,7 @@
 import io.figspan.core.error.Problem;
 import io.figspan.core.error.ProblemKind;
 import io.figspan.core.event.Part;
+import io.figspan.core.id.BackendServerId;
 import io.figspan.core.id.HostId;
 import io.figspan.core.id.PromptPartId;
 import io.figspan.core.id.ServiceId;
@@ -119,6 +120,7 @@
         this.promptCrashes = promptCrashes;
         this.requestLimits = requestLimits;
         promptCrashes.onQuarantined(this::promptQuarantined);
+        requestLimits.setHostsUsing(this::hostsUsing);
         this.retryBudget = retryBudget;
     }
 
@@ -149,6 +151,7 @@
 
     /** Passes the servers that accept new requests on to the dispatchers. */
     public void serversChanged() {
+        requestLimits.serversChanged();
         if (settings == null) {
             return;
         }
@@ -285,8 +288,8 @@
     private ServiceDispatcher newDispatcher(ServiceId service) {
         Optional<EngineProfile> engine =
                 Optional.ofNullable(settings.services().get(service)).flatMap(ServiceProfile::engine);
-        Placer placer = engine.<Placer>map(profile -> new EnginePlacer(profile, random))
-                .orElseGet(() -> new LeastBusyPlacer(random));
+        Placer placer = engine.<Placer>map(profile -> new EnginePlacer(profile, random, requestLimits))
+                .orElseGet(() -> new LeastBusyPlacer(random, requestLimits));
         ServerSubset subset = engine.isPresent() ? new ServerSubset.OwnCell(self, hosts) : new ServerSubset.All();
         return new ServiceDispatcher(
                 placer, subset, retryBudget.newBudget(), metrics.processorTime(), news -> workListener.accept(news));
@@ -376,10 +379,19 @@
             refuse(call.request, call.body, call.caller, notOpenProblem(nowNanos));
         }
         promptCrashes.tick(nowNanos);
+        requestLimits.tick(nowNanos);
         dispatchers.values().forEach(dispatcher -> dispatcher.tick(nowNanos));
         pools.closeIdle(nowNanos);
     }
 
+    private Set<HostId> hostsUsing(BackendServerId server) {
+        return pools.find(server)
+                .map(BackendServer::service)
+                .map(dispatchers::get)
+                .map(dispatcher -> dispatcher.hostsUsing(server))
+                .orElse(Set.of(self));
+    }
+
     private void promptQuarantined(PromptPartId part) {
         dispatchers.values().forEach(dispatcher -> dispatcher.promptQuarantined(part));
     }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServerSubset.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServerSubset.java
@@ -2,6 +2,7 @@
 
 import io.figspan.core.id.BackendServerId;
 import io.figspan.core.id.HostId;
+import io.figspan.core.util.RendezvousHash;
 import io.figspan.core.work.PlacedRequest;
 import io.figspan.core.work.PrefillReader;
 import io.figspan.policy.cell.CellPlan;
@@ -9,6 +10,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /** The subset of the servers of a service that this host uses, and the hosts to which it reports its work there. */
 sealed interface ServerSubset {
@@ -18,8 +20,14 @@
     /** The hosts to which this host must report this work. */
     Set<HostId> reportRecipients(List<PlacedRequest> work);
 
+    /** The live hosts that use a server while it limits its requests. */
+    Set<HostId> hostsUsing(BackendServerId server, Set<HostId> hosts);
+
     /** All servers, and no reports: random choice balances short requests of similar length well enough. */
     record All() implements ServerSubset {
+        /** Bounds the messages about each request; servers with a limit have few. */
+        private static final int MAX_HOSTS_OF_A_LIMITED_SERVER = 16;
+
         @Override
         public List<AvailableServer> select(List<AvailableServer> servers, Set<HostId> hosts) {
             return servers;
@@ -29,6 +37,16 @@
         public Set<HostId> reportRecipients(List<PlacedRequest> work) {
             return Set.of();
         }
+
+        @Override
+        public Set<HostId> hostsUsing(BackendServerId server, Set<HostId> hosts) {
+            if (hosts.size() <= MAX_HOSTS_OF_A_LIMITED_SERVER) {
+                return hosts;
+            }
+            return RendezvousHash.order(server.value(), hosts).stream()
+                    .limit(MAX_HOSTS_OF_A_LIMITED_SERVER)
+                    .collect(Collectors.toUnmodifiableSet());
+        }
     }
 
     /** The engines of the cell to which this host belongs. */
@@ -50,6 +68,11 @@
                     .toList();
         }
 
+        @Override
+        public Set<HostId> hostsUsing(BackendServerId server, Set<HostId> hosts) {
+            return plan.hostsUsing(server);
+        }
+
         @Override
         public Set<HostId> reportRecipients(List<PlacedRequest> work) {
             Set<HostId> recipients = plan.hostsInCellOf(self);
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatcher.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatcher.java
@@ -30,7 +30,9 @@
     private final ProcessorTime processorTime;
     private final Consumer<WorkChange> workListener;
     private final Map<Job, ForwardCall> calls = new HashMap<>();
+    private final Map<BackendServerId, Set<HostId>> hostsUsing = new HashMap<>();
     private List<AvailableServer> servers = List.of();
+    private Set<HostId> hosts = Set.of();
     private WindowedRetryBudget budget;
 
     ServiceDispatcher(
@@ -64,6 +66,8 @@
     }
 
     void hostsChanged(Set<HostId> newHosts, long nowNanos) {
+        hosts = newHosts;
+        hostsUsing.clear();
         place(() -> {
             placer.serversChanged(subset.select(servers, newHosts), nowNanos);
             return placer.tick(nowNanos);
@@ -75,6 +79,11 @@
         return subset.reportRecipients(List.of());
     }
 
+    /** The live hosts that use a server while it limits its requests. */
+    Set<HostId> hostsUsing(BackendServerId server) {
+        return hostsUsing.computeIfAbsent(server, key -> subset.hostsUsing(key, hosts));
+    }
+
     /** The hosts to which this host must report this work. */
     Set<HostId> reportRecipients(List<PlacedRequest> work) {
         return subset.reportRecipients(work);
--- a/figspan-gateway/src/main/java/io/figspan/gateway/peer/PeerListener.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/peer/PeerListener.java
@@ -24,6 +24,9 @@
     /** A host has sent what it knows of prompt parts that crash engines. */
     void onCrashEvidence(PeerMessage.CrashEvidence evidence);
 
+    /** A host has sent how much of the limits of backend servers it has used. */
+    void onServerLimitUses(Peer from, PeerMessage.ServerLimitUses uses);
+
     /** A host has newer items of the store than this one. */
     void onNewerItems(Peer peer, long settingsRevision, long serversRevision);
 }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/peer/PeerTracker.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/peer/PeerTracker.java
@@ -159,6 +159,14 @@
         return serving;
     }
 
+    /** The live hosts from which nothing was heard lately. */
+    public Set<HostId> silentHosts(long nowNanos) {
+        Set<HostId> silent = new HashSet<>();
+        others().forEach(peer -> silent.add(peer.host()));
+        servingPeers(nowNanos).forEach(peer -> silent.remove(peer.host()));
+        return silent;
+    }
+
     /** Age of the oldest among the latest reports of the other hosts, in milliseconds; 0 if there are none. */
     public long oldestReportAgeMs(long nowNanos) {
         return reports.oldestAgeMs(nowNanos);
@@ -280,6 +288,8 @@
             receiveWork(from, received, nowNanos);
         } else if (message instanceof PeerMessage.CrashEvidence evidence) {
             listener.onCrashEvidence(evidence);
+        } else if (message instanceof PeerMessage.ServerLimitUses uses) {
+            listener.onServerLimitUses(from, uses);
         }
         if (membership != null) {
             execute(membership.receive(from, message, nowNanos), from, nowNanos);
@@ -338,6 +348,13 @@
         }
     }
 
+    @Override
+    public void sendTo(Set<HostId> hosts, PeerMessage message) {
+        send(
+                message,
+                others().stream().filter(peer -> hosts.contains(peer.host())).toList());
+    }
+
     @Override
     public void sendToAll(PeerMessage message) {
         send(message, others());
--- a/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
@@ -70,7 +70,7 @@
         DecisionLog log = new DecisionLog();
         HostIncarnation self = new HostIncarnation(HostId.of("host"), 1);
         promptCrashes = new PromptCrashes(self.host(), log, metrics);
-        requestLimits = new RequestLimits(log);
+        requestLimits = new RequestLimits(self.host(), pools, log, metrics, new SplittableRandom(2));
         forwarder = new Forwarder(
                 loop,
                 self.host(),
--- a/figspan-gateway/src/test/java/io/figspan/gateway/peer/PeerTrackerTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/peer/PeerTrackerTest.java
@@ -125,6 +125,9 @@
             evidenceReceived.add(evidence);
         }
 
+        @Override
+        public void onServerLimitUses(Peer from, PeerMessage.ServerLimitUses uses) {}
+
         @Override
         public void onNewerItems(Peer peer, long settingsRevision, long serversRevision) {
             assertEquals(7, settingsRevision);
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/EnginePlacer.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/EnginePlacer.java
@@ -50,6 +50,7 @@
     private final EngineProfile profile;
     private final PrefillPlanner planner = new PrefillPlanner(LatenessLoss.DEFAULT);
     private final RandomGenerator random;
+    private final RequestGate gate;
     private final Map<BackendServerId, EngineState> engines = new LinkedHashMap<>();
     private final Map<Job, PlacedJob> placedJobs = new LinkedHashMap<>();
     private long nextKey = 1;
@@ -76,8 +77,19 @@
      * @param random breaks ties between equally good engines, so that hosts don't all start with the same one
      */
     public EnginePlacer(EngineProfile profile, RandomGenerator random) {
+        this(profile, random, RequestGate.OPEN);
+    }
+
+    /**
+     * Creates a placer without engines.
+     *
+     * @param random breaks ties between equally good engines, so that hosts don't all start with the same one
+     * @param gate tells which engines accept another request, or hold memory for one, now
+     */
+    public EnginePlacer(EngineProfile profile, RandomGenerator random, RequestGate gate) {
         this.profile = profile;
         this.random = random;
+        this.gate = gate;
     }
 
     private long takeKey() {
@@ -130,7 +142,7 @@
         List<EngineState> helperCandidates = new ArrayList<>();
         List<EngineState> primaryCandidates = new ArrayList<>();
         for (EngineState engine : engines.values()) {
-            if (!engine.isUsable(nowMs) || !engine.canHelp()) {
+            if (!engine.isUsable(nowMs) || !engine.canHelp() || !gate.admits(engine.id(), nowNanos)) {
                 continue;
             }
             helperCandidates.add(engine);
@@ -172,6 +184,7 @@
                 new PlacedJob(takeKey(), plan.primary(), plan.helpers(), nowNanos, outputTokens, plan.doneMs());
         placedJobs.put(job, placedJob);
         job.tried().add(plan.primary().id());
+        recordSent(plan, nowNanos);
         RequestTraits traits = request.traits(request.promptTokens() - plan.heldElsewhereTokens());
         SimulatedRequests.add(placedJob.key, plan.primary(), plan.helpers(), request.promptTokens(), traits, nowMs);
         String reason = "readers=" + plan.helpers().size()
@@ -185,6 +198,14 @@
         return new Placement.Send(job, plan.primary().id(), OptionalInt.empty(), helpers, reason);
     }
 
+    /** Counts the request, and those that reserve memory for it at other engines. */
+    private void recordSent(PrefillPlan plan, long nowNanos) {
+        gate.sent(plan.primary().id(), nowNanos);
+        plan.helpers().stream()
+                .filter(helper -> helper.heldTokens() > 0)
+                .forEach(helper -> gate.sent(helper.engine().id(), nowNanos));
+    }
+
     @Override
     public void pieceArrived(Job job, long pieces, long nowNanos) {
         job.pieceArrived(nowNanos);
@@ -230,8 +251,10 @@
 
     private boolean hasOtherEngine(Job job, long nowNanos) {
         return engines.values().stream()
-                .anyMatch(engine ->
-                        engine.isUsable(Millis.of(nowNanos)) && engine.hasFreeSlot() && job.maySendTo(engine.id()));
+                .anyMatch(engine -> engine.isUsable(Millis.of(nowNanos))
+                        && engine.hasFreeSlot()
+                        && job.maySendTo(engine.id())
+                        && gate.admits(engine.id(), nowNanos));
     }
 
     @Override
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/LeastBusyPlacer.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/LeastBusyPlacer.java
@@ -25,6 +25,7 @@
     static final long RETRY_AFTER_MS = 250;
 
     private final RandomGenerator random;
+    private final RequestGate gate;
     private final Map<BackendServerId, ServerState> servers = new HashMap<>();
     private final Map<Job, ServerState> placed = new HashMap<>();
     private final Queue<Job> queue = new ArrayDeque<>();
@@ -42,7 +43,12 @@
     }
 
     public LeastBusyPlacer(RandomGenerator random) {
+        this(random, RequestGate.OPEN);
+    }
+
+    public LeastBusyPlacer(RandomGenerator random, RequestGate gate) {
         this.random = random;
+        this.gate = gate;
     }
 
     @Override
@@ -60,7 +66,7 @@
     public List<Placement> arrived(Job job, long nowNanos) {
         ServerState server = choose(job, nowNanos);
         if (server != null) {
-            return List.of(send(job, server));
+            return List.of(send(job, server, nowNanos));
         }
         if (queue.size() >= MAX_WAITING || servers.isEmpty()) {
             return List.of(refuse(job));
@@ -100,7 +106,7 @@
             ServerState server = choose(job, nowNanos);
             if (server != null) {
                 waiting.remove();
-                placements.add(send(job, server));
+                placements.add(send(job, server, nowNanos));
             }
         }
         return placements;
@@ -128,16 +134,18 @@
         return best;
     }
 
-    private static boolean isUsable(ServerState server, Job job, long nowNanos) {
+    private boolean isUsable(ServerState server, Job job, long nowNanos) {
         return server.available
                 && server.running < server.slots
                 && !server.failureBackoff.isActive(Millis.of(nowNanos))
-                && job.maySendTo(server.id);
+                && job.maySendTo(server.id)
+                && gate.admits(server.id, nowNanos);
     }
 
-    private Placement send(Job job, ServerState server) {
+    private Placement send(Job job, ServerState server, long nowNanos) {
         String reason = "running=" + server.running + " slots=" + server.slots;
         server.running++;
+        gate.sent(server.id, nowNanos);
         placed.put(job, server);
         job.tried().add(server.id);
         return new Placement.Send(job, server.id, OptionalInt.empty(), List.of(), reason);
