A reservation takes no extra response to an earlier request as its own

Cause: reservations, releases and reports have no attempt id, and their responses were not checked. Change: a response that carries an attempt id is not theirs; the connection is closed and the outcome is unknown.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/backend/HttpEngineClient.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/backend/HttpEngineClient.java
@@ -7,6 +7,7 @@
 import io.figspan.gateway.protocol.BackendProtocol;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import java.net.InetSocketAddress;
 import java.util.function.Consumer;
 
@@ -51,7 +52,13 @@
             BackendServerId engine, FullHttpRequest request, long timeoutMs, Consumer<EngineOutcome> listener) {
         HttpConnection connection = pools.acquire(engine, false, System.nanoTime());
         Runnable returnToPool = () -> pools.release(engine, connection);
-        BufferedExchange.send(loop, connection, request, timeoutMs, new OutcomeListener(returnToPool, listener));
+        OutcomeListener outcomeListener = new OutcomeListener(returnToPool, listener);
+        BufferedExchange.send(loop, connection, request, timeoutMs, this::isExpected, outcomeListener);
+    }
+
+    /** These requests have no attempt id, so a response with one is an extra one to an earlier request. */
+    private boolean isExpected(HttpResponse head) {
+        return protocol.decode(head).attemptId().isEmpty();
     }
 
     @Override
@@ -59,7 +66,8 @@
             BackendServerId engine, InetSocketAddress address, long timeoutMs, Consumer<EngineOutcome> listener) {
         HttpConnection connection = HttpConnection.open(loop, address, PROBE_CONNECT_TIMEOUT_MS);
         FullHttpRequest request = protocol.report(engine);
-        BufferedExchange.send(loop, connection, request, timeoutMs, new OutcomeListener(connection::close, listener));
+        OutcomeListener outcomeListener = new OutcomeListener(connection::close, listener);
+        BufferedExchange.send(loop, connection, request, timeoutMs, this::isExpected, outcomeListener);
     }
 
     /** Translates the result of an exchange. A failed exchange has closed its connection already. */
--- a/figspan-gateway/src/main/java/io/figspan/gateway/http/BufferedExchange.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/http/BufferedExchange.java
@@ -12,6 +12,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.zip.DataFormatException;
 
 /** An HTTP exchange with a timeout whose whole response is buffered in memory. */
@@ -22,6 +23,7 @@
     private final HttpConnection connection;
     private final Listener listener;
     private final ExchangeTimeout timeout;
+    private final Predicate<HttpResponse> isExpected;
     private final ByteBuf body = Unpooled.buffer();
     private final long startNanos = System.nanoTime();
     private OptionalLong lastByteNanos = OptionalLong.empty();
@@ -37,11 +39,17 @@
         void onFailure(String reason);
     }
 
-    private BufferedExchange(EventLoop loop, HttpConnection connection, Listener listener, ExchangeTimeout timeout) {
+    private BufferedExchange(
+            EventLoop loop,
+            HttpConnection connection,
+            Listener listener,
+            ExchangeTimeout timeout,
+            Predicate<HttpResponse> isExpected) {
         this.loop = loop;
         this.connection = connection;
         this.listener = listener;
         this.timeout = timeout;
+        this.isExpected = isExpected;
         startTimer(timeout.remainingNanos(startNanos, lastByteNanos, startNanos));
     }
 
@@ -54,7 +62,7 @@
     /** Sends a GET request. On failure, which includes a timeout, the connection is closed. */
     public static void get(
             EventLoop loop, HttpConnection connection, String target, ExchangeTimeout timeout, Listener listener) {
-        send(loop, connection, getRequest(target), timeout, listener);
+        send(loop, connection, getRequest(target), timeout, head -> true, listener);
     }
 
     /** Sends a GET request whose response may be compressed; the listener receives the decompressed body. */
@@ -62,17 +70,26 @@
             EventLoop loop, HttpConnection connection, String target, ExchangeTimeout timeout, Listener listener) {
         FullHttpRequest request = getRequest(target);
         request.headers().set(HttpHeaderNames.ACCEPT_ENCODING, DeflateCoding.NAME);
-        send(loop, connection, request, timeout, listener);
+        send(loop, connection, request, timeout, head -> true, listener);
     }
 
     private static FullHttpRequest getRequest(String target) {
         return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, target, Unpooled.EMPTY_BUFFER);
     }
 
-    /** Sends a request and takes ownership of it. On failure, which includes a timeout, the connection is closed. */
+    /**
+     * Sends a request and takes ownership of it. On failure, which includes a timeout, the connection is closed.
+     *
+     * @param isExpected whether the head of a response can belong to the request; another one is a failure
+     */
     public static void send(
-            EventLoop loop, HttpConnection connection, FullHttpRequest request, long timeoutMs, Listener listener) {
-        send(loop, connection, request, ExchangeTimeout.ofTotal(timeoutMs), listener);
+            EventLoop loop,
+            HttpConnection connection,
+            FullHttpRequest request,
+            long timeoutMs,
+            Predicate<HttpResponse> isExpected,
+            Listener listener) {
+        send(loop, connection, request, ExchangeTimeout.ofTotal(timeoutMs), isExpected, listener);
     }
 
     private static void send(
@@ -80,9 +97,10 @@
             HttpConnection connection,
             FullHttpRequest request,
             ExchangeTimeout timeout,
+            Predicate<HttpResponse> isExpected,
             Listener listener) {
         request.headers().set(HttpHeaderNames.HOST, HostPort.of(connection.address()));
-        connection.send(request, new BufferedExchange(loop, connection, listener, timeout));
+        connection.send(request, new BufferedExchange(loop, connection, listener, timeout, isExpected));
     }
 
     private void startTimer(long nanos) {
@@ -102,6 +120,11 @@
 
     @Override
     public void onHead(HttpResponse head) {
+        if (!isExpected.test(head)) {
+            connection.abort();
+            fail("answer to another request");
+            return;
+        }
         lastByteNanos = OptionalLong.of(System.nanoTime());
         status = head.status().code();
         isCompressed = head.headers().contains(HttpHeaderNames.CONTENT_ENCODING, DeflateCoding.NAME, true);
