--- a/figspan-cluster/src/main/java/io/figspan/cluster/serverlimit/ServerLimits.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/serverlimit/ServerLimits.java
@@ -35,7 +35,7 @@
     static final long REPEAT_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
     /** Requests are repeated for this long. */
-    static final long REPEAT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+    static final long REPEAT_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
 
     private final HostId self;
     private final Function<BackendIncarnation, Set<HostId>> hostsUsing;
