--- a/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
@@ -15,6 +15,7 @@
 import io.figspan.gateway.forward.Forwarder;
 import io.figspan.gateway.forward.PromptCrashes;
 import io.figspan.gateway.forward.RequestLimits;
+import io.figspan.gateway.forward.ServiceDispatchers;
 import io.figspan.gateway.log.DecisionLog;
 import io.figspan.gateway.log.UnexpectedErrors;
 import io.figspan.gateway.metrics.Activity;
@@ -76,6 +77,7 @@
     private final FleetState fleet;
     private final PromptCrashes promptCrashes;
     private final RequestLimits requestLimits;
+    private final ServiceDispatchers dispatchers;
     private final Forwarder forwarder;
     private final CallerServer callers;
     private final PeerTracker peers;
@@ -97,9 +99,10 @@
         this.fleet = new FleetState(adapter.fleet(), pools, log, this, System::nanoTime);
         this.promptCrashes = new PromptCrashes(config.host(), log, metrics);
         this.requestLimits = new RequestLimits(config.host(), pools, log, metrics, random);
+        this.dispatchers =
+                new ServiceDispatchers(config.host(), pools, metrics, random, requestLimits, retryAllowance(config));
         this.forwarder = new Forwarder(
                 loop,
-                config.host(),
                 adapter.callers(),
                 adapter.backends(),
                 pools,
@@ -109,12 +112,12 @@
                 random,
                 promptCrashes,
                 requestLimits,
-                retryAllowance(config));
+                dispatchers);
         this.callers = new CallerServer(loop, forwarder, adapter.callers(), errors);
         this.peers = new PeerTracker(loop, config, log, random, this, this, metrics.processorTime());
         this.promptCrashes.setSender(peers);
         this.requestLimits.setSender(peers);
-        this.forwarder.onWorkChanged(peers::workChanged);
+        this.dispatchers.onWorkChanged(peers::workChanged);
         this.forwarder.setWorkViewAge(() -> peers.oldestReportAgeMs(System.nanoTime()));
         this.storeWatchers = new StoreWatchers(config.host(), log);
         this.settingsReader = new CopyReader(
@@ -181,12 +184,13 @@
 
     private void configChanged(GatewayConfig changed) {
         storeWatchers.setAddress(changed.store());
-        forwarder.setRetryBudget(retryAllowance(changed));
+        dispatchers.setRetryBudget(retryAllowance(changed));
         shutdown.setGraceMs(changed.shutdownGraceMs());
     }
 
-    private static Forwarder.RetryBudgetConfig retryAllowance(GatewayConfig config) {
-        return new Forwarder.RetryBudgetConfig(config.retryFraction(), config.retryAllowance(), config.retryWindowMs());
+    private static ServiceDispatchers.RetryBudgetConfig retryAllowance(GatewayConfig config) {
+        return new ServiceDispatchers.RetryBudgetConfig(
+                config.retryFraction(), config.retryAllowance(), config.retryWindowMs());
     }
 
     /**
@@ -218,7 +222,7 @@
         shutdown.tick(nowNanos);
         openWhenReady(nowNanos);
         peers.tick(nowNanos);
-        forwarder.setHostCount(peers.hostCount());
+        dispatchers.setHostCount(peers.hostCount());
         if (!requestLimits.isEmpty()) {
             requestLimits.silentHostsChanged(peers.silentHosts(nowNanos));
         }
@@ -230,7 +234,7 @@
             return;
         }
         long nowNanos = System.nanoTime();
-        Set<HostId> cell = forwarder.cellHosts();
+        Set<HostId> cell = dispatchers.cellHosts();
         storeWatchers.updateWatching(cell, peers.storeAgesMs(cell, nowNanos), nowNanos);
     }
 
@@ -266,7 +270,7 @@
 
     @Override
     public void onServersChanged() {
-        forwarder.serversChanged();
+        dispatchers.serversChanged();
         peers.itemsChanged();
         openWhenReady(System.nanoTime());
     }
@@ -280,22 +284,23 @@
                 fleet.settings().revision(),
                 fleet.servers().revision(),
                 storeWatchers.lastResponseAgeMs(System.nanoTime()),
-                forwarder.ownWork());
+                dispatchers.ownWork());
     }
 
     @Override
     public Set<HostId> cell() {
-        return forwarder.cellHosts();
+        return dispatchers.cellHosts();
     }
 
     @Override
     public Set<HostId> reportRecipients(List<PlacedRequest> work) {
-        return forwarder.reportRecipients(work);
+        return dispatchers.reportRecipients(work);
     }
 
     @Override
     public void onHostsChanged(Set<HostId> hosts) {
-        forwarder.hostsChanged(hosts);
+        dispatchers.hostsChanged(hosts);
+        promptCrashes.hostsChanged(hosts);
     }
 
     @Override
@@ -315,12 +320,12 @@
 
     @Override
     public void onWorkReport(HostId host, List<PlacedRequest> work) {
-        forwarder.peerWork(host, work);
+        dispatchers.peerWork(host, work);
     }
 
     @Override
     public void onHostSilent(HostId host) {
-        forwarder.peerWork(host, List.of());
+        dispatchers.peerWork(host, List.of());
     }
 
     @Override
@@ -330,7 +335,7 @@
     }
 
     private void registerGauges() {
-        metrics.gauge("requests.waiting", forwarder::waitingCount);
+        metrics.gauge("requests.waiting", dispatchers::waitingCount);
         metrics.gauge("connections.busy", callers::busy);
         metrics.gauge("settings.version", () -> forwarder.settingsVersion().number());
         metrics.gauge("settings.outdated", () -> settingsReader.isBehind() ? 1 : 0);
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
@@ -3,16 +3,10 @@
 import io.figspan.core.error.Problem;
 import io.figspan.core.error.ProblemKind;
 import io.figspan.core.event.Part;
-import io.figspan.core.id.BackendServerId;
-import io.figspan.core.id.HostId;
-import io.figspan.core.id.PromptPartId;
 import io.figspan.core.id.ServiceId;
 import io.figspan.core.id.SettingsVersion;
 import io.figspan.core.time.Deadline;
-import io.figspan.core.work.PlacedRequest;
-import io.figspan.core.work.WorkChange;
 import io.figspan.gateway.backend.BackendPools;
-import io.figspan.gateway.backend.BackendServer;
 import io.figspan.gateway.backend.MemoryHolds;
 import io.figspan.gateway.forward.StartupQueue.QueuedCall;
 import io.figspan.gateway.http.ByteBudget;
@@ -22,33 +16,20 @@
 import io.figspan.gateway.protocol.BackendProtocol;
 import io.figspan.gateway.protocol.CallerProtocol;
 import io.figspan.gateway.protocol.CallerRequest;
-import io.figspan.policy.placing.EnginePlacer;
 import io.figspan.policy.placing.Job;
-import io.figspan.policy.placing.LeastBusyPlacer;
-import io.figspan.policy.placing.Placer;
-import io.figspan.policy.placing.Placer.AvailableServer;
-import io.figspan.policy.retry.WindowedRetryBudget;
 import io.figspan.policy.route.ApiKeyIndex;
 import io.figspan.policy.route.RouteTable;
 import io.figspan.policy.route.ServiceSelector;
-import io.figspan.settings.gateway.EngineProfile;
 import io.figspan.settings.gateway.GatewaySettings;
 import io.figspan.settings.gateway.OrganisationKeys;
 import io.figspan.settings.gateway.Route;
-import io.figspan.settings.gateway.ServiceProfile;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
-import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 
@@ -64,7 +45,6 @@
     private static final long MAX_BUFFERED_RESPONSE_BYTES = 12 * 1_024 * 1_024;
 
     private final EventLoop loop;
-    private final HostId self;
     private final CallerProtocol callerProtocol;
     private final BackendProtocol backendProtocol;
     private final BackendPools pools;
@@ -74,29 +54,18 @@
     private final RandomGenerator random;
     private final PromptCrashes promptCrashes;
     private final RequestLimits requestLimits;
-    private final Map<ServiceId, ServiceDispatcher> dispatchers = new HashMap<>();
+    private final ServiceDispatchers dispatchers;
     private final StartupQueue startupQueue = new StartupQueue();
     private final ByteBudget responseBodyBudget = new ByteBudget(MAX_BUFFERED_RESPONSE_BYTES);
-    private Set<HostId> hosts;
-    private RetryBudgetConfig retryBudget;
     private boolean isOpen;
-    private Consumer<WorkChange> workListener = news -> {};
     private LongSupplier workViewAgeMs = () -> 0;
     private BooleanSupplier areSettingsOutdated = () -> false;
     private GatewaySettings settings;
     private RouteTable routes = new RouteTable(List.of());
     private ApiKeyIndex keys = new ApiKeyIndex(List.of());
 
-    /** Parameters of the retry budget of one service, which all hosts share. */
-    public record RetryBudgetConfig(double fraction, double allowance, long windowMs) {
-        WindowedRetryBudget newBudget() {
-            return new WindowedRetryBudget(fraction, allowance, windowMs);
-        }
-    }
-
     public Forwarder(
             EventLoop loop,
-            HostId self,
             CallerProtocol callerProtocol,
             BackendProtocol backendProtocol,
             BackendPools pools,
@@ -106,10 +75,8 @@
             RandomGenerator random,
             PromptCrashes promptCrashes,
             RequestLimits requestLimits,
-            RetryBudgetConfig retryBudget) {
+            ServiceDispatchers dispatchers) {
         this.loop = loop;
-        this.self = self;
-        this.hosts = Set.of(self);
         this.callerProtocol = callerProtocol;
         this.backendProtocol = backendProtocol;
         this.pools = pools;
@@ -119,9 +86,9 @@
         this.random = random;
         this.promptCrashes = promptCrashes;
         this.requestLimits = requestLimits;
-        promptCrashes.onQuarantined(this::promptQuarantined);
-        requestLimits.setHostsUsing(this::hostsUsing);
-        this.retryBudget = retryBudget;
+        promptCrashes.onQuarantined(dispatchers::promptQuarantined);
+        requestLimits.setHostsUsing(dispatchers::hostsUsing);
+        this.dispatchers = dispatchers;
     }
 
     /** Applies settings, unless newer ones are in force. */
@@ -138,7 +105,7 @@
         settings = newSettings;
         routes = new RouteTable(newSettings.routes());
         keys = new ApiKeyIndex(newSettings.organisations());
-        serversChanged();
+        dispatchers.apply(newSettings);
     }
 
     public SettingsVersion settingsVersion() {
@@ -149,24 +116,6 @@
         return settings != null;
     }
 
-    /** Passes the servers that accept new requests on to the dispatchers. */
-    public void serversChanged() {
-        requestLimits.serversChanged();
-        if (settings == null) {
-            return;
-        }
-        Map<ServiceId, List<AvailableServer>> seats = new HashMap<>();
-        for (BackendServer server : pools.all()) {
-            List<AvailableServer> serviceSeats = seats.computeIfAbsent(server.service(), ignored -> new ArrayList<>());
-            if (!server.isLeaving()) {
-                serviceSeats.add(new AvailableServer(server.id(), server.slots()));
-            }
-        }
-        dispatchers.keySet().forEach(service -> seats.putIfAbsent(service, List.of()));
-        long nowNanos = System.nanoTime();
-        seats.forEach((service, servers) -> dispatcher(service).serversChanged(servers, hosts, nowNanos));
-    }
-
     /**
      * Starts forwarding, once the settings and the backend servers are known. Forwards the requests that were queued.
      */
@@ -259,7 +208,7 @@
                 TimeUnit.MILLISECONDS.toNanos(route.maxGapMs()),
                 rank,
                 request.prompt());
-        ServiceDispatcher dispatcher = dispatcher(service);
+        ServiceDispatcher dispatcher = dispatchers.dispatcher(service);
         long nowNanos = System.nanoTime();
         dispatcher.budget().recordRequest(nowNanos);
         ForwardCall call = new ForwardCall(
@@ -281,84 +230,6 @@
         return Optional.empty();
     }
 
-    private ServiceDispatcher dispatcher(ServiceId service) {
-        return dispatchers.computeIfAbsent(service, this::newDispatcher);
-    }
-
-    private ServiceDispatcher newDispatcher(ServiceId service) {
-        Optional<EngineProfile> engine =
-                Optional.ofNullable(settings.services().get(service)).flatMap(ServiceProfile::engine);
-        Placer placer = engine.<Placer>map(profile -> new EnginePlacer(profile, random, requestLimits))
-                .orElseGet(() -> new LeastBusyPlacer(random, requestLimits));
-        ServerSubset subset = engine.isPresent() ? new ServerSubset.OwnCell(self, hosts) : new ServerSubset.All();
-        return new ServiceDispatcher(
-                placer, subset, retryBudget.newBudget(), metrics.processorTime(), news -> workListener.accept(news));
-    }
-
-    /** All work that this host has placed at model engines. */
-    public List<PlacedRequest> ownWork() {
-        long nowNanos = System.nanoTime();
-        return dispatchers.values().stream()
-                .flatMap(dispatcher -> dispatcher.ownWork(nowNanos).stream())
-                .toList();
-    }
-
-    /** Replaces the known work of another host at model engines; the list is empty if the host is gone. */
-    public void peerWork(HostId host, List<PlacedRequest> work) {
-        long nowNanos = System.nanoTime();
-        for (ServiceDispatcher dispatcher : dispatchers.values()) {
-            dispatcher.peerWork(host, work, nowNanos);
-        }
-    }
-
-    /** Updates the set of live hosts, which includes this one. */
-    public void hostsChanged(Set<HostId> newHosts) {
-        hosts = Set.copyOf(newHosts);
-        promptCrashes.hostsChanged(hosts);
-        long nowNanos = System.nanoTime();
-        dispatchers.values().forEach(dispatcher -> dispatcher.hostsChanged(hosts, nowNanos));
-    }
-
-    /** The hosts that share model engines with this one, including itself; empty if there are no engines. */
-    public Set<HostId> cellHosts() {
-        Set<HostId> cell = new HashSet<>();
-        dispatchers.values().forEach(dispatcher -> cell.addAll(dispatcher.cellHosts()));
-        return cell;
-    }
-
-    /** The hosts to which this host must report this work at model engines. */
-    public Set<HostId> reportRecipients(List<PlacedRequest> work) {
-        Set<HostId> recipients = new HashSet<>();
-        dispatchers.values().forEach(dispatcher -> recipients.addAll(dispatcher.reportRecipients(work)));
-        return recipients;
-    }
-
-    /** Number of requests that are queued for placement. */
-    public long waitingCount() {
-        return dispatchers.values().stream()
-                .mapToLong(ServiceDispatcher::waitingCount)
-                .sum();
-    }
-
-    /** Replaces the retry budgets if their parameters differ. Retries counted so far are dropped. */
-    public void setRetryBudget(RetryBudgetConfig newRetryBudget) {
-        if (newRetryBudget.equals(retryBudget)) {
-            return;
-        }
-        retryBudget = newRetryBudget;
-        dispatchers.values().forEach(dispatcher -> dispatcher.replaceBudget(newRetryBudget.newBudget()));
-    }
-
-    /** Sets the number of hosts that share the retry budgets. */
-    public void setHostCount(int hostCount) {
-        dispatchers.values().forEach(dispatcher -> dispatcher.budget().setHostCount(hostCount));
-    }
-
-    /** Sets the listener that is called when this host's work at model engines has changed. */
-    public void onWorkChanged(Consumer<WorkChange> listener) {
-        workListener = listener;
-    }
-
     /** Sets the source for whether newer settings are known to exist than those in force. */
     public void setSettingsOutdated(BooleanSupplier outdated) {
         areSettingsOutdated = outdated;
@@ -380,22 +251,10 @@
         }
         promptCrashes.tick(nowNanos);
         requestLimits.tick(nowNanos);
-        dispatchers.values().forEach(dispatcher -> dispatcher.tick(nowNanos));
+        dispatchers.tick(nowNanos);
         pools.closeIdle(nowNanos);
     }
 
-    private Set<HostId> hostsUsing(BackendServerId server) {
-        return pools.find(server)
-                .map(BackendServer::service)
-                .map(dispatchers::get)
-                .map(dispatcher -> dispatcher.hostsUsing(server))
-                .orElse(Set.of(self));
-    }
-
-    private void promptQuarantined(PromptPartId part) {
-        dispatchers.values().forEach(dispatcher -> dispatcher.promptQuarantined(part));
-    }
-
     RequestLimits requestLimits() {
         return requestLimits;
     }
--- /dev/null
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatchers.java
@@ -0,0 +1,187 @@
+package io.figspan.gateway.forward;
+
+import io.figspan.core.id.BackendServerId;
+import io.figspan.core.id.HostId;
+import io.figspan.core.id.PromptPartId;
+import io.figspan.core.id.ServiceId;
+import io.figspan.core.work.PlacedRequest;
+import io.figspan.core.work.WorkChange;
+import io.figspan.gateway.backend.BackendPools;
+import io.figspan.gateway.backend.BackendServer;
+import io.figspan.gateway.metrics.GatewayMetrics;
+import io.figspan.policy.placing.EnginePlacer;
+import io.figspan.policy.placing.LeastBusyPlacer;
+import io.figspan.policy.placing.Placer;
+import io.figspan.policy.placing.Placer.AvailableServer;
+import io.figspan.policy.retry.WindowedRetryBudget;
+import io.figspan.settings.gateway.EngineProfile;
+import io.figspan.settings.gateway.GatewaySettings;
+import io.figspan.settings.gateway.ServiceProfile;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+
+/**
+ * The dispatchers of all services. Passes on to them what changes for all: servers, hosts and the work of other hosts.
+ * All methods must be called on the event loop.
+ */
+public final class ServiceDispatchers {
+    private final HostId self;
+    private final BackendPools pools;
+    private final GatewayMetrics metrics;
+    private final RandomGenerator random;
+    private final RequestLimits requestLimits;
+    private final Map<ServiceId, ServiceDispatcher> dispatchers = new HashMap<>();
+    private Set<HostId> hosts;
+    private RetryBudgetConfig retryBudget;
+    private Consumer<WorkChange> workListener = news -> {};
+    private GatewaySettings settings;
+
+    /** Parameters of the retry budget of one service, which all hosts share. */
+    public record RetryBudgetConfig(double fraction, double allowance, long windowMs) {
+        WindowedRetryBudget newBudget() {
+            return new WindowedRetryBudget(fraction, allowance, windowMs);
+        }
+    }
+
+    public ServiceDispatchers(
+            HostId self,
+            BackendPools pools,
+            GatewayMetrics metrics,
+            RandomGenerator random,
+            RequestLimits requestLimits,
+            RetryBudgetConfig retryBudget) {
+        this.self = self;
+        this.hosts = Set.of(self);
+        this.pools = pools;
+        this.metrics = metrics;
+        this.random = random;
+        this.requestLimits = requestLimits;
+        this.retryBudget = retryBudget;
+    }
+
+    /** Applies settings, which say what kind of servers each service has. */
+    void apply(GatewaySettings newSettings) {
+        settings = newSettings;
+        serversChanged();
+    }
+
+    /** Passes the servers that accept new requests on to the dispatchers. */
+    public void serversChanged() {
+        requestLimits.serversChanged();
+        if (settings == null) {
+            return;
+        }
+        Map<ServiceId, List<AvailableServer>> seats = new HashMap<>();
+        for (BackendServer server : pools.all()) {
+            List<AvailableServer> serviceSeats = seats.computeIfAbsent(server.service(), ignored -> new ArrayList<>());
+            if (!server.isLeaving()) {
+                serviceSeats.add(new AvailableServer(server.id(), server.slots()));
+            }
+        }
+        dispatchers.keySet().forEach(service -> seats.putIfAbsent(service, List.of()));
+        long nowNanos = System.nanoTime();
+        seats.forEach((service, servers) -> dispatcher(service).serversChanged(servers, hosts, nowNanos));
+    }
+
+    ServiceDispatcher dispatcher(ServiceId service) {
+        return dispatchers.computeIfAbsent(service, this::newDispatcher);
+    }
+
+    private ServiceDispatcher newDispatcher(ServiceId service) {
+        Optional<EngineProfile> engine =
+                Optional.ofNullable(settings.services().get(service)).flatMap(ServiceProfile::engine);
+        Placer placer = engine.<Placer>map(profile -> new EnginePlacer(profile, random, requestLimits))
+                .orElseGet(() -> new LeastBusyPlacer(random, requestLimits));
+        ServerSubset subset = engine.isPresent() ? new ServerSubset.OwnCell(self, hosts) : new ServerSubset.All();
+        return new ServiceDispatcher(
+                placer, subset, retryBudget.newBudget(), metrics.processorTime(), news -> workListener.accept(news));
+    }
+
+    /** All work that this host has placed at model engines. */
+    public List<PlacedRequest> ownWork() {
+        long nowNanos = System.nanoTime();
+        return dispatchers.values().stream()
+                .flatMap(dispatcher -> dispatcher.ownWork(nowNanos).stream())
+                .toList();
+    }
+
+    /** Replaces the known work of another host at model engines; the list is empty if the host is gone. */
+    public void peerWork(HostId host, List<PlacedRequest> work) {
+        long nowNanos = System.nanoTime();
+        for (ServiceDispatcher dispatcher : dispatchers.values()) {
+            dispatcher.peerWork(host, work, nowNanos);
+        }
+    }
+
+    /** Updates the set of live hosts, which includes this one. */
+    public void hostsChanged(Set<HostId> newHosts) {
+        hosts = Set.copyOf(newHosts);
+        long nowNanos = System.nanoTime();
+        dispatchers.values().forEach(dispatcher -> dispatcher.hostsChanged(hosts, nowNanos));
+    }
+
+    /** The hosts that share model engines with this one, including itself; empty if there are no engines. */
+    public Set<HostId> cellHosts() {
+        Set<HostId> cell = new HashSet<>();
+        dispatchers.values().forEach(dispatcher -> cell.addAll(dispatcher.cellHosts()));
+        return cell;
+    }
+
+    /** The hosts to which this host must report this work at model engines. */
+    public Set<HostId> reportRecipients(List<PlacedRequest> work) {
+        Set<HostId> recipients = new HashSet<>();
+        dispatchers.values().forEach(dispatcher -> recipients.addAll(dispatcher.reportRecipients(work)));
+        return recipients;
+    }
+
+    /** Number of requests that are queued for placement. */
+    public long waitingCount() {
+        return dispatchers.values().stream()
+                .mapToLong(ServiceDispatcher::waitingCount)
+                .sum();
+    }
+
+    /** Replaces the retry budgets if their parameters differ. Retries counted so far are dropped. */
+    public void setRetryBudget(RetryBudgetConfig newRetryBudget) {
+        if (newRetryBudget.equals(retryBudget)) {
+            return;
+        }
+        retryBudget = newRetryBudget;
+        dispatchers.values().forEach(dispatcher -> dispatcher.replaceBudget(newRetryBudget.newBudget()));
+    }
+
+    /** Sets the number of hosts that share the retry budgets. */
+    public void setHostCount(int hostCount) {
+        dispatchers.values().forEach(dispatcher -> dispatcher.budget().setHostCount(hostCount));
+    }
+
+    /** Sets the listener that is called when this host's work at model engines has changed. */
+    public void onWorkChanged(Consumer<WorkChange> listener) {
+        workListener = listener;
+    }
+
+    /** The live hosts that use a server while it limits its requests. */
+    Set<HostId> hostsUsing(BackendServerId server) {
+        return pools.find(server)
+                .map(BackendServer::service)
+                .map(dispatchers::get)
+                .map(dispatcher -> dispatcher.hostsUsing(server))
+                .orElse(Set.of(self));
+    }
+
+    /** Ends the requests in progress whose prompts have a part that was quarantined. */
+    void promptQuarantined(PromptPartId part) {
+        dispatchers.values().forEach(dispatcher -> dispatcher.promptQuarantined(part));
+    }
+
+    void tick(long nowNanos) {
+        dispatchers.values().forEach(dispatcher -> dispatcher.tick(nowNanos));
+    }
+}
--- a/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
@@ -16,6 +16,7 @@
 import io.figspan.gateway.forward.Forwarder;
 import io.figspan.gateway.forward.PromptCrashes;
 import io.figspan.gateway.forward.RequestLimits;
+import io.figspan.gateway.forward.ServiceDispatchers;
 import io.figspan.gateway.log.DecisionLog;
 import io.figspan.gateway.log.UnexpectedErrors;
 import io.figspan.gateway.metrics.GatewayMetrics;
@@ -60,6 +61,7 @@
     private final BackendPools pools = new BackendPools(loop);
     private final PromptCrashes promptCrashes;
     private final RequestLimits requestLimits;
+    private final ServiceDispatchers dispatchers;
     private final Forwarder forwarder;
     private final CallerServer callers;
     private final InetSocketAddress address;
@@ -71,9 +73,15 @@
         HostIncarnation self = new HostIncarnation(HostId.of("host"), 1);
         promptCrashes = new PromptCrashes(self.host(), log, metrics);
         requestLimits = new RequestLimits(self.host(), pools, log, metrics, new SplittableRandom(2));
+        dispatchers = new ServiceDispatchers(
+                self.host(),
+                pools,
+                metrics,
+                new SplittableRandom(1),
+                requestLimits,
+                new ServiceDispatchers.RetryBudgetConfig(0.2, 10, 10_000));
         forwarder = new Forwarder(
                 loop,
-                self.host(),
                 protocol,
                 protocol,
                 pools,
@@ -83,7 +91,7 @@
                 new SplittableRandom(1),
                 promptCrashes,
                 requestLimits,
-                new Forwarder.RetryBudgetConfig(0.2, 10, 10_000));
+                dispatchers);
         callers = new CallerServer(loop, forwarder, protocol, new UnexpectedErrors(log, metrics));
         ServerSocketChannel port = CallerServer.open(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
         address = (InetSocketAddress) port.getLocalAddress();
@@ -119,7 +127,7 @@
         onLoop(() -> {
             servers.forEach((name, server) -> pools.put(serverOf(name, server)));
             forwarder.apply(settings(2_000));
-            forwarder.serversChanged();
+            dispatchers.serversChanged();
             forwarder.open();
         });
     }
@@ -128,7 +136,7 @@
     public void restart(String name, ScriptedServer server) {
         onLoop(() -> {
             pools.put(serverOf(name, server));
-            forwarder.serversChanged();
+            dispatchers.serversChanged();
         });
     }
 
