--- a/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/PromptQuarantine.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/PromptQuarantine.java
@@ -7,8 +7,6 @@
 import io.figspan.core.id.PromptPartId;
 import io.figspan.core.util.RendezvousHash;
 import java.util.ArrayList;
-import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -17,6 +15,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 /**
  * Attributes crashes of model engines to parts of the prompts that were about to begin their answers there, and
@@ -31,18 +30,6 @@
  * <p>Performs no I/O and is not thread-safe; times are monotonic, in nanoseconds.
  */
 public final class PromptQuarantine {
-    /** Crashes of the only part with so many for which it is quarantined. */
-    static final int MIN_CRASHES = 3;
-
-    /** Crashes for which the most specific part is quarantined if several parts have as many. */
-    static final int MIN_CRASHES_WHEN_TIED = 4;
-
-    /** Bounds the table; the part whose latest crash is the oldest makes room, unless it is quarantined. */
-    static final int MAX_PARTS = 512;
-
-    /** Bounds a message to a few kilobytes. */
-    static final int MAX_PARTS_PER_MESSAGE = 32;
-
     /** Hosts that receive the evidence in each round of gossip. */
     public static final int GOSSIP_FANOUT = 3;
 
@@ -51,23 +38,12 @@
     /** The interval while nothing changes, which keeps the traffic low during a quarantine. */
     static final long QUIET_GOSSIP_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(10);
 
-    /** Changes are repeated at the shorter interval for this long, so that lost messages don't matter. */
-    static final long REPEAT_NANOS = TimeUnit.SECONDS.toNanos(10);
-
-    /** A part without a new crash for this long is no longer suspected. */
-    static final long SUSPICION_EXPIRY_NANOS = TimeUnit.MINUTES.toNanos(10);
-
-    static final long QUARANTINE_EXPIRY_NANOS = TimeUnit.DAYS.toNanos(1);
-
-    /** Time from the latest crash to the first trial of a part with {@link #MIN_CRASHES} crashes. */
+    /** Time from the latest crash to the first trial of a part with {@link SuspectTable#MIN_CRASHES} crashes. */
     static final long FIRST_TRIAL_DELAY_NANOS = TimeUnit.SECONDS.toNanos(60);
 
     /** Factor of the delay for each further crash. */
     static final int TRIAL_DELAY_FACTOR = 4;
 
-    /** Time for other hosts to refute a crash before it counts. */
-    static final long SETTLE_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
-
     /** Responses that come so soon after a crash may have been sent before it. */
     static final long IN_FLIGHT_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
 
@@ -80,7 +56,7 @@
     private static final int MAX_CRASHED_SERVERS = 256;
 
     private final HostId self;
-    private final Map<PromptPartId, SuspectPart> suspects = new LinkedHashMap<>();
+    private final SuspectTable suspects = new SuspectTable();
     private final Map<BackendIncarnation, Long> crashHeardNanos = new LinkedHashMap<>();
     private final Map<PromptPartId, Long> lastTrialNanos = new LinkedHashMap<>();
     private final RecentAnswers recentAnswers = new RecentAnswers();
@@ -114,7 +90,7 @@
         for (int depth = 0; depth < parts.size(); depth++) {
             PromptPartId part = parts.get(depth);
             if (!recentAnswers.hasBegun(part, nowNanos)
-                    && suspect(part, nowNanos, nowNanos).addCrash(server, depth, nowNanos, nowNanos)) {
+                    && suspects.findOrAdd(part, nowNanos, nowNanos).addCrash(server, depth, nowNanos, nowNanos)) {
                 unsent.add(part);
             }
         }
@@ -124,8 +100,9 @@
     public void answerBegan(List<PromptPartId> parts, long nowNanos) {
         for (PromptPartId part : parts) {
             recentAnswers.record(part, nowNanos);
-            SuspectPart suspect = suspects.get(part);
-            if (suspect != null && suspect.refuteAll(nowNanos)) {
+            if (suspects.find(part)
+                    .filter(suspect -> suspect.refuteAll(nowNanos))
+                    .isPresent()) {
                 unsent.add(part);
             }
         }
@@ -142,7 +119,7 @@
             return;
         }
         crashHeardNanos.remove(server);
-        for (SuspectPart suspect : suspects.values()) {
+        for (SuspectPart suspect : suspects.all()) {
             if (suspect.crashes().contains(server) && suspect.refute(server, nowNanos)) {
                 unsent.add(suspect.part());
             }
@@ -152,7 +129,7 @@
     /** Another host has sent its evidence. */
     public void receive(PeerMessage.CrashEvidence evidence, long nowNanos) {
         for (PartEvidence received : evidence.parts()) {
-            if (TimeUnit.MILLISECONDS.toNanos(received.ageMs()) < expiryNanos(received.isQuarantined())) {
+            if (TimeUnit.MILLISECONDS.toNanos(received.ageMs()) < SuspectTable.expiryNanos(received.isQuarantined())) {
                 merge(received, nowNanos);
             }
         }
@@ -161,7 +138,7 @@
     private void merge(PartEvidence received, long nowNanos) {
         received.crashes().forEach(server -> heardOfCrash(server, nowNanos));
         long crashedNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(received.ageMs());
-        SuspectPart suspect = suspect(received.part(), crashedNanos, nowNanos);
+        SuspectPart suspect = suspects.findOrAdd(received.part(), crashedNanos, nowNanos);
         suspect.merge(received, crashedNanos, nowNanos);
         if (suspect.isCoveredBy(received)) {
             unsent.remove(received.part());
@@ -178,43 +155,23 @@
         }
     }
 
-    private SuspectPart suspect(PromptPartId part, long crashedNanos, long nowNanos) {
-        SuspectPart known = suspects.get(part);
-        if (known != null) {
-            return known;
-        }
-        makeRoom();
-        SuspectPart added = new SuspectPart(part, crashedNanos, nowNanos);
-        suspects.put(part, added);
-        return added;
-    }
-
-    private void makeRoom() {
-        if (suspects.size() < MAX_PARTS) {
-            return;
-        }
-        suspects.values().stream()
-                .min(Comparator.comparing(SuspectPart::isQuarantined).thenComparing(SuspectPart::lastCrashNanos))
-                .ifPresent(oldest -> suspects.remove(oldest.part()));
-    }
-
     // Decisions
 
     private List<QuarantineAction> decide(long nowNanos) {
         List<QuarantineAction> actions = new ArrayList<>();
-        for (SuspectPart suspect : suspects.values()) {
-            if (suspect.isQuarantined() && suspect.crashCount() < MIN_CRASHES) {
+        for (SuspectPart suspect : suspects.all()) {
+            if (suspect.isQuarantined() && suspect.crashCount() < SuspectTable.MIN_CRASHES) {
                 suspect.release();
                 unsent.add(suspect.part());
                 actions.add(new QuarantineAction.Released(suspect.part(), suspect.crashCount()));
-            } else if (suspect.isQuarantinedElsewhere() && suspect.crashCount() >= MIN_CRASHES) {
+            } else if (suspect.isQuarantinedElsewhere() && suspect.crashCount() >= SuspectTable.MIN_CRASHES) {
                 quarantine(suspect, actions);
             }
         }
-        Optional<SuspectPart> culprit = nextCulprit(nowNanos);
+        Optional<SuspectPart> culprit = suspects.nextCulprit(nowNanos);
         while (culprit.isPresent()) {
             quarantine(culprit.get(), actions);
-            culprit = nextCulprit(nowNanos);
+            culprit = suspects.nextCulprit(nowNanos);
         }
         return actions;
     }
@@ -227,52 +184,23 @@
         }
     }
 
-    /** The part with the most crashes that no quarantined part explains, if that is evidence enough. */
-    private Optional<SuspectPart> nextCulprit(long nowNanos) {
-        boolean hasCandidate = suspects.values().stream()
-                .anyMatch(suspect -> !suspect.isQuarantined() && suspect.crashCount() >= MIN_CRASHES);
-        if (!hasCandidate) {
-            return Optional.empty();
-        }
-        Set<BackendIncarnation> explained = new HashSet<>();
-        suspects.values().stream()
-                .filter(SuspectPart::isQuarantined)
-                .forEach(suspect -> explained.addAll(suspect.crashes()));
-        List<SuspectPart> leading = new ArrayList<>();
-        int most = MIN_CRASHES;
-        for (SuspectPart suspect : suspects.values()) {
-            int crashes = suspect.isQuarantined() ? 0 : suspect.separateCrashes(explained, nowNanos - SETTLE_NANOS);
-            if (crashes > most) {
-                leading.clear();
-                most = crashes;
-            }
-            if (crashes == most) {
-                leading.add(suspect);
-            }
-        }
-        if (leading.size() > 1 && most < MIN_CRASHES_WHEN_TIED) {
-            return Optional.empty();
-        }
-        return leading.stream().max(Comparator.comparing(SuspectPart::depth).thenComparing(SuspectPart::part));
-    }
-
     /** Whether a prompt with these parts must be refused now. */
     public Optional<Refusal> refusal(List<PromptPartId> parts, long nowNanos) {
-        return parts.stream()
-                .map(suspects::get)
-                .filter(suspect -> suspect != null && suspect.isQuarantined() && !isTrialDue(suspect, nowNanos))
+        return quarantined(parts)
+                .filter(suspect -> !isTrialDue(suspect, nowNanos))
                 .findFirst()
                 .map(suspect -> new Refusal(suspect.part(), retryAfterMs(suspect, nowNanos)));
     }
 
+    private Stream<SuspectPart> quarantined(List<PromptPartId> parts) {
+        return parts.stream().flatMap(part -> suspects.find(part).stream()).filter(SuspectPart::isQuarantined);
+    }
+
     /** Like {@link #refusal}, right before the prompt is sent; a prompt that is not refused uses up a due trial. */
     public Optional<Refusal> refusalOfSend(List<PromptPartId> parts, long nowNanos) {
         Optional<Refusal> refusal = refusal(parts, nowNanos);
         if (refusal.isEmpty()) {
-            parts.stream()
-                    .map(suspects::get)
-                    .filter(suspect -> suspect != null && suspect.isQuarantined())
-                    .forEach(suspect -> lastTrialNanos.put(suspect.part(), nowNanos));
+            quarantined(parts).forEach(suspect -> lastTrialNanos.put(suspect.part(), nowNanos));
         }
         return refusal;
     }
@@ -289,10 +217,10 @@
 
     private static long trialDelayNanos(int crashes) {
         long delayNanos = FIRST_TRIAL_DELAY_NANOS;
-        for (int further = MIN_CRASHES; further < crashes; further++) {
+        for (int further = SuspectTable.MIN_CRASHES; further < crashes; further++) {
             delayNanos *= TRIAL_DELAY_FACTOR;
         }
-        return Math.min(delayNanos, QUARANTINE_EXPIRY_NANOS);
+        return Math.min(delayNanos, SuspectTable.QUARANTINE_EXPIRY_NANOS);
     }
 
     /** Whether this host is the one that lets prompts with the part through for a trial. */
@@ -312,16 +240,13 @@
      * expired. To be called several times a second.
      */
     public List<QuarantineAction> tick(long nowNanos) {
-        expire(nowNanos);
+        suspects.removeExpired(nowNanos);
+        lastTrialNanos.keySet().removeIf(part -> suspects.find(part).isEmpty());
         List<QuarantineAction> actions = decide(nowNanos);
-        if (!unsent.isEmpty()) {
-            List<SuspectPart> changed = unsent.stream()
-                    .map(suspects::get)
-                    .filter(suspect -> suspect != null)
-                    .toList();
-            unsent.clear();
-            message(changed, nowNanos).ifPresent(news -> actions.add(new QuarantineAction.SendToAll(news)));
-        }
+        List<SuspectPart> changed =
+                unsent.stream().flatMap(part -> suspects.find(part).stream()).toList();
+        unsent.clear();
+        SuspectTable.message(changed, nowNanos).ifPresent(news -> actions.add(new QuarantineAction.SendToAll(news)));
         if (nowNanos - lastGossipNanos >= gossipIntervalNanos(nowNanos)) {
             lastGossipNanos = nowNanos;
             evidence(nowNanos).ifPresent(all -> actions.add(new QuarantineAction.SendToSome(all)));
@@ -330,19 +255,7 @@
     }
 
     private long gossipIntervalNanos(long nowNanos) {
-        boolean hasChangedLately =
-                suspects.values().stream().anyMatch(suspect -> nowNanos - suspect.lastChangeNanos() < REPEAT_NANOS);
-        return hasChangedLately ? GOSSIP_INTERVAL_NANOS : QUIET_GOSSIP_INTERVAL_NANOS;
-    }
-
-    private void expire(long nowNanos) {
-        suspects.values()
-                .removeIf(suspect -> nowNanos - suspect.lastCrashNanos() >= expiryNanos(suspect.isQuarantined()));
-        lastTrialNanos.keySet().retainAll(suspects.keySet());
-    }
-
-    private static long expiryNanos(boolean isQuarantined) {
-        return isQuarantined ? QUARANTINE_EXPIRY_NANOS : SUSPICION_EXPIRY_NANOS;
+        return suspects.hasChangedLately(nowNanos) ? GOSSIP_INTERVAL_NANOS : QUIET_GOSSIP_INTERVAL_NANOS;
     }
 
     /** The evidence for a host that has just joined; empty if other hosts send it theirs. */
@@ -356,23 +269,11 @@
     }
 
     private Optional<PeerMessage.CrashEvidence> evidence(long nowNanos) {
-        return message(suspects.values(), nowNanos);
-    }
-
-    private Optional<PeerMessage.CrashEvidence> message(Collection<SuspectPart> from, long nowNanos) {
-        List<PartEvidence> parts = from.stream()
-                .filter(suspect -> suspect.crashCount() > 0 || nowNanos - suspect.lastChangeNanos() < REPEAT_NANOS)
-                .sorted(Comparator.comparing(SuspectPart::isQuarantined)
-                        .thenComparing(SuspectPart::lastChangeNanos)
-                        .reversed())
-                .limit(MAX_PARTS_PER_MESSAGE)
-                .map(suspect -> suspect.toEvidence(nowNanos))
-                .toList();
-        return parts.isEmpty() ? Optional.empty() : Optional.of(new PeerMessage.CrashEvidence(parts));
+        return SuspectTable.message(suspects.all(), nowNanos);
     }
 
     /** Number of parts whose prompts are refused. */
     public long quarantinedCount() {
-        return suspects.values().stream().filter(SuspectPart::isQuarantined).count();
+        return suspects.all().stream().filter(SuspectPart::isQuarantined).count();
     }
 }
--- a/figspan-cluster/src/test/java/io/figspan/cluster/quarantine/PromptQuarantineTest.java
+++ b/figspan-cluster/src/test/java/io/figspan/cluster/quarantine/PromptQuarantineTest.java
@@ -187,7 +187,7 @@
     @Test
     void messagesAndTheTableAreBounded() {
         quarantineCrashingPart();
-        for (int part = 0; part < 2 * PromptQuarantine.MAX_PARTS; part++) {
+        for (int part = 0; part < 2 * SuspectTable.MAX_PARTS; part++) {
             quarantine.serverCrashed(engine(part), List.of(PromptPartId.of("a" + part)), nowNanos);
         }
 
@@ -198,6 +198,6 @@
         assertTrue(actions.stream()
                 .filter(action -> action instanceof QuarantineAction.SendToAll)
                 .map(action -> ((QuarantineAction.SendToAll) action).message().parts())
-                .allMatch(parts -> parts.size() <= PromptQuarantine.MAX_PARTS_PER_MESSAGE));
+                .allMatch(parts -> parts.size() <= SuspectTable.MAX_PARTS_PER_MESSAGE));
     }
 }
