--- a/figspan-cluster/src/test/java/io/figspan/cluster/quarantine/SimulatedFleet.java
+++ b/figspan-cluster/src/test/java/io/figspan/cluster/quarantine/SimulatedFleet.java
@@ -1,5 +1,6 @@
 package io.figspan.cluster.quarantine;
 
+import io.figspan.cluster.LogicalTime;
 import io.figspan.cluster.message.PeerMessage;
 import io.figspan.core.id.BackendIncarnation;
 import io.figspan.core.id.BackendServerId;
@@ -8,7 +9,6 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
-import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
@@ -50,8 +50,6 @@
             int crashingDepth,
             int lossPercent) {}
 
-    private record Event(long atNanos, long order, Runnable action) {}
-
     /** A prompt on its way. */
     private static final class Prompt {
         final List<PromptPartId> parts;
@@ -99,7 +97,7 @@
             BackendIncarnation crashed = current();
             attempts.clear();
             isUp = false;
-            after(RESTART_NANOS, () -> {
+            time.after(RESTART_NANOS, () -> {
                 incarnation++;
                 isUp = true;
             });
@@ -111,10 +109,7 @@
 
     private final Load load;
     private final SplittableRandom random;
-    private final PriorityQueue<Event> events = new PriorityQueue<>((a, b) -> {
-        int byTime = Long.compare(a.atNanos(), b.atNanos());
-        return byTime != 0 ? byTime : Long.compare(a.order(), b.order());
-    });
+    private final LogicalTime time = new LogicalTime();
     private final List<Host> hosts = new ArrayList<>();
     private final List<Engine> engines = new ArrayList<>();
     private final Set<HostId> hostIds = new HashSet<>();
@@ -122,8 +117,6 @@
     private final List<Long> crashingSentNanos = new ArrayList<>();
     private final List<Long> soundArrivedNanos = new ArrayList<>();
     private final List<Long> soundRefusedNanos = new ArrayList<>();
-    private long nowNanos;
-    private long nextOrder;
 
     SimulatedFleet(Load load, long seed) {
         this.load = load;
@@ -137,7 +130,7 @@
         for (int engine = 0; engine < load.engines(); engine++) {
             engines.add(new Engine(engine));
         }
-        hosts.forEach(this::scheduleTick);
+        hosts.forEach(host -> time.every(TICK_NANOS, () -> execute(host, host.quarantine.tick(time.nowNanos()))));
         scheduleArrival(load.soundPerSecond(), false);
         if (load.crashingPerSecond() > 0) {
             scheduleArrival(load.crashingPerSecond(), true);
@@ -145,41 +138,24 @@
     }
 
     private PromptQuarantine newQuarantine(HostId id) {
-        PromptQuarantine quarantine = new PromptQuarantine(id, nowNanos);
+        PromptQuarantine quarantine = new PromptQuarantine(id, time.nowNanos());
         quarantine.hostsChanged(hostIds);
         return quarantine;
     }
 
-    private void after(long delayNanos, Runnable action) {
-        events.add(new Event(nowNanos + delayNanos, nextOrder++, action));
-    }
-
     void runFor(long durationMs) {
-        long endNanos = nowNanos + durationMs * MS;
-        while (!events.isEmpty() && events.peek().atNanos() <= endNanos) {
-            Event event = events.poll();
-            nowNanos = event.atNanos();
-            event.action().run();
-        }
-        nowNanos = endNanos;
+        time.runFor(durationMs);
     }
 
     // Hosts
 
-    private void scheduleTick(Host host) {
-        after(TICK_NANOS, () -> {
-            execute(host, host.quarantine.tick(nowNanos));
-            scheduleTick(host);
-        });
-    }
-
     /** Restarts the first hosts, which lose all that they know. */
     void restartHosts(int count) {
         for (Host restarted : hosts.subList(0, count)) {
             restarted.quarantine = newQuarantine(restarted.id);
             for (Host other : hosts) {
                 other.quarantine
-                        .evidenceForNewHost(restarted.id, nowNanos)
+                        .evidenceForNewHost(restarted.id, time.nowNanos())
                         .ifPresent(evidence -> send(restarted, evidence));
             }
         }
@@ -199,7 +175,7 @@
 
     private void send(Host to, PeerMessage.CrashEvidence message) {
         if (random.nextInt(100) >= load.lossPercent()) {
-            after(random.nextLong(MS, MAX_MESSAGE_NANOS), () -> to.quarantine.receive(message, nowNanos));
+            time.after(random.nextLong(MS, MAX_MESSAGE_NANOS), () -> to.quarantine.receive(message, time.nowNanos()));
         }
     }
 
@@ -207,7 +183,7 @@
 
     private void scheduleArrival(double perSecond, boolean isCrashing) {
         long gapNanos = (long) (-Math.log(1 - random.nextDouble()) / perSecond * 1_000 * MS);
-        after(gapNanos, () -> {
+        time.after(gapNanos, () -> {
             arrive(isCrashing);
             scheduleArrival(perSecond, isCrashing);
         });
@@ -218,7 +194,7 @@
         if (isCrashing) {
             parts.add(load.crashingDepth(), CRASHING);
         } else {
-            soundArrivedNanos.add(nowNanos);
+            soundArrivedNanos.add(time.nowNanos());
         }
         send(new Prompt(parts), hosts.get(random.nextInt(hosts.size())));
     }
@@ -228,23 +204,23 @@
         if (up.isEmpty()) {
             return;
         }
-        if (host.quarantine.refusalOfSend(prompt.parts, nowNanos).isPresent()) {
+        if (host.quarantine.refusalOfSend(prompt.parts, time.nowNanos()).isPresent()) {
             recordRefusal(prompt);
             return;
         }
         prompt.attempts++;
         if (prompt.isCrashing()) {
-            crashingSentNanos.add(nowNanos);
+            crashingSentNanos.add(time.nowNanos());
         }
         Engine engine = up.get(random.nextInt(up.size()));
-        Attempt attempt = new Attempt(prompt, host, nowNanos);
+        Attempt attempt = new Attempt(prompt, host, time.nowNanos());
         engine.attempts.add(attempt);
-        after(random.nextLong(MIN_BEGIN_NANOS, MAX_BEGIN_NANOS), () -> begin(attempt, engine));
+        time.after(random.nextLong(MIN_BEGIN_NANOS, MAX_BEGIN_NANOS), () -> begin(attempt, engine));
     }
 
     private void recordRefusal(Prompt prompt) {
         if (!prompt.isCrashing() && prompt.attempts == 0) {
-            soundRefusedNanos.add(nowNanos);
+            soundRefusedNanos.add(time.nowNanos());
         }
     }
 
@@ -253,11 +229,11 @@
             return;
         }
         if (attempt.prompt().isCrashing()) {
-            crashesNanos.add(nowNanos);
+            crashesNanos.add(time.nowNanos());
             engine.crash();
             return;
         }
-        after(EVENT_NANOS, () -> respond(attempt, engine, 1));
+        time.after(EVENT_NANOS, () -> respond(attempt, engine, 1));
     }
 
     private void respond(Attempt attempt, Engine engine, int event) {
@@ -266,12 +242,12 @@
         }
         PromptQuarantine quarantine = attempt.host().quarantine;
         attempt.prompt().hasBegun = true;
-        quarantine.serverResponded(engine.current(), attempt.sentNanos(), nowNanos);
+        quarantine.serverResponded(engine.current(), attempt.sentNanos(), time.nowNanos());
         if (event == 1) {
-            quarantine.answerBegan(attempt.prompt().parts, nowNanos);
+            quarantine.answerBegan(attempt.prompt().parts, time.nowNanos());
         }
         if (event < EVENTS) {
-            after(EVENT_NANOS, () -> respond(attempt, engine, event + 1));
+            time.after(EVENT_NANOS, () -> respond(attempt, engine, event + 1));
         } else {
             engine.attempts.remove(attempt);
         }
@@ -280,7 +256,7 @@
     private void connectionLost(Attempt attempt, BackendIncarnation crashed) {
         Prompt prompt = attempt.prompt();
         if (!prompt.hasBegun) {
-            attempt.host().quarantine.serverCrashed(crashed, prompt.parts, nowNanos);
+            attempt.host().quarantine.serverCrashed(crashed, prompt.parts, time.nowNanos());
         }
         if (prompt.attempts < MAX_ATTEMPTS) {
             send(prompt, attempt.host());
--- a/figspan-cluster/src/test/java/io/figspan/cluster/serverlimit/SimulatedSenders.java
+++ b/figspan-cluster/src/test/java/io/figspan/cluster/serverlimit/SimulatedSenders.java
@@ -1,5 +1,6 @@
 package io.figspan.cluster.serverlimit;
 
+import io.figspan.cluster.LogicalTime;
 import io.figspan.cluster.message.PeerMessage;
 import io.figspan.core.id.BackendIncarnation;
 import io.figspan.core.id.BackendServerId;
@@ -9,7 +10,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.OptionalDouble;
-import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
@@ -37,8 +37,6 @@
      */
     record Load(int hosts, double requestsPerSecond, int firstHostPercent, int lossPercent) {}
 
-    private record Event(long atNanos, long order, Runnable action) {}
-
     private static final class Host {
         final HostId id;
         final ServerLimits limits;
@@ -53,17 +51,12 @@
 
     private final Load load;
     private final SplittableRandom random;
-    private final PriorityQueue<Event> events = new PriorityQueue<>((a, b) -> {
-        int byTime = Long.compare(a.atNanos(), b.atNanos());
-        return byTime != 0 ? byTime : Long.compare(a.order(), b.order());
-    });
+    private final LogicalTime time = new LogicalTime();
     private final List<Host> hosts = new ArrayList<>();
     private final Set<HostId> hostIds = new HashSet<>();
     private final List<Long> arrivalsNanos = new ArrayList<>();
     private OptionalDouble limit = OptionalDouble.empty();
     private long limitedSinceNanos;
-    private long nowNanos;
-    private long nextOrder;
 
     SimulatedSenders(Load load, long seed) {
         this.load = load;
@@ -75,28 +68,18 @@
             HostId id = HostId.of("host-" + host);
             hosts.add(new Host(id, new ServerLimits(id, server -> hostIds, random.split())));
         }
-        hosts.forEach(this::scheduleTick);
+        hosts.forEach(host -> time.every(TICK_NANOS, () -> execute(host, host.limits.tick(time.nowNanos()))));
         scheduleRequest();
     }
 
-    private void after(long delayNanos, Runnable action) {
-        events.add(new Event(nowNanos + delayNanos, nextOrder++, action));
-    }
-
     void runFor(long durationMs) {
-        long endNanos = nowNanos + durationMs * MS;
-        while (!events.isEmpty() && events.peek().atNanos() <= endNanos) {
-            Event event = events.poll();
-            nowNanos = event.atNanos();
-            event.action().run();
-        }
-        nowNanos = endNanos;
+        time.runFor(durationMs);
     }
 
     /** From now on the server names this limit in its answers. */
     void limitTo(double requestsPerSecond) {
         limit = OptionalDouble.of(requestsPerSecond);
-        limitedSinceNanos = nowNanos;
+        limitedSinceNanos = time.nowNanos();
     }
 
     void endLimit() {
@@ -107,7 +90,7 @@
     void cutOffFirstHost() {
         Host first = hosts.get(0);
         first.isCutOff = true;
-        after(REACHABLE_NANOS, () -> {
+        time.after(REACHABLE_NANOS, () -> {
             Set<HostId> others = new HashSet<>(hostIds);
             others.remove(first.id);
             first.limits.silentHostsChanged(others);
@@ -115,13 +98,6 @@
         });
     }
 
-    private void scheduleTick(Host host) {
-        after(TICK_NANOS, () -> {
-            execute(host, host.limits.tick(nowNanos));
-            scheduleTick(host);
-        });
-    }
-
     private void execute(Host from, List<LimitAction> actions) {
         for (LimitAction action : actions) {
             if (action instanceof LimitAction.SendTo some) {
@@ -138,14 +114,15 @@
         if (from.isCutOff || receiver.isCutOff || random.nextInt(100) < load.lossPercent()) {
             return;
         }
-        after(
+        time.after(
                 random.nextLong(MS, MAX_MESSAGE_NANOS),
-                () -> execute(receiver, receiver.limits.receive(new HostIncarnation(from.id, 1), message, nowNanos)));
+                () -> execute(
+                        receiver, receiver.limits.receive(new HostIncarnation(from.id, 1), message, time.nowNanos())));
     }
 
     private void scheduleRequest() {
         long gapNanos = (long) (-Math.log(1 - random.nextDouble()) / load.requestsPerSecond() * 1_000 * MS);
-        after(gapNanos, () -> {
+        time.after(gapNanos, () -> {
             Host host = random.nextInt(100) < load.firstHostPercent()
                     ? hosts.get(0)
                     : hosts.get(random.nextInt(hosts.size()));
@@ -155,15 +132,15 @@
     }
 
     private void request(Host host) {
-        if (!host.limits.admits(SERVER, nowNanos)) {
+        if (!host.limits.admits(SERVER, time.nowNanos())) {
             return;
         }
         host.sent++;
-        arrivalsNanos.add(nowNanos);
-        execute(host, host.limits.sent(SERVER, nowNanos));
-        after(
+        arrivalsNanos.add(time.nowNanos());
+        execute(host, host.limits.sent(SERVER, time.nowNanos()));
+        time.after(
                 random.nextLong(MIN_ANSWER_NANOS, MAX_ANSWER_NANOS),
-                () -> execute(host, host.limits.answered(SERVER, limit, nowNanos)));
+                () -> execute(host, host.limits.answered(SERVER, limit, time.nowNanos())));
     }
 
     /** Most requests in any window of this length that begins later than {@code fromMs} after the limit was named. */
