--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
@@ -126,7 +126,7 @@
 
     private void onReservationResult(Placement.Send placement, HoldGroup group) {
         if (state.isDone()) {
-            forwarder.holds().release(group);
+            giveUpPlacement(group, System.nanoTime());
         } else if (group.isComplete()) {
             send(placement, group);
         } else {
--- a/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
@@ -8,6 +8,7 @@
 import io.figspan.core.id.ServiceId;
 import io.figspan.core.id.SettingsVersion;
 import io.figspan.core.time.MonotonicClock;
+import io.figspan.core.work.PlacedRequest;
 import io.figspan.gateway.backend.BackendPools;
 import io.figspan.gateway.backend.BackendServer;
 import io.figspan.gateway.backend.HttpEngineClient;
@@ -118,6 +119,19 @@
         return forwarder;
     }
 
+    /** All work that the host has placed at engines. */
+    public List<PlacedRequest> ownWork() {
+        return loop.submit(dispatchers::ownWork).syncUninterruptibly().getNow();
+    }
+
+    /** Returns when the host has noticed that no caller waits any more. */
+    public void awaitNoBusyCaller() {
+        long busy;
+        do {
+            busy = loop.submit(callers::busy).syncUninterruptibly().getNow();
+        } while (busy > 0);
+    }
+
     public CallerServer callers() {
         return callers;
     }
