--- a/figspan-gateway/src/main/java/io/figspan/gateway/peer/PeerTracker.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/peer/PeerTracker.java
@@ -16,7 +16,6 @@
 import io.figspan.gateway.metrics.ProcessorTime;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
-import io.netty.util.concurrent.ScheduledFuture;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -43,19 +42,16 @@
      */
     private static final long MIN_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
-    private final EventLoop loop;
     private final GatewayConfig config;
     private final DecisionLog log;
     private final RandomGenerator random;
     private final PeerListener listener;
     private final WorkReportSource reportSource;
-    private final ProcessorTime processorTime;
     private final PeerTransport transport;
     private final List<PeerAddress> seeds;
+    private final ReportSchedule reportSchedule;
     private final PeerReports reports = new PeerReports();
     private Membership membership;
-    private ScheduledFuture<?> scheduledReport;
-    private long reportDueNanos;
     private long lastTickNanos;
     private long pauseEndNanos;
     /** The other live hosts; null if they must be looked up again. */
@@ -67,7 +63,6 @@
     private List<PeerAddress> lastRecipientAddresses = List.of();
 
     private boolean hostsChanged;
-    private long lastReportNanos;
 
     /**
      * Creates the tracker; other hosts learn of this one only after {@link #join}.
@@ -82,13 +77,13 @@
             PeerListener listener,
             WorkReportSource reportSource,
             ProcessorTime processorTime) {
-        this.loop = loop;
         this.config = config;
         this.log = log;
         this.random = random;
         this.listener = listener;
         this.reportSource = reportSource;
-        this.processorTime = processorTime;
+        this.reportSchedule =
+                new ReportSchedule(loop, () -> processorTime.measure(Activity.PEER_SEND, this::sendReport));
         this.transport = new PeerTransport(loop, log, processorTime, this::receive);
         this.seeds = config.seeds().stream().map(PeerTracker::addressOf).toList();
         this.lastTickNanos = System.nanoTime();
@@ -123,25 +118,12 @@
 
     /** The work of this host has changed; it is reported after the delay that {@code news} asks for. */
     public void workChanged(WorkChange news) {
-        scheduleReport(news.delayMs());
+        reportSchedule.within(news.delayMs());
     }
 
     /** Newer items of the store were read; the hosts that rely on this one are notified at once. */
     public void itemsChanged() {
-        scheduleReport(0);
-    }
-
-    private void scheduleReport(long delayMs) {
-        long dueNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(delayMs);
-        if (scheduledReport != null && reportDueNanos - dueNanos <= 0) {
-            return;
-        }
-        if (scheduledReport != null) {
-            scheduledReport.cancel(false);
-        }
-        reportDueNanos = dueNanos;
-        scheduledReport = loop.schedule(
-                () -> processorTime.measure(Activity.PEER_SEND, this::sendReport), delayMs, TimeUnit.MILLISECONDS);
+        reportSchedule.within(0);
     }
 
     /** The other hosts that serve callers. */
@@ -215,8 +197,8 @@
         execute(membership.tick(nowNanos), null, nowNanos);
         notifyHostsChanged();
         reportSilentHosts(nowNanos);
-        if (nowNanos - lastReportNanos >= REPORT_INTERVAL_NANOS) {
-            scheduleReport(0);
+        if (reportSchedule.sinceReportNanos(nowNanos) >= REPORT_INTERVAL_NANOS) {
+            reportSchedule.within(0);
         }
         expireSilentHosts(nowNanos);
     }
@@ -259,11 +241,9 @@
     }
 
     private void sendReport() {
-        scheduledReport = null;
         if (membership == null || membership.isStopped()) {
             return;
         }
-        lastReportNanos = System.nanoTime();
         PeerMessage.WorkReport report = reportSource.report();
         transport.send(membership.self(), report, addressesOf(reportSource.reportRecipients(report.work())));
     }
