--- a/figspan-host/src/main/java/io/figspan/host/peer/PeerNode.java
+++ b/figspan-host/src/main/java/io/figspan/host/peer/PeerNode.java
@@ -18,6 +18,7 @@
 import io.figspan.wire.PeerLink;
 import io.figspan.wire.PeerServer;
 import io.figspan.wire.ReceivedMessage;
+import io.figspan.wire.SendQueueBudget;
 import io.figspan.wire.WireStats;
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Single;
@@ -90,8 +91,9 @@
         this.clock = clock;
         this.random = random;
         PeerIdentity identity = new PeerIdentity(config.self(), config.key(), timestamps);
-        this.server = new PeerServer(vertx, context, identity, stats);
-        this.client = new PeerClient(vertx, context, identity, stats, random);
+        SendQueueBudget sendBudget = new SendQueueBudget();
+        this.server = new PeerServer(vertx, context, identity, stats, sendBudget);
+        this.client = new PeerClient(vertx, context, identity, stats, sendBudget, random);
         this.client.reuseConnectionsOf(server);
         this.cluster = new ClusterHost(
                 config.self(), config.seeds(), config.tuning(), services.shares(), random, clock.nowNanos());
--- a/figspan-wire/src/main/java/io/figspan/wire/OutboundLink.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/OutboundLink.java
@@ -33,6 +33,7 @@
     private final PeerAddress address;
     private final PeerIdentity identity;
     private final WireStats stats;
+    private final SendQueueBudget sendBudget;
     private final RandomGenerator random;
     private final Consumer<ReceivedMessage> received;
     private final Queue<PeerMessage> queue = new ArrayDeque<>();
@@ -48,6 +49,7 @@
             PeerAddress address,
             PeerIdentity identity,
             WireStats stats,
+            SendQueueBudget sendBudget,
             RandomGenerator random,
             Consumer<ReceivedMessage> received) {
         this.vertx = vertx;
@@ -55,6 +57,7 @@
         this.address = address;
         this.identity = identity;
         this.stats = stats;
+        this.sendBudget = sendBudget;
         this.random = random;
         this.received = received;
     }
@@ -106,7 +109,7 @@
     }
 
     private void startHandshake(NetSocket socket) {
-        connection = PeerConnection.start(socket, identity, stats, false, new PeerConnection.Listener() {
+        connection = PeerConnection.start(socket, identity, stats, sendBudget, false, new PeerConnection.Listener() {
             @Override
             public void opened(PeerConnection opened) {
                 flush();
--- a/figspan-wire/src/main/java/io/figspan/wire/PeerClient.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/PeerClient.java
@@ -42,6 +42,7 @@
     private final Context context;
     private final PeerIdentity identity;
     private final WireStats stats;
+    private final SendQueueBudget sendBudget;
     private final RandomGenerator random;
     private final PublishProcessor<ReceivedMessage> inbound = PublishProcessor.create();
     private final Map<PeerAddress, OutboundLink> links = new LinkedHashMap<>(16, 0.75f, true);
@@ -53,11 +54,18 @@
 
     private record PendingRequest(SingleEmitter<PeerMessage.OrderOutcome> emitter, long timer) {}
 
-    public PeerClient(Vertx vertx, Context context, PeerIdentity identity, WireStats stats, RandomGenerator random) {
+    public PeerClient(
+            Vertx vertx,
+            Context context,
+            PeerIdentity identity,
+            WireStats stats,
+            SendQueueBudget sendBudget,
+            RandomGenerator random) {
         this.vertx = vertx;
         this.context = context;
         this.identity = identity;
         this.stats = stats;
+        this.sendBudget = sendBudget;
         this.random = random;
         this.client =
                 vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true).setConnectTimeout(CONNECT_TIMEOUT_MS));
@@ -133,7 +141,7 @@
         }
         if (link == null) {
             evictLeastRecentlyUsedLink();
-            link = new OutboundLink(vertx, client, to, identity, stats, random, this::deliver);
+            link = new OutboundLink(vertx, client, to, identity, stats, sendBudget, random, this::deliver);
             links.put(to, link);
         }
         return link.send(message);
--- a/figspan-wire/src/main/java/io/figspan/wire/PeerConnection.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/PeerConnection.java
@@ -4,6 +4,7 @@
 import io.figspan.cluster.message.Peer;
 import io.figspan.cluster.message.PeerMessage;
 import io.figspan.core.error.FigspanException;
+import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetSocket;
 import java.security.SecureRandom;
@@ -21,6 +22,7 @@
     private final NetSocket socket;
     private final PeerIdentity identity;
     private final WireStats stats;
+    private final SendQueueBudget sendBudget;
     private final FrameChannel channel;
     private final boolean acceptor;
     private final Listener listener;
@@ -38,10 +40,16 @@
     }
 
     private PeerConnection(
-            NetSocket socket, PeerIdentity identity, WireStats stats, boolean acceptor, Listener listener) {
+            NetSocket socket,
+            PeerIdentity identity,
+            WireStats stats,
+            SendQueueBudget sendBudget,
+            boolean acceptor,
+            Listener listener) {
         this.socket = socket;
         this.identity = identity;
         this.stats = stats;
+        this.sendBudget = sendBudget;
         this.acceptor = acceptor;
         this.listener = listener;
         byte[] nonce = new byte[Hello.NONCE_BYTES];
@@ -51,13 +59,18 @@
     }
 
     static PeerConnection start(
-            NetSocket socket, PeerIdentity identity, WireStats stats, boolean acceptor, Listener listener) {
-        PeerConnection connection = new PeerConnection(socket, identity, stats, acceptor, listener);
+            NetSocket socket,
+            PeerIdentity identity,
+            WireStats stats,
+            SendQueueBudget sendBudget,
+            boolean acceptor,
+            Listener listener) {
+        PeerConnection connection = new PeerConnection(socket, identity, stats, sendBudget, acceptor, listener);
         socket.handler(connection::receive);
         socket.exceptionHandler(error -> connection.close("connection failed: " + error.getMessage()));
         socket.closeHandler(ignored -> connection.markClosed());
         if (acceptor) {
-            connection.write(connection.channel.sealHello());
+            var unused = connection.write(connection.channel.sealHello());
         }
         return connection;
     }
@@ -85,11 +98,12 @@
             return false;
         }
         byte[] body = FrameCodec.encode(message, identity.clock().tick());
-        if (queuedBytes + body.length > MAX_QUEUED_BYTES) {
+        boolean isQueued = queuedBytes + body.length <= MAX_QUEUED_BYTES && sendBudget.tryAcquire(body.length);
+        if (!isQueued) {
             stats.recordDroppedMessage();
             return false;
         }
-        write(channel.seal(body));
+        write(channel.seal(body)).onComplete(ignored -> sendBudget.release(body.length));
         return true;
     }
 
@@ -129,7 +143,7 @@
 
     private void completeHandshake() {
         if (!acceptor) {
-            write(channel.sealHello());
+            var unused = write(channel.sealHello());
         }
         stats.recordOpenedConnection();
         listener.opened(this);
@@ -144,11 +158,11 @@
         }
     }
 
-    private void write(byte[] frame) {
+    private Future<Void> write(byte[] frame) {
         queuedBytes += frame.length;
         stats.recordSentFrame(frame.length);
         lastUseNanos = System.nanoTime();
-        socket.write(Buffer.buffer(frame)).onComplete(ignored -> queuedBytes -= frame.length);
+        return socket.write(Buffer.buffer(frame)).onComplete(ignored -> queuedBytes -= frame.length);
     }
 
     private void markClosed() {
--- a/figspan-wire/src/main/java/io/figspan/wire/PeerServer.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/PeerServer.java
@@ -43,17 +43,20 @@
     private final Context context;
     private final PeerIdentity identity;
     private final WireStats stats;
+    private final SendQueueBudget sendBudget;
     private final PublishProcessor<ReceivedMessage> inbound = PublishProcessor.create();
     private final Set<PeerConnection> connections = new HashSet<>();
     private final Map<PeerAddress, PeerConnection> connectionsByAddress = new HashMap<>();
     private NetServer server;
     private long idleCheckTimer = -1;
 
-    public PeerServer(Vertx vertx, Context context, PeerIdentity identity, WireStats stats) {
+    public PeerServer(
+            Vertx vertx, Context context, PeerIdentity identity, WireStats stats, SendQueueBudget sendBudget) {
         this.vertx = vertx;
         this.context = context;
         this.identity = identity;
         this.stats = stats;
+        this.sendBudget = sendBudget;
     }
 
     /** Received messages. Messages are dropped, and counted as dropped, while a subscriber does not keep up. */
@@ -105,7 +108,7 @@
             return;
         }
         PeerConnection connection =
-                PeerConnection.start(socket, identity, stats, true, new AcceptedConnectionListener());
+                PeerConnection.start(socket, identity, stats, sendBudget, true, new AcceptedConnectionListener());
         connections.add(connection);
         vertx.setTimer(HELLO_DEADLINE_MS, ignored -> {
             if (!connection.isOpen()) {
--- a/figspan-wire/src/test/java/io/figspan/wire/PeerPortTest.java
+++ b/figspan-wire/src/test/java/io/figspan/wire/PeerPortTest.java
@@ -34,6 +34,7 @@
 
     private final Vertx vertx = Vertx.vertx();
     private final WireStats serverStats = new WireStats();
+    private final SendQueueBudget serverBudget = new SendQueueBudget(1_000);
     private PeerServer server;
     private Disposable echoSubscription;
     private PeerClient client;
@@ -41,11 +42,17 @@
 
     @BeforeEach
     void start() {
-        server = new PeerServer(vertx, vertx.getOrCreateContext(), identity("server"), serverStats);
+        server = new PeerServer(vertx, vertx.getOrCreateContext(), identity("server"), serverStats, serverBudget);
         echoSubscription = server.inbound().subscribe(PeerPortTest::echo);
         assertTrue(server.listen(LOOPBACK, 0).blockingAwait(TIMEOUT_SECONDS, TimeUnit.SECONDS));
         serverAddress = new PeerAddress(LOOPBACK, server.actualPort());
-        client = new PeerClient(vertx, vertx.getOrCreateContext(), identity("client"), new WireStats(), new Random(1));
+        client = new PeerClient(
+                vertx,
+                vertx.getOrCreateContext(),
+                identity("client"),
+                new WireStats(),
+                new SendQueueBudget(),
+                new Random(1));
     }
 
     @AfterEach
@@ -78,6 +85,19 @@
         assertEquals(1, serverStats.snapshot().openedConnections());
     }
 
+    @Test
+    void whatIsSentLeavesTheBudgetAndAnythingAboveItIsDropped() {
+        for (int message = 0; message < 20; message++) {
+            forward("a message of which twenty exceed the budget together, so that each one must be released");
+        }
+        assertEquals(0, serverStats.snapshot().droppedMessages());
+
+        assertThrows(
+                FigspanException.class, () -> client.request(serverAddress, id -> order(id, "x".repeat(2_000)), 200)
+                        .blockingGet());
+        assertEquals(1, serverStats.snapshot().droppedMessages());
+    }
+
     @Test
     void aRequestToAnAddressWithoutAListenerFailsAsUnreachable() {
         PeerAddress unusedAddress = new PeerAddress(LOOPBACK, 1);
