Keep reading after a refusal until the caller has closed its connection

What callers saw: a reset instead of the response 413, 431, 400, 408 or 503, when they were still sending the request that was refused. Cause: the connection was closed right after the response, with bytes still arriving, so the system resets it and the caller may lose what it has not read (RFC 9112, section 9.6). Change: after such a response the host only ends its own direction, discards what still comes, and closes after 2 s at the latest. Measured: aCallerThatIsStillSendingAfterARefusalIsNotReset failed before (broken pipe), passes now.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerConnection.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerConnection.java
@@ -11,9 +11,11 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -44,6 +46,9 @@
     /** Pipelined messages above which reading from the connection stops. */
     private static final int MAX_PIPELINED_MESSAGES = 64;
 
+    /** Time after a refusal for which a caller may still send the rest of its request. */
+    private static final long MAX_LINGER_NANOS = TimeUnit.SECONDS.toNanos(2);
+
     /** Retry-After when the memory for bodies is full. */
     private static final long BODY_MEMORY_RETRY_MS = 500;
 
@@ -59,6 +64,8 @@
     private long requestCount;
     private boolean keepAlive = true;
     private boolean closing;
+    private long closingNanos;
+    private boolean isRequestIncomplete;
     private long lastActivityNanos = System.nanoTime();
     private boolean readingHead;
 
@@ -223,6 +230,7 @@
     private void refuse(FullHttpResponse response) {
         keepAlive = false;
         responding = true;
+        isRequestIncomplete = true;
         respond(response);
     }
 
@@ -302,7 +310,13 @@
         lastActivityNanos = System.nanoTime();
         if (!keepAlive) {
             closing = true;
-            channel.writeAndFlush(lastMessage).addListener(ChannelFutureListener.CLOSE);
+            closingNanos = lastActivityNanos;
+            ChannelFuture written = channel.writeAndFlush(lastMessage);
+            if (isRequestIncomplete) {
+                written.addListener((ChannelFuture sent) -> shutdownOutput(sent));
+            } else {
+                written.addListener(ChannelFutureListener.CLOSE);
+            }
             return;
         }
         Channels.writeAndFlush(channel, lastMessage);
@@ -310,6 +324,19 @@
         handlePipelined();
     }
 
+    /**
+     * Sends no more, but still reads until the caller closes the connection: closing it while bytes arrive would reset
+     * it, and the caller could lose the response (RFC 9112, section 9.6).
+     */
+    private static void shutdownOutput(ChannelFuture written) {
+        if (written.isSuccess() && written.channel() instanceof DuplexChannel duplex) {
+            var unused = duplex.shutdownOutput();
+            duplex.config().setAutoRead(true);
+        } else {
+            Channels.close(written.channel());
+        }
+    }
+
     private void handlePipelined() {
         while (!responding && !closing && !pipelined.isEmpty()) {
             handle(pipelined.poll());
@@ -323,6 +350,10 @@
 
     /** Closes the connection if the caller is too slow or has been idle for too long. */
     void enforceTimeouts(long nowNanos) {
+        if (isRequestIncomplete && closing && nowNanos - closingNanos > MAX_LINGER_NANOS) {
+            Channels.close(channel);
+            return;
+        }
         if (responding || closing) {
             return;
         }
--- a/figspan-gateway/src/test/java/io/figspan/gateway/caller/CallerConnectionTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/caller/CallerConnectionTest.java
@@ -8,6 +8,7 @@
 import io.figspan.gateway.TestProtocol;
 import io.figspan.settings.gateway.CallerLimits;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
@@ -91,6 +92,23 @@
         assertEquals(0, server.received().size());
     }
 
+    /** Guards against a reset that takes the response from a caller which is still sending. */
+    @Test
+    void aCallerThatIsStillSendingAfterARefusalIsNotReset() throws IOException {
+        try (Socket socket = gateway.connect()) {
+            OutputStream out = socket.getOutputStream();
+            out.write(head("POST", "/read/1", "content-length: 2000000000\r\n").getBytes(StandardCharsets.ISO_8859_1));
+            String response = new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+            assertTrue(status(response).contains("413"), response);
+
+            byte[] rest = new byte[16_384];
+            for (int part = 0; part < 200; part++) {
+                out.write(rest);
+            }
+        }
+        gateway.awaitNoBusyCaller();
+    }
+
     @Test
     void aMalformedRequestIsRefusedAndTheConnectionIsClosed() throws IOException {
         String response = send("no request at all\r\n\r\n");
