--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatchers.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatchers.java
@@ -78,16 +78,17 @@
         if (settings == null) {
             return;
         }
-        Map<ServiceId, List<AvailableServer>> seats = new HashMap<>();
+        Map<ServiceId, List<AvailableServer>> serversByService = new HashMap<>();
         for (BackendServer server : pools.all()) {
-            List<AvailableServer> serviceSeats = seats.computeIfAbsent(server.service(), ignored -> new ArrayList<>());
+            List<AvailableServer> servers =
+                    serversByService.computeIfAbsent(server.service(), ignored -> new ArrayList<>());
             if (!server.isLeaving()) {
-                serviceSeats.add(new AvailableServer(server.id(), server.slots()));
+                servers.add(new AvailableServer(server.id(), server.slots()));
             }
         }
-        dispatchers.keySet().forEach(service -> seats.putIfAbsent(service, List.of()));
+        dispatchers.keySet().forEach(service -> serversByService.putIfAbsent(service, List.of()));
         long nowNanos = System.nanoTime();
-        seats.forEach((service, servers) -> dispatcher(service).serversChanged(servers, hosts, nowNanos));
+        serversByService.forEach((service, servers) -> dispatcher(service).serversChanged(servers, hosts, nowNanos));
     }
 
     ServiceDispatcher dispatcher(ServiceId service) {
--- a/figspan-gateway/src/main/java/io/figspan/gateway/peer/PeerSender.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/peer/PeerSender.java
@@ -6,6 +6,7 @@
 
 /** Sends messages to other hosts. A message may be lost. */
 public interface PeerSender {
+    /** Sends to these hosts, as far as they are live. */
     void sendTo(Set<HostId> hosts, PeerMessage message);
 
     void sendToAll(PeerMessage message);
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/EnginePlacer.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/EnginePlacer.java
@@ -71,11 +71,7 @@
         }
     }
 
-    /**
-     * Creates a placer without engines.
-     *
-     * @param random breaks ties between equally good engines, so that hosts don't all start with the same one
-     */
+    /** Creates a placer without engines whose requests are not limited. */
     public EnginePlacer(EngineProfile profile, RandomGenerator random) {
         this(profile, random, RequestGate.OPEN);
     }
