Log backend servers that say in their responses that they drain

The head's notice is decoded at the boundary and logged once for each incarnation (serverLeaving), from answers to requests, to orders about memory and to health checks. No decision uses it yet. BufferedExchange passes the head of a response on instead of its status.

--- a/figspan-control/src/main/java/io/figspan/control/leaving/LeavingSource.java
+++ b/figspan-control/src/main/java/io/figspan/control/leaving/LeavingSource.java
@@ -6,6 +6,8 @@
     LIST,
     /** The backend server's own load report. */
     REPORT,
+    /** The head of a response of the backend server. */
+    RESPONSE,
     /** The backend server refused new work because it is leaving. */
     REFUSAL,
     /** Gossip from another host. */
--- a/figspan-gateway/src/main/java/io/figspan/gateway/backend/BackendPools.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/backend/BackendPools.java
@@ -11,13 +11,20 @@
 /** The registered backend servers, each with a connection pool. All methods must be called on the event loop. */
 public final class BackendPools {
     private final EventLoop loop;
+    private final DrainNotices drainNotices;
     private final Map<BackendServerId, Registration> registrations = new HashMap<>();
     private final Map<AvailabilityZoneId, AdaptiveConnectTimeout> connectTimeouts = new HashMap<>();
 
     private record Registration(BackendServer server, ConnectionPool pool) {}
 
-    public BackendPools(EventLoop loop) {
+    public BackendPools(EventLoop loop, DrainNotices drainNotices) {
         this.loop = loop;
+        this.drainNotices = drainNotices;
+    }
+
+    /** The servers among these, and earlier ones, that are known to drain. */
+    public DrainNotices drainNotices() {
+        return drainNotices;
     }
 
     /** Registers a server or updates its registration. A changed address gets a new pool. */
--- /dev/null
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/backend/DrainNotices.java
@@ -0,0 +1,40 @@
+package io.figspan.gateway.backend;
+
+import io.figspan.control.leaving.LeavingRegistry;
+import io.figspan.control.leaving.LeavingSource;
+import io.figspan.core.event.Part;
+import io.figspan.core.id.BackendIncarnation;
+import io.figspan.gateway.log.DecisionLog;
+import io.figspan.gateway.protocol.BackendResponse;
+import java.util.Locale;
+
+/**
+ * The backend servers that are known to drain, from whatever source. A notice holds for one incarnation of a server and
+ * is never taken back. Confined to the event loop.
+ */
+public final class DrainNotices {
+    private final LeavingRegistry registry = new LeavingRegistry(LeavingRegistry.DEFAULT_CAPACITY_SERVERS);
+    private final DecisionLog log;
+
+    public DrainNotices(DecisionLog log) {
+        this.log = log;
+    }
+
+    /** Reads the notice from the head of a server's response. */
+    public void responded(BackendIncarnation server, BackendResponse response, long nowNanos) {
+        if (response.isLeaving() && !response.wrongServer()) {
+            record(server, LeavingSource.RESPONSE, nowNanos);
+        }
+    }
+
+    /** Records that a server drains. */
+    public void record(BackendIncarnation server, LeavingSource source, long nowNanos) {
+        if (!registry.onLeaving(server, source, nowNanos)) {
+            return;
+        }
+        log.info(Part.MEMBER, "serverLeaving")
+                .text("server", server)
+                .text("source", source.name().toLowerCase(Locale.ROOT))
+                .write();
+    }
+}
--- a/figspan-gateway/src/main/java/io/figspan/gateway/backend/HttpEngineClient.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/backend/HttpEngineClient.java
@@ -1,6 +1,7 @@
 package io.figspan.gateway.backend;
 
 import io.figspan.control.hold.HoldAction;
+import io.figspan.core.id.BackendIncarnation;
 import io.figspan.core.id.BackendServerId;
 import io.figspan.gateway.http.BufferedExchange;
 import io.figspan.gateway.http.HttpConnection;
@@ -9,6 +10,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import java.net.InetSocketAddress;
+import java.util.Optional;
 import java.util.function.Consumer;
 
 /**
@@ -52,7 +54,7 @@
             BackendServerId engine, FullHttpRequest request, long timeoutMs, Consumer<EngineOutcome> listener) {
         HttpConnection connection = pools.acquire(engine, false, System.nanoTime());
         Runnable returnToPool = () -> pools.release(engine, connection);
-        OutcomeListener outcomeListener = new OutcomeListener(returnToPool, listener);
+        OutcomeListener outcomeListener = new OutcomeListener(engine, returnToPool, listener);
         BufferedExchange.send(loop, connection, request, timeoutMs, this::isExpected, outcomeListener);
     }
 
@@ -66,23 +68,27 @@
             BackendServerId engine, InetSocketAddress address, long timeoutMs, Consumer<EngineOutcome> listener) {
         HttpConnection connection = HttpConnection.open(loop, address, PROBE_CONNECT_TIMEOUT_MS);
         FullHttpRequest request = protocol.report(engine);
-        OutcomeListener outcomeListener = new OutcomeListener(connection::close, listener);
+        OutcomeListener outcomeListener = new OutcomeListener(engine, connection::close, listener);
         BufferedExchange.send(loop, connection, request, timeoutMs, this::isExpected, outcomeListener);
     }
 
     /** Translates the result of an exchange. A failed exchange has closed its connection already. */
     private final class OutcomeListener implements BufferedExchange.Listener {
+        private final Optional<BackendIncarnation> engine;
         private final Runnable releaseConnection;
         private final Consumer<EngineOutcome> listener;
 
-        private OutcomeListener(Runnable releaseConnection, Consumer<EngineOutcome> listener) {
+        private OutcomeListener(BackendServerId engine, Runnable releaseConnection, Consumer<EngineOutcome> listener) {
+            this.engine = pools.find(engine).map(BackendServer::incarnation);
             this.releaseConnection = releaseConnection;
             this.listener = listener;
         }
 
         @Override
-        public void onResponse(int status, byte[] body) {
+        public void onResponse(HttpResponse head, byte[] body) {
             releaseConnection.run();
+            engine.ifPresent(known -> pools.drainNotices().responded(known, protocol.decode(head), System.nanoTime()));
+            int status = head.status().code();
             boolean isDone = protocol.isDone(status);
             listener.accept(isDone ? EngineOutcome.done() : EngineOutcome.refused("status " + status));
         }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/http/BufferedExchange.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/http/BufferedExchange.java
@@ -28,13 +28,14 @@
     private final long startNanos = System.nanoTime();
     private OptionalLong lastByteNanos = OptionalLong.empty();
     private ScheduledFuture<?> timeoutTimer;
-    private int status;
+    private HttpResponse head;
     private boolean isCompressed;
     private boolean finished;
 
     /** Receives the outcome on the event loop; exactly one method is called. */
     public interface Listener {
-        void onResponse(int status, byte[] body);
+        /** A complete response; {@code body} is decompressed. */
+        void onResponse(HttpResponse head, byte[] body);
 
         void onFailure(String reason);
     }
@@ -119,14 +120,14 @@
     }
 
     @Override
-    public void onHead(HttpResponse head) {
-        if (!isExpected.test(head)) {
+    public void onHead(HttpResponse received) {
+        if (!isExpected.test(received)) {
             connection.abort();
             fail("answer to another request");
             return;
         }
         lastByteNanos = OptionalLong.of(System.nanoTime());
-        status = head.status().code();
+        head = received;
         isCompressed = head.headers().contains(HttpHeaderNames.CONTENT_ENCODING, DeflateCoding.NAME, true);
     }
 
@@ -152,7 +153,7 @@
         if (isCompressed) {
             decompress(bytes);
         } else {
-            listener.onResponse(status, bytes);
+            listener.onResponse(head, bytes);
         }
     }
 
@@ -165,7 +166,7 @@
             listener.onFailure("malformed compressed response: " + e.getMessage());
             return;
         }
-        listener.onResponse(status, decompressed);
+        listener.onResponse(head, decompressed);
     }
 
     @Override
--- a/figspan-gateway/src/main/java/io/figspan/gateway/peer/CopyReader.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/peer/CopyReader.java
@@ -14,6 +14,7 @@
 import io.figspan.gateway.store.ItemChanges;
 import io.figspan.gateway.store.ItemCopy;
 import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
@@ -108,11 +109,11 @@
         long startNanos = System.nanoTime();
         BufferedExchange.getCompressed(loop, connection, target, TIMEOUT, new BufferedExchange.Listener() {
             @Override
-            public void onResponse(int status, byte[] body) {
+            public void onResponse(HttpResponse head, byte[] body) {
                 connection.close();
                 ReadResult result = ReadResult.FAILED;
                 try {
-                    result = responded(source, status, body, startNanos);
+                    result = responded(source, head.status().code(), body, startNanos);
                 } finally {
                     ended(source, result);
                 }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/protocol/BackendResponse.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/protocol/BackendResponse.java
@@ -12,6 +12,7 @@
  * @param wrongServer whether another server than the expected one responded; nothing was run
  * @param load the server's load, if it reports it
  * @param requestsPerSecond the rate of requests that the server accepts from all hosts together, if it limits it
+ * @param isLeaving whether the server says that it drains: it finishes its work and accepts no new requests
  * @param faultyServer IP address and port of the server that caused the failure; it may be the responding server
  */
 public record BackendResponse(
@@ -22,6 +23,7 @@
         boolean wrongServer,
         Optional<ServerLoad> load,
         OptionalDouble requestsPerSecond,
+        boolean isLeaving,
         Optional<String> faultyServer) {
 
     /** Load of a server, in requests. */
--- a/figspan-gateway/src/main/java/io/figspan/gateway/store/StoreWatcher.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/store/StoreWatcher.java
@@ -10,6 +10,7 @@
 import io.figspan.gateway.protocol.StoreProtocol.Page;
 import io.figspan.gateway.store.PrefixWatcher.Action;
 import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.net.InetSocketAddress;
 import java.util.List;
@@ -147,8 +148,8 @@
                 new ExchangeTimeout(responseTimeoutMs, RESPONSE_TIMEOUT_MS, responseTimeoutMs + TRANSFER_TIMEOUT_MS);
         BufferedExchange.get(loop, connection, target, timeout, new BufferedExchange.Listener() {
             @Override
-            public void onResponse(int status, byte[] body) {
-                responseReceived(watch, status, body);
+            public void onResponse(HttpResponse head, byte[] body) {
+                responseReceived(watch, head.status().code(), body);
             }
 
             @Override
--- a/figspan-gateway/src/test/java/io/figspan/gateway/TestProtocol.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/TestProtocol.java
@@ -89,6 +89,7 @@
                 headers.contains("limit")
                         ? OptionalDouble.of(Double.parseDouble(headers.get("limit")))
                         : OptionalDouble.empty(),
+                headers.contains("leaving"),
                 Optional.empty());
     }
 
--- a/figspan-gateway/src/test/java/io/figspan/gateway/backend/HttpEngineClientTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/backend/HttpEngineClientTest.java
@@ -14,6 +14,7 @@
 import io.figspan.core.id.ServiceId;
 import io.figspan.gateway.ScriptedServer;
 import io.figspan.gateway.TestProtocol;
+import io.figspan.gateway.log.DecisionLog;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.util.concurrent.CompletableFuture;
@@ -40,7 +41,7 @@
 
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final EventLoop loop = group.next();
-    private final BackendPools pools = new BackendPools(loop);
+    private final BackendPools pools = new BackendPools(loop, new DrainNotices(new DecisionLog()));
     private final HttpEngineClient client = new HttpEngineClient(loop, pools, new TestProtocol());
 
     /** A request sent by the client. */
--- a/figspan-gateway/src/test/java/io/figspan/gateway/backend/ReservationExtraResponseTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/backend/ReservationExtraResponseTest.java
@@ -17,6 +17,7 @@
 import io.figspan.gateway.log.DecisionLog;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.HttpResponse;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -34,7 +35,7 @@
 
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final EventLoop loop = group.next();
-    private final BackendPools pools = new BackendPools(loop);
+    private final BackendPools pools = new BackendPools(loop, new DrainNotices(new DecisionLog()));
     private final MemoryHolds holds = new MemoryHolds(
             new HttpEngineClient(loop, pools, new TestProtocol()),
             new DecisionLog(),
@@ -73,9 +74,9 @@
             HttpConnection connection = pools.acquire(HOLDER, false, System.nanoTime());
             BufferedExchange.get(loop, connection, "/read/1", TIMEOUT_MS, new BufferedExchange.Listener() {
                 @Override
-                public void onResponse(int status, byte[] body) {
+                public void onResponse(HttpResponse head, byte[] body) {
                     pools.release(HOLDER, connection);
-                    response.complete(status);
+                    response.complete(head.status().code());
                 }
 
                 @Override
