Send nothing new to a backend server that has said that it drains

Cause: the registry was the gateway's only channel. Each answer of a draining server carries the notice, but no class read it, and the notices that membership can spread from host to host (P6 of the design) were neither sent nor read by the gateway.

Change: DrainNotices records the notice from a server's entry, from the heads of its answers (requests, orders about memory, health checks) and from other hosts; it holds for one incarnation and is never taken back, so an older entry, an entry without it or an answer without it changes nothing. BackendPools applies it wherever a server is looked up. What a host reads from an entry or an answer it passes on through membership.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
@@ -2,7 +2,9 @@
 
 import io.figspan.cluster.message.Peer;
 import io.figspan.cluster.message.PeerMessage;
+import io.figspan.control.leaving.LeavingSource;
 import io.figspan.core.event.Part;
+import io.figspan.core.id.BackendIncarnation;
 import io.figspan.core.id.HostId;
 import io.figspan.core.id.HostIncarnation;
 import io.figspan.core.time.MonotonicClock;
@@ -118,6 +120,7 @@
         this.peers = new PeerTracker(loop, config, log, random, this, this, metrics.processorTime());
         this.promptCrashes.setSender(peers);
         this.requestLimits.setSender(peers);
+        this.pools.drainNotices().addListener(this::announceLeaving);
         this.dispatchers.onWorkChanged(peers::workChanged);
         this.forwarder.setWorkViewAge(() -> peers.oldestReportAgeMs(System.nanoTime()));
         this.storeWatchers = new StoreWatchers(config.host(), log);
@@ -319,6 +322,17 @@
         requestLimits.receive(from, uses);
     }
 
+    @Override
+    public void onServerLeaving(BackendIncarnation server) {
+        pools.drainNotices().record(server, LeavingSource.GOSSIP, System.nanoTime());
+    }
+
+    private void announceLeaving(BackendIncarnation server, LeavingSource source) {
+        if (source != LeavingSource.GOSSIP) {
+            peers.announceLeaving(server);
+        }
+    }
+
     @Override
     public void onWorkReport(HostId host, List<PlacedRequest> work) {
         dispatchers.peerWork(host, work);
--- a/figspan-gateway/src/main/java/io/figspan/gateway/backend/BackendPools.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/backend/BackendPools.java
@@ -1,5 +1,6 @@
 package io.figspan.gateway.backend;
 
+import io.figspan.control.leaving.LeavingSource;
 import io.figspan.core.id.AvailabilityZoneId;
 import io.figspan.core.id.BackendServerId;
 import io.figspan.gateway.http.HttpConnection;
@@ -37,6 +38,9 @@
         }
         ConnectionPool pool = sameAddress ? registered.pool() : newPool(server);
         registrations.put(server.id(), new Registration(server, pool));
+        if (server.isLeaving()) {
+            drainNotices.record(server.incarnation(), LeavingSource.LIST, System.nanoTime());
+        }
     }
 
     private ConnectionPool newPool(BackendServer server) {
@@ -54,11 +58,23 @@
     }
 
     public Optional<BackendServer> find(BackendServerId id) {
-        return Optional.ofNullable(registrations.get(id)).map(Registration::server);
+        return Optional.ofNullable(registrations.get(id)).map(this::current);
+    }
+
+    /** The registration of a server, which is leaving if any source has said so. */
+    private BackendServer current(Registration registration) {
+        BackendServer server = registration.server();
+        boolean isNewlyLeaving = !server.isLeaving() && drainNotices.isLeaving(server.incarnation());
+        return isNewlyLeaving ? server.asLeaving() : server;
+    }
+
+    /** Whether a server is registered and not leaving, so that it may get new requests. */
+    public boolean acceptsRequests(BackendServerId id) {
+        return find(id).filter(server -> !server.isLeaving()).isPresent();
     }
 
     public Iterable<BackendServer> all() {
-        return registrations.values().stream().map(Registration::server).toList();
+        return registrations.values().stream().map(this::current).toList();
     }
 
     /**
--- a/figspan-gateway/src/main/java/io/figspan/gateway/backend/BackendServer.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/backend/BackendServer.java
@@ -29,6 +29,10 @@
         return new BackendIncarnation(id, incarnationNumber);
     }
 
+    BackendServer asLeaving() {
+        return new BackendServer(id, service, address, zone, slots, true, warmUpMs, incarnationNumber);
+    }
+
     /** Whether the server has this address, given as IP:PORT. */
     public boolean hasAddress(String ipAndPort) {
         return ipAndPort.equals(HostPort.of(address));
--- a/figspan-gateway/src/main/java/io/figspan/gateway/backend/DrainNotices.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/backend/DrainNotices.java
@@ -6,6 +6,8 @@
 import io.figspan.core.id.BackendIncarnation;
 import io.figspan.gateway.log.DecisionLog;
 import io.figspan.gateway.protocol.BackendResponse;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Locale;
 
 /**
@@ -15,11 +17,26 @@
 public final class DrainNotices {
     private final LeavingRegistry registry = new LeavingRegistry(LeavingRegistry.DEFAULT_CAPACITY_SERVERS);
     private final DecisionLog log;
+    private final List<Listener> listeners = new ArrayList<>();
+
+    /** Is notified once of each incarnation that drains. */
+    public interface Listener {
+        void onLeaving(BackendIncarnation server, LeavingSource source);
+    }
 
     public DrainNotices(DecisionLog log) {
         this.log = log;
     }
 
+    public void addListener(Listener listener) {
+        listeners.add(listener);
+    }
+
+    /** Whether a server drains, so that it must get no new requests. */
+    public boolean isLeaving(BackendIncarnation server) {
+        return !registry.mayTakeNewWork(server);
+    }
+
     /** Reads the notice from the head of a server's response. */
     public void responded(BackendIncarnation server, BackendResponse response, long nowNanos) {
         if (response.isLeaving() && !response.wrongServer()) {
@@ -36,5 +53,6 @@
                 .text("server", server)
                 .text("source", source.name().toLowerCase(Locale.ROOT))
                 .write();
+        listeners.forEach(listener -> listener.onLeaving(server, source));
     }
 }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/backend/EngineClient.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/backend/EngineClient.java
@@ -11,9 +11,12 @@
  * be called on the event loop.
  */
 public interface EngineClient {
-    /** Whether the engine is registered, so that holds can be reserved and released there. */
+    /** Whether the engine is registered, so that holds can be renewed and released there. */
     boolean isRegistered(BackendServerId engine);
 
+    /** Whether the engine is registered and not leaving, so that new holds can be reserved there. */
+    boolean acceptsRequests(BackendServerId engine);
+
     /** Reserves memory at a registered engine, or renews the reservation. */
     void reserve(HoldAction.Reserve reserve, long timeoutMs, Consumer<EngineOutcome> listener);
 
--- a/figspan-gateway/src/main/java/io/figspan/gateway/backend/HttpEngineClient.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/backend/HttpEngineClient.java
@@ -35,6 +35,11 @@
         return pools.find(engine).isPresent();
     }
 
+    @Override
+    public boolean acceptsRequests(BackendServerId engine) {
+        return pools.acceptsRequests(engine);
+    }
+
     @Override
     public void reserve(HoldAction.Reserve reserve, long timeoutMs, Consumer<EngineOutcome> listener) {
         BackendServerId engine = reserve.engine().server();
--- a/figspan-gateway/src/main/java/io/figspan/gateway/backend/MemoryHolds.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/backend/MemoryHolds.java
@@ -88,6 +88,9 @@
         if (!engines.isRegistered(request.server())) {
             return Result.failed(Problem.notRun(ProblemKind.NO_BACKEND_SERVER, "the engine is no longer registered"));
         }
+        if (!engines.acceptsRequests(request.server())) {
+            return Result.failed(Problem.notRun(ProblemKind.NO_BACKEND_SERVER, "the engine drains"));
+        }
         BackendIncarnation engine = new BackendIncarnation(request.server(), 0);
         return ledger.reserve(engine, request.tokens(), deadline, clock.nowNanos());
     }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
@@ -4,6 +4,7 @@
 import io.figspan.core.error.ProblemKind;
 import io.figspan.core.id.OrganisationId;
 import io.figspan.core.id.PromptPartId;
+import io.figspan.gateway.backend.BackendPools;
 import io.figspan.gateway.backend.BackendServer;
 import io.figspan.gateway.backend.HoldGroup;
 import io.figspan.gateway.backend.MemoryHolds.HoldRequest;
@@ -166,13 +167,20 @@
             endWithProblem(refusal.get(), refusal.get().detail());
             return;
         }
-        Optional<BackendServer> server = forwarder.pools().find(placement.server());
-        if (server.isEmpty() || server.get().isLeaving()) {
+        if (!allAcceptRequests(placement)) {
             giveUpPlacement(group, nowNanos);
             dispatcher.submit(this, job, nowNanos);
             return;
         }
-        startAttempt(placement, group, server.get(), nowNanos);
+        BackendServer server = forwarder.pools().find(placement.server()).orElseThrow();
+        startAttempt(placement, group, server, nowNanos);
+    }
+
+    /** Whether neither the server nor one of its helpers has left or begun to drain since the placement. */
+    private boolean allAcceptRequests(Placement.Send placement) {
+        BackendPools pools = forwarder.pools();
+        return pools.acceptsRequests(placement.server())
+                && placement.readers().stream().allMatch(reader -> pools.acceptsRequests(reader.server()));
     }
 
     private void giveUpPlacement(HoldGroup group, long nowNanos) {
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatchers.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatchers.java
@@ -1,5 +1,7 @@
 package io.figspan.gateway.forward;
 
+import io.figspan.control.leaving.LeavingSource;
+import io.figspan.core.id.BackendIncarnation;
 import io.figspan.core.id.BackendServerId;
 import io.figspan.core.id.HostId;
 import io.figspan.core.id.PromptPartId;
@@ -64,6 +66,14 @@
         this.random = random;
         this.requestLimits = requestLimits;
         this.retryBudget = retryBudget;
+        pools.drainNotices().addListener(this::serverLeaves);
+    }
+
+    /** Whoever registers servers passes all changes of the registry on together. */
+    private void serverLeaves(BackendIncarnation server, LeavingSource source) {
+        if (source != LeavingSource.LIST) {
+            serversChanged();
+        }
     }
 
     /** Applies settings, which say what kind of servers each service has. */
--- a/figspan-gateway/src/main/java/io/figspan/gateway/peer/PeerListener.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/peer/PeerListener.java
@@ -2,6 +2,7 @@
 
 import io.figspan.cluster.message.Peer;
 import io.figspan.cluster.message.PeerMessage;
+import io.figspan.core.id.BackendIncarnation;
 import io.figspan.core.id.HostId;
 import io.figspan.core.work.PlacedRequest;
 import java.util.List;
@@ -27,6 +28,9 @@
     /** A host has sent how much of the limits of backend servers it has used. */
     void onServerLimitUses(Peer from, PeerMessage.ServerLimitUses uses);
 
+    /** Another host knows that a backend server drains. */
+    void onServerLeaving(BackendIncarnation server);
+
     /** A host has newer items of the store than this one. */
     void onNewerItems(Peer peer, long settingsRevision, long serversRevision);
 }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/peer/PeerTracker.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/peer/PeerTracker.java
@@ -7,6 +7,7 @@
 import io.figspan.cluster.message.PeerAddress;
 import io.figspan.cluster.message.PeerMessage;
 import io.figspan.core.event.Part;
+import io.figspan.core.id.BackendIncarnation;
 import io.figspan.core.id.HostId;
 import io.figspan.core.id.HostIncarnation;
 import io.figspan.core.work.WorkChange;
@@ -116,6 +117,13 @@
         }
     }
 
+    /** Notifies the other hosts that a backend server drains. */
+    public void announceLeaving(BackendIncarnation server) {
+        if (membership != null) {
+            execute(membership.backendLeaving(server), null, System.nanoTime());
+        }
+    }
+
     /** The work of this host has changed; it is reported after the delay that {@code news} asks for. */
     public void workChanged(WorkChange news) {
         reportSchedule.within(news.delayMs());
@@ -295,6 +303,8 @@
                 transport.send(membership.self(), reply.message(), List.of(sender.address()));
             } else if (action instanceof ClusterAction.MemberChanged changed) {
                 memberChanged(changed);
+            } else if (action instanceof ClusterAction.BackendLeaving leaving) {
+                listener.onServerLeaving(leaving.backend());
             } else if (action instanceof ClusterAction.Superseded superseded) {
                 rejoinAbove(superseded.newer(), nowNanos);
             }
--- a/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
@@ -1,6 +1,8 @@
 package io.figspan.gateway;
 
+import io.figspan.control.leaving.LeavingSource;
 import io.figspan.core.id.AvailabilityZoneId;
+import io.figspan.core.id.BackendIncarnation;
 import io.figspan.core.id.BackendServerId;
 import io.figspan.core.id.HostId;
 import io.figspan.core.id.HostIncarnation;
@@ -52,6 +54,9 @@
     public static final ServiceId ENGINES = ServiceId.of("engines");
     public static final String KEY = "k-1";
 
+    /** Requests that each server processes at once. */
+    public static final int SLOTS = 4;
+
     private static final String DEFAULT_ATTEMPT_ID = "a-1";
 
     private static final long TICK_MS = 20;
@@ -159,6 +164,21 @@
         register(() -> serverOf(name, server, incarnations.get(name)));
     }
 
+    /** Another host knows that the running process of a server drains. */
+    public void leavesByGossip(String name) {
+        BackendIncarnation server = new BackendIncarnation(BackendServerId.of(name), incarnations.get(name));
+        onLoop(() -> pools.drainNotices().record(server, LeavingSource.GOSSIP, System.nanoTime()));
+    }
+
+    /** Returns when this many requests wait for a server. */
+    public void awaitWaiting(long count) {
+        long waiting;
+        do {
+            waiting =
+                    loop.submit(dispatchers::waitingCount).syncUninterruptibly().getNow();
+        } while (waiting != count);
+    }
+
     private void register(Supplier<BackendServer> server) {
         onLoop(() -> {
             pools.put(server.get());
@@ -178,7 +198,7 @@
                 service,
                 server.address(),
                 AvailabilityZoneId.of("zone"),
-                4,
+                SLOTS,
                 false,
                 0,
                 incarnation);
--- a/figspan-gateway/src/test/java/io/figspan/gateway/backend/MemoryHoldsTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/backend/MemoryHoldsTest.java
@@ -237,6 +237,31 @@
         assertEquals(0, holds.openCount(), "open holds");
     }
 
+    /** Guards against requests for memory at an engine that is known to drain. */
+    @Test
+    void noHoldIsRequestedAtAnEngineThatDrains() {
+        engines.drain(HOLDER);
+
+        reserve(HOLDER, OTHER_HOLDER);
+        runUntil(TICK_MS);
+
+        assertEquals("the engine drains", failedGroup().failure());
+        assertEquals(0, engines.sentCount(HOLDER, RequestKind.RESERVE));
+    }
+
+    @Test
+    void aHoldInUseIsRenewedAndReleasedWhileItsEngineDrains() {
+        HoldGroup group = reserveComplete(HOLDER);
+        engines.drain(HOLDER);
+
+        runUntilJustBeforeTheDeadline();
+
+        assertEquals(1, engines.heldCount(HOLDER));
+        holds.release(group);
+        engines.advanceTo(engines.nowNanos() + TimeUnit.MILLISECONDS.toNanos(TICK_MS));
+        assertEquals(0, engines.heldCount(HOLDER));
+    }
+
     @Test
     void theListenerIsCalledOnceWhenAnEngineIsUnregisteredAndTheLedgerIsFull() {
         fillLedgerExceptOne();
--- a/figspan-gateway/src/test/java/io/figspan/gateway/backend/SimulatedEngines.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/backend/SimulatedEngines.java
@@ -67,6 +67,7 @@
         private final Map<HoldHandle, Long> leaseEndsNanos = new HashMap<>();
         private final Map<RequestKind, Behaviour> behaviours = new HashMap<>();
         private boolean isRegistered = true;
+        private boolean isLeaving;
 
         private Engine(Behaviour behaviour) {
             setBehaviour(behaviour);
@@ -96,6 +97,11 @@
         engines.get(id).behaviours.put(kind, behaviour);
     }
 
+    /** Makes an engine drain; its holds stay. */
+    void drain(BackendServerId id) {
+        engines.get(id).isLeaving = true;
+    }
+
     /** Ends the process of an engine, which ends its holds, and removes its registration. */
     void stop(BackendServerId id) {
         Engine engine = engines.get(id);
@@ -145,6 +151,11 @@
         return engines.get(id).isRegistered;
     }
 
+    @Override
+    public boolean acceptsRequests(BackendServerId id) {
+        return isRegistered(id) && !engines.get(id).isLeaving;
+    }
+
     @Override
     public void reserve(HoldAction.Reserve reserve, long timeoutMs, Consumer<EngineOutcome> listener) {
         BackendServerId id = reserve.engine().server();
--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/LeavingServerTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/LeavingServerTest.java
@@ -7,9 +7,15 @@
 import io.figspan.gateway.ScriptedServer;
 import io.figspan.gateway.ScriptedServer.Received;
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -20,6 +26,7 @@
     /** Enough that a server that is still used gets one of them for certain. */
     private static final int REQUESTS = 40;
 
+    private static final long LIMIT_S = 20;
     private static final String LEAVING = "leaving: 1\r\n";
     private static final String EVENTS = "id: 1\ndata: a\n\n";
 
@@ -142,6 +149,52 @@
         assertEquals(1, leaving.received().size());
     }
 
+    @Test
+    void noRequestReachesAServerOfWhichAnotherHostSaysThatItLeaves() throws IOException {
+        ScriptedServer leaving = addServing("plain-1", "");
+        addServing("plain-2", "");
+        gateway.open(servers);
+        gateway.leavesByGossip("plain-1");
+
+        sendReads();
+
+        assertEquals(0, leaving.received().size());
+    }
+
+    @Test
+    void aWaitingRequestIsNotSentToAServerThatBeganToLeaveMeanwhile() throws Exception {
+        CountDownLatch noticeHasArrived = new CountDownLatch(1);
+        ScriptedServer leaving = add("plain-1", (request, connection) -> {
+            awaitLatch(noticeHasArrived);
+            connection.answer(request, 200, "", "");
+        });
+        gateway.open(servers);
+        List<Future<String>> calls = new ArrayList<>();
+        ExecutorService callers = Executors.newCachedThreadPool();
+        for (int number = 0; number <= GatewayHarness.SLOTS; number++) {
+            String target = "/read/" + number;
+            calls.add(callers.submit(() -> gateway.call("GET", target, "", "")));
+        }
+        gateway.awaitWaiting(1);
+
+        gateway.leavesByGossip("plain-1");
+        noticeHasArrived.countDown();
+
+        for (Future<String> call : calls) {
+            call.get(LIMIT_S, TimeUnit.SECONDS);
+        }
+        callers.shutdown();
+        assertEquals(GatewayHarness.SLOTS, leaving.received().size());
+    }
+
+    private static void awaitLatch(CountDownLatch latch) throws IOException {
+        try {
+            latch.await(LIMIT_S, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            throw new IOException(e);
+        }
+    }
+
     @Test
     void aNewProcessOfTheServerGetsRequestsAgain() throws IOException {
         ScriptedServer restarted = addServing("plain-1", LEAVING);
--- a/figspan-gateway/src/test/java/io/figspan/gateway/peer/PeerTrackerTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/peer/PeerTrackerTest.java
@@ -7,6 +7,7 @@
 import io.figspan.cluster.message.PeerAddress;
 import io.figspan.cluster.message.PeerMessage;
 import io.figspan.core.id.AvailabilityZoneId;
+import io.figspan.core.id.BackendIncarnation;
 import io.figspan.core.id.BackendServerId;
 import io.figspan.core.id.HostId;
 import io.figspan.core.id.HostIncarnation;
@@ -59,6 +60,7 @@
         final BlockingQueue<HostId> silentHosts = new LinkedBlockingQueue<>();
         final BlockingQueue<Set<HostId>> liveHostSets = new LinkedBlockingQueue<>();
         final BlockingQueue<PeerMessage.CrashEvidence> evidenceReceived = new LinkedBlockingQueue<>();
+        final BlockingQueue<BackendIncarnation> leavingServers = new LinkedBlockingQueue<>();
         final PeerTracker peers;
         volatile Set<HostId> reportRecipients = Set.of();
         volatile long storeAgeMs = -1;
@@ -128,6 +130,11 @@
         @Override
         public void onServerLimitUses(Peer from, PeerMessage.ServerLimitUses uses) {}
 
+        @Override
+        public void onServerLeaving(BackendIncarnation server) {
+            leavingServers.add(server);
+        }
+
         @Override
         public void onNewerItems(Peer peer, long settingsRevision, long serversRevision) {
             assertEquals(7, settingsRevision);
@@ -228,6 +235,19 @@
         assertEquals(evidence, hosts.get(2).evidenceReceived.poll(LIMIT_S, TimeUnit.SECONDS));
     }
 
+    @Test
+    void theNoticeOfALeavingServerReachesAllHosts() throws Exception {
+        startHosts(3);
+        awaitReport(hosts.get(0), hosts.get(1).id, 0);
+        awaitReport(hosts.get(0), hosts.get(2).id, 0);
+        BackendIncarnation server = new BackendIncarnation(BackendServerId.of("engine"), 3);
+
+        onLoop(() -> hosts.get(0).peers.announceLeaving(server));
+
+        assertEquals(server, hosts.get(1).leavingServers.poll(LIMIT_S, TimeUnit.SECONDS));
+        assertEquals(server, hosts.get(2).leavingServers.poll(LIMIT_S, TimeUnit.SECONDS));
+    }
+
     @Test
     void aHostThatReportsToOthersIsNamedToCallers() throws Exception {
         startHosts(2);
