Give a server whose entry is missing nothing new while most of its service are there

Cause: a removal that was put off changed nothing until it was carried out. Change: such a server is marked and is not chosen, unless more than half of its service are missing with it: then the leases have expired together, and requests go on as before.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/backend/BackendPools.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/backend/BackendPools.java
@@ -3,11 +3,16 @@
 import io.figspan.control.leaving.LeavingSource;
 import io.figspan.core.id.AvailabilityZoneId;
 import io.figspan.core.id.BackendServerId;
+import io.figspan.core.id.ServiceId;
 import io.figspan.gateway.http.HttpConnection;
 import io.netty.channel.EventLoop;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /** The registered backend servers, each with a connection pool. All methods must be called on the event loop. */
 public final class BackendPools {
@@ -16,6 +21,9 @@
     private final Map<BackendServerId, Registration> registrations = new HashMap<>();
     private final Map<AvailabilityZoneId, AdaptiveConnectTimeout> connectTimeouts = new HashMap<>();
 
+    /** Registered servers whose entries are missing, perhaps only because their leases have expired. */
+    private final Set<BackendServerId> lapsed = new HashSet<>();
+
     private record Registration(BackendServer server, ConnectionPool pool) {}
 
     public BackendPools(EventLoop loop, DrainNotices drainNotices) {
@@ -38,6 +46,7 @@
         }
         ConnectionPool pool = sameAddress ? registered.pool() : newPool(server);
         registrations.put(server.id(), new Registration(server, pool));
+        lapsed.remove(server.id());
         if (server.isLeaving()) {
             drainNotices.record(server.incarnation(), LeavingSource.LIST, System.nanoTime());
         }
@@ -49,9 +58,17 @@
         return new ConnectionPool(loop, server.address(), timeout);
     }
 
+    /** Marks a server whose entry is missing; registering it again removes the mark. */
+    public void markLapsed(BackendServerId id) {
+        if (registrations.containsKey(id)) {
+            lapsed.add(id);
+        }
+    }
+
     /** Removes a server and closes its idle connections; exchanges in progress continue. */
     public void remove(BackendServerId id) {
         Registration registration = registrations.remove(id);
+        lapsed.remove(id);
         if (registration != null) {
             registration.pool().closeAllIdle();
         }
@@ -73,8 +90,30 @@
         return find(id).filter(server -> !server.isLeaving()).isPresent();
     }
 
-    public Iterable<BackendServer> all() {
-        return registrations.values().stream().map(this::current).toList();
+    /**
+     * The servers of each service that may be chosen for new requests; empty for a service whose servers all leave. If
+     * the entries of a few servers are missing, these have probably left. If those of most are, their leases have
+     * expired together and say nothing about the servers.
+     */
+    public Map<ServiceId, List<BackendServer>> available() {
+        Map<ServiceId, List<BackendServer>> byService = new HashMap<>();
+        for (Registration registration : registrations.values()) {
+            BackendServer server = current(registration);
+            List<BackendServer> servers = byService.computeIfAbsent(server.service(), ignored -> new ArrayList<>());
+            if (!server.isLeaving()) {
+                servers.add(server);
+            }
+        }
+        byService.values().forEach(this::removeFewLapsed);
+        return byService;
+    }
+
+    private void removeFewLapsed(List<BackendServer> servers) {
+        long lapsedCount =
+                servers.stream().filter(server -> lapsed.contains(server.id())).count();
+        if (lapsedCount <= servers.size() / 2) {
+            servers.removeIf(server -> lapsed.contains(server.id()));
+        }
     }
 
     /**
--- a/figspan-gateway/src/main/java/io/figspan/gateway/fleet/FleetState.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/fleet/FleetState.java
@@ -14,6 +14,7 @@
 import io.figspan.gateway.store.StoreListener;
 import io.figspan.settings.gateway.GatewaySettings;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.LongSupplier;
 
 /**
@@ -184,6 +185,7 @@
 
     private void deferRemoval(Item item) {
         deferredRemovals.defer(item, nanoClock.getAsLong());
+        serverId(item).ifPresent(pools::markLapsed);
         log.info(Part.MEMBER, "serverLapsed")
                 .text("key", item.key())
                 .number("revision", item.revision())
@@ -192,18 +194,25 @@
 
     private void remove(Item item) {
         deferredRemovals.cancel(item.key());
-        try {
-            BackendServerId id = BackendServerId.of(protocol.serverName(item.key()));
+        serverId(item).ifPresent(id -> {
             pools.remove(id);
             log.info(Part.MEMBER, "serverRemoved")
                     .text("server", id)
                     .number("revision", item.revision())
                     .write();
+        });
+    }
+
+    /** The server that is registered under the key of an item; empty, after a log line, if the key names none. */
+    private Optional<BackendServerId> serverId(Item item) {
+        try {
+            return Optional.of(BackendServerId.of(protocol.serverName(item.key())));
         } catch (FigspanException e) {
             log.warn(Part.MEMBER, "serverUnreadable")
                     .text("key", item.key())
                     .text("reason", e.detail())
                     .write();
+            return Optional.empty();
         }
     }
 }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatchers.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatchers.java
@@ -19,7 +19,6 @@
 import io.figspan.settings.gateway.EngineProfile;
 import io.figspan.settings.gateway.GatewaySettings;
 import io.figspan.settings.gateway.ServiceProfile;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -89,13 +88,12 @@
             return;
         }
         Map<ServiceId, List<AvailableServer>> serversByService = new HashMap<>();
-        for (BackendServer server : pools.all()) {
-            List<AvailableServer> servers =
-                    serversByService.computeIfAbsent(server.service(), ignored -> new ArrayList<>());
-            if (!server.isLeaving()) {
-                servers.add(new AvailableServer(server.id(), server.slots()));
-            }
-        }
+        pools.available()
+                .forEach((service, servers) -> serversByService.put(
+                        service,
+                        servers.stream()
+                                .map(server -> new AvailableServer(server.id(), server.slots()))
+                                .toList()));
         dispatchers.keySet().forEach(service -> serversByService.putIfAbsent(service, List.of()));
         long nowNanos = System.nanoTime();
         serversByService.forEach((service, servers) -> dispatcher(service).serversChanged(servers, hosts, nowNanos));
--- a/figspan-gateway/src/test/java/io/figspan/gateway/fleet/FleetStateTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/fleet/FleetStateTest.java
@@ -74,6 +74,40 @@
         assertEquals(changesBefore + 1, changes);
     }
 
+    @Test
+    void aServerMissingAloneAfterAnOutageGetsNoNewRequests() {
+        fleet.serversStoreListener().onChanged(List.of(registered("s-1", 1), registered("s-2", 2)));
+        fleet.serversStoreListener().onLost();
+
+        fleet.serversStoreListener().onChanged(List.of(removed(5)));
+
+        assertEquals(List.of("s-2"), available());
+    }
+
+    @Test
+    void serversMissingTogetherAfterAnOutageGetRequestsUntilTheDelayEnds() {
+        fleet.serversStoreListener()
+                .onChanged(List.of(registered("s-1", 1), registered("s-2", 2), registered("s-3", 3)));
+        fleet.serversStoreListener().onLost();
+
+        fleet.serversStoreListener().onSnapshot(List.of(registered("s-3", 3)), 9);
+
+        assertEquals(List.of("s-1", "s-2", "s-3"), available());
+        advanceMs(2_500);
+        assertEquals(List.of("s-3"), available());
+    }
+
+    @Test
+    void aMissingServerThatRegistersAgainGetsRequestsAgain() {
+        fleet.serversStoreListener().onChanged(List.of(registered("s-1", 1), registered("s-2", 2)));
+        fleet.serversStoreListener().onLost();
+        fleet.serversStoreListener().onChanged(List.of(removed(5)));
+
+        fleet.serversStoreListener().onChanged(List.of(registered("s-1", 6)));
+
+        assertEquals(List.of("s-1", "s-2"), available());
+    }
+
     @Test
     void aServerThatRegistersAgainWithinTheDelayIsKept() {
         fleet.serversStoreListener().onChanged(List.of(registered(1)));
@@ -125,8 +159,19 @@
         fleet.tick();
     }
 
+    private List<String> available() {
+        return pools.available().get(ServiceId.of("plain")).stream()
+                .map(server -> server.id().value())
+                .sorted()
+                .toList();
+    }
+
+    private static Item registered(String key, long revision) {
+        return new Item(key, Optional.of("server".getBytes(StandardCharsets.UTF_8)), revision);
+    }
+
     private static Item registered(long revision) {
-        return new Item(SERVER.value(), Optional.of("server".getBytes(StandardCharsets.UTF_8)), revision);
+        return registered(SERVER.value(), revision);
     }
 
     private static Item removed(long revision) {
