--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Attempt.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Attempt.java
@@ -171,6 +171,12 @@
         discarded = true;
     }
 
+    /** The server may have begun to drain while the connection was being established. */
+    @Override
+    public boolean mayWrite() {
+        return pools.acceptsRequests(server());
+    }
+
     // Response
 
     @Override
@@ -283,7 +289,7 @@
             listener.onDiscardedEnd(this);
             return;
         }
-        fail(failure.requestMayHaveArrived() ? AttemptEnd.BROKEN : AttemptEnd.NOT_CONNECTED, failure.toString());
+        fail(AttemptEnd.of(failure), failure.toString());
     }
 
     private void abort(String reason) {
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/AttemptEnd.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/AttemptEnd.java
@@ -1,11 +1,14 @@
 package io.figspan.gateway.forward;
 
+import io.figspan.gateway.http.ConnectionFailure;
 import io.figspan.policy.placing.Placer.AttemptOutcome;
 
 /** Reason why an attempt ended without a response that is forwarded to the caller. */
 enum AttemptEnd {
     /** The server was unreachable, so it has received nothing. */
     NOT_CONNECTED(false, AttemptOutcome.BROKEN),
+    /** The server began to drain before the request was written, so it has received nothing. */
+    WITHDRAWN(false, AttemptOutcome.CANCELLED),
     /** The server, or another one at its address, stated that it did not run the request. */
     TURNED_AWAY(false, AttemptOutcome.TURNED_AWAY),
     /** The server stated that it did not run the request because a helper engine failed. */
@@ -25,6 +28,14 @@
         this.attemptOutcome = attemptOutcome;
     }
 
+    static AttemptEnd of(ConnectionFailure failure) {
+        return switch (failure) {
+            case NOT_CONNECTED -> NOT_CONNECTED;
+            case WITHDRAWN -> WITHDRAWN;
+            case BROKEN_BEFORE_ANSWER, BROKEN_IN_ANSWER, MALFORMED -> BROKEN;
+        };
+    }
+
     boolean mayHaveRun() {
         return mayHaveRun;
     }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/AttemptHistory.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/AttemptHistory.java
@@ -36,7 +36,7 @@
         this.budget = budget;
     }
 
-    /** Number of attempts, without those that found the server unreachable or failed because of its helpers. */
+    /** Number of attempts, without those that did not reach the server or failed because of its helpers. */
     int attempts() {
         return attempts;
     }
@@ -51,7 +51,9 @@
 
     void recordFailure(AttemptEnd end) {
         mayHaveRun |= end.mayHaveRun();
-        if (end == AttemptEnd.NOT_CONNECTED) {
+        if (end == AttemptEnd.WITHDRAWN) {
+            attempts--;
+        } else if (end == AttemptEnd.NOT_CONNECTED) {
             attempts--;
             unreachableServers++;
         } else if (end == AttemptEnd.HELPER_FAILED) {
@@ -74,6 +76,9 @@
         if (!repeatable || !resumable || !hasTime(nowNanos) || attempts >= route.maxAttempts()) {
             return false;
         }
+        if (end == AttemptEnd.WITHDRAWN) {
+            return true;
+        }
         if (end == AttemptEnd.NOT_CONNECTED) {
             return unreachableServers < MAX_UNREACHABLE_SERVERS;
         }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
@@ -168,6 +168,9 @@
             return;
         }
         if (!allAcceptRequests(placement)) {
+            if (group != HoldGroup.NONE) {
+                state.transition(CallEvent.FAILED);
+            }
             giveUpPlacement(group, nowNanos);
             dispatcher.submit(this, job, nowNanos);
             return;
--- a/figspan-gateway/src/main/java/io/figspan/gateway/http/ConnectionFailure.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/http/ConnectionFailure.java
@@ -4,6 +4,8 @@
 public enum ConnectionFailure {
     /** The connection could not be established, so the server has received nothing. */
     NOT_CONNECTED,
+    /** The request was withdrawn before it was written, so the server has received nothing. */
+    WITHDRAWN,
     /** The connection broke before the head of the response was received. */
     BROKEN_BEFORE_ANSWER,
     /** The connection broke or was closed within the response. */
@@ -18,6 +20,6 @@
 
     /** Whether the server may have received the request. */
     public boolean requestMayHaveArrived() {
-        return this != NOT_CONNECTED;
+        return this != NOT_CONNECTED && this != WITHDRAWN;
     }
 }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/http/ExchangeListener.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/http/ExchangeListener.java
@@ -8,6 +8,14 @@
  * one of {@link #onComplete} and {@link #onFailure} is called, as the last method.
  */
 public interface ExchangeListener {
+    /**
+     * Whether the request may still be written. Asked when the connection is established, which may be long after the
+     * request was passed to it.
+     */
+    default boolean mayWrite() {
+        return true;
+    }
+
     /** The status line and headers were received. */
     void onHead(HttpResponse head);
 
--- a/figspan-gateway/src/main/java/io/figspan/gateway/http/HttpConnection.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/http/HttpConnection.java
@@ -151,6 +151,10 @@
         }
         connectNanos = System.nanoTime() - connectStartNanos;
         if (pendingRequest != null && activeListener != null) {
+            if (!activeListener.mayWrite()) {
+                fail(ConnectionFailure.WITHDRAWN);
+                return;
+            }
             FullHttpRequest request = pendingRequest;
             pendingRequest = null;
             write(request);
--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/AttemptHistoryTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/AttemptHistoryTest.java
@@ -34,6 +34,18 @@
         assertEquals(0, budget.retriesInWindow());
     }
 
+    @Test
+    void attemptsWithdrawnFromDrainingServersDoNotCountAndNeedNoRetryBudget() {
+        AttemptHistory history = history(RequestKind.NON_IDEMPOTENT, false);
+
+        for (int servers = 0; servers < 10; servers++) {
+            assertTrue(failAndRetry(history, AttemptEnd.WITHDRAWN));
+        }
+
+        assertEquals(0, history.attempts());
+        assertEquals(0, budget.retriesInWindow());
+    }
+
     @Test
     void failuresOfHelpersDoNotCountAsAttemptsButEndTheRequestInTheEnd() {
         AttemptHistory history = history(RequestKind.NON_IDEMPOTENT, false);
