Place a request elsewhere when the engine to which it is restricted begins to drain

The restriction ends with the engine's availability. EnginePlacerTest.aJobThatIsRestrictedToAnEngineThatDrains... failed before (no placement).

--- a/figspan-policy/src/main/java/io/figspan/policy/placing/EnginePlacer.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/EnginePlacer.java
@@ -135,6 +135,9 @@
         if (engines.isEmpty()) {
             return Optional.of(refuse(job, "no engine is known"));
         }
+        if (job.pinnedServer().filter(server -> !isAvailable(server)).isPresent()) {
+            job.unpin();
+        }
         List<EngineState> helperCandidates = new ArrayList<>();
         List<EngineState> primaryCandidates = new ArrayList<>();
         for (EngineState engine : engines.values()) {
@@ -164,6 +167,11 @@
         };
     }
 
+    private boolean isAvailable(BackendServerId server) {
+        EngineState engine = engines.get(server);
+        return engine != null && engine.isAvailable();
+    }
+
     /** Mean prefill backlog per engine. */
     private double meanBacklogMs() {
         double total = 0;
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/Job.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/Job.java
@@ -103,6 +103,16 @@
         pinnedServer = Optional.of(server);
     }
 
+    /** The only server to which the job may be sent; empty if any other than those that were tried will do. */
+    Optional<BackendServerId> pinnedServer() {
+        return pinnedServer;
+    }
+
+    /** Ends the restriction to one server. */
+    void unpin() {
+        pinnedServer = Optional.empty();
+    }
+
     /** Whether the job may be sent to this server: not tried yet, and not excluded by {@link #pinTo}. */
     boolean maySendTo(BackendServerId server) {
         return !tried.contains(server) && pinnedServer.map(server::equals).orElse(true);
--- a/figspan-policy/src/test/java/io/figspan/policy/placing/EnginePlacerTest.java
+++ b/figspan-policy/src/test/java/io/figspan/policy/placing/EnginePlacerTest.java
@@ -277,6 +277,21 @@
         assertTrue(second.readers().stream().noneMatch(reader -> reader.server().equals(helper)));
     }
 
+    /** Guards against requests that wait for an engine that has begun to drain until their callers give up. */
+    @Test
+    void aJobThatIsRestrictedToAnEngineThatDrainsIsPlacedElsewhere() {
+        engines(2);
+        Job job = shortJob();
+        Placement.Send first = sent(job);
+        job.pinTo(first.server());
+        placer.ended(job, AttemptOutcome.HELPER_FAILED, nowNanos);
+        BackendServerId other = first.server().equals(engine(0)) ? engine(1) : engine(0);
+
+        placer.serversChanged(List.of(new AvailableServer(other, ENGINE.slots())), nowNanos);
+
+        assertEquals(other, sent(job).server());
+    }
+
     @Test
     void aJobWhoseHelperFailedIsSentToItsEngineAgain() {
         engines(4);
