Keep requests from a server for as long as its Retry-After names

Nothing read it; the only pause was the placers' own of half a second, and none at all after a 503 that may have run.

Change: ServerPauses, a RequestGate for the placers beside the limits of requests. It is asked again before each write, holds for the host that was answered and for the process that answered, and covers new orders about memory; health checks and renewals of memory in use are cut to two after the first half second. A request that no server accepts before its deadline is rejected at once with the time at which one will (ClosedServers). LeavingServerTest.aWaitingRequestIsNotSent... was a race of the test: it now waits until the server is busy.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
@@ -10,7 +10,6 @@
 import io.figspan.core.time.MonotonicClock;
 import io.figspan.core.work.PlacedRequest;
 import io.figspan.gateway.backend.BackendPools;
-import io.figspan.gateway.backend.DrainNotices;
 import io.figspan.gateway.backend.HttpEngineClient;
 import io.figspan.gateway.backend.MemoryHolds;
 import io.figspan.gateway.caller.CallerServer;
@@ -75,7 +74,7 @@
     private final DecisionLog log = new DecisionLog();
     private final GatewayMetrics metrics = new GatewayMetrics();
     private final UnexpectedErrors errors = new UnexpectedErrors(log, metrics);
-    private final BackendPools pools = new BackendPools(loop, new DrainNotices(log));
+    private final BackendPools pools = new BackendPools(loop, log);
     private final MemoryHolds holds;
     private final FleetState fleet;
     private final PromptCrashes promptCrashes;
--- a/figspan-gateway/src/main/java/io/figspan/gateway/backend/BackendPools.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/backend/BackendPools.java
@@ -2,9 +2,12 @@
 
 import io.figspan.control.leaving.LeavingSource;
 import io.figspan.core.id.AvailabilityZoneId;
+import io.figspan.core.id.BackendIncarnation;
 import io.figspan.core.id.BackendServerId;
 import io.figspan.core.id.ServiceId;
 import io.figspan.gateway.http.HttpConnection;
+import io.figspan.gateway.log.DecisionLog;
+import io.figspan.gateway.protocol.BackendResponse;
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -18,6 +21,7 @@
 public final class BackendPools {
     private final EventLoop loop;
     private final DrainNotices drainNotices;
+    private final ServerPauses pauses;
     private final Map<BackendServerId, Registration> registrations = new HashMap<>();
     private final Map<AvailabilityZoneId, AdaptiveConnectTimeout> connectTimeouts = new HashMap<>();
 
@@ -26,9 +30,26 @@
 
     private record Registration(BackendServer server, ConnectionPool pool) {}
 
-    public BackendPools(EventLoop loop, DrainNotices drainNotices) {
+    public BackendPools(EventLoop loop, DecisionLog log) {
         this.loop = loop;
-        this.drainNotices = drainNotices;
+        this.drainNotices = new DrainNotices(log);
+        this.pauses = new ServerPauses(log);
+    }
+
+    /** Reads what a server says of itself in the head of a response. */
+    public void responded(BackendIncarnation server, BackendResponse response, long nowNanos) {
+        if (response.wrongServer()) {
+            return;
+        }
+        if (response.isLeaving()) {
+            drainNotices.record(server, LeavingSource.RESPONSE, nowNanos);
+        }
+        pauses.responded(server, response, nowNanos);
+    }
+
+    /** The servers that have asked this host for a pause. */
+    public ServerPauses pauses() {
+        return pauses;
     }
 
     /** The servers among these, and earlier ones, that are known to drain. */
@@ -45,6 +66,9 @@
             registered.pool().closeAllIdle();
         }
         ConnectionPool pool = sameAddress ? registered.pool() : newPool(server);
+        if (registered != null && !registered.server().incarnation().equals(server.incarnation())) {
+            pauses.forget(server.id());
+        }
         registrations.put(server.id(), new Registration(server, pool));
         lapsed.remove(server.id());
         if (server.isLeaving()) {
@@ -69,6 +93,7 @@
     public void remove(BackendServerId id) {
         Registration registration = registrations.remove(id);
         lapsed.remove(id);
+        pauses.forget(id);
         if (registration != null) {
             registration.pool().closeAllIdle();
         }
@@ -85,9 +110,9 @@
         return isNewlyLeaving ? server.asLeaving() : server;
     }
 
-    /** Whether a server is registered and not leaving, so that it may get new requests. */
+    /** Whether a server is registered, doesn't drain and has not asked for a pause, so that it may get new requests. */
     public boolean acceptsRequests(BackendServerId id) {
-        return find(id).filter(server -> !server.isLeaving()).isPresent();
+        return find(id).filter(server -> !server.isLeaving()).isPresent() && pauses.admits(id, System.nanoTime());
     }
 
     /**
--- a/figspan-gateway/src/main/java/io/figspan/gateway/backend/DrainNotices.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/backend/DrainNotices.java
@@ -5,7 +5,6 @@
 import io.figspan.core.event.Part;
 import io.figspan.core.id.BackendIncarnation;
 import io.figspan.gateway.log.DecisionLog;
-import io.figspan.gateway.protocol.BackendResponse;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -24,7 +23,7 @@
         void onLeaving(BackendIncarnation server, LeavingSource source);
     }
 
-    public DrainNotices(DecisionLog log) {
+    DrainNotices(DecisionLog log) {
         this.log = log;
     }
 
@@ -37,13 +36,6 @@
         return !registry.mayTakeNewWork(server);
     }
 
-    /** Reads the notice from the head of a server's response. */
-    public void responded(BackendIncarnation server, BackendResponse response, long nowNanos) {
-        if (response.isLeaving() && !response.wrongServer()) {
-            record(server, LeavingSource.RESPONSE, nowNanos);
-        }
-    }
-
     /** Records that a server drains. */
     public void record(BackendIncarnation server, LeavingSource source, long nowNanos) {
         if (!registry.onLeaving(server, source, nowNanos)) {
--- a/figspan-gateway/src/main/java/io/figspan/gateway/backend/EngineClient.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/backend/EngineClient.java
@@ -14,9 +14,12 @@
     /** Whether the engine is registered, so that holds can be renewed and released there. */
     boolean isRegistered(BackendServerId engine);
 
-    /** Whether the engine is registered and not leaving, so that new holds can be reserved there. */
+    /** Whether the engine is registered, doesn't drain and has asked for no pause, so that it may get new holds. */
     boolean acceptsRequests(BackendServerId engine);
 
+    /** Whether a message about memory in use may be sent now to an engine that may have asked for a pause. */
+    boolean tryMessage(BackendServerId engine);
+
     /** Reserves memory at a registered engine, or renews the reservation. */
     void reserve(HoldAction.Reserve reserve, long timeoutMs, Consumer<EngineOutcome> listener);
 
--- a/figspan-gateway/src/main/java/io/figspan/gateway/backend/HttpEngineClient.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/backend/HttpEngineClient.java
@@ -40,6 +40,11 @@
         return pools.acceptsRequests(engine);
     }
 
+    @Override
+    public boolean tryMessage(BackendServerId engine) {
+        return pools.pauses().tryMessage(engine, System.nanoTime());
+    }
+
     @Override
     public void reserve(HoldAction.Reserve reserve, long timeoutMs, Consumer<EngineOutcome> listener) {
         BackendServerId engine = reserve.engine().server();
@@ -92,7 +97,7 @@
         @Override
         public void onResponse(HttpResponse head, byte[] body) {
             releaseConnection.run();
-            engine.ifPresent(known -> pools.drainNotices().responded(known, protocol.decode(head), System.nanoTime()));
+            engine.ifPresent(known -> pools.responded(known, protocol.decode(head), System.nanoTime()));
             int status = head.status().code();
             boolean isDone = protocol.isDone(status);
             listener.accept(isDone ? EngineOutcome.done() : EngineOutcome.refused("status " + status));
--- a/figspan-gateway/src/main/java/io/figspan/gateway/backend/MemoryHolds.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/backend/MemoryHolds.java
@@ -89,7 +89,7 @@
             return Result.failed(Problem.notRun(ProblemKind.NO_BACKEND_SERVER, "the engine is no longer registered"));
         }
         if (!engines.acceptsRequests(request.server())) {
-            return Result.failed(Problem.notRun(ProblemKind.NO_BACKEND_SERVER, "the engine drains"));
+            return Result.failed(Problem.notRun(ProblemKind.NO_BACKEND_SERVER, "the engine accepts no new requests"));
         }
         BackendIncarnation engine = new BackendIncarnation(request.server(), 0);
         return ledger.reserve(engine, request.tokens(), deadline, clock.nowNanos());
@@ -137,6 +137,9 @@
     }
 
     private void check(HoldUserMonitor.HoldUser user) {
+        if (!engines.tryMessage(user.engine())) {
+            return;
+        }
         engines.probe(user.engine(), user.address(), CHECK_RESPONSE_TIMEOUT_MS, outcome -> onChecked(user, outcome));
     }
 
@@ -159,6 +162,9 @@
             ledger.onEngineGone(action.engine());
             return;
         }
+        if (!engines.tryMessage(action.engine().server())) {
+            return;
+        }
         if (action instanceof HoldAction.Reserve reserve) {
             engines.reserve(reserve, RESPONSE_TIMEOUT_MS, outcome -> onReserveOutcome(reserve, outcome));
         } else if (action instanceof HoldAction.Release release) {
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
@@ -206,7 +206,7 @@
     @Override
     public void onHead(Attempt from) {
         forwarder.requestLimits().answered(from.incarnation(), from.response());
-        forwarder.pools().drainNotices().responded(from.incarnation(), from.response(), System.nanoTime());
+        forwarder.pools().responded(from.incarnation(), from.response(), System.nanoTime());
     }
 
     @Override
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatchers.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatchers.java
@@ -15,6 +15,7 @@
 import io.figspan.policy.placing.LeastBusyPlacer;
 import io.figspan.policy.placing.Placer;
 import io.figspan.policy.placing.Placer.AvailableServer;
+import io.figspan.policy.placing.RequestGate;
 import io.figspan.policy.retry.WindowedRetryBudget;
 import io.figspan.settings.gateway.EngineProfile;
 import io.figspan.settings.gateway.GatewaySettings;
@@ -104,10 +105,11 @@
     }
 
     private ServiceDispatcher newDispatcher(ServiceId service) {
+        RequestGate gate = requestLimits.and(pools.pauses());
         Optional<EngineProfile> engine =
                 Optional.ofNullable(settings.services().get(service)).flatMap(ServiceProfile::engine);
-        Placer placer = engine.<Placer>map(profile -> new EnginePlacer(profile, random, requestLimits))
-                .orElseGet(() -> new LeastBusyPlacer(random, requestLimits));
+        Placer placer = engine.<Placer>map(profile -> new EnginePlacer(profile, random, gate))
+                .orElseGet(() -> new LeastBusyPlacer(random, gate));
         ServerSubset subset = engine.isPresent() ? new ServerSubset.OwnCell(self, hosts) : new ServerSubset.All();
         return new ServiceDispatcher(
                 placer, subset, retryBudget.newBudget(), metrics.processorTime(), news -> workListener.accept(news));
--- a/figspan-gateway/src/main/java/io/figspan/gateway/protocol/BackendResponse.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/protocol/BackendResponse.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 
 /**
  * The decoded head of a backend server's response.
@@ -13,6 +14,7 @@
  * @param load the server's load, if it reports it
  * @param requestsPerSecond the rate of requests that the server accepts from all hosts together, if it limits it
  * @param isLeaving whether the server says that it drains: it finishes its work and accepts no new requests
+ * @param retryAfterMs time for which the server wants no further request from this host, if it names one
  * @param faultyServer IP address and port of the server that caused the failure; it may be the responding server
  */
 public record BackendResponse(
@@ -24,6 +26,7 @@
         Optional<ServerLoad> load,
         OptionalDouble requestsPerSecond,
         boolean isLeaving,
+        OptionalLong retryAfterMs,
         Optional<String> faultyServer) {
 
     /** Load of a server, in requests. */
--- a/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
@@ -13,7 +13,6 @@
 import io.figspan.core.work.PlacedRequest;
 import io.figspan.gateway.backend.BackendPools;
 import io.figspan.gateway.backend.BackendServer;
-import io.figspan.gateway.backend.DrainNotices;
 import io.figspan.gateway.backend.HttpEngineClient;
 import io.figspan.gateway.backend.MemoryHolds;
 import io.figspan.gateway.caller.CallerServer;
@@ -66,7 +65,7 @@
     private final io.netty.channel.EventLoop loop = group.next();
     private final GatewayMetrics metrics = new GatewayMetrics();
     private final TestProtocol protocol = new TestProtocol();
-    private final BackendPools pools = new BackendPools(loop, new DrainNotices(new DecisionLog()));
+    private final BackendPools pools = new BackendPools(loop, new DecisionLog());
     private final PromptCrashes promptCrashes;
     private final RequestLimits requestLimits;
     private final ServiceDispatchers dispatchers;
--- a/figspan-gateway/src/test/java/io/figspan/gateway/TestProtocol.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/TestProtocol.java
@@ -90,9 +90,16 @@
                         ? OptionalDouble.of(Double.parseDouble(headers.get("limit")))
                         : OptionalDouble.empty(),
                 headers.contains("leaving"),
+                retryAfterMs(headers.get("retry-after", "")),
                 Optional.empty());
     }
 
+    private static OptionalLong retryAfterMs(String seconds) {
+        return seconds.matches("\\d+")
+                ? OptionalLong.of((long) Math.min(1e9, Double.parseDouble(seconds) * 1_000))
+                : OptionalLong.empty();
+    }
+
     @Override
     public FullHttpRequest reserve(BackendServerId server, String hold, long tokens, long leaseMs) {
         return get("/reserve?" + hold + "&" + tokens);
--- a/figspan-gateway/src/test/java/io/figspan/gateway/backend/HttpEngineClientTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/backend/HttpEngineClientTest.java
@@ -41,7 +41,7 @@
 
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final EventLoop loop = group.next();
-    private final BackendPools pools = new BackendPools(loop, new DrainNotices(new DecisionLog()));
+    private final BackendPools pools = new BackendPools(loop, new DecisionLog());
     private final HttpEngineClient client = new HttpEngineClient(loop, pools, new TestProtocol());
 
     /** A request sent by the client. */
--- a/figspan-gateway/src/test/java/io/figspan/gateway/backend/MemoryHoldsTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/backend/MemoryHoldsTest.java
@@ -245,7 +245,7 @@
         reserve(HOLDER, OTHER_HOLDER);
         runUntil(TICK_MS);
 
-        assertEquals("the engine drains", failedGroup().failure());
+        assertEquals("the engine accepts no new requests", failedGroup().failure());
         assertEquals(0, engines.sentCount(HOLDER, RequestKind.RESERVE));
     }
 
--- a/figspan-gateway/src/test/java/io/figspan/gateway/backend/ReservationExtraResponseTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/backend/ReservationExtraResponseTest.java
@@ -35,7 +35,7 @@
 
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final EventLoop loop = group.next();
-    private final BackendPools pools = new BackendPools(loop, new DrainNotices(new DecisionLog()));
+    private final BackendPools pools = new BackendPools(loop, new DecisionLog());
     private final MemoryHolds holds = new MemoryHolds(
             new HttpEngineClient(loop, pools, new TestProtocol()),
             new DecisionLog(),
--- a/figspan-gateway/src/test/java/io/figspan/gateway/backend/SimulatedEngines.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/backend/SimulatedEngines.java
@@ -68,6 +68,7 @@
         private final Map<RequestKind, Behaviour> behaviours = new HashMap<>();
         private boolean isRegistered = true;
         private boolean isLeaving;
+        private boolean isPaused;
 
         private Engine(Behaviour behaviour) {
             setBehaviour(behaviour);
@@ -102,6 +103,11 @@
         engines.get(id).isLeaving = true;
     }
 
+    /** Sets whether an engine accepts no message. */
+    void setPaused(BackendServerId id, boolean isPaused) {
+        engines.get(id).isPaused = isPaused;
+    }
+
     /** Ends the process of an engine, which ends its holds, and removes its registration. */
     void stop(BackendServerId id) {
         Engine engine = engines.get(id);
@@ -156,6 +162,11 @@
         return isRegistered(id) && !engines.get(id).isLeaving;
     }
 
+    @Override
+    public boolean tryMessage(BackendServerId id) {
+        return !engines.get(id).isPaused;
+    }
+
     @Override
     public void reserve(HoldAction.Reserve reserve, long timeoutMs, Consumer<EngineOutcome> listener) {
         BackendServerId id = reserve.engine().server();
--- a/figspan-gateway/src/test/java/io/figspan/gateway/fleet/FleetStateTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/fleet/FleetStateTest.java
@@ -11,7 +11,6 @@
 import io.figspan.core.id.ServiceId;
 import io.figspan.gateway.backend.BackendPools;
 import io.figspan.gateway.backend.BackendServer;
-import io.figspan.gateway.backend.DrainNotices;
 import io.figspan.gateway.log.DecisionLog;
 import io.figspan.gateway.protocol.FleetProtocol;
 import io.figspan.gateway.protocol.StoreProtocol.Item;
@@ -30,7 +29,7 @@
     private static final BackendServerId SERVER = BackendServerId.of("s-1");
 
     private final DefaultEventLoop loop = new DefaultEventLoop();
-    private final BackendPools pools = new BackendPools(loop, new DrainNotices(new DecisionLog()));
+    private final BackendPools pools = new BackendPools(loop, new DecisionLog());
     private long nowNanos;
     private int changes;
     private final FleetState fleet =
--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/LeavingServerTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/LeavingServerTest.java
@@ -164,7 +164,9 @@
     @Test
     void aWaitingRequestIsNotSentToAServerThatBeganToLeaveMeanwhile() throws Exception {
         CountDownLatch noticeHasArrived = new CountDownLatch(1);
+        CountDownLatch allSlotsAreBusy = new CountDownLatch(GatewayHarness.SLOTS);
         ScriptedServer leaving = add("plain-1", (request, connection) -> {
+            allSlotsAreBusy.countDown();
             awaitLatch(noticeHasArrived);
             connection.answer(request, 200, "", "");
         });
@@ -175,6 +177,7 @@
             String target = "/read/" + number;
             calls.add(callers.submit(() -> gateway.call("GET", target, "", "")));
         }
+        awaitLatch(allSlotsAreBusy);
         gateway.awaitWaiting(1);
 
         gateway.leavesByGossip("plain-1");
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/EnginePlacer.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/EnginePlacer.java
@@ -135,6 +135,10 @@
         if (engines.isEmpty()) {
             return Optional.of(refuse(job, "no engine is known"));
         }
+        Optional<Placement> refusal = ClosedServers.refusal(job, availableEngines(), gate, nowNanos);
+        if (refusal.isPresent()) {
+            return refusal;
+        }
         if (job.pinnedServer().filter(server -> !isAvailable(server)).isPresent()) {
             job.unpin();
         }
@@ -167,6 +171,13 @@
         };
     }
 
+    private List<BackendServerId> availableEngines() {
+        return engines.values().stream()
+                .filter(EngineState::isAvailable)
+                .map(EngineState::id)
+                .toList();
+    }
+
     private boolean isAvailable(BackendServerId server) {
         EngineState engine = engines.get(server);
         return engine != null && engine.isAvailable();
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/LeastBusyPlacer.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/LeastBusyPlacer.java
@@ -9,6 +9,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Queue;
 import java.util.random.RandomGenerator;
@@ -68,6 +69,10 @@
         if (server != null) {
             return List.of(send(job, server, nowNanos));
         }
+        Optional<Placement> refusal = ClosedServers.refusal(job, availableServers(), gate, nowNanos);
+        if (refusal.isPresent()) {
+            return List.of(refusal.get());
+        }
         if (queue.size() >= MAX_WAITING || servers.isEmpty()) {
             return List.of(refuse(job));
         }
@@ -75,6 +80,13 @@
         return List.of();
     }
 
+    private List<BackendServerId> availableServers() {
+        return servers.values().stream()
+                .filter(server -> server.available)
+                .map(server -> server.id)
+                .toList();
+    }
+
     @Override
     public List<Placement> ended(Job job, AttemptOutcome outcome, long nowNanos) {
         ServerState server = placed.remove(job);
@@ -104,9 +116,12 @@
         for (Iterator<Job> waiting = queue.iterator(); waiting.hasNext(); ) {
             Job job = waiting.next();
             ServerState server = choose(job, nowNanos);
-            if (server != null) {
+            Optional<Placement> placement = server == null
+                    ? ClosedServers.refusal(job, availableServers(), gate, nowNanos)
+                    : Optional.of(send(job, server, nowNanos));
+            if (placement.isPresent()) {
                 waiting.remove();
-                placements.add(send(job, server, nowNanos));
+                placements.add(placement.get());
             }
         }
         return placements;
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/RequestGate.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/RequestGate.java
@@ -19,6 +19,33 @@
 
     boolean admits(BackendServerId server, long nowNanos);
 
+    /** Earliest time at which the server may accept another request, as far as is known; now if nothing is known. */
+    default long reopensNanos(BackendServerId server, long nowNanos) {
+        return nowNanos;
+    }
+
     /** A request is placed at the server. */
     void sent(BackendServerId server, long nowNanos);
+
+    /** A gate that admits what both this one and another one admit. */
+    default RequestGate and(RequestGate other) {
+        RequestGate first = this;
+        return new RequestGate() {
+            @Override
+            public boolean admits(BackendServerId server, long nowNanos) {
+                return first.admits(server, nowNanos) && other.admits(server, nowNanos);
+            }
+
+            @Override
+            public long reopensNanos(BackendServerId server, long nowNanos) {
+                return Math.max(first.reopensNanos(server, nowNanos), other.reopensNanos(server, nowNanos));
+            }
+
+            @Override
+            public void sent(BackendServerId server, long nowNanos) {
+                first.sent(server, nowNanos);
+                other.sent(server, nowNanos);
+            }
+        };
+    }
 }
