--- a/figspan-gateway/src/main/java/io/figspan/gateway/protocol/StoreProtocol.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/protocol/StoreProtocol.java
@@ -1,8 +1,10 @@
 package io.figspan.gateway.protocol;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import io.netty.handler.codec.http.HttpResponse;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /** Translates the calls to a store that keeps items under keys and numbers all its changes with one revision. */
 public interface StoreProtocol {
@@ -26,6 +28,14 @@
 
     Page decodeWatch(byte[] body) throws JsonProcessingException;
 
+    /**
+     * The epoch of the store in the head of a response: the number of its history, which rises each time that the store
+     * returns from an older copy; empty if the response names none.
+     *
+     * @throws io.figspan.core.error.FigspanException if the response names one that can't be read
+     */
+    OptionalLong epoch(HttpResponse head);
+
     /** Status that means that the store no longer has the changes after the requested revision. */
     int historyGoneStatus();
 }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/store/StoreWatcher.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/store/StoreWatcher.java
@@ -14,6 +14,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
@@ -48,6 +49,7 @@
     private boolean watching = true;
     private boolean idle;
     private ScheduledFuture<?> nextPoll;
+    private OptionalLong epoch = OptionalLong.empty();
     private long lastResponseNanos = Long.MIN_VALUE;
 
     public StoreWatcher(
@@ -154,6 +156,7 @@
         BufferedExchange.get(loop, connection, target, timeout, new BufferedExchange.Listener() {
             @Override
             public void onResponse(HttpResponse head, byte[] body) {
+                logEpoch(protocol.epoch(head));
                 responseReceived(watch, head.status().code(), body);
             }
 
@@ -164,6 +167,17 @@
         });
     }
 
+    private void logEpoch(OptionalLong received) {
+        if (received.isPresent() && !received.equals(epoch)) {
+            log.info(Part.SETTINGS, "storeEpoch")
+                    .text("prefix", prefix)
+                    .number("epoch", received.getAsLong())
+                    .number("before", epoch.orElse(0))
+                    .write();
+            epoch = received;
+        }
+    }
+
     private void responseReceived(boolean watch, int status, byte[] body) {
         if (status == protocol.historyGoneStatus()) {
             log.warn(Part.SETTINGS, "storeHistoryGone").text("prefix", prefix).write();
--- a/figspan-gateway/src/test/java/io/figspan/gateway/store/StoreWatcherTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/store/StoreWatcherTest.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetAddress;
@@ -19,6 +20,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.SplittableRandom;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -65,6 +67,11 @@
             return new Page(List.of(new Item("key", Optional.of(body), revision)), false, revision);
         }
 
+        @Override
+        public OptionalLong epoch(HttpResponse head) {
+            return OptionalLong.empty();
+        }
+
         @Override
         public int historyGoneStatus() {
             return HttpResponseStatus.GONE.code();
