--- a/figspan-cluster/src/main/java/io/figspan/cluster/copy/CopyFetcher.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/copy/CopyFetcher.java
@@ -2,6 +2,7 @@
 
 import io.figspan.cluster.message.Peer;
 import io.figspan.core.id.HostId;
+import io.figspan.core.id.StoreRevision;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -40,7 +41,7 @@
 
     private final RandomGenerator random;
     private final Map<HostId, Source> sources = new HashMap<>();
-    private long newestRevision;
+    private StoreRevision newestRevision = StoreRevision.NONE;
     private long newestAnnouncedNanos;
     private boolean reading;
     private boolean behind;
@@ -49,12 +50,12 @@
     /** A host that has announced a newer revision than this host has. */
     private static final class Source {
         Peer peer;
-        long revision;
+        StoreRevision revision;
         long announcedNanos;
         long retryNanos;
 
-        boolean isUseful(long ownRevision, long nowNanos) {
-            return revision > ownRevision && nowNanos - announcedNanos <= ANNOUNCEMENT_VALID_NANOS;
+        boolean isUseful(StoreRevision ownRevision, long nowNanos) {
+            return revision.isNewerThan(ownRevision) && nowNanos - announcedNanos <= ANNOUNCEMENT_VALID_NANOS;
         }
     }
 
@@ -75,12 +76,12 @@
     }
 
     /** Another host has announced the newest revision that it has. */
-    public void announced(Peer peer, long revision, long ownRevision, long nowNanos) {
-        if (revision <= ownRevision) {
+    public void announced(Peer peer, StoreRevision revision, StoreRevision ownRevision, long nowNanos) {
+        if (!revision.isNewerThan(ownRevision)) {
             sources.remove(peer.host());
             return;
         }
-        if (revision >= newestRevision) {
+        if (!newestRevision.isNewerThan(revision)) {
             newestRevision = revision;
             newestAnnouncedNanos = nowNanos;
         }
@@ -100,8 +101,8 @@
     }
 
     /** Whether another host has announced a newer revision than this host has, even if it is silent now. */
-    public boolean isBehind(long ownRevision, long nowNanos) {
-        return newestRevision > ownRevision && nowNanos - newestAnnouncedNanos < MAX_BEHIND_NANOS;
+    public boolean isBehind(StoreRevision ownRevision, long nowNanos) {
+        return newestRevision.isNewerThan(ownRevision) && nowNanos - newestAnnouncedNanos < MAX_BEHIND_NANOS;
     }
 
     /**
@@ -110,7 +111,7 @@
      * @param ownRevision newest revision that this host has
      * @param watchesStore whether this host gets changes from the store itself
      */
-    public Decision next(long ownRevision, boolean watchesStore, long nowNanos) {
+    public Decision next(StoreRevision ownRevision, boolean watchesStore, long nowNanos) {
         sources.values().removeIf(source -> !source.isUseful(ownRevision, nowNanos));
         updateBehind(!sources.isEmpty(), nowNanos);
         if (!behind || reading) {
--- a/figspan-cluster/src/main/java/io/figspan/cluster/message/PeerMessage.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/message/PeerMessage.java
@@ -5,6 +5,7 @@
 import io.figspan.core.id.HostIncarnation;
 import io.figspan.core.id.OrganisationId;
 import io.figspan.core.id.SettingsVersion;
+import io.figspan.core.id.StoreRevision;
 import io.figspan.core.work.PlacedRequest;
 import java.util.List;
 
@@ -124,7 +125,11 @@
      *     store or cannot reach it
      */
     record WorkReport(
-            long sequence, long settingsRevision, long serversRevision, long storeAgeMs, List<PlacedRequest> work)
+            long sequence,
+            StoreRevision settingsRevision,
+            StoreRevision serversRevision,
+            long storeAgeMs,
+            List<PlacedRequest> work)
             implements PeerMessage {
         public WorkReport {
             work = List.copyOf(work);
--- a/figspan-cluster/src/test/java/io/figspan/cluster/copy/CopyFetcherTest.java
+++ b/figspan-cluster/src/test/java/io/figspan/cluster/copy/CopyFetcherTest.java
@@ -11,6 +11,7 @@
 import io.figspan.core.id.AvailabilityZoneId;
 import io.figspan.core.id.HostId;
 import io.figspan.core.id.HostIncarnation;
+import io.figspan.core.id.StoreRevision;
 import java.util.HashSet;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -18,8 +19,8 @@
 import org.junit.jupiter.api.Test;
 
 class CopyFetcherTest {
-    private static final long OLD = 10;
-    private static final long NEW = 11;
+    private static final StoreRevision OLD = new StoreRevision(1, 10);
+    private static final StoreRevision NEW = new StoreRevision(1, 11);
     private static final Peer ONE = peer("one");
     private static final Peer TWO = peer("two");
 
@@ -147,4 +148,16 @@
 
         assertInstanceOf(Decision.Wait.class, fetcher.next(OLD, false, ms(2)));
     }
+
+    /** Guards against hosts that prefer the copy of an earlier epoch since its numbers are higher. */
+    @Test
+    void aLaterEpochIsNewerWhateverItsNumber() {
+        StoreRevision restored = new StoreRevision(2, 3);
+        fetcher.announced(ONE, restored, OLD, 0);
+        fetcher.announced(TWO, NEW, restored, 0);
+
+        assertTrue(fetcher.isBehind(OLD, 0));
+        assertEquals(ONE, readSource(0));
+        assertFalse(fetcher.isBehind(restored, 0));
+    }
 }
--- a/figspan-cluster/src/test/java/io/figspan/cluster/copy/SimulatedCell.java
+++ b/figspan-cluster/src/test/java/io/figspan/cluster/copy/SimulatedCell.java
@@ -6,6 +6,7 @@
 import io.figspan.core.id.AvailabilityZoneId;
 import io.figspan.core.id.HostId;
 import io.figspan.core.id.HostIncarnation;
+import io.figspan.core.id.StoreRevision;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -24,8 +25,8 @@
     /** The watching hosts get the store's notification within this time of each other. */
     private static final int NOTIFICATION_SPREAD_MS = 80;
 
-    private static final long OLD_REVISION = 1;
-    private static final long NEW_REVISION = 2;
+    private static final StoreRevision OLD_REVISION = new StoreRevision(1, 1);
+    private static final StoreRevision NEW_REVISION = new StoreRevision(1, 2);
 
     private final List<Host> hosts = new ArrayList<>();
     private final List<Transfer> transfers = new ArrayList<>();
@@ -39,7 +40,7 @@
         double linkBytesPerMs;
         long updateMs;
         long nextReportMs;
-        long revision = OLD_REVISION;
+        StoreRevision revision = OLD_REVISION;
         int uploads;
         int downloads;
 
@@ -106,7 +107,7 @@
     /** The hosts that don't have the new version. */
     List<HostId> outdatedHosts() {
         return hosts.stream()
-                .filter(host -> host.revision < NEW_REVISION)
+                .filter(host -> NEW_REVISION.isNewerThan(host.revision))
                 .map(host -> host.peer.host())
                 .toList();
     }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
@@ -7,6 +7,7 @@
 import io.figspan.core.id.BackendIncarnation;
 import io.figspan.core.id.HostId;
 import io.figspan.core.id.HostIncarnation;
+import io.figspan.core.id.StoreRevision;
 import io.figspan.core.time.MonotonicClock;
 import io.figspan.core.work.PlacedRequest;
 import io.figspan.gateway.backend.BackendPools;
@@ -343,7 +344,7 @@
     }
 
     @Override
-    public void onNewerItems(Peer peer, long settingsRevision, long serversRevision) {
+    public void onNewerItems(Peer peer, StoreRevision settingsRevision, StoreRevision serversRevision) {
         settingsReader.onPeerRevision(peer, settingsRevision);
         serversReader.onPeerRevision(peer, serversRevision);
     }
@@ -353,8 +354,10 @@
         metrics.gauge("connections.busy", callers::busy);
         metrics.gauge("settings.version", () -> forwarder.settingsVersion().number());
         metrics.gauge("settings.outdated", () -> settingsReader.isBehind() ? 1 : 0);
-        metrics.gauge("settings.revision", () -> fleet.settings().revision());
-        metrics.gauge("servers.revision", () -> fleet.servers().revision());
+        metrics.gauge("settings.revision", () -> fleet.settings().revision().number());
+        metrics.gauge("servers.revision", () -> fleet.servers().revision().number());
+        metrics.gauge("settings.epoch", () -> fleet.settings().revision().epoch());
+        metrics.gauge("servers.epoch", () -> fleet.servers().revision().epoch());
         metrics.gauge("hosts.known", peers::hostCount);
         metrics.gauge("holds.open", holds::openCount);
         if (ProcessorTime.ofProcessMs().isPresent()) {
--- a/figspan-gateway/src/main/java/io/figspan/gateway/fleet/FleetState.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/fleet/FleetState.java
@@ -4,6 +4,7 @@
 import io.figspan.core.error.Result;
 import io.figspan.core.event.Part;
 import io.figspan.core.id.BackendServerId;
+import io.figspan.core.id.StoreRevision;
 import io.figspan.gateway.backend.BackendPools;
 import io.figspan.gateway.backend.BackendServer;
 import io.figspan.gateway.log.DecisionLog;
@@ -16,6 +17,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 
 /**
  * Keeps copies of the store's items, puts new settings in force, and registers and removes backend servers. All methods
@@ -27,6 +29,7 @@
     private final DecisionLog log;
     private final FleetListener listener;
     private final LongSupplier nanoClock;
+    private final RestoredEntries restoredEntries = new RestoredEntries();
     private final DeferredRemovals deferredRemovals = new DeferredRemovals();
     private final ItemCopy settings = new ItemCopy();
     private final ItemCopy servers = new ItemCopy();
@@ -69,7 +72,7 @@
     public StoreListener settingsStoreListener() {
         return new StoreListener() {
             @Override
-            public void onSnapshot(List<Item> items, long revision) {
+            public void onSnapshot(List<Item> items, StoreRevision revision) {
                 settingsChanged(settings.applySnapshot(items, revision));
             }
 
@@ -88,14 +91,14 @@
     public StoreListener serversStoreListener() {
         return new StoreListener() {
             @Override
-            public void onSnapshot(List<Item> items, long revision) {
-                serversChanged(servers.applySnapshot(items, revision));
+            public void onSnapshot(List<Item> items, StoreRevision revision) {
+                serversChanged(() -> servers.applySnapshot(items, revision));
                 storeUnreachable = false;
             }
 
             @Override
             public void onChanged(List<Item> items) {
-                serversChanged(servers.apply(items));
+                serversChanged(() -> servers.apply(items));
                 storeUnreachable = false;
             }
 
@@ -111,7 +114,7 @@
     }
 
     public void applyPeerServers(ItemChanges changes) {
-        serversChanged(servers.applyChanges(changes));
+        serversChanged(() -> servers.applyChanges(changes));
     }
 
     private void settingsChanged(List<Item> changes) {
@@ -128,19 +131,22 @@
             listener.onSettings(ok.value());
         } else if (decoded instanceof Result.Failed<GatewaySettings> failed) {
             log.warn(Part.SETTINGS, "settingsUnreadable")
-                    .number("revision", item.revision())
+                    .text("revision", item.revision())
                     .text("reason", failed.problem().detail())
                     .write();
         }
     }
 
-    private void serversChanged(List<Item> changes) {
+    private void serversChanged(Supplier<List<Item>> update) {
+        long epochBefore = servers.revision().epoch();
+        List<Item> changes = update.get();
+        boolean isRestored = serversLoaded && servers.revision().epoch() > epochBefore;
         boolean isFirst = !serversLoaded;
         serversLoaded = true;
         for (Item item : changes) {
             if (item.value().isPresent()) {
-                register(item);
-            } else if (storeUnreachable) {
+                entryWritten(item, isRestored);
+            } else if (storeUnreachable || isRestored) {
                 deferRemoval(item);
             } else {
                 remove(item);
@@ -151,19 +157,50 @@
         }
     }
 
-    /** Removes the servers whose entries were not written again in time. */
+    /** Removes the servers whose entries were not written again in time, and believes restored entries that stayed. */
     public void tick() {
-        List<Item> due = deferredRemovals.takeDue(nanoClock.getAsLong());
-        due.forEach(this::remove);
-        if (!due.isEmpty()) {
+        long nowNanos = nanoClock.getAsLong();
+        List<Item> missing = deferredRemovals.takeDue(nowNanos);
+        missing.forEach(this::remove);
+        List<Item> restored = restoredEntries.takeDue(nowNanos);
+        restored.forEach(this::register);
+        if (!missing.isEmpty() || !restored.isEmpty()) {
             listener.onServersChanged();
         }
     }
 
+    private void entryWritten(Item item, boolean isRestored) {
+        restoredEntries.cancel(item.key());
+        if (isRestored && isOfRemovedServer(item)) {
+            restoredEntries.postpone(item, nanoClock.getAsLong());
+            log.info(Part.MEMBER, "serverRestored")
+                    .text("key", item.key())
+                    .text("revision", item.revision())
+                    .write();
+            return;
+        }
+        register(item);
+    }
+
+    /** Whether an entry describes a server that was removed, or an earlier process of a registered one. */
+    private boolean isOfRemovedServer(Item item) {
+        return decode(item) instanceof Result.Ok<BackendServer> ok
+                && (restoredEntries.wasRemoved(ok.value().incarnation()) || isReplaced(ok.value()));
+    }
+
+    private boolean isReplaced(BackendServer server) {
+        return pools.find(server.id())
+                .filter(known -> known.incarnationNumber() > server.incarnationNumber())
+                .isPresent();
+    }
+
+    private Result<BackendServer> decode(Item item) {
+        return protocol.decodeServer(item.key(), item.value().orElseThrow());
+    }
+
     private void register(Item item) {
         deferredRemovals.cancel(item.key());
-        Result<BackendServer> decoded =
-                protocol.decodeServer(item.key(), item.value().orElseThrow());
+        Result<BackendServer> decoded = decode(item);
         if (decoded instanceof Result.Ok<BackendServer> ok) {
             BackendServer server = ok.value();
             pools.put(server);
@@ -172,7 +209,7 @@
                     .text("service", server.service())
                     .text("address", server.address())
                     .text("leaving", server.isLeaving())
-                    .number("revision", item.revision())
+                    .text("revision", item.revision())
                     .write();
         } else if (decoded instanceof Result.Failed<BackendServer> failed) {
             log.warn(Part.MEMBER, "serverUnreadable")
@@ -184,21 +221,24 @@
     }
 
     private void deferRemoval(Item item) {
+        restoredEntries.cancel(item.key());
         deferredRemovals.defer(item, nanoClock.getAsLong());
         serverId(item).ifPresent(pools::markLapsed);
         log.info(Part.MEMBER, "serverLapsed")
                 .text("key", item.key())
-                .number("revision", item.revision())
+                .text("revision", item.revision())
                 .write();
     }
 
     private void remove(Item item) {
         deferredRemovals.cancel(item.key());
+        restoredEntries.cancel(item.key());
         serverId(item).ifPresent(id -> {
+            pools.find(id).map(BackendServer::incarnation).ifPresent(restoredEntries::removed);
             pools.remove(id);
             log.info(Part.MEMBER, "serverRemoved")
                     .text("server", id)
-                    .number("revision", item.revision())
+                    .text("revision", item.revision())
                     .write();
         });
     }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/peer/CopyEndpoint.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/peer/CopyEndpoint.java
@@ -1,5 +1,7 @@
 package io.figspan.gateway.peer;
 
+import io.figspan.core.error.FigspanException;
+import io.figspan.core.id.StoreRevision;
 import io.figspan.gateway.http.DeflateCoding;
 import io.figspan.gateway.http.SimpleHttpServer.Reply;
 import io.figspan.gateway.metrics.GatewayMetrics;
@@ -55,17 +57,17 @@
             boolean isCompressed =
                     request.headers().containsValue(HttpHeaderNames.ACCEPT_ENCODING, DeflateCoding.NAME, true);
             return copyReply(copy, afterRevision(target), isCompressed);
-        } catch (NumberFormatException e) {
+        } catch (FigspanException e) {
             return emptyReply(HttpResponseStatus.BAD_REQUEST);
         }
     }
 
-    private static long afterRevision(QueryStringDecoder target) {
-        return Long.parseLong(
-                target.parameters().getOrDefault(AFTER, List.of("0")).get(0));
+    private static StoreRevision afterRevision(QueryStringDecoder target) {
+        List<String> values = target.parameters().getOrDefault(AFTER, List.of());
+        return values.isEmpty() ? StoreRevision.NONE : StoreRevision.parse(values.get(0));
     }
 
-    private Reply copyReply(ServedCopy copy, long afterRevision, boolean isCompressed) {
+    private Reply copyReply(ServedCopy copy, StoreRevision afterRevision, boolean isCompressed) {
         Optional<ServedCopy.Transfer> begun = copy.begin(afterRevision, isCompressed, System.nanoTime());
         if (begun.isEmpty()) {
             metrics.count("copies.refused");
--- a/figspan-gateway/src/main/java/io/figspan/gateway/peer/CopyReader.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/peer/CopyReader.java
@@ -6,6 +6,7 @@
 import io.figspan.cluster.message.Peer;
 import io.figspan.core.error.FigspanException;
 import io.figspan.core.event.Part;
+import io.figspan.core.id.StoreRevision;
 import io.figspan.gateway.http.BufferedExchange;
 import io.figspan.gateway.http.ExchangeTimeout;
 import io.figspan.gateway.http.HttpConnection;
@@ -76,7 +77,7 @@
     }
 
     /** Another host has the given revision. Reads a copy, unless this host catches up by itself first. */
-    public void onPeerRevision(Peer peer, long revision) {
+    public void onPeerRevision(Peer peer, StoreRevision revision) {
         fetcher.announced(peer, revision, copy.revision(), System.nanoTime());
         decide();
     }
@@ -157,8 +158,8 @@
             log.info(Part.SETTINGS, "copyRead")
                     .text("copy", name)
                     .text("host", source.host())
-                    .number("revision", changes.revision())
-                    .number("before", copy.revision())
+                    .text("revision", changes.revision())
+                    .text("before", copy.revision())
                     .number("bytes", body.length)
                     .number("afterMs", TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos))
                     .write();
--- a/figspan-gateway/src/main/java/io/figspan/gateway/peer/PeerListener.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/peer/PeerListener.java
@@ -4,6 +4,7 @@
 import io.figspan.cluster.message.PeerMessage;
 import io.figspan.core.id.BackendIncarnation;
 import io.figspan.core.id.HostId;
+import io.figspan.core.id.StoreRevision;
 import io.figspan.core.work.PlacedRequest;
 import java.util.List;
 import java.util.Set;
@@ -32,5 +33,5 @@
     void onServerLeaving(BackendIncarnation server);
 
     /** A host has newer items of the store than this one. */
-    void onNewerItems(Peer peer, long settingsRevision, long serversRevision);
+    void onNewerItems(Peer peer, StoreRevision settingsRevision, StoreRevision serversRevision);
 }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/peer/ServedCopy.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/peer/ServedCopy.java
@@ -1,6 +1,7 @@
 package io.figspan.gateway.peer;
 
 import io.figspan.cluster.copy.CopyTransferLimiter;
+import io.figspan.core.id.StoreRevision;
 import io.figspan.gateway.http.DeflateCoding;
 import io.figspan.gateway.store.ItemCopy;
 import java.util.Optional;
@@ -13,13 +14,13 @@
 
     /** The changes after a revision, encoded for other hosts. */
     static final class Encoded {
-        private final long revision;
+        private final StoreRevision revision;
         private final long changeCount;
-        private final long afterRevision;
+        private final StoreRevision afterRevision;
         private final boolean isCompressed;
         private final byte[] body;
 
-        private Encoded(ItemCopy copy, long afterRevision, boolean isCompressed) {
+        private Encoded(ItemCopy copy, StoreRevision afterRevision, boolean isCompressed) {
             this.revision = copy.revision();
             this.changeCount = copy.changeCount();
             this.afterRevision = afterRevision;
@@ -45,7 +46,7 @@
     }
 
     /** Begins to send the changes after a revision; empty if this host sends too much of this copy already. */
-    Optional<Transfer> begin(long afterRevision, boolean isCompressed, long nowNanos) {
+    Optional<Transfer> begin(StoreRevision afterRevision, boolean isCompressed, long nowNanos) {
         if (limiter.isFull(nowNanos)) {
             return Optional.empty();
         }
@@ -58,11 +59,11 @@
     }
 
     /** Most readers ask for the same changes, so the last response is kept. */
-    private Encoded encoded(long afterRevision, boolean isCompressed) {
+    private Encoded encoded(StoreRevision afterRevision, boolean isCompressed) {
         boolean isSame = lastEncoded != null
-                && lastEncoded.revision == copy.revision()
+                && lastEncoded.revision.equals(copy.revision())
                 && lastEncoded.changeCount == copy.changeCount()
-                && lastEncoded.afterRevision == afterRevision
+                && lastEncoded.afterRevision.equals(afterRevision)
                 && lastEncoded.isCompressed == isCompressed;
         if (!isSame) {
             lastEncoded = new Encoded(copy, afterRevision, isCompressed);
--- a/figspan-gateway/src/main/java/io/figspan/gateway/store/ItemChanges.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/store/ItemChanges.java
@@ -3,6 +3,7 @@
 import io.figspan.core.error.FigspanException;
 import io.figspan.core.error.Location;
 import io.figspan.core.error.ProblemKind;
+import io.figspan.core.id.StoreRevision;
 import io.figspan.gateway.protocol.StoreProtocol.Item;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -15,12 +16,13 @@
 
 /**
  * Items under one prefix as sent from one host to another. Encoded as a MessagePack sequence of the two revisions, the
- * number of items, and key, revision and value of each; the value is nil for a removed item.
+ * number of items, and key, revision and value of each; a revision is its epoch and its number, and the value is nil
+ * for a removed item.
  *
  * @param revision newest revision that the sender has
- * @param baseRevision the items are all changes after this revision; 0 if they are all items
+ * @param baseRevision the items are all changes after this revision; {@link StoreRevision#NONE} if they are all items
  */
-public record ItemChanges(long revision, long baseRevision, List<Item> items) {
+public record ItemChanges(StoreRevision revision, StoreRevision baseRevision, List<Item> items) {
     /** Most items that are accepted from another host; six times the backend servers of the design scale. */
     private static final int MAX_ITEMS = 4_096;
 
@@ -30,14 +32,14 @@
 
     /** Whether these are all items, so that any item that is not listed was removed. */
     boolean isSnapshot() {
-        return baseRevision == 0;
+        return baseRevision.equals(StoreRevision.NONE);
     }
 
     /** Encodes the items for other hosts. */
     public byte[] encode() {
         try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
-            packer.packLong(revision);
-            packer.packLong(baseRevision);
+            pack(revision, packer);
+            pack(baseRevision, packer);
             packer.packArrayHeader(items.size());
             for (Item item : items) {
                 pack(item, packer);
@@ -48,9 +50,14 @@
         }
     }
 
+    private static void pack(StoreRevision revision, MessageBufferPacker packer) throws IOException {
+        packer.packLong(revision.epoch());
+        packer.packLong(revision.number());
+    }
+
     private static void pack(Item item, MessageBufferPacker packer) throws IOException {
         packer.packString(item.key());
-        packer.packLong(item.revision());
+        pack(item.revision(), packer);
         if (item.value().isEmpty()) {
             packer.packNil();
             return;
@@ -63,8 +70,8 @@
     /** Decodes the output of {@link #encode()}; throws a {@code MALFORMED_BODY} exception for anything else. */
     public static ItemChanges decode(byte[] bytes) {
         try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
-            long revision = unpacker.unpackLong();
-            long baseRevision = unpacker.unpackLong();
+            StoreRevision revision = unpackRevision(unpacker);
+            StoreRevision baseRevision = unpackRevision(unpacker);
             int count = unpacker.unpackArrayHeader();
             if (count > MAX_ITEMS) {
                 throw malformed("more than " + MAX_ITEMS + " items");
@@ -79,9 +86,18 @@
         }
     }
 
+    private static StoreRevision unpackRevision(MessageUnpacker unpacker) throws IOException {
+        long epoch = unpacker.unpackLong();
+        long number = unpacker.unpackLong();
+        if (epoch < 0 || number < 0) {
+            throw malformed("a revision is negative");
+        }
+        return new StoreRevision(epoch, number);
+    }
+
     private static Item unpack(MessageUnpacker unpacker, int maxBytes) throws IOException {
         String key = unpacker.unpackString();
-        long revision = unpacker.unpackLong();
+        StoreRevision revision = unpackRevision(unpacker);
         if (unpacker.tryUnpackNil()) {
             return new Item(key, Optional.empty(), revision);
         }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/store/PrefixWatcher.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/store/PrefixWatcher.java
@@ -1,16 +1,18 @@
 package io.figspan.gateway.store;
 
+import io.figspan.core.id.StoreRevision;
 import io.figspan.gateway.protocol.StoreProtocol.Item;
 import io.figspan.gateway.protocol.StoreProtocol.Page;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
 /**
  * State machine that mirrors the items under one prefix: lists all of them, then watches for changes, and lists them
- * again when the store no longer has the history. It performs no I/O: one driver executes the actions and reports their
- * results.
+ * again when the store no longer has the history or has begun a new epoch. Answers of an earlier epoch are refused. It
+ * performs no I/O: one driver executes the actions and reports their results.
  */
 public final class PrefixWatcher {
     /** Longest time that the store holds one watch by default. A silent connection is detected shortly after this. */
@@ -30,8 +32,9 @@
     private final RandomGenerator random;
     private final List<Item> listedItems = new ArrayList<>();
     private long watchWaitMs = WATCH_WAIT_MS;
-    private long firstPageRevision;
-    private long watchedRevision = -1;
+    private StoreRevision firstPageRevision = StoreRevision.NONE;
+    private Optional<StoreRevision> watchedRevision = Optional.empty();
+    private long epoch;
     private long backoffNanos = FIRST_BACKOFF_NANOS;
 
     /** Instruction to the driver. The last action of a list is always a call or a pause. */
@@ -40,13 +43,13 @@
         record ReadPage(String afterKey) implements Action {}
 
         /** Waits for changes with a higher revision. */
-        record Watch(long afterRevision, long waitMs) implements Action {}
+        record Watch(StoreRevision after, long waitMs) implements Action {}
 
         /** Calls {@link PrefixWatcher#resume()} after a delay. */
         record Pause(long nanos) implements Action {}
 
         /** All items under the prefix, each as of the revision or a later one. */
-        record Snapshot(List<Item> items, long revision) implements Action {
+        record Snapshot(List<Item> items, StoreRevision revision) implements Action {
             public Snapshot {
                 items = List.copyOf(items);
             }
@@ -71,8 +74,8 @@
 
     /** Returns the next call, at the start and after a pause. */
     public Action resume() {
-        if (watchedRevision >= 0) {
-            return new Action.Watch(watchedRevision, watchWaitMs);
+        if (watchedRevision.isPresent()) {
+            return new Action.Watch(watchedRevision.get(), watchWaitMs);
         }
         return new Action.ReadPage(
                 listedItems.isEmpty()
@@ -82,10 +85,21 @@
 
     /** Returns a call that reads the changes up to now without waiting for more. */
     public Action poll() {
-        return watchedRevision >= 0 ? new Action.Watch(watchedRevision, POLL_WAIT_MS) : resume();
+        return watchedRevision
+                .<Action>map(after -> new Action.Watch(after, POLL_WAIT_MS))
+                .orElseGet(this::resume);
     }
 
     public List<Action> pageRead(Page page) {
+        if (page.revision().epoch() < epoch) {
+            return failed();
+        }
+        if (page.revision().epoch() > epoch) {
+            epoch = page.revision().epoch();
+            if (!listedItems.isEmpty()) {
+                return historyGone();
+            }
+        }
         backoffNanos = FIRST_BACKOFF_NANOS;
         if (listedItems.isEmpty()) {
             firstPageRevision = page.revision();
@@ -97,20 +111,28 @@
         Action snapshot = new Action.Snapshot(listedItems, firstPageRevision);
         listedItems.clear();
         // Pages are read one after another, so the snapshot may lack changes made since the first page.
-        watchedRevision = firstPageRevision;
+        watchedRevision = Optional.of(firstPageRevision);
         return List.of(snapshot, resume());
     }
 
     public List<Action> changesRead(Page page) {
+        if (page.revision().epoch() < epoch) {
+            return failed();
+        }
+        if (page.revision().epoch() > epoch) {
+            // The watched revision means nothing in the new epoch, so changes may be missing from the response.
+            epoch = page.revision().epoch();
+            return historyGone();
+        }
         backoffNanos = FIRST_BACKOFF_NANOS;
-        watchedRevision = Math.max(watchedRevision, page.revision());
+        watchedRevision = watchedRevision.map(known -> StoreRevision.newest(known, page.revision()));
         Action next = page.items().isEmpty() ? resume() : new Action.Pause(COALESCE_NANOS);
         return List.of(new Action.Changed(page.items()), next);
     }
 
     /** The store no longer has the changes after the watched revision. */
     public List<Action> historyGone() {
-        watchedRevision = -1;
+        watchedRevision = Optional.empty();
         listedItems.clear();
         return List.of(resume());
     }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/store/StoreWatcher.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/store/StoreWatcher.java
@@ -1,6 +1,9 @@
 package io.figspan.gateway.store;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import io.figspan.core.error.FigspanException;
+import io.figspan.core.error.Location;
+import io.figspan.core.error.ProblemKind;
 import io.figspan.core.event.Part;
 import io.figspan.gateway.http.BufferedExchange;
 import io.figspan.gateway.http.ExchangeTimeout;
@@ -49,7 +52,7 @@
     private boolean watching = true;
     private boolean idle;
     private ScheduledFuture<?> nextPoll;
-    private OptionalLong epoch = OptionalLong.empty();
+    private long epoch;
     private long lastResponseNanos = Long.MIN_VALUE;
 
     public StoreWatcher(
@@ -130,7 +133,7 @@
         if (action instanceof Action.ReadPage read) {
             call(false, protocol.rangeTarget(prefix, read.afterKey()), RESPONSE_TIMEOUT_MS);
         } else if (action instanceof Action.Watch watch) {
-            String target = protocol.watchTarget(prefix, watch.afterRevision(), watch.waitMs());
+            String target = protocol.watchTarget(prefix, watch.after(), watch.waitMs());
             call(true, target, watch.waitMs() + RESPONSE_TIMEOUT_MS);
         } else if (action instanceof Action.Pause pause) {
             var unused = loop.schedule(() -> execute(prefixWatcher.resume()), pause.nanos(), TimeUnit.NANOSECONDS);
@@ -156,8 +159,7 @@
         BufferedExchange.get(loop, connection, target, timeout, new BufferedExchange.Listener() {
             @Override
             public void onResponse(HttpResponse head, byte[] body) {
-                logEpoch(protocol.epoch(head));
-                responseReceived(watch, head.status().code(), body);
+                responseReceived(watch, head, body);
             }
 
             @Override
@@ -167,18 +169,8 @@
         });
     }
 
-    private void logEpoch(OptionalLong received) {
-        if (received.isPresent() && !received.equals(epoch)) {
-            log.info(Part.SETTINGS, "storeEpoch")
-                    .text("prefix", prefix)
-                    .number("epoch", received.getAsLong())
-                    .number("before", epoch.orElse(0))
-                    .write();
-            epoch = received;
-        }
-    }
-
-    private void responseReceived(boolean watch, int status, byte[] body) {
+    private void responseReceived(boolean watch, HttpResponse head, byte[] body) {
+        int status = head.status().code();
         if (status == protocol.historyGoneStatus()) {
             log.warn(Part.SETTINGS, "storeHistoryGone").text("prefix", prefix).write();
             execute(prefixWatcher.historyGone());
@@ -189,13 +181,34 @@
             return;
         }
         try {
-            Page page = watch ? protocol.decodeWatch(body) : protocol.decodeRange(body);
+            long answeredEpoch = epochOf(head);
+            Page page = watch ? protocol.decodeWatch(body, answeredEpoch) : protocol.decodeRange(body, answeredEpoch);
             lastResponseNanos = System.nanoTime();
             markReachable();
             execute(watch ? prefixWatcher.changesRead(page) : prefixWatcher.pageRead(page));
         } catch (JsonProcessingException e) {
             failed("malformed store response: " + e.getOriginalMessage());
+        } catch (FigspanException e) {
+            failed(e.detail());
+        }
+    }
+
+    /** The epoch of a response; throws an exception if it names none although an earlier one did. */
+    private long epochOf(HttpResponse head) {
+        OptionalLong answered = protocol.epoch(head);
+        if (answered.isEmpty() && epoch > 0) {
+            throw new FigspanException(
+                    ProblemKind.MALFORMED_BODY, "the response names no epoch", Location.of("response of the store"));
+        }
+        if (answered.orElse(0) > epoch) {
+            log.info(Part.SETTINGS, "storeEpoch")
+                    .text("prefix", prefix)
+                    .number("epoch", answered.getAsLong())
+                    .number("before", epoch)
+                    .write();
+            epoch = answered.getAsLong();
         }
+        return answered.orElse(0);
     }
 
     private void markReachable() {
--- a/figspan-gateway/src/test/java/io/figspan/gateway/fleet/FleetStateTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/fleet/FleetStateTest.java
@@ -9,6 +9,7 @@
 import io.figspan.core.id.AvailabilityZoneId;
 import io.figspan.core.id.BackendServerId;
 import io.figspan.core.id.ServiceId;
+import io.figspan.core.id.StoreRevision;
 import io.figspan.gateway.backend.BackendPools;
 import io.figspan.gateway.backend.BackendServer;
 import io.figspan.gateway.log.DecisionLog;
@@ -54,7 +55,7 @@
         fleet.serversStoreListener().onChanged(List.of(registered(1)));
         fleet.serversStoreListener().onLost();
 
-        fleet.serversStoreListener().onSnapshot(List.of(), 5);
+        fleet.serversStoreListener().onSnapshot(List.of(), at(5));
         advanceMs(2_000);
 
         assertTrue(pools.find(SERVER).isPresent());
@@ -89,7 +90,7 @@
                 .onChanged(List.of(registered("s-1", 1), registered("s-2", 2), registered("s-3", 3)));
         fleet.serversStoreListener().onLost();
 
-        fleet.serversStoreListener().onSnapshot(List.of(registered("s-3", 3)), 9);
+        fleet.serversStoreListener().onSnapshot(List.of(registered("s-3", 3)), at(9));
 
         assertEquals(List.of("s-1", "s-2", "s-3"), available());
         advanceMs(2_500);
@@ -138,7 +139,7 @@
         ItemCopy peerCopy = new ItemCopy();
         peerCopy.apply(List.of(registered(1), removed(5)));
 
-        fleet.applyPeerServers(peerCopy.changesAfter(0));
+        fleet.applyPeerServers(peerCopy.changesAfter(StoreRevision.NONE));
 
         assertTrue(pools.find(SERVER).isPresent());
     }
@@ -148,7 +149,8 @@
         fleet.serversStoreListener().onChanged(List.of(registered(1)));
 
         fleet.serversStoreListener()
-                .onChanged(List.of(new Item(SERVER.value(), Optional.of("junk".getBytes(StandardCharsets.UTF_8)), 2)));
+                .onChanged(
+                        List.of(new Item(SERVER.value(), Optional.of("junk".getBytes(StandardCharsets.UTF_8)), at(2))));
 
         assertTrue(pools.find(SERVER).isEmpty());
     }
@@ -158,6 +160,60 @@
         fleet.tick();
     }
 
+    // A store that returns from an older copy
+
+    private static Item inNextEpoch(String key, long number) {
+        return new Item(key, Optional.of("server".getBytes(StandardCharsets.UTF_8)), new StoreRevision(2, number));
+    }
+
+    private void restored(Item... copy) {
+        fleet.serversStoreListener().onSnapshot(List.of(copy), new StoreRevision(2, 4));
+    }
+
+    @Test
+    void serversThatTheCopyLacksAreKeptUntilTheyHadTimeToRegisterAgain() {
+        fleet.serversStoreListener()
+                .onChanged(List.of(registered("s-1", 1), registered("s-2", 7), registered("s-3", 8)));
+
+        restored(inNextEpoch("s-1", 1));
+        assertEquals(List.of("s-1", "s-2", "s-3"), available());
+        fleet.serversStoreListener().onChanged(List.of(inNextEpoch("s-2", 5)));
+        advanceMs(2_500);
+
+        assertEquals(List.of("s-1", "s-2"), available());
+    }
+
+    @Test
+    void aRemovedServerThatTheCopyHasAgainGetsNothing() {
+        fleet.serversStoreListener().onChanged(List.of(registered("s-1", 1), registered("s-2", 2)));
+        fleet.serversStoreListener().onChanged(List.of(removed(5)));
+
+        restored(inNextEpoch("s-1", 1), inNextEpoch("s-2", 2));
+        assertEquals(List.of("s-2"), available());
+        fleet.serversStoreListener().onChanged(List.of(new Item("s-1", Optional.empty(), new StoreRevision(2, 9))));
+        advanceMs(10_000);
+
+        assertEquals(List.of("s-2"), available());
+    }
+
+    @Test
+    void aRemovedServerThatTheCopyHasAgainIsUsedWhenItWritesItsEntryOrKeepsIt() {
+        fleet.serversStoreListener().onChanged(List.of(registered("s-1", 1), registered("s-2", 2)));
+        fleet.serversStoreListener().onChanged(List.of(removed(5), new Item("s-2", Optional.empty(), at(6))));
+        restored(inNextEpoch("s-1", 1), inNextEpoch("s-2", 2));
+        assertEquals(List.of(), availableOrNone());
+
+        fleet.serversStoreListener().onChanged(List.of(inNextEpoch("s-1", 6)));
+        assertEquals(List.of("s-1"), available());
+        advanceMs(5_000);
+
+        assertEquals(List.of("s-1", "s-2"), available());
+    }
+
+    private List<String> availableOrNone() {
+        return pools.available().isEmpty() ? List.of() : available();
+    }
+
     private List<String> available() {
         return pools.available().get(ServiceId.of("plain")).stream()
                 .map(server -> server.id().value())
@@ -166,7 +222,11 @@
     }
 
     private static Item registered(String key, long revision) {
-        return new Item(key, Optional.of("server".getBytes(StandardCharsets.UTF_8)), revision);
+        return new Item(key, Optional.of("server".getBytes(StandardCharsets.UTF_8)), at(revision));
+    }
+
+    private static StoreRevision at(long number) {
+        return new StoreRevision(1, number);
     }
 
     private static Item registered(long revision) {
@@ -174,7 +234,7 @@
     }
 
     private static Item removed(long revision) {
-        return new Item(SERVER.value(), Optional.empty(), revision);
+        return new Item(SERVER.value(), Optional.empty(), at(revision));
     }
 
     private final class Listener implements FleetState.FleetListener {
--- a/figspan-gateway/src/test/java/io/figspan/gateway/peer/CopyEndpointTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/peer/CopyEndpointTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.figspan.core.id.StoreRevision;
 import io.figspan.gateway.http.DeflateCoding;
 import io.figspan.gateway.http.SimpleHttpServer.Reply;
 import io.figspan.gateway.metrics.GatewayMetrics;
@@ -38,10 +39,14 @@
         settings.apply(List.of(item("a", 5), item("b", 6)));
     }
 
+    private static StoreRevision at(long number) {
+        return new StoreRevision(1, number);
+    }
+
     private static Item item(String key, long revision) {
         byte[] value = new byte[LARGE_BYTES];
         new SplittableRandom(revision).nextBytes(value);
-        return new Item(key, Optional.of(value), revision);
+        return new Item(key, Optional.of(value), at(revision));
     }
 
     private Reply get(String target) {
@@ -60,7 +65,7 @@
     void changesAfterTheRevisionOfTheReaderAreServed() {
         Reply all = get("/copies/settings");
         all.writtenListener().run();
-        Reply newer = get("/copies/settings?after=5");
+        Reply newer = get("/copies/settings?after=1.5");
 
         assertEquals(2, changes(all).items().size());
         assertEquals(
@@ -82,10 +87,10 @@
     /** Guards against serving a response that was encoded for an older revision. */
     @Test
     void aCopyThatHasChangedIsEncodedAgain() {
-        get("/copies/settings?after=6").writtenListener().run();
+        get("/copies/settings?after=1.6").writtenListener().run();
         settings.apply(List.of(item("c", 7)));
 
-        assertEquals(7, changes(get("/copies/settings?after=6")).revision());
+        assertEquals(at(7), changes(get("/copies/settings?after=1.6")).revision());
     }
 
     /** Guards against copies of large settings that fill the links between hosts. */
@@ -93,7 +98,7 @@
     void aCopyOfManySimilarRoutesIsCompressedForReadersThatAcceptIt() throws Exception {
         ItemCopy similar = new ItemCopy();
         byte[] routes = "{\"kind\":\"safe\",\"timeout_ms\":2000}".repeat(10_000).getBytes(StandardCharsets.UTF_8);
-        similar.apply(List.of(new Item("settings", Optional.of(routes), 5)));
+        similar.apply(List.of(new Item("settings", Optional.of(routes), at(5))));
         CopyEndpoint compressing = new CopyEndpoint(Map.of("settings", similar), new GatewayMetrics());
         HttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/copies/settings");
         request.headers().set(HttpHeaderNames.ACCEPT_ENCODING, DeflateCoding.NAME);
@@ -126,17 +131,17 @@
     /** Guards against a server that leaves and stays in use because its host waits for others to read settings. */
     @Test
     void aSmallChangeOfServersIsServedWhileLargeSettingsAreSent() {
-        servers.apply(List.of(new Item("server", Optional.of(new byte[] {1}), 7)));
+        servers.apply(List.of(new Item("server", Optional.of(new byte[] {1}), at(7))));
         assertEquals(200, status(get("/copies/settings")));
 
-        assertEquals(200, status(get("/copies/servers?after=6")));
+        assertEquals(200, status(get("/copies/servers?after=1.6")));
     }
 
     /** Guards against encoding a large copy again for each reader that is turned away. */
     @Test
     void aReaderThatIsTurnedAwayDoesNotDisplaceTheKeptCopy() {
         Reply first = get("/copies/settings");
-        assertEquals(503, status(get("/copies/settings?after=5")));
+        assertEquals(503, status(get("/copies/settings?after=1.5")));
         first.writtenListener().run();
 
         byte[] again = get("/copies/settings").response().content().array();
@@ -147,26 +152,27 @@
     /** Guards against serving a kept copy without a change between two pages of the store's listing. */
     @Test
     void aCopyThatHasChangedAtTheSameRevisionIsEncodedAgain() {
-        servers.applySnapshot(List.of(smallItem("a", 5), smallItem("z", 12)), 10);
+        servers.applySnapshot(List.of(smallItem("a", 5), smallItem("z", 12)), at(10));
         get("/copies/servers").writtenListener().run();
         servers.apply(List.of(smallItem("a", 11)));
 
         ItemChanges served = changes(get("/copies/servers"));
 
         assertEquals(
-                List.of(11L, 12L), served.items().stream().map(Item::revision).toList());
+                List.of(at(11), at(12)),
+                served.items().stream().map(Item::revision).toList());
     }
 
     /** Guards against readers that never reach a revision without changes, because a kept copy claims an older one. */
     @Test
     void aCopyWhoseRevisionAloneHasChangedIsEncodedAgain() {
         get("/copies/settings").writtenListener().run();
-        settings.applyChanges(new ItemChanges(9, 6, List.of()));
+        settings.applyChanges(new ItemChanges(at(9), at(6), List.of()));
 
-        assertEquals(9, changes(get("/copies/settings")).revision());
+        assertEquals(at(9), changes(get("/copies/settings")).revision());
     }
 
     private static Item smallItem(String key, long revision) {
-        return new Item(key, Optional.of(new byte[] {1}), revision);
+        return new Item(key, Optional.of(new byte[] {1}), at(revision));
     }
 }
--- a/figspan-gateway/src/test/java/io/figspan/gateway/peer/CopyReaderTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/peer/CopyReaderTest.java
@@ -9,6 +9,7 @@
 import io.figspan.core.id.AvailabilityZoneId;
 import io.figspan.core.id.HostId;
 import io.figspan.core.id.HostIncarnation;
+import io.figspan.core.id.StoreRevision;
 import io.figspan.core.util.FreePorts;
 import io.figspan.gateway.http.SimpleHttpServer;
 import io.figspan.gateway.log.DecisionLog;
@@ -40,6 +41,7 @@
 
 /** Reads copies from hosts on loopback. All hosts serve their copies on the same port. */
 class CopyReaderTest {
+    private static final StoreRevision FIVE = new StoreRevision(1, 5);
     private static final long TIMEOUT_S = 20;
     private static final String ONE = "127.0.2.1";
     private static final String TWO = "127.0.2.2";
@@ -58,7 +60,7 @@
     @BeforeEach
     void start() throws IOException {
         port = FreePorts.pick(ONE, 1).get(0);
-        complete.apply(List.of(new Item("key", Optional.of(ROUTES), 5)));
+        complete.apply(List.of(new Item("key", Optional.of(ROUTES), FIVE)));
         reader = new CopyReader(
                 loop,
                 new DecisionLog(),
@@ -106,7 +108,7 @@
     }
 
     private void announce(String... hosts) {
-        loop.submit(() -> List.of(hosts).forEach(host -> reader.onPeerRevision(peer(host), 5)))
+        loop.submit(() -> List.of(hosts).forEach(host -> reader.onPeerRevision(peer(host), FIVE)))
                 .syncUninterruptibly();
     }
 
@@ -134,7 +136,7 @@
 
         announce(ONE, TWO);
 
-        assertEquals(5, nextChanges().revision());
+        assertEquals(FIVE, nextChanges().revision());
     }
 
     @Test
@@ -144,7 +146,7 @@
 
         announce(ONE, TWO);
 
-        assertEquals(5, nextChanges().revision());
+        assertEquals(FIVE, nextChanges().revision());
     }
 
     /** Guards against a reader that never reads again after an unexpected error. */
@@ -157,6 +159,6 @@
         announce(ONE);
         announce(TWO);
 
-        assertEquals(5, nextChanges().revision());
+        assertEquals(FIVE, nextChanges().revision());
     }
 }
--- a/figspan-gateway/src/test/java/io/figspan/gateway/peer/PeerReportsTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/peer/PeerReportsTest.java
@@ -7,6 +7,7 @@
 import io.figspan.cluster.message.PeerMessage;
 import io.figspan.core.id.HostId;
 import io.figspan.core.id.HostIncarnation;
+import io.figspan.core.id.StoreRevision;
 import io.figspan.gateway.peer.PeerReports.Reception;
 import java.util.List;
 import java.util.Set;
@@ -26,7 +27,10 @@
     }
 
     private Reception receive(HostIncarnation sender, long sequence, long storeAgeMs, long nowNanos) {
-        return reports.receive(sender, new PeerMessage.WorkReport(sequence, 0, 0, storeAgeMs, List.of()), nowNanos);
+        return reports.receive(
+                sender,
+                new PeerMessage.WorkReport(sequence, StoreRevision.NONE, StoreRevision.NONE, storeAgeMs, List.of()),
+                nowNanos);
     }
 
     /** Guards against an older report that replaces a newer one, and against refusing those of a restarted host. */
--- a/figspan-gateway/src/test/java/io/figspan/gateway/peer/PeerTrackerTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/peer/PeerTrackerTest.java
@@ -11,6 +11,7 @@
 import io.figspan.core.id.BackendServerId;
 import io.figspan.core.id.HostId;
 import io.figspan.core.id.HostIncarnation;
+import io.figspan.core.id.StoreRevision;
 import io.figspan.core.work.PlacedRequest;
 import io.figspan.core.work.WorkChange;
 import io.figspan.gateway.GatewayConfig;
@@ -37,6 +38,8 @@
 
 /** Runs several hosts on loopback that discover each other and exchange reports of their work. */
 class PeerTrackerTest {
+    private static final StoreRevision SEVEN = new StoreRevision(2, 7);
+    private static final StoreRevision EIGHT = new StoreRevision(2, 8);
     private static final long LIMIT_S = 20;
     private static final long TICK_MS = 20;
 
@@ -91,7 +94,7 @@
             for (int job = 0; job < jobs; job++) {
                 work.add(new PlacedRequest(job, BackendServerId.of("engine"), List.of(), 1_000, 100, 0, 5, 300, 250));
             }
-            return new PeerMessage.WorkReport(++sequence, 7, 8, storeAgeMs, work);
+            return new PeerMessage.WorkReport(++sequence, SEVEN, EIGHT, storeAgeMs, work);
         }
 
         @Override
@@ -136,9 +139,9 @@
         }
 
         @Override
-        public void onNewerItems(Peer peer, long settingsRevision, long serversRevision) {
-            assertEquals(7, settingsRevision);
-            assertEquals(8, serversRevision);
+        public void onNewerItems(Peer peer, StoreRevision settingsRevision, StoreRevision serversRevision) {
+            assertEquals(SEVEN, settingsRevision);
+            assertEquals(EIGHT, serversRevision);
         }
     }
 
--- a/figspan-gateway/src/test/java/io/figspan/gateway/peer/StoreTakeoverTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/peer/StoreTakeoverTest.java
@@ -6,6 +6,7 @@
 import io.figspan.cluster.message.PeerMessage;
 import io.figspan.core.id.HostId;
 import io.figspan.core.id.HostIncarnation;
+import io.figspan.core.id.StoreRevision;
 import io.figspan.gateway.store.StoreWatchPolicy;
 import java.util.ArrayList;
 import java.util.List;
@@ -56,7 +57,8 @@
         }
 
         PeerMessage.WorkReport report(long nowMs) {
-            return new PeerMessage.WorkReport(++reportSequence, 1, 1, nowMs - lastResponseMs, List.of());
+            return new PeerMessage.WorkReport(
+                    ++reportSequence, StoreRevision.NONE, StoreRevision.NONE, nowMs - lastResponseMs, List.of());
         }
     }
 
--- a/figspan-gateway/src/test/java/io/figspan/gateway/store/StoreWatcherTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/store/StoreWatcherTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.figspan.core.id.StoreRevision;
 import io.figspan.gateway.http.SimpleHttpServer;
 import io.figspan.gateway.log.DecisionLog;
 import io.figspan.gateway.protocol.StoreProtocol;
@@ -48,22 +49,23 @@
         }
 
         @Override
-        public String watchTarget(String prefix, long afterRevision, long waitMs) {
-            return "/watch/" + afterRevision;
+        public String watchTarget(String prefix, StoreRevision after, long waitMs) {
+            return "/watch/" + after.number();
         }
 
         @Override
-        public Page decodeRange(byte[] body) {
-            return page(body);
+        public Page decodeRange(byte[] body, long epoch) {
+            return page(body, epoch);
         }
 
         @Override
-        public Page decodeWatch(byte[] body) {
-            return page(body);
+        public Page decodeWatch(byte[] body, long epoch) {
+            return page(body, epoch);
         }
 
-        private static Page page(byte[] body) {
-            long revision = Long.parseLong(new String(body, StandardCharsets.US_ASCII));
+        private static Page page(byte[] body, long epoch) {
+            long number = Long.parseLong(new String(body, StandardCharsets.US_ASCII));
+            StoreRevision revision = new StoreRevision(epoch, number);
             return new Page(List.of(new Item("key", Optional.of(body), revision)), false, revision);
         }
 
@@ -80,7 +82,7 @@
 
     private final class Listener implements StoreListener {
         @Override
-        public void onSnapshot(List<StoreProtocol.Item> items, long asOfRevision) {
+        public void onSnapshot(List<StoreProtocol.Item> items, StoreRevision asOf) {
             changes.add(items);
         }
 
--- a/figspan-wire/src/main/java/io/figspan/wire/MessageReader.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/MessageReader.java
@@ -18,6 +18,7 @@
 import io.figspan.core.id.OrganisationId;
 import io.figspan.core.id.PromptPartId;
 import io.figspan.core.id.SettingsVersion;
+import io.figspan.core.id.StoreRevision;
 import io.figspan.core.work.PlacedRequest;
 import io.figspan.core.work.PrefillReader;
 import java.io.IOException;
@@ -85,10 +86,15 @@
         };
     }
 
+    private StoreRevision readRevision() throws IOException {
+        long epoch = unpacker.unpackLong();
+        return new StoreRevision(epoch, unpacker.unpackLong());
+    }
+
     private PeerMessage.WorkReport readWorkReport() throws IOException {
         long sequence = unpacker.unpackLong();
-        long settingsRevision = unpacker.unpackLong();
-        long serversRevision = unpacker.unpackLong();
+        StoreRevision settingsRevision = readRevision();
+        StoreRevision serversRevision = readRevision();
         long storeAgeMs = unpacker.unpackLong();
         List<BackendServerId> servers = new ArrayList<>();
         int serverCount = readCount();
--- a/figspan-wire/src/main/java/io/figspan/wire/MessageWriter.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/MessageWriter.java
@@ -12,6 +12,7 @@
 import io.figspan.core.id.BackendIncarnation;
 import io.figspan.core.id.BackendServerId;
 import io.figspan.core.id.HostIncarnation;
+import io.figspan.core.id.StoreRevision;
 import io.figspan.core.work.PlacedRequest;
 import io.figspan.core.work.PrefillReader;
 import java.io.IOException;
@@ -121,10 +122,15 @@
     }
 
     /** Writes each engine id once, in a table; the work items refer to engines by their index in it. */
+    private void writeRevision(StoreRevision revision) throws IOException {
+        packer.packLong(revision.epoch());
+        packer.packLong(revision.number());
+    }
+
     private void writeWork(PeerMessage.WorkReport report) throws IOException {
         packer.packLong(report.sequence());
-        packer.packLong(report.settingsRevision());
-        packer.packLong(report.serversRevision());
+        writeRevision(report.settingsRevision());
+        writeRevision(report.serversRevision());
         packer.packLong(report.storeAgeMs());
         Map<BackendServerId, Integer> serverIndexes = new LinkedHashMap<>();
         for (PlacedRequest work : report.work()) {
--- a/figspan-wire/src/test/java/io/figspan/wire/FrameCodecProperties.java
+++ b/figspan-wire/src/test/java/io/figspan/wire/FrameCodecProperties.java
@@ -22,6 +22,7 @@
 import io.figspan.core.id.OrganisationId;
 import io.figspan.core.id.PromptPartId;
 import io.figspan.core.id.SettingsVersion;
+import io.figspan.core.id.StoreRevision;
 import io.figspan.core.time.HybridTimestamp;
 import io.figspan.core.work.PlacedRequest;
 import io.figspan.core.work.PrefillReader;
@@ -67,7 +68,12 @@
             new PeerMessage.ForwardOrder(4, "ticket", "org", "request", 1_500, SAMPLE_BYTES),
             new PeerMessage.OutcomeQuery(5, "ticket", "org"),
             new PeerMessage.OrderOutcome(5, 200, "application/json", SAMPLE_BYTES),
-            new PeerMessage.WorkReport(6, 410, 512, 30, List.of(placedWork("engine-1"), placedWork("engine-2"))),
+            new PeerMessage.WorkReport(
+                    6,
+                    new StoreRevision(1, 410),
+                    new StoreRevision(2, 512),
+                    30,
+                    List.of(placedWork("engine-1"), placedWork("engine-2"))),
             new PeerMessage.CrashEvidence(List.of(new PartEvidence(
                     PromptPartId.of("91bd3f06"), 1, true, 4_200, PIGGYBACK.leaving(), PIGGYBACK.leaving()))),
             new PeerMessage.ServerLimitUses(
