Send a request to the same server again on another connection only

RepeatedRefusalTest failed before: the refusal of the first send was taken for the answer to the second, and the request was sent a third time while the second ran. Requests that must not be repeated were not concerned, since they always get a new connection.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/AttemptStarter.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/AttemptStarter.java
@@ -13,9 +13,11 @@
 import io.figspan.settings.gateway.Route;
 import io.netty.buffer.ByteBuf;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 
 /** Opens the attempts of one request and sends the request to their backend servers. */
 final class AttemptStarter {
@@ -25,6 +27,7 @@
     private final ByteBuf body;
     private final Optional<OrganisationId> organisation;
     private final Job job;
+    private final Set<BackendServerId> usedServers = new HashSet<>();
 
     /**
      * Creates a starter.
@@ -49,7 +52,10 @@
     /** Opens an attempt without sending anything, so that its listener knows it before it can fail. */
     Attempt open(
             BackendServer server, Placement.Send placement, HoldGroup holds, Attempt.Listener listener, long nowNanos) {
-        HttpConnection connection = forwarder.pools().acquire(server.id(), !route.mayRepeat(), nowNanos);
+        // A server may write the answer to an earlier send once more where the next one is due, under the same id.
+        boolean isSentAgain = !usedServers.add(server.id());
+        boolean mustBeNew = isSentAgain || !route.mayRepeat();
+        HttpConnection connection = forwarder.pools().acquire(server.id(), mustBeNew, nowNanos);
         return new Attempt(
                 listener,
                 forwarder.backendProtocol(),
