One item of the store that can't be read costs that item alone

Here a value that is no base64 raised an error in the watch's callback, and the watch never went on; a key without a name raised one too.

An unexpected error while an item is applied is logged with its stack and costs that item (FleetStateTest); one in a step of the watch ends that step, and the watch goes on (StoreWatcherTest). Both failed before.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/fleet/FleetState.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/fleet/FleetState.java
@@ -8,6 +8,7 @@
 import io.figspan.gateway.backend.BackendPools;
 import io.figspan.gateway.backend.BackendServer;
 import io.figspan.gateway.log.DecisionLog;
+import io.figspan.gateway.log.StackTraceSummary;
 import io.figspan.gateway.protocol.FleetProtocol;
 import io.figspan.gateway.protocol.StoreProtocol.Item;
 import io.figspan.gateway.store.ItemChanges;
@@ -120,7 +121,7 @@
     private void settingsChanged(List<Item> changes) {
         for (Item item : changes) {
             if (protocol.isSettings(item.key()) && item.value().isPresent()) {
-                applySettings(item);
+                guarded(item, () -> applySettings(item));
             }
         }
     }
@@ -143,20 +144,36 @@
         boolean isRestored = serversLoaded && servers.revision().epoch() > epochBefore;
         boolean isFirst = !serversLoaded;
         serversLoaded = true;
-        for (Item item : changes) {
-            if (item.value().isPresent()) {
-                entryWritten(item, isRestored);
-            } else if (storeUnreachable || isRestored) {
-                deferRemoval(item);
-            } else {
-                remove(item);
-            }
-        }
+        changes.forEach(item -> guarded(item, () -> serverChanged(item, isRestored)));
         if (isFirst || !changes.isEmpty()) {
             listener.onServersChanged();
         }
     }
 
+    private void serverChanged(Item item, boolean isRestored) {
+        if (item.value().isPresent()) {
+            entryWritten(item, isRestored);
+        } else if (storeUnreachable || isRestored) {
+            deferRemoval(item);
+        } else {
+            remove(item);
+        }
+    }
+
+    /** Applies the change of one item; an unexpected error costs no other item. */
+    private void guarded(Item item, Runnable change) {
+        try {
+            change.run();
+        } catch (RuntimeException e) {
+            log.warn(Part.MEMBER, "itemError")
+                    .text("key", item.key())
+                    .text("revision", item.revision())
+                    .text("reason", e)
+                    .text("stack", StackTraceSummary.of(e))
+                    .write();
+        }
+    }
+
     /** Removes the servers whose entries were not written again in time, and believes restored entries that stayed. */
     public void tick() {
         long nowNanos = nanoClock.getAsLong();
--- a/figspan-gateway/src/main/java/io/figspan/gateway/log/StackTraceSummary.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/log/StackTraceSummary.java
@@ -4,13 +4,13 @@
 import java.util.stream.Collectors;
 
 /** Formats the innermost frames of a stack trace for one log line. */
-final class StackTraceSummary {
+public final class StackTraceSummary {
     private static final int MAX_FRAMES = 12;
 
     private StackTraceSummary() {}
 
     /** The innermost frames, in the order of a stack trace. */
-    static String of(Throwable error) {
+    public static String of(Throwable error) {
         return Arrays.stream(error.getStackTrace())
                 .limit(MAX_FRAMES)
                 .map(StackTraceElement::toString)
--- a/figspan-gateway/src/main/java/io/figspan/gateway/store/StoreWatcher.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/store/StoreWatcher.java
@@ -9,6 +9,7 @@
 import io.figspan.gateway.http.ExchangeTimeout;
 import io.figspan.gateway.http.HttpConnection;
 import io.figspan.gateway.log.DecisionLog;
+import io.figspan.gateway.log.StackTraceSummary;
 import io.figspan.gateway.protocol.StoreProtocol;
 import io.figspan.gateway.protocol.StoreProtocol.Page;
 import io.figspan.gateway.store.PrefixWatcher.Action;
@@ -108,7 +109,7 @@
     private void scheduleIdlePoll() {
         idle = true;
         long nanos = IDLE_POLL_NANOS / 2 + random.nextLong(IDLE_POLL_NANOS);
-        nextPoll = loop.schedule(this::poll, nanos, TimeUnit.NANOSECONDS);
+        nextPoll = loop.schedule(() -> guarded(this::poll), nanos, TimeUnit.NANOSECONDS);
     }
 
     /** Reads changes that the reports of other hosts may have missed. */
@@ -136,7 +137,8 @@
             String target = protocol.watchTarget(prefix, watch.after(), watch.waitMs());
             call(true, target, watch.waitMs() + RESPONSE_TIMEOUT_MS);
         } else if (action instanceof Action.Pause pause) {
-            var unused = loop.schedule(() -> execute(prefixWatcher.resume()), pause.nanos(), TimeUnit.NANOSECONDS);
+            var unused = loop.schedule(
+                    () -> guarded(() -> execute(prefixWatcher.resume())), pause.nanos(), TimeUnit.NANOSECONDS);
         } else if (action instanceof Action.Snapshot snapshot) {
             listener.onSnapshot(snapshot.items(), snapshot.revision());
         } else if (action instanceof Action.Changed changed) {
@@ -159,7 +161,7 @@
         BufferedExchange.get(loop, connection, target, timeout, new BufferedExchange.Listener() {
             @Override
             public void onResponse(HttpResponse head, byte[] body) {
-                responseReceived(watch, head, body);
+                guarded(() -> responseReceived(watch, head, body));
             }
 
             @Override
@@ -193,6 +195,20 @@
         }
     }
 
+    /** Runs a step; an unexpected error ends the step, but not the watch. */
+    private void guarded(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException e) {
+            log.warn(Part.SETTINGS, "storeWatchError")
+                    .text("prefix", prefix)
+                    .text("reason", e)
+                    .text("stack", StackTraceSummary.of(e))
+                    .write();
+            failed("unexpected error");
+        }
+    }
+
     /** The epoch of a response; throws an exception if it names none although an earlier one did. */
     private long epochOf(HttpResponse head) {
         OptionalLong answered = protocol.epoch(head);
--- a/figspan-gateway/src/test/java/io/figspan/gateway/TestProtocol.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/TestProtocol.java
@@ -91,7 +91,7 @@
                         : OptionalDouble.empty(),
                 headers.contains("leaving"),
                 retryAfterMs(headers.get("retry-after", "")),
-                Optional.ofNullable(headers.get("at-server")));
+                Optional.ofNullable(headers.get("faulty-server")));
     }
 
     private static OptionalLong retryAfterMs(String seconds) {
--- a/figspan-gateway/src/test/java/io/figspan/gateway/fleet/FleetStateTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/fleet/FleetStateTest.java
@@ -155,6 +155,16 @@
         assertTrue(pools.find(SERVER).isEmpty());
     }
 
+    /** Guards against one entry that keeps the others from being read. */
+    @Test
+    void anUnexpectedErrorInOneEntryCostsNoOtherEntry() {
+        Item fault = new Item("s-1", Optional.of("fault".getBytes(StandardCharsets.UTF_8)), at(1));
+
+        fleet.serversStoreListener().onChanged(List.of(fault, registered("s-2", 2)));
+
+        assertEquals(List.of("s-2"), available());
+    }
+
     private void advanceMs(long ms) {
         nowNanos += TimeUnit.MILLISECONDS.toNanos(ms);
         fleet.tick();
@@ -276,6 +286,9 @@
 
         @Override
         public Result<BackendServer> decodeServer(String key, byte[] value) {
+            if (new String(value, StandardCharsets.UTF_8).equals("fault")) {
+                throw new IllegalStateException("a fault of the decoder");
+            }
             if (!new String(value, StandardCharsets.UTF_8).equals("server")) {
                 return Result.failed(Problem.notRun(ProblemKind.INVALID_VALUE, "junk"));
             }
--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/RepeatedRefusalTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/RepeatedRefusalTest.java
@@ -18,7 +18,7 @@
     private static final String EVENTS = "id: 1\ndata: a\n\n";
 
     /** A refusal that names another server as the faulty one, after which the request goes to the same server again. */
-    private static final String REFUSAL = "not-run: 1\r\nat-server: 10.0.0.9:80\r\n";
+    private static final String REFUSAL = "not-run: 1\r\nfaulty-server: 10.0.0.9:80\r\n";
 
     private final AtomicInteger prompts = new AtomicInteger();
 
--- a/figspan-gateway/src/test/java/io/figspan/gateway/store/StoreWatcherTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/store/StoreWatcherTest.java
@@ -26,6 +26,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -38,6 +39,7 @@
     private final EventLoop loop = group.next();
     private final BlockingQueue<String> calls = new LinkedBlockingQueue<>();
     private final BlockingQueue<List<StoreProtocol.Item>> changes = new LinkedBlockingQueue<>();
+    private final AtomicInteger listenerFailures = new AtomicInteger();
     private StoreWatcher watcher;
     private long revision = 10;
 
@@ -83,6 +85,9 @@
     private final class Listener implements StoreListener {
         @Override
         public void onSnapshot(List<StoreProtocol.Item> items, StoreRevision asOf) {
+            if (listenerFailures.getAndDecrement() > 0) {
+                throw new IllegalStateException("the listener failed");
+            }
             changes.add(items);
         }
 
@@ -153,4 +158,16 @@
 
         assertEquals("/watch/10", nextCall());
     }
+
+    /** Guards against a host that stops following the store after an unexpected error. */
+    @Test
+    void theWatchGoesOnAfterAnUnexpectedErrorOfTheListener() throws Exception {
+        listenerFailures.set(1);
+        onLoop(watcher::start);
+
+        assertEquals("/range", nextCall());
+        assertTrue(changes.poll(LIMIT_S, TimeUnit.SECONDS) != null, "the listener got no notice of the failure");
+        assertTrue(nextCall() != null, "no call after the error");
+        assertTrue(nextCall() != null, "no call after the error");
+    }
 }
