A host that can't read copies from other hosts asks the store

It follows the store itself now after a read that failed for another reason than a busy source. CopyFetcherTest (two cases; there was no such decision before).

--- a/figspan-cluster/src/main/java/io/figspan/cluster/copy/CopyFetcher.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/copy/CopyFetcher.java
@@ -44,6 +44,7 @@
     private StoreRevision newestRevision = StoreRevision.NONE;
     private long newestAnnouncedNanos;
     private boolean reading;
+    private boolean hasFailed;
     private boolean behind;
     private long behindSinceNanos;
 
@@ -105,6 +106,11 @@
         return newestRevision.isNewerThan(ownRevision) && nowNanos - newestAnnouncedNanos < MAX_BEHIND_NANOS;
     }
 
+    /** Whether this host is behind and has failed to read the copy of another host, so that it needs the store. */
+    public boolean needsStore(StoreRevision ownRevision, long nowNanos) {
+        return hasFailed && isBehind(ownRevision, nowNanos);
+    }
+
     /**
      * Returns what to do now.
      *
@@ -148,6 +154,7 @@
     /** The read of a host's copy has ended. */
     public void readEnded(Peer peer, ReadResult result, long nowNanos) {
         reading = false;
+        hasFailed = result == ReadResult.FAILED;
         Source source = sources.get(peer.host());
         if (source != null) {
             source.retryNanos = nowNanos + result.pauseNanos(random);
--- a/figspan-cluster/src/test/java/io/figspan/cluster/copy/CopyFetcherTest.java
+++ b/figspan-cluster/src/test/java/io/figspan/cluster/copy/CopyFetcherTest.java
@@ -160,4 +160,27 @@
         assertEquals(ONE, readSource(0));
         assertFalse(fetcher.isBehind(restored, 0));
     }
+
+    /** Guards against a host that is notified of changes but can't read them from any other host. */
+    @Test
+    void aHostWhoseReadHasFailedNeedsTheStoreUntilItIsUpToDate() {
+        fetcher.announced(ONE, NEW, OLD, 0);
+        readSource(0);
+        assertFalse(fetcher.needsStore(OLD, 0));
+
+        fetcher.readEnded(ONE, ReadResult.FAILED, ms(400));
+
+        assertTrue(fetcher.needsStore(OLD, ms(400)));
+        assertFalse(fetcher.needsStore(NEW, ms(400)));
+    }
+
+    @Test
+    void aHostWhoseSourceIsBusyWaitsForIt() {
+        fetcher.announced(ONE, NEW, OLD, 0);
+        readSource(0);
+
+        fetcher.readEnded(ONE, ReadResult.BUSY, ms(4));
+
+        assertFalse(fetcher.needsStore(OLD, ms(4)));
+    }
 }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
@@ -239,7 +239,9 @@
         }
         long nowNanos = System.nanoTime();
         Set<HostId> cell = dispatchers.cellHosts();
-        storeWatchers.updateWatching(cell, peers.storeAgesMs(cell, nowNanos), nowNanos);
+        boolean needsStore = settingsReader.needsStore() || serversReader.needsStore();
+        List<Long> sourceAgesMs = needsStore ? List.of() : peers.storeAgesMs(cell, nowNanos);
+        storeWatchers.updateWatching(cell, sourceAgesMs, nowNanos);
     }
 
     private void openWhenReady(long nowNanos) {
--- a/figspan-gateway/src/main/java/io/figspan/gateway/peer/CopyReader.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/peer/CopyReader.java
@@ -87,6 +87,11 @@
         return fetcher.isBehind(copy.revision(), System.nanoTime());
     }
 
+    /** Whether this host is behind and can't read from other hosts, so that it needs the store. */
+    public boolean needsStore() {
+        return fetcher.needsStore(copy.revision(), System.nanoTime());
+    }
+
     private void decide() {
         Decision decision = fetcher.next(copy.revision(), watchesStore.getAsBoolean(), System.nanoTime());
         if (decision instanceof Decision.Read read) {
