Notify all hosts of a cell of a draining server directly; split Membership

The host that is notified by the store or by an answer sends the notice to all hosts of its cell at once, besides the gossip.

DrainNoticeFleetTest: 6 to 400 hosts, a tenth of the messages lost, hosts that only receive, paused and restarted hosts, each known within 2 s.

--- a/figspan-cluster/src/main/java/io/figspan/cluster/ClusterHost.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/ClusterHost.java
@@ -12,11 +12,13 @@
 import io.figspan.cluster.spread.SettingsContent;
 import io.figspan.cluster.spread.SettingsGossip;
 import io.figspan.core.id.BackendIncarnation;
+import io.figspan.core.id.HostId;
 import io.figspan.core.id.OrganisationId;
 import io.figspan.core.id.SettingsVersion;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 
 /**
@@ -115,6 +117,11 @@
         return membership.backendLeaving(backend);
     }
 
+    /** As {@link #backendLeaving(BackendIncarnation)}, and notifies the hosts that use the server at once. */
+    public List<ClusterAction> backendLeaving(BackendIncarnation backend, Set<HostId> hostsUsing) {
+        return membership.backendLeaving(backend, hostsUsing);
+    }
+
     /** Requests a loan of an organisation's limit from one of its live home hosts. */
     public List<ClusterAction> requestLoan(
             OrganisationId organisation, long tokensPerSecond, List<Peer> liveHomeHosts, long nowNanos) {
--- a/figspan-cluster/src/main/java/io/figspan/cluster/membership/LeavingNotices.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/membership/LeavingNotices.java
@@ -1,5 +1,8 @@
 package io.figspan.cluster.membership;
 
+import io.figspan.cluster.action.ClusterAction;
+import io.figspan.cluster.message.Peer;
+import io.figspan.cluster.message.PeerMessage;
 import io.figspan.core.id.BackendIncarnation;
 import io.figspan.core.id.BackendServerId;
 import java.util.ArrayList;
@@ -23,6 +26,14 @@
     private final Map<BackendServerId, Long> leaving = new LinkedHashMap<>();
     private final UpdateQueue<BackendIncarnation, BackendIncarnation> queue = new UpdateQueue<>(MAX_QUEUED);
 
+    /** Sends notices to each of these hosts. */
+    static List<ClusterAction> toEach(List<Peer> hosts, List<BackendIncarnation> backends) {
+        PeerMessage notice = new PeerMessage.LeavingNotice(backends);
+        return hosts.stream()
+                .<ClusterAction>map(host -> new ClusterAction.Send(host.address(), notice))
+                .toList();
+    }
+
     /** Adds the notices and queues the new ones for piggybacking. Returns the new ones. */
     List<BackendIncarnation> add(List<BackendIncarnation> backends) {
         List<BackendIncarnation> added = backends.stream().filter(this::add).toList();
--- a/figspan-cluster/src/main/java/io/figspan/cluster/membership/MemberTable.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/membership/MemberTable.java
@@ -1,10 +1,14 @@
 package io.figspan.cluster.membership;
 
+import io.figspan.cluster.message.MemberUpdate;
 import io.figspan.cluster.message.Peer;
+import io.figspan.cluster.message.PeerMessage;
 import io.figspan.core.id.HostId;
 import io.figspan.core.id.HostIncarnation;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.List;
 import java.util.NavigableMap;
 import java.util.Optional;
 import java.util.TreeMap;
@@ -91,4 +95,33 @@
         long mixed = (incarnation.host().value().hashCode() * 31L + incarnation.number()) * HASH_MULTIPLIER;
         return (int) (mixed >>> 32);
     }
+
+    /** The live members in the order of their host ids; modifiable. */
+    List<Peer> live() {
+        List<Peer> live = new ArrayList<>();
+        for (Member member : all()) {
+            if (member.isLive()) {
+                live.add(member.peer());
+            }
+        }
+        return live;
+    }
+
+    /**
+     * A page of the live members whose host ids sort after {@code after}.
+     *
+     * @param first updates at the beginning of the page
+     */
+    PeerMessage.MembersPage livePage(String after, List<MemberUpdate> first, int maxUpdates) {
+        List<MemberUpdate> entries = new ArrayList<>(first);
+        for (Member member : membersAfter(after)) {
+            if (entries.size() >= maxUpdates) {
+                return new PeerMessage.MembersPage(entries, true);
+            }
+            if (member.isLive()) {
+                entries.add(new MemberUpdate.Alive(member.peer(), member.refutation()));
+            }
+        }
+        return new PeerMessage.MembersPage(entries, false);
+    }
 }
--- a/figspan-cluster/src/main/java/io/figspan/cluster/membership/Membership.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/membership/Membership.java
@@ -13,8 +13,11 @@
 import io.figspan.core.id.SettingsVersion;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
@@ -93,19 +96,10 @@
 
     /** Live members in the order of their host ids; includes this process until it leaves or is superseded. */
     public List<Peer> live() {
-        List<Peer> live = new ArrayList<>();
-        boolean selfAdded = stopped;
-        for (Member member : table.all()) {
-            if (!selfAdded && member.host().compareTo(self.host()) > 0) {
-                live.add(self);
-                selfAdded = true;
-            }
-            if (member.isLive()) {
-                live.add(member.peer());
-            }
-        }
-        if (!selfAdded) {
-            live.add(self);
+        List<Peer> live = table.live();
+        if (!stopped) {
+            int position = Collections.binarySearch(live, self, Comparator.comparing(Peer::host));
+            live.add(position < 0 ? -position - 1 : position, self);
         }
         return live;
     }
@@ -225,6 +219,19 @@
         return actions;
     }
 
+    /**
+     * Gossips that a backend server is leaving, and notifies these hosts at once: those that use the server, so that
+     * none of them depends on the links of a third host.
+     */
+    public List<ClusterAction> backendLeaving(BackendIncarnation backend, Set<HostId> hostsUsing) {
+        List<ClusterAction> actions = backendLeaving(backend);
+        List<Peer> users = live().stream()
+                .filter(peer -> hostsUsing.contains(peer.host()) && !peer.host().equals(self.host()))
+                .toList();
+        actions.addAll(LeavingNotices.toEach(users, List.of(backend)));
+        return actions;
+    }
+
     /** Leaves gracefully and notifies some members at once. Afterwards this object does nothing. */
     public List<ClusterAction> leave() {
         List<ClusterAction> actions = new ArrayList<>();
@@ -553,19 +560,9 @@
     }
 
     private PeerMessage.MembersPage membersPage(String after) {
-        List<MemberUpdate> entries = new ArrayList<>();
-        if (after.isEmpty()) {
-            entries.add(new MemberUpdate.Alive(self, refutation));
-        }
-        for (Member member : table.membersAfter(after)) {
-            if (entries.size() >= MAX_PAGE_MEMBERS) {
-                return new PeerMessage.MembersPage(entries, true);
-            }
-            if (member.isLive()) {
-                entries.add(new MemberUpdate.Alive(member.peer(), member.refutation()));
-            }
-        }
-        return new PeerMessage.MembersPage(entries, false);
+        boolean isFirstPage = after.isEmpty();
+        return table.livePage(
+                after, isFirstPage ? List.of(new MemberUpdate.Alive(self, refutation)) : List.of(), MAX_PAGE_MEMBERS);
     }
 
     /** Members first learnt from a page are not gossiped, because other hosts already know them. */
@@ -589,12 +586,9 @@
 
     private void applyLeavingNotices(List<BackendIncarnation> leaving, List<ClusterAction> actions) {
         List<BackendIncarnation> newlyLeaving = notices.add(leaving);
-        if (newlyLeaving.isEmpty()) {
-            return;
-        }
-        newlyLeaving.forEach(backend -> actions.add(new ClusterAction.BackendLeaving(backend)));
-        for (Peer peer : randomPeers(NOTICE_FANOUT)) {
-            actions.add(new ClusterAction.Send(peer.address(), new PeerMessage.LeavingNotice(newlyLeaving)));
+        if (!newlyLeaving.isEmpty()) {
+            newlyLeaving.forEach(backend -> actions.add(new ClusterAction.BackendLeaving(backend)));
+            actions.addAll(LeavingNotices.toEach(randomPeers(NOTICE_FANOUT), newlyLeaving));
         }
     }
 }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/peer/PeerTracker.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/peer/PeerTracker.java
@@ -117,10 +117,10 @@
         }
     }
 
-    /** Notifies the other hosts that a backend server drains. */
+    /** Notifies the other hosts that a backend server drains, those of the cell at once. */
     public void announceLeaving(BackendIncarnation server) {
         if (membership != null) {
-            execute(membership.backendLeaving(server), null, System.nanoTime());
+            execute(membership.backendLeaving(server, reportSource.cell()), null, System.nanoTime());
         }
     }
 
