--- a/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
@@ -1,15 +1,9 @@
 package io.figspan.gateway;
 
-import io.figspan.cluster.message.Peer;
-import io.figspan.cluster.message.PeerMessage;
-import io.figspan.control.leaving.LeavingSource;
 import io.figspan.core.event.Part;
-import io.figspan.core.id.BackendIncarnation;
 import io.figspan.core.id.HostId;
 import io.figspan.core.id.HostIncarnation;
-import io.figspan.core.id.StoreRevision;
 import io.figspan.core.time.MonotonicClock;
-import io.figspan.core.work.PlacedRequest;
 import io.figspan.gateway.backend.BackendPools;
 import io.figspan.gateway.backend.HttpEngineClient;
 import io.figspan.gateway.backend.MemoryHolds;
@@ -26,9 +20,7 @@
 import io.figspan.gateway.metrics.ProcessorTime;
 import io.figspan.gateway.peer.CopyEndpoint;
 import io.figspan.gateway.peer.CopyReader;
-import io.figspan.gateway.peer.PeerListener;
 import io.figspan.gateway.peer.PeerTracker;
-import io.figspan.gateway.peer.WorkReportSource;
 import io.figspan.gateway.protocol.ProtocolAdapter;
 import io.figspan.gateway.store.StoreListener;
 import io.figspan.gateway.store.StoreWatcher;
@@ -47,7 +39,7 @@
 import org.slf4j.LoggerFactory;
 
 /** The gateway of one host: creates its components and connects them. Everything runs on one event loop. */
-public final class GatewayProcess implements FleetState.FleetListener, PeerListener, WorkReportSource {
+public final class GatewayProcess implements FleetState.FleetListener {
     /** Interval of checks of waiting requests and time limits. */
     private static final long TICK_MS = 40;
 
@@ -90,7 +82,6 @@
     private final ConfigReloader reloader;
     private final StoreWatchers storeWatchers;
     private final AuxiliaryEndpoints endpoints;
-    private long lastReportSequence;
 
     public GatewayProcess(ConfigSource source, ProtocolAdapter adapter, RandomGenerator random) {
         this.config = source.read();
@@ -117,13 +108,13 @@
                 requestLimits,
                 dispatchers);
         this.callers = new CallerServer(loop, forwarder, adapter.callers(), errors);
-        this.peers = new PeerTracker(loop, config, log, random, this, this, metrics.processorTime());
+        this.storeWatchers = new StoreWatchers(config.host(), log);
+        PeerEvents events = new PeerEvents(fleet, pools, dispatchers, promptCrashes, requestLimits, storeWatchers);
+        this.peers = new PeerTracker(loop, config, log, random, events, events, metrics.processorTime());
         this.promptCrashes.setSender(peers);
         this.requestLimits.setSender(peers);
-        this.pools.drainNotices().addListener(this::announceLeaving);
         this.dispatchers.onWorkChanged(peers::workChanged);
         this.forwarder.setWorkViewAge(() -> peers.oldestReportAgeMs(System.nanoTime()));
-        this.storeWatchers = new StoreWatchers(config.host(), log);
         this.settingsReader = new CopyReader(
                 loop,
                 log,
@@ -144,6 +135,7 @@
                 fleet::applyPeerServers,
                 storeWatchers::isWatching,
                 random);
+        events.connect(peers, settingsReader, serversReader);
         this.forwarder.setSettingsOutdated(settingsReader::isBehind);
         CopyEndpoint copies =
                 new CopyEndpoint(Map.of(SETTINGS_COPY, fleet.settings(), SERVERS_COPY, fleet.servers()), metrics);
@@ -281,76 +273,6 @@
         openWhenReady(System.nanoTime());
     }
 
-    // Other hosts
-
-    @Override
-    public PeerMessage.WorkReport report() {
-        return new PeerMessage.WorkReport(
-                ++lastReportSequence,
-                fleet.settings().revision(),
-                fleet.servers().revision(),
-                storeWatchers.lastResponseAgeMs(System.nanoTime()),
-                dispatchers.ownWork());
-    }
-
-    @Override
-    public Set<HostId> cell() {
-        return dispatchers.cellHosts();
-    }
-
-    @Override
-    public Set<HostId> reportRecipients(List<PlacedRequest> work) {
-        return dispatchers.reportRecipients(work);
-    }
-
-    @Override
-    public void onHostsChanged(Set<HostId> hosts) {
-        dispatchers.hostsChanged(hosts);
-        promptCrashes.hostsChanged(hosts);
-    }
-
-    @Override
-    public void onHostJoined(Peer peer) {
-        promptCrashes.evidenceForNewHost(peer.host()).ifPresent(evidence -> peers.send(evidence, List.of(peer)));
-    }
-
-    @Override
-    public void onCrashEvidence(PeerMessage.CrashEvidence evidence) {
-        promptCrashes.receive(evidence);
-    }
-
-    @Override
-    public void onServerLimitUses(Peer from, PeerMessage.ServerLimitUses uses) {
-        requestLimits.receive(from, uses);
-    }
-
-    @Override
-    public void onServerLeaving(BackendIncarnation server) {
-        pools.drainNotices().record(server, LeavingSource.GOSSIP, System.nanoTime());
-    }
-
-    private void announceLeaving(BackendIncarnation server, LeavingSource source) {
-        if (source != LeavingSource.GOSSIP) {
-            peers.announceLeaving(server);
-        }
-    }
-
-    @Override
-    public void onWorkReport(HostId host, List<PlacedRequest> work) {
-        dispatchers.peerWork(host, work);
-    }
-
-    @Override
-    public void onHostSilent(HostId host) {
-        dispatchers.peerWork(host, List.of());
-    }
-
-    @Override
-    public void onNewerItems(Peer peer, StoreRevision settingsRevision, StoreRevision serversRevision) {
-        settingsReader.onPeerRevision(peer, settingsRevision);
-        serversReader.onPeerRevision(peer, serversRevision);
-    }
-
     private void registerGauges() {
         metrics.gauge("requests.waiting", dispatchers::waitingCount);
         metrics.gauge("connections.busy", callers::busy);
