--- a/figspan-gateway/src/main/java/io/figspan/gateway/StoreWatchers.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/StoreWatchers.java
@@ -51,8 +51,8 @@
      * @param sourceAgesMs for each other host that watches the store, the time since the store last responded to it
      */
     void updateWatching(Set<HostId> cell, List<Long> sourceAgesMs, long nowNanos) {
-        watchers.forEach(watcher -> watcher.setWatchWaitMs(policy.watchWaitMs(cell.size())));
         int rank = RendezvousHash.order(ORDER_KEY, cell).indexOf(self);
+        watchers.forEach(watcher -> watcher.setWatchWaitMs(policy.watchWaitMs(rank, cell.size())));
         boolean shouldWatch = policy.shouldWatch(rank, cell.size(), sourceAgesMs, nowNanos);
         if (shouldWatch == watching) {
             return;
--- a/figspan-gateway/src/main/java/io/figspan/gateway/store/StoreWatchPolicy.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/store/StoreWatchPolicy.java
@@ -38,9 +38,10 @@
     private long takeoverEndNanos;
     private boolean hasTakenOver;
 
-    /** Longest time that the store shall hold a watch of a host in a cell of this size. */
-    public long watchWaitMs(int cellSize) {
-        return cellSize < MIN_SHARED_CELL_SIZE ? PrefixWatcher.WATCH_WAIT_MS : SHARED_WATCH_WAIT_MS;
+    /** Longest time that the store shall hold a watch of the host with this rank in a cell of this size. */
+    public long watchWaitMs(int rank, int cellSize) {
+        boolean othersRely = rank < ALWAYS_WATCHING && cellSize >= MIN_SHARED_CELL_SIZE;
+        return othersRely ? SHARED_WATCH_WAIT_MS : PrefixWatcher.WATCH_WAIT_MS;
     }
 
     /**
--- a/figspan-gateway/src/test/java/io/figspan/gateway/peer/StoreTakeoverTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/peer/StoreTakeoverTest.java
@@ -71,7 +71,7 @@
 
         Cell(SplittableRandom random) {
             for (int number = 0; number < WATCHING; number++) {
-                watching.add(new WatchingHost(number, policy.watchWaitMs(CELL_SIZE), random));
+                watching.add(new WatchingHost(number, policy.watchWaitMs(number, CELL_SIZE), random));
             }
             firstUpdateMs = random.nextLong(UPDATE_INTERVAL_MS);
         }
--- a/figspan-gateway/src/test/java/io/figspan/gateway/store/StoreWatchPolicyTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/store/StoreWatchPolicyTest.java
@@ -1,5 +1,6 @@
 package io.figspan.gateway.store;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -50,4 +51,12 @@
         nowNanos += 1;
         assertFalse(shouldWatch(5, 5L));
     }
+
+    /** Guards against calls to the store that nobody needs. */
+    @Test
+    void onlyHostsOnWhichOthersRelyWatchWithShortWaits() {
+        assertEquals(StoreWatchPolicy.SHARED_WATCH_WAIT_MS, policy.watchWaitMs(2, CELL_SIZE));
+        assertEquals(PrefixWatcher.WATCH_WAIT_MS, policy.watchWaitMs(3, CELL_SIZE));
+        assertEquals(PrefixWatcher.WATCH_WAIT_MS, policy.watchWaitMs(0, StoreWatchPolicy.MIN_SHARED_CELL_SIZE - 1));
+    }
 }
