A paused engine is not probed; its two messages are left to memory in use

Found in the read-through: probes of an engine that uses memory of others came out of the two messages that a server gets during the pause that it asked for. They are left out now, and the engine counts as alive meanwhile. MemoryHoldsTest: two cases (no probe, the use goes on; a release kept back is sent after the pause).

--- a/figspan-gateway/src/main/java/io/figspan/gateway/backend/EngineClient.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/backend/EngineClient.java
@@ -17,6 +17,9 @@
     /** Whether the engine is registered, doesn't drain and has asked for no pause, so that it may get new holds. */
     boolean acceptsRequests(BackendServerId engine);
 
+    /** Whether the engine has asked for a pause that has not ended. */
+    boolean isPaused(BackendServerId engine);
+
     /** Whether a message about memory in use may be sent now to an engine that may have asked for a pause. */
     boolean tryMessage(BackendServerId engine);
 
--- a/figspan-gateway/src/main/java/io/figspan/gateway/backend/HttpEngineClient.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/backend/HttpEngineClient.java
@@ -40,6 +40,11 @@
         return pools.acceptsRequests(engine);
     }
 
+    @Override
+    public boolean isPaused(BackendServerId engine) {
+        return !pools.pauses().admits(engine, System.nanoTime());
+    }
+
     @Override
     public boolean tryMessage(BackendServerId engine) {
         return pools.pauses().tryMessage(engine, System.nanoTime());
--- a/figspan-gateway/src/main/java/io/figspan/gateway/backend/MemoryHolds.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/backend/MemoryHolds.java
@@ -137,7 +137,7 @@
     }
 
     private void check(HoldUserMonitor.HoldUser user) {
-        if (!engines.tryMessage(user.engine())) {
+        if (engines.isPaused(user.engine())) {
             return;
         }
         engines.probe(user.engine(), user.address(), CHECK_RESPONSE_TIMEOUT_MS, outcome -> onChecked(user, outcome));
--- a/figspan-gateway/src/test/java/io/figspan/gateway/backend/MemoryHoldsTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/backend/MemoryHoldsTest.java
@@ -249,6 +249,38 @@
         assertEquals(0, engines.sentCount(HOLDER, RequestKind.RESERVE));
     }
 
+    /** Guards against messages to an engine that wants none, and against taking its silence for its end. */
+    @Test
+    void anEngineThatAskedForAPauseIsNotProbedAndItsUseGoesOn() {
+        HoldGroup group = reserveComplete(HOLDER);
+        use(group);
+        runUntil(100);
+        engines.setPaused(USER, true);
+
+        runUntil(9_000);
+
+        assertEquals(0, engines.sentCount(USER, RequestKind.PROBE));
+        assertEquals(List.of(), lost);
+        engines.setPaused(USER, false);
+        runUntilJustBeforeTheDeadline();
+        assertTrue(engines.sentCount(USER, RequestKind.PROBE) > 0);
+    }
+
+    @Test
+    void aReleaseThatAPauseKeepsBackIsSentAfterIt() {
+        HoldGroup group = reserveComplete(HOLDER);
+        engines.setPaused(HOLDER, true);
+        holds.release(group);
+        runUntil(1_000);
+        assertEquals(0, engines.sentCount(HOLDER, RequestKind.RELEASE));
+
+        engines.setPaused(HOLDER, false);
+        runUntilJustBeforeTheDeadline();
+
+        assertTrue(engines.sentCount(HOLDER, RequestKind.RELEASE) > 0);
+        assertEquals(0, holds.openCount());
+    }
+
     @Test
     void aHoldInUseIsRenewedAndReleasedWhileItsEngineDrains() {
         HoldGroup group = reserveComplete(HOLDER);
--- a/figspan-gateway/src/test/java/io/figspan/gateway/backend/SimulatedEngines.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/backend/SimulatedEngines.java
@@ -162,6 +162,11 @@
         return isRegistered(id) && !engines.get(id).isLeaving;
     }
 
+    @Override
+    public boolean isPaused(BackendServerId id) {
+        return engines.get(id).isPaused;
+    }
+
     @Override
     public boolean tryMessage(BackendServerId id) {
         return !engines.get(id).isPaused;
