--- a/figspan-gateway/src/main/java/io/figspan/gateway/fleet/RestoredEntries.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/fleet/RestoredEntries.java
@@ -12,7 +12,7 @@
 
 /**
  * Entries that are back because the store has returned from an older copy, although their servers were removed before.
- * Most of these servers are gone. An entry is believed once it is written again, or if it is still there when the entry
+ * Most of these have ended. An entry is believed once it is written again, or if it is still there when the entry
  * of a server that no longer runs would have expired.
  */
 final class RestoredEntries {
--- a/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
@@ -33,6 +33,7 @@
 import io.figspan.settings.gateway.WeightedService;
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -74,6 +75,7 @@
     private final InetSocketAddress address;
     private long version = 1;
     private final Map<String, Long> incarnations = new HashMap<>();
+    private final Map<String, ScriptedServer> addedServers = new HashMap<>();
     private long nextIncarnation = 1;
 
     public GatewayHarness() throws IOException {
@@ -143,6 +145,18 @@
         return callers;
     }
 
+    /** Starts a server that is registered by {@link #open()} and closed with this harness. */
+    public ScriptedServer add(String name, ScriptedServer.Script script) throws IOException {
+        ScriptedServer server = new ScriptedServer(script);
+        addedServers.put(name, server);
+        return server;
+    }
+
+    /** Opens the forwarder before the added servers. */
+    public void open() {
+        open(addedServers);
+    }
+
     /** Registers servers, applies settings with the usual routes, and opens the forwarder. */
     public void open(Map<String, ScriptedServer> servers) {
         onLoop(() -> {
@@ -283,8 +297,17 @@
         }
     }
 
+    private static void close(ScriptedServer server) {
+        try {
+            server.close();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     @Override
     public void close() {
+        addedServers.values().forEach(GatewayHarness::close);
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     }
 }
--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/InterruptedStreamTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/InterruptedStreamTest.java
@@ -7,8 +7,6 @@
 import io.figspan.gateway.GatewayHarness;
 import io.figspan.gateway.ScriptedServer;
 import java.io.IOException;
-import java.util.HashMap;
-import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -20,7 +18,6 @@
 class InterruptedStreamTest {
     private static final String ERROR_TEXT = "the-text-of-an-error";
 
-    private final Map<String, ScriptedServer> engines = new HashMap<>();
     private final AtomicInteger prompts = new AtomicInteger();
     private GatewayHarness gateway;
 
@@ -32,9 +29,6 @@
     @AfterEach
     void stop() throws IOException {
         gateway.close();
-        for (ScriptedServer engine : engines.values()) {
-            engine.close();
-        }
     }
 
     /** Whichever engine gets the prompt first breaks its stream off; the other one sends this response. */
@@ -49,9 +43,9 @@
             connection.write(headAndBody.replace("ATTEMPT", request.header("attempt")));
             connection.close();
         };
-        engines.put("engine-1", new ScriptedServer(script));
-        engines.put("engine-2", new ScriptedServer(script));
-        gateway.open(engines);
+        gateway.add("engine-1", script);
+        gateway.add("engine-2", script);
+        gateway.open();
         return gateway.call("POST", "/stream/1", "prompt-tokens: 5000\r\n", "prompt");
     }
 
--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/LeavingServerTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/LeavingServerTest.java
@@ -30,7 +30,6 @@
     private static final String LEAVING = "leaving: 1\r\n";
     private static final String EVENTS = "id: 1\ndata: a\n\n";
 
-    private final Map<String, ScriptedServer> servers = new HashMap<>();
     private GatewayHarness gateway;
 
     @BeforeEach
@@ -41,19 +40,10 @@
     @AfterEach
     void stop() throws IOException {
         gateway.close();
-        for (ScriptedServer server : servers.values()) {
-            server.close();
-        }
-    }
-
-    private ScriptedServer add(String name, ScriptedServer.Script script) throws IOException {
-        ScriptedServer server = new ScriptedServer(script);
-        servers.put(name, server);
-        return server;
     }
 
     private ScriptedServer addServing(String name, String moreHeaders) throws IOException {
-        return add(name, (request, connection) -> connection.answer(request, 200, moreHeaders, EVENTS));
+        return gateway.add(name, (request, connection) -> connection.answer(request, 200, moreHeaders, EVENTS));
     }
 
     private static List<Received> workOf(ScriptedServer server) {
@@ -79,7 +69,7 @@
     void noRequestReachesAPlainServerThatHasSaidThatItLeaves() throws IOException {
         ScriptedServer leaving = addServing("plain-1", LEAVING);
         addServing("plain-2", "");
-        gateway.open(servers);
+        gateway.open();
 
         sendReads();
 
@@ -90,7 +80,7 @@
     void noPromptReachesAnEngineThatHasSaidThatItLeaves() throws IOException {
         ScriptedServer leaving = addServing("engine-1", LEAVING);
         addServing("engine-2", "");
-        gateway.open(servers);
+        gateway.open();
 
         sendPrompts(5_000);
 
@@ -99,9 +89,10 @@
 
     @Test
     void aNoticeInAFailureHoldsToo() throws IOException {
-        ScriptedServer leaving = add("plain-1", (request, connection) -> connection.answer(request, 500, LEAVING, ""));
+        ScriptedServer leaving =
+                gateway.add("plain-1", (request, connection) -> connection.answer(request, 500, LEAVING, ""));
         addServing("plain-2", "");
-        gateway.open(servers);
+        gateway.open();
 
         sendReads();
 
@@ -111,9 +102,10 @@
     @Test
     void noMemoryIsReservedAtAnEngineThatHasSaidThatItLeaves() throws IOException {
         AtomicReference<String> leaving = new AtomicReference<>();
+        Map<String, ScriptedServer> engines = new HashMap<>();
         for (int number = 1; number < 6; number++) {
             String name = "engine-" + number;
-            add(name, (request, connection) -> {
+            ScriptedServer.Script script = (request, connection) -> {
                 if (request.target().startsWith("/stream")) {
                     connection.answer(request, 200, "", EVENTS);
                     return;
@@ -121,13 +113,14 @@
                 leaving.compareAndSet(null, name);
                 String notice = name.equals(leaving.get()) ? LEAVING : "";
                 connection.write("HTTP/1.1 200 x\r\n" + notice + "content-length: 0\r\n\r\n");
-            });
+            };
+            engines.put(name, gateway.add(name, script));
         }
-        gateway.open(servers);
+        gateway.open();
 
         sendPrompts(150_000);
 
-        List<Received> work = workOf(servers.get(leaving.get()));
+        List<Received> work = workOf(engines.get(leaving.get()));
         assertEquals(1, work.stream().filter(LeavingServerTest::isReservation).count());
         assertTrue(isReservation(work.get(work.size() - 1)), work.toString());
     }
@@ -140,7 +133,7 @@
     void anEntryOfTheSameProcessWithoutTheNoticeDoesNotTakeItBack() throws IOException {
         ScriptedServer leaving = addServing("plain-1", LEAVING);
         addServing("plain-2", "");
-        gateway.open(servers);
+        gateway.open();
         sendReads();
 
         gateway.registerAgain("plain-1", leaving);
@@ -153,7 +146,7 @@
     void noRequestReachesAServerOfWhichAnotherHostSaysThatItLeaves() throws IOException {
         ScriptedServer leaving = addServing("plain-1", "");
         addServing("plain-2", "");
-        gateway.open(servers);
+        gateway.open();
         gateway.leavesByGossip("plain-1");
 
         sendReads();
@@ -165,12 +158,12 @@
     void aWaitingRequestIsNotSentToAServerThatBeganToLeaveMeanwhile() throws Exception {
         CountDownLatch noticeHasArrived = new CountDownLatch(1);
         CountDownLatch allSlotsAreBusy = new CountDownLatch(GatewayHarness.SLOTS);
-        ScriptedServer leaving = add("plain-1", (request, connection) -> {
+        ScriptedServer leaving = gateway.add("plain-1", (request, connection) -> {
             allSlotsAreBusy.countDown();
             awaitLatch(noticeHasArrived);
             connection.answer(request, 200, "", "");
         });
-        gateway.open(servers);
+        gateway.open();
         List<Future<String>> calls = new ArrayList<>();
         ExecutorService callers = Executors.newCachedThreadPool();
         for (int number = 0; number <= GatewayHarness.SLOTS; number++) {
@@ -201,7 +194,7 @@
     @Test
     void aNewProcessOfTheServerGetsRequestsAgain() throws IOException {
         ScriptedServer restarted = addServing("plain-1", LEAVING);
-        gateway.open(servers);
+        gateway.open();
         gateway.call("GET", "/read/1", "", "");
         assertTrue(gateway.call("GET", "/read/2", "", "").startsWith("HTTP/1.1 503"));
 
@@ -212,16 +205,16 @@
 
     @Test
     void aNoticeOfAnotherServerAtTheAddressSaysNothingOfTheExpectedOne() throws IOException {
-        add("plain-1", (request, connection) -> {
+        ScriptedServer server = gateway.add("plain-1", (request, connection) -> {
             boolean isFirst = request.target().equals("/read/1");
             connection.answer(request, isFirst ? 421 : 200, isFirst ? LEAVING : "", "");
         });
-        gateway.open(servers);
+        gateway.open();
         gateway.call("GET", "/read/1", "", "");
         String response;
         do {
             response = gateway.call("GET", "/read/2", "", "");
         } while (!response.startsWith("HTTP/1.1 200"));
-        assertEquals(2, servers.get("plain-1").received().size());
+        assertEquals(2, server.received().size());
     }
 }
--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/RetryAfterOfServerTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/RetryAfterOfServerTest.java
@@ -7,9 +7,7 @@
 import io.figspan.gateway.ScriptedServer;
 import io.figspan.gateway.ScriptedServer.Received;
 import java.io.IOException;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -21,7 +19,6 @@
 
     private static final String EVENTS = "id: 1\ndata: a\n\n";
 
-    private final Map<String, ScriptedServer> servers = new HashMap<>();
     private GatewayHarness gateway;
 
     @BeforeEach
@@ -32,20 +29,16 @@
     @AfterEach
     void stop() throws IOException {
         gateway.close();
-        for (ScriptedServer server : servers.values()) {
-            server.close();
-        }
     }
 
     private ScriptedServer add(String name, int status, String moreHeaders) throws IOException {
-        ScriptedServer server = new ScriptedServer(
+        return gateway.add(
+                name,
                 (request, connection) -> connection.answer(request, status, moreHeaders, status == 200 ? EVENTS : ""));
-        servers.put(name, server);
-        return server;
     }
 
     private List<Received> receivedOf(ScriptedServer server) throws IOException {
-        gateway.open(servers);
+        gateway.open();
         for (int number = 0; number < REQUESTS; number++) {
             gateway.call("GET", "/read/" + number, "", "");
             gateway.call("POST", "/stream/" + number, "prompt-tokens: 5000\r\n", "prompt");
@@ -92,7 +85,7 @@
     @Test
     void aRequestIsRejectedAtOnceWhenAllServersNameATimeBeyondItsDeadline() throws IOException {
         add("plain-1", 503, "retry-after: 600\r\n");
-        gateway.open(servers);
+        gateway.open();
         gateway.call("GET", "/read/1", "", "");
 
         String response = gateway.call("GET", "/read/2", "", "");
--- a/figspan-gateway/src/test/java/io/figspan/gateway/peer/StoreTakeoverTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/peer/StoreTakeoverTest.java
@@ -95,7 +95,7 @@
         }
     }
 
-    /** Time from the moment at which the store falls silent to all watching hosts until another host watches it. */
+    /** Time from the moment at which the store stops responding to all watching hosts until another host watches it. */
     private static long takeoverMs(SplittableRandom random) {
         Cell cell = new Cell(random);
         long silentFromMs = 10_000 + random.nextLong(REPORT_INTERVAL_MS * UPDATE_INTERVAL_MS);
--- a/figspan-gateway/src/test/java/io/figspan/gateway/store/ItemCopyTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/store/ItemCopyTest.java
@@ -234,7 +234,7 @@
     @Test
     void aHostOfAnEarlierEpochGetsAllItems() {
         ItemCopy reader = new ItemCopy();
-        reader.apply(List.of(item("a", 50), item("gone", 51)));
+        reader.apply(List.of(item("a", 50), item("removed", 51)));
         copy.applySnapshot(List.of(inEpoch(2, "a", 5), inEpoch(2, "b", 6)), new StoreRevision(2, 6));
 
         ItemChanges changes =
--- a/figspan-gateway/src/test/java/io/figspan/gateway/store/StoreWatchPolicyTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/store/StoreWatchPolicyTest.java
@@ -52,7 +52,7 @@
         assertFalse(shouldWatch(5, 5L));
     }
 
-    /** Guards against calls to the store that nobody needs. */
+    /** Guards against needless calls to the store. */
     @Test
     void onlyHostsOnWhichOthersRelyWatchWithShortWaits() {
         assertEquals(StoreWatchPolicy.SHARED_WATCH_WAIT_MS, policy.watchWaitMs(2, CELL_SIZE));
