Callers: read what was received before a time limit closes a connection

What callers saw: a request on a kept connection got neither an answer nor a refusal, because the gateway closed the connection as idle although the request had already been received; a head or body that was complete got a 408.

Cause: the tick compared the time with the last read bytes. When the event loop is late (a paused or slow host, a long task such as decoding a large settings item), received bytes are not read yet when the tick runs, either as the next task of the same batch, or because a select that is interrupted by a resumed process returns no channels. refuseNew() closed connections in the same way when the host stops.

The limit is now found exceeded twice, with a read of all ready channels between: the second check runs as a scheduled task, which the event loop starts only after it has polled its channels without waiting. ReceiveTimeouts holds the time limits apart from the connection.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerConnection.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerConnection.java
@@ -54,11 +54,11 @@
 
     private final CallerServer server;
     private final CallerLimits limits;
+    private final ReceiveTimeouts timeouts;
     private final Deque<HttpObject> pipelined = new ArrayDeque<>();
     private Channel channel;
     private HttpRequest head;
     private BufferedBody body;
-    private long headNanos;
     private InFlightCall call;
     private boolean responding;
     private long requestCount;
@@ -66,12 +66,11 @@
     private boolean closing;
     private long closingNanos;
     private boolean isRequestIncomplete;
-    private long lastActivityNanos = System.nanoTime();
-    private boolean readingHead;
 
     CallerConnection(CallerServer server, CallerLimits limits) {
         this.server = server;
         this.limits = limits;
+        this.timeouts = new ReceiveTimeouts(limits, System.nanoTime());
     }
 
     @Override
@@ -114,11 +113,8 @@
 
     /** Records activity when bytes arrive, before they are decoded. */
     void bytesReceived() {
-        if (head == null && !responding && !readingHead) {
-            readingHead = true;
-            lastActivityNanos = System.nanoTime();
-        } else if (head != null) {
-            lastActivityNanos = System.nanoTime();
+        if (!responding) {
+            timeouts.bytesReceived(System.nanoTime());
         }
     }
 
@@ -156,9 +152,7 @@
     }
 
     private void begin(HttpRequest request) {
-        readingHead = false;
-        lastActivityNanos = System.nanoTime();
-        headNanos = lastActivityNanos;
+        timeouts.headReceived(System.nanoTime());
         head = request;
         keepAlive = HttpUtil.isKeepAlive(request);
         body = new BufferedBody(server.bodies(), limits.maxBodyBytes());
@@ -271,7 +265,6 @@
 
     @Override
     public void write(ByteBuf piece) {
-        lastActivityNanos = System.nanoTime();
         Channels.writeAndFlush(channel, new DefaultHttpContent(piece));
     }
 
@@ -307,10 +300,11 @@
         call = null;
         head = null;
         releaseBody();
-        lastActivityNanos = System.nanoTime();
+        long nowNanos = System.nanoTime();
+        timeouts.responseWritten(nowNanos);
         if (!keepAlive) {
             closing = true;
-            closingNanos = lastActivityNanos;
+            closingNanos = nowNanos;
             ChannelFuture written = channel.writeAndFlush(lastMessage);
             if (isRequestIncomplete) {
                 written.addListener((ChannelFuture sent) -> shutdownOutput(sent));
@@ -348,28 +342,33 @@
 
     // Time limits
 
-    /** Closes the connection if the caller is too slow or has been idle for too long. */
+    /**
+     * Closes the connection if the caller is too slow or has been idle for too long. The event loop may be late, so it
+     * reads first what the caller has sent in time.
+     */
     void enforceTimeouts(long nowNanos) {
         if (isRequestIncomplete && closing && nowNanos - closingNanos > MAX_LINGER_NANOS) {
             Channels.close(channel);
-            return;
+        } else if (exceededTimeout(nowNanos).isPresent()) {
+            server.afterNextRead(() -> exceededTimeout(nowNanos).ifPresent(this::timedOut));
         }
+    }
+
+    private Optional<ReceiveTimeouts.Timeout> exceededTimeout(long nowNanos) {
         if (responding || closing) {
-            return;
-        }
-        long idleMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - lastActivityNanos);
-        if (readingHead && idleMs > limits.headerTimeoutMs()) {
-            refuseTimedOut("the headers did not arrive in time");
-        } else if (head != null && BodyReadTimeout.isExceeded(sinceHeadMs(nowNanos), body.lengthBytes(), limits)) {
-            refuseTimedOut("the body did not arrive in time");
-        } else if (idleMs > limits.idleTimeoutMs()) {
-            closing = true;
-            Channels.close(channel);
+            return Optional.empty();
         }
+        return timeouts.exceeded(body == null ? 0 : body.lengthBytes(), nowNanos);
     }
 
-    private long sinceHeadMs(long nowNanos) {
-        return TimeUnit.NANOSECONDS.toMillis(nowNanos - headNanos);
+    private void timedOut(ReceiveTimeouts.Timeout timeout) {
+        if (timeout == ReceiveTimeouts.Timeout.IDLE) {
+            closeUnanswered();
+        } else if (timeout == ReceiveTimeouts.Timeout.BODY) {
+            refuseTimedOut("the body did not arrive in time");
+        } else {
+            refuseTimedOut("the headers did not arrive in time");
+        }
     }
 
     private void refuseTimedOut(String reason) {
@@ -378,12 +377,18 @@
         refuse(response);
     }
 
-    /** Closes the connection if no request is in progress on it. */
+    /** Closes the connection if no request is in progress on it and none has been received. */
     void closeIfIdle() {
-        if (!responding && head == null && !readingHead) {
-            closing = true;
-            Channels.close(channel);
-        }
+        server.afterNextRead(() -> {
+            if (!isBusy() && !timeouts.isReadingHead()) {
+                closeUnanswered();
+            }
+        });
+    }
+
+    private void closeUnanswered() {
+        closing = true;
+        Channels.close(channel);
     }
 
     boolean isBusy() {
--- a/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerServer.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerServer.java
@@ -32,6 +32,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 /** HTTP server for the connections of callers. All methods run on the event loop. */
 public final class CallerServer {
@@ -129,6 +130,14 @@
         new ArrayList<>(connections).forEach(connection -> connection.enforceTimeouts(nowNanos));
     }
 
+    /**
+     * Runs an action once the event loop has read what the connections have received by now. Scheduled tasks run after
+     * the channels that are ready have been read.
+     */
+    void afterNextRead(Runnable action) {
+        var unused = loop.schedule(action, 1, TimeUnit.NANOSECONDS);
+    }
+
     /** The memory budget for request bodies. */
     ByteBudget bodies() {
         return bodies;
--- /dev/null
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/caller/ReceiveTimeouts.java
@@ -0,0 +1,69 @@
+package io.figspan.gateway.caller;
+
+import io.figspan.settings.gateway.CallerLimits;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+
+/** The time limits for what one connection of a caller has yet to send. All times are on the monotonic clock. */
+final class ReceiveTimeouts {
+    private final CallerLimits limits;
+    private long lastActivityNanos;
+    private boolean readingHead;
+    private OptionalLong headNanos = OptionalLong.empty();
+
+    /** A time limit that a caller may exceed. */
+    enum Timeout {
+        HEADERS,
+        BODY,
+        IDLE
+    }
+
+    ReceiveTimeouts(CallerLimits limits, long nowNanos) {
+        this.limits = limits;
+        this.lastActivityNanos = nowNanos;
+    }
+
+    /** Bytes of a request have arrived that are not decoded yet. The time for the head begins with its first bytes. */
+    void bytesReceived(long nowNanos) {
+        if (headNanos.isPresent() || !readingHead) {
+            lastActivityNanos = nowNanos;
+        }
+        readingHead = headNanos.isEmpty();
+    }
+
+    /** The head of a request is complete. */
+    void headReceived(long nowNanos) {
+        readingHead = false;
+        lastActivityNanos = nowNanos;
+        headNanos = OptionalLong.of(nowNanos);
+    }
+
+    /** The response is written; the connection may be used again. */
+    void responseWritten(long nowNanos) {
+        lastActivityNanos = nowNanos;
+        headNanos = OptionalLong.empty();
+    }
+
+    /** Whether a part of a request has been received, but not all of its head. */
+    boolean isReadingHead() {
+        return readingHead;
+    }
+
+    /** The time limit that has passed, given the bytes of the body received so far. */
+    Optional<Timeout> exceeded(long bodyBytes, long nowNanos) {
+        if (headNanos.isPresent()
+                && BodyReadTimeout.isExceeded(ms(headNanos.getAsLong(), nowNanos), bodyBytes, limits)) {
+            return Optional.of(Timeout.BODY);
+        }
+        long inactiveMs = ms(lastActivityNanos, nowNanos);
+        if (readingHead && inactiveMs > limits.headerTimeoutMs()) {
+            return Optional.of(Timeout.HEADERS);
+        }
+        return inactiveMs > limits.idleTimeoutMs() ? Optional.of(Timeout.IDLE) : Optional.empty();
+    }
+
+    private static long ms(long fromNanos, long toNanos) {
+        return TimeUnit.NANOSECONDS.toMillis(toNanos - fromNanos);
+    }
+}
--- a/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
@@ -32,6 +32,7 @@
 import io.figspan.settings.gateway.ServiceProfile;
 import io.figspan.settings.gateway.WeightedService;
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
@@ -45,6 +46,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
@@ -120,6 +122,53 @@
         loop.submit(action).syncUninterruptibly();
     }
 
+    /**
+     * Runs an action on the event loop before it reads what was received while it was blocked.
+     *
+     * @param whileBlocked runs on the caller's thread while the event loop is blocked
+     */
+    public void onLateLoop(IoAction whileBlocked, Runnable action) throws IOException {
+        CountDownLatch blocked = new CountDownLatch(1);
+        CountDownLatch released = new CountDownLatch(1);
+        Future<?> done = loop.submit(() -> {
+            blocked.countDown();
+            await(released);
+            action.run();
+        });
+        await(blocked);
+        try {
+            whileBlocked.run();
+        } finally {
+            released.countDown();
+        }
+        done.syncUninterruptibly();
+    }
+
+    /** An action that may fail to read or write. */
+    public interface IoAction {
+        void run() throws IOException;
+    }
+
+    /** Returns when the event loop has read what was received before. */
+    public void awaitRead() {
+        CountDownLatch read = new CountDownLatch(1);
+        onLoop(() -> {
+            var unused = loop.schedule(read::countDown, 1, TimeUnit.NANOSECONDS);
+        });
+        await(read);
+    }
+
+    private static void await(CountDownLatch latch) {
+        try {
+            if (!latch.await(READ_TIMEOUT_MS, TimeUnit.MILLISECONDS)) {
+                throw new IllegalStateException("the event loop is blocked");
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException("interrupted", e);
+        }
+    }
+
     public GatewayMetrics metrics() {
         return metrics;
     }
