Callers: changed limits apply to connections that are open

What callers saw: a connection kept the limits that were in force when it was accepted. After a change to a longer idle timeout it was closed while its caller could still reuse it, so that a request could be lost with the close. Bodies and heads that the settings allow got a final 413 or 431 for as long as the caller kept its connection.

Cause: CallerConnection stored the limits in its constructor, and CallerServer.setLimits only changed those of later connections.

Evidence: ChangedLimitsTest; against the code before, 5 of its 8 tests fail (connection closed after the shorter time, 413 for a body within the higher limit, 200 for one over the lower limit, 431, connection kept). The other three guard the choice for shorter timeouts and pass before and after.

Decision: an open connection keeps the longest timeouts that were in force since it was accepted. A caller that doesn't know a shorter one yet may reuse the connection for as long as before, and the cost is an idle connection that is open for no longer than the old settings allowed. The limit of bodies is read with each head. The decoder can't change its limit of heads, so such a connection is closed with its next response, and a head that is too long only for the decoder gets a 503 with Retry-After. ChangedLimitsTest 8, LateEventLoopTest 7, CallerConnectionTest 11 tests pass.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerConnection.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerConnection.java
@@ -52,13 +52,17 @@
     /** Retry-After when the memory for bodies is full. */
     private static final long BODY_MEMORY_RETRY_MS = 500;
 
+    /** Retry-After for callers that need a new connection. */
+    private static final long NEW_CONNECTION_RETRY_MS = 20;
+
     private final CallerServer server;
-    private final CallerLimits limits;
+    private final int maxHeaderBytes;
     private final ReceiveTimeouts timeouts;
     private final Deque<HttpObject> pipelined = new ArrayDeque<>();
     private Channel channel;
     private HttpRequest head;
     private BufferedBody body;
+    private int maxBodyBytes;
     private InFlightCall call;
     private boolean responding;
     private long requestCount;
@@ -69,7 +73,7 @@
 
     CallerConnection(CallerServer server, CallerLimits limits) {
         this.server = server;
-        this.limits = limits;
+        this.maxHeaderBytes = limits.maxHeaderBytes();
         this.timeouts = new ReceiveTimeouts(limits, System.nanoTime());
     }
 
@@ -109,6 +113,11 @@
         Channels.close(ctx.channel());
     }
 
+    /** Applies changed limits, except to the request in progress. */
+    void limitsChanged(CallerLimits changed) {
+        timeouts.limitsChanged(changed);
+    }
+
     // Requests
 
     /** Records activity when bytes arrive, before they are decoded. */
@@ -155,8 +164,9 @@
         timeouts.headReceived(System.nanoTime());
         head = request;
         keepAlive = HttpUtil.isKeepAlive(request);
-        body = new BufferedBody(server.bodies(), limits.maxBodyBytes());
-        if (HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes()) {
+        maxBodyBytes = server.limits().maxBodyBytes();
+        body = new BufferedBody(server.bodies(), maxBodyBytes);
+        if (HttpUtil.getContentLength(request, 0L) > maxBodyBytes) {
             refuse(bodyTooLong());
             return;
         }
@@ -209,8 +219,8 @@
     }
 
     private Problem bodyTooLong() {
-        return server.unlessOutdated(Problem.notRun(
-                ProblemKind.BODY_TOO_LARGE, "the body has more than " + limits.maxBodyBytes() + " bytes"));
+        return server.unlessOutdated(
+                Problem.notRun(ProblemKind.BODY_TOO_LARGE, "the body has more than " + maxBodyBytes + " bytes"));
     }
 
     private void refuse(Problem problem) {
@@ -229,12 +239,23 @@
     }
 
     private void refuseMalformed(Throwable cause) {
-        FullHttpResponse response = ProblemResponses.of(Problem.notRun(ProblemKind.INVALID_VALUE, cause.getMessage()));
         if (cause instanceof TooLongHttpHeaderException) {
-            response.setStatus(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE);
+            refuseTooLong(cause, HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE);
         } else if (cause instanceof TooLongHttpLineException) {
-            response.setStatus(HttpResponseStatus.REQUEST_URI_TOO_LONG);
+            refuseTooLong(cause, HttpResponseStatus.REQUEST_URI_TOO_LONG);
+        } else {
+            refuse(Problem.notRun(ProblemKind.INVALID_VALUE, cause.getMessage()));
         }
+    }
+
+    private void refuseTooLong(Throwable cause, HttpResponseStatus status) {
+        if (server.limits().maxHeaderBytes() > maxHeaderBytes) {
+            refuse(Problem.notRun(ProblemKind.SETTINGS_NOT_READ, "the connection was accepted under a lower limit")
+                    .withRetryAfterMs(NEW_CONNECTION_RETRY_MS));
+            return;
+        }
+        FullHttpResponse response = ProblemResponses.of(Problem.notRun(ProblemKind.INVALID_VALUE, cause.getMessage()));
+        response.setStatus(status);
         refuse(response);
     }
 
@@ -288,7 +309,8 @@
     }
 
     private void setConnectionHeader(HttpResponse response) {
-        if (server.isDraining()) {
+        boolean isDecoderOutdated = server.limits().maxHeaderBytes() != maxHeaderBytes;
+        if (server.isDraining() || isDecoderOutdated) {
             keepAlive = false;
         }
         if (!keepAlive) {
--- a/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerServer.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerServer.java
@@ -103,9 +103,14 @@
         channel.pipeline().addLast(new HttpServerCodec(config), connection);
     }
 
-    /** Sets the limits of connections that are accepted from now on. */
+    /** Sets the limits of all connections. A connection with another limit for heads is closed after its response. */
     public void setLimits(CallerLimits newLimits) {
         limits = newLimits;
+        connections.forEach(connection -> connection.limitsChanged(newLimits));
+    }
+
+    CallerLimits limits() {
+        return limits;
     }
 
     /** Closes each connection after its next response from now on. */
--- a/figspan-gateway/src/main/java/io/figspan/gateway/caller/ReceiveTimeouts.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/caller/ReceiveTimeouts.java
@@ -7,7 +7,7 @@
 
 /** The time limits for what one connection of a caller has yet to send. All times are on the monotonic clock. */
 final class ReceiveTimeouts {
-    private final CallerLimits limits;
+    private CallerLimits limits;
     private long lastActivityNanos;
     private boolean readingHead;
     private OptionalLong headNanos = OptionalLong.empty();
@@ -24,6 +24,18 @@
         this.lastActivityNanos = nowNanos;
     }
 
+    /**
+     * Applies changed limits. Shorter timeouts don't apply to a connection that is open: its caller may not know them
+     * yet, and may still use the connection or send a request for as long as before.
+     */
+    void limitsChanged(CallerLimits changed) {
+        limits = new CallerLimits(
+                changed.maxHeaderBytes(),
+                changed.maxBodyBytes(),
+                Math.max(limits.headerTimeoutMs(), changed.headerTimeoutMs()),
+                Math.max(limits.idleTimeoutMs(), changed.idleTimeoutMs()));
+    }
+
     /** Bytes of a request have arrived that are not decoded yet. The time for the head begins with its first bytes. */
     void bytesReceived(long nowNanos) {
         if (headNanos.isPresent() || !readingHead) {
