Callers: answer pipelined requests before a connection is closed

What callers saw: beside a planned stop, a request that the process had read behind another one on the same connection got neither an answer nor a refusal.

Cause: while the host drains, each response announced the close of its connection, and the requests that had already been read behind it were dropped with the connection.

Evidence: PipelinedRequestsTest; against the code before, both of its tests of a host that stops fail (one answer instead of three; no 503 for the request behind). A response now announces the close only if no request has been read behind it. The same holds for a connection that is closed after a change of the limit for heads.

The other two tests pass before and after: an answer is not lost when unread requests are behind it on a connection that is closed. The JDK shuts the output down before it closes a socket that is registered with a selector, so the caller reads the end of the stream before the reset.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerConnection.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerConnection.java
@@ -308,9 +308,10 @@
         return channel.isWritable();
     }
 
+    /** Announces the close of the connection, but not before the requests that have been received are answered. */
     private void setConnectionHeader(HttpResponse response) {
         boolean isDecoderOutdated = server.limits().maxHeaderBytes() != maxHeaderBytes;
-        if (server.isDraining() || isDecoderOutdated) {
+        if ((server.isDraining() || isDecoderOutdated) && pipelined.isEmpty()) {
             keepAlive = false;
         }
         if (!keepAlive) {
--- /dev/null
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/caller/PipelinedRequestsTest.java
@@ -0,0 +1,123 @@
+package io.figspan.gateway.caller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.figspan.gateway.GatewayHarness;
+import java.io.IOException;
+import java.io.InterruptedIOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against requests behind another one that get no answer, or take its answer with them. */
+class PipelinedRequestsTest {
+    private static final int TIMEOUT_S = 20;
+
+    /** Enough requests that the gateway stops reading before the last one. */
+    private static final int MANY = 150;
+
+    private static final String LONG_HEADER = "long: " + "x".repeat(2_000) + "\r\n";
+
+    private final CountDownLatch released = new CountDownLatch(1);
+    private GatewayHarness gateway;
+    private Socket caller;
+
+    @BeforeEach
+    void start() throws IOException {
+        gateway = new GatewayHarness();
+        gateway.add("s-1", (request, connection) -> {
+            awaitRelease();
+            connection.answer(request, 200, "", request.target() + "\n");
+        });
+        gateway.open();
+        caller = gateway.connect();
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        caller.close();
+        gateway.close();
+    }
+
+    private void awaitRelease() throws IOException {
+        try {
+            assertTrue(released.await(TIMEOUT_S, TimeUnit.SECONDS));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new InterruptedIOException("interrupted");
+        }
+    }
+
+    private void send(String target, String moreHeaders) throws IOException {
+        caller.getOutputStream().write(GatewayHarness.request("GET", target, moreHeaders, ""));
+    }
+
+    private String readAll() throws IOException {
+        return new String(caller.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+    }
+
+    private static long answers(String response) {
+        return response.lines().filter(line -> line.startsWith("HTTP/1.1 200")).count();
+    }
+
+    @Test
+    void theAnswerBeforeACloseIsNotLostWithUnreadRequests() throws IOException {
+        send("/read/1", "connection: close\r\n");
+        for (int number = 0; number < MANY; number++) {
+            send("/read/2", LONG_HEADER);
+        }
+        gateway.awaitRead();
+        released.countDown();
+
+        String response = readAll();
+
+        assertTrue(response.endsWith("/read/1\n"), response);
+    }
+
+    @Test
+    void aConnectionThatEndsWithAnAnswerIsNotBusy() throws IOException {
+        send("/read/1", "connection: close\r\n");
+        released.countDown();
+
+        readAll();
+
+        gateway.awaitNoBusyCaller();
+    }
+
+    @Test
+    void aHostThatStopsAnswersTheRequestsBehindOneInProgress() throws IOException {
+        send("/read/1", "");
+        send("/read/2", "");
+        send("/read/3", "");
+        gateway.awaitRead();
+        gateway.onLoop(() -> gateway.callers().disableKeepAlive());
+        released.countDown();
+
+        String response = readAll();
+
+        assertEquals(3, answers(response), response);
+        assertTrue(response.endsWith("/read/3\n"), response);
+    }
+
+    @Test
+    void aHostThatStopsRefusesTheRequestsBehindOneInProgress() throws IOException {
+        send("/read/1", "");
+        send("/read/2", "");
+        gateway.awaitRead();
+        gateway.onLoop(() -> {
+            gateway.callers().disableKeepAlive();
+            gateway.callers().refuseNew();
+        });
+        released.countDown();
+
+        String response = readAll();
+
+        assertEquals(1, answers(response), response);
+        assertTrue(response.contains("HTTP/1.1 503"), response);
+    }
+}
