Keep the attempt at a silent server open until another one has delivered

What callers saw: a stream of which events had arrived was closed with seconds of its deadline left, or a request ended with a problem, although its server was only silent for about a second and would have gone on.

Cause: ForwardCall.onServerSilent cancelled the attempt as soon as the server was overdue, before any other server had the request. If the next servers were unreachable, rejected the request or failed, or none accepted it, nothing was left and the response was aborted.

Fix: a silent server makes the request a hedged one. The silent attempt stays open with its holds while the request is queued for, or sent to, a second server. The first to deliver an event with an id, a complete body or the end of the stream goes on, and the others are cancelled; so no event is missing or repeated, because both continue after the last forwarded event. When the placement, the reservation or the second attempt fails and no retry is allowed, the request waits for the silent server again (FELL_BACK). Attempts and the retry budget count as before.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/AttemptEnd.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/AttemptEnd.java
@@ -17,7 +17,7 @@
     FAILED(true, AttemptOutcome.FAILED),
     /** The connection broke, or its bytes are not a response to the request. */
     BROKEN(true, AttemptOutcome.BROKEN),
-    /** The server sent nothing for much longer than expected; the request was sent to another server. */
+    /** The server sent nothing for much longer than expected, or counts as dead because it answers no checks. */
     SILENT(true, AttemptOutcome.BROKEN);
 
     private final boolean mayHaveRun;
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/AttemptHistory.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/AttemptHistory.java
@@ -92,6 +92,13 @@
         return !deadline.hasPassed(nowNanos);
     }
 
+    /** The problem of a request whose deadline has passed. */
+    Problem deadlineProblem() {
+        return attempts == 0
+                ? Problem.notRun(ProblemKind.DEADLINE_UNREACHABLE, "no backend server was free in time")
+                : Problem.unknown(ProblemKind.DEADLINE_PASSED, "no answer in time");
+    }
+
     /** Replaces a problem that guarantees that nothing was run if the request may have run. */
     Problem withTrueRunState(Problem problem) {
         boolean claimsNotRun = problem.kind().httpStatus() == HTTP_SERVICE_UNAVAILABLE;
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/CallEvent.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/CallEvent.java
@@ -8,8 +8,10 @@
     SENT,
     /** The first event of a streamed response was forwarded. */
     ANSWER_BEGAN,
-    /** The attempt or the reservation of memory failed, and the request is queued for another placement. */
+    /** The attempt or the reservation of memory failed, or the server is silent: another placement is needed. */
     FAILED,
+    /** A silent server responds again, or no other one can get the request: only the earlier attempt goes on. */
+    FELL_BACK,
     /** The caller has received its final response or has disconnected. */
     ENDED
 }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/CallLog.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/CallLog.java
@@ -100,6 +100,27 @@
                 .write();
     }
 
+    void serverSilent(BackendServerId server, long sentNanos, long events) {
+        metrics.attemptFailed(AttemptEnd.SILENT.name());
+        line("serverSilent")
+                .text("server", server)
+                .number("afterMs", TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentNanos))
+                .number("events", events)
+                .write();
+    }
+
+    void hedgeDecided(BackendServerId server, List<BackendServerId> cancelled) {
+        line("hedgeDecided")
+                .text("server", server)
+                .text("cancelled", cancelled)
+                .number("afterMs", elapsedMs())
+                .write();
+    }
+
+    void hedgeFailed(BackendServerId server, String reason) {
+        line("hedgeFailed").text("server", server).text("reason", reason).write();
+    }
+
     void answered(int status, BackendServerId server, long events) {
         RequestEnd end = status < 500 ? RequestEnd.ANSWERED : RequestEnd.FAILED_BY_SERVER;
         metrics.requestEnded(end, elapsedNanos());
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
@@ -4,10 +4,8 @@
 import io.figspan.core.error.ProblemKind;
 import io.figspan.core.id.OrganisationId;
 import io.figspan.core.id.PromptPartId;
-import io.figspan.gateway.backend.BackendPools;
 import io.figspan.gateway.backend.BackendServer;
 import io.figspan.gateway.backend.HoldGroup;
-import io.figspan.gateway.backend.MemoryHolds.HoldRequest;
 import io.figspan.gateway.protocol.CallerRequest;
 import io.figspan.policy.placing.Job;
 import io.figspan.policy.placing.Placement;
@@ -15,7 +13,6 @@
 import io.figspan.settings.gateway.Route;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.FullHttpResponse;
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -23,10 +20,7 @@
  * One request of a caller from its receipt to its final response: waits for a placement, sends the request to a backend
  * server, forwards the response, and retries where that is allowed. All methods must be called on the event loop.
  */
-public final class ForwardCall implements InFlightCall, Attempt.Listener {
-    /** Retry-After when no engines have the memory; requests with the longest prompts finish within a few seconds. */
-    private static final long MEMORY_RETRY_AFTER_MS = 1_000;
-
+public final class ForwardCall implements InFlightCall, Attempt.Listener, PlacementHandler.Listener {
     private final Forwarder forwarder;
     private final ServiceDispatcher dispatcher;
     private final Route route;
@@ -39,7 +33,8 @@
     private final CallStateMachine state;
     private final DeadlineTimer deadlineTimer;
     private final CrashObserver crashObserver;
-    private Attempt attempt;
+    private final PlacementHandler placements;
+    private final OpenAttempts attempts;
 
     ForwardCall(
             Forwarder forwarder,
@@ -62,6 +57,8 @@
         this.crashObserver = new CrashObserver(forwarder.promptCrashes(), request);
         this.state = new CallStateMachine(log);
         this.deadlineTimer = new DeadlineTimer(forwarder.loop(), job.deadline());
+        this.placements = new PlacementHandler(forwarder, dispatcher, job, log, history, crashObserver, state, this);
+        this.attempts = new OpenAttempts(forwarder.holds(), placements, state, log);
     }
 
     void start(long nowNanos) {
@@ -83,121 +80,50 @@
         }
         log.callerLeft(history.attempts(), response.forwardedEvents());
         finish();
-        if (attempt == null) {
+        if (attempts.isEmpty()) {
             return;
         }
         if (route.mayRepeat()) {
-            cancelAttempt();
+            cancelAttempts();
             return;
         }
-        attempt.discard();
-        deadlineTimer.start(this::cancelAttempt, System.nanoTime());
+        attempts.current().ifPresent(Attempt::discard);
+        deadlineTimer.start(this::cancelAttempts, System.nanoTime());
     }
 
     @Override
     public void onCallerWritabilityChanged(boolean writable) {
-        if (attempt != null) {
-            attempt.setReading(writable);
-        }
+        attempts.setReading(writable);
     }
 
     // Placement
 
     void onPlacement(Placement placement) {
-        if (placement instanceof Placement.Refuse refuse) {
-            endWithProblem(refuse.problem(), refuse.reason());
-        } else if (placement instanceof Placement.Send send) {
-            reserveOrSend(send);
-        }
+        placements.handle(placement);
     }
 
-    private void reserveOrSend(Placement.Send placement) {
-        List<HoldRequest> requests = placement.readers().stream()
-                .filter(reader -> reader.heldTokens() > 0)
-                .map(reader -> new HoldRequest(reader.server(), reader.heldTokens()))
-                .toList();
-        if (requests.isEmpty()) {
-            send(placement, HoldGroup.NONE);
-            return;
-        }
-        state.transition(CallEvent.PLACED);
-        log.reserving(placement, requests.size());
-        forwarder.holds().reserve(requests, job.deadline(), group -> onReservationResult(placement, group));
+    @Override
+    public void onPlacementNeeded(long nowNanos) {
+        dispatcher.submit(this, job, nowNanos);
     }
 
-    private void onReservationResult(Placement.Send placement, HoldGroup group) {
-        if (state.isDone()) {
-            giveUpPlacement(group, System.nanoTime());
-        } else if (group.isComplete()) {
-            send(placement, group);
+    @Override
+    public void onPlacementRefused(Problem problem, String reason) {
+        if (attempts.hasSilent()) {
+            attempts.fallBack(reason);
         } else {
-            reservationFailed(placement, group);
-        }
-    }
-
-    private void reservationFailed(Placement.Send placement, HoldGroup group) {
-        long nowNanos = System.nanoTime();
-        forwarder.holds().release(group);
-        log.reservationFailed(group.failure());
-        history.recordFailedReservation();
-        state.transition(CallEvent.FAILED);
-        dispatcher.ended(job, AttemptOutcome.CANCELLED, nowNanos);
-        if (history.mayReserveAgain(nowNanos)) {
-            job.tried().remove(placement.server());
-            dispatcher.submit(this, job, nowNanos);
-            return;
+            endWithProblem(problem, reason);
         }
-        Problem problem = Problem.notRun(ProblemKind.OVERLOADED, "no engines have the memory for the prompt");
-        endWithProblem(problem.withRetryAfterMs(MEMORY_RETRY_AFTER_MS), group.failure());
     }
 
-    /** Sends the request, unless its deadline has passed or the server no longer accepts new requests. */
-    private void send(Placement.Send placement, HoldGroup group) {
-        long nowNanos = System.nanoTime();
-        if (job.deadline().hasPassed(nowNanos)) {
-            giveUpPlacement(group, nowNanos);
-            endWithProblem(
-                    Problem.notRun(ProblemKind.DEADLINE_UNREACHABLE, "no time is left"),
-                    "the deadline passed before the request was sent");
-            return;
-        }
-        Optional<Problem> refusal = crashObserver.refusalOfSend(nowNanos);
-        if (refusal.isPresent()) {
-            giveUpPlacement(group, nowNanos);
-            endWithProblem(refusal.get(), refusal.get().detail());
-            return;
-        }
-        if (!allAcceptRequests(placement)) {
-            if (group != HoldGroup.NONE) {
-                state.transition(CallEvent.FAILED);
-            }
-            giveUpPlacement(group, nowNanos);
-            dispatcher.submit(this, job, nowNanos);
-            return;
-        }
-        BackendServer server = forwarder.pools().find(placement.server()).orElseThrow();
-        startAttempt(placement, group, server, nowNanos);
-    }
-
-    /** Whether neither the server nor one of its helpers has left or begun to drain since the placement. */
-    private boolean allAcceptRequests(Placement.Send placement) {
-        BackendPools pools = forwarder.pools();
-        return pools.acceptsRequests(placement.server())
-                && placement.readers().stream().allMatch(reader -> pools.acceptsRequests(reader.server()));
-    }
-
-    private void giveUpPlacement(HoldGroup group, long nowNanos) {
-        forwarder.holds().release(group);
-        dispatcher.ended(job, AttemptOutcome.CANCELLED, nowNanos);
-    }
-
-    private void startAttempt(Placement.Send placement, HoldGroup group, BackendServer server, long nowNanos) {
+    @Override
+    public void onSendAllowed(Placement.Send placement, HoldGroup holds, BackendServer server, long nowNanos) {
         history.recordSent();
         state.transition(CallEvent.SENT);
         log.sent(placement, history.attempts(), nowNanos);
-        Attempt opened = starter.open(server, placement, group, this, nowNanos);
-        attempt = opened;
-        forwarder.holds().monitorUse(group, server, () -> onMemoryLost(opened));
+        Attempt opened = starter.open(server, placement, holds, this, nowNanos);
+        attempts.setCurrent(opened);
+        forwarder.holds().monitorUse(holds, server, () -> onMemoryLost(opened));
         starter.send(opened, placement, response.lastEventId(), nowNanos);
     }
 
@@ -212,6 +138,13 @@
     @Override
     public void onEvent(Attempt from, ByteBuf event, OptionalLong id, long eventCount) {
         crashObserver.eventArrived(from, eventCount, System.nanoTime());
+        if (id.isPresent()) {
+            attempts.delivered(from);
+        } else if (attempts.isSilent(from)) {
+            // A comment without an id is no progress of the stream, so the server still counts as silent.
+            event.release();
+            return;
+        }
         if (!state.hasBegunResponse()) {
             beginStream(from);
         }
@@ -232,6 +165,7 @@
 
     @Override
     public void onStreamEnd(Attempt from) {
+        attempts.delivered(from);
         if (!state.hasBegunResponse()) {
             beginStream(from);
         }
@@ -247,6 +181,7 @@
             attemptFailed(from, AttemptEnd.FAILED, "status " + from.response().status(), Optional.of(converted));
             return;
         }
+        attempts.delivered(from);
         endWithResponse(from);
         response.respond(converted);
         dispatcher.ended(job, AttemptOutcome.SERVED, System.nanoTime());
@@ -255,8 +190,7 @@
     /** Ends the request with the server's response. */
     private void endWithResponse(Attempt from) {
         crashObserver.responseCompleted(from, System.nanoTime());
-        attempt = null;
-        forwarder.holds().release(from.holds());
+        attempts.remove(from);
         finish();
         logAnswered(from);
     }
@@ -267,7 +201,7 @@
 
     @Override
     public void onDiscardedEnd(Attempt from) {
-        attempt = null;
+        attempts.remove(from);
         deadlineTimer.cancel();
         dispatcher.ended(job, AttemptOutcome.SERVED, System.nanoTime());
     }
@@ -282,10 +216,13 @@
     private void attemptFailed(
             Attempt failed, AttemptEnd end, String reason, Optional<FullHttpResponse> serverResponse) {
         long nowNanos = System.nanoTime();
-        recordFailure(failed, end, reason);
-        crashObserver.attemptFailed(failed, nowNanos);
+        boolean wasSilent = attempts.isSilent(failed);
+        recordFailure(failed, end, reason, nowNanos);
+        if (wasSilent) {
+            serverResponse.ifPresent(FullHttpResponse::release);
+            return;
+        }
         if (end == AttemptEnd.HELPER_FAILED) {
-            failed.faultyHelper().ifPresent(helper -> dispatcher.helperFailed(helper, nowNanos));
             job.pinTo(failed.server());
         }
         if (!state.isDone() && history.tryRetry(end, state.hasBegunResponse(), nowNanos)) {
@@ -294,14 +231,23 @@
             return;
         }
         dispatcher.ended(job, end.attemptOutcome(), nowNanos);
+        if (attempts.hasSilent()) {
+            serverResponse.ifPresent(FullHttpResponse::release);
+            state.transition(CallEvent.FAILED);
+            attempts.fallBack(reason);
+            return;
+        }
         endWithFailure(failed, reason, serverResponse);
     }
 
-    private void recordFailure(Attempt failed, AttemptEnd end, String reason) {
-        attempt = null;
+    private void recordFailure(Attempt failed, AttemptEnd end, String reason, long nowNanos) {
+        attempts.remove(failed);
         history.recordFailure(end);
         log.attemptFailed(failed.server(), end, reason, failed.sentNanos(), response.forwardedEvents());
-        forwarder.holds().release(failed.holds());
+        crashObserver.attemptFailed(failed, nowNanos);
+        if (end == AttemptEnd.HELPER_FAILED) {
+            failed.faultyHelper().ifPresent(helper -> dispatcher.helperFailed(helper, nowNanos));
+        }
     }
 
     /** Ends the request with the server's error response, or with a problem if there is none to forward. */
@@ -323,24 +269,23 @@
         dispatcher.submit(this, job, nowNanos);
     }
 
-    /** Handles a silent server: retries on another one if that is allowed, otherwise keeps waiting. */
+    /** Handles a silent server: sends the request to a second one too if that is allowed. */
     void onServerSilent() {
         long nowNanos = System.nanoTime();
-        if (state.isDone() || attempt == null || !route.mayRepeat()) {
+        if (state.isDone() || attempts.current().isEmpty() || !route.mayRepeat()) {
             return;
         }
         if (!history.tryRetry(AttemptEnd.SILENT, state.hasBegunResponse(), nowNanos)) {
             return;
         }
-        Attempt silent = attempt;
-        silent.cancel();
-        recordFailure(silent, AttemptEnd.SILENT, "the server sent nothing for longer than expected");
+        attempts.keepSilent(response.forwardedEvents());
+        history.recordFailure(AttemptEnd.SILENT);
         retry(AttemptEnd.SILENT, nowNanos);
     }
 
     /** Handles the loss of reserved memory: the engine that uses it is dead, or another engine no longer holds it. */
     private void onMemoryLost(Attempt attemptWithHolds) {
-        if (attempt == attemptWithHolds) {
+        if (attempts.contains(attemptWithHolds)) {
             attemptWithHolds.cancel();
             String reason = "the engine or the memory that it uses is gone";
             attemptFailed(attemptWithHolds, AttemptEnd.SILENT, reason, Optional.empty());
@@ -353,7 +298,7 @@
             return;
         }
         String detail = CrashObserver.detail(part);
-        Problem problem = attempt == null
+        Problem problem = attempts.isEmpty()
                 ? Problem.notRun(ProblemKind.PROMPT_QUARANTINED, detail)
                 : Problem.unknown(ProblemKind.BACKEND_FAILED, detail);
         endWithProblem(problem, detail);
@@ -363,10 +308,7 @@
         if (state.isDone()) {
             return;
         }
-        Problem problem = history.attempts() == 0
-                ? Problem.notRun(ProblemKind.DEADLINE_UNREACHABLE, "no backend server was free in time")
-                : Problem.unknown(ProblemKind.DEADLINE_PASSED, "no answer in time");
-        endWithProblem(problem, "the deadline has passed");
+        endWithProblem(history.deadlineProblem(), "the deadline has passed");
     }
 
     /**
@@ -387,18 +329,15 @@
             log.refused(reported, reason, history.attempts());
             response.respond(reported);
         }
-        cancelAttempt();
+        cancelAttempts();
     }
 
-    private void cancelAttempt() {
-        if (attempt == null) {
-            return;
+    private void cancelAttempts() {
+        boolean isPlaced = attempts.current().isPresent();
+        attempts.cancelAll();
+        if (isPlaced) {
+            dispatcher.ended(job, AttemptOutcome.CANCELLED, System.nanoTime());
         }
-        Attempt cancelled = attempt;
-        attempt = null;
-        cancelled.cancel();
-        forwarder.holds().release(cancelled.holds());
-        dispatcher.ended(job, AttemptOutcome.CANCELLED, System.nanoTime());
     }
 
     private void finish() {
--- /dev/null
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/PlacementHandler.java
@@ -0,0 +1,166 @@
+package io.figspan.gateway.forward;
+
+import io.figspan.core.error.Problem;
+import io.figspan.core.error.ProblemKind;
+import io.figspan.gateway.backend.BackendPools;
+import io.figspan.gateway.backend.BackendServer;
+import io.figspan.gateway.backend.HoldGroup;
+import io.figspan.gateway.backend.MemoryHolds.HoldRequest;
+import io.figspan.policy.placing.Job;
+import io.figspan.policy.placing.Placement;
+import io.figspan.policy.placing.Placer.AttemptOutcome;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Handles the placements of one request: reserves the memory that a placement needs at other engines, and verifies that
+ * the request may still be sent. All methods must be called on the event loop.
+ */
+final class PlacementHandler {
+    /** Retry-After when no engines have the memory; requests with the longest prompts finish within a few seconds. */
+    private static final long MEMORY_RETRY_AFTER_MS = 1_000;
+
+    private final Forwarder forwarder;
+    private final ServiceDispatcher dispatcher;
+    private final Job job;
+    private final CallLog log;
+    private final AttemptHistory history;
+    private final CrashObserver crashObserver;
+    private final CallStateMachine state;
+    private final Listener listener;
+    private Optional<Placement.Send> reserving = Optional.empty();
+
+    /** Receives the result of a placement. */
+    interface Listener {
+        /** The request may be sent to the server, which uses the holds. */
+        void onSendAllowed(Placement.Send placement, HoldGroup holds, BackendServer server, long nowNanos);
+
+        /** The placement could not be used; the request needs another one. */
+        void onPlacementNeeded(long nowNanos);
+
+        /** The request is not sent; nothing of the placement is left. */
+        void onPlacementRefused(Problem problem, String reason);
+    }
+
+    PlacementHandler(
+            Forwarder forwarder,
+            ServiceDispatcher dispatcher,
+            Job job,
+            CallLog log,
+            AttemptHistory history,
+            CrashObserver crashObserver,
+            CallStateMachine state,
+            Listener listener) {
+        this.forwarder = forwarder;
+        this.dispatcher = dispatcher;
+        this.job = job;
+        this.log = log;
+        this.history = history;
+        this.crashObserver = crashObserver;
+        this.state = state;
+        this.listener = listener;
+    }
+
+    void handle(Placement placement) {
+        if (placement instanceof Placement.Refuse refuse) {
+            listener.onPlacementRefused(refuse.problem(), refuse.reason());
+        } else if (placement instanceof Placement.Send send) {
+            reserveOrSend(send);
+        }
+    }
+
+    /** Withdraws the request from placement; memory that is being reserved for it is released. */
+    void cancel(long nowNanos) {
+        reserving.ifPresent(placement -> job.tried().remove(placement.server()));
+        reserving = Optional.empty();
+        dispatcher.withdraw(job);
+        dispatcher.ended(job, AttemptOutcome.CANCELLED, nowNanos);
+    }
+
+    private void reserveOrSend(Placement.Send placement) {
+        List<HoldRequest> requests = placement.readers().stream()
+                .filter(reader -> reader.heldTokens() > 0)
+                .map(reader -> new HoldRequest(reader.server(), reader.heldTokens()))
+                .toList();
+        if (requests.isEmpty()) {
+            send(placement, HoldGroup.NONE);
+            return;
+        }
+        state.transition(CallEvent.PLACED);
+        log.reserving(placement, requests.size());
+        reserving = Optional.of(placement);
+        forwarder.holds().reserve(requests, job.deadline(), group -> onReservationResult(placement, group));
+    }
+
+    private void onReservationResult(Placement.Send placement, HoldGroup group) {
+        boolean isCancelled = reserving.filter(placement::equals).isEmpty();
+        if (isCancelled) {
+            forwarder.holds().release(group);
+            return;
+        }
+        reserving = Optional.empty();
+        if (state.isDone()) {
+            giveUpPlacement(group, System.nanoTime());
+        } else if (group.isComplete()) {
+            send(placement, group);
+        } else {
+            reservationFailed(placement, group);
+        }
+    }
+
+    private void reservationFailed(Placement.Send placement, HoldGroup group) {
+        long nowNanos = System.nanoTime();
+        forwarder.holds().release(group);
+        log.reservationFailed(group.failure());
+        history.recordFailedReservation();
+        state.transition(CallEvent.FAILED);
+        dispatcher.ended(job, AttemptOutcome.CANCELLED, nowNanos);
+        if (history.mayReserveAgain(nowNanos)) {
+            job.tried().remove(placement.server());
+            listener.onPlacementNeeded(nowNanos);
+            return;
+        }
+        Problem problem = Problem.notRun(ProblemKind.OVERLOADED, "no engines have the memory for the prompt");
+        listener.onPlacementRefused(problem.withRetryAfterMs(MEMORY_RETRY_AFTER_MS), group.failure());
+    }
+
+    /** Sends the request, unless its deadline has passed or the server no longer accepts new requests. */
+    private void send(Placement.Send placement, HoldGroup group) {
+        long nowNanos = System.nanoTime();
+        if (job.deadline().hasPassed(nowNanos)) {
+            giveUpPlacement(group, nowNanos);
+            listener.onPlacementRefused(
+                    Problem.notRun(ProblemKind.DEADLINE_UNREACHABLE, "no time is left"),
+                    "the deadline passed before the request was sent");
+            return;
+        }
+        Optional<Problem> refusal = crashObserver.refusalOfSend(nowNanos);
+        if (refusal.isPresent()) {
+            giveUpPlacement(group, nowNanos);
+            listener.onPlacementRefused(refusal.get(), refusal.get().detail());
+            return;
+        }
+        if (!allAcceptRequests(placement)) {
+            if (group != HoldGroup.NONE) {
+                state.transition(CallEvent.FAILED);
+            }
+            giveUpPlacement(group, nowNanos);
+            listener.onPlacementNeeded(nowNanos);
+            return;
+        }
+        BackendServer server = forwarder.pools().find(placement.server()).orElseThrow();
+        listener.onSendAllowed(placement, group, server, nowNanos);
+    }
+
+    /** Whether neither the server nor one of its helpers has left or begun to drain since the placement. */
+    private boolean allAcceptRequests(Placement.Send placement) {
+        BackendPools pools = forwarder.pools();
+        return pools.acceptsRequests(placement.server())
+                && placement.readers().stream().allMatch(reader -> pools.acceptsRequests(reader.server()));
+    }
+
+    private void giveUpPlacement(HoldGroup group, long nowNanos) {
+        forwarder.holds().release(group);
+        dispatcher.ended(job, AttemptOutcome.CANCELLED, nowNanos);
+    }
+}
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatcher.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatcher.java
@@ -118,6 +118,11 @@
         placer.helperFailed(server, nowNanos);
     }
 
+    /** Removes a job from the queue; its call stays known, because the job runs at an earlier server. */
+    void withdraw(Job job) {
+        placer.withdrawn(job);
+    }
+
     /** Removes a job that needs no placement any more. */
     void forget(Job job) {
         calls.remove(job);
--- a/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
@@ -232,6 +232,17 @@
         onLoop(() -> pools.drainNotices().record(server, LeavingSource.GOSSIP, System.nanoTime()));
     }
 
+    /** Returns when this many attempts have ended so. */
+    public void awaitAttemptsEnded(String end, int count) {
+        String line = "figspan_attempts_" + end + "_total " + count;
+        long limitNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READ_TIMEOUT_MS);
+        while (!metrics.text().contains(line)) {
+            if (System.nanoTime() - limitNanos > 0) {
+                throw new AssertionError("not in the metrics: " + line);
+            }
+        }
+    }
+
     /** Returns when this many requests wait for a server. */
     public void awaitWaiting(long count) {
         long waiting;
@@ -278,6 +289,7 @@
                         route("read", "/read/", RequestKind.IDEMPOTENT, PLAIN, timeoutMs, false),
                         route("order", "/order/", RequestKind.NON_IDEMPOTENT, PLAIN, timeoutMs, false),
                         route("open", "/open/", RequestKind.IDEMPOTENT, PLAIN, timeoutMs, true),
+                        route("ask", "/ask/", RequestKind.IDEMPOTENT, ENGINES, timeoutMs, false),
                         route("stream", "/stream/", RequestKind.STREAM, ENGINES, timeoutMs, false)),
                 services,
                 CallerLimits.DEFAULT,
--- /dev/null
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/StreamCaller.java
@@ -0,0 +1,63 @@
+package io.figspan.gateway.forward;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/** A caller that records what it receives, one entry for each call of this interface. */
+final class StreamCaller implements CallerExchange {
+    static final String HEAD = "head 200";
+    static final String END = "end";
+    static final String ABORT = "abort";
+
+    private static final long LIMIT_S = 20;
+
+    private final BlockingQueue<String> received = new LinkedBlockingQueue<>();
+
+    /** Waits for the next entry. */
+    String next() throws InterruptedException {
+        String entry = received.poll(LIMIT_S, TimeUnit.SECONDS);
+        return entry == null ? "nothing" : entry;
+    }
+
+    boolean hasReceivedAll() {
+        return received.isEmpty();
+    }
+
+    @Override
+    public void respond(FullHttpResponse response) {
+        String body = response.content().toString(StandardCharsets.UTF_8);
+        received.add("response " + response.status().code() + " " + body);
+        response.release();
+    }
+
+    @Override
+    public void beginResponse(HttpResponse head) {
+        received.add("head " + head.status().code());
+    }
+
+    @Override
+    public void write(ByteBuf chunk) {
+        received.add(chunk.toString(StandardCharsets.UTF_8));
+        chunk.release();
+    }
+
+    @Override
+    public void end() {
+        received.add(END);
+    }
+
+    @Override
+    public void abort() {
+        received.add(ABORT);
+    }
+
+    @Override
+    public boolean isWritable() {
+        return true;
+    }
+}
