Count an engine that uses held memory as dead after four failed checks

What callers saw: a prompt that needs memory at several engines ended, and its memory was released, although its engine was only silent for less than two seconds and would have gone on.

Cause: HoldUserMonitor checked such an engine every second and counted it as dead after two failed checks in a row, so that a silence of little more than 1 s sufficed; ForwardCall.onMemoryLost then cancelled the attempt.

Fix: a check every 0.7 s, and four failed ones in a row. At most three checks are sent within a silence of 2 s, whether they are lost or only answered late. A dead engine is still detected, and its memory released, within 4 s.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/backend/HoldUserMonitor.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/backend/HoldUserMonitor.java
@@ -16,12 +16,13 @@
  * I/O: the owner sends the checks and reports their results. Not thread-safe.
  */
 final class HoldUserMonitor {
-    static final long CHECK_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
+    static final long CHECK_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
 
     /**
-     * Consecutive failed checks after which an engine counts as dead; a single one may fail because of a lost packet.
+     * Consecutive failed checks after which an engine counts as dead. A sound engine may be silent for up to two
+     * seconds, in which at most three checks are sent.
      */
-    static final int FAILURES_UNTIL_DEAD = 2;
+    static final int FAILURES_UNTIL_DEAD = 4;
 
     private final Map<HoldGroup, HoldUser> users = new HashMap<>();
 
--- a/figspan-gateway/src/test/java/io/figspan/gateway/backend/MemoryHoldsTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/backend/MemoryHoldsTest.java
@@ -22,6 +22,8 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Guards against memory that stays held for an engine that can no longer use it, because it is dead or because another
@@ -164,6 +166,54 @@
         assertEquals(1, engines.heldCount(HOLDER));
     }
 
+    /** Guards against prompts that end because their engine was silent for a while and would have gone on. */
+    @ParameterizedTest
+    @ValueSource(longs = {100, 250, 400, 550, 700, 850, 1_000, 1_150, 1_300})
+    void theHoldsOfAnEngineThatIsSilentForTwoSecondsAreKept(long silentFromMs) {
+        HoldGroup group = reserveComplete(HOLDER);
+        use(group);
+
+        isSilent(USER, silentFromMs, silentFromMs + 2_000);
+        runUntilJustBeforeTheDeadline();
+
+        assertEquals(List.of(), lost);
+        assertEquals(1, engines.heldCount(HOLDER));
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {100, 250, 400, 550, 700, 850, 1_000, 1_150, 1_300})
+    void theMemoryForADeadEngineIsReleasedWithinFourSeconds(long deadFromMs) {
+        HoldGroup group = reserveComplete(HOLDER, OTHER_HOLDER);
+        use(group);
+
+        isSilent(USER, deadFromMs, deadFromMs + 4_000);
+
+        assertLostAndReleased(group);
+    }
+
+    /** Guards against memory that an engine frees because it missed the renewals of a lease while it was silent. */
+    @ParameterizedTest
+    @ValueSource(longs = {100, 300, 500, 700, 900, 980, 1_000, 1_020, 1_100, 1_300})
+    void theMemoryAtAnEngineThatIsSilentForAWhileStaysHeld(long silentFromMs) {
+        HoldGroup group = reserveComplete(HOLDER);
+        use(group);
+
+        isSilent(HOLDER, silentFromMs, silentFromMs + 1_500);
+        for (long nowMs = silentFromMs + 1_500; nowMs < DEADLINE_MS - TICK_MS; nowMs += TICK_MS) {
+            runUntil(nowMs);
+            assertEquals(1, engines.heldCount(HOLDER), "holds after " + nowMs + " ms");
+        }
+
+        assertEquals(List.of(), lost);
+    }
+
+    private void isSilent(BackendServerId engine, long fromMs, long untilMs) {
+        runUntil(fromMs);
+        engines.setBehaviour(engine, Behaviour.NEVER_ANSWER);
+        runUntil(untilMs);
+        engines.setBehaviour(engine, Behaviour.ANSWER);
+    }
+
     @Test
     void aGroupFailsWhenOneEngineRefusesItsReservation() {
         engines.setBehaviour(OTHER_HOLDER, Behaviour.REFUSE);
