--- a/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
@@ -54,6 +54,10 @@
 public final class GatewayHarness implements AutoCloseable {
     public static final ServiceId PLAIN = ServiceId.of("plain");
     public static final ServiceId ENGINES = ServiceId.of("engines");
+
+    /** A service without a route in the usual settings. Its servers are those whose names begin with "spare". */
+    public static final ServiceId SPARE = ServiceId.of("spare");
+
     public static final String KEY = "k-1";
 
     /** Requests that each server processes at once. */
@@ -265,10 +269,9 @@
     }
 
     private static BackendServer serverOf(String name, ScriptedServer server, long incarnation) {
-        ServiceId service = name.startsWith("engine") ? ENGINES : PLAIN;
         return new BackendServer(
                 BackendServerId.of(name),
-                service,
+                serviceOf(name),
                 server.address(),
                 AvailabilityZoneId.of("zone"),
                 SLOTS,
@@ -277,6 +280,21 @@
                 incarnation);
     }
 
+    private static ServiceId serviceOf(String name) {
+        if (name.startsWith("engine")) {
+            return ENGINES;
+        }
+        return name.startsWith("spare") ? SPARE : PLAIN;
+    }
+
+    /** Puts settings in force, as the process does when the store has newer ones. */
+    public void apply(GatewaySettings settings) {
+        onLoop(() -> {
+            forwarder.apply(settings);
+            callers.setLimits(settings.callerLimits());
+        });
+    }
+
     /** Settings of the next version in which all routes have this timeout. */
     public GatewaySettings settings(long timeoutMs) {
         EngineProfile engine = new EngineProfile(4, 100_000, 50, 1, 0, 0, 177, 0.1, 2_048, 200, 0);
