Try more than three servers for a begun stream before it is broken off

What callers saw: a stream of which events had arrived was closed with seconds of its deadline left after its server had broken off and the next three were unreachable, although others were reachable or became so soon.

Cause: AttemptHistory allowed three unreachable servers in a request, also for a response that has begun. A request that has not begun can be refused and comes back; a begun one can only be broken off.

Fix: 32 unreachable servers for a begun response, each of which is tried once; the deadline and the caller's patience bound the time. An unreachable server has received nothing, so neither the attempts nor the retry budget grow.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/AttemptHistory.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/AttemptHistory.java
@@ -15,6 +15,9 @@
     /** Unreachable servers after which the request is refused; none of them has received it. */
     private static final int MAX_UNREACHABLE_SERVERS = 3;
 
+    /** The same for a response that has begun: it can't be refused any more, only broken off. */
+    private static final int MAX_UNREACHABLE_SERVERS_OF_BEGUN_RESPONSE = 32;
+
     /** Attempts on one server that failed because of its helpers, after which the request is refused. */
     private static final int MAX_HELPER_FAILURES = 6;
 
@@ -80,7 +83,7 @@
             return true;
         }
         if (end == AttemptEnd.NOT_CONNECTED) {
-            return unreachableServers < MAX_UNREACHABLE_SERVERS;
+            return unreachableServers < maxUnreachableServers(hasBegunResponse);
         }
         if (helperFailures >= MAX_HELPER_FAILURES) {
             return false;
@@ -88,6 +91,10 @@
         return budget.get().tryRetry(nowNanos);
     }
 
+    private static int maxUnreachableServers(boolean hasBegunResponse) {
+        return hasBegunResponse ? MAX_UNREACHABLE_SERVERS_OF_BEGUN_RESPONSE : MAX_UNREACHABLE_SERVERS;
+    }
+
     private boolean hasTime(long nowNanos) {
         return !deadline.hasPassed(nowNanos);
     }
--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/AttemptHistoryTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/AttemptHistoryTest.java
@@ -34,6 +34,19 @@
         assertEquals(0, budget.retriesInWindow());
     }
 
+    @Test
+    void unreachableServersDoNotSoonEndABegunResponse() {
+        AttemptHistory history = history(RequestKind.STREAM, true);
+
+        for (int servers = 0; servers < 20; servers++) {
+            history.recordSent();
+            history.recordFailure(AttemptEnd.NOT_CONNECTED);
+            assertTrue(history.tryRetry(AttemptEnd.NOT_CONNECTED, true, NOW_NANOS));
+        }
+
+        assertEquals(0, budget.retriesInWindow());
+    }
+
     @Test
     void attemptsWithdrawnFromDrainingServersDoNotCountAndNeedNoRetryBudget() {
         AttemptHistory history = history(RequestKind.NON_IDEMPOTENT, false);
--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/StreamingTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/StreamingTest.java
@@ -116,6 +116,33 @@
         }
     }
 
+    /** Guards against begun streams that are broken off, with time left, because several servers are unreachable. */
+    @Test
+    void aBegunStreamIsResumedAfterMoreUnreachableServersThanARequestMayMeet() throws IOException {
+        try (ScriptedServer reachable = new ScriptedServer(resumable((request, c) -> {}));
+                ScriptedServer broken = new ScriptedServer(resumable((request, c) -> {
+                    writeChunk(c, event(1) + event(2));
+                    addUnreachableEngines(5);
+                    c.reset();
+                    gateway.awaitAttemptsEnded("not_connected", 5);
+                    gateway.restart("engine-reachable", reachable);
+                }))) {
+            gateway.open(Map.of("engine-1", broken));
+            String response = stream();
+            assertEquals(List.of(1, 2, 3, 4), ids(response));
+            assertTrue(response.endsWith(LAST_CHUNK));
+        }
+    }
+
+    /** Registers engines that refuse connections. */
+    private void addUnreachableEngines(int count) throws IOException {
+        for (int number = 0; number < count; number++) {
+            ScriptedServer server = new ScriptedServer((request, c) -> {});
+            server.close();
+            gateway.restart("engine-unreachable-" + number, server);
+        }
+    }
+
     @Test
     void aStreamThatCannotBeResumedIsAbortedAndNotCompleted() throws IOException {
         ScriptedServer.Script script = (request, c) -> {
