Count a request again at the silent engine where it goes on

What was wrong: after an engine had been silent, the placer took its request for ended. When the engine went on with it, neither this host nor the others, to which work is reported, counted the request there, so the engine got more than it can do at once; and a second silence of it was never noticed, so that the request waited for a dead engine until its deadline.

Fix: an attempt that stays open ends as SILENT instead of BROKEN.

Evidence: theRequestCountsAsWorkOfTheServerThatGoesOn and three tests of EnginePlacerTest use the new calls, so they can't run on the code before.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
@@ -227,7 +227,7 @@
         }
         if (!state.isDone() && history.tryRetry(end, state.hasBegunResponse(), nowNanos)) {
             serverResponse.ifPresent(FullHttpResponse::release);
-            retry(end, nowNanos);
+            retry(end.attemptOutcome(), nowNanos);
             return;
         }
         dispatcher.ended(job, end.attemptOutcome(), nowNanos);
@@ -263,9 +263,9 @@
         endWithProblem(problem.withRetryAfterMs(forwarder.defaultRetryAfterMs()), reason);
     }
 
-    private void retry(AttemptEnd end, long nowNanos) {
+    private void retry(AttemptOutcome outcome, long nowNanos) {
         state.transition(CallEvent.FAILED);
-        dispatcher.ended(job, end.attemptOutcome(), nowNanos);
+        dispatcher.ended(job, outcome, nowNanos);
         dispatcher.submit(this, job, nowNanos);
     }
 
@@ -280,7 +280,7 @@
         }
         attempts.keepSilent(response.forwardedEvents());
         history.recordFailure(AttemptEnd.SILENT);
-        retry(AttemptEnd.SILENT, nowNanos);
+        retry(AttemptOutcome.SILENT, nowNanos);
     }
 
     /** Handles the loss of reserved memory: the engine that uses it is dead, or another engine no longer holds it. */
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/OpenAttempts.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/OpenAttempts.java
@@ -75,7 +75,9 @@
         current = Optional.of(first);
         log.hedgeDecided(first.server(), others.stream().map(Attempt::server).toList());
         if (wasSilent) {
-            placements.cancel(System.nanoTime());
+            long nowNanos = System.nanoTime();
+            placements.cancel(nowNanos);
+            placements.resume(first.server(), nowNanos);
             state.transition(CallEvent.FELL_BACK);
         }
     }
@@ -85,6 +87,7 @@
         Attempt earliest = silent.remove(0);
         current = Optional.of(earliest);
         log.hedgeFailed(earliest.server(), reason);
+        placements.resume(earliest.server(), System.nanoTime());
         state.transition(CallEvent.FELL_BACK);
     }
 
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/PlacementHandler.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/PlacementHandler.java
@@ -2,6 +2,7 @@
 
 import io.figspan.core.error.Problem;
 import io.figspan.core.error.ProblemKind;
+import io.figspan.core.id.BackendServerId;
 import io.figspan.gateway.backend.BackendPools;
 import io.figspan.gateway.backend.BackendServer;
 import io.figspan.gateway.backend.HoldGroup;
@@ -77,6 +78,11 @@
         dispatcher.ended(job, AttemptOutcome.CANCELLED, nowNanos);
     }
 
+    /** The request goes on at a server that was silent; it must not be placed elsewhere. */
+    void resume(BackendServerId server, long nowNanos) {
+        dispatcher.resumed(job, server, nowNanos);
+    }
+
     private void reserveOrSend(Placement.Send placement) {
         List<HoldRequest> requests = placement.readers().stream()
                 .filter(reader -> reader.heldTokens() > 0)
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatcher.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatcher.java
@@ -118,6 +118,11 @@
         placer.helperFailed(server, nowNanos);
     }
 
+    /** A job goes on at its silent server, where the attempt was kept open. */
+    void resumed(Job job, BackendServerId server, long nowNanos) {
+        processorTime.measure(Activity.PLACEMENT, () -> placer.resumed(job, server, nowNanos));
+    }
+
     /** Removes a job from the queue; its call stays known, because the job runs at an earlier server. */
     void withdraw(Job job) {
         placer.withdrawn(job);
@@ -127,6 +132,7 @@
     void forget(Job job) {
         calls.remove(job);
         placer.withdrawn(job);
+        placer.forgotten(job);
     }
 
     void tick(long nowNanos) {
--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/SilentServerTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/SilentServerTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.figspan.core.id.BackendServerId;
 import io.figspan.gateway.GatewayHarness;
 import io.figspan.gateway.ScriptedServer;
 import io.figspan.gateway.TestProtocol;
@@ -26,6 +27,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against answers that end although their server was only silent for a while and would have gone on. */
 class SilentServerTest {
@@ -423,6 +425,31 @@
         gateway.awaitAttemptsEnded("sent", 2);
     }
 
+    /** Guards against engines that get too much work because a request that goes on there is not counted. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void theRequestCountsAsWorkOfTheServerThatGoesOn(boolean hasSecond) throws Exception {
+        open(hasSecond ? 2 : 1);
+        ForwardCall call = stream(SHORT_PROMPT_TOKENS);
+        Prompt first = engines.nextPrompt();
+        BackendServerId server = gateway.ownWork().get(0).server();
+        silentAt(Moment.BETWEEN_EVENTS, first, call);
+        if (hasSecond) {
+            engines.nextPrompt();
+        }
+
+        assertGoesOnWith(first, 3);
+
+        assertEquals(1, gateway.ownWork().size());
+        assertEquals(server, gateway.ownWork().get(0).server());
+        assertCompletedBy(first, 4, 4);
+    }
+
+    private void assertGoesOnWith(Prompt server, int event) throws Exception {
+        server.events(event, event);
+        assertReceivedEvents(event, event);
+    }
+
     // Memory at other engines
 
     @Test
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/EnginePlacer.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/EnginePlacer.java
@@ -53,6 +53,7 @@
     private final RequestGate gate;
     private final Map<BackendServerId, EngineState> engines = new LinkedHashMap<>();
     private final Map<Job, PlacedJob> placedJobs = new LinkedHashMap<>();
+    private final SilentJobs silentJobs = new SilentJobs();
     private long nextKey = 1;
     private final PeerJobs peerJobs = new PeerJobs(engines, this::takeKey);
     private final BacklogAverage backlogAverage = new BacklogAverage();
@@ -195,12 +196,12 @@
     private Placement send(Job job, PrefillPlan plan, PrefillPlanner.PrefillRequest request, long nowNanos) {
         double nowMs = Millis.of(nowNanos);
         long outputTokens = job.prompt().map(PromptLengths::maxOutputTokens).orElse(0L);
+        RequestTraits traits = request.traits(request.promptTokens() - plan.heldElsewhereTokens());
         PlacedJob placedJob =
-                new PlacedJob(takeKey(), plan.primary(), plan.helpers(), nowNanos, outputTokens, plan.doneMs());
+                new PlacedJob(takeKey(), plan.primary(), plan.helpers(), nowNanos, outputTokens, traits, plan.doneMs());
         placedJobs.put(job, placedJob);
         job.tried().add(plan.primary().id());
         recordSent(plan, nowNanos);
-        RequestTraits traits = request.traits(request.promptTokens() - plan.heldElsewhereTokens());
         SimulatedRequests.add(placedJob.key, plan.primary(), plan.helpers(), request.promptTokens(), traits, nowMs);
         String reason = "readers=" + plan.helpers().size()
                 + " held=" + plan.heldElsewhereTokens()
@@ -288,7 +289,10 @@
         }
         double nowMs = Millis.of(nowNanos);
         SimulatedRequests.remove(placedJob.key, placedJob.primary, placedJob.helpers, nowMs);
-        if (outcome == AttemptOutcome.BROKEN) {
+        if (outcome == AttemptOutcome.SILENT) {
+            silentJobs.add(job, placedJob);
+        }
+        if (outcome == AttemptOutcome.BROKEN || outcome == AttemptOutcome.SILENT) {
             placedJob.primary.failureBackoff().recordFailure(nowMs);
         } else if (outcome == AttemptOutcome.TURNED_AWAY) {
             placedJob.primary.failureBackoff().recordRejection(nowMs);
@@ -296,6 +300,22 @@
         return tick(nowNanos);
     }
 
+    @Override
+    public void resumed(Job job, BackendServerId server, long nowNanos) {
+        double nowMs = Millis.of(nowNanos);
+        silentJobs.remove(job, server).ifPresent(placedJob -> {
+            placedJob.reportedOverdue = false;
+            placedJob.nextPieceDueMs = nowMs;
+            placedJobs.put(job, placedJob);
+            SimulatedRequests.addResumed(placedJob, nowMs);
+        });
+    }
+
+    @Override
+    public void forgotten(Job job) {
+        silentJobs.removeAll(job);
+    }
+
     @Override
     public void withdrawn(Job job) {
         queue.removeIf(waiting -> waiting.job == job);
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/PlacedJob.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/PlacedJob.java
@@ -1,6 +1,7 @@
 package io.figspan.policy.placing;
 
 import io.figspan.core.work.PrefillReader;
+import io.figspan.policy.engine.EngineSimulation.RequestTraits;
 import io.figspan.policy.placing.PrefillPlan.Helper;
 import java.util.List;
 
@@ -17,6 +18,7 @@
     final List<Helper> helpers;
     final long sentNanos;
     final long outputTokens;
+    final RequestTraits traits;
     long generatedTokens;
     double nextPieceDueMs;
     boolean reportedOverdue;
@@ -27,12 +29,14 @@
             List<Helper> helpers,
             long sentNanos,
             long outputTokens,
+            RequestTraits traits,
             double nextPieceDueMs) {
         this.key = key;
         this.primary = primary;
         this.helpers = helpers;
         this.sentNanos = sentNanos;
         this.outputTokens = outputTokens;
+        this.traits = traits;
         this.nextPieceDueMs = nextPieceDueMs;
     }
 
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/Placer.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/Placer.java
@@ -28,6 +28,12 @@
         return List.of();
     }
 
+    /** A job that has ended as silent at this server goes on there, since the attempt was kept open. */
+    default void resumed(Job job, BackendServerId server, long nowNanos) {}
+
+    /** A job is done: it won't arrive again or be resumed. */
+    default void forgotten(Job job) {}
+
     /** Removes a job from the queue; does nothing when it isn't queued. */
     void withdrawn(Job job);
 
@@ -61,8 +67,10 @@
         FAILED,
         /** The server rejected the job without running it. */
         TURNED_AWAY,
-        /** The server was unreachable or silent, or the connection was lost. */
+        /** The server was unreachable, or the connection was lost. */
         BROKEN,
+        /** The server was silent for too long; the attempt stays open beside the next one. */
+        SILENT,
         /** The server did not run the job because a helper failed. */
         HELPER_FAILED,
         /** The caller disconnected, or its deadline has passed. */
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/SimulatedRequests.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/SimulatedRequests.java
@@ -37,6 +37,14 @@
         primary.simulation().addRequest(key, traits, share, helpersReadyMs, nowMs);
     }
 
+    /** Adds a request that goes on at its engine after a silence; nothing is known of how far its prefill is. */
+    static void addResumed(PlacedJob job, double nowMs) {
+        job.helpers.stream().filter(helper -> helper.heldTokens() > 0).forEach(helper -> helper.engine()
+                .hold(job.key, helper.heldTokens()));
+        double generatedTokens = (double) job.generatedTokens;
+        job.primary.simulation().addDecodingRequest(job.key, job.traits, generatedTokens, nowMs);
+    }
+
     /** Removes a request from its engines and releases the memory that the helpers held. */
     static void remove(long key, EngineState primary, List<Helper> helpers, double nowMs) {
         primary.simulation().remove(key, nowMs);
--- a/figspan-policy/src/test/java/io/figspan/policy/placing/EnginePlacerTest.java
+++ b/figspan-policy/src/test/java/io/figspan/policy/placing/EnginePlacerTest.java
@@ -252,6 +252,56 @@
         assertEquals(List.of(job), placer.overdue(nowNanos));
     }
 
+    private Placement.Send endedAsSilent(Job job) {
+        Placement.Send placement = sent(job);
+        placer.ended(job, AttemptOutcome.SILENT, nowNanos);
+        assertEquals(List.of(), placer.ownWork(nowNanos));
+        return placement;
+    }
+
+    /** Guards against engines that get too much work because a request that goes on there is not counted. */
+    @Test
+    void aJobThatGoesOnAtItsSilentEngineCountsThereAgain() {
+        engines(8);
+        Job job = longJob(154_000);
+        Placement.Send placement = endedAsSilent(job);
+
+        placer.resumed(job, placement.server(), nowNanos);
+
+        PlacedRequest work = placer.ownWork(nowNanos).get(0);
+        assertEquals(placement.server(), work.server());
+        assertEquals(placement.readers(), work.readers());
+        placer.ended(job, AttemptOutcome.SERVED, nowNanos);
+        assertEquals(List.of(), placer.ownWork(nowNanos));
+    }
+
+    /** Guards against requests that wait for a server that is dead until their deadline. */
+    @Test
+    void aJobThatGoesOnAtItsSilentEngineIsOverdueAgainIfTheSilenceLasts() {
+        engines(2);
+        Job job = shortJob();
+        Placement.Send placement = endedAsSilent(job);
+
+        placer.resumed(job, placement.server(), nowNanos);
+        advanceMs(700);
+        assertEquals(List.of(), placer.overdue(nowNanos));
+        advanceMs(200);
+
+        assertEquals(List.of(job), placer.overdue(nowNanos));
+    }
+
+    @Test
+    void aForgottenJobIsNotResumed() {
+        engines(2);
+        Job job = shortJob();
+        Placement.Send placement = endedAsSilent(job);
+
+        placer.forgotten(job);
+        placer.resumed(job, placement.server(), nowNanos);
+
+        assertEquals(List.of(), placer.ownWork(nowNanos));
+    }
+
     @Test
     void aJobWithHelpersIsOverdueOnlyAfterTheEngineCouldReportADeadHelper() {
         engines(8);
