Place a prompt elsewhere when an engine is silent on a reservation

What callers saw: a prompt that needs memory at several engines was refused with 503 after 0.9 s although enough other engines were free, because one sound engine was silent for that long.

Cause: an order about memory times out after 250 ms, and the placer was not told which engine had not answered. So the next placement asked the same engine again, and the third failed reservation refused the request.

Fix: the group of holds names the engine that did not respond, and the placer gives it no work for its failure backoff (0.5 s at first), as for an engine that is silent in a response.

Evidence: aPromptIsReadByOtherEnginesWhenOneIsSilentOnAReservation failed before: three reservations at the same engine of eight, each "no response within 250 ms", then "refused" with 503. It passes now.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/backend/HoldGroup.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/backend/HoldGroup.java
@@ -14,6 +14,7 @@
     private final Map<BackendServerId, HoldHandle> handles = new LinkedHashMap<>();
     private int pendingHolds;
     private String failure = "";
+    private Optional<BackendServerId> unresponsiveEngine = Optional.empty();
 
     HoldGroup() {}
 
@@ -30,6 +31,11 @@
         failure = reason;
     }
 
+    void markUnresponsive(BackendServerId engine, String reason) {
+        unresponsiveEngine = Optional.of(engine);
+        markFailed(reason);
+    }
+
     Iterable<HoldHandle> handles() {
         return handles.values();
     }
@@ -52,6 +58,11 @@
         return failure;
     }
 
+    /** The engine whose missing response is the reason why reserving failed. */
+    public Optional<BackendServerId> unresponsiveEngine() {
+        return unresponsiveEngine;
+    }
+
     /** Name of this group's hold at an engine. */
     public Optional<String> holdNameAt(BackendServerId server) {
         return Optional.ofNullable(handles.get(server)).map(HoldHandle::toString);
--- a/figspan-gateway/src/main/java/io/figspan/gateway/backend/MemoryHolds.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/backend/MemoryHolds.java
@@ -183,13 +183,14 @@
                 .write();
         if (outcome.isDone()) {
             ledger.onReserved(handle, clock.nowNanos()).forEach(this::execute);
-            resolve(handle, "");
+            resolve(handle, HoldGroup::markGranted);
         } else if (outcome.kind() == EngineOutcome.Kind.REFUSED) {
             ledger.onRefused(handle);
-            resolve(handle, "an engine has too little free memory");
+            resolve(handle, group -> group.markFailed("an engine has too little free memory"));
             holdUsers.removeByHold(handle).ifPresent(user -> onUseLost(user, "an engine no longer holds the memory"));
         } else {
-            resolve(handle, outcome.reason());
+            BackendServerId engine = reserve.engine().server();
+            resolve(handle, group -> group.markUnresponsive(engine, outcome.reason()));
         }
     }
 
@@ -200,16 +201,12 @@
         }
     }
 
-    private void resolve(HoldHandle handle, String failure) {
+    private void resolve(HoldHandle handle, Consumer<HoldGroup> result) {
         Pending reservation = pending.remove(handle);
         if (reservation == null || reservation.group().isResolved()) {
             return;
         }
-        if (failure.isEmpty()) {
-            reservation.group().markGranted();
-        } else {
-            reservation.group().markFailed(failure);
-        }
+        result.accept(reservation.group());
         if (reservation.group().isResolved()) {
             reservation.listener().accept(reservation.group());
         }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/PlacementHandler.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/PlacementHandler.java
@@ -118,6 +118,7 @@
         long nowNanos = System.nanoTime();
         forwarder.holds().release(group);
         log.reservationFailed(group.failure());
+        group.unresponsiveEngine().ifPresent(engine -> dispatcher.helperFailed(engine, nowNanos));
         history.recordFailedReservation();
         state.transition(CallEvent.FAILED);
         dispatcher.ended(job, AttemptOutcome.CANCELLED, nowNanos);
--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/ControlledEngines.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/ControlledEngines.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 
 /** Engines whose responses to prompts are written by the test, step by step. They grant and release memory at once. */
 final class ControlledEngines {
@@ -23,6 +24,8 @@
     private final Set<String> held = ConcurrentHashMap.newKeySet();
     private final BlockingQueue<String> released = new LinkedBlockingQueue<>();
     private final BlockingQueue<String> delayedReservations = new LinkedBlockingQueue<>();
+    private final AtomicReference<String> firstAsked = new AtomicReference<>();
+    private volatile boolean isOneSilent;
     private volatile CountDownLatch reservationsAnswered = new CountDownLatch(0);
 
     /** A prompt that one of the engines has received. */
@@ -95,12 +98,12 @@
 
     /** Adds an engine that is registered when the gateway is opened. */
     void addTo(GatewayHarness gateway, String name) throws IOException {
-        gateway.add(name, this::answer);
+        gateway.add(name, (request, connection) -> answer(name, request, connection));
     }
 
-    private void answer(Received request, Connection connection) throws IOException {
+    private void answer(String engine, Received request, Connection connection) throws IOException {
         if (request.target().startsWith("/reserve?")) {
-            reserve(request.target());
+            reserve(engine, request.target());
         } else if (request.target().startsWith("/release?")) {
             released.add(request.target().substring("/release?".length()));
         } else {
@@ -112,8 +115,12 @@
         connection.write("HTTP/1.1 200 x\r\ncontent-length: 0\r\n\r\n");
     }
 
-    private void reserve(String target) throws IOException {
+    private void reserve(String engine, String target) throws IOException {
         String hold = target.substring("/reserve?".length(), target.indexOf('&'));
+        if (isOneSilent && isFirstAsked(engine)) {
+            delayedReservations.add(hold);
+            await(new CountDownLatch(1));
+        }
         held.add(hold);
         CountDownLatch answered = reservationsAnswered;
         if (answered.getCount() > 0) {
@@ -122,6 +129,16 @@
         }
     }
 
+    private boolean isFirstAsked(String engine) {
+        firstAsked.compareAndSet(null, engine);
+        return engine.equals(firstAsked.get());
+    }
+
+    /** Makes the first engine that is asked for memory answer no reservations at all. */
+    void silenceFirstAsked() {
+        isOneSilent = true;
+    }
+
     private static void await(CountDownLatch latch) throws IOException {
         try {
             latch.await(LIMIT_S, TimeUnit.SECONDS);
--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/SilentServerTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/SilentServerTest.java
@@ -501,4 +501,18 @@
         engines.awaitReleased(engines.held());
         assertEquals(List.of(), gateway.ownWork());
     }
+
+    /** Guards against refusals because the same silent engine is asked for memory again and again. */
+    @Test
+    void aPromptIsReadByOtherEnginesWhenOneIsSilentOnAReservation() throws Exception {
+        engines.silenceFirstAsked();
+        open(8);
+        stream(PROMPT_TOKENS_OF_SEVERAL_ENGINES);
+
+        engines.awaitDelayedReservation();
+        Prompt first = engines.nextPrompt();
+
+        first.begin();
+        assertCompletedBy(first, 1, 2);
+    }
 }
