Forwarding: an unexpected error with one request costs no other its answer

What callers could see: requests that arrived before the settings were known, or that waited for a server, got no answer, or one only at their deadline, because another request failed with an unexpected error.

Cause: Forwarder.open() and ServiceDispatcher.dispatch() handle several requests in one callback. An exception with one of them ended the loop. The requests that remained had been taken out of their queue already; those of the startup queue have no timer either, so that nothing ended them.

Which input would make the platform's protocol throw there is not known.

Now each queued request is forwarded by itself, and one that fails is answered with a 500; dispatch() passes all placements on before it throws.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerConnection.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerConnection.java
@@ -201,23 +201,31 @@
         }
     }
 
-    /**
-     * Hands the request to the server. An unexpected error fails this request only, and whether it ran is unknown. The
-     * connection is closed, since a response to it may still come.
-     */
+    /** Hands the request to the server. An unexpected error fails this request only. */
     private Optional<InFlightCall> accept(ByteBuf wholeBody, long requestNumber) {
         try {
             return server.accept(head, wholeBody, this);
         } catch (RuntimeException e) {
-            server.errors().report(e);
-            keepAlive = false;
-            if (responding && requestCount == requestNumber) {
-                respond(ProblemResponses.of(Problem.unknown(ProblemKind.INTERNAL, "unexpected error")));
-            }
+            boolean isUnanswered = responding && requestCount == requestNumber;
+            fail(e, isUnanswered);
             return Optional.empty();
         }
     }
 
+    @Override
+    public void fail(RuntimeException error) {
+        fail(error, responding);
+    }
+
+    /** The connection is closed, since a response to the request that failed may still come. */
+    private void fail(RuntimeException error, boolean isUnanswered) {
+        server.errors().report(error);
+        keepAlive = false;
+        if (isUnanswered) {
+            respond(ProblemResponses.of(Problem.unknown(ProblemKind.INTERNAL, "unexpected error")));
+        }
+    }
+
     private Problem bodyTooLong() {
         return server.unlessOutdated(
                 Problem.notRun(ProblemKind.BODY_TOO_LARGE, "the body has more than " + maxBodyBytes + " bytes"));
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/CallerExchange.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/CallerExchange.java
@@ -21,6 +21,9 @@
     /** Closes the connection, so that the caller can't take an incomplete streamed response for a complete one. */
     void abort();
 
+    /** Reports an unexpected error, after which it is unknown whether the request ran, and ends the request. */
+    void fail(RuntimeException error);
+
     /** Whether chunks can be sent without accumulating in the outbound buffer. */
     boolean isWritable();
 }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
@@ -124,8 +124,15 @@
             return;
         }
         isOpen = true;
-        for (QueuedCall call : startupQueue.drain()) {
+        startupQueue.drain().forEach(this::forwardQueued);
+    }
+
+    /** An unexpected error costs no other request its forwarding. */
+    private void forwardQueued(QueuedCall call) {
+        try {
             call.setForwardedCall(forward(call.request, call.body, call.caller, call.arrivedNanos));
+        } catch (RuntimeException e) {
+            call.caller.fail(e);
         }
     }
 
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatcher.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatcher.java
@@ -16,6 +16,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -154,15 +155,28 @@
         dispatch(processorTime.measure(Activity.PLACEMENT, decision));
     }
 
+    /** Passes all placements on, before an unexpected error with one of them is thrown. */
     private void dispatch(List<Placement> placements) {
+        Optional<RuntimeException> error = Optional.empty();
         for (Placement placement : placements) {
-            ForwardCall call = calls.get(placement.job());
-            if (call != null) {
-                call.onPlacement(placement);
+            try {
+                dispatch(placement);
+            } catch (RuntimeException e) {
+                error = Optional.of(e);
             }
         }
         if (!placements.isEmpty()) {
             workListener.accept(WorkChange.PLACED);
         }
+        if (error.isPresent()) {
+            throw error.get();
+        }
+    }
+
+    private void dispatch(Placement placement) {
+        ForwardCall call = calls.get(placement.job());
+        if (call != null) {
+            call.onPlacement(placement);
+        }
     }
 }
--- a/figspan-gateway/src/test/java/io/figspan/gateway/TestProtocol.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/TestProtocol.java
@@ -30,6 +30,9 @@
     /** Name of a header that makes decoding throw an unexpected exception. */
     public static final String FAULT = "fault";
 
+    /** Name of a header that makes encoding the request for a server throw an unexpected exception. */
+    public static final String ENCODING_FAULT = "encoding-fault";
+
     @Override
     public CallerRequest decode(HttpRequest head) {
         if (head.headers().contains(FAULT)) {
@@ -66,6 +69,9 @@
 
     @Override
     public FullHttpRequest encode(CallerRequest request, ByteBuf body, AttemptParameters attempt) {
+        if (request.headers().contains(ENCODING_FAULT)) {
+            throw new IllegalStateException("a fault of the program");
+        }
         HttpHeaders headers = request.headers().copy();
         headers.set("server", attempt.server().value());
         headers.set("wait-ms", Long.toString(attempt.waitMs()));
--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/StartupQueueTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/StartupQueueTest.java
@@ -120,6 +120,11 @@
             responses.add(response);
         }
 
+        @Override
+        public void fail(RuntimeException error) {
+            throw error;
+        }
+
         @Override
         public void beginResponse(HttpResponse head) {}
 
