Read again from a pooled connection after a slow caller

What callers saw: a request got no answer until its deadline, although its server had answered at once.

Cause: while a caller reads slowly, reading from its server is paused. If the response had ended by then (its last events and its end arrived in one read), the connection went back to the pool with reading still paused, and the response to the next request on it was never read. The host took the server for silent.

A connection on which a response is complete reads again, so that the pool also sees when the server closes it.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/http/HttpConnection.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/http/HttpConnection.java
@@ -247,6 +247,8 @@
         boolean requestSent = writeFuture != null && writeFuture.isSuccess();
         if (!keepAlive || !requestSent || decoder.hasUnreadBytes()) {
             close();
+        } else {
+            setReading(true);
         }
         finished.onComplete();
     }
--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/StreamCaller.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/StreamCaller.java
@@ -17,6 +17,12 @@
     private static final long LIMIT_S = 20;
 
     private final BlockingQueue<String> received = new LinkedBlockingQueue<>();
+    private volatile boolean writable = true;
+
+    /** Sets whether what is written is sent at once, or accumulates because the caller reads slowly. */
+    void setWritable(boolean newWritable) {
+        writable = newWritable;
+    }
 
     /** Waits for the next entry. */
     String next() throws InterruptedException {
@@ -58,6 +64,6 @@
 
     @Override
     public boolean isWritable() {
-        return true;
+        return writable;
     }
 }
