Don't take a server for silent whose caller reads slowly

What callers saw: the stream of a caller that reads slowly was run again on a second server, which then went on in place of the first, and drew on the retry budget; again after each further pause.

Cause: while the response can't be written, reading from the server is paused, and the placer, which sees no events, reports the job as overdue.

Such a job now keeps its server. Since the placer reports each silence once, an event that arrives allows the next report; until now a job that had stayed at its server after one silence was never reported again.

Evidence: SlowCallerTest.aServerIsNotSilentWhileItsCallerIsSlow and EnginePlacerTest.aJobIsOverdueAgainWhenItsEngineStopsOnceMore; both fail without the change.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
@@ -272,7 +272,8 @@
     /** Handles a silent server: sends the request to a second one too if that is allowed. */
     void onServerSilent() {
         long nowNanos = System.nanoTime();
-        if (state.isDone() || attempts.current().isEmpty() || !route.mayRepeat()) {
+        boolean isReadingPaused = !response.isWritable();
+        if (state.isDone() || attempts.current().isEmpty() || !route.mayRepeat() || isReadingPaused) {
             return;
         }
         if (!history.tryRetry(AttemptEnd.SILENT, state.hasBegunResponse(), nowNanos)) {
--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/SlowCallerTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/SlowCallerTest.java
@@ -1,11 +1,13 @@
 package io.figspan.gateway.forward;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.figspan.gateway.GatewayHarness;
 import io.figspan.gateway.ScriptedServer.Connection;
 import io.figspan.gateway.ScriptedServer.Received;
 import io.figspan.gateway.TestProtocol;
+import io.figspan.gateway.forward.ControlledEngines.Prompt;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
@@ -70,4 +72,29 @@
 
         assertReceivedAll(next);
     }
+
+    /** Guards against second attempts because reading from the server is paused for a slow caller. */
+    @Test
+    void aServerIsNotSilentWhileItsCallerIsSlow() throws Exception {
+        ControlledEngines engines = new ControlledEngines();
+        engines.addTo(gateway, "engine-1");
+        engines.addTo(gateway, "engine-2");
+        gateway.open();
+        ForwardCall call = stream(slowCaller, "a-1", WAIT_MS);
+        Prompt server = engines.nextPrompt();
+        server.begin();
+        server.events(1, 1);
+        assertEquals(StreamCaller.HEAD, slowCaller.next());
+        assertEquals(ControlledEngines.event(1), slowCaller.next());
+
+        gateway.onLoop(call::onServerSilent);
+
+        assertTrue(gateway.metrics().text().contains("figspan_attempts_sent_total 1"), "a second attempt was sent");
+        slowCaller.setWritable(true);
+        gateway.onLoop(() -> call.onCallerWritabilityChanged(true));
+        server.events(2, 2);
+        server.end();
+        assertEquals(ControlledEngines.event(2), slowCaller.next());
+        assertEquals(StreamCaller.END, slowCaller.next());
+    }
 }
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/EnginePlacer.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/EnginePlacer.java
@@ -237,6 +237,7 @@
         } else {
             placedJob.primary.simulation().passEnded(nowMs);
         }
+        placedJob.reportedOverdue = false;
         placedJob.generatedTokens = 1 + (pieces - 1) * profile.decodeStepsPerPass();
         placedJob.nextPieceDueMs =
                 Math.max(nowMs, placedJob.primary.simulation().passEndMs());
--- a/figspan-policy/src/test/java/io/figspan/policy/placing/EnginePlacerTest.java
+++ b/figspan-policy/src/test/java/io/figspan/policy/placing/EnginePlacerTest.java
@@ -290,6 +290,22 @@
         assertEquals(List.of(job), placer.overdue(nowNanos));
     }
 
+    /** Guards against silence that is ignored because the job stayed at its engine after an earlier one. */
+    @Test
+    void aJobIsOverdueAgainWhenItsEngineStopsOnceMore() {
+        engines(2);
+        Job job = shortJob();
+        sent(job);
+        advanceMs(1_200);
+        assertEquals(List.of(job), placer.overdue(nowNanos));
+        placer.pieceArrived(job, 1, nowNanos);
+        assertTrue(placer.overdue(nowNanos).isEmpty());
+
+        advanceMs(1_200);
+
+        assertEquals(List.of(job), placer.overdue(nowNanos));
+    }
+
     @Test
     void aForgottenJobIsNotResumed() {
         engines(2);
