Forward events without an id from a server that was silent

What callers saw: a stream that ended as complete without its last event, after its server had been silent for a while.

Cause: an event without an id from a silent server was dropped as a comment, although it may carry data, such as the end marker of a stream; the end of the stream then completed the response.

Evidence: SilentServerTest.anEventWithoutAnIdAfterASilenceIsForwarded; without the change the caller gets the end of the stream in place of the event.

Only events without any field are comments (WHATWG HTML, section 9.2.6). Any other event decides between the servers.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
@@ -6,6 +6,7 @@
 import io.figspan.core.id.PromptPartId;
 import io.figspan.gateway.backend.BackendServer;
 import io.figspan.gateway.backend.HoldGroup;
+import io.figspan.gateway.http.EventSplitter;
 import io.figspan.gateway.protocol.CallerRequest;
 import io.figspan.policy.placing.Job;
 import io.figspan.policy.placing.Placement;
@@ -138,10 +139,10 @@
     @Override
     public void onEvent(Attempt from, ByteBuf event, OptionalLong id, long eventCount) {
         crashObserver.eventArrived(from, eventCount, System.nanoTime());
-        if (id.isPresent()) {
+        if (!EventSplitter.isComment(event)) {
             attempts.delivered(from);
         } else if (attempts.isSilent(from)) {
-            // A comment without an id is no progress of the stream, so the server still counts as silent.
+            // A comment is no progress of the stream, so the server still counts as silent.
             event.release();
             return;
         }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/http/EventSplitter.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/http/EventSplitter.java
@@ -13,6 +13,7 @@
 public final class EventSplitter {
     private static final byte LINE_FEED = '\n';
     private static final byte CARRIAGE_RETURN = '\r';
+    private static final byte COLON = ':';
     private static final byte[] ID_FIELD = {'i', 'd', ':'};
 
     private final int maxEventBytes;
@@ -48,6 +49,19 @@
         return pending.readableBytes() <= maxEventBytes;
     }
 
+    /** Whether a complete event has no fields: servers send comments to keep a connection open. */
+    public static boolean isComment(ByteBuf event) {
+        int lineStart = event.readerIndex();
+        while (lineStart < event.writerIndex()) {
+            byte first = event.getByte(lineStart);
+            if (first != COLON && first != LINE_FEED && first != CARRIAGE_RETURN) {
+                return false;
+            }
+            lineStart = event.indexOf(lineStart, event.writerIndex(), LINE_FEED) + 1;
+        }
+        return true;
+    }
+
     /** Whether the start of an incomplete event is buffered. */
     public boolean hasPartialEvent() {
         return pending.isReadable();
--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/SilentServerTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/SilentServerTest.java
@@ -235,6 +235,23 @@
         assertCompletedBy(first, 1, 2);
     }
 
+    /** Guards against responses that end as complete without an event of a server that was silent before it. */
+    @Test
+    void anEventWithoutAnIdAfterASilenceIsForwarded() throws Exception {
+        open(2);
+        ForwardCall call = stream(SHORT_PROMPT_TOKENS);
+        Prompt first = engines.nextPrompt();
+        silentAt(Moment.BETWEEN_EVENTS, first, call);
+        Prompt second = engines.nextPrompt();
+
+        first.chunk("data: [DONE]\n\n");
+        first.end();
+
+        assertEquals("data: [DONE]\n\n", caller.next());
+        assertEquals(StreamCaller.END, caller.next());
+        assertTrue(second.awaitClose(), "the second attempt was not cancelled");
+    }
+
     /** How a second server fails. */
     private enum Failure {
         RESET("broken") {
--- a/figspan-gateway/src/test/java/io/figspan/gateway/http/EventSplitterProperties.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/http/EventSplitterProperties.java
@@ -71,6 +71,17 @@
         assertEquals(List.of(5L, -1L, -1L, -1L), ids);
     }
 
+    @Test
+    void anEventWithoutFieldsIsAComment() {
+        List<Boolean> comments = new ArrayList<>();
+        String text = ": waiting\n\n\n: a\r\n: b\r\n\r\n: a\ndata: b\n\ndata: a\n\nid: 1\n\n";
+        splitter.add(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8), (event, id) -> {
+            comments.add(EventSplitter.isComment(event));
+            event.release();
+        });
+        assertEquals(List.of(true, true, true, false, false, false), comments);
+    }
+
     @Test
     void anEventThatIsTooLongIsRejected() {
         assertFalse(add("data: " + "x".repeat(MAX_EVENT_BYTES)));
