Don't begin a hedged response with a comment of the second server

What callers saw: the head and a comment of one server, followed by the events of another one.

Cause: while the first server was silent, a comment of the second one began the response with its head. When the first server went on, its events followed, under a signature that isn't its own.

Evidence: SilentServerTest.aCommentOfTheSecondServerDoesNotBeginTheResponse; without the change the caller receives the comment before the first event.

While several attempts are open, comments of all of them are dropped; they carry no data.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
@@ -141,8 +141,8 @@
         crashObserver.eventArrived(from, eventCount, System.nanoTime());
         if (!EventSplitter.isComment(event)) {
             attempts.delivered(from);
-        } else if (attempts.isSilent(from)) {
-            // A comment is no progress of the stream, so the server still counts as silent.
+        } else if (attempts.hasSilent()) {
+            // A comment is no progress of the stream, so it does not decide between the servers.
             event.release();
             return;
         }
--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/SilentServerTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/SilentServerTest.java
@@ -252,6 +252,22 @@
         assertTrue(second.awaitClose(), "the second attempt was not cancelled");
     }
 
+    /** Guards against the head of one server before the events of another one. */
+    @Test
+    void aCommentOfTheSecondServerDoesNotBeginTheResponse() throws Exception {
+        open(2);
+        ForwardCall call = stream(SHORT_PROMPT_TOKENS);
+        Prompt first = engines.nextPrompt();
+        isSilent(call);
+        Prompt second = engines.nextPrompt();
+        second.begin();
+        second.chunk(": still reading\n\n");
+        gateway.awaitRead();
+
+        first.begin();
+        assertCompletedBy(first, 1, 2);
+    }
+
     /** How a second server fails. */
     private enum Failure {
         RESET("broken") {
