Don't close a connection as idle while a request arrives

What callers saw: a connection closed without a response although a part of a request had been received: a body that paused for longer than the idle timeout after its first 15 kB or so, or a head where the idle timeout is shorter than the one for heads.

Cause: the idle timeout also applied while a head or body was arriving. The time for a body grows with its length, so a pause reached the idle timeout first.

Evidence: ReceiveTimeoutsTest; without the change two of its three tests fail with IDLE.

The idle timeout applies between requests only.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/caller/ReceiveTimeouts.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/caller/ReceiveTimeouts.java
@@ -64,15 +64,17 @@
 
     /** The time limit that has passed, given the bytes of the body received so far. */
     Optional<Timeout> exceeded(long bodyBytes, long nowNanos) {
-        if (headNanos.isPresent()
-                && BodyReadTimeout.isExceeded(ms(headNanos.getAsLong(), nowNanos), bodyBytes, limits)) {
-            return Optional.of(Timeout.BODY);
-        }
         long inactiveMs = ms(lastActivityNanos, nowNanos);
-        if (readingHead && inactiveMs > limits.headerTimeoutMs()) {
-            return Optional.of(Timeout.HEADERS);
+        if (readingHead) {
+            return inactiveMs > limits.headerTimeoutMs() ? Optional.of(Timeout.HEADERS) : Optional.empty();
+        }
+        boolean isInactive = inactiveMs > limits.idleTimeoutMs();
+        if (headNanos.isEmpty()) {
+            return isInactive ? Optional.of(Timeout.IDLE) : Optional.empty();
         }
-        return inactiveMs > limits.idleTimeoutMs() ? Optional.of(Timeout.IDLE) : Optional.empty();
+        long sinceHeadMs = ms(headNanos.getAsLong(), nowNanos);
+        boolean isTooSlow = isInactive || BodyReadTimeout.isExceeded(sinceHeadMs, bodyBytes, limits);
+        return isTooSlow ? Optional.of(Timeout.BODY) : Optional.empty();
     }
 
     private static long ms(long fromNanos, long toNanos) {
