--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/StreamCaller.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/StreamCaller.java
@@ -62,6 +62,11 @@
         received.add(ABORT);
     }
 
+    @Override
+    public void fail(RuntimeException error) {
+        received.add("failed: " + error);
+    }
+
     @Override
     public boolean isWritable() {
         return writable;
