Callers: read all of many connections before a time limit closes them

What callers saw: after a pause of the host, requests on kept connections got neither an answer nor a refusal.

Cause: the selector of the JDK reports at most 1,024 ready channels at once (EPollSelectorImpl), so with more of them one pass of the event loop doesn't read what all connections have received. The second check of the time limits ran after one pass.

LateEventLoopTest.noneOfManyKeptConnectionsIsClosedAsIdleWithAReceivedRequest passes with the change.

The second check now waits for as many passes as the number of connections needs; below 512 that is one, as before.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerServer.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerServer.java
@@ -42,6 +42,12 @@
     /** Memory limit for the bodies of all requests in progress; a fraction of the heap of the smallest host. */
     static final long MAX_BODIES_BYTES = 16L * 1_024 * 1_024;
 
+    /**
+     * Connections that the event loop surely reads in one pass: half of the ready channels that the selector of the JDK
+     * reports at once, since connections to servers are among them.
+     */
+    private static final int CONNECTIONS_PER_PASS = 512;
+
     /** Retry-After for callers that may go to another host at once. */
     private static final long SHUTDOWN_RETRY_MS = 20;
 
@@ -140,7 +146,15 @@
      * the channels that are ready have been read.
      */
     void afterNextRead(Runnable action) {
-        var unused = loop.schedule(action, 1, TimeUnit.NANOSECONDS);
+        afterPasses(1 + connections.size() / CONNECTIONS_PER_PASS, action);
+    }
+
+    private void afterPasses(int passes, Runnable action) {
+        if (passes == 0) {
+            action.run();
+            return;
+        }
+        var unused = loop.schedule(() -> afterPasses(passes - 1, action), 1, TimeUnit.NANOSECONDS);
     }
 
     /** The memory budget for request bodies. */
--- a/figspan-gateway/src/test/java/io/figspan/gateway/caller/LateEventLoopTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/caller/LateEventLoopTest.java
@@ -9,6 +9,8 @@
 import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -19,6 +21,9 @@
     /** Longer than each time limit of the connections of callers. */
     private static final long OVERDUE_NANOS = TimeUnit.SECONDS.toNanos(60);
 
+    /** More than the selector of the JDK reports at once. */
+    private static final int MANY_CONNECTIONS = 1_500;
+
     private static final String HEAD =
             "GET /read/1 HTTP/1.1\r\nhost: a.example\r\nattempt: a-1\r\nkey: " + GatewayHarness.KEY + "\r\n";
 
@@ -81,6 +86,37 @@
         assertEquals(2, server.received().size());
     }
 
+    /** Guards against a limit on the connections that the event loop reads at once. */
+    @Test
+    void noneOfManyKeptConnectionsIsClosedAsIdleWithAReceivedRequest() throws IOException {
+        byte[] request = GatewayHarness.request("GET", "/nowhere/1", "", "");
+        List<Socket> callers = new ArrayList<>();
+        for (int number = 0; number < MANY_CONNECTIONS; number++) {
+            Socket kept = gateway.connect();
+            callers.add(kept);
+            kept.getOutputStream().write(request);
+            kept.getInputStream().readNBytes("HTTP/1.1 404".length());
+        }
+        gateway.awaitNoBusyCaller();
+        byte[] last = GatewayHarness.request("GET", "/nowhere/1", "connection: close\r\n", "");
+
+        gateway.onLateLoop(
+                () -> {
+                    for (Socket kept : callers) {
+                        kept.getOutputStream().write(last);
+                    }
+                },
+                this::tickAfterAllLimits);
+
+        int answered = 0;
+        for (Socket kept : callers) {
+            String rest = new String(kept.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+            answered += rest.contains("HTTP/1.1 404") ? 1 : 0;
+            kept.close();
+        }
+        assertEquals(MANY_CONNECTIONS, answered);
+    }
+
     @Test
     void aNewConnectionIsNotClosedAsIdleWithAReceivedRequest() throws IOException {
         gateway.awaitRead();
