Callers: don't reset a connection with unread requests after a long answer

What callers saw: the end of a long answer was missing, with a connection reset, where requests had been sent behind it.

Cause: a connection is closed after its last answer although received requests behind it are not read. The kernel then resets it and drops what is written but not received yet (RFC 9112, section 9.6). Only short answers, which the caller has received by then, were safe.

PipelinedRequestsTest.aLongAnswerBeforeACloseIsNotLostWithUnreadRequests passes with the change.

Such a connection is closed for output only, and read until the caller closes it, for two seconds at most, as after the refusal of an incomplete request.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerConnection.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerConnection.java
@@ -46,7 +46,7 @@
     /** Pipelined messages above which reading from the connection stops. */
     private static final int MAX_PIPELINED_MESSAGES = 64;
 
-    /** Time after a refusal for which a caller may still send the rest of its request. */
+    /** Time after the last response for which a caller may still send the rest of what it has begun to send. */
     private static final long MAX_LINGER_NANOS = TimeUnit.SECONDS.toNanos(2);
 
     /** Retry-After when the memory for bodies is full. */
@@ -69,7 +69,7 @@
     private boolean keepAlive = true;
     private boolean closing;
     private long closingNanos;
-    private boolean isRequestIncomplete;
+    private boolean mayReceiveMore;
 
     CallerConnection(CallerServer server, CallerLimits limits) {
         this.server = server;
@@ -242,7 +242,7 @@
     private void refuse(FullHttpResponse response) {
         keepAlive = false;
         responding = true;
-        isRequestIncomplete = true;
+        mayReceiveMore = true;
         respond(response);
     }
 
@@ -336,8 +336,9 @@
         if (!keepAlive) {
             closing = true;
             closingNanos = nowNanos;
+            mayReceiveMore |= !pipelined.isEmpty();
             ChannelFuture written = channel.writeAndFlush(lastMessage);
-            if (isRequestIncomplete) {
+            if (mayReceiveMore) {
                 written.addListener((ChannelFuture sent) -> shutdownOutput(sent));
             } else {
                 written.addListener(ChannelFutureListener.CLOSE);
@@ -378,7 +379,7 @@
      * reads first what the caller has sent in time.
      */
     void enforceTimeouts(long nowNanos) {
-        if (isRequestIncomplete && closing && nowNanos - closingNanos > MAX_LINGER_NANOS) {
+        if (mayReceiveMore && closing && nowNanos - closingNanos > MAX_LINGER_NANOS) {
             Channels.close(channel);
         } else if (exceededTimeout(nowNanos).isPresent()) {
             server.afterNextRead(() -> exceededTimeout(nowNanos).ifPresent(this::timedOut));
--- a/figspan-gateway/src/test/java/io/figspan/gateway/caller/PipelinedRequestsTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/caller/PipelinedRequestsTest.java
@@ -21,6 +21,11 @@
     /** Enough requests that the gateway stops reading before the last one. */
     private static final int MANY = 150;
 
+    private static final String LONG_TARGET = "/read/long";
+
+    /** More than the socket buffers hold, so that the caller receives the rest after it was written. */
+    private static final int LONG_BODY_BYTES = 3_900_000;
+
     private static final String LONG_HEADER = "long: " + "x".repeat(2_000) + "\r\n";
 
     private final CountDownLatch released = new CountDownLatch(1);
@@ -32,7 +37,7 @@
         gateway = new GatewayHarness();
         gateway.add("s-1", (request, connection) -> {
             awaitRelease();
-            connection.answer(request, 200, "", request.target() + "\n");
+            connection.answer(request, 200, "", bodyOf(request.target()) + "\n");
         });
         gateway.open();
         caller = gateway.connect();
@@ -44,6 +49,10 @@
         gateway.close();
     }
 
+    private static String bodyOf(String target) {
+        return target.equals(LONG_TARGET) ? "x".repeat(LONG_BODY_BYTES) : target;
+    }
+
     private void awaitRelease() throws IOException {
         try {
             assertTrue(released.await(TIMEOUT_S, TimeUnit.SECONDS));
@@ -79,6 +88,21 @@
         assertTrue(response.endsWith("/read/1\n"), response);
     }
 
+    /** Guards against a reset that drops what is written but not received yet (RFC 9112, section 9.6). */
+    @Test
+    void aLongAnswerBeforeACloseIsNotLostWithUnreadRequests() throws IOException {
+        send(LONG_TARGET, "connection: close\r\n");
+        for (int number = 0; number < MANY; number++) {
+            send("/read/2", LONG_HEADER);
+        }
+        gateway.awaitRead();
+        released.countDown();
+
+        String response = readAll();
+
+        assertTrue(response.length() > LONG_BODY_BYTES, () -> "received " + response.length());
+    }
+
     @Test
     void aConnectionThatEndsWithAnAnswerIsNotBusy() throws IOException {
         send("/read/1", "connection: close\r\n");
