Don't take servers for silent whose events are not read yet

What callers saw: after a pause of the host, streams were run again on second servers, which drew on the retry budget, although the servers had sent events meanwhile.

Cause: the tick that finds overdue jobs may run before the event loop has read what the servers have sent.

Evidence: SilentServerTest.aServerIsNotSilentWhoseEventsAreNotReadYet; without the change the job is sent twice.

A tick that comes late looks for no silent servers; the next one does, after the channels have been read.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatcher.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatcher.java
@@ -17,7 +17,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
@@ -26,6 +28,12 @@
  * on the event loop.
  */
 final class ServiceDispatcher {
+    /**
+     * A tick that comes so long after the one before means that this host was paused or busy, and has yet to read what
+     * the servers have sent meanwhile.
+     */
+    private static final long LATE_TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
     private final Placer placer;
     private final ServerSubset subset;
     private final ProcessorTime processorTime;
@@ -35,6 +43,7 @@
     private List<AvailableServer> servers = List.of();
     private Set<HostId> hosts = Set.of();
     private WindowedRetryBudget budget;
+    private OptionalLong lastTickNanos = OptionalLong.empty();
 
     ServiceDispatcher(
             Placer placer,
@@ -137,13 +146,21 @@
     }
 
     void tick(long nowNanos) {
+        boolean isLate = lastTickNanos.isPresent() && nowNanos - lastTickNanos.getAsLong() > LATE_TICK_NANOS;
+        lastTickNanos = OptionalLong.of(nowNanos);
+        if (!isLate) {
+            detectSilentServers(nowNanos);
+        }
+        place(() -> placer.tick(nowNanos));
+    }
+
+    private void detectSilentServers(long nowNanos) {
         for (Job job : placer.overdue(nowNanos)) {
             ForwardCall call = calls.get(job);
             if (call != null) {
                 call.onServerSilent();
             }
         }
-        place(() -> placer.tick(nowNanos));
     }
 
     /** Ends the requests in progress whose prompts have a part that was quarantined. */
--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/SilentServerTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/SilentServerTest.java
@@ -21,6 +21,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -252,6 +253,24 @@
         assertTrue(second.awaitClose(), "the second attempt was not cancelled");
     }
 
+    /** Guards against second attempts because this host was paused and has not read what its servers have sent. */
+    @Test
+    void aServerIsNotSilentWhoseEventsAreNotReadYet() throws Exception {
+        open(2);
+        stream(SHORT_PROMPT_TOKENS);
+        Prompt first = engines.nextPrompt();
+        first.begin();
+        first.events(1, 1);
+        assertReceivedEvents(1, 1);
+
+        gateway.onLateLoop(() -> first.events(2, 2), () -> gateway.forwarder()
+                .tick(System.nanoTime() + TimeUnit.SECONDS.toNanos(5)));
+
+        assertReceivedEvents(2, 2);
+        gateway.awaitAttemptsEnded("sent", 1);
+        assertCompletedBy(first, 3, 3);
+    }
+
     /** Guards against the head of one server before the events of another one. */
     @Test
     void aCommentOfTheSecondServerDoesNotBeginTheResponse() throws Exception {
