Forward responses that arrived before the deadline and are read late

What callers saw: 504 although the server's response had arrived before the deadline.

Cause: the timer of the deadline may run before the event loop, busy with other connections, has read the response.

Evidence: LateDeadlineTest blocks the event loop in the response to another caller until the deadline has passed; without the change the caller gets 504.

The action of the timer runs after the next read.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/DeadlineTimer.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/DeadlineTimer.java
@@ -19,7 +19,12 @@
     /** Schedules an action. The one before must have run or been cancelled. */
     void start(Runnable action, long nowNanos) {
         long remainingNanos = Math.max(0, deadline.atNanos() - nowNanos);
-        scheduled = loop.schedule(action, remainingNanos, TimeUnit.NANOSECONDS);
+        scheduled = loop.schedule(() -> startAfterNextRead(action), remainingNanos, TimeUnit.NANOSECONDS);
+    }
+
+    /** The event loop may be late, so it reads first what servers have sent in time. */
+    private void startAfterNextRead(Runnable action) {
+        scheduled = loop.schedule(action, 1, TimeUnit.NANOSECONDS);
     }
 
     void cancel() {
