Report the work of an engine at once when a request goes on there

The other hosts learn within the delay of a placement, instead of with the next regular report, that the silent engine has its request again.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatcher.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatcher.java
@@ -131,6 +131,7 @@
     /** A job goes on at its silent server, where the attempt was kept open. */
     void resumed(Job job, BackendServerId server, long nowNanos) {
         processorTime.measure(Activity.PLACEMENT, () -> placer.resumed(job, server, nowNanos));
+        workListener.accept(WorkChange.PLACED);
     }
 
     /** Removes a job from the queue; its call stays known, because the job runs at an earlier server. */
