Own interface: a shutdown waits for requests whose body is still arriving

Callers saw: during a graceful shutdown of figspand without the platform, a request whose body was still arriving when the entry lists ran out lost its connection without an answer.

Cause: EntryServer counted a request as in flight only after its body had been collected, so the lifecycle found the process idle and closed the ports.

Fix: a request is counted from its head on.

--- a/figspan-host/src/main/java/io/figspan/host/entry/EntryServer.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/EntryServer.java
@@ -199,6 +199,7 @@
     }
 
     private void withBody(HttpServerRequest request, int maxBytes, long maxMs, BiConsumer<RequestHead, Buffer> action) {
+        track(request);
         Future<Result<Buffer>> body = BodyCollector.collect(context.vertx(), request, maxBytes, maxMs);
         withHead(
                 request,
@@ -211,7 +212,6 @@
                                 .close());
                         return;
                     }
-                    track(request);
                     action.accept(head, ((Result.Ok<Buffer>) collected).value());
                 }));
     }
--- a/figspan-host/src/test/java/io/figspan/host/FailuresTest.java
+++ b/figspan-host/src/test/java/io/figspan/host/FailuresTest.java
@@ -4,8 +4,12 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.figspan.standin.StandinFleet;
 import io.figspan.standin.engine.Answers;
 import io.vertx.core.Future;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -67,6 +71,24 @@
         }
     }
 
+    /** Guards against a shutdown that ends the connection of a request whose body is still arriving. */
+    @Test
+    void aGracefulShutdownAnswersARequestWhoseBodyIsStillArriving() throws Exception {
+        String body = "{\"model\":\"" + StandinFleet.MODEL + "\",\"prompt\":\"slow body\",\"max_tokens\":3}";
+        int sentBytes = body.length() / 2;
+        try (Socket caller = new Socket(InetAddress.getLoopbackAddress(), fleet.callerPort(0))) {
+            String begin = fleet.promptHead("slow", body.length()) + body.substring(0, sentBytes);
+            caller.getOutputStream().write(begin.getBytes(StandardCharsets.UTF_8));
+            Future<Void> stopped = fleet.hosts.get(0).shutDown();
+            fleet.awaitCondition(waiting -> refusesNewWork());
+            assertFalse(stopped.isComplete());
+            caller.getOutputStream().write(body.substring(sentBytes).getBytes(StandardCharsets.UTF_8));
+            String answer = new String(caller.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+            assertTrue(answer.startsWith("HTTP/1.1 200"), answer);
+            LoopbackFleet.await(stopped);
+        }
+    }
+
     private boolean refusesNewWork() {
         try (SseAnswer refused = fleet.prompt(0, "late", "a prompt during the shutdown", 1)) {
             refused.readToEnd();
--- a/figspan-host/src/test/java/io/figspan/host/LoopbackFleet.java
+++ b/figspan-host/src/test/java/io/figspan/host/LoopbackFleet.java
@@ -84,6 +84,13 @@
                 .header("Figspan-Deadline-Ms", "120000");
     }
 
+    /** The head of a request for a prompt whose connection closes after the answer. */
+    String promptHead(String requestId, int bodyBytes) {
+        return "POST /v1/completions HTTP/1.1\r\nHost: localhost\r\nConnection: close\r\nFigspan-Organisation: "
+                + ORGANISATION + "\r\nFigspan-Request-Id: " + requestId + "\r\nContent-Length: " + bodyBytes
+                + "\r\n\r\n";
+    }
+
     /** Starts a prompt and returns its answer, which is read as it arrives. */
     SseAnswer prompt(int host, String requestId, String prompt, int maxTokens) throws Exception {
         String body = MAPPER.createObjectNode()
