A planned stop answers every request that it has taken

Callers saw: when a host was stopped by SIGTERM in calm, requests that it had taken and passed on, among them such as may not be repeated, lost their connection without an answer 0.4 s before the end of the grace period. Requests queued for placement or for memory ended the same way, and requests behind another one on their connection were dropped. Short requests on kept connections were refused from 2.5 s on, or crossed the close of the connection.

Cause: the host took any request in the first 2.5 s, whatever it takes, and let the process exit at the end with requests in progress. Nothing decided whether a request can end in time, and nothing answered those that could not.

Change: DrainPlan (pure, logical time) says until when connections are accepted, which requests fit, when the last answers are given and when the process must exit. RequestDurations estimates a request from the latest 32 durations of its route and prompt size. A request is checked when it arrives, before each send and retry, and every 20 ms while it is queued or its body arrives; what doesn't fit is refused as not run, with a random short Retry-After. What a server has is answered with 502 (hostStopped) before the exit, a begun stream ends after its last whole event, memory at other engines is released, and the process ends when all is written. The check is a task of its own and compares with the time of the signal, so neither a fault elsewhere, a late timer, a second signal nor a reload moves the end. The shutdown hook waits for the grace period in force instead of the one at the start, and writes the queued log lines, so that "stopped" with the ids of the refused and interrupted requests isn't lost.

Evidence: the new PlannedStopTest on the code before, with the constructor of Shutdown adapted and the end of the stop closing the event loop: 31 run, 21 failures and 1 error, most of them connections that end without an answer. On this code 32 run, none fails. aStreamWhoseCallerReadsSlowlyEndsBetweenTwoEvents fails when the connection is closed without waiting for the writes. ProblemKind has a new kind, so its approved table has a new line.

--- a/figspan-core/src/main/java/io/figspan/core/error/ProblemKind.java
+++ b/figspan-core/src/main/java/io/figspan/core/error/ProblemKind.java
@@ -28,6 +28,10 @@
     BACKEND_FAILED(502, "Backend server failed", "Send the request again."),
     SETTINGS_NOT_READ(503, "Newer settings are not read yet", "Wait for the time in Retry-After or use another host."),
     SHUTTING_DOWN(503, "Host is shutting down", "Use another host of the entry list."),
+    HOST_STOPPED(
+            502,
+            "Host stopped before the answer",
+            "Use another host of the entry list; the request may have run, so repeat it only if that is safe."),
     SETTINGS_INVALID(422, "Settings are invalid", "Correct the named key and publish a higher version."),
     SETTINGS_OUTDATED(409, "Settings version is older than the one in force", "Publish a higher version."),
     HOST_FILE_INVALID(500, "Host file is invalid", "Correct the named key and start the process again."),
--- a/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
@@ -43,6 +43,9 @@
     /** Interval of checks of waiting requests and time limits. */
     private static final long TICK_MS = 40;
 
+    /** Interval of checks during a planned stop; a task of its own, so that no fault of another one delays it. */
+    private static final long SHUTDOWN_TICK_MS = 20;
+
     /** Interval of checks for a changed configuration. */
     private static final long RELOAD_INTERVAL_MS = 1_000;
 
@@ -140,7 +143,7 @@
         CopyEndpoint copies =
                 new CopyEndpoint(Map.of(SETTINGS_COPY, fleet.settings(), SERVERS_COPY, fleet.servers()), metrics);
         this.endpoints = new AuxiliaryEndpoints(config, adapter.operator(), peers, copies, metrics, this::isReady);
-        this.shutdown = new Shutdown(loop, log, callers, peers, config.shutdownGraceMs());
+        this.shutdown = new Shutdown(log, callers, forwarder, peers::leave, holds::openCount, config.shutdownGraceMs());
         this.reloader = new ConfigReloader(source, config, log, this::configChanged);
     }
 
@@ -158,6 +161,7 @@
         watch(adapter.fleet().settingsPrefix(), fleet.settingsStoreListener());
         watch(adapter.fleet().serversPrefix(), fleet.serversStoreListener());
         scheduleRepeatedly(TICK_MS, () -> metrics.processorTime().measure(Activity.TIMERS, this::tick));
+        scheduleRepeatedly(SHUTDOWN_TICK_MS, () -> shutdown.tick(System.nanoTime()));
         scheduleRepeatedly(WATCH_UPDATE_INTERVAL_MS, this::updateWatching);
         scheduleRepeatedly(RELOAD_INTERVAL_MS, reloader::tick);
         scheduleRepeatedly(PROCESSOR_TIME_INTERVAL_MS, this::logProcessorTime);
@@ -196,13 +200,19 @@
      * @return opens when the process may exit
      */
     public CountDownLatch stop() {
-        Future<?> shutdownBegun = loop.submit(() -> shutdown.begin(System.nanoTime()));
+        long signalNanos = System.nanoTime();
+        Future<?> shutdownBegun = loop.submit(() -> shutdown.begin(signalNanos));
         if (!shutdownBegun.awaitUninterruptibly(STOP_TIMEOUT_MS)) {
             LoggerFactory.getLogger(GatewayProcess.class).warn("the event loop did not begin the shutdown in time");
         }
         return shutdown.done();
     }
 
+    /** Time from the begin of the shutdown until the process is killed. */
+    public long shutdownGraceMs() {
+        return shutdown.graceMs();
+    }
+
     private void watch(String prefix, StoreListener listener) {
         StoreWatcher watcher = new StoreWatcher(loop, config.store(), prefix, adapter.store(), listener, log, random);
         storeWatchers.add(watcher);
@@ -215,7 +225,6 @@
         holds.tick(nowNanos);
         fleet.tick();
         callers.tick(nowNanos);
-        shutdown.tick(nowNanos);
         openWhenReady(nowNanos);
         peers.tick(nowNanos);
         dispatchers.setHostCount(peers.hostCount());
--- a/figspan-gateway/src/main/java/io/figspan/gateway/Shutdown.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/Shutdown.java
@@ -2,91 +2,148 @@
 
 import io.figspan.core.event.Part;
 import io.figspan.gateway.caller.CallerServer;
+import io.figspan.gateway.forward.DrainControl.EndedRequests;
+import io.figspan.gateway.forward.Forwarder;
 import io.figspan.gateway.log.DecisionLog;
-import io.figspan.gateway.peer.PeerTracker;
-import io.netty.channel.EventLoop;
+import io.figspan.policy.drain.DrainPlan;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 /**
- * Graceful shutdown. Other hosts and the readiness check are notified at once. Callers that still connect because of a
- * cached directory response are served for a while; later connections are refused, and their callers use another host.
- * The process ends when no request is in progress, or shortly before it is killed.
+ * Planned stop of this host. Other hosts and the readiness check are notified at once. Requests that arrive are served
+ * while they can end in time; the others are refused at once, and their callers use another host. Requests in progress
+ * that can't end are answered before the process is killed. The process ends as soon as all answers are written.
+ *
+ * <p>Each decision is made for the time at which it is made, so that a process that was paused, and whose timers come
+ * late, accepts nothing that it can't answer. Confined to the event loop, except for {@link #done()} and {@link
+ * #graceMs()}.
  */
 final class Shutdown {
-    /**
-     * Period in which new connections are served. Most callers cache a directory response for 1 s, some for 3 s; those
-     * that connect in the last half second are refused before they send a request. The rest of the grace period is left
-     * for the requests that were accepted last.
-     */
-    private static final long DRAIN_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
-
-    /** Time reserved for the exit of the process itself. */
-    private static final long EXIT_MARGIN_MS = 400;
-
-    private final EventLoop loop;
     private final DecisionLog log;
     private final CallerServer callers;
-    private final PeerTracker peers;
+    private final Forwarder forwarder;
+    private final Runnable leaveFleet;
+    private final LongSupplier openHolds;
     private final CountDownLatch done = new CountDownLatch(1);
-    private long graceMs;
-    private boolean begun;
-    private boolean refusing;
-    private long begunNanos;
+    private volatile long graceMs;
+    private DrainPlan plan;
+    private boolean accepting = true;
+    private boolean haveLastAnswersBegun;
+    private boolean isIdle;
+    private long idleSinceNanos;
 
-    Shutdown(EventLoop loop, DecisionLog log, CallerServer callers, PeerTracker peers, long graceMs) {
-        this.loop = loop;
+    /**
+     * Creates the shutdown of a host.
+     *
+     * @param leaveFleet notifies the other hosts
+     * @param openHolds number of holds of memory at engines that are not released yet
+     */
+    Shutdown(
+            DecisionLog log,
+            CallerServer callers,
+            Forwarder forwarder,
+            Runnable leaveFleet,
+            LongSupplier openHolds,
+            long graceMs) {
         this.log = log;
         this.callers = callers;
-        this.peers = peers;
+        this.forwarder = forwarder;
+        this.leaveFleet = leaveFleet;
+        this.openHolds = openHolds;
         this.graceMs = graceMs;
     }
 
     boolean hasBegun() {
-        return begun;
+        return plan != null;
     }
 
     /** Sets the time from the request to stop until the process is killed; a shutdown in progress keeps its own. */
     void setGraceMs(long newGraceMs) {
-        graceMs = newGraceMs;
+        if (!hasBegun()) {
+            graceMs = newGraceMs;
+        }
+    }
+
+    /** Time from the request to stop until the process is killed. */
+    long graceMs() {
+        return graceMs;
     }
 
     CountDownLatch done() {
         return done;
     }
 
+    /** Begins the shutdown; does nothing if it has begun already. */
     void begin(long nowNanos) {
-        if (begun) {
+        if (hasBegun()) {
             return;
         }
-        begun = true;
-        begunNanos = nowNanos;
-        log.info(Part.ENTRY, "stopping").number("busy", callers.busy()).write();
-        peers.leave();
+        plan = new DrainPlan(nowNanos, graceMs);
+        log.info(Part.ENTRY, "stopping")
+                .number("busy", callers.busy())
+                .number("graceMs", graceMs)
+                .write();
+        leaveFleet.run();
         callers.disableKeepAlive();
-        var unused = loop.schedule(() -> finish("time is over"), graceMs - EXIT_MARGIN_MS, TimeUnit.MILLISECONDS);
+        forwarder.beginDrain(plan);
+        tick(nowNanos);
     }
 
     void tick(long nowNanos) {
-        if (!begun || nowNanos - begunNanos < DRAIN_NANOS) {
+        if (!hasBegun() || done.getCount() == 0) {
             return;
         }
-        if (!refusing) {
-            refusing = true;
-            callers.refuseNew();
+        long unfinished = callers.unfinished();
+        forwarder.endCallsOutOfTime(unfinished, nowNanos);
+        callers.refuseIncompleteOutOfTime(nowNanos);
+        if (accepting && !plan.acceptsConnections(nowNanos)) {
+            accepting = false;
+            callers.stopAccepting();
+        }
+        if (!haveLastAnswersBegun && plan.isTimeForLastAnswers(unfinished, nowNanos)) {
+            giveLastAnswers(nowNanos);
         }
-        if (callers.busy() == 0) {
+        if (plan.mustExit(nowNanos)) {
+            finish("time is over");
+        } else if (plan.haveLastRequestsArrived(nowNanos)) {
+            finishIfIdle(nowNanos);
+        }
+    }
+
+    private void giveLastAnswers(long nowNanos) {
+        haveLastAnswersBegun = true;
+        forwarder.endCallsForShutdown(nowNanos);
+        callers.refuseIncompleteOutOfTime(nowNanos);
+        callers.refuseIncomplete();
+    }
+
+    private void finishIfIdle(long nowNanos) {
+        boolean wasIdle = isIdle;
+        isIdle = callers.unfinished() == 0;
+        if (!isIdle) {
+            return;
+        }
+        if (!wasIdle) {
+            idleSinceNanos = nowNanos;
+        }
+        if (openHolds.getAsLong() == 0 || DrainPlan.hasWaitedForReleases(idleSinceNanos, nowNanos)) {
             finish("no request is in progress");
         }
     }
 
     private void finish(String reason) {
-        if (done.getCount() > 0) {
-            log.info(Part.ENTRY, "stopped")
-                    .text("reason", reason)
-                    .number("busy", callers.busy())
-                    .write();
-            done.countDown();
-        }
+        callers.closeIdle();
+        EndedRequests refused = forwarder.drain().refused();
+        EndedRequests interrupted = forwarder.drain().interrupted();
+        log.info(Part.ENTRY, "stopped")
+                .text("reason", reason)
+                .number("busy", callers.busy())
+                .number("openHolds", openHolds.getAsLong())
+                .number("refused", refused.count())
+                .text("refusedRequests", refused.ids())
+                .number("interrupted", interrupted.count())
+                .text("interruptedRequests", interrupted.ids())
+                .write();
+        done.countDown();
     }
 }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerConnection.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerConnection.java
@@ -15,6 +15,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -171,6 +172,10 @@
             return;
         }
         if (HttpUtil.is100ContinueExpected(request)) {
+            refuseIfOutOfTime(System.nanoTime());
+            if (closing) {
+                return;
+            }
             Channels.writeAndFlush(
                     channel,
                     new DefaultFullHttpResponse(
@@ -308,7 +313,16 @@
     public void abort() {
         call = null;
         closing = true;
-        Channels.close(channel);
+        if (server.isDraining() && hasUnsentBytes()) {
+            closeAfterWrites();
+        } else {
+            Channels.close(channel);
+        }
+    }
+
+    /** Closes the connection after the events that were forwarded, so that it doesn't end within one of them. */
+    private void closeAfterWrites() {
+        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
     }
 
     @Override
@@ -319,7 +333,7 @@
     /** Announces the close of the connection, but not before the requests that have been received are answered. */
     private void setConnectionHeader(HttpResponse response) {
         boolean isDecoderOutdated = server.limits().maxHeaderBytes() != maxHeaderBytes;
-        if ((server.isDraining() || isDecoderOutdated) && pipelined.isEmpty()) {
+        if ((server.isDraining() || isDecoderOutdated) && !hasPipelinedRequests()) {
             keepAlive = false;
         }
         if (!keepAlive) {
@@ -327,6 +341,11 @@
         }
     }
 
+    /** Whether requests have arrived behind the one that is answered. The connection closes after the last of them. */
+    private boolean hasPipelinedRequests() {
+        return !pipelined.isEmpty() || !channel.config().isAutoRead();
+    }
+
     private void finish(Object lastMessage) {
         call = null;
         head = null;
@@ -409,10 +428,35 @@
         refuse(response);
     }
 
+    // Planned stop
+
+    /** Refuses a request whose body is still arriving if it can't end before this host stops. */
+    void refuseIfOutOfTime(long nowNanos) {
+        if (!responding && !closing && head != null) {
+            refusalOfIncomplete(nowNanos).ifPresent(this::refuse);
+        }
+    }
+
+    private Optional<Problem> refusalOfIncomplete(long nowNanos) {
+        try {
+            return server.refusalOfIncomplete(head, nowNanos);
+        } catch (RuntimeException e) {
+            server.errors().report(e);
+            return Optional.empty();
+        }
+    }
+
+    /** Refuses a request that has not arrived completely. */
+    void refuseIncomplete() {
+        if (!responding && !closing && (head != null || timeouts.isReadingHead())) {
+            refuse(server.shutdownRefusal());
+        }
+    }
+
     /** Closes the connection if no request is in progress on it and none has been received. */
     void closeIfIdle() {
         server.afterNextRead(() -> {
-            if (!isBusy() && !timeouts.isReadingHead()) {
+            if (!isUnfinished()) {
                 closeUnanswered();
             }
         });
@@ -426,4 +470,15 @@
     boolean isBusy() {
         return responding || head != null;
     }
+
+    /** Whether a part of a request has arrived or a response is not written yet. */
+    boolean isUnfinished() {
+        return isBusy() || timeouts.isReadingHead() || hasUnsentBytes();
+    }
+
+    /** Whether the caller has not read fast enough for all bytes that were written. */
+    boolean hasUnsentBytes() {
+        ChannelOutboundBuffer unsent = channel.unsafe().outboundBuffer();
+        return unsent != null && !unsent.isEmpty();
+    }
 }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerServer.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerServer.java
@@ -1,11 +1,9 @@
 package io.figspan.gateway.caller;
 
 import io.figspan.core.error.Problem;
-import io.figspan.core.error.ProblemKind;
 import io.figspan.gateway.forward.CallerExchange;
 import io.figspan.gateway.forward.Forwarder;
 import io.figspan.gateway.forward.InFlightCall;
-import io.figspan.gateway.forward.ProblemResponses;
 import io.figspan.gateway.http.ByteBudget;
 import io.figspan.gateway.http.Channels;
 import io.figspan.gateway.log.UnexpectedErrors;
@@ -48,9 +46,6 @@
      */
     private static final int CONNECTIONS_PER_PASS = 512;
 
-    /** Retry-After for callers that may go to another host at once. */
-    private static final long SHUTDOWN_RETRY_MS = 20;
-
     private final EventLoop loop;
     private final Forwarder forwarder;
     private final CallerProtocol protocol;
@@ -59,7 +54,6 @@
     private final Set<CallerConnection> connections = new HashSet<>();
     private CallerLimits limits = CallerLimits.DEFAULT;
     private boolean draining;
-    private boolean refusing;
     private Channel listener;
 
     public CallerServer(EventLoop loop, Forwarder forwarder, CallerProtocol protocol, UnexpectedErrors errors) {
@@ -119,23 +113,46 @@
         return limits;
     }
 
-    /** Closes each connection after its next response from now on. */
+    /** Closes each connection after the response to its last request from now on. */
     public void disableKeepAlive() {
         draining = true;
     }
 
-    /** Stops accepting connections, closes idle ones, and refuses new requests from now on. */
-    public void refuseNew() {
-        refusing = true;
+    /** Stops accepting connections. Those that exist are served. */
+    public void stopAccepting() {
         Channels.close(listener);
+    }
+
+    /** Closes the connections without a request in progress. */
+    public void closeIdle() {
         new ArrayList<>(connections).forEach(CallerConnection::closeIfIdle);
     }
 
+    /** Refuses the requests that are still arriving and that can't end before this host stops. */
+    public void refuseIncompleteOutOfTime(long nowNanos) {
+        new ArrayList<>(connections).forEach(connection -> connection.refuseIfOutOfTime(nowNanos));
+    }
+
+    /** Refuses all requests that are still arriving, even those of which only a part of the head is known. */
+    public void refuseIncomplete() {
+        new ArrayList<>(connections).forEach(CallerConnection::refuseIncomplete);
+    }
+
     /** Number of connections with a request in progress. */
     public long busy() {
         return connections.stream().filter(CallerConnection::isBusy).count();
     }
 
+    /** Number of connections with a request of which a part has arrived or a response that is not written yet. */
+    public long unfinished() {
+        return connections.stream().filter(CallerConnection::isUnfinished).count();
+    }
+
+    /** Whether a caller doesn't read as fast as its response is written. */
+    public boolean hasUnsentBytes() {
+        return connections.stream().anyMatch(CallerConnection::hasUnsentBytes);
+    }
+
     /** Enforces the time limits of all connections. */
     public void tick(long nowNanos) {
         new ArrayList<>(connections).forEach(connection -> connection.enforceTimeouts(nowNanos));
@@ -167,15 +184,18 @@
     }
 
     Optional<InFlightCall> accept(HttpRequest head, ByteBuf body, CallerExchange exchange) {
-        if (refusing) {
-            body.release();
-            Problem problem = Problem.notRun(ProblemKind.SHUTTING_DOWN, "this host is shutting down");
-            exchange.respond(ProblemResponses.of(problem.withRetryAfterMs(SHUTDOWN_RETRY_MS)));
-            return Optional.empty();
-        }
         return forwarder.accept(protocol.decode(head), body, exchange);
     }
 
+    /** The refusal of a request that is still arriving and that can't end before this host stops. */
+    Optional<Problem> refusalOfIncomplete(HttpRequest head, long nowNanos) {
+        return draining ? forwarder.refusalOfIncomplete(protocol.decode(head), nowNanos) : Optional.empty();
+    }
+
+    Problem shutdownRefusal() {
+        return forwarder.drain().refusal();
+    }
+
     /** Makes a refusal by the limits temporary while newer settings are known to exist. */
     Problem unlessOutdated(Problem problem) {
         return forwarder.unlessOutdated(problem);
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/AttemptHistory.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/AttemptHistory.java
@@ -106,6 +106,11 @@
                 : Problem.unknown(ProblemKind.DEADLINE_PASSED, "no answer in time");
     }
 
+    /** Whether an attempt that has failed may have run. */
+    boolean mayHaveRun() {
+        return mayHaveRun;
+    }
+
     /** Replaces a problem that guarantees that nothing was run if the request may have run. */
     Problem withTrueRunState(Problem problem) {
         boolean claimsNotRun = problem.kind().httpStatus() == HTTP_SERVICE_UNAVAILABLE;
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
@@ -117,6 +117,20 @@
         }
     }
 
+    @Override
+    public boolean endsBeforeStop(long nowNanos) {
+        return forwarder.drain().fits(route, job, nowNanos);
+    }
+
+    @Override
+    public void onOutOfTime() {
+        if (attempts.hasSilent()) {
+            attempts.fallBack("this host stops before a second server could answer");
+        } else {
+            endForShutdown();
+        }
+    }
+
     @Override
     public void onSendAllowed(Placement.Send placement, HoldGroup holds, BackendServer server, long nowNanos) {
         history.recordSent();
@@ -191,6 +205,7 @@
     /** Ends the request with the server's response. */
     private void endWithResponse(Attempt from) {
         crashObserver.responseCompleted(from, System.nanoTime());
+        forwarder.drain().recordDuration(route, job, System.nanoTime());
         attempts.remove(from);
         finish();
         logAnswered(from);
@@ -306,6 +321,36 @@
         endWithProblem(problem, detail);
     }
 
+    /**
+     * Ends the request if no backend server has it and it can't end before this host stops.
+     *
+     * @return whether it was ended
+     */
+    boolean endIfOutOfTime(long nowNanos) {
+        if (state.isDone() || isSent() || forwarder.drain().fits(route, job, nowNanos)) {
+            return false;
+        }
+        endForShutdown();
+        return true;
+    }
+
+    /** Ends the request because this host stops. */
+    void endForShutdown() {
+        if (state.isDone()) {
+            return;
+        }
+        DrainControl drain = forwarder.drain();
+        Problem problem = isSent() || state.hasBegunResponse() || history.mayHaveRun()
+                ? drain.interrupt(job.requestId(), route.mayRepeat())
+                : drain.refuse(job.requestId());
+        endWithProblem(problem, problem.detail());
+    }
+
+    /** Whether a backend server has the request. */
+    private boolean isSent() {
+        return !attempts.isEmpty();
+    }
+
     private void onDeadline() {
         if (state.isDone()) {
             return;
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
@@ -16,6 +16,7 @@
 import io.figspan.gateway.protocol.BackendProtocol;
 import io.figspan.gateway.protocol.CallerProtocol;
 import io.figspan.gateway.protocol.CallerRequest;
+import io.figspan.policy.drain.DrainPlan;
 import io.figspan.policy.placing.Job;
 import io.figspan.policy.route.ApiKeyIndex;
 import io.figspan.policy.route.RouteTable;
@@ -32,6 +33,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 
 /**
  * Entry point for the requests of callers: finds the route, checks the key, chooses the service and starts a {@link
@@ -55,6 +57,7 @@
     private final PromptCrashes promptCrashes;
     private final RequestLimits requestLimits;
     private final ServiceDispatchers dispatchers;
+    private final DrainControl drain;
     private final StartupQueue startupQueue = new StartupQueue();
     private final ByteBudget responseBodyBudget = new ByteBudget(MAX_BUFFERED_RESPONSE_BYTES);
     private boolean isOpen;
@@ -86,6 +89,7 @@
         this.random = random;
         this.promptCrashes = promptCrashes;
         this.requestLimits = requestLimits;
+        this.drain = new DrainControl(random);
         promptCrashes.onQuarantined(dispatchers::promptQuarantined);
         requestLimits.setHostsUsing(dispatchers::hostsUsing);
         this.dispatchers = dispatchers;
@@ -105,6 +109,8 @@
         settings = newSettings;
         routes = new RouteTable(newSettings.routes());
         keys = new ApiKeyIndex(newSettings.organisations());
+        drain.durations()
+                .retainRoutes(newSettings.routes().stream().map(Route::name).collect(Collectors.toSet()));
         dispatchers.apply(newSettings);
     }
 
@@ -146,6 +152,9 @@
         if (isOpen) {
             return forward(request, body, caller, nowNanos);
         }
+        if (drain.hasBegun()) {
+            return refuse(request, body, caller, drain.refuse(request.attemptId()));
+        }
         Optional<QueuedCall> waiting = startupQueue.add(request, body, caller, nowNanos);
         if (waiting.isEmpty()) {
             refuse(request, body, caller, notOpenProblem(nowNanos));
@@ -262,6 +271,45 @@
         pools.closeIdle(nowNanos);
     }
 
+    // Planned stop
+
+    /** Begins a planned stop. A host that has not opened yet forwards nothing any more. */
+    public void beginDrain(DrainPlan plan) {
+        drain.begin(plan);
+        for (QueuedCall call : startupQueue.drain()) {
+            refuse(call.request, call.body, call.caller, drain.refuse(call.request.attemptId()));
+        }
+    }
+
+    /**
+     * Ends the requests that no server has and that can't end before this host stops.
+     *
+     * @param inProgress number of connections whose answers are not written yet
+     */
+    public void endCallsOutOfTime(long inProgress, long nowNanos) {
+        drain.setInProgress(inProgress);
+        dispatchers.endCallsOutOfTime(nowNanos);
+    }
+
+    /** Ends all requests in progress, first those that are queued, so that none of them is sent to a freed server. */
+    public void endCallsForShutdown(long nowNanos) {
+        drain.lastAnswersDue();
+        dispatchers.endCallsOutOfTime(nowNanos);
+        dispatchers.endCallsForShutdown();
+    }
+
+    /** The refusal of a request whose body is still arriving and that can't end before this host stops. */
+    public Optional<Problem> refusalOfIncomplete(CallerRequest request, long nowNanos) {
+        boolean fits = routes.find(request.hostName(), request.path())
+                .map(route -> drain.fits(route, request.prompt(), nowNanos))
+                .orElseGet(() -> drain.fits(nowNanos));
+        return fits ? Optional.empty() : Optional.of(drain.refuse(request.attemptId()));
+    }
+
+    public DrainControl drain() {
+        return drain;
+    }
+
     RequestLimits requestLimits() {
         return requestLimits;
     }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/PlacementHandler.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/PlacementHandler.java
@@ -41,6 +41,12 @@
 
         /** The request is not sent; nothing of the placement is left. */
         void onPlacementRefused(Problem problem, String reason);
+
+        /** Whether the request, sent now, ends before this host stops. */
+        boolean endsBeforeStop(long nowNanos);
+
+        /** The request is not sent, since it would not end before this host stops; nothing of the placement is left. */
+        void onOutOfTime();
     }
 
     PlacementHandler(
@@ -147,6 +153,11 @@
             listener.onPlacementRefused(refusal.get(), refusal.get().detail());
             return;
         }
+        if (!listener.endsBeforeStop(nowNanos)) {
+            giveUpPlacement(group, nowNanos);
+            listener.onOutOfTime();
+            return;
+        }
         if (!allAcceptRequests(placement)) {
             if (group != HoldGroup.NONE) {
                 state.transition(CallEvent.FAILED);
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatcher.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatcher.java
@@ -99,7 +99,11 @@
         return subset.reportRecipients(work);
     }
 
+    /** Submits a job, unless it can't end before this host stops. */
     void submit(ForwardCall call, Job job, long nowNanos) {
+        if (call.endIfOutOfTime(nowNanos)) {
+            return;
+        }
         calls.put(job, call);
         place(() -> placer.arrived(job, nowNanos));
     }
@@ -169,6 +173,16 @@
         List.copyOf(calls.values()).forEach(call -> call.onQuarantined(part));
     }
 
+    /** Ends the requests that no server has and that can't end before this host stops. */
+    void endCallsOutOfTime(long nowNanos) {
+        List.copyOf(calls.values()).forEach(call -> call.endIfOutOfTime(nowNanos));
+    }
+
+    /** Ends all requests in progress because this host stops. */
+    void endCallsForShutdown() {
+        List.copyOf(calls.values()).forEach(ForwardCall::endForShutdown);
+    }
+
     private void place(Supplier<List<Placement>> decision) {
         dispatch(processorTime.measure(Activity.PLACEMENT, decision));
     }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatchers.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatchers.java
@@ -192,6 +192,16 @@
         dispatchers.values().forEach(dispatcher -> dispatcher.promptQuarantined(part));
     }
 
+    /** Ends the requests that no server has and that can't end before this host stops. */
+    void endCallsOutOfTime(long nowNanos) {
+        List.copyOf(dispatchers.values()).forEach(dispatcher -> dispatcher.endCallsOutOfTime(nowNanos));
+    }
+
+    /** Ends all requests in progress because this host stops. */
+    void endCallsForShutdown() {
+        List.copyOf(dispatchers.values()).forEach(ServiceDispatcher::endCallsForShutdown);
+    }
+
     void tick(long nowNanos) {
         dispatchers.values().forEach(dispatcher -> dispatcher.tick(nowNanos));
     }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/log/LogSetup.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/log/LogSetup.java
@@ -7,6 +7,7 @@
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.core.ConsoleAppender;
 import ch.qos.logback.core.spi.ContextAwareBase;
+import org.slf4j.LoggerFactory;
 
 /**
  * Configures logging to standard output through a bounded queue. When the queue is full, lines are dropped instead of
@@ -16,6 +17,16 @@
     /** Capacity of the queue in lines; a few seconds of output of a busy host. */
     private static final int QUEUE_CAPACITY_LINES = 2_048;
 
+    /** Maximum time that the exit of the process waits for the queued lines. */
+    private static final int MAX_FLUSH_MS = 150;
+
+    /** Writes the queued lines. Nothing can be logged afterwards. */
+    public static void flush() {
+        if (LoggerFactory.getILoggerFactory() instanceof LoggerContext context) {
+            context.stop();
+        }
+    }
+
     @Override
     public ExecutionStatus configure(LoggerContext context) {
         JsonLineEncoder encoder = new JsonLineEncoder();
@@ -29,6 +40,7 @@
         queue.setContext(context);
         queue.setQueueSize(QUEUE_CAPACITY_LINES);
         queue.setNeverBlock(true);
+        queue.setMaxFlushTime(MAX_FLUSH_MS);
         queue.addAppender(console);
         queue.start();
         context.getLogger("io.netty").setLevel(Level.ERROR);
--- a/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
@@ -65,6 +65,7 @@
 
     private static final String DEFAULT_ATTEMPT_ID = "a-1";
 
+    private static final long GRACE_MS = 8_000;
     private static final long TICK_MS = 20;
     private static final int READ_TIMEOUT_MS = 20_000;
 
@@ -78,6 +79,9 @@
     private final ServiceDispatchers dispatchers;
     private final Forwarder forwarder;
     private final CallerServer callers;
+    private final MemoryHolds holds;
+    private final Shutdown shutdown;
+    private boolean isShutdownTimerPaused;
     private final InetSocketAddress address;
     private long version = 1;
     private final Map<String, Long> incarnations = new HashMap<>();
@@ -96,12 +100,13 @@
                 new SplittableRandom(1),
                 requestLimits,
                 new ServiceDispatchers.RetryBudgetConfig(0.2, 10, 10_000));
+        holds = new MemoryHolds(new HttpEngineClient(loop, pools, protocol), log, self, MonotonicClock.system());
         forwarder = new Forwarder(
                 loop,
                 protocol,
                 protocol,
                 pools,
-                new MemoryHolds(new HttpEngineClient(loop, pools, protocol), log, self, MonotonicClock.system()),
+                holds,
                 log,
                 metrics,
                 new SplittableRandom(1),
@@ -109,6 +114,7 @@
                 requestLimits,
                 dispatchers);
         callers = new CallerServer(loop, forwarder, protocol, new UnexpectedErrors(log, metrics));
+        shutdown = new Shutdown(log, callers, forwarder, () -> {}, holds::openCount, GRACE_MS);
         ServerSocketChannel port = CallerServer.open(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
         address = (InetSocketAddress) port.getLocalAddress();
         callers.serve(port).syncUninterruptibly();
@@ -119,6 +125,71 @@
     private void tick(long nowNanos) {
         forwarder.tick(nowNanos);
         callers.tick(nowNanos);
+        if (shutdown.hasBegun() && !isShutdownTimerPaused) {
+            holds.tick(nowNanos);
+            shutdown.tick(nowNanos);
+        }
+    }
+
+    /** Begins a planned stop whose signal came this long ago and that has this grace period. */
+    public void stop(long graceMs, long elapsedMs) {
+        onLoop(() -> beginStop(graceMs, elapsedMs));
+    }
+
+    /** Like {@link #stop}, for callers on the event loop. */
+    public void beginStop(long graceMs, long elapsedMs) {
+        shutdown.setGraceMs(graceMs);
+        shutdown.begin(System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(elapsedMs));
+    }
+
+    /** From now on the timer of a planned stop doesn't run, as in a process that is paused. */
+    public void pauseShutdownTimer() {
+        onLoop(() -> isShutdownTimerPaused = true);
+    }
+
+    public void resumeShutdownTimer() {
+        onLoop(() -> isShutdownTimerPaused = false);
+    }
+
+    /** Returns when a caller doesn't read as fast as its answer arrives. */
+    public void awaitUnsentBytes() {
+        while (!loop.submit(callers::hasUnsentBytes).syncUninterruptibly().getNow()) {
+            Thread.onSpinWait();
+        }
+    }
+
+    /** Returns when a planned stop has ended this many requests that a server had. */
+    public void awaitInterrupted(long count) {
+        while (loop.submit(() -> forwarder.drain().interrupted().count())
+                        .syncUninterruptibly()
+                        .getNow()
+                < count) {
+            Thread.onSpinWait();
+        }
+    }
+
+    /** Number of connections with a request or with an answer that is not written. */
+    public long unfinishedCallers() {
+        return loop.submit(callers::unfinished).syncUninterruptibly().getNow();
+    }
+
+    /** Passes on a grace period of a changed configuration. */
+    public void setGraceMs(long graceMs) {
+        onLoop(() -> shutdown.setGraceMs(graceMs));
+    }
+
+    /** Returns when the process may exit. */
+    public void awaitStopped() throws InterruptedException {
+        shutdown.done().await();
+    }
+
+    public boolean isStopped() {
+        return shutdown.done().getCount() == 0;
+    }
+
+    /** Number of holds of memory at engines that are not released yet. */
+    public long openHolds() {
+        return loop.submit(holds::openCount).syncUninterruptibly().getNow();
     }
 
     /** Runs an action on the event loop and waits for it. */
@@ -308,12 +379,32 @@
                         route("order", "/order/", RequestKind.NON_IDEMPOTENT, PLAIN, timeoutMs, false),
                         route("open", "/open/", RequestKind.IDEMPOTENT, PLAIN, timeoutMs, true),
                         route("ask", "/ask/", RequestKind.IDEMPOTENT, ENGINES, timeoutMs, false),
-                        route("stream", "/stream/", RequestKind.STREAM, ENGINES, timeoutMs, false)),
+                        route("stream", "/stream/", RequestKind.STREAM, ENGINES, timeoutMs, false),
+                        onceOnly("/once/", timeoutMs)),
                 services,
                 CallerLimits.DEFAULT,
                 List.of(new OrganisationKeys(OrganisationId.of("house-1"), List.of(KEY), OptionalInt.empty())));
     }
 
+    /** A route for streams that may not be resumed. */
+    private static Route onceOnly(String prefix, long timeoutMs) {
+        List<WeightedService> services = List.of(new WeightedService(ENGINES, 1));
+        return new Route(
+                "once",
+                "a.example",
+                prefix,
+                RequestKind.STREAM,
+                timeoutMs,
+                300,
+                1,
+                services,
+                2,
+                false,
+                true,
+                false,
+                250);
+    }
+
     private static Route route(
             String name, String prefix, RequestKind kind, ServiceId service, long timeoutMs, boolean isPublic) {
         return new Route(
--- a/figspan-gateway/src/test/java/io/figspan/gateway/caller/LateEventLoopTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/caller/LateEventLoopTest.java
@@ -19,6 +19,8 @@
 /** Guards against a time limit that is enforced although what the caller has sent in time is not read yet. */
 class LateEventLoopTest {
     /** Longer than each time limit of the connections of callers. */
+    private static final long GRACE_MS = 8_000;
+
     private static final long OVERDUE_NANOS = TimeUnit.SECONDS.toNanos(60);
 
     /** More than the selector of the JDK reports at once. */
@@ -148,7 +150,7 @@
     void aHostThatStopsClosesNoConnectionWithAReceivedRequest() throws IOException {
         gateway.awaitRead();
 
-        gateway.onLateLoop(() -> send(LAST_REQUEST), () -> gateway.callers().refuseNew());
+        gateway.onLateLoop(() -> send(LAST_REQUEST), () -> gateway.beginStop(GRACE_MS, GRACE_MS));
 
         String response = readAll();
         assertTrue(response.startsWith("HTTP/1.1 503"), response);
--- a/figspan-gateway/src/test/java/io/figspan/gateway/caller/PipelinedRequestsTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/caller/PipelinedRequestsTest.java
@@ -16,6 +16,12 @@
 
 /** Guards against requests behind another one that get no answer, or take its answer with them. */
 class PipelinedRequestsTest {
+    private static final long GRACE_MS = 60_000;
+    private static final long LONG_TIMEOUT_MS = 20_000;
+
+    /** Less than the timeout of the route, within which an order of unknown duration may end. */
+    private static final long TOO_SHORT_FOR_AN_ORDER_MS = 10_000;
+
     private static final int TIMEOUT_S = 20;
 
     /** Enough requests that the gateway stops reading before the last one. */
@@ -130,13 +136,11 @@
 
     @Test
     void aHostThatStopsRefusesTheRequestsBehindOneInProgress() throws IOException {
+        gateway.apply(gateway.settings(LONG_TIMEOUT_MS));
         send("/read/1", "");
-        send("/read/2", "");
+        send("/order/2", "");
         gateway.awaitRead();
-        gateway.onLoop(() -> {
-            gateway.callers().disableKeepAlive();
-            gateway.callers().refuseNew();
-        });
+        gateway.stop(GRACE_MS, GRACE_MS - TOO_SHORT_FOR_AN_ORDER_MS);
         released.countDown();
 
         String response = readAll();
--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/ChangedSettingsTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/ChangedSettingsTest.java
@@ -34,6 +34,7 @@
 
 /** Guards against requests that get neither an answer nor a refusal when the settings change under them. */
 class ChangedSettingsTest {
+    private static final long GRACE_MS = 60_000;
     private static final long TIMEOUT_MS = 5_000;
     private static final int LIMIT_S = 20;
     private static final String LAST_CHUNK = "0\r\n\r\n";
@@ -168,7 +169,7 @@
     private void change(Change change, Arrival arrival) {
         GatewaySettings older = gateway.settings(TIMEOUT_MS);
         if (arrival == Arrival.WHILE_STOPPING) {
-            gateway.onLoop(() -> gateway.callers().disableKeepAlive());
+            gateway.stop(GRACE_MS, 0);
         }
         gateway.apply(change.change.apply(gateway.settings(TIMEOUT_MS)));
         if (arrival == Arrival.TWICE) {
@@ -178,7 +179,7 @@
         } else if (arrival == Arrival.OLDER_AFTERWARDS) {
             gateway.apply(older);
         } else if (arrival == Arrival.WHILE_STOPPING) {
-            gateway.onLoop(() -> gateway.callers().refuseNew());
+            gateway.onLoop(() -> gateway.callers().stopAccepting());
         }
     }
 
--- /dev/null
+++ b/figspan-policy/src/main/java/io/figspan/policy/drain/package-info.java
@@ -0,0 +1,2 @@
+/** The planned stop of a host: which requests it still serves and when it answers the rest. */
+package io.figspan.policy.drain;
