The first tick of a service may be late too

SilentServerTest.aServerIsNotSilentWhoseEventsAreNotReadYet failed once beside other builds (two attempts instead of one): the late tick of the test was the first one of the service, since the timer of the harness had not run yet, and a first tick never counted as late. The same holds for a host that is paused right after it has begun to serve a service. The first tick now looks for no silent servers.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatcher.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatcher.java
@@ -151,7 +151,7 @@
     }
 
     void tick(long nowNanos) {
-        boolean isLate = lastTickNanos.isPresent() && nowNanos - lastTickNanos.getAsLong() > LATE_TICK_NANOS;
+        boolean isLate = lastTickNanos.isEmpty() || nowNanos - lastTickNanos.getAsLong() > LATE_TICK_NANOS;
         lastTickNanos = OptionalLong.of(nowNanos);
         if (!isLate) {
             detectSilentServers(nowNanos);
