Settings: limits of settings that are not in force are ignored

What callers could see: after a store had returned from an older copy, requests were refused by the limits of an older version of the settings (413), or their connections were closed after its idle time.

Cause: Forwarder.apply() ignores settings that are not newer than those in force, but GatewayProcess.onSettings() passed the limits of any settings on to CallerServer.

Evidence: ChangedLimitsTest.theLimitsOfSettingsThatAreNotInForceDoNotApply, against the code before (with the harness doing what onSettings() did): 413 instead of 200. CallerServer now takes its limits from the forwarder, which passes settings on when they come into force. ChangedLimitsTest 9, ChangedSettingsTest 450 tests pass.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
@@ -271,7 +271,6 @@
     public void onSettings(GatewaySettings settings) {
         forwarder.apply(settings);
         peers.itemsChanged();
-        callers.setLimits(settings.callerLimits());
         openWhenReady(System.nanoTime());
     }
 
--- a/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerServer.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerServer.java
@@ -61,6 +61,7 @@
         this.forwarder = forwarder;
         this.protocol = protocol;
         this.errors = errors;
+        forwarder.onSettingsApplied(settings -> setLimits(settings.callerLimits()));
     }
 
     /** Binds the port without accepting connections; they wait in the backlog until {@link #serve} is called. */
@@ -104,7 +105,7 @@
     }
 
     /** Sets the limits of all connections. A connection with another limit for heads is closed after its response. */
-    public void setLimits(CallerLimits newLimits) {
+    void setLimits(CallerLimits newLimits) {
         limits = newLimits;
         connections.forEach(connection -> connection.limitsChanged(newLimits));
     }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
@@ -31,6 +31,7 @@
 import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
@@ -63,6 +64,7 @@
     private boolean isOpen;
     private LongSupplier workViewAgeMs = () -> 0;
     private BooleanSupplier areSettingsOutdated = () -> false;
+    private Consumer<GatewaySettings> settingsListener = applied -> {};
     private GatewaySettings settings;
     private RouteTable routes = new RouteTable(List.of());
     private ApiKeyIndex keys = new ApiKeyIndex(List.of());
@@ -112,6 +114,12 @@
         drain.durations()
                 .retainRoutes(newSettings.routes().stream().map(Route::name).collect(Collectors.toSet()));
         dispatchers.apply(newSettings);
+        settingsListener.accept(newSettings);
+    }
+
+    /** Sets the listener that is called with the settings that have come into force. */
+    public void onSettingsApplied(Consumer<GatewaySettings> listener) {
+        settingsListener = listener;
     }
 
     public SettingsVersion settingsVersion() {
--- a/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
@@ -360,10 +360,7 @@
 
     /** Puts settings in force, as the process does when the store has newer ones. */
     public void apply(GatewaySettings settings) {
-        onLoop(() -> {
-            forwarder.apply(settings);
-            callers.setLimits(settings.callerLimits());
-        });
+        onLoop(() -> forwarder.apply(settings));
     }
 
     /** Settings of the next version in which all routes have this timeout. */
--- a/figspan-gateway/src/test/java/io/figspan/gateway/caller/ChangedLimitsTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/caller/ChangedLimitsTest.java
@@ -5,6 +5,7 @@
 
 import io.figspan.gateway.GatewayHarness;
 import io.figspan.settings.gateway.CallerLimits;
+import io.figspan.settings.gateway.GatewaySettings;
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -134,6 +135,22 @@
         assertEquals("HTTP/1.1 413", status(response), response);
     }
 
+    /** Guards against limits of an older version, for example after the store has returned from an older copy. */
+    @Test
+    void theLimitsOfSettingsThatAreNotInForceDoNotApply() throws IOException {
+        GatewaySettings older = gateway.settings(2_000);
+        gateway.apply(withLimits(gateway.settings(2_000), maxBody(8_192)));
+
+        gateway.apply(withLimits(older, maxBody(1_024)));
+
+        assertEquals("HTTP/1.1 200", status(request("POST", "x".repeat(8_000))));
+    }
+
+    private static GatewaySettings withLimits(GatewaySettings settings, CallerLimits limits) {
+        return new GatewaySettings(
+                settings.version(), settings.routes(), settings.services(), limits, settings.organisations());
+    }
+
     @Test
     void aConnectionIsNotKeptWhoseHeadLimitHasChanged() throws IOException {
         setLimits(new CallerLimits(32_768, FIRST.maxBodyBytes(), FIRST.headerTimeoutMs(), FIRST.idleTimeoutMs()));
