Memory holds: retry renewals that a busy engine rejects

What callers saw: a long prompt whose memory lies at several engines was cancelled although all of them still held it.

Cause: every status but 200 in response to a renewal counted as the loss of the memory.

Evidence: MemoryHoldsTest.theUseGoesOnWhenAnEngineRejectsRenewalsForAWhile fails in its five cases without the change: the hold is released after the first rejected renewal.

A rejected reservation fails its group as before. All tests of the package, and PlatformProtocolsTest, pass with the change.

--- a/figspan-control/src/main/java/io/figspan/control/hold/HoldLedger.java
+++ b/figspan-control/src/main/java/io/figspan/control/hold/HoldLedger.java
@@ -75,6 +75,14 @@
         transition(handle, HoldEvent.REFUSED);
     }
 
+    /** Renews a hold again soon, because the engine has rejected a renewal although it still holds the memory. */
+    public void retryRenewal(HoldHandle handle, long nowNanos) {
+        Entry entry = entries.get(handle);
+        if (entry != null) {
+            entry.nextRenewalNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(config.renewalRetryMs());
+        }
+    }
+
     /** Releases a hold in any state, even if its reserve call is unanswered. Idempotent. */
     public List<HoldAction> release(HoldHandle handle, long nowNanos) {
         transition(handle, HoldEvent.RELEASE);
--- a/figspan-control/src/main/java/io/figspan/control/hold/HoldLedgerConfig.java
+++ b/figspan-control/src/main/java/io/figspan/control/hold/HoldLedgerConfig.java
@@ -18,6 +18,9 @@
     /** A hold is renewed after this fraction of its lease (1 / value), so that two renewals may fail. */
     private static final int RENEWALS_PER_LEASE = 3;
 
+    /** A rejected renewal is retried after this fraction of the lease (1 / value). */
+    private static final int RETRIES_PER_LEASE = 12;
+
     public HoldLedgerConfig(int capacityHolds, long graceMs, long releaseRetryMs) {
         this(capacityHolds, graceMs, releaseRetryMs, 0);
     }
@@ -41,4 +44,8 @@
     long renewAfterMs() {
         return leaseMs / RENEWALS_PER_LEASE;
     }
+
+    long renewalRetryMs() {
+        return leaseMs / RETRIES_PER_LEASE;
+    }
 }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/backend/EngineOutcome.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/backend/EngineOutcome.java
@@ -12,8 +12,10 @@
     public enum Kind {
         /** The engine did what was requested. */
         DONE,
-        /** The engine responded that it did not do what was requested. */
+        /** The engine responded that it did not do what was requested, and that it does not hold the memory. */
         REFUSED,
+        /** The engine rejected the request, for example because it is full; what it holds already stays held. */
+        REJECTED,
         /** No response was received; the engine may or may not have done what was requested. */
         NO_RESPONSE
     }
@@ -26,6 +28,10 @@
         return new EngineOutcome(Kind.REFUSED, reason);
     }
 
+    public static EngineOutcome rejected(String reason) {
+        return new EngineOutcome(Kind.REJECTED, reason);
+    }
+
     public static EngineOutcome noResponse(String reason) {
         return new EngineOutcome(Kind.NO_RESPONSE, reason);
     }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/backend/HttpEngineClient.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/backend/HttpEngineClient.java
@@ -103,9 +103,15 @@
         public void onResponse(HttpResponse head, byte[] body) {
             releaseConnection.run();
             engine.ifPresent(known -> pools.responded(known, protocol.decode(head), System.nanoTime()));
-            int status = head.status().code();
-            boolean isDone = protocol.isDone(status);
-            listener.accept(isDone ? EngineOutcome.done() : EngineOutcome.refused("status " + status));
+            listener.accept(outcome(head.status().code()));
+        }
+
+        private EngineOutcome outcome(int status) {
+            if (protocol.isDone(status)) {
+                return EngineOutcome.done();
+            }
+            String reason = "status " + status;
+            return protocol.isNotHeld(status) ? EngineOutcome.refused(reason) : EngineOutcome.rejected(reason);
         }
 
         @Override
--- a/figspan-gateway/src/main/java/io/figspan/gateway/backend/MemoryHolds.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/backend/MemoryHolds.java
@@ -188,12 +188,24 @@
             ledger.onRefused(handle);
             resolve(handle, group -> group.markFailed("an engine has too little free memory"));
             holdUsers.removeByHold(handle).ifPresent(user -> onUseLost(user, "an engine no longer holds the memory"));
+        } else if (outcome.kind() == EngineOutcome.Kind.REJECTED) {
+            onReserveRejected(reserve);
         } else {
             BackendServerId engine = reserve.engine().server();
             resolve(handle, group -> group.markUnresponsive(engine, outcome.reason()));
         }
     }
 
+    /** A rejected reservation reserves nothing. After a rejected renewal the memory is held until its lease ends. */
+    private void onReserveRejected(HoldAction.Reserve reserve) {
+        HoldHandle handle = reserve.handle();
+        ledger.onRefused(handle);
+        if (!engines.isPaused(reserve.engine().server())) {
+            ledger.retryRenewal(handle, clock.nowNanos());
+        }
+        resolve(handle, group -> group.markFailed("an engine accepts no reservations now"));
+    }
+
     private void onReleaseOutcome(HoldAction.Release release, EngineOutcome outcome) {
         if (outcome.isDone()) {
             ledger.onReleaseAnswered(release.handle(), true);
--- a/figspan-gateway/src/main/java/io/figspan/gateway/protocol/BackendProtocol.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/protocol/BackendProtocol.java
@@ -28,4 +28,7 @@
 
     /** Whether the status means that the server did what was requested. */
     boolean isDone(int status);
+
+    /** Whether the status of a response to a reservation or renewal means that the server holds no memory for it. */
+    boolean isNotHeld(int status);
 }
--- a/figspan-gateway/src/test/java/io/figspan/gateway/TestProtocol.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/TestProtocol.java
@@ -129,4 +129,9 @@
     public boolean isDone(int status) {
         return status == 200;
     }
+
+    @Override
+    public boolean isNotHeld(int status) {
+        return status == 409;
+    }
 }
--- a/figspan-gateway/src/test/java/io/figspan/gateway/backend/HttpEngineClientTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/backend/HttpEngineClientTest.java
@@ -22,6 +22,8 @@
 import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against an outcome that differs from what an engine did, over real connections. */
 class HttpEngineClientTest {
@@ -109,6 +111,19 @@
         }
     }
 
+    /** Guards against the status of a busy engine being taken for the loss of the memory that it holds. */
+    @ParameterizedTest
+    @ValueSource(ints = {429, 500, 503})
+    void requestsThatAreRejectedSayNothingOfTheMemory(int status) throws Exception {
+        try (ScriptedServer engine = answering(status)) {
+            register(engine);
+
+            assertEquals(EngineOutcome.rejected("status " + status), reserve(LONG_TIMEOUT_MS));
+            assertEquals(EngineOutcome.rejected("status " + status), release(LONG_TIMEOUT_MS));
+            assertEquals(EngineOutcome.rejected("status " + status), probe(engine, LONG_TIMEOUT_MS));
+        }
+    }
+
     @Test
     void requestsWhoseConnectionIsClosedHaveNoResponse() throws Exception {
         try (ScriptedServer engine = new ScriptedServer((request, connection) -> connection.close())) {
--- a/figspan-gateway/src/test/java/io/figspan/gateway/backend/MemoryHoldsTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/backend/MemoryHoldsTest.java
@@ -135,6 +135,37 @@
         assertEquals(1, engines.sentCount(OTHER_HOLDER, RequestKind.RELEASE));
     }
 
+    /** Guards against prompts that end because an engine is too busy to renew a hold that it still has. */
+    @ParameterizedTest
+    @ValueSource(longs = {100, 400, 700, 1_000, 1_300})
+    void theUseGoesOnWhenAnEngineRejectsRenewalsForAWhile(long rejectsFromMs) {
+        HoldGroup group = reserveComplete(HOLDER, OTHER_HOLDER);
+        use(group);
+
+        runUntil(rejectsFromMs);
+        engines.setBehaviour(HOLDER, RequestKind.RESERVE, Behaviour.REJECT_FOR_NOW);
+        runUntil(rejectsFromMs + 1_700);
+        engines.setBehaviour(HOLDER, RequestKind.RESERVE, Behaviour.ANSWER);
+        for (long nowMs = rejectsFromMs + 1_700; nowMs < DEADLINE_MS - TICK_MS; nowMs += TICK_MS) {
+            runUntil(nowMs);
+            assertEquals(1, engines.heldCount(HOLDER), "holds after " + nowMs + " ms");
+        }
+
+        assertEquals(List.of(), lost);
+        assertEquals(0, engines.sentCount(OTHER_HOLDER, RequestKind.RELEASE));
+    }
+
+    @Test
+    void aGroupFailsWhenOneEngineRejectsItsReservationForNow() {
+        engines.setBehaviour(OTHER_HOLDER, Behaviour.REJECT_FOR_NOW);
+
+        reserve(HOLDER, OTHER_HOLDER);
+        runUntil(TICK_MS);
+
+        assertEquals("an engine accepts no reservations now", failedGroup().failure());
+        assertEquals(1, holds.openCount(), "holds without the rejected one");
+    }
+
     @Test
     void theHoldsOfALiveEngineAreKept() {
         HoldGroup group = reserveComplete(HOLDER, OTHER_HOLDER);
--- a/figspan-gateway/src/test/java/io/figspan/gateway/backend/SimulatedEngines.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/backend/SimulatedEngines.java
@@ -41,6 +41,12 @@
                 return Optional.of(EngineOutcome.refused("status 409"));
             }
         },
+        REJECT_FOR_NOW {
+            @Override
+            Optional<EngineOutcome> handle(Runnable effect) {
+                return Optional.of(EngineOutcome.rejected("status 503"));
+            }
+        },
         NEVER_ANSWER {
             @Override
             Optional<EngineOutcome> handle(Runnable effect) {
