Connections: a server that closes within a head has crashed, not answered

What callers saw: a prompt whose engine ends within the head of its answer was sent to engine after engine without end (BUDGET).

Cause: when a connection closes between the status line and the end of the head, the decoder passes on an invalid message. HttpConnection took it for malformed bytes of a living server, and CrashObserver counts only broken connections. A close before, in the status line, or after the head was counted.

The close is now reported as BROKEN_BEFORE_ANSWER.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/http/HttpConnection.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/http/HttpConnection.java
@@ -10,6 +10,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
@@ -205,7 +206,7 @@
             return;
         }
         if (message.decoderResult().isFailure() || activeListener == null) {
-            fail(ConnectionFailure.MALFORMED);
+            fail(isClosedWithinHead(message) ? ConnectionFailure.BROKEN_BEFORE_ANSWER : ConnectionFailure.MALFORMED);
             return;
         }
         if (message instanceof HttpResponse head) {
@@ -216,6 +217,10 @@
         }
     }
 
+    private static boolean isClosedWithinHead(HttpObject message) {
+        return message.decoderResult().cause() instanceof PrematureChannelClosureException;
+    }
+
     private void readHead(HttpResponse head) {
         if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             return;
--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/CrashingPromptTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/CrashingPromptTest.java
@@ -45,16 +45,24 @@
 
     /** Starts engines whose connections end in {@code ending} when they begin to answer a prompt with the part. */
     private void startEngines(Ending ending) throws IOException {
+        startCrashingEngines((request, connection) -> {
+            connection.begin(request, 200, HEAD_WITHOUT_LENGTH);
+            ending.end(connection);
+        });
+    }
+
+    /** Starts engines that handle prompts with the part with {@code crash}. */
+    private void startCrashingEngines(ScriptedServer.Script crash) throws IOException {
         for (int number = 0; number < ENGINES; number++) {
             String name = "engine-" + number;
             engines.put(name, new ScriptedServer((request, connection) -> {
-                connection.begin(request, 200, HEAD_WITHOUT_LENGTH);
                 if (request.header("shared-part").equals("c0de")) {
                     crashes.incrementAndGet();
                     gateway.restart(name, engines.get(name));
-                    ending.end(connection);
+                    crash.answer(request, connection);
                     return;
                 }
+                connection.begin(request, 200, HEAD_WITHOUT_LENGTH);
                 connection.write(EVENTS);
                 connection.close();
             }));
@@ -97,6 +105,15 @@
         promptsAreQuarantined();
     }
 
+    @Test
+    void promptsWhoseAnswersEndWithinTheHeadAreKeptFromTheEngines() throws IOException {
+        startCrashingEngines((request, connection) -> {
+            connection.write("HTTP/1.1 200 x\r\nattempt: " + request.header("attempt") + "\r\nsig");
+            connection.close();
+        });
+        promptsAreQuarantined();
+    }
+
     @Test
     void soundPromptsThatShareKeyAndOtherPartsAreServed() throws IOException {
         startEngines(ScriptedServer.Connection::reset);
