Name the quarantine after crashes instead of prompts

It is about to cover requests of all kinds, not only the shared parts of prompts: CrashQuarantine, Suspect, SuspectEvidence and RequestCrashes. No change of behaviour; CrashQuarantine*Test, CrashingPromptTest and FrameCodecProperties pass.

--- a/figspan-cluster/src/main/java/io/figspan/cluster/message/PeerMessage.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/message/PeerMessage.java
@@ -137,7 +137,7 @@
     }
 
     /** What the sender knows of prompt parts that crash model engines. Repeated, and merged by the receiver. */
-    record CrashEvidence(List<PartEvidence> parts) implements PeerMessage {
+    record CrashEvidence(List<SuspectEvidence> parts) implements PeerMessage {
         public CrashEvidence {
             parts = List.copyOf(parts);
         }
--- a/figspan-cluster/src/main/java/io/figspan/cluster/message/PartEvidence.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/message/SuspectEvidence.java
@@ -16,14 +16,14 @@
  * @param crashes servers that crashed and for which the part may be the cause
  * @param refuted servers for which it is not the cause
  */
-public record PartEvidence(
+public record SuspectEvidence(
         PromptPartId part,
         int depth,
         boolean isQuarantined,
         long ageMs,
         List<BackendIncarnation> crashes,
         List<BackendIncarnation> refuted) {
-    public PartEvidence {
+    public SuspectEvidence {
         if (depth < 0 || ageMs < 0) {
             throw new FigspanException(
                     ProblemKind.INVALID_VALUE, "depth or age is negative", Location.of("part evidence"));
--- a/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/PromptQuarantine.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/CrashQuarantine.java
@@ -1,7 +1,7 @@
 package io.figspan.cluster.quarantine;
 
-import io.figspan.cluster.message.PartEvidence;
 import io.figspan.cluster.message.PeerMessage;
+import io.figspan.cluster.message.SuspectEvidence;
 import io.figspan.core.id.BackendIncarnation;
 import io.figspan.core.id.HostId;
 import io.figspan.core.id.PromptPartId;
@@ -29,7 +29,7 @@
  *
  * <p>Performs no I/O and is not thread-safe; times are monotonic, in nanoseconds.
  */
-public final class PromptQuarantine {
+public final class CrashQuarantine {
     /** Hosts that receive the evidence in each round of gossip. */
     public static final int GOSSIP_FANOUT = 3;
 
@@ -67,7 +67,7 @@
     /** A prompt is not sent because of this part; waiting for this time may help. */
     public record Refusal(PromptPartId part, long retryAfterMs) {}
 
-    public PromptQuarantine(HostId self, long nowNanos) {
+    public CrashQuarantine(HostId self, long nowNanos) {
         this.self = self;
         this.hosts = Set.of(self);
         this.lastGossipNanos = nowNanos;
@@ -119,7 +119,7 @@
             return;
         }
         crashHeardNanos.remove(server);
-        for (SuspectPart suspect : suspects.all()) {
+        for (Suspect suspect : suspects.all()) {
             if (suspect.crashes().contains(server) && suspect.refute(server, nowNanos)) {
                 unsent.add(suspect.part());
             }
@@ -128,17 +128,17 @@
 
     /** Another host has sent its evidence. */
     public void receive(PeerMessage.CrashEvidence evidence, long nowNanos) {
-        for (PartEvidence received : evidence.parts()) {
+        for (SuspectEvidence received : evidence.parts()) {
             if (TimeUnit.MILLISECONDS.toNanos(received.ageMs()) < SuspectTable.expiryNanos(received.isQuarantined())) {
                 merge(received, nowNanos);
             }
         }
     }
 
-    private void merge(PartEvidence received, long nowNanos) {
+    private void merge(SuspectEvidence received, long nowNanos) {
         received.crashes().forEach(server -> heardOfCrash(server, nowNanos));
         long crashedNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(received.ageMs());
-        SuspectPart suspect = suspects.findOrAdd(received.part(), crashedNanos, nowNanos);
+        Suspect suspect = suspects.findOrAdd(received.part(), crashedNanos, nowNanos);
         suspect.merge(received, crashedNanos, nowNanos);
         if (suspect.isCoveredBy(received)) {
             unsent.remove(received.part());
@@ -159,7 +159,7 @@
 
     private List<QuarantineAction> decide(long nowNanos) {
         List<QuarantineAction> actions = new ArrayList<>();
-        for (SuspectPart suspect : suspects.all()) {
+        for (Suspect suspect : suspects.all()) {
             if (suspect.isQuarantined() && suspect.crashCount() < SuspectTable.MIN_CRASHES) {
                 suspect.release();
                 unsent.add(suspect.part());
@@ -168,7 +168,7 @@
                 quarantine(suspect, actions);
             }
         }
-        Optional<SuspectPart> culprit = suspects.nextCulprit(nowNanos);
+        Optional<Suspect> culprit = suspects.nextCulprit(nowNanos);
         while (culprit.isPresent()) {
             quarantine(culprit.get(), actions);
             culprit = suspects.nextCulprit(nowNanos);
@@ -176,7 +176,7 @@
         return actions;
     }
 
-    private void quarantine(SuspectPart suspect, List<QuarantineAction> actions) {
+    private void quarantine(Suspect suspect, List<QuarantineAction> actions) {
         if (!suspect.isQuarantined()) {
             suspect.quarantine();
             unsent.add(suspect.part());
@@ -192,8 +192,8 @@
                 .map(suspect -> new Refusal(suspect.part(), retryAfterMs(suspect, nowNanos)));
     }
 
-    private Stream<SuspectPart> quarantined(List<PromptPartId> parts) {
-        return parts.stream().flatMap(part -> suspects.find(part).stream()).filter(SuspectPart::isQuarantined);
+    private Stream<Suspect> quarantined(List<PromptPartId> parts) {
+        return parts.stream().flatMap(part -> suspects.find(part).stream()).filter(Suspect::isQuarantined);
     }
 
     /** Like {@link #refusal}, right before the prompt is sent; a prompt that is not refused uses up a due trial. */
@@ -205,11 +205,11 @@
         return refusal;
     }
 
-    private boolean isTrialDue(SuspectPart suspect, long nowNanos) {
+    private boolean isTrialDue(Suspect suspect, long nowNanos) {
         return nowNanos - nextTrialNanos(suspect) >= 0 && isTrialHost(suspect.part());
     }
 
-    private long nextTrialNanos(SuspectPart suspect) {
+    private long nextTrialNanos(Suspect suspect) {
         long afterCrash = suspect.lastCrashNanos() + trialDelayNanos(suspect.crashCount());
         Long last = lastTrialNanos.get(suspect.part());
         return last == null ? afterCrash : Math.max(afterCrash, last + FIRST_TRIAL_DELAY_NANOS);
@@ -228,7 +228,7 @@
         return RendezvousHash.order(part.value(), hosts).get(0).equals(self);
     }
 
-    private long retryAfterMs(SuspectPart suspect, long nowNanos) {
+    private long retryAfterMs(Suspect suspect, long nowNanos) {
         return Math.max(
                 TimeUnit.SECONDS.toMillis(1), TimeUnit.NANOSECONDS.toMillis(nextTrialNanos(suspect) - nowNanos));
     }
@@ -243,7 +243,7 @@
         suspects.removeExpired(nowNanos);
         lastTrialNanos.keySet().removeIf(part -> suspects.find(part).isEmpty());
         List<QuarantineAction> actions = decide(nowNanos);
-        List<SuspectPart> changed =
+        List<Suspect> changed =
                 unsent.stream().flatMap(part -> suspects.find(part).stream()).toList();
         unsent.clear();
         SuspectTable.message(changed, nowNanos).ifPresent(news -> actions.add(new QuarantineAction.SendToAll(news)));
@@ -274,6 +274,6 @@
 
     /** Number of parts whose prompts are refused. */
     public long quarantinedCount() {
-        return suspects.all().stream().filter(SuspectPart::isQuarantined).count();
+        return suspects.all().stream().filter(Suspect::isQuarantined).count();
     }
 }
--- a/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/SuspectPart.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/Suspect.java
@@ -1,6 +1,6 @@
 package io.figspan.cluster.quarantine;
 
-import io.figspan.cluster.message.PartEvidence;
+import io.figspan.cluster.message.SuspectEvidence;
 import io.figspan.core.id.BackendIncarnation;
 import io.figspan.core.id.PromptPartId;
 import java.util.Collections;
@@ -12,7 +12,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** The evidence for and against one prompt part, merged from all hosts. Merging is idempotent and commutative. */
-final class SuspectPart {
+final class Suspect {
     /** Bounds the size of the evidence; more crashes don't change a decision. */
     static final int MAX_CRASHES = 16;
 
@@ -30,7 +30,7 @@
     private boolean isQuarantined;
     private boolean isQuarantinedElsewhere;
 
-    SuspectPart(PromptPartId part, long lastCrashNanos, long nowNanos) {
+    Suspect(PromptPartId part, long lastCrashNanos, long nowNanos) {
         this.part = part;
         this.lastCrashNanos = lastCrashNanos;
         this.lastChangeNanos = nowNanos;
@@ -144,21 +144,21 @@
     }
 
     /** Merges what another host knows. */
-    void merge(PartEvidence received, long crashedNanos, long nowNanos) {
+    void merge(SuspectEvidence received, long crashedNanos, long nowNanos) {
         received.refuted().forEach(server -> refute(server, nowNanos));
         received.crashes().forEach(server -> addCrash(server, received.depth(), crashedNanos, nowNanos));
         isQuarantinedElsewhere |= received.isQuarantined();
     }
 
     /** Whether a host that knows what another one has sent knows all that this one does. */
-    boolean isCoveredBy(PartEvidence sent) {
+    boolean isCoveredBy(SuspectEvidence sent) {
         return sent.refuted().containsAll(refuted)
                 && sent.crashes().containsAll(crashes())
                 && sent.isQuarantined() == isQuarantined;
     }
 
-    PartEvidence toEvidence(long nowNanos) {
-        return new PartEvidence(
+    SuspectEvidence toEvidence(long nowNanos) {
+        return new SuspectEvidence(
                 part,
                 depth,
                 isQuarantined,
--- a/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/SuspectTable.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/SuspectTable.java
@@ -1,7 +1,7 @@
 package io.figspan.cluster.quarantine;
 
-import io.figspan.cluster.message.PartEvidence;
 import io.figspan.cluster.message.PeerMessage;
+import io.figspan.cluster.message.SuspectEvidence;
 import io.figspan.core.id.BackendIncarnation;
 import io.figspan.core.id.PromptPartId;
 import java.util.ArrayList;
@@ -40,25 +40,25 @@
     /** Time for other hosts to refute a crash before it counts. */
     static final long SETTLE_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
-    private final Map<PromptPartId, SuspectPart> suspects = new LinkedHashMap<>();
+    private final Map<PromptPartId, Suspect> suspects = new LinkedHashMap<>();
 
-    Collection<SuspectPart> all() {
+    Collection<Suspect> all() {
         return suspects.values();
     }
 
     /** Returns the part if it is suspected. */
-    Optional<SuspectPart> find(PromptPartId part) {
+    Optional<Suspect> find(PromptPartId part) {
         return Optional.ofNullable(suspects.get(part));
     }
 
     /** Returns the part, which is suspected from now on because of a crash at {@code crashedNanos}. */
-    SuspectPart findOrAdd(PromptPartId part, long crashedNanos, long nowNanos) {
-        SuspectPart known = suspects.get(part);
+    Suspect findOrAdd(PromptPartId part, long crashedNanos, long nowNanos) {
+        Suspect known = suspects.get(part);
         if (known != null) {
             return known;
         }
         makeRoom();
-        SuspectPart added = new SuspectPart(part, crashedNanos, nowNanos);
+        Suspect added = new Suspect(part, crashedNanos, nowNanos);
         suspects.put(part, added);
         return added;
     }
@@ -68,7 +68,7 @@
             return;
         }
         suspects.values().stream()
-                .min(Comparator.comparing(SuspectPart::isQuarantined).thenComparing(SuspectPart::lastCrashNanos))
+                .min(Comparator.comparing(Suspect::isQuarantined).thenComparing(Suspect::lastCrashNanos))
                 .ifPresent(oldest -> suspects.remove(oldest.part()));
     }
 
@@ -83,16 +83,16 @@
     }
 
     /** The part with the most crashes that no quarantined part explains, if that is evidence enough. */
-    Optional<SuspectPart> nextCulprit(long nowNanos) {
+    Optional<Suspect> nextCulprit(long nowNanos) {
         boolean hasCandidate = suspects.values().stream()
                 .anyMatch(suspect -> !suspect.isQuarantined() && suspect.crashCount() >= MIN_CRASHES);
         if (!hasCandidate) {
             return Optional.empty();
         }
         int most = MIN_CRASHES;
-        List<SuspectPart> leading = new ArrayList<>();
+        List<Suspect> leading = new ArrayList<>();
         Set<BackendIncarnation> explained = explainedCrashes();
-        for (SuspectPart suspect : suspects.values()) {
+        for (Suspect suspect : suspects.values()) {
             int crashes = suspect.isQuarantined() ? 0 : suspect.separateCrashes(explained, nowNanos - SETTLE_NANOS);
             if (crashes > most) {
                 leading.clear();
@@ -105,23 +105,23 @@
         if (leading.size() > 1 && most < MIN_CRASHES_WHEN_TIED) {
             return Optional.empty();
         }
-        return leading.stream().max(Comparator.comparing(SuspectPart::depth).thenComparing(SuspectPart::part));
+        return leading.stream().max(Comparator.comparing(Suspect::depth).thenComparing(Suspect::part));
     }
 
     private Set<BackendIncarnation> explainedCrashes() {
         Set<BackendIncarnation> explained = new HashSet<>();
         suspects.values().stream()
-                .filter(SuspectPart::isQuarantined)
+                .filter(Suspect::isQuarantined)
                 .forEach(suspect -> explained.addAll(suspect.crashes()));
         return explained;
     }
 
     /** A message with the evidence on these parts, the most important first; empty if there is none to report. */
-    static Optional<PeerMessage.CrashEvidence> message(Collection<SuspectPart> from, long nowNanos) {
-        List<PartEvidence> parts = from.stream()
+    static Optional<PeerMessage.CrashEvidence> message(Collection<Suspect> from, long nowNanos) {
+        List<SuspectEvidence> parts = from.stream()
                 .filter(suspect -> suspect.crashCount() > 0 || hasChangedLately(suspect, nowNanos))
-                .sorted(Comparator.comparing(SuspectPart::isQuarantined)
-                        .thenComparing(SuspectPart::lastChangeNanos)
+                .sorted(Comparator.comparing(Suspect::isQuarantined)
+                        .thenComparing(Suspect::lastChangeNanos)
                         .reversed())
                 .limit(MAX_PARTS_PER_MESSAGE)
                 .map(suspect -> suspect.toEvidence(nowNanos))
@@ -133,7 +133,7 @@
         return suspects.values().stream().anyMatch(suspect -> hasChangedLately(suspect, nowNanos));
     }
 
-    private static boolean hasChangedLately(SuspectPart suspect, long nowNanos) {
+    private static boolean hasChangedLately(Suspect suspect, long nowNanos) {
         return nowNanos - suspect.lastChangeNanos() < REPEAT_NANOS;
     }
 }
--- a/figspan-cluster/src/test/java/io/figspan/cluster/quarantine/PromptQuarantineFleetTest.java
+++ b/figspan-cluster/src/test/java/io/figspan/cluster/quarantine/CrashQuarantineFleetTest.java
@@ -9,7 +9,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 /** Plays fleets of hosts in logical time under prompts with a part that crashes each engine which begins to answer. */
-class PromptQuarantineFleetTest {
+class CrashQuarantineFleetTest {
     private static final int SEEDS = 20;
     private static final int ENGINES = 18;
     private static final long STABLE_MS = 3_000;
--- a/figspan-cluster/src/test/java/io/figspan/cluster/quarantine/PromptQuarantineTest.java
+++ b/figspan-cluster/src/test/java/io/figspan/cluster/quarantine/CrashQuarantineTest.java
@@ -15,14 +15,14 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
-class PromptQuarantineTest {
+class CrashQuarantineTest {
     private static final HostId HOST = HostId.of("host-1");
     private static final PromptPartId COMMON = PromptPartId.of("f1");
     private static final PromptPartId DOCUMENT = PromptPartId.of("d1");
     private static final PromptPartId CRASHING = PromptPartId.of("c0de");
     private static final long SECOND_NANOS = TimeUnit.SECONDS.toNanos(1);
 
-    private final PromptQuarantine quarantine = new PromptQuarantine(HOST, 0);
+    private final CrashQuarantine quarantine = new CrashQuarantine(HOST, 0);
     private final List<QuarantineAction> actions = new ArrayList<>();
     private long nowNanos;
 
@@ -157,7 +157,7 @@
         PeerMessage.CrashEvidence evidence = evidenceOfQuarantine();
         int admitting = 0;
         for (HostId host : hosts) {
-            PromptQuarantine atHost = new PromptQuarantine(host, 0);
+            CrashQuarantine atHost = new CrashQuarantine(host, 0);
             atHost.hostsChanged(hosts);
             atHost.receive(evidence, 0);
             atHost.tick(SECOND_NANOS);
@@ -176,7 +176,7 @@
 
     @Test
     void aNewHostRefusesWhatTheOthersRefuse() {
-        PromptQuarantine newHost = new PromptQuarantine(HostId.of("host-9"), 0);
+        CrashQuarantine newHost = new CrashQuarantine(HostId.of("host-9"), 0);
 
         newHost.receive(evidenceOfQuarantine(), 0);
         newHost.tick(0);
--- a/figspan-cluster/src/test/java/io/figspan/cluster/quarantine/SimulatedFleet.java
+++ b/figspan-cluster/src/test/java/io/figspan/cluster/quarantine/SimulatedFleet.java
@@ -70,9 +70,9 @@
 
     private static final class Host {
         final HostId id;
-        PromptQuarantine quarantine;
+        CrashQuarantine quarantine;
 
-        Host(HostId id, PromptQuarantine quarantine) {
+        Host(HostId id, CrashQuarantine quarantine) {
             this.id = id;
             this.quarantine = quarantine;
         }
@@ -137,8 +137,8 @@
         }
     }
 
-    private PromptQuarantine newQuarantine(HostId id) {
-        PromptQuarantine quarantine = new PromptQuarantine(id, time.nowNanos());
+    private CrashQuarantine newQuarantine(HostId id) {
+        CrashQuarantine quarantine = new CrashQuarantine(id, time.nowNanos());
         quarantine.hostsChanged(hostIds);
         return quarantine;
     }
@@ -166,7 +166,7 @@
             if (action instanceof QuarantineAction.SendToAll all) {
                 hosts.stream().filter(other -> other != host).forEach(other -> send(other, all.message()));
             } else if (action instanceof QuarantineAction.SendToSome some) {
-                for (int i = 0; i < PromptQuarantine.GOSSIP_FANOUT; i++) {
+                for (int i = 0; i < CrashQuarantine.GOSSIP_FANOUT; i++) {
                     send(hosts.get(random.nextInt(hosts.size())), some.message());
                 }
             }
@@ -240,7 +240,7 @@
         if (!engine.attempts.contains(attempt)) {
             return;
         }
-        PromptQuarantine quarantine = attempt.host().quarantine;
+        CrashQuarantine quarantine = attempt.host().quarantine;
         attempt.prompt().hasBegun = true;
         quarantine.serverResponded(engine.current(), attempt.sentNanos(), time.nowNanos());
         if (event == 1) {
--- a/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
@@ -10,7 +10,7 @@
 import io.figspan.gateway.caller.CallerServer;
 import io.figspan.gateway.fleet.FleetState;
 import io.figspan.gateway.forward.Forwarder;
-import io.figspan.gateway.forward.PromptCrashes;
+import io.figspan.gateway.forward.RequestCrashes;
 import io.figspan.gateway.forward.RequestLimits;
 import io.figspan.gateway.forward.ServiceDispatchers;
 import io.figspan.gateway.log.DecisionLog;
@@ -73,7 +73,7 @@
     private final BackendPools pools = new BackendPools(loop, log);
     private final MemoryHolds holds;
     private final FleetState fleet;
-    private final PromptCrashes promptCrashes;
+    private final RequestCrashes requestCrashes;
     private final RequestLimits requestLimits;
     private final ServiceDispatchers dispatchers;
     private final Forwarder forwarder;
@@ -94,7 +94,7 @@
         HttpEngineClient engines = new HttpEngineClient(loop, pools, adapter.backends());
         this.holds = new MemoryHolds(engines, log, self, MonotonicClock.system());
         this.fleet = new FleetState(adapter.fleet(), pools, log, this, System::nanoTime);
-        this.promptCrashes = new PromptCrashes(config.host(), log, metrics);
+        this.requestCrashes = new RequestCrashes(config.host(), log, metrics);
         this.requestLimits = new RequestLimits(config.host(), pools, log, metrics, random);
         this.dispatchers =
                 new ServiceDispatchers(config.host(), pools, metrics, random, requestLimits, retryAllowance(config));
@@ -107,14 +107,14 @@
                 log,
                 metrics,
                 random,
-                promptCrashes,
+                requestCrashes,
                 requestLimits,
                 dispatchers);
         this.callers = new CallerServer(loop, forwarder, adapter.callers(), errors);
         this.storeWatchers = new StoreWatchers(config.host(), log);
-        PeerEvents events = new PeerEvents(fleet, pools, dispatchers, promptCrashes, requestLimits, storeWatchers);
+        PeerEvents events = new PeerEvents(fleet, pools, dispatchers, requestCrashes, requestLimits, storeWatchers);
         this.peers = new PeerTracker(loop, config, log, random, events, events, metrics.processorTime());
-        this.promptCrashes.setSender(peers);
+        this.requestCrashes.setSender(peers);
         this.requestLimits.setSender(peers);
         this.dispatchers.onWorkChanged(peers::workChanged);
         this.forwarder.setWorkViewAge(() -> peers.oldestReportAgeMs(System.nanoTime()));
--- a/figspan-gateway/src/main/java/io/figspan/gateway/PeerEvents.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/PeerEvents.java
@@ -9,7 +9,7 @@
 import io.figspan.core.work.PlacedRequest;
 import io.figspan.gateway.backend.BackendPools;
 import io.figspan.gateway.fleet.FleetState;
-import io.figspan.gateway.forward.PromptCrashes;
+import io.figspan.gateway.forward.RequestCrashes;
 import io.figspan.gateway.forward.RequestLimits;
 import io.figspan.gateway.forward.ServiceDispatchers;
 import io.figspan.gateway.peer.CopyReader;
@@ -27,7 +27,7 @@
     private final FleetState fleet;
     private final BackendPools pools;
     private final ServiceDispatchers dispatchers;
-    private final PromptCrashes promptCrashes;
+    private final RequestCrashes requestCrashes;
     private final RequestLimits requestLimits;
     private final StoreWatchers storeWatchers;
     private PeerTracker peers;
@@ -39,13 +39,13 @@
             FleetState fleet,
             BackendPools pools,
             ServiceDispatchers dispatchers,
-            PromptCrashes promptCrashes,
+            RequestCrashes requestCrashes,
             RequestLimits requestLimits,
             StoreWatchers storeWatchers) {
         this.fleet = fleet;
         this.pools = pools;
         this.dispatchers = dispatchers;
-        this.promptCrashes = promptCrashes;
+        this.requestCrashes = requestCrashes;
         this.requestLimits = requestLimits;
         this.storeWatchers = storeWatchers;
     }
@@ -81,17 +81,17 @@
     @Override
     public void onHostsChanged(Set<HostId> hosts) {
         dispatchers.hostsChanged(hosts);
-        promptCrashes.hostsChanged(hosts);
+        requestCrashes.hostsChanged(hosts);
     }
 
     @Override
     public void onHostJoined(Peer peer) {
-        promptCrashes.evidenceForNewHost(peer.host()).ifPresent(evidence -> peers.send(evidence, List.of(peer)));
+        requestCrashes.evidenceForNewHost(peer.host()).ifPresent(evidence -> peers.send(evidence, List.of(peer)));
     }
 
     @Override
     public void onCrashEvidence(PeerMessage.CrashEvidence evidence) {
-        promptCrashes.receive(evidence);
+        requestCrashes.receive(evidence);
     }
 
     @Override
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/CrashObserver.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/CrashObserver.java
@@ -1,6 +1,6 @@
 package io.figspan.gateway.forward;
 
-import io.figspan.cluster.quarantine.PromptQuarantine.Refusal;
+import io.figspan.cluster.quarantine.CrashQuarantine.Refusal;
 import io.figspan.core.error.Problem;
 import io.figspan.core.error.ProblemKind;
 import io.figspan.core.id.PromptPartId;
@@ -13,11 +13,11 @@
     /** Events after which an answer counts as begun. */
     private static final long EVENTS_OF_A_BEGUN_ANSWER = 2;
 
-    private final PromptCrashes crashes;
+    private final RequestCrashes crashes;
     private final List<PromptPartId> parts;
     private boolean hasBegun;
 
-    CrashObserver(PromptCrashes crashes, CallerRequest request) {
+    CrashObserver(RequestCrashes crashes, CallerRequest request) {
         this.crashes = crashes;
         this.parts = request.sharedParts();
         this.hasBegun = request.lastEventId().isPresent();
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
@@ -55,7 +55,7 @@
         this.response = new CallResponse(forwarder.callerProtocol(), caller, request.lastEventId());
         this.history = new AttemptHistory(route, job.deadline(), dispatcher::budget);
         this.starter = new AttemptStarter(forwarder, route, request, body, organisation, job);
-        this.crashObserver = new CrashObserver(forwarder.promptCrashes(), request);
+        this.crashObserver = new CrashObserver(forwarder.requestCrashes(), request);
         this.state = new CallStateMachine(log);
         this.deadlineTimer = new DeadlineTimer(forwarder.loop(), job.deadline());
         this.placements = new PlacementHandler(forwarder, dispatcher, job, log, history, crashObserver, state, this);
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
@@ -55,7 +55,7 @@
     private final DecisionLog log;
     private final GatewayMetrics metrics;
     private final RandomGenerator random;
-    private final PromptCrashes promptCrashes;
+    private final RequestCrashes requestCrashes;
     private final RequestLimits requestLimits;
     private final ServiceDispatchers dispatchers;
     private final DrainControl drain;
@@ -78,7 +78,7 @@
             DecisionLog log,
             GatewayMetrics metrics,
             RandomGenerator random,
-            PromptCrashes promptCrashes,
+            RequestCrashes requestCrashes,
             RequestLimits requestLimits,
             ServiceDispatchers dispatchers) {
         this.loop = loop;
@@ -89,10 +89,10 @@
         this.log = log;
         this.metrics = metrics;
         this.random = random;
-        this.promptCrashes = promptCrashes;
+        this.requestCrashes = requestCrashes;
         this.requestLimits = requestLimits;
         this.drain = new DrainControl(random);
-        promptCrashes.onQuarantined(dispatchers::promptQuarantined);
+        requestCrashes.onQuarantined(dispatchers::promptQuarantined);
         requestLimits.setHostsUsing(dispatchers::hostsUsing);
         this.dispatchers = dispatchers;
     }
@@ -273,7 +273,7 @@
         for (QueuedCall call : startupQueue.drainExpired(nowNanos)) {
             refuse(call.request, call.body, call.caller, notOpenProblem(nowNanos));
         }
-        promptCrashes.tick(nowNanos);
+        requestCrashes.tick(nowNanos);
         requestLimits.tick(nowNanos);
         dispatchers.tick(nowNanos);
         pools.closeIdle(nowNanos);
@@ -322,8 +322,8 @@
         return requestLimits;
     }
 
-    PromptCrashes promptCrashes() {
-        return promptCrashes;
+    RequestCrashes requestCrashes() {
+        return requestCrashes;
     }
 
     long defaultRetryAfterMs() {
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/PromptCrashes.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/RequestCrashes.java
@@ -1,7 +1,7 @@
 package io.figspan.gateway.forward;
 
 import io.figspan.cluster.message.PeerMessage;
-import io.figspan.cluster.quarantine.PromptQuarantine;
+import io.figspan.cluster.quarantine.CrashQuarantine;
 import io.figspan.cluster.quarantine.QuarantineAction;
 import io.figspan.core.event.Part;
 import io.figspan.core.id.BackendIncarnation;
@@ -19,15 +19,15 @@
  * Drives the quarantine of prompt parts that crash engines: passes on what this host observes, exchanges the evidence
  * with other hosts, and logs the decisions. All methods must be called on the event loop.
  */
-public final class PromptCrashes {
-    private final PromptQuarantine quarantine;
+public final class RequestCrashes {
+    private final CrashQuarantine quarantine;
     private final DecisionLog log;
     private final GatewayMetrics metrics;
     private Optional<PeerSender> sender = Optional.empty();
     private Consumer<PromptPartId> quarantineListener = part -> {};
 
-    public PromptCrashes(HostId self, DecisionLog log, GatewayMetrics metrics) {
-        this.quarantine = new PromptQuarantine(self, System.nanoTime());
+    public RequestCrashes(HostId self, DecisionLog log, GatewayMetrics metrics) {
+        this.quarantine = new CrashQuarantine(self, System.nanoTime());
         this.log = log;
         this.metrics = metrics;
         metrics.gauge("prompts.quarantined", quarantine::quarantinedCount);
@@ -69,7 +69,7 @@
         if (action instanceof QuarantineAction.SendToAll all) {
             sender.ifPresent(peers -> peers.sendToAll(all.message()));
         } else if (action instanceof QuarantineAction.SendToSome some) {
-            sender.ifPresent(peers -> peers.sendToSome(some.message(), PromptQuarantine.GOSSIP_FANOUT));
+            sender.ifPresent(peers -> peers.sendToSome(some.message(), CrashQuarantine.GOSSIP_FANOUT));
         } else if (action instanceof QuarantineAction.Quarantined quarantined) {
             metrics.count("prompts.quarantines");
             log.warn(Part.PLACE, "promptQuarantined")
@@ -88,12 +88,12 @@
     // Requests
 
     /** Whether a prompt with these parts must be refused now. */
-    Optional<PromptQuarantine.Refusal> refusal(List<PromptPartId> parts, long nowNanos) {
+    Optional<CrashQuarantine.Refusal> refusal(List<PromptPartId> parts, long nowNanos) {
         return quarantine.refusal(parts, nowNanos);
     }
 
     /** Whether a prompt with these parts must be refused instead of being sent now. */
-    Optional<PromptQuarantine.Refusal> refusalOfSend(List<PromptPartId> parts, long nowNanos) {
+    Optional<CrashQuarantine.Refusal> refusalOfSend(List<PromptPartId> parts, long nowNanos) {
         return quarantine.refusalOfSend(parts, nowNanos);
     }
 
--- a/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
@@ -17,7 +17,7 @@
 import io.figspan.gateway.backend.MemoryHolds;
 import io.figspan.gateway.caller.CallerServer;
 import io.figspan.gateway.forward.Forwarder;
-import io.figspan.gateway.forward.PromptCrashes;
+import io.figspan.gateway.forward.RequestCrashes;
 import io.figspan.gateway.forward.RequestLimits;
 import io.figspan.gateway.forward.ServiceDispatchers;
 import io.figspan.gateway.log.DecisionLog;
@@ -74,7 +74,7 @@
     private final GatewayMetrics metrics = new GatewayMetrics();
     private final TestProtocol protocol = new TestProtocol();
     private final BackendPools pools = new BackendPools(loop, new DecisionLog());
-    private final PromptCrashes promptCrashes;
+    private final RequestCrashes requestCrashes;
     private final RequestLimits requestLimits;
     private final ServiceDispatchers dispatchers;
     private final Forwarder forwarder;
@@ -91,7 +91,7 @@
     public GatewayHarness() throws IOException {
         DecisionLog log = new DecisionLog();
         HostIncarnation self = new HostIncarnation(HostId.of("host"), 1);
-        promptCrashes = new PromptCrashes(self.host(), log, metrics);
+        requestCrashes = new RequestCrashes(self.host(), log, metrics);
         requestLimits = new RequestLimits(self.host(), pools, log, metrics, new SplittableRandom(2));
         dispatchers = new ServiceDispatchers(
                 self.host(),
@@ -110,7 +110,7 @@
                 log,
                 metrics,
                 new SplittableRandom(1),
-                promptCrashes,
+                requestCrashes,
                 requestLimits,
                 dispatchers);
         callers = new CallerServer(loop, forwarder, protocol, new UnexpectedErrors(log, metrics));
--- a/figspan-wire/src/main/java/io/figspan/wire/MessageReader.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/MessageReader.java
@@ -4,12 +4,12 @@
 import io.figspan.cluster.message.MemberUpdate;
 import io.figspan.cluster.message.PartChange;
 import io.figspan.cluster.message.PartDigest;
-import io.figspan.cluster.message.PartEvidence;
 import io.figspan.cluster.message.Peer;
 import io.figspan.cluster.message.PeerAddress;
 import io.figspan.cluster.message.PeerMessage;
 import io.figspan.cluster.message.Piggyback;
 import io.figspan.cluster.message.ServerLimitUse;
+import io.figspan.cluster.message.SuspectEvidence;
 import io.figspan.core.id.AvailabilityZoneId;
 import io.figspan.core.id.BackendIncarnation;
 import io.figspan.core.id.BackendServerId;
@@ -129,11 +129,11 @@
                 unpacker.unpackLong());
     }
 
-    private List<PartEvidence> readEvidence() throws IOException {
+    private List<SuspectEvidence> readEvidence() throws IOException {
         int count = readCount();
-        List<PartEvidence> parts = new ArrayList<>(count);
+        List<SuspectEvidence> parts = new ArrayList<>(count);
         for (int i = 0; i < count; i++) {
-            parts.add(new PartEvidence(
+            parts.add(new SuspectEvidence(
                     PromptPartId.of(readString()),
                     unpacker.unpackInt(),
                     unpacker.unpackBoolean(),
--- a/figspan-wire/src/main/java/io/figspan/wire/MessageWriter.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/MessageWriter.java
@@ -4,11 +4,11 @@
 import io.figspan.cluster.message.MemberUpdate;
 import io.figspan.cluster.message.PartChange;
 import io.figspan.cluster.message.PartDigest;
-import io.figspan.cluster.message.PartEvidence;
 import io.figspan.cluster.message.Peer;
 import io.figspan.cluster.message.PeerMessage;
 import io.figspan.cluster.message.Piggyback;
 import io.figspan.cluster.message.ServerLimitUse;
+import io.figspan.cluster.message.SuspectEvidence;
 import io.figspan.core.id.BackendIncarnation;
 import io.figspan.core.id.BackendServerId;
 import io.figspan.core.id.HostIncarnation;
@@ -165,7 +165,7 @@
 
     private void writeEvidence(PeerMessage.CrashEvidence evidence) throws IOException {
         packer.packArrayHeader(evidence.parts().size());
-        for (PartEvidence part : evidence.parts()) {
+        for (SuspectEvidence part : evidence.parts()) {
             packer.packString(part.part().value());
             packer.packInt(part.depth());
             packer.packBoolean(part.isQuarantined());
--- a/figspan-wire/src/test/java/io/figspan/wire/FrameCodecProperties.java
+++ b/figspan-wire/src/test/java/io/figspan/wire/FrameCodecProperties.java
@@ -6,12 +6,12 @@
 import io.figspan.cluster.message.MemberUpdate;
 import io.figspan.cluster.message.PartChange;
 import io.figspan.cluster.message.PartDigest;
-import io.figspan.cluster.message.PartEvidence;
 import io.figspan.cluster.message.Peer;
 import io.figspan.cluster.message.PeerAddress;
 import io.figspan.cluster.message.PeerMessage;
 import io.figspan.cluster.message.Piggyback;
 import io.figspan.cluster.message.ServerLimitUse;
+import io.figspan.cluster.message.SuspectEvidence;
 import io.figspan.core.error.FigspanException;
 import io.figspan.core.error.ProblemKind;
 import io.figspan.core.id.AvailabilityZoneId;
@@ -74,7 +74,7 @@
                     new StoreRevision(2, 512),
                     30,
                     List.of(placedWork("engine-1"), placedWork("engine-2"))),
-            new PeerMessage.CrashEvidence(List.of(new PartEvidence(
+            new PeerMessage.CrashEvidence(List.of(new SuspectEvidence(
                     PromptPartId.of("91bd3f06"), 1, true, 4_200, PIGGYBACK.leaving(), PIGGYBACK.leaving()))),
             new PeerMessage.ServerLimitUses(
                     List.of(new ServerLimitUse(PIGGYBACK.leaving().get(0), true, 1.3, 250, 17))));
