--- a/figspan-cluster/src/main/java/io/figspan/cluster/message/PeerMessage.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/message/PeerMessage.java
@@ -136,10 +136,10 @@
         }
     }
 
-    /** What the sender knows of prompt parts that crash model engines. Repeated, and merged by the receiver. */
-    record CrashEvidence(List<SuspectEvidence> parts) implements PeerMessage {
+    /** What the sender knows of requests and prompt parts that crash backend servers. Merged by the receiver. */
+    record CrashEvidence(List<SuspectEvidence> suspects) implements PeerMessage {
         public CrashEvidence {
-            parts = List.copyOf(parts);
+            suspects = List.copyOf(suspects);
         }
     }
 
--- a/figspan-cluster/src/main/java/io/figspan/cluster/message/SuspectEvidence.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/message/SuspectEvidence.java
@@ -4,31 +4,35 @@
 import io.figspan.core.error.Location;
 import io.figspan.core.error.ProblemKind;
 import io.figspan.core.id.BackendIncarnation;
-import io.figspan.core.id.PromptPartId;
+import io.figspan.core.id.RequestFingerprint;
 import java.util.List;
 
 /**
- * What a host knows of crashes of backend servers under prompts with one part.
+ * What a host knows of crashes of backend servers that one suspect may have caused.
  *
- * @param depth position of the part in its prompts, from 0; parts that more prompts share come first
- * @param isQuarantined whether the host refuses prompts with the part
+ * @param depth position of a prompt part in its prompts, from 0, since parts that more prompts share come first; 0 for
+ *     a request
+ * @param isQuarantined whether the host refuses requests because of the suspect
  * @param ageMs time since the latest crash
- * @param crashes servers that crashed and for which the part may be the cause
+ * @param crashes servers that crashed and for which the suspect may be the cause
  * @param refuted servers for which it is not the cause
+ * @param requests some of the requests with a prompt part under which servers crashed; empty for a request
  */
 public record SuspectEvidence(
-        PromptPartId part,
+        SuspectId suspect,
         int depth,
         boolean isQuarantined,
         long ageMs,
         List<BackendIncarnation> crashes,
-        List<BackendIncarnation> refuted) {
+        List<BackendIncarnation> refuted,
+        List<RequestFingerprint> requests) {
     public SuspectEvidence {
         if (depth < 0 || ageMs < 0) {
             throw new FigspanException(
-                    ProblemKind.INVALID_VALUE, "depth or age is negative", Location.of("part evidence"));
+                    ProblemKind.INVALID_VALUE, "depth or age is negative", Location.of("suspect evidence"));
         }
         crashes = List.copyOf(crashes);
         refuted = List.copyOf(refuted);
+        requests = List.copyOf(requests);
     }
 }
--- a/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/CrashQuarantine.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/CrashQuarantine.java
@@ -2,30 +2,34 @@
 
 import io.figspan.cluster.message.PeerMessage;
 import io.figspan.cluster.message.SuspectEvidence;
+import io.figspan.cluster.message.SuspectId;
+import io.figspan.cluster.message.SuspectKind;
 import io.figspan.core.id.BackendIncarnation;
 import io.figspan.core.id.HostId;
-import io.figspan.core.id.PromptPartId;
+import io.figspan.core.id.RequestFingerprint;
 import io.figspan.core.util.RendezvousHash;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
 /**
- * Attributes crashes of model engines to parts of the prompts that were about to begin their answers there, and
- * quarantines the parts that cause them, so that retries and later prompts don't carry them through the fleet. Hosts
+ * Attributes crashes of backend servers to the requests that ran there and to the shared parts of their prompts, and
+ * quarantines those that cause them, so that retries and later requests don't carry them through the fleet. Hosts
  * exchange the evidence, since no host alone sees enough crashes.
  *
- * <p>A part is suspected of each crash under a prompt with it whose answer had not begun. An answer that begins on the
- * part, at any host, refutes all its crashes so far, and a response of a server refutes the crash of that server. The
- * part with more crashes than any other is quarantined; its crashes then no longer count against other parts. While it
- * is quarantined, one host lets a single prompt through now and then, at increasing intervals.
+ * <p>A request is suspected of each crash under it, also after its response has begun; a complete response at any host
+ * refutes all its crashes so far. A part is suspected of each crash under a prompt with it whose answer had not begun;
+ * an answer that begins refutes them. A response of a server refutes the crash of that server. {@link CrashAttribution}
+ * decides between suspects; the crashes of a quarantined one no longer count against others. While a part is
+ * quarantined, one host lets a single prompt through now and then, at increasing intervals. A quarantined request is
+ * not sent again until the quarantine expires.
  *
  * <p>Performs no I/O and is not thread-safe; times are monotonic, in nanoseconds.
  */
@@ -33,44 +37,51 @@
     /** Hosts that receive the evidence in each round of gossip. */
     public static final int GOSSIP_FANOUT = 3;
 
-    static final long GOSSIP_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(2);
+    static final long GOSSIP_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
     /** The interval while nothing changes, which keeps the traffic low during a quarantine. */
     static final long QUIET_GOSSIP_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(10);
 
-    /** Time from the latest crash to the first trial of a part with {@link SuspectTable#MIN_CRASHES} crashes. */
-    static final long FIRST_TRIAL_DELAY_NANOS = TimeUnit.SECONDS.toNanos(60);
+    /** Time for other hosts to refute a crash before it counts. */
+    static final long SETTLE_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
-    /** Factor of the delay for each further crash. */
-    static final int TRIAL_DELAY_FACTOR = 4;
+    /** Time after a change of the evidence in which a decision on it can change. */
+    static final long DECISION_NANOS = 10 * SETTLE_NANOS;
 
-    /** Responses that come so soon after a crash may have been sent before it. */
-    static final long IN_FLIGHT_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
-
-    /** Shortest restart of a server; a response to a later request may come from its next process. */
-    static final long MIN_RESTART_NANOS = TimeUnit.SECONDS.toNanos(1);
+    private static final long CLEANUP_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     /** Hosts that send a new host all evidence at once. */
     private static final int JOIN_SENDERS = 3;
 
-    private static final int MAX_CRASHED_SERVERS = 256;
-
     private final HostId self;
     private final SuspectTable suspects = new SuspectTable();
-    private final Map<BackendIncarnation, Long> crashHeardNanos = new LinkedHashMap<>();
-    private final Map<PromptPartId, Long> lastTrialNanos = new LinkedHashMap<>();
-    private final RecentAnswers recentAnswers = new RecentAnswers();
-    private final Set<PromptPartId> unsent = new LinkedHashSet<>();
+    private final EvidenceOutbox outbox = new EvidenceOutbox();
+    private final CrashedServers crashedServers = new CrashedServers();
+    private final NewHosts newHosts = new NewHosts();
+    private final TrialSchedule trials = new TrialSchedule();
+    private final Map<SuspectKind, RecentAnswers> recentAnswers = new EnumMap<>(SuspectKind.class);
+    private final List<QuarantineAction> decided = new ArrayList<>();
     private Set<HostId> hosts;
     private long lastGossipNanos;
+    private long lastChangeNanos;
+    private long lastCleanupNanos;
 
-    /** A prompt is not sent because of this part; waiting for this time may help. */
-    public record Refusal(PromptPartId part, long retryAfterMs) {}
+    /**
+     * A request is not sent because of this suspect.
+     *
+     * @param retryAfterMs time until the next trial; empty if there is none
+     */
+    public record Refusal(SuspectId suspect, OptionalLong retryAfterMs) {}
 
     public CrashQuarantine(HostId self, long nowNanos) {
         this.self = self;
         this.hosts = Set.of(self);
         this.lastGossipNanos = nowNanos;
+        this.lastChangeNanos = nowNanos;
+        this.lastCleanupNanos = nowNanos;
+        for (SuspectKind kind : SuspectKind.values()) {
+            recentAnswers.put(kind, new RecentAnswers());
+        }
     }
 
     /** Replaces the set of live hosts, which includes this one. */
@@ -81,156 +92,186 @@
     // Evidence
 
     /**
-     * A server closed its connection under a prompt whose answer had not begun.
+     * A server closed its connection under a request whose response was not complete.
      *
-     * @param parts the shared parts of the prompt, in their order
+     * @param mayBePart whether a part of the prompt may be the cause, since its answer had not begun
      */
-    public void serverCrashed(BackendIncarnation server, List<PromptPartId> parts, long nowNanos) {
-        heardOfCrash(server, nowNanos);
+    public void serverCrashed(BackendIncarnation server, RequestIdentity request, boolean mayBePart, long nowNanos) {
+        crashedServers.observed(server, nowNanos);
+        addCrash(server, request.request(), 0, List.of(), nowNanos);
+        if (!mayBePart) {
+            return;
+        }
+        List<SuspectId> parts = request.parts();
         for (int depth = 0; depth < parts.size(); depth++) {
-            PromptPartId part = parts.get(depth);
-            if (!recentAnswers.hasBegun(part, nowNanos)
-                    && suspects.findOrAdd(part, nowNanos, nowNanos).addCrash(server, depth, nowNanos, nowNanos)) {
-                unsent.add(part);
-            }
+            addCrash(server, parts.get(depth), depth, List.of(request.fingerprint()), nowNanos);
         }
     }
 
-    /** An answer to a prompt with these parts has begun, so none of them causes crashes. */
-    public void answerBegan(List<PromptPartId> parts, long nowNanos) {
-        for (PromptPartId part : parts) {
-            recentAnswers.record(part, nowNanos);
-            if (suspects.find(part)
-                    .filter(suspect -> suspect.refuteAll(nowNanos))
-                    .isPresent()) {
-                unsent.add(part);
-            }
+    private void addCrash(
+            BackendIncarnation server, SuspectId id, int depth, List<RequestFingerprint> requests, long nowNanos) {
+        if (recentAnswers.get(id.kind()).isRecent(id, nowNanos)) {
+            return;
+        }
+        Suspect suspect = suspects.findOrAdd(id, nowNanos, nowNanos);
+        suspect.setObservedHere();
+        boolean isNewCrash = suspect.addCrash(server, depth, nowNanos, nowNanos);
+        boolean isNewRequest = suspect.crashCount() > 0 && suspect.addRequests(requests);
+        if (isNewCrash || isNewRequest) {
+            evidenceChanged(id, nowNanos);
+        }
+    }
+
+    /** An answer to the prompt of this request has begun, so none of its parts causes crashes. */
+    public void answerBegan(RequestIdentity request, long nowNanos) {
+        request.parts().forEach(part -> clear(part, nowNanos));
+    }
+
+    /** The response to this request is complete, or has gone on for longer than it takes to crash a server. */
+    public void requestServed(RequestIdentity request, long nowNanos) {
+        clear(request.request(), nowNanos);
+    }
+
+    private void clear(SuspectId id, long nowNanos) {
+        recentAnswers.get(id.kind()).record(id, nowNanos);
+        if (suspects.find(id).filter(suspect -> suspect.refuteAll(nowNanos)).isPresent()) {
+            evidenceChanged(id, nowNanos);
         }
     }
 
     /** A server has responded to a request that was sent at {@code sentNanos}. */
     public void serverResponded(BackendIncarnation server, long sentNanos, long nowNanos) {
-        Long heardNanos = crashHeardNanos.get(server);
-        if (heardNanos == null || nowNanos - heardNanos < IN_FLIGHT_NANOS) {
+        if (!crashedServers.isRefuted(server, sentNanos, nowNanos)) {
             return;
         }
-        boolean mayHaveRestarted = sentNanos - heardNanos >= 0 && nowNanos - heardNanos > MIN_RESTART_NANOS;
-        if (mayHaveRestarted) {
-            return;
-        }
-        crashHeardNanos.remove(server);
+        crashedServers.remove(server);
         for (Suspect suspect : suspects.all()) {
             if (suspect.crashes().contains(server) && suspect.refute(server, nowNanos)) {
-                unsent.add(suspect.part());
+                evidenceChanged(suspect.id(), nowNanos);
             }
         }
     }
 
-    /** Another host has sent its evidence. */
+    /** Another host has sent its evidence. A quarantine of another host holds here at once. */
     public void receive(PeerMessage.CrashEvidence evidence, long nowNanos) {
-        for (SuspectEvidence received : evidence.parts()) {
+        for (SuspectEvidence received : evidence.suspects()) {
             if (TimeUnit.MILLISECONDS.toNanos(received.ageMs()) < SuspectTable.expiryNanos(received.isQuarantined())) {
                 merge(received, nowNanos);
             }
         }
+        if (evidence.suspects().stream().anyMatch(SuspectEvidence::isQuarantined)) {
+            adoptQuarantines();
+        }
     }
 
     private void merge(SuspectEvidence received, long nowNanos) {
-        received.crashes().forEach(server -> heardOfCrash(server, nowNanos));
+        received.crashes().forEach(server -> crashedServers.reported(server, nowNanos));
+        SuspectId id = received.suspect();
         long crashedNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(received.ageMs());
-        Suspect suspect = suspects.findOrAdd(received.part(), crashedNanos, nowNanos);
-        suspect.merge(received, crashedNanos, nowNanos);
+        Suspect suspect = suspects.findOrAdd(id, crashedNanos, nowNanos);
+        if (suspect.merge(received, crashedNanos, nowNanos)) {
+            lastChangeNanos = nowNanos;
+        }
         if (suspect.isCoveredBy(received)) {
-            unsent.remove(received.part());
+            outbox.sentByOther(id);
         }
-        if (recentAnswers.hasBegun(received.part(), nowNanos) && suspect.refuteAll(nowNanos)) {
-            unsent.add(received.part());
+        if (recentAnswers.get(id.kind()).isRecent(id, nowNanos) && suspect.refuteAll(nowNanos)) {
+            evidenceChanged(id, nowNanos);
         }
     }
 
-    private void heardOfCrash(BackendIncarnation server, long nowNanos) {
-        crashHeardNanos.putIfAbsent(server, nowNanos);
-        if (crashHeardNanos.size() > MAX_CRASHED_SERVERS) {
-            crashHeardNanos.remove(crashHeardNanos.keySet().iterator().next());
-        }
+    private void evidenceChanged(SuspectId suspect, long nowNanos) {
+        outbox.changed(suspect, nowNanos);
+        lastChangeNanos = nowNanos;
     }
 
     // Decisions
 
-    private List<QuarantineAction> decide(long nowNanos) {
-        List<QuarantineAction> actions = new ArrayList<>();
-        for (Suspect suspect : suspects.all()) {
-            if (suspect.isQuarantined() && suspect.crashCount() < SuspectTable.MIN_CRASHES) {
-                suspect.release();
-                unsent.add(suspect.part());
-                actions.add(new QuarantineAction.Released(suspect.part(), suspect.crashCount()));
-            } else if (suspect.isQuarantinedElsewhere() && suspect.crashCount() >= SuspectTable.MIN_CRASHES) {
-                quarantine(suspect, actions);
+    private void decide(long nowNanos) {
+        List<Suspect> all = suspects.all();
+        for (Suspect suspect : all.stream().filter(Suspect::isQuarantined).toList()) {
+            boolean holds =
+                    suspect.crashCount() >= CrashAttribution.MIN_CRASHES && !CrashAttribution.isExplained(suspect, all);
+            if (!holds) {
+                release(suspect, nowNanos);
             }
         }
-        Optional<Suspect> culprit = suspects.nextCulprit(nowNanos);
-        while (culprit.isPresent()) {
-            quarantine(culprit.get(), actions);
-            culprit = suspects.nextCulprit(nowNanos);
+        adoptQuarantines();
+        List<Suspect> culprits = new CrashAttribution(all, nowNanos - SETTLE_NANOS).culprits();
+        while (!culprits.isEmpty()) {
+            culprits.forEach(culprit -> quarantine(culprit, nowNanos));
+            culprits = new CrashAttribution(all, nowNanos - SETTLE_NANOS).culprits();
         }
-        return actions;
     }
 
-    private void quarantine(Suspect suspect, List<QuarantineAction> actions) {
-        if (!suspect.isQuarantined()) {
-            suspect.quarantine();
-            unsent.add(suspect.part());
-            actions.add(new QuarantineAction.Quarantined(suspect.part(), suspect.crashCount()));
+    /** Quarantines what other hosts have quarantined, which they have sent to all hosts already. */
+    private void adoptQuarantines() {
+        List<Suspect> all = suspects.all();
+        for (Suspect suspect : all) {
+            if (suspect.isQuarantinedElsewhere()
+                    && !suspect.isQuarantined()
+                    && suspect.crashCount() >= CrashAttribution.MIN_CRASHES
+                    && !CrashAttribution.isExplained(suspect, all)) {
+                suspect.quarantine();
+                decided.add(new QuarantineAction.Quarantined(suspect.id(), suspect.crashCount()));
+            }
         }
     }
 
-    /** Whether a prompt with these parts must be refused now. */
-    public Optional<Refusal> refusal(List<PromptPartId> parts, long nowNanos) {
-        return quarantined(parts)
-                .filter(suspect -> !isTrialDue(suspect, nowNanos))
-                .findFirst()
-                .map(suspect -> new Refusal(suspect.part(), retryAfterMs(suspect, nowNanos)));
+    /** Only hosts that have seen a crash send the decision at once, since in a large fleet all make it together. */
+    private void quarantine(Suspect suspect, long nowNanos) {
+        suspect.quarantine();
+        decided.add(new QuarantineAction.Quarantined(suspect.id(), suspect.crashCount()));
+        if (suspect.isObservedHere()) {
+            evidenceChanged(suspect.id(), nowNanos);
+        }
     }
 
-    private Stream<Suspect> quarantined(List<PromptPartId> parts) {
-        return parts.stream().flatMap(part -> suspects.find(part).stream()).filter(Suspect::isQuarantined);
+    private void release(Suspect suspect, long nowNanos) {
+        suspect.release();
+        decided.add(new QuarantineAction.Released(suspect.id(), suspect.crashCount()));
+        if (suspect.isObservedHere()) {
+            evidenceChanged(suspect.id(), nowNanos);
+        }
     }
 
-    /** Like {@link #refusal}, right before the prompt is sent; a prompt that is not refused uses up a due trial. */
-    public Optional<Refusal> refusalOfSend(List<PromptPartId> parts, long nowNanos) {
-        Optional<Refusal> refusal = refusal(parts, nowNanos);
-        if (refusal.isEmpty()) {
-            quarantined(parts).forEach(suspect -> lastTrialNanos.put(suspect.part(), nowNanos));
-        }
-        return refusal;
+    /** Whether servers have crashed under a request and it has not been cleared. */
+    public boolean isSuspect(RequestFingerprint fingerprint) {
+        return suspects.find(new SuspectId.OfRequest(fingerprint))
+                .filter(suspect -> suspect.crashCount() > 0)
+                .isPresent();
     }
 
-    private boolean isTrialDue(Suspect suspect, long nowNanos) {
-        return nowNanos - nextTrialNanos(suspect) >= 0 && isTrialHost(suspect.part());
+    /** Whether a request must be refused now. */
+    public Optional<Refusal> refusal(RequestIdentity request, long nowNanos) {
+        return quarantined(request)
+                .filter(suspect -> !isTrialDue(suspect, nowNanos))
+                .findFirst()
+                .map(suspect -> new Refusal(suspect.id(), trials.retryAfterMs(suspect, nowNanos)));
     }
 
-    private long nextTrialNanos(Suspect suspect) {
-        long afterCrash = suspect.lastCrashNanos() + trialDelayNanos(suspect.crashCount());
-        Long last = lastTrialNanos.get(suspect.part());
-        return last == null ? afterCrash : Math.max(afterCrash, last + FIRST_TRIAL_DELAY_NANOS);
+    private Stream<Suspect> quarantined(RequestIdentity request) {
+        return Stream.concat(Stream.of(request.request()), request.parts().stream())
+                .flatMap(id -> suspects.find(id).stream())
+                .filter(Suspect::isQuarantined);
     }
 
-    private static long trialDelayNanos(int crashes) {
-        long delayNanos = FIRST_TRIAL_DELAY_NANOS;
-        for (int further = SuspectTable.MIN_CRASHES; further < crashes; further++) {
-            delayNanos *= TRIAL_DELAY_FACTOR;
+    /** Like {@link #refusal}, right before the request is sent; one that is not refused uses up a due trial. */
+    public Optional<Refusal> refusalOfSend(RequestIdentity request, long nowNanos) {
+        Optional<Refusal> refusal = refusal(request, nowNanos);
+        if (refusal.isEmpty()) {
+            quarantined(request).forEach(suspect -> trials.recordTrial(suspect, nowNanos));
         }
-        return Math.min(delayNanos, SuspectTable.QUARANTINE_EXPIRY_NANOS);
+        return refusal;
     }
 
-    /** Whether this host is the one that lets prompts with the part through for a trial. */
-    private boolean isTrialHost(PromptPartId part) {
-        return RendezvousHash.order(part.value(), hosts).get(0).equals(self);
+    private boolean isTrialDue(Suspect suspect, long nowNanos) {
+        return trials.isDue(suspect, nowNanos) && isTrialHost(suspect.id());
     }
 
-    private long retryAfterMs(Suspect suspect, long nowNanos) {
-        return Math.max(
-                TimeUnit.SECONDS.toMillis(1), TimeUnit.NANOSECONDS.toMillis(nextTrialNanos(suspect) - nowNanos));
+    /** Whether this host is the one that lets requests with the suspect through for a trial. */
+    private boolean isTrialHost(SuspectId suspect) {
+        return RendezvousHash.order(suspect.toString(), hosts).get(0).equals(self);
     }
 
     // Exchange with other hosts
@@ -240,40 +281,65 @@
      * expired. To be called several times a second.
      */
     public List<QuarantineAction> tick(long nowNanos) {
-        suspects.removeExpired(nowNanos);
-        lastTrialNanos.keySet().removeIf(part -> suspects.find(part).isEmpty());
-        List<QuarantineAction> actions = decide(nowNanos);
-        List<Suspect> changed =
-                unsent.stream().flatMap(part -> suspects.find(part).stream()).toList();
-        unsent.clear();
-        SuspectTable.message(changed, nowNanos).ifPresent(news -> actions.add(new QuarantineAction.SendToAll(news)));
+        if (nowNanos - lastCleanupNanos >= CLEANUP_INTERVAL_NANOS) {
+            lastCleanupNanos = nowNanos;
+            suspects.removeExpired(nowNanos);
+            trials.retain(id -> suspects.find(id).isPresent());
+        }
+        if (nowNanos - lastChangeNanos < DECISION_NANOS) {
+            decide(nowNanos);
+        }
+        List<QuarantineAction> actions = new ArrayList<>(decided);
+        decided.clear();
+        SuspectTable.message(takeDue(nowNanos), nowNanos)
+                .ifPresent(news -> actions.add(new QuarantineAction.SendToAll(news)));
+        for (HostId host : newHosts.takeDue(nowNanos)) {
+            suspects.pages(nowNanos).forEach(page -> actions.add(new QuarantineAction.SendToHost(host, page)));
+        }
         if (nowNanos - lastGossipNanos >= gossipIntervalNanos(nowNanos)) {
             lastGossipNanos = nowNanos;
-            evidence(nowNanos).ifPresent(all -> actions.add(new QuarantineAction.SendToSome(all)));
+            SuspectTable.message(suspects.forGossip(nowNanos), nowNanos)
+                    .ifPresent(some -> actions.add(new QuarantineAction.SendToSome(some)));
         }
         return actions;
     }
 
+    private List<Suspect> takeDue(long nowNanos) {
+        List<Suspect> due = new ArrayList<>();
+        for (SuspectId id : outbox.due(nowNanos)) {
+            Optional<Suspect> suspect = suspects.find(id);
+            suspect.ifPresentOrElse(due::add, () -> outbox.remove(id));
+        }
+        List<Suspect> taken = SuspectTable.mostImportant(due);
+        taken.forEach(suspect -> outbox.sent(suspect.id(), nowNanos));
+        return taken;
+    }
+
     private long gossipIntervalNanos(long nowNanos) {
-        return suspects.hasChangedLately(nowNanos) ? GOSSIP_INTERVAL_NANOS : QUIET_GOSSIP_INTERVAL_NANOS;
+        return nowNanos - lastChangeNanos < SuspectTable.REPEAT_NANOS
+                ? GOSSIP_INTERVAL_NANOS
+                : QUIET_GOSSIP_INTERVAL_NANOS;
     }
 
-    /** The evidence for a host that has just joined; empty if other hosts send it theirs. */
-    public Optional<PeerMessage.CrashEvidence> evidenceForNewHost(HostId newHost, long nowNanos) {
+    /**
+     * The evidence for a host that has just joined, the most important first; empty if other hosts send theirs. Later
+     * ticks repeat it.
+     */
+    public List<PeerMessage.CrashEvidence> evidenceForNewHost(HostId newHost, long nowNanos) {
         Set<HostId> senders = new HashSet<>(hosts);
         senders.remove(newHost);
         boolean isSender = RendezvousHash.order(newHost.value(), senders).stream()
                 .limit(JOIN_SENDERS)
                 .anyMatch(self::equals);
-        return isSender ? evidence(nowNanos) : Optional.empty();
-    }
-
-    private Optional<PeerMessage.CrashEvidence> evidence(long nowNanos) {
-        return SuspectTable.message(suspects.all(), nowNanos);
+        if (!isSender) {
+            return List.of();
+        }
+        newHosts.joined(newHost, nowNanos);
+        return suspects.pages(nowNanos);
     }
 
-    /** Number of parts whose prompts are refused. */
-    public long quarantinedCount() {
-        return suspects.all().stream().filter(Suspect::isQuarantined).count();
+    /** Number of suspects of a kind because of which requests are refused. */
+    public long quarantinedCount(SuspectKind kind) {
+        return suspects.quarantinedCount(kind);
     }
 }
--- a/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/RecentAnswers.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/RecentAnswers.java
@@ -1,30 +1,30 @@
 package io.figspan.cluster.quarantine;
 
-import io.figspan.core.id.PromptPartId;
+import io.figspan.cluster.message.SuspectId;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
-/** The prompt parts on which answers have begun lately at this host. */
+/** The requests, or the prompt parts, that were lately found not to crash servers at this host. */
 final class RecentAnswers {
-    /** A part that was sound this long ago is taken to be sound. */
+    /** What was sound this long ago is taken to be sound. */
     static final long RECENT_NANOS = TimeUnit.SECONDS.toNanos(2);
 
-    /** Bounds the table; the part whose latest answer is the oldest makes room. */
-    static final int MAX_PARTS = 1_024;
+    /** Bounds the table; the entry whose latest answer is the oldest is evicted. */
+    static final int MAX_ENTRIES = 1_024;
 
-    private final Map<PromptPartId, Long> lastBeganNanos = new LinkedHashMap<>();
+    private final Map<SuspectId, Long> lastNanos = new LinkedHashMap<>();
 
-    void record(PromptPartId part, long nowNanos) {
-        lastBeganNanos.remove(part);
-        lastBeganNanos.put(part, nowNanos);
-        if (lastBeganNanos.size() > MAX_PARTS) {
-            lastBeganNanos.remove(lastBeganNanos.keySet().iterator().next());
+    void record(SuspectId sound, long nowNanos) {
+        lastNanos.remove(sound);
+        lastNanos.put(sound, nowNanos);
+        if (lastNanos.size() > MAX_ENTRIES) {
+            lastNanos.remove(lastNanos.keySet().iterator().next());
         }
     }
 
-    boolean hasBegun(PromptPartId part, long nowNanos) {
-        Long beganNanos = lastBeganNanos.get(part);
-        return beganNanos != null && nowNanos - beganNanos < RECENT_NANOS;
+    boolean isRecent(SuspectId suspect, long nowNanos) {
+        Long atNanos = lastNanos.get(suspect);
+        return atNanos != null && nowNanos - atNanos < RECENT_NANOS;
     }
 }
--- a/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/Suspect.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/Suspect.java
@@ -1,17 +1,21 @@
 package io.figspan.cluster.quarantine;
 
 import io.figspan.cluster.message.SuspectEvidence;
+import io.figspan.cluster.message.SuspectId;
+import io.figspan.cluster.message.SuspectKind;
 import io.figspan.core.id.BackendIncarnation;
-import io.figspan.core.id.PromptPartId;
+import io.figspan.core.id.RequestFingerprint;
+import java.util.Collection;
 import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 
-/** The evidence for and against one prompt part, merged from all hosts. Merging is idempotent and commutative. */
+/** The evidence for and against one suspect, merged from all hosts. Merging is idempotent and commutative. */
 final class Suspect {
     /** Bounds the size of the evidence; more crashes don't change a decision. */
     static final int MAX_CRASHES = 16;
@@ -21,23 +25,32 @@
 
     private static final int MAX_REFUTED = 8;
 
-    private final PromptPartId part;
+    /** As many as show that not one request alone is the cause. */
+    private static final int MAX_REQUESTS = 2;
+
+    private final SuspectId id;
     private final Map<BackendIncarnation, Long> heardNanosByCrash = new LinkedHashMap<>();
     private final Set<BackendIncarnation> refuted = new LinkedHashSet<>();
+    private final TreeSet<RequestFingerprint> requests = new TreeSet<>();
     private int depth;
     private long lastCrashNanos;
     private long lastChangeNanos;
     private boolean isQuarantined;
     private boolean isQuarantinedElsewhere;
+    private boolean isObservedHere;
 
-    Suspect(PromptPartId part, long lastCrashNanos, long nowNanos) {
-        this.part = part;
+    Suspect(SuspectId id, long lastCrashNanos, long nowNanos) {
+        this.id = id;
         this.lastCrashNanos = lastCrashNanos;
         this.lastChangeNanos = nowNanos;
     }
 
-    PromptPartId part() {
-        return part;
+    SuspectId id() {
+        return id;
+    }
+
+    SuspectKind kind() {
+        return id.kind();
     }
 
     int depth() {
@@ -65,12 +78,36 @@
         isQuarantinedElsewhere = false;
     }
 
-    /** Whether another host has reported that it refuses prompts with the part. */
+    /** Whether another host has reported that it has quarantined the suspect. */
     boolean isQuarantinedElsewhere() {
         return isQuarantinedElsewhere;
     }
 
-    /** The crashes that the part may have caused. */
+    /** Whether this host has observed a crash under the suspect itself. */
+    boolean isObservedHere() {
+        return isObservedHere;
+    }
+
+    void setObservedHere() {
+        isObservedHere = true;
+    }
+
+    /** Number of different requests under which servers crashed, up to {@link #MAX_REQUESTS}. */
+    int requestCount() {
+        return requests.size();
+    }
+
+    /** Adds requests under which a server crashed. All hosts keep the same ones, the first in their order. */
+    boolean addRequests(Collection<RequestFingerprint> added) {
+        Set<RequestFingerprint> before = Set.copyOf(requests);
+        requests.addAll(added);
+        while (requests.size() > MAX_REQUESTS) {
+            requests.pollLast();
+        }
+        return !requests.equals(before);
+    }
+
+    /** The crashes that the suspect may have caused. */
     Set<BackendIncarnation> crashes() {
         return Collections.unmodifiableSet(heardNanosByCrash.keySet());
     }
@@ -98,8 +135,8 @@
     }
 
     /** Adds a crash at this depth, unless it is known already; returns whether anything has changed. */
-    boolean addCrash(BackendIncarnation server, int partDepth, long crashedNanos, long nowNanos) {
-        depth = Math.max(depth, partDepth);
+    boolean addCrash(BackendIncarnation server, int newDepth, long crashedNanos, long nowNanos) {
+        depth = Math.max(depth, newDepth);
         boolean isKnown = heardNanosByCrash.containsKey(server) || refuted.contains(server);
         if (isKnown || (heardNanosByCrash.size() >= MAX_CRASHES && !dropSimultaneousCrash())) {
             return false;
@@ -140,30 +177,42 @@
     boolean refuteAll(long nowNanos) {
         boolean hadCrashes = !heardNanosByCrash.isEmpty();
         List.copyOf(crashes()).forEach(server -> refute(server, nowNanos));
+        requests.clear();
         return hadCrashes;
     }
 
-    /** Merges what another host knows. */
-    void merge(SuspectEvidence received, long crashedNanos, long nowNanos) {
-        received.refuted().forEach(server -> refute(server, nowNanos));
-        received.crashes().forEach(server -> addCrash(server, received.depth(), crashedNanos, nowNanos));
+    /** Merges what another host knows; returns whether anything has changed. */
+    boolean merge(SuspectEvidence received, long crashedNanos, long nowNanos) {
+        boolean hasChanged = received.isQuarantined() && !isQuarantinedElsewhere;
         isQuarantinedElsewhere |= received.isQuarantined();
+        for (BackendIncarnation server : received.refuted()) {
+            hasChanged |= refute(server, nowNanos);
+        }
+        for (BackendIncarnation server : received.crashes()) {
+            hasChanged |= addCrash(server, received.depth(), crashedNanos, nowNanos);
+        }
+        if (!heardNanosByCrash.isEmpty()) {
+            hasChanged |= addRequests(received.requests());
+        }
+        return hasChanged;
     }
 
     /** Whether a host that knows what another one has sent knows all that this one does. */
     boolean isCoveredBy(SuspectEvidence sent) {
         return sent.refuted().containsAll(refuted)
                 && sent.crashes().containsAll(crashes())
-                && sent.isQuarantined() == isQuarantined;
+                && sent.requests().containsAll(requests)
+                && (sent.isQuarantined() || !isQuarantined);
     }
 
     SuspectEvidence toEvidence(long nowNanos) {
         return new SuspectEvidence(
-                part,
+                id,
                 depth,
                 isQuarantined,
                 Math.max(0, TimeUnit.NANOSECONDS.toMillis(nowNanos - lastCrashNanos)),
                 List.copyOf(crashes()),
-                List.copyOf(refuted));
+                List.copyOf(refuted),
+                List.copyOf(requests));
     }
 }
--- a/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/SuspectTable.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/SuspectTable.java
@@ -1,136 +1,147 @@
 package io.figspan.cluster.quarantine;
 
+import com.google.common.collect.Lists;
 import io.figspan.cluster.message.PeerMessage;
-import io.figspan.cluster.message.SuspectEvidence;
-import io.figspan.core.id.BackendIncarnation;
-import io.figspan.core.id.PromptPartId;
+import io.figspan.cluster.message.SuspectId;
+import io.figspan.cluster.message.SuspectKind;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashSet;
+import java.util.EnumMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
-/** The suspect prompt parts, a bounded number of them, and the decision which of them causes crashes. */
+/** The suspects, a bounded number of each kind. */
 final class SuspectTable {
-    /** Crashes of the only part with so many for which it is quarantined. */
-    static final int MIN_CRASHES = 3;
-
-    /** Crashes for which the most specific part is quarantined if several parts have as many. */
-    static final int MIN_CRASHES_WHEN_TIED = 4;
+    /** Bounds a message to a few kilobytes. */
+    static final int MAX_PER_MESSAGE = 32;
 
-    /** Bounds the table; the part whose latest crash is the oldest makes room, unless it is quarantined. */
-    static final int MAX_PARTS = 512;
+    private static final int MAX_PAGES = 8;
 
-    /** Bounds a message to a few kilobytes. */
-    static final int MAX_PARTS_PER_MESSAGE = 32;
+    /** Suspects of a message of gossip that are always the most important ones; the others take turns. */
+    private static final int IMPORTANT_PER_GOSSIP = 16;
 
     /** Changes are repeated at the shorter interval for this long, so that lost messages don't matter. */
     static final long REPEAT_NANOS = TimeUnit.SECONDS.toNanos(10);
 
-    /** A part without a new crash for this long is no longer suspected. */
+    /** A suspect without a new crash for this long is no longer one. */
     static final long SUSPICION_EXPIRY_NANOS = TimeUnit.MINUTES.toNanos(10);
 
     static final long QUARANTINE_EXPIRY_NANOS = TimeUnit.DAYS.toNanos(1);
 
-    /** Time for other hosts to refute a crash before it counts. */
-    static final long SETTLE_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+    private static final Comparator<Suspect> LEAST_HARMFUL =
+            Comparator.comparing(Suspect::crashCount).thenComparing(Suspect::lastCrashNanos);
+
+    private static final Comparator<Suspect> MOST_IMPORTANT = Comparator.comparing(Suspect::isQuarantined)
+            .thenComparing(Suspect::crashCount)
+            .thenComparing(Suspect::lastChangeNanos)
+            .reversed();
+
+    private final Map<SuspectKind, Map<SuspectId, Suspect>> byKind = new EnumMap<>(SuspectKind.class);
+    private int gossipOffset;
 
-    private final Map<PromptPartId, Suspect> suspects = new LinkedHashMap<>();
+    SuspectTable() {
+        for (SuspectKind kind : SuspectKind.values()) {
+            byKind.put(kind, new LinkedHashMap<>());
+        }
+    }
 
-    Collection<Suspect> all() {
-        return suspects.values();
+    List<Suspect> all() {
+        List<Suspect> all = new ArrayList<>();
+        byKind.values().forEach(suspects -> all.addAll(suspects.values()));
+        return all;
     }
 
-    /** Returns the part if it is suspected. */
-    Optional<Suspect> find(PromptPartId part) {
-        return Optional.ofNullable(suspects.get(part));
+    Optional<Suspect> find(SuspectId id) {
+        return Optional.ofNullable(byKind.get(id.kind()).get(id));
     }
 
-    /** Returns the part, which is suspected from now on because of a crash at {@code crashedNanos}. */
-    Suspect findOrAdd(PromptPartId part, long crashedNanos, long nowNanos) {
-        Suspect known = suspects.get(part);
+    /** Returns the suspect, which is added because of a crash at {@code crashedNanos} if it is new. */
+    Suspect findOrAdd(SuspectId id, long crashedNanos, long nowNanos) {
+        Map<SuspectId, Suspect> suspects = byKind.get(id.kind());
+        Suspect known = suspects.get(id);
         if (known != null) {
             return known;
         }
-        makeRoom();
-        Suspect added = new Suspect(part, crashedNanos, nowNanos);
-        suspects.put(part, added);
+        if (suspects.size() >= id.kind().maxTracked()) {
+            leastHarmful(suspects.values(), id.kind()).ifPresent(evicted -> suspects.remove(evicted.id()));
+        }
+        Suspect added = new Suspect(id, crashedNanos, nowNanos);
+        suspects.put(id, added);
         return added;
     }
 
-    private void makeRoom() {
-        if (suspects.size() < MAX_PARTS) {
-            return;
-        }
-        suspects.values().stream()
-                .min(Comparator.comparing(Suspect::isQuarantined).thenComparing(Suspect::lastCrashNanos))
-                .ifPresent(oldest -> suspects.remove(oldest.part()));
+    /** A quarantined suspect is evicted only if a quarter of the table would not be left for new ones. */
+    private static Optional<Suspect> leastHarmful(Collection<Suspect> suspects, SuspectKind kind) {
+        long quarantined = suspects.stream().filter(Suspect::isQuarantined).count();
+        boolean evictsQuarantined = quarantined > kind.maxTracked() * 3L / 4;
+        return suspects.stream()
+                .filter(suspect -> suspect.isQuarantined() == evictsQuarantined)
+                .min(LEAST_HARMFUL);
     }
 
     void removeExpired(long nowNanos) {
-        suspects.values()
-                .removeIf(suspect -> nowNanos - suspect.lastCrashNanos() >= expiryNanos(suspect.isQuarantined()));
+        for (Map<SuspectId, Suspect> suspects : byKind.values()) {
+            suspects.values()
+                    .removeIf(suspect -> nowNanos - suspect.lastCrashNanos() >= expiryNanos(suspect.isQuarantined()));
+        }
     }
 
-    /** Time after the latest crash after which a part is forgotten. */
+    /** Time after the latest crash after which a suspect is forgotten. */
     static long expiryNanos(boolean isQuarantined) {
         return isQuarantined ? QUARANTINE_EXPIRY_NANOS : SUSPICION_EXPIRY_NANOS;
     }
 
-    /** The part with the most crashes that no quarantined part explains, if that is evidence enough. */
-    Optional<Suspect> nextCulprit(long nowNanos) {
-        boolean hasCandidate = suspects.values().stream()
-                .anyMatch(suspect -> !suspect.isQuarantined() && suspect.crashCount() >= MIN_CRASHES);
-        if (!hasCandidate) {
-            return Optional.empty();
-        }
-        int most = MIN_CRASHES;
-        List<Suspect> leading = new ArrayList<>();
-        Set<BackendIncarnation> explained = explainedCrashes();
-        for (Suspect suspect : suspects.values()) {
-            int crashes = suspect.isQuarantined() ? 0 : suspect.separateCrashes(explained, nowNanos - SETTLE_NANOS);
-            if (crashes > most) {
-                leading.clear();
-                most = crashes;
-            }
-            if (crashes == most) {
-                leading.add(suspect);
-            }
-        }
-        if (leading.size() > 1 && most < MIN_CRASHES_WHEN_TIED) {
-            return Optional.empty();
-        }
-        return leading.stream().max(Comparator.comparing(Suspect::depth).thenComparing(Suspect::part));
+    long quarantinedCount(SuspectKind kind) {
+        return byKind.get(kind).values().stream().filter(Suspect::isQuarantined).count();
     }
 
-    private Set<BackendIncarnation> explainedCrashes() {
-        Set<BackendIncarnation> explained = new HashSet<>();
-        suspects.values().stream()
-                .filter(Suspect::isQuarantined)
-                .forEach(suspect -> explained.addAll(suspect.crashes()));
-        return explained;
+    /** The most important of these suspects, as many as fit into a message. */
+    static List<Suspect> mostImportant(Collection<Suspect> from) {
+        return from.stream().sorted(MOST_IMPORTANT).limit(MAX_PER_MESSAGE).toList();
     }
 
-    /** A message with the evidence on these parts, the most important first; empty if there is none to report. */
-    static Optional<PeerMessage.CrashEvidence> message(Collection<Suspect> from, long nowNanos) {
-        List<SuspectEvidence> parts = from.stream()
+    /** All suspects with evidence to report, the most important ones first. */
+    List<Suspect> reportable(long nowNanos) {
+        return all().stream()
                 .filter(suspect -> suspect.crashCount() > 0 || hasChangedLately(suspect, nowNanos))
-                .sorted(Comparator.comparing(Suspect::isQuarantined)
-                        .thenComparing(Suspect::lastChangeNanos)
-                        .reversed())
-                .limit(MAX_PARTS_PER_MESSAGE)
-                .map(suspect -> suspect.toEvidence(nowNanos))
+                .sorted(MOST_IMPORTANT)
+                .toList();
+    }
+
+    /** All evidence for a new host, the most important first, in a bounded number of messages. */
+    List<PeerMessage.CrashEvidence> pages(long nowNanos) {
+        return Lists.partition(reportable(nowNanos), MAX_PER_MESSAGE).stream()
+                .limit(MAX_PAGES)
+                .flatMap(page -> message(page, nowNanos).stream())
                 .toList();
-        return parts.isEmpty() ? Optional.empty() : Optional.of(new PeerMessage.CrashEvidence(parts));
     }
 
-    boolean hasChangedLately(long nowNanos) {
-        return suspects.values().stream().anyMatch(suspect -> hasChangedLately(suspect, nowNanos));
+    /** The suspects for one round of gossip. */
+    List<Suspect> forGossip(long nowNanos) {
+        List<Suspect> reportable = reportable(nowNanos);
+        if (reportable.size() <= MAX_PER_MESSAGE) {
+            return reportable;
+        }
+        List<Suspect> chosen = new ArrayList<>(reportable.subList(0, IMPORTANT_PER_GOSSIP));
+        List<Suspect> others = reportable.subList(IMPORTANT_PER_GOSSIP, reportable.size());
+        while (chosen.size() < MAX_PER_MESSAGE) {
+            gossipOffset = (gossipOffset + 1) % others.size();
+            chosen.add(others.get(gossipOffset));
+        }
+        return chosen;
+    }
+
+    /** A message with the evidence on these suspects; empty if there are none. */
+    static Optional<PeerMessage.CrashEvidence> message(List<Suspect> suspects, long nowNanos) {
+        return suspects.isEmpty()
+                ? Optional.empty()
+                : Optional.of(new PeerMessage.CrashEvidence(suspects.stream()
+                        .map(suspect -> suspect.toEvidence(nowNanos))
+                        .toList()));
     }
 
     private static boolean hasChangedLately(Suspect suspect, long nowNanos) {
--- a/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/package-info.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/package-info.java
@@ -1,2 +1,2 @@
-/** Finds the prompt parts that crash model engines, together with the other hosts, and keeps them from the engines. */
+/** Finds the requests and prompt parts that crash backend servers, and keeps them from the servers. */
 package io.figspan.cluster.quarantine;
--- a/figspan-cluster/src/test/java/io/figspan/cluster/quarantine/CrashQuarantineTest.java
+++ b/figspan-cluster/src/test/java/io/figspan/cluster/quarantine/CrashQuarantineTest.java
@@ -5,12 +5,16 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.figspan.cluster.message.PeerMessage;
+import io.figspan.cluster.message.SuspectId;
+import io.figspan.cluster.message.SuspectKind;
 import io.figspan.core.id.BackendIncarnation;
 import io.figspan.core.id.BackendServerId;
 import io.figspan.core.id.HostId;
 import io.figspan.core.id.PromptPartId;
+import io.figspan.core.id.RequestFingerprint;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -30,9 +34,15 @@
         return new BackendIncarnation(BackendServerId.of("engine-" + number), 1);
     }
 
+    /** A request of its own with these parts. */
+    private static RequestIdentity request(int number, PromptPartId... parts) {
+        return new RequestIdentity(RequestFingerprint.of(Optional.empty(), "POST", "/" + number), List.of(parts));
+    }
+
+    /** A crash under a prompt that no earlier crash has to do with. */
     private void crash(int engine, PromptPartId... parts) {
         pass(SECOND_NANOS);
-        quarantine.serverCrashed(engine(engine), List.of(parts), nowNanos);
+        quarantine.serverCrashed(engine(engine), request(engine, parts), true, nowNanos);
         pass(SECOND_NANOS);
     }
 
@@ -42,7 +52,7 @@
     }
 
     private boolean isRefused(PromptPartId... parts) {
-        return quarantine.refusal(List.of(parts), nowNanos).isPresent();
+        return quarantine.refusal(request(-1, parts), nowNanos).isPresent();
     }
 
     private void quarantineCrashingPart() {
@@ -55,7 +65,7 @@
     @Test
     void aPartIsRefusedAfterThreeCrashesAndNotBefore() {
         crash(1, COMMON, CRASHING);
-        quarantine.answerBegan(List.of(COMMON), nowNanos);
+        quarantine.answerBegan(request(-1, COMMON), nowNanos);
         crash(2, COMMON, CRASHING, DOCUMENT);
         assertFalse(isRefused(COMMON, CRASHING));
 
@@ -63,13 +73,13 @@
 
         assertTrue(isRefused(COMMON, CRASHING, DOCUMENT));
         assertFalse(isRefused(COMMON, DOCUMENT));
-        assertTrue(actions.contains(new QuarantineAction.Quarantined(CRASHING, 3)));
+        assertTrue(actions.contains(new QuarantineAction.Quarantined(new SuspectId.OfPart(CRASHING), 3)));
     }
 
     @Test
     void simultaneousCrashesCountAsOne() {
         for (int engine = 0; engine < 6; engine++) {
-            quarantine.serverCrashed(engine(engine), List.of(CRASHING), nowNanos);
+            quarantine.serverCrashed(engine(engine), request(engine, CRASHING), true, nowNanos);
         }
         pass(SECOND_NANOS);
 
@@ -103,11 +113,11 @@
     void anAnswerThatBeginsReleasesThePart() {
         quarantineCrashingPart();
 
-        quarantine.answerBegan(List.of(CRASHING), nowNanos);
+        quarantine.answerBegan(request(-1, CRASHING), nowNanos);
         pass(SECOND_NANOS);
 
         assertFalse(isRefused(CRASHING));
-        assertTrue(actions.contains(new QuarantineAction.Released(CRASHING, 0)));
+        assertTrue(actions.contains(new QuarantineAction.Released(new SuspectId.OfPart(CRASHING), 0)));
     }
 
     @Test
@@ -141,8 +151,8 @@
         assertTrue(isRefused(CRASHING));
 
         pass(20 * SECOND_NANOS);
-        assertTrue(quarantine.refusalOfSend(List.of(CRASHING), nowNanos).isEmpty());
-        assertTrue(quarantine.refusalOfSend(List.of(CRASHING), nowNanos).isPresent());
+        assertTrue(quarantine.refusalOfSend(request(-1, CRASHING), nowNanos).isEmpty());
+        assertTrue(quarantine.refusalOfSend(request(-1, CRASHING), nowNanos).isPresent());
 
         crash(4, CRASHING);
         pass(230 * SECOND_NANOS);
@@ -161,8 +171,8 @@
             atHost.hostsChanged(hosts);
             atHost.receive(evidence, 0);
             atHost.tick(SECOND_NANOS);
-            assertTrue(atHost.refusal(List.of(CRASHING), SECOND_NANOS).isPresent());
-            if (atHost.refusal(List.of(CRASHING), 70 * SECOND_NANOS).isEmpty()) {
+            assertTrue(atHost.refusal(request(-1, CRASHING), SECOND_NANOS).isPresent());
+            if (atHost.refusal(request(-1, CRASHING), 70 * SECOND_NANOS).isEmpty()) {
                 admitting++;
             }
         }
@@ -171,7 +181,7 @@
 
     private PeerMessage.CrashEvidence evidenceOfQuarantine() {
         quarantineCrashingPart();
-        return quarantine.evidenceForNewHost(HostId.of("host-9"), nowNanos).orElseThrow();
+        return quarantine.evidenceForNewHost(HostId.of("host-9"), nowNanos).get(0);
     }
 
     @Test
@@ -181,14 +191,14 @@
         newHost.receive(evidenceOfQuarantine(), 0);
         newHost.tick(0);
 
-        assertTrue(newHost.refusal(List.of(CRASHING), 0).isPresent());
+        assertTrue(newHost.refusal(request(-1, CRASHING), 0).isPresent());
     }
 
     @Test
     void messagesAndTheTableAreBounded() {
         quarantineCrashingPart();
-        for (int part = 0; part < 2 * SuspectTable.MAX_PARTS; part++) {
-            quarantine.serverCrashed(engine(part), List.of(PromptPartId.of("a" + part)), nowNanos);
+        for (int part = 0; part < 2 * SuspectKind.PROMPT_PART.maxTracked(); part++) {
+            quarantine.serverCrashed(engine(part), request(part, PromptPartId.of("a" + part)), true, nowNanos);
         }
 
         actions.clear();
@@ -197,7 +207,7 @@
         assertTrue(isRefused(CRASHING));
         assertTrue(actions.stream()
                 .filter(action -> action instanceof QuarantineAction.SendToAll)
-                .map(action -> ((QuarantineAction.SendToAll) action).message().parts())
-                .allMatch(parts -> parts.size() <= SuspectTable.MAX_PARTS_PER_MESSAGE));
+                .map(action -> ((QuarantineAction.SendToAll) action).message().suspects())
+                .allMatch(suspects -> suspects.size() <= SuspectTable.MAX_PER_MESSAGE));
     }
 }
--- a/figspan-cluster/src/test/java/io/figspan/cluster/quarantine/SimulatedFleet.java
+++ b/figspan-cluster/src/test/java/io/figspan/cluster/quarantine/SimulatedFleet.java
@@ -2,13 +2,17 @@
 
 import io.figspan.cluster.LogicalTime;
 import io.figspan.cluster.message.PeerMessage;
+import io.figspan.cluster.message.SuspectKind;
 import io.figspan.core.id.BackendIncarnation;
 import io.figspan.core.id.BackendServerId;
 import io.figspan.core.id.HostId;
 import io.figspan.core.id.PromptPartId;
+import io.figspan.core.id.RequestFingerprint;
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
@@ -21,6 +25,10 @@
     static final PromptPartId CRASHING = PromptPartId.of("c0de");
     static final PromptPartId COMMON = PromptPartId.of("f1");
 
+    /** A request that crashes each engine which runs it; sound prompts have its parts too. */
+    static final RequestIdentity DEADLY =
+            new RequestIdentity(fingerprint("deadly"), List.of(COMMON, PromptPartId.of("d1")));
+
     private static final long MS = TimeUnit.MILLISECONDS.toNanos(1);
     private static final long TICK_NANOS = 40 * MS;
     private static final long MAX_MESSAGE_NANOS = 5 * MS;
@@ -32,6 +40,11 @@
     private static final long EVENT_NANOS = 90 * MS;
 
     private static final int EVENTS = 16;
+
+    /** Events of a deadly request before its engine crashes, at most. */
+    private static final int MAX_DEADLY_EVENTS = 4;
+
+    private static final long DEADLY_GAP_NANOS = 375 * MS;
     private static final int DOCUMENTS = 40;
     private static final int MAX_ATTEMPTS = 2;
 
@@ -52,16 +65,20 @@
 
     /** A prompt on its way. */
     private static final class Prompt {
-        final List<PromptPartId> parts;
+        final RequestIdentity identity;
         int attempts;
         boolean hasBegun;
 
-        Prompt(List<PromptPartId> parts) {
-            this.parts = parts;
+        Prompt(RequestIdentity identity) {
+            this.identity = identity;
         }
 
         boolean isCrashing() {
-            return parts.contains(CRASHING);
+            return identity.sharedParts().contains(CRASHING);
+        }
+
+        boolean isDeadly() {
+            return identity.equals(DEADLY);
         }
     }
 
@@ -71,6 +88,8 @@
     private static final class Host {
         final HostId id;
         CrashQuarantine quarantine;
+        long resumesNanos;
+        boolean isCutOff;
 
         Host(HostId id, CrashQuarantine quarantine) {
             this.id = id;
@@ -80,7 +99,7 @@
 
     private final class Engine {
         final BackendServerId id;
-        final Set<Attempt> attempts = new HashSet<>();
+        final Set<Attempt> attempts = new LinkedHashSet<>();
         long incarnation = 1;
         boolean isUp = true;
 
@@ -117,6 +136,9 @@
     private final List<Long> crashingSentNanos = new ArrayList<>();
     private final List<Long> soundArrivedNanos = new ArrayList<>();
     private final List<Long> soundRefusedNanos = new ArrayList<>();
+    private final List<Long> deadlySentNanos = new ArrayList<>();
+    private int promptNumber;
+    private int partsQuarantined;
 
     SimulatedFleet(Load load, long seed) {
         this.load = load;
@@ -130,13 +152,17 @@
         for (int engine = 0; engine < load.engines(); engine++) {
             engines.add(new Engine(engine));
         }
-        hosts.forEach(host -> time.every(TICK_NANOS, () -> execute(host, host.quarantine.tick(time.nowNanos()))));
+        hosts.forEach(host -> time.every(TICK_NANOS, () -> tick(host)));
         scheduleArrival(load.soundPerSecond(), false);
         if (load.crashingPerSecond() > 0) {
             scheduleArrival(load.crashingPerSecond(), true);
         }
     }
 
+    private static RequestFingerprint fingerprint(String target) {
+        return RequestFingerprint.of(Optional.empty(), "POST", target);
+    }
+
     private CrashQuarantine newQuarantine(HostId id) {
         CrashQuarantine quarantine = new CrashQuarantine(id, time.nowNanos());
         quarantine.hostsChanged(hostIds);
@@ -156,26 +182,60 @@
             for (Host other : hosts) {
                 other.quarantine
                         .evidenceForNewHost(restarted.id, time.nowNanos())
-                        .ifPresent(evidence -> send(restarted, evidence));
+                        .forEach(evidence -> send(other, restarted, evidence));
             }
         }
     }
 
+    private void tick(Host host) {
+        if (time.nowNanos() >= host.resumesNanos) {
+            execute(host, host.quarantine.tick(time.nowNanos()));
+        }
+    }
+
+    /** Suspends the first host; what it receives meanwhile waits in no particular order. */
+    void pauseFirstHost(long durationMs) {
+        hosts.get(0).resumesNanos = time.nowNanos() + durationMs * MS;
+    }
+
+    /** Cuts the first hosts off from the others, or connects all again if there are none. */
+    void cutOff(int count) {
+        for (int host = 0; host < hosts.size(); host++) {
+            hosts.get(host).isCutOff = host < count;
+        }
+    }
+
+    private void onceRunning(Host host, Runnable action) {
+        long waitNanos = host.resumesNanos - time.nowNanos();
+        if (waitNanos <= 0) {
+            action.run();
+        } else {
+            time.after(waitNanos + random.nextLong(MAX_MESSAGE_NANOS), () -> onceRunning(host, action));
+        }
+    }
+
     private void execute(Host host, List<QuarantineAction> actions) {
         for (QuarantineAction action : actions) {
             if (action instanceof QuarantineAction.SendToAll all) {
-                hosts.stream().filter(other -> other != host).forEach(other -> send(other, all.message()));
+                hosts.stream().filter(other -> other != host).forEach(other -> send(host, other, all.message()));
+            } else if (action instanceof QuarantineAction.SendToHost one) {
+                hosts.stream().filter(to -> to.id.equals(one.host())).forEach(to -> send(host, to, one.message()));
             } else if (action instanceof QuarantineAction.SendToSome some) {
                 for (int i = 0; i < CrashQuarantine.GOSSIP_FANOUT; i++) {
-                    send(hosts.get(random.nextInt(hosts.size())), some.message());
+                    send(host, hosts.get(random.nextInt(hosts.size())), some.message());
                 }
+            } else if (action instanceof QuarantineAction.Quarantined quarantined
+                    && quarantined.suspect().kind() == SuspectKind.PROMPT_PART) {
+                partsQuarantined++;
             }
         }
     }
 
-    private void send(Host to, PeerMessage.CrashEvidence message) {
-        if (random.nextInt(100) >= load.lossPercent()) {
-            time.after(random.nextLong(MS, MAX_MESSAGE_NANOS), () -> to.quarantine.receive(message, time.nowNanos()));
+    private void send(Host from, Host to, PeerMessage.CrashEvidence message) {
+        if (from.isCutOff == to.isCutOff && random.nextInt(100) >= load.lossPercent()) {
+            time.after(
+                    random.nextLong(MS, MAX_MESSAGE_NANOS),
+                    () -> onceRunning(to, () -> to.quarantine.receive(message, time.nowNanos())));
         }
     }
 
@@ -196,7 +256,23 @@
         } else {
             soundArrivedNanos.add(time.nowNanos());
         }
-        send(new Prompt(parts), hosts.get(random.nextInt(hosts.size())));
+        RequestIdentity identity = new RequestIdentity(fingerprint("prompt-" + promptNumber++), parts);
+        sendOnceRunning(new Prompt(identity), hosts.get(random.nextInt(hosts.size())));
+    }
+
+    private void sendOnceRunning(Prompt prompt, Host host) {
+        onceRunning(host, () -> send(prompt, host));
+    }
+
+    /** Lets the deadly request come again and again, at any of the first hosts. */
+    void sendDeadlyRequests(int count, int firstHosts) {
+        for (int number = 0; number < count; number++) {
+            time.after(number * DEADLY_GAP_NANOS, () -> sendOnceRunning(new Prompt(DEADLY), randomHost(firstHosts)));
+        }
+    }
+
+    private Host randomHost(int firstHosts) {
+        return hosts.get(random.nextInt(firstHosts));
     }
 
     private void send(Prompt prompt, Host host) {
@@ -204,13 +280,15 @@
         if (up.isEmpty()) {
             return;
         }
-        if (host.quarantine.refusalOfSend(prompt.parts, time.nowNanos()).isPresent()) {
+        if (host.quarantine.refusalOfSend(prompt.identity, time.nowNanos()).isPresent()) {
             recordRefusal(prompt);
             return;
         }
         prompt.attempts++;
         if (prompt.isCrashing()) {
             crashingSentNanos.add(time.nowNanos());
+        } else if (prompt.isDeadly()) {
+            deadlySentNanos.add(time.nowNanos());
         }
         Engine engine = up.get(random.nextInt(up.size()));
         Attempt attempt = new Attempt(prompt, host, time.nowNanos());
@@ -219,7 +297,7 @@
     }
 
     private void recordRefusal(Prompt prompt) {
-        if (!prompt.isCrashing() && prompt.attempts == 0) {
+        if (!prompt.isCrashing() && !prompt.isDeadly() && prompt.attempts == 0) {
             soundRefusedNanos.add(time.nowNanos());
         }
     }
@@ -229,13 +307,27 @@
             return;
         }
         if (attempt.prompt().isCrashing()) {
-            crashesNanos.add(time.nowNanos());
-            engine.crash();
+            crash(engine);
             return;
         }
+        if (attempt.prompt().isDeadly()) {
+            long eventsNanos = random.nextInt(MAX_DEADLY_EVENTS + 1) * EVENT_NANOS;
+            time.after(eventsNanos, () -> crashIfRunning(attempt, engine));
+        }
         time.after(EVENT_NANOS, () -> respond(attempt, engine, 1));
     }
 
+    private void crashIfRunning(Attempt attempt, Engine engine) {
+        if (engine.attempts.contains(attempt)) {
+            crash(engine);
+        }
+    }
+
+    private void crash(Engine engine) {
+        crashesNanos.add(time.nowNanos());
+        engine.crash();
+    }
+
     private void respond(Attempt attempt, Engine engine, int event) {
         if (!engine.attempts.contains(attempt)) {
             return;
@@ -244,23 +336,24 @@
         attempt.prompt().hasBegun = true;
         quarantine.serverResponded(engine.current(), attempt.sentNanos(), time.nowNanos());
         if (event == 1) {
-            quarantine.answerBegan(attempt.prompt().parts, time.nowNanos());
+            quarantine.answerBegan(attempt.prompt().identity, time.nowNanos());
         }
         if (event < EVENTS) {
             time.after(EVENT_NANOS, () -> respond(attempt, engine, event + 1));
         } else {
             engine.attempts.remove(attempt);
+            quarantine.requestServed(attempt.prompt().identity, time.nowNanos());
         }
     }
 
     private void connectionLost(Attempt attempt, BackendIncarnation crashed) {
         Prompt prompt = attempt.prompt();
-        if (!prompt.hasBegun) {
-            attempt.host().quarantine.serverCrashed(crashed, prompt.parts, time.nowNanos());
-        }
-        if (prompt.attempts < MAX_ATTEMPTS) {
-            send(prompt, attempt.host());
-        }
+        onceRunning(attempt.host(), () -> {
+            attempt.host().quarantine.serverCrashed(crashed, prompt.identity, !prompt.hasBegun, time.nowNanos());
+            if (prompt.attempts < MAX_ATTEMPTS) {
+                send(prompt, attempt.host());
+            }
+        });
     }
 
     /** Crashes a share of the engines at once, for a reason of their own. */
@@ -300,14 +393,32 @@
     }
 
     private long countAfterFifthCrash(List<Long> instantsNanos, long delayMs) {
-        int index = Math.min(5, crashesNanos.size()) - 1;
-        if (index < 0) {
-            return 0;
-        }
-        long fromNanos = crashesNanos.get(index) + delayMs * MS;
+        return countAfterCrash(5, instantsNanos, delayMs);
+    }
+
+    private long countAfterCrash(int crash, List<Long> instantsNanos, long delayMs) {
+        int index = Math.min(crash, crashesNanos.size()) - 1;
+        return index < 0 ? 0 : countAfter(instantsNanos, crashesNanos.get(index) + delayMs * MS);
+    }
+
+    private static long countAfter(List<Long> instantsNanos, long fromNanos) {
         return instantsNanos.stream().filter(at -> at > fromNanos).count();
     }
 
+    /** Sends of the deadly request later than this after the third crash. */
+    long deadlySentAfterThirdCrash(long delayMs) {
+        return countAfterCrash(3, deadlySentNanos, delayMs);
+    }
+
+    /** Sends of the deadly request later than this from the start. */
+    long deadlySentAfter(long timeMs) {
+        return countAfter(deadlySentNanos, timeMs * MS);
+    }
+
+    int partsQuarantined() {
+        return partsQuarantined;
+    }
+
     int soundRefused() {
         return soundRefusedNanos.size();
     }
--- a/figspan-core/src/main/java/io/figspan/core/error/ProblemKind.java
+++ b/figspan-core/src/main/java/io/figspan/core/error/ProblemKind.java
@@ -25,6 +25,7 @@
     NO_BACKEND_SERVER(503, "No backend server is available", "Wait for the time in Retry-After."),
     PROMPT_QUARANTINED(
             503, "Prompt is quarantined", "Send the prompt without the named part; the same prompt is refused again."),
+    REQUEST_QUARANTINED(503, "Request is quarantined", "Change the request; the same one is refused again."),
     BACKEND_FAILED(502, "Backend server failed", "Send the request again."),
     SETTINGS_NOT_READ(503, "Newer settings are not read yet", "Wait for the time in Retry-After or use another host."),
     SHUTTING_DOWN(503, "Host is shutting down", "Use another host of the entry list."),
--- a/figspan-gateway/src/main/java/io/figspan/gateway/PeerEvents.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/PeerEvents.java
@@ -86,7 +86,7 @@
 
     @Override
     public void onHostJoined(Peer peer) {
-        requestCrashes.evidenceForNewHost(peer.host()).ifPresent(evidence -> peers.send(evidence, List.of(peer)));
+        requestCrashes.evidenceForNewHost(peer.host()).forEach(evidence -> peers.send(evidence, List.of(peer)));
     }
 
     @Override
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Attempt.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Attempt.java
@@ -277,7 +277,7 @@
     }
 
     /** Whether only the end of the connection marks the end of the response. */
-    private boolean isEndedByClose() {
+    boolean isEndedByClose() {
         return !HttpUtil.isContentLengthSet(head) && !HttpUtil.isTransferEncodingChunked(head);
     }
 
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/CrashObserver.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/CrashObserver.java
@@ -1,49 +1,94 @@
 package io.figspan.gateway.forward;
 
+import io.figspan.cluster.message.SuspectId;
 import io.figspan.cluster.quarantine.CrashQuarantine.Refusal;
+import io.figspan.cluster.quarantine.RequestIdentity;
 import io.figspan.core.error.Problem;
 import io.figspan.core.error.ProblemKind;
-import io.figspan.core.id.PromptPartId;
+import io.figspan.core.id.OrganisationId;
+import io.figspan.core.id.RequestFingerprint;
+import io.figspan.gateway.backend.BackendPools;
 import io.figspan.gateway.protocol.CallerRequest;
-import java.util.List;
+import io.netty.buffer.ByteBuf;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
-/** Observes for one request whether its prompt crashes engines, and whether it must be refused for that. */
+/** Observes for one request whether it crashes backend servers, and whether it must be refused for that. */
 final class CrashObserver {
-    /** Events after which an answer counts as begun. */
+    /** Events after which an answer counts as begun, so that no part of its prompt crashes servers. */
     private static final long EVENTS_OF_A_BEGUN_ANSWER = 2;
 
+    /** A request under which a server has written events for so long does not crash it. */
+    private static final long PROVEN_SOUND_NANOS = TimeUnit.SECONDS.toNanos(3);
+
+    /** Status codes from here on say that the server failed, perhaps right before it ended. */
+    private static final int HTTP_INTERNAL_SERVER_ERROR = 500;
+
     private final RequestCrashes crashes;
-    private final List<PromptPartId> parts;
+    private final BackendPools pools;
+    private final RequestIdentity request;
     private boolean hasBegun;
+    private long firstEventNanos;
+    private boolean isProvenSound;
 
-    CrashObserver(RequestCrashes crashes, CallerRequest request) {
+    CrashObserver(
+            RequestCrashes crashes,
+            BackendPools pools,
+            CallerRequest request,
+            ByteBuf body,
+            Optional<OrganisationId> organisation) {
         this.crashes = crashes;
-        this.parts = request.sharedParts();
+        this.pools = pools;
+        this.request = new RequestIdentity(fingerprintOf(request, body, organisation), request.sharedParts());
         this.hasBegun = request.lastEventId().isPresent();
     }
 
-    boolean hasPart(PromptPartId part) {
-        return parts.contains(part);
+    private static RequestFingerprint fingerprintOf(
+            CallerRequest request, ByteBuf body, Optional<OrganisationId> organisation) {
+        return RequestFingerprint.of(organisation, request.method().name(), request.target(), body.nioBuffers());
+    }
+
+    RequestFingerprint fingerprint() {
+        return request.fingerprint();
+    }
+
+    /** Whether the request must be refused because of a suspect that was quarantined. */
+    boolean involves(SuspectId suspect) {
+        return request.involves(suspect);
     }
 
     /** Why the request must be refused now. */
     Optional<Problem> refusal(long nowNanos) {
-        return crashes.refusal(parts, nowNanos).map(CrashObserver::problemOf);
+        return crashes.refusal(request, nowNanos).map(CrashObserver::problemOf);
     }
 
     /** Why the request must be refused instead of being sent now. */
     Optional<Problem> refusalOfSend(long nowNanos) {
-        return crashes.refusalOfSend(parts, nowNanos).map(CrashObserver::problemOf);
+        return crashes.refusalOfSend(request, nowNanos).map(CrashObserver::problemOf);
     }
 
     private static Problem problemOf(Refusal refusal) {
-        return Problem.notRun(ProblemKind.PROMPT_QUARANTINED, detail(refusal.part()))
-                .withRetryAfterMs(refusal.retryAfterMs());
+        Problem problem = problemOf(refusal.suspect());
+        return refusal.retryAfterMs().isPresent()
+                ? problem.withRetryAfterMs(refusal.retryAfterMs().getAsLong())
+                : problem;
+    }
+
+    /** The answer to a request that has not run and is refused because of this suspect. */
+    static Problem problemOf(SuspectId suspect) {
+        ProblemKind kind =
+                switch (suspect.kind()) {
+                    case PROMPT_PART -> ProblemKind.PROMPT_QUARANTINED;
+                    case REQUEST -> ProblemKind.REQUEST_QUARANTINED;
+                };
+        return Problem.notRun(kind, detail(suspect));
     }
 
-    static String detail(PromptPartId part) {
-        return "prompts with the part " + part + " have crashed several engines";
+    private static String detail(SuspectId suspect) {
+        return switch (suspect.kind()) {
+            case PROMPT_PART -> "prompts with the part " + suspect + " have crashed several engines";
+            case REQUEST -> "the request " + suspect + " has crashed several backend servers";
+        };
     }
 
     /** An event has arrived from an engine. */
@@ -52,24 +97,52 @@
         if (eventCount >= EVENTS_OF_A_BEGUN_ANSWER) {
             answerBegan(nowNanos);
         }
+        if (eventCount == 1) {
+            firstEventNanos = nowNanos;
+            isProvenSound = false;
+        } else if (!isProvenSound && nowNanos - firstEventNanos >= PROVEN_SOUND_NANOS) {
+            isProvenSound = true;
+            crashes.requestServed(request, nowNanos);
+        }
     }
 
-    /** A complete response has arrived from an engine. */
+    /** A response has arrived completely, which only its length or an end marker can show for the request itself. */
     void responseCompleted(Attempt attempt, long nowNanos) {
         crashes.serverResponded(attempt.incarnation(), attempt.sentNanos(), nowNanos);
         answerBegan(nowNanos);
+        if (!attempt.isEndedByClose()) {
+            crashes.requestServed(request, nowNanos);
+        }
     }
 
     private void answerBegan(long nowNanos) {
         if (!hasBegun) {
             hasBegun = true;
-            crashes.answerBegan(parts, nowNanos);
+            crashes.answerBegan(request, nowNanos);
+        }
+    }
+
+    void attemptFailed(Attempt attempt, AttemptEnd end, long nowNanos) {
+        if (end == AttemptEnd.FAILED && attempt.response().status() < HTTP_INTERNAL_SERVER_ERROR) {
+            crashes.requestServed(request, nowNanos);
+        }
+        if (attempt.hasLostConnection() && !isLeaving(attempt)) {
+            reportCrash(attempt, nowNanos);
         }
     }
 
-    void attemptFailed(Attempt attempt, long nowNanos) {
-        if (!hasBegun && attempt.hasLostConnection()) {
-            crashes.serverCrashed(attempt.incarnation(), parts, nowNanos);
+    /** Whether the server drains or has been removed, so that it has ended for that reason. */
+    private boolean isLeaving(Attempt attempt) {
+        return pools.find(attempt.server())
+                .map(server -> server.isLeaving() && server.incarnation().equals(attempt.incarnation()))
+                .orElse(true);
+    }
+
+    private void reportCrash(Attempt attempt, long nowNanos) {
+        boolean wasProvenSound = isProvenSound;
+        isProvenSound = false;
+        if (!wasProvenSound) {
+            crashes.serverCrashed(attempt.incarnation(), request, !hasBegun, nowNanos);
         }
     }
 }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
@@ -1,9 +1,9 @@
 package io.figspan.gateway.forward;
 
+import io.figspan.cluster.message.SuspectId;
 import io.figspan.core.error.Problem;
 import io.figspan.core.error.ProblemKind;
 import io.figspan.core.id.OrganisationId;
-import io.figspan.core.id.PromptPartId;
 import io.figspan.gateway.backend.BackendServer;
 import io.figspan.gateway.backend.HoldGroup;
 import io.figspan.gateway.http.EventSplitter;
@@ -55,7 +55,8 @@
         this.response = new CallResponse(forwarder.callerProtocol(), caller, request.lastEventId());
         this.history = new AttemptHistory(route, job.deadline(), dispatcher::budget);
         this.starter = new AttemptStarter(forwarder, route, request, body, organisation, job);
-        this.crashObserver = new CrashObserver(forwarder.requestCrashes(), request);
+        this.crashObserver =
+                new CrashObserver(forwarder.requestCrashes(), forwarder.pools(), request, body, organisation);
         this.state = new CallStateMachine(log);
         this.deadlineTimer = new DeadlineTimer(forwarder.loop(), job.deadline());
         this.placements = new PlacementHandler(forwarder, dispatcher, job, log, history, crashObserver, state, this);
@@ -260,7 +261,7 @@
         attempts.remove(failed);
         history.recordFailure(end);
         log.attemptFailed(failed.server(), end, reason, failed.sentNanos(), response.forwardedEvents());
-        crashObserver.attemptFailed(failed, nowNanos);
+        crashObserver.attemptFailed(failed, end, nowNanos);
         if (end == AttemptEnd.HELPER_FAILED) {
             failed.faultyHelper().ifPresent(helper -> dispatcher.helperFailed(helper, nowNanos));
         }
@@ -309,16 +310,14 @@
         }
     }
 
-    /** Ends the request if it has a part that was quarantined, so that it doesn't crash the engine that has it now. */
-    void onQuarantined(PromptPartId part) {
-        if (state.isDone() || state.hasBegunResponse() || !crashObserver.hasPart(part)) {
+    /** Ends the request if it was quarantined, or a part of it, so that it doesn't crash the server that has it now. */
+    void onQuarantined(SuspectId suspect) {
+        if (state.isDone() || state.hasBegunResponse() || !crashObserver.involves(suspect)) {
             return;
         }
-        String detail = CrashObserver.detail(part);
-        Problem problem = attempts.isEmpty()
-                ? Problem.notRun(ProblemKind.PROMPT_QUARANTINED, detail)
-                : Problem.unknown(ProblemKind.BACKEND_FAILED, detail);
-        endWithProblem(problem, detail);
+        Problem refusal = CrashObserver.problemOf(suspect);
+        Problem problem = isSent() ? Problem.unknown(ProblemKind.BACKEND_FAILED, refusal.detail()) : refusal;
+        endWithProblem(problem, refusal.detail());
     }
 
     /**
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
@@ -92,7 +92,7 @@
         this.requestCrashes = requestCrashes;
         this.requestLimits = requestLimits;
         this.drain = new DrainControl(random);
-        requestCrashes.onQuarantined(dispatchers::promptQuarantined);
+        requestCrashes.onQuarantined(dispatchers::quarantined);
         requestLimits.setHostsUsing(dispatchers::hostsUsing);
         this.dispatchers = dispatchers;
     }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/RequestCrashes.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/RequestCrashes.java
@@ -1,12 +1,16 @@
 package io.figspan.gateway.forward;
 
 import io.figspan.cluster.message.PeerMessage;
+import io.figspan.cluster.message.SuspectId;
+import io.figspan.cluster.message.SuspectKind;
 import io.figspan.cluster.quarantine.CrashQuarantine;
 import io.figspan.cluster.quarantine.QuarantineAction;
+import io.figspan.cluster.quarantine.RequestIdentity;
 import io.figspan.core.event.Part;
 import io.figspan.core.id.BackendIncarnation;
 import io.figspan.core.id.HostId;
-import io.figspan.core.id.PromptPartId;
+import io.figspan.core.id.OrganisationId;
+import io.figspan.core.id.RequestFingerprint;
 import io.figspan.gateway.log.DecisionLog;
 import io.figspan.gateway.metrics.GatewayMetrics;
 import io.figspan.gateway.peer.PeerSender;
@@ -16,21 +20,22 @@
 import java.util.function.Consumer;
 
 /**
- * Drives the quarantine of prompt parts that crash engines: passes on what this host observes, exchanges the evidence
- * with other hosts, and logs the decisions. All methods must be called on the event loop.
+ * Drives the quarantine of requests and prompt parts that crash backend servers: passes on what this host observes,
+ * exchanges the evidence with other hosts, and logs the decisions. All methods must be called on the event loop.
  */
 public final class RequestCrashes {
     private final CrashQuarantine quarantine;
     private final DecisionLog log;
     private final GatewayMetrics metrics;
     private Optional<PeerSender> sender = Optional.empty();
-    private Consumer<PromptPartId> quarantineListener = part -> {};
+    private Consumer<SuspectId> quarantineListener = suspect -> {};
 
     public RequestCrashes(HostId self, DecisionLog log, GatewayMetrics metrics) {
         this.quarantine = new CrashQuarantine(self, System.nanoTime());
         this.log = log;
         this.metrics = metrics;
-        metrics.gauge("prompts.quarantined", quarantine::quarantinedCount);
+        metrics.gauge("prompts.quarantined", () -> quarantine.quarantinedCount(SuspectKind.PROMPT_PART));
+        metrics.gauge("requests.quarantined", () -> quarantine.quarantinedCount(SuspectKind.REQUEST));
     }
 
     /** Sets the way to the other hosts; without one, this host relies on what it observes itself. */
@@ -38,8 +43,8 @@
         sender = Optional.of(newSender);
     }
 
-    /** Sets the listener for parts whose prompts must be refused from now on. */
-    void onQuarantined(Consumer<PromptPartId> listener) {
+    /** Sets the listener for suspects because of which requests must be refused from now on. */
+    void onQuarantined(Consumer<SuspectId> listener) {
         quarantineListener = listener;
     }
 
@@ -55,7 +60,7 @@
     }
 
     /** The evidence for a host that has just joined; empty if other hosts send it theirs. */
-    public Optional<PeerMessage.CrashEvidence> evidenceForNewHost(HostId host) {
+    public List<PeerMessage.CrashEvidence> evidenceForNewHost(HostId host) {
         return quarantine.evidenceForNewHost(host, System.nanoTime());
     }
 
@@ -68,51 +73,90 @@
     private void execute(QuarantineAction action) {
         if (action instanceof QuarantineAction.SendToAll all) {
             sender.ifPresent(peers -> peers.sendToAll(all.message()));
+        } else if (action instanceof QuarantineAction.SendToHost one) {
+            sender.ifPresent(peers -> peers.sendTo(Set.of(one.host()), one.message()));
         } else if (action instanceof QuarantineAction.SendToSome some) {
             sender.ifPresent(peers -> peers.sendToSome(some.message(), CrashQuarantine.GOSSIP_FANOUT));
         } else if (action instanceof QuarantineAction.Quarantined quarantined) {
+            logQuarantined(quarantined);
+            quarantineListener.accept(quarantined.suspect());
+        } else if (action instanceof QuarantineAction.Released released) {
+            logReleased(released);
+        }
+    }
+
+    private void logQuarantined(QuarantineAction.Quarantined quarantined) {
+        if (quarantined.suspect() instanceof SuspectId.OfRequest request) {
+            metrics.count("requests.quarantines");
+            log.warn(Part.PLACE, "requestQuarantined")
+                    .text("fingerprint", request.fingerprint().digest())
+                    .text("organisation", organisationOf(request.fingerprint()))
+                    .number("crashes", quarantined.crashes())
+                    .write();
+        } else {
             metrics.count("prompts.quarantines");
             log.warn(Part.PLACE, "promptQuarantined")
-                    .text("promptPart", quarantined.part())
+                    .text("promptPart", quarantined.suspect())
                     .number("crashes", quarantined.crashes())
                     .write();
-            quarantineListener.accept(quarantined.part());
-        } else if (action instanceof QuarantineAction.Released released) {
+        }
+    }
+
+    private void logReleased(QuarantineAction.Released released) {
+        if (released.suspect() instanceof SuspectId.OfRequest request) {
+            log.warn(Part.PLACE, "requestReleased")
+                    .text("fingerprint", request.fingerprint().digest())
+                    .text("organisation", organisationOf(request.fingerprint()))
+                    .number("crashes", released.crashes())
+                    .write();
+        } else {
             log.warn(Part.PLACE, "promptReleased")
-                    .text("promptPart", released.part())
+                    .text("promptPart", released.suspect())
                     .number("crashes", released.crashes())
                     .write();
         }
     }
 
+    private static String organisationOf(RequestFingerprint fingerprint) {
+        return fingerprint.organisation().map(OrganisationId::value).orElse("");
+    }
+
     // Requests
 
-    /** Whether a prompt with these parts must be refused now. */
-    Optional<CrashQuarantine.Refusal> refusal(List<PromptPartId> parts, long nowNanos) {
-        return quarantine.refusal(parts, nowNanos);
+    /** Whether servers have crashed under a request, so that it must not run beside many others. */
+    boolean isSuspect(RequestFingerprint fingerprint) {
+        return quarantine.isSuspect(fingerprint);
     }
 
-    /** Whether a prompt with these parts must be refused instead of being sent now. */
-    Optional<CrashQuarantine.Refusal> refusalOfSend(List<PromptPartId> parts, long nowNanos) {
-        return quarantine.refusalOfSend(parts, nowNanos);
+    /** Whether a request must be refused now. */
+    Optional<CrashQuarantine.Refusal> refusal(RequestIdentity request, long nowNanos) {
+        return quarantine.refusal(request, nowNanos);
     }
 
-    void answerBegan(List<PromptPartId> parts, long nowNanos) {
-        quarantine.answerBegan(parts, nowNanos);
+    /** Whether a request must be refused instead of being sent now. */
+    Optional<CrashQuarantine.Refusal> refusalOfSend(RequestIdentity request, long nowNanos) {
+        return quarantine.refusalOfSend(request, nowNanos);
+    }
+
+    void answerBegan(RequestIdentity request, long nowNanos) {
+        quarantine.answerBegan(request, nowNanos);
+    }
+
+    void requestServed(RequestIdentity request, long nowNanos) {
+        quarantine.requestServed(request, nowNanos);
     }
 
     void serverResponded(BackendIncarnation server, long sentNanos, long nowNanos) {
         quarantine.serverResponded(server, sentNanos, nowNanos);
     }
 
-    void serverCrashed(BackendIncarnation server, List<PromptPartId> parts, long nowNanos) {
-        if (parts.isEmpty()) {
-            return;
-        }
+    void serverCrashed(BackendIncarnation server, RequestIdentity request, boolean mayBePart, long nowNanos) {
         log.info(Part.PLACE, "serverCrashed")
                 .text("server", server)
-                .text("parts", parts)
+                .text("fingerprint", request.fingerprint().digest())
+                .text("organisation", organisationOf(request.fingerprint()))
+                .text("parts", mayBePart ? request.sharedParts() : List.of())
                 .write();
-        quarantine.serverCrashed(server, parts, nowNanos);
+        quarantine.serverCrashed(server, request, mayBePart, nowNanos);
     }
 }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatcher.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatcher.java
@@ -1,8 +1,8 @@
 package io.figspan.gateway.forward;
 
+import io.figspan.cluster.message.SuspectId;
 import io.figspan.core.id.BackendServerId;
 import io.figspan.core.id.HostId;
-import io.figspan.core.id.PromptPartId;
 import io.figspan.core.work.PlacedRequest;
 import io.figspan.core.work.WorkChange;
 import io.figspan.gateway.metrics.Activity;
@@ -168,9 +168,9 @@
         }
     }
 
-    /** Ends the requests in progress whose prompts have a part that was quarantined. */
-    void promptQuarantined(PromptPartId part) {
-        List.copyOf(calls.values()).forEach(call -> call.onQuarantined(part));
+    /** Ends the requests in progress that a quarantine concerns. */
+    void quarantined(SuspectId suspect) {
+        List.copyOf(calls.values()).forEach(call -> call.onQuarantined(suspect));
     }
 
     /** Ends the requests that no server has and that can't end before this host stops. */
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatchers.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatchers.java
@@ -1,10 +1,10 @@
 package io.figspan.gateway.forward;
 
+import io.figspan.cluster.message.SuspectId;
 import io.figspan.control.leaving.LeavingSource;
 import io.figspan.core.id.BackendIncarnation;
 import io.figspan.core.id.BackendServerId;
 import io.figspan.core.id.HostId;
-import io.figspan.core.id.PromptPartId;
 import io.figspan.core.id.ServiceId;
 import io.figspan.core.work.PlacedRequest;
 import io.figspan.core.work.WorkChange;
@@ -187,9 +187,9 @@
                 .orElse(Set.of(self));
     }
 
-    /** Ends the requests in progress whose prompts have a part that was quarantined. */
-    void promptQuarantined(PromptPartId part) {
-        dispatchers.values().forEach(dispatcher -> dispatcher.promptQuarantined(part));
+    /** Ends the requests in progress that a quarantine concerns. */
+    void quarantined(SuspectId suspect) {
+        dispatchers.values().forEach(dispatcher -> dispatcher.quarantined(suspect));
     }
 
     /** Ends the requests that no server has and that can't end before this host stops. */
--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/CrashingPromptTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/CrashingPromptTest.java
@@ -29,6 +29,7 @@
     private final Map<String, ScriptedServer> engines = new HashMap<>();
     private final AtomicInteger crashes = new AtomicInteger();
     private GatewayHarness gateway;
+    private int prompts;
 
     @BeforeEach
     void start() throws IOException {
@@ -74,16 +75,17 @@
         void end(ScriptedServer.Connection connection) throws IOException;
     }
 
+    /** Sends a prompt of its own, since one that is repeated may itself be the cause. */
     private String prompt(String part) throws IOException {
-        return gateway.call("POST", "/stream/1", "prompt-tokens: 5000\r\n" + part, "prompt");
+        return gateway.call("POST", "/stream/1", "prompt-tokens: 5000\r\n" + part, "prompt " + prompts++);
     }
 
     private void promptsAreQuarantined() throws IOException {
-        int prompts = 0;
+        int sent = 0;
         while (!prompt(CRASHING).contains("promptQuarantined")) {
-            prompts++;
+            sent++;
             prompt(SOUND);
-            assertTrue(prompts < MAX_PROMPTS, crashes.get() + " engines crashed");
+            assertTrue(sent < MAX_PROMPTS, crashes.get() + " engines crashed");
         }
         int crashesBefore = crashes.get();
         for (int later = 0; later < MAX_PROMPTS; later++) {
--- a/figspan-wire/src/main/java/io/figspan/wire/DatagramCodec.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/DatagramCodec.java
@@ -17,7 +17,7 @@
  */
 public final class DatagramCodec {
     /** Protocol version; incremented with each message change that older processes can't decode. */
-    private static final int PROTOCOL = 3;
+    private static final int PROTOCOL = 4;
 
     private DatagramCodec() {}
 
--- a/figspan-wire/src/main/java/io/figspan/wire/MessageReader.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/MessageReader.java
@@ -10,6 +10,7 @@
 import io.figspan.cluster.message.Piggyback;
 import io.figspan.cluster.message.ServerLimitUse;
 import io.figspan.cluster.message.SuspectEvidence;
+import io.figspan.cluster.message.SuspectId;
 import io.figspan.core.id.AvailabilityZoneId;
 import io.figspan.core.id.BackendIncarnation;
 import io.figspan.core.id.BackendServerId;
@@ -17,6 +18,7 @@
 import io.figspan.core.id.HostIncarnation;
 import io.figspan.core.id.OrganisationId;
 import io.figspan.core.id.PromptPartId;
+import io.figspan.core.id.RequestFingerprint;
 import io.figspan.core.id.SettingsVersion;
 import io.figspan.core.id.StoreRevision;
 import io.figspan.core.work.PlacedRequest;
@@ -25,6 +27,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.msgpack.core.MessageUnpacker;
 
 /** Decodes messages as {@link MessageWriter} encodes them. Each length is checked before memory is allocated for it. */
@@ -131,17 +134,42 @@
 
     private List<SuspectEvidence> readEvidence() throws IOException {
         int count = readCount();
-        List<SuspectEvidence> parts = new ArrayList<>(count);
+        List<SuspectEvidence> suspects = new ArrayList<>(count);
         for (int i = 0; i < count; i++) {
-            parts.add(new SuspectEvidence(
-                    PromptPartId.of(readString()),
+            suspects.add(new SuspectEvidence(
+                    readSuspect(),
                     unpacker.unpackInt(),
                     unpacker.unpackBoolean(),
                     unpacker.unpackLong(),
                     readIncarnations(),
-                    readIncarnations()));
+                    readIncarnations(),
+                    readFingerprints()));
+        }
+        return suspects;
+    }
+
+    private SuspectId readSuspect() throws IOException {
+        int kind = unpacker.unpackInt();
+        return switch (kind) {
+            case MessageWriter.SUSPECT_PART -> new SuspectId.OfPart(PromptPartId.of(readString()));
+            case MessageWriter.SUSPECT_REQUEST -> new SuspectId.OfRequest(readFingerprint());
+            default -> throw new IOException("unknown kind of suspect " + kind);
+        };
+    }
+
+    private List<RequestFingerprint> readFingerprints() throws IOException {
+        int count = readCount();
+        List<RequestFingerprint> fingerprints = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            fingerprints.add(readFingerprint());
         }
-        return parts;
+        return fingerprints;
+    }
+
+    private RequestFingerprint readFingerprint() throws IOException {
+        String organisation = readString();
+        return new RequestFingerprint(
+                organisation.isEmpty() ? Optional.empty() : Optional.of(OrganisationId.of(organisation)), readString());
     }
 
     private List<ServerLimitUse> readLimitUses() throws IOException {
--- a/figspan-wire/src/main/java/io/figspan/wire/MessageWriter.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/MessageWriter.java
@@ -9,9 +9,12 @@
 import io.figspan.cluster.message.Piggyback;
 import io.figspan.cluster.message.ServerLimitUse;
 import io.figspan.cluster.message.SuspectEvidence;
+import io.figspan.cluster.message.SuspectId;
 import io.figspan.core.id.BackendIncarnation;
 import io.figspan.core.id.BackendServerId;
 import io.figspan.core.id.HostIncarnation;
+import io.figspan.core.id.OrganisationId;
+import io.figspan.core.id.RequestFingerprint;
 import io.figspan.core.id.StoreRevision;
 import io.figspan.core.work.PlacedRequest;
 import io.figspan.core.work.PrefillReader;
@@ -27,6 +30,8 @@
     static final int UPDATE_SUSPECT = 1;
     static final int UPDATE_DEAD = 2;
     static final int UPDATE_LEFT = 3;
+    static final int SUSPECT_PART = 0;
+    static final int SUSPECT_REQUEST = 1;
 
     private final MessagePacker packer;
 
@@ -164,17 +169,37 @@
     }
 
     private void writeEvidence(PeerMessage.CrashEvidence evidence) throws IOException {
-        packer.packArrayHeader(evidence.parts().size());
-        for (SuspectEvidence part : evidence.parts()) {
+        packer.packArrayHeader(evidence.suspects().size());
+        for (SuspectEvidence suspect : evidence.suspects()) {
+            writeSuspect(suspect.suspect());
+            packer.packInt(suspect.depth());
+            packer.packBoolean(suspect.isQuarantined());
+            packer.packLong(suspect.ageMs());
+            writeIncarnations(suspect.crashes());
+            writeIncarnations(suspect.refuted());
+            packer.packArrayHeader(suspect.requests().size());
+            for (RequestFingerprint request : suspect.requests()) {
+                writeFingerprint(request);
+            }
+        }
+    }
+
+    private void writeSuspect(SuspectId suspect) throws IOException {
+        if (suspect instanceof SuspectId.OfPart part) {
+            packer.packInt(SUSPECT_PART);
             packer.packString(part.part().value());
-            packer.packInt(part.depth());
-            packer.packBoolean(part.isQuarantined());
-            packer.packLong(part.ageMs());
-            writeIncarnations(part.crashes());
-            writeIncarnations(part.refuted());
+        } else if (suspect instanceof SuspectId.OfRequest request) {
+            packer.packInt(SUSPECT_REQUEST);
+            writeFingerprint(request.fingerprint());
         }
     }
 
+    /** An organisation id is never empty, so an empty one stands for a request without a key. */
+    private void writeFingerprint(RequestFingerprint fingerprint) throws IOException {
+        packer.packString(fingerprint.organisation().map(OrganisationId::value).orElse(""));
+        packer.packString(fingerprint.digest());
+    }
+
     private void writeLimitUses(PeerMessage.ServerLimitUses message) throws IOException {
         packer.packArrayHeader(message.uses().size());
         for (ServerLimitUse use : message.uses()) {
--- a/figspan-wire/src/test/java/io/figspan/wire/FrameCodecProperties.java
+++ b/figspan-wire/src/test/java/io/figspan/wire/FrameCodecProperties.java
@@ -12,6 +12,7 @@
 import io.figspan.cluster.message.Piggyback;
 import io.figspan.cluster.message.ServerLimitUse;
 import io.figspan.cluster.message.SuspectEvidence;
+import io.figspan.cluster.message.SuspectId;
 import io.figspan.core.error.FigspanException;
 import io.figspan.core.error.ProblemKind;
 import io.figspan.core.id.AvailabilityZoneId;
@@ -21,12 +22,14 @@
 import io.figspan.core.id.HostIncarnation;
 import io.figspan.core.id.OrganisationId;
 import io.figspan.core.id.PromptPartId;
+import io.figspan.core.id.RequestFingerprint;
 import io.figspan.core.id.SettingsVersion;
 import io.figspan.core.id.StoreRevision;
 import io.figspan.core.time.HybridTimestamp;
 import io.figspan.core.work.PlacedRequest;
 import io.figspan.core.work.PrefillReader;
 import java.util.List;
+import java.util.Optional;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -74,11 +77,30 @@
                     new StoreRevision(2, 512),
                     30,
                     List.of(placedWork("engine-1"), placedWork("engine-2"))),
-            new PeerMessage.CrashEvidence(List.of(new SuspectEvidence(
-                    PromptPartId.of("91bd3f06"), 1, true, 4_200, PIGGYBACK.leaving(), PIGGYBACK.leaving()))),
+            new PeerMessage.CrashEvidence(List.of(
+                    new SuspectEvidence(
+                            new SuspectId.OfPart(PromptPartId.of("91bd3f06")),
+                            1,
+                            true,
+                            4_200,
+                            PIGGYBACK.leaving(),
+                            PIGGYBACK.leaving(),
+                            List.of(fingerprint(Optional.empty()))),
+                    new SuspectEvidence(
+                            new SuspectId.OfRequest(fingerprint(Optional.of(OrganisationId.of("org-1")))),
+                            0,
+                            false,
+                            300,
+                            PIGGYBACK.leaving(),
+                            List.of(),
+                            List.of()))),
             new PeerMessage.ServerLimitUses(
                     List.of(new ServerLimitUse(PIGGYBACK.leaving().get(0), true, 1.3, 250, 17))));
 
+    private static RequestFingerprint fingerprint(Optional<OrganisationId> organisation) {
+        return RequestFingerprint.of(organisation, "POST", "/a?b");
+    }
+
     private static PlacedRequest placedWork(String server) {
         List<PrefillReader> readers = List.of(
                 new PrefillReader(BackendServerId.of("engine-2"), 90_000),
