Quarantine: decide once on evidence from before a pause

Cause: tick() decided only within 3 s of the latest change of the evidence. A host whose event loop did not run in that time never decided on the change.

Evidence: RequestQuarantineTest.aHostThatIsPausedAfterTheThirdCrash... and aHostThatIsPausedAfterACompleteResponse... failed before. The limit now applies to the latest decision, so at least one follows each change. RequestQuarantineTest and CrashQuarantineTest pass.

--- a/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/CrashQuarantine.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/CrashQuarantine.java
@@ -64,6 +64,7 @@
     private Set<HostId> hosts;
     private long lastGossipNanos;
     private long lastChangeNanos;
+    private long lastDecisionNanos;
     private long lastCleanupNanos;
 
     /**
@@ -78,6 +79,7 @@
         this.hosts = Set.of(self);
         this.lastGossipNanos = nowNanos;
         this.lastChangeNanos = nowNanos;
+        this.lastDecisionNanos = nowNanos;
         this.lastCleanupNanos = nowNanos;
         for (SuspectKind kind : SuspectKind.values()) {
             recentAnswers.put(kind, new RecentAnswers());
@@ -286,7 +288,9 @@
             suspects.removeExpired(nowNanos);
             trials.retain(id -> suspects.find(id).isPresent());
         }
-        if (nowNanos - lastChangeNanos < DECISION_NANOS) {
+        // Not nowNanos: a host that was paused after a change must still decide on it once.
+        if (lastDecisionNanos - lastChangeNanos < DECISION_NANOS) {
+            lastDecisionNanos = nowNanos;
             decide(nowNanos);
         }
         List<QuarantineAction> actions = new ArrayList<>(decided);
--- a/figspan-cluster/src/test/java/io/figspan/cluster/quarantine/RequestQuarantineTest.java
+++ b/figspan-cluster/src/test/java/io/figspan/cluster/quarantine/RequestQuarantineTest.java
@@ -172,6 +172,30 @@
         assertFalse(isRefused(deadly));
     }
 
+    /** Guards against a host that decides on no evidence which it received right before a pause. */
+    @Test
+    void aHostThatIsPausedAfterTheThirdCrashRefusesTheRequestOnceItRuns() {
+        crash(1, deadly);
+        crash(2, deadly);
+        pass(SECOND_NANOS);
+        quarantine.serverCrashed(server(3), deadly, true, nowNanos);
+
+        pass(2 * CrashQuarantine.DECISION_NANOS);
+
+        assertTrue(isRefused(deadly));
+    }
+
+    /** Guards against a quarantine that lasts for a day at a host that is paused right after it was refuted. */
+    @Test
+    void aHostThatIsPausedAfterACompleteResponseReleasesTheRequestOnceItRuns() {
+        quarantineDeadly();
+        quarantine.requestServed(deadly, nowNanos);
+
+        pass(2 * CrashQuarantine.DECISION_NANOS);
+
+        assertFalse(isRefused(deadly));
+    }
+
     private List<PeerMessage.CrashEvidence> evidence() {
         return quarantine.evidenceForNewHost(HostId.of("host-2"), nowNanos);
     }
