Quarantine: remember all refuted crashes of a suspect

What callers could see: a request or a part with more crashes than eight that a complete response had released was quarantined again, by evidence of hosts that had not received the refutation, or stayed quarantined there.

Cause: a suspect keeps 16 crashes, but only 8 refuted ones. The others were merged again from older evidence, and were missing in the refutation that other hosts received.

Evidence: RequestQuarantineTest.aReleasedRequestWithManyCrashesIsNotQuarantinedAgainByOlderEvidence failed before. As many are remembered now as crashes are kept. RequestQuarantineTest and CrashQuarantineTest pass.

--- a/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/Suspect.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/Suspect.java
@@ -23,7 +23,8 @@
     /** Crashes that are heard of within this time count as one, since they may have one cause of their own. */
     static final long SIMULTANEOUS_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
 
-    private static final int MAX_REFUTED = 8;
+    /** Not fewer than the crashes, since older evidence of other hosts would bring back the rest. */
+    private static final int MAX_REFUTED = MAX_CRASHES;
 
     /** As many as show that not one request alone is the cause. */
     private static final int MAX_REQUESTS = 2;
--- a/figspan-cluster/src/test/java/io/figspan/cluster/quarantine/RequestQuarantineTest.java
+++ b/figspan-cluster/src/test/java/io/figspan/cluster/quarantine/RequestQuarantineTest.java
@@ -196,6 +196,23 @@
         assertFalse(isRefused(deadly));
     }
 
+    /** Guards against a released request that the older evidence of other hosts quarantines again. */
+    @Test
+    void aReleasedRequestWithManyCrashesIsNotQuarantinedAgainByOlderEvidence() {
+        for (int server = 1; server <= Suspect.MAX_CRASHES; server++) {
+            crash(server, deadly);
+        }
+        List<PeerMessage.CrashEvidence> older = evidence();
+        quarantine.requestServed(deadly, nowNanos);
+        pass(RecentAnswers.RECENT_NANOS);
+        assertFalse(isRefused(deadly));
+
+        older.forEach(message -> quarantine.receive(message, nowNanos));
+        pass(SECOND_NANOS);
+
+        assertFalse(isRefused(deadly));
+    }
+
     private List<PeerMessage.CrashEvidence> evidence() {
         return quarantine.evidenceForNewHost(HostId.of("host-2"), nowNanos);
     }
