Split the writing side and the refusals off CallerConnection

ResponseWriter writes the responses and closes the connection, Refusals makes the responses to requests that are refused before they have arrived completely, and PipelinedMessages holds the messages behind the current request and stops reading when there are too many. CallerConnection keeps the request that arrives, the time limits and the planned stop. It gets its channel when it is created instead of when it becomes active.

No change of behaviour.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerConnection.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerConnection.java
@@ -9,88 +9,58 @@
 import io.figspan.gateway.http.Channels;
 import io.figspan.settings.gateway.CallerLimits;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOutboundBuffer;
-import io.netty.channel.socket.DuplexChannel;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 
 /**
  * One connection of a caller. It handles one request at a time; pipelined requests wait until the response is written.
  * All methods run on the event loop.
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter implements CallerExchange {
-    /** Pipelined messages above which reading from the connection stops. */
-    private static final int MAX_PIPELINED_MESSAGES = 64;
-
-    /** Time after the last response for which a caller may still send the rest of what it has begun to send. */
-    private static final long MAX_LINGER_NANOS = TimeUnit.SECONDS.toNanos(2);
-
-    /** Retry-After when the memory for bodies is full. */
-    private static final long BODY_MEMORY_RETRY_MS = 500;
-
-    /** Retry-After for callers that need a new connection. */
-    private static final long NEW_CONNECTION_RETRY_MS = 20;
-
     private final CallerServer server;
-    private final int maxHeaderBytes;
+    private final Channel channel;
     private final ReceiveTimeouts timeouts;
-    private final Deque<HttpObject> pipelined = new ArrayDeque<>();
-    private Channel channel;
+    private final PipelinedMessages pipelined;
+    private final ResponseWriter writer;
+    private final Refusals refusals;
     private HttpRequest head;
     private BufferedBody body;
     private int maxBodyBytes;
     private InFlightCall call;
     private boolean responding;
     private long requestCount;
-    private boolean keepAlive = true;
-    private boolean closing;
-    private long closingNanos;
-    private boolean mayReceiveMore;
 
-    CallerConnection(CallerServer server, CallerLimits limits) {
+    CallerConnection(CallerServer server, Channel channel, CallerLimits limits) {
         this.server = server;
-        this.maxHeaderBytes = limits.maxHeaderBytes();
+        this.channel = channel;
         this.timeouts = new ReceiveTimeouts(limits, System.nanoTime());
+        this.pipelined = new PipelinedMessages(channel);
+        this.writer = new ResponseWriter(server, channel, limits.maxHeaderBytes(), pipelined);
+        this.refusals = new Refusals(server, limits.maxHeaderBytes());
     }
 
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
-        channel = ctx.channel();
         server.opened(this);
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         server.closed(this);
-        closing = true;
+        writer.closed();
         releaseBody();
-        pipelined.forEach(ReferenceCountUtil::release);
-        pipelined.clear();
+        pipelined.release();
         InFlightCall abandoned = call;
         call = null;
         if (abandoned != null) {
@@ -130,15 +100,12 @@
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
-        if (closing) {
+        if (writer.isClosing()) {
             ReferenceCountUtil.release(message);
             return;
         }
         if (responding) {
             pipelined.add((HttpObject) message);
-            if (pipelined.size() > MAX_PIPELINED_MESSAGES) {
-                channel.config().setAutoRead(false);
-            }
             return;
         }
         handle((HttpObject) message);
@@ -147,7 +114,7 @@
     private void handle(HttpObject message) {
         try {
             if (message.decoderResult().isFailure()) {
-                refuseMalformed(message.decoderResult().cause());
+                refuse(refusals.malformed(message.decoderResult().cause()));
                 return;
             }
             if (message instanceof HttpRequest request) {
@@ -164,32 +131,28 @@
     private void begin(HttpRequest request) {
         timeouts.headReceived(System.nanoTime());
         head = request;
-        keepAlive = HttpUtil.isKeepAlive(request);
+        writer.setKeepAlive(HttpUtil.isKeepAlive(request));
         maxBodyBytes = server.limits().maxBodyBytes();
         body = new BufferedBody(server.bodies(), maxBodyBytes);
         if (HttpUtil.getContentLength(request, 0L) > maxBodyBytes) {
-            refuse(bodyTooLong());
+            refuse(refusals.bodyTooLong(maxBodyBytes));
             return;
         }
         if (HttpUtil.is100ContinueExpected(request)) {
             refuseIfOutOfTime(System.nanoTime());
-            if (closing) {
+            if (writer.isClosing()) {
                 return;
             }
-            Channels.writeAndFlush(
-                    channel,
-                    new DefaultFullHttpResponse(
-                            HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+            writer.writeContinue();
         }
     }
 
     private void appendBody(HttpContent content) {
         BufferedBody.Outcome outcome = body.add(content.content());
         if (outcome == BufferedBody.Outcome.TOO_LONG) {
-            refuse(bodyTooLong());
+            refuse(refusals.bodyTooLong(maxBodyBytes));
         } else if (outcome == BufferedBody.Outcome.NO_ROOM) {
-            refuse(Problem.notRun(ProblemKind.OVERLOADED, "the bodies of requests in progress fill the memory")
-                    .withRetryAfterMs(BODY_MEMORY_RETRY_MS));
+            refuse(refusals.bodyMemoryFull());
         } else if (content instanceof LastHttpContent) {
             requestComplete();
         }
@@ -225,53 +188,22 @@
     /** The connection is closed, since a response to the request that failed may still come. */
     private void fail(RuntimeException error, boolean isUnanswered) {
         server.errors().report(error);
-        keepAlive = false;
+        writer.setKeepAlive(false);
         if (isUnanswered) {
             respond(ProblemResponses.of(Problem.unknown(ProblemKind.INTERNAL, "unexpected error")));
         }
     }
 
-    private Problem bodyTooLong() {
-        return server.unlessOutdated(
-                Problem.notRun(ProblemKind.BODY_TOO_LARGE, "the body has more than " + maxBodyBytes + " bytes"));
-    }
-
-    private void refuse(Problem problem) {
-        refuse(ProblemResponses.of(problem));
-    }
-
     /**
      * Refuses a request that has not arrived completely and closes the connection, since the rest of the request could
      * be mistaken for another one.
      */
     private void refuse(FullHttpResponse response) {
-        keepAlive = false;
         responding = true;
-        mayReceiveMore = true;
+        writer.closeAfterRefusal();
         respond(response);
     }
 
-    private void refuseMalformed(Throwable cause) {
-        if (cause instanceof TooLongHttpHeaderException) {
-            refuseTooLong(cause, HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE);
-        } else if (cause instanceof TooLongHttpLineException) {
-            refuseTooLong(cause, HttpResponseStatus.REQUEST_URI_TOO_LONG);
-        } else {
-            refuse(Problem.notRun(ProblemKind.INVALID_VALUE, cause.getMessage()));
-        }
-    }
-
-    private void refuseTooLong(Throwable cause, HttpResponseStatus status) {
-        if (server.limits().maxHeaderBytes() > maxHeaderBytes) {
-            refuse(Problem.notRun(ProblemKind.SETTINGS_NOT_READ, "the connection was accepted under a lower limit")
-                    .withRetryAfterMs(NEW_CONNECTION_RETRY_MS));
-            return;
-        }
-        FullHttpResponse response = ProblemResponses.of(Problem.notRun(ProblemKind.INVALID_VALUE, cause.getMessage()));
-        response.setStatus(status);
-        refuse(response);
-    }
-
     private void releaseBody() {
         if (body != null) {
             body.release();
@@ -283,28 +215,27 @@
 
     @Override
     public void respond(FullHttpResponse response) {
-        if (closing) {
+        if (writer.isClosing()) {
             response.release();
             return;
         }
-        setConnectionHeader(response);
+        writer.setConnectionHeader(response);
         finish(response);
     }
 
     @Override
     public void beginResponse(HttpResponse response) {
-        setConnectionHeader(response);
-        Channels.write(channel, response);
+        writer.begin(response);
     }
 
     @Override
     public void write(ByteBuf piece) {
-        Channels.writeAndFlush(channel, new DefaultHttpContent(piece));
+        writer.write(piece);
     }
 
     @Override
     public void end() {
-        if (!closing) {
+        if (!writer.isClosing()) {
             finish(LastHttpContent.EMPTY_LAST_CONTENT);
         }
     }
@@ -312,38 +243,12 @@
     @Override
     public void abort() {
         call = null;
-        closing = true;
-        if (server.isDraining() && hasUnsentBytes()) {
-            closeAfterWrites();
-        } else {
-            Channels.close(channel);
-        }
-    }
-
-    /** Closes the connection after the events that were forwarded, so that it doesn't end within one of them. */
-    private void closeAfterWrites() {
-        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+        writer.abort();
     }
 
     @Override
     public boolean isWritable() {
-        return channel.isWritable();
-    }
-
-    /** Announces the close of the connection, but not before the requests that have been received are answered. */
-    private void setConnectionHeader(HttpResponse response) {
-        boolean isDecoderOutdated = server.limits().maxHeaderBytes() != maxHeaderBytes;
-        if ((server.isDraining() || isDecoderOutdated) && !hasPipelinedRequests()) {
-            keepAlive = false;
-        }
-        if (!keepAlive) {
-            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        }
-    }
-
-    /** Whether requests have arrived behind the one that is answered. The connection closes after the last of them. */
-    private boolean hasPipelinedRequests() {
-        return !pipelined.isEmpty() || !channel.config().isAutoRead();
+        return writer.isWritable();
     }
 
     private void finish(Object lastMessage) {
@@ -352,43 +257,20 @@
         releaseBody();
         long nowNanos = System.nanoTime();
         timeouts.responseWritten(nowNanos);
-        if (!keepAlive) {
-            closing = true;
-            closingNanos = nowNanos;
-            mayReceiveMore |= !pipelined.isEmpty();
-            ChannelFuture written = channel.writeAndFlush(lastMessage);
-            if (mayReceiveMore) {
-                written.addListener((ChannelFuture sent) -> shutdownOutput(sent));
-            } else {
-                written.addListener(ChannelFutureListener.CLOSE);
-            }
+        if (!writer.isKeepAlive()) {
+            writer.finishAndClose(lastMessage, nowNanos);
             return;
         }
-        Channels.writeAndFlush(channel, lastMessage);
+        writer.finish(lastMessage);
         responding = false;
         handlePipelined();
     }
 
-    /**
-     * Sends no more, but still reads until the caller closes the connection: closing it while bytes arrive would reset
-     * it, and the caller could lose the response (RFC 9112, section 9.6).
-     */
-    private static void shutdownOutput(ChannelFuture written) {
-        if (written.isSuccess() && written.channel() instanceof DuplexChannel duplex) {
-            var unused = duplex.shutdownOutput();
-            duplex.config().setAutoRead(true);
-        } else {
-            Channels.close(written.channel());
-        }
-    }
-
     private void handlePipelined() {
-        while (!responding && !closing && !pipelined.isEmpty()) {
+        while (!responding && !writer.isClosing() && !pipelined.isEmpty()) {
             handle(pipelined.poll());
         }
-        if (!channel.config().isAutoRead() && pipelined.isEmpty()) {
-            channel.config().setAutoRead(true);
-        }
+        pipelined.resumeReading();
     }
 
     // Time limits
@@ -398,15 +280,15 @@
      * reads first what the caller has sent in time.
      */
     void enforceTimeouts(long nowNanos) {
-        if (mayReceiveMore && closing && nowNanos - closingNanos > MAX_LINGER_NANOS) {
-            Channels.close(channel);
+        if (writer.hasLingeredTooLong(nowNanos)) {
+            writer.close();
         } else if (exceededTimeout(nowNanos).isPresent()) {
             server.afterNextRead(() -> exceededTimeout(nowNanos).ifPresent(this::timedOut));
         }
     }
 
     private Optional<ReceiveTimeouts.Timeout> exceededTimeout(long nowNanos) {
-        if (responding || closing) {
+        if (responding || writer.isClosing()) {
             return Optional.empty();
         }
         return timeouts.exceeded(body == null ? 0 : body.lengthBytes(), nowNanos);
@@ -414,42 +296,25 @@
 
     private void timedOut(ReceiveTimeouts.Timeout timeout) {
         if (timeout == ReceiveTimeouts.Timeout.IDLE) {
-            closeUnanswered();
-        } else if (timeout == ReceiveTimeouts.Timeout.BODY) {
-            refuseTimedOut("the body did not arrive in time");
+            writer.close();
         } else {
-            refuseTimedOut("the headers did not arrive in time");
+            refuse(refusals.timedOut(timeout));
         }
     }
 
-    private void refuseTimedOut(String reason) {
-        FullHttpResponse response = ProblemResponses.of(Problem.notRun(ProblemKind.INVALID_VALUE, reason));
-        response.setStatus(HttpResponseStatus.REQUEST_TIMEOUT);
-        refuse(response);
-    }
-
     // Planned stop
 
     /** Refuses a request whose body is still arriving if it can't end before this host stops. */
     void refuseIfOutOfTime(long nowNanos) {
-        if (!responding && !closing && head != null) {
-            refusalOfIncomplete(nowNanos).ifPresent(this::refuse);
-        }
-    }
-
-    private Optional<Problem> refusalOfIncomplete(long nowNanos) {
-        try {
-            return server.refusalOfIncomplete(head, nowNanos);
-        } catch (RuntimeException e) {
-            server.errors().report(e);
-            return Optional.empty();
+        if (!responding && !writer.isClosing() && head != null) {
+            refusals.outOfTime(head, nowNanos).ifPresent(this::refuse);
         }
     }
 
     /** Refuses a request that has not arrived completely. */
     void refuseIncomplete() {
-        if (!responding && !closing && (head != null || timeouts.isReadingHead())) {
-            refuse(server.shutdownRefusal());
+        if (!responding && !writer.isClosing() && (head != null || timeouts.isReadingHead())) {
+            refuse(refusals.shutdown());
         }
     }
 
@@ -457,16 +322,11 @@
     void closeIfIdle() {
         server.afterNextRead(() -> {
             if (!isUnfinished()) {
-                closeUnanswered();
+                writer.close();
             }
         });
     }
 
-    private void closeUnanswered() {
-        closing = true;
-        Channels.close(channel);
-    }
-
     boolean isBusy() {
         return responding || head != null;
     }
@@ -478,7 +338,6 @@
 
     /** Whether the caller has not read fast enough for all bytes that were written. */
     boolean hasUnsentBytes() {
-        ChannelOutboundBuffer unsent = channel.unsafe().outboundBuffer();
-        return unsent != null && !unsent.isEmpty();
+        return writer.hasUnsentBytes();
     }
 }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerServer.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerServer.java
@@ -93,7 +93,7 @@
         HttpDecoderConfig config = new HttpDecoderConfig()
                 .setMaxInitialLineLength(limits.maxHeaderBytes())
                 .setMaxHeaderSize(limits.maxHeaderBytes());
-        CallerConnection connection = new CallerConnection(this, limits);
+        CallerConnection connection = new CallerConnection(this, channel, limits);
         channel.pipeline().addLast(new ChannelInboundHandlerAdapter() {
             @Override
             public void channelRead(ChannelHandlerContext ctx, Object bytes) {
