Quarantine: count crashes under requests whose callers have left

What callers saw: a request that may not be repeated and whose caller left before the server crashed was sent to server after server without a quarantine (BUDGET).

Cause: an attempt whose response is discarded reported neither the loss of its connection nor a complete response.

Discarded attempts now report both; a complete success clears the request, as it does with a caller. CrashingRequestTest (10) and CrashingPromptTest pass.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Attempt.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Attempt.java
@@ -52,6 +52,7 @@
     private BackendResponse response;
     private long eventCount;
     private boolean discarded;
+    private boolean complete;
     private boolean lostConnection;
     private boolean ended;
 
@@ -115,6 +116,11 @@
         return lostConnection;
     }
 
+    /** Whether the server's response was received to its end, also if it is discarded. */
+    boolean isComplete() {
+        return complete;
+    }
+
     /** The holds at other engines for this attempt. */
     HoldGroup holds() {
         return holds;
@@ -237,6 +243,7 @@
         if (ended) {
             return;
         }
+        complete = true;
         if (discarded) {
             end();
             listener.onDiscardedEnd(this);
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/CrashObserver.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/CrashObserver.java
@@ -122,6 +122,15 @@
         }
     }
 
+    /** An attempt has ended whose caller has left. */
+    void discardedEnded(Attempt attempt, long nowNanos) {
+        if (attempt.hasLostConnection()) {
+            attemptFailed(attempt, AttemptEnd.BROKEN, nowNanos);
+        } else if (attempt.isComplete() && attempt.response().isSuccess()) {
+            responseCompleted(attempt, nowNanos);
+        }
+    }
+
     void attemptFailed(Attempt attempt, AttemptEnd end, long nowNanos) {
         if (end == AttemptEnd.FAILED && attempt.response().status() < HTTP_INTERNAL_SERVER_ERROR) {
             crashes.requestServed(request, nowNanos);
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
@@ -218,6 +218,7 @@
 
     @Override
     public void onDiscardedEnd(Attempt from) {
+        crashObserver.discardedEnded(from, System.nanoTime());
         attempts.remove(from);
         deadlineTimer.cancel();
         dispatcher.ended(job, AttemptOutcome.SERVED, System.nanoTime());
--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/CrashingRequestTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/CrashingRequestTest.java
@@ -7,6 +7,9 @@
 import io.figspan.gateway.GatewayHarness;
 import io.figspan.gateway.ScriptedServer;
 import java.io.IOException;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -31,6 +34,7 @@
     private final Map<String, ScriptedServer> servers = new HashMap<>();
     private final AtomicInteger crashes = new AtomicInteger();
     private GatewayHarness gateway;
+    private volatile Socket caller;
     private int attempts;
 
     @BeforeEach
@@ -155,6 +159,28 @@
         assertRefusedForGood(() -> call("/order/1", "", DEADLY));
     }
 
+    /** Guards against crashes that don't count because the callers have left before them. */
+    @Test
+    void aNonIdempotentRequestWhoseCallersLeaveBeforeTheCrashIsRefused() throws IOException {
+        startServers("plain", (request, connection) -> {
+            caller.close();
+            gateway.awaitNoBusyCaller();
+            connection.reset();
+        });
+        assertRefusedForGood(() -> callUntilClosed("/order/1", DEADLY));
+    }
+
+    /** The response, empty if the caller's connection is closed before it. */
+    private String callUntilClosed(String target, String body) throws IOException {
+        caller = gateway.connect();
+        try (Socket opened = caller) {
+            opened.getOutputStream().write(GatewayHarness.request("POST", target, "connection: close\r\n", body));
+            return new String(opened.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        } catch (SocketException e) {
+            return "";
+        }
+    }
+
     @Test
     void aRequestThatEndsItsServersWithinTheBodyIsRefused() throws IOException {
         startServers("plain", (request, connection) -> {
