Tests: a server closes the connection of its own caller only

The script of a server closed the socket in a field of the test; when its own request had been answered by the quarantine already, that was the socket of the next caller. Each script now closes the caller of its attempt.

--- a/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
@@ -442,6 +442,12 @@
         return request(DEFAULT_ATTEMPT_ID, KEY, method, target, moreHeaders, body);
     }
 
+    /** A request with another attempt id. */
+    public static byte[] requestOfAttempt(
+            String attemptId, String method, String target, String moreHeaders, String body) {
+        return request(attemptId, KEY, method, target, moreHeaders, body);
+    }
+
     private static byte[] request(
             String attemptId, String key, String method, String target, String moreHeaders, String body) {
         String text = method + " " + target + " HTTP/1.1\r\nhost: a.example\r\nattempt: " + attemptId + "\r\nkey: "
--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/CrashingRequestTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/CrashingRequestTest.java
@@ -12,6 +12,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -34,7 +35,7 @@
     private final Map<String, ScriptedServer> servers = new HashMap<>();
     private final AtomicInteger crashes = new AtomicInteger();
     private GatewayHarness gateway;
-    private volatile Socket caller;
+    private final Map<String, Socket> callersByAttempt = new ConcurrentHashMap<>();
     private int attempts;
 
     @BeforeEach
@@ -163,7 +164,7 @@
     @Test
     void aNonIdempotentRequestWhoseCallersLeaveBeforeTheCrashIsRefused() throws IOException {
         startServers("plain", (request, connection) -> {
-            caller.close();
+            callersByAttempt.get(request.header("attempt")).close();
             gateway.awaitNoBusyCaller();
             connection.reset();
         });
@@ -172,10 +173,12 @@
 
     /** The response, empty if the caller's connection is closed before it. */
     private String callUntilClosed(String target, String body) throws IOException {
-        caller = gateway.connect();
-        try (Socket opened = caller) {
-            opened.getOutputStream().write(GatewayHarness.request("POST", target, "connection: close\r\n", body));
-            return new String(opened.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        String attempt = "a-" + attempts++;
+        try (Socket caller = gateway.connect()) {
+            callersByAttempt.put(attempt, caller);
+            byte[] request = GatewayHarness.requestOfAttempt(attempt, "POST", target, "connection: close\r\n", body);
+            caller.getOutputStream().write(request);
+            return new String(caller.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
         } catch (SocketException e) {
             return "";
         }
