--- a/review/standin/Client.java
+++ b/review/standin/Client.java
@@ -22,7 +22,16 @@
      * @param endMs when the client had the whole answer or left, on the clock of the record
      * @param text the body, or why there is none
      */
-    record Outcome(String attemptId, int status, boolean isComplete, long tookMs, long endMs, String text) {}
+    record Outcome(String attemptId, int status, boolean isComplete, long tookMs, long endMs, String text) {
+        /** Whether a stream has begun. */
+        boolean hasBegun() {
+            return status == 200 && text.contains("id: 1");
+        }
+    }
+
+    static String promptHeaders(int tokens, String prefix) {
+        return "Figspan-Model: m\r\nFigspan-Token-Counts: " + tokens + ",80\r\nFigspan-Prompt-Prefix: " + prefix + "\r\n";
+    }
 
     static Outcome send(
             Recorder recorder,
@@ -33,6 +42,19 @@
             String body,
             long deadlineMs,
             long gapMs) {
+        return sendWithKey(recorder, host, method, path, extraHeaders, body, deadlineMs, gapMs, "key-1");
+    }
+
+    static Outcome sendWithKey(
+            Recorder recorder,
+            Host host,
+            String method,
+            String path,
+            String extraHeaders,
+            String body,
+            long deadlineMs,
+            long gapMs,
+            String key) {
         String attemptId = UUID.randomUUID().toString().replace("-", "").substring(0, 16);
         long startNanos = System.nanoTime();
         int status = 0;
@@ -42,7 +64,7 @@
             socket.connect(new InetSocketAddress(host.ip(), host.callerPort()), 1_000);
             byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
             String head = method + " " + path + " HTTP/1.1\r\nHost: figspan.example\r\nFigspan-Attempt-Id: " + attemptId
-                    + "\r\nFigspan-Deadline-Ms: " + deadlineMs + "\r\nX-Api-Key: key-1\r\n" + extraHeaders
+                    + "\r\nFigspan-Deadline-Ms: " + deadlineMs + "\r\nX-Api-Key: " + key + "\r\n" + extraHeaders
                     + (method.equals("GET") ? "" : "Content-Length: " + bytes.length + "\r\n") + "\r\n";
             socket.getOutputStream().write(head.getBytes(StandardCharsets.UTF_8));
             socket.getOutputStream().write(bytes);
@@ -59,9 +81,9 @@
             }
             return new Outcome(attemptId, status, true, tookMs(startNanos), recorder.elapsedMs(), text.toString());
         } catch (SocketTimeoutException e) {
-            return new Outcome(attemptId, status, false, tookMs(startNanos), recorder.elapsedMs(), "given up: " + e.getMessage());
+            return new Outcome(attemptId, status, false, tookMs(startNanos), recorder.elapsedMs(), text + "given up: " + e.getMessage());
         } catch (IOException | RuntimeException e) {
-            return new Outcome(attemptId, status, false, tookMs(startNanos), recorder.elapsedMs(), e.toString());
+            return new Outcome(attemptId, status, false, tookMs(startNanos), recorder.elapsedMs(), text + e.toString());
         }
     }
 
--- a/review/standin/Recorder.java
+++ b/review/standin/Recorder.java
@@ -19,6 +19,11 @@
         return (System.nanoTime() - startNanos) / 1_000_000;
     }
 
+    /** Waits for a time of the record. */
+    void sleepUntil(long ms) throws InterruptedException {
+        Thread.sleep(Math.max(0, ms - elapsedMs()));
+    }
+
     synchronized void line(String format, Object... arguments) {
         String text = "%7d %s".formatted(elapsedMs(), format.formatted(arguments));
         out.println(text);
--- a/review/standin/Runner.java
+++ b/review/standin/Runner.java
@@ -9,6 +9,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -28,8 +29,10 @@
     private final int slots;
     private final Recorder recorder;
     private final Fault fault;
-    private final ServerSocket listener;
-    private final long bornMs = System.currentTimeMillis();
+    private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
+    private final int port;
+    private volatile ServerSocket listener;
+    private volatile long bornMs = System.currentTimeMillis();
     private final Map<String, Long> reservations = new ConcurrentHashMap<>();
 
     /** Answers given so far, of all kinds. */
@@ -50,9 +53,34 @@
         this.slots = slots;
         this.recorder = recorder;
         this.fault = fault;
-        this.listener = new ServerSocket();
-        listener.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 256);
-        Threads.start(id, this::accept);
+        this.listener = listen(0);
+        this.port = listener.getLocalPort();
+        Threads.start(id, () -> accept(listener));
+    }
+
+    private static ServerSocket listen(int port) throws IOException {
+        ServerSocket socket = new ServerSocket();
+        socket.setReuseAddress(true);
+        socket.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port), 256);
+        return socket;
+    }
+
+    /** Ends like a process that crashes: its connections are reset and its port is closed. */
+    void crash() throws IOException {
+        listener.close();
+        for (Socket socket : connections) {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }
+        reservations.clear();
+    }
+
+    /** Starts again at the address and under the id that it had; it knows nothing of before. */
+    void restart() throws IOException {
+        bornMs = System.currentTimeMillis();
+        ServerSocket opened = listen(port);
+        listener = opened;
+        Threads.start(id, () -> accept(opened));
     }
 
     String id() {
@@ -60,7 +88,7 @@
     }
 
     String address() {
-        return "127.0.0.1:" + listener.getLocalPort();
+        return "127.0.0.1:" + port;
     }
 
     /** The value of this runner's entry in the store. */
@@ -70,10 +98,11 @@
                 .formatted(service, address(), zone, slots, sequence, bornMs);
     }
 
-    private void accept() throws IOException {
+    private void accept(ServerSocket from) throws IOException {
         while (true) {
-            Socket socket = listener.accept();
+            Socket socket = from.accept();
             socket.setTcpNoDelay(true);
+            connections.add(socket);
             Threads.start(id + "-connection", () -> serve(socket));
         }
     }
@@ -89,6 +118,8 @@
                 }
                 answer(request, socket.getOutputStream());
             }
+        } finally {
+            connections.remove(socket);
         }
     }
 
--- a/review/standin/Store.java
+++ b/review/standin/Store.java
@@ -21,8 +21,14 @@
     private final Map<String, Change> items = new TreeMap<>();
     private final List<Change> history = new ArrayList<>();
     private long revision = 10;
+    private long forgotten;
 
-    private record Change(String key, String value, long revision) {
+    private static final long HISTORY_MS = 20_000;
+
+    /** Whether calls are refused with 503. */
+    volatile boolean isRefusing;
+
+    private record Change(String key, String value, long revision, long atMs) {
         String json() {
             return value == null
                     ? "{\"key\":\"%s\",\"revision\":%d,\"is_gone\":true}".formatted(key, revision)
@@ -46,7 +52,7 @@
     }
 
     synchronized void put(String key, String value) {
-        Change change = new Change(key, value, ++revision);
+        Change change = new Change(key, value, ++revision, nowMs());
         items.put(key, change);
         history.add(change);
         notifyAll();
@@ -54,7 +60,7 @@
 
     synchronized void remove(String key) {
         if (items.remove(key) != null) {
-            history.add(new Change(key, null, ++revision));
+            history.add(new Change(key, null, ++revision, nowMs()));
             notifyAll();
         }
     }
@@ -72,10 +78,11 @@
             var in = new java.io.BufferedInputStream(socket.getInputStream());
             HttpMessage request;
             while ((request = HttpMessage.readRequest(in)) != null) {
-                String body = answer(request.target());
-                byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+                String body = isRefusing ? "" : answer(request.target());
+                String status = isRefusing ? "503 Unavailable" : body.isEmpty() ? "410 Gone" : "200 OK";
+                byte[] bytes = status.startsWith("200") ? body.getBytes(StandardCharsets.UTF_8) : new byte[0];
                 OutputStream out = socket.getOutputStream();
-                out.write(("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nStore-Era: 1\r\nContent-Length: "
+                out.write(("HTTP/1.1 " + status + "\r\nContent-Type: application/json\r\nStore-Era: 1\r\nContent-Length: "
                                 + bytes.length + "\r\n\r\n" + body)
                         .getBytes(StandardCharsets.UTF_8));
                 out.flush();
@@ -96,6 +103,9 @@
         long after = Long.parseLong(query.get("after"));
         long endNanos = System.nanoTime() + Long.parseLong(query.get("wait_ms")) * 1_000_000;
         while (true) {
+            if (after < forgottenRevision()) {
+                return "";
+            }
             List<String> events = new ArrayList<>();
             for (Change change : history) {
                 if (change.revision() > after && change.key().startsWith(prefix)) {
@@ -110,6 +120,18 @@
         }
     }
 
+    private static long nowMs() {
+        return System.nanoTime() / 1_000_000;
+    }
+
+    /** The newest revision that the history no longer has. */
+    private long forgottenRevision() {
+        while (!history.isEmpty() && nowMs() - history.get(0).atMs() > HISTORY_MS) {
+            forgotten = history.remove(0).revision();
+        }
+        return forgotten;
+    }
+
     private String range(String prefix, String afterKey) {
         List<String> found = new ArrayList<>();
         for (Change item : items.values()) {
