--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # One runner answers one prompt with bytes that are no answer, without end. Needs the build of the deploy file and
-# review/build.sh. Takes about 40 seconds. TROUBLE=0 leaves out the faulty answer.
+# review/build.sh. Takes about 30 seconds. TROUBLE=0 leaves out the faulty answer.
 set -euo pipefail
 folder="$(cd "$(dirname "$0")" && pwd)"
 cd "$folder/../.."
