--- a/review/1/EndlessBody.java
+++ b/review/1/EndlessBody.java
@@ -19,8 +19,9 @@
  * the caller closes. Meanwhile other callers send orders and queries to the same host.
  */
 final class EndlessBody {
-    private static final String PROMPT_HEADERS =
-            "Figspan-Model: m\r\nFigspan-Token-Counts: 154000,800\r\nFigspan-Prompt-Prefix: 5c1e07a2:40,91bd3f06:153960\r\n";
+    private static final String PROMPT_HEADERS = "Figspan-Model: m\r\n"
+            + "Figspan-Token-Counts: 154000,800\r\n"
+            + "Figspan-Prompt-Prefix: 5c1e07a2:40,91bd3f06:153960\r\n";
 
     /** Time of the requests before the faulty answer, and after it. */
     private static final long PHASE_MS = 10_000;
@@ -57,8 +58,9 @@
         }
         OutputStream out = socket.getOutputStream();
         String attempt = request.header("figspan-attempt-id");
-        out.write((runner.answerHead(request) + "Content-Type: text/event-stream\r\nConnection: close\r\n\r\nid: 1\ndata: "
-                        + attempt + " 1\n\n")
+        out.write((runner.answerHead(request)
+                        + "Content-Type: text/event-stream\r\nConnection: close\r\n\r\nid: 1\ndata: " + attempt
+                        + " 1\n\n")
                 .getBytes(StandardCharsets.UTF_8));
         spoiledMs = recorder.elapsedMs();
         recorder.say("%s ran %s and sends empty lines without end from now on", runner.id(), attempt);
@@ -138,11 +140,15 @@
     }
 
     private void prompt(Host host) {
-        Client.Outcome outcome =
-                Client.send(recorder, host, "POST", "/archive/faulty", PROMPT_HEADERS, "x".repeat(38_500), 15_000, 12_000);
+        Client.Outcome outcome = Client.send(
+                recorder, host, "POST", "/archive/faulty", PROMPT_HEADERS, "x".repeat(38_500), 15_000, 12_000);
         recorder.say(
                 "prompt %s answered %d complete=%s after %d ms %s",
-                outcome.attemptId(), outcome.status(), outcome.isComplete(), outcome.tookMs(), outcome.text().replace('\n', ' '));
+                outcome.attemptId(),
+                outcome.status(),
+                outcome.isComplete(),
+                outcome.tookMs(),
+                outcome.text().replace('\n', ' '));
     }
 
     /** Holds the orders against the rule CONFIG, with its bounds. All hosts are in touch all the while. */
@@ -151,7 +157,9 @@
             recorder.say("no runner spoiled an answer");
             return 2;
         }
-        long open = orders.stream().filter(order -> order.tookMs() > ROUTE_TIMEOUT_MS).count();
+        long open = orders.stream()
+                .filter(order -> order.tookMs() > ROUTE_TIMEOUT_MS)
+                .count();
         long late = orders.stream()
                 .filter(order -> order.tookMs() > ROUTE_TIMEOUT_MS + 500)
                 .count();
@@ -164,7 +172,8 @@
             }
         }
         recorder.say(
-                "%d orders to %s; %d still unanswered at the route's timeout, %d of these 0.5 s later, %d never answered",
+                "%d orders to %s; %d still unanswered at the route's timeout, %d of these 0.5 s later, %d never"
+                        + " answered",
                 orders.size(), host.name(), open, late, unanswered);
         recorder.say("%d orders reached a runner over 0.5 s after their clients had left", afterLeaving);
         recorder.say(
--- a/review/3/DeadlyDeepPart.java
+++ b/review/3/DeadlyDeepPart.java
@@ -6,8 +6,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * One part of some prompts crashes each runner that begins to write an answer on it. The prompts hold many passages, and
- * the deadly one is the eighteenth part.
+ * One part of some prompts crashes each runner that begins to write an answer on it. The prompts hold many passages,
+ * and the deadly one is the eighteenth part.
  */
 final class DeadlyDeepPart {
     private static final int PASSAGES = 16;
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# One part of some prompts crashes each runner that begins to write on it; it is the eighteenth part. Needs the build of the deploy file and
-# review/build.sh. Takes about 50 seconds. TROUBLE=0 leaves out the deadly prompts.
+# One part of some prompts crashes each runner that begins to write on it; it is the eighteenth part. Needs the build
+# of the deploy file and review/build.sh. Takes about 50 seconds. TROUBLE=0 leaves out the deadly prompts.
 set -euo pipefail
 folder="$(cd "$(dirname "$0")" && pwd)"
 cd "$folder/../.."
--- a/review/standin/Client.java
+++ b/review/standin/Client.java
@@ -30,7 +30,8 @@
     }
 
     static String promptHeaders(int tokens, String prefix) {
-        return "Figspan-Model: m\r\nFigspan-Token-Counts: " + tokens + ",80\r\nFigspan-Prompt-Prefix: " + prefix + "\r\n";
+        return "Figspan-Model: m\r\nFigspan-Token-Counts: " + tokens + ",80\r\nFigspan-Prompt-Prefix: " + prefix
+                + "\r\n";
     }
 
     static Outcome send(
@@ -81,7 +82,13 @@
             }
             return new Outcome(attemptId, status, true, tookMs(startNanos), recorder.elapsedMs(), text.toString());
         } catch (SocketTimeoutException e) {
-            return new Outcome(attemptId, status, false, tookMs(startNanos), recorder.elapsedMs(), text + "given up: " + e.getMessage());
+            return new Outcome(
+                    attemptId,
+                    status,
+                    false,
+                    tookMs(startNanos),
+                    recorder.elapsedMs(),
+                    text + "given up: " + e.getMessage());
         } catch (IOException | RuntimeException e) {
             return new Outcome(attemptId, status, false, tookMs(startNanos), recorder.elapsedMs(), text + e.toString());
         }
--- a/review/standin/Deployment.java
+++ b/review/standin/Deployment.java
@@ -83,7 +83,9 @@
         }
         List<String> lines = Files.readAllLines(host.log());
         for (String line : lines.subList(Math.max(0, lines.size() - 15), lines.size())) {
-            recorder.line("log of %s: %s", host.name(), line.substring(0, Math.min(400, line.length())).replace('%', ' '));
+            recorder.line(
+                    "log of %s: %s",
+                    host.name(), line.substring(0, Math.min(400, line.length())).replace('%', ' '));
         }
     }
 
--- a/review/standin/Host.java
+++ b/review/standin/Host.java
@@ -84,8 +84,20 @@
                 form = "read"
                 """
                         .formatted(
-                                name, ip, ports[4], ports[5], String.join(",", quoted), ip, ports[0], ip, ports[1], ip,
-                                ports[2], ip, ports[3], store));
+                                name,
+                                ip,
+                                ports[4],
+                                ports[5],
+                                String.join(",", quoted),
+                                ip,
+                                ports[0],
+                                ip,
+                                ports[1],
+                                ip,
+                                ports[2],
+                                ip,
+                                ports[3],
+                                store));
     }
 
     /** Picks loopback addresses at which the fixed port of the metrics is free now. */
@@ -146,7 +158,8 @@
         for (String line : Files.readAllLines(root.resolve("deploy/system.toml"), StandardCharsets.UTF_8)) {
             if (line.startsWith("run = ")) {
                 String run = line.substring(line.indexOf('"') + 1, line.lastIndexOf('"'));
-                return List.of(run.replace("{{listen.front}}", ip + ":" + ports[0]).split(" "));
+                return List.of(
+                        run.replace("{{listen.front}}", ip + ":" + ports[0]).split(" "));
             }
         }
         throw new IOException("the deploy file has no run line");
@@ -207,7 +220,10 @@
     }
 
     void signal(String signal) throws IOException, InterruptedException {
-        new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).inheritIO().start().waitFor();
+        new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid()))
+                .inheritIO()
+                .start()
+                .waitFor();
     }
 
     void kill() {
--- a/review/standin/Runner.java
+++ b/review/standin/Runner.java
@@ -130,7 +130,10 @@
         } else if (request.target().equals("/health")) {
             write(out, "HTTP/1.1 200 OK\r\nFigspan-Instance-Id: " + id + "\r\n", "");
         } else if (request.target().equals("/report")) {
-            write(out, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n", "{\"stage\":\"combined\",\"busy\":false}");
+            write(
+                    out,
+                    "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n",
+                    "{\"stage\":\"combined\",\"busy\":false}");
         } else if (request.target().equals("/order")) {
             order(request.text(), out);
         } else if (isEngine) {
--- a/review/standin/Store.java
+++ b/review/standin/Store.java
@@ -82,9 +82,10 @@
                 String status = isRefusing ? "503 Unavailable" : body.isEmpty() ? "410 Gone" : "200 OK";
                 byte[] bytes = status.startsWith("200") ? body.getBytes(StandardCharsets.UTF_8) : new byte[0];
                 OutputStream out = socket.getOutputStream();
-                out.write(("HTTP/1.1 " + status + "\r\nContent-Type: application/json\r\nStore-Era: 1\r\nContent-Length: "
-                                + bytes.length + "\r\n\r\n" + body)
-                        .getBytes(StandardCharsets.UTF_8));
+                out.write(
+                        ("HTTP/1.1 " + status + "\r\nContent-Type: application/json\r\nStore-Era: 1\r\nContent-Length: "
+                                        + bytes.length + "\r\n\r\n" + body)
+                                .getBytes(StandardCharsets.UTF_8));
                 out.flush();
             }
         }
