Streams: bound the work of each read, and end those without progress

Cause: EventSplitter took each empty line for an event of its own, and each event was passed through the whole path and written with a flush, a system call for one byte. Netty reads up to 16 buffers of 64 KB from a channel before it gets to the next one, so one turn of the event loop did this a million times; neither timers nor the caller's close were seen meanwhile. Nothing ended such a stream either: comments and empty lines were passed on without limit.

Change: EventSplitter scans each byte once and takes all complete events of a read together (EventBatch), which are forwarded with one write. A channel is read for 64 KB at most before the others get their turn. Events without data or a new id are no progress (StreamProgress): more than 16 KB of them between two events, or any bytes without an event for longer than callers wait, end the attempt (UNBOUNDED in the log and the metrics); the stream is resumed elsewhere if it may be. What a caller sees of a sound stream is unchanged.

StreamCaller records one entry for each event of a batch, as before.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerServer.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerServer.java
@@ -78,6 +78,7 @@
                 .group(loop)
                 .channelFactory(() -> new NioServerSocketChannel(port))
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RCVBUF_ALLOCATOR, Channels.boundedReads())
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel ch) {
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Attempt.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Attempt.java
@@ -7,6 +7,7 @@
 import io.figspan.gateway.http.BufferedBody;
 import io.figspan.gateway.http.ByteBudget;
 import io.figspan.gateway.http.ConnectionFailure;
+import io.figspan.gateway.http.EventBatch;
 import io.figspan.gateway.http.EventSplitter;
 import io.figspan.gateway.http.ExchangeListener;
 import io.figspan.gateway.http.HostPort;
@@ -19,7 +20,6 @@
 import io.netty.handler.codec.http.HttpUtil;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 
 /**
  * One attempt to run a request on one backend server. It verifies that the response belongs to the request, splits a
@@ -46,6 +46,7 @@
     private final boolean streaming;
     private final long sentNanos = System.nanoTime();
     private final EventSplitter splitter = new EventSplitter(MAX_EVENT_BYTES);
+    private final StreamProgress progress;
     private final BufferedBody responseBody;
     private long discardedBytes;
     private HttpResponse head;
@@ -64,8 +65,8 @@
         /** The head of the response has arrived, and belongs to the request. */
         void onHead(Attempt attempt);
 
-        /** A complete event of a stream, owned by the callee; {@code eventCount} have been received so far. */
-        void onEvent(Attempt attempt, ByteBuf event, OptionalLong id, long eventCount);
+        /** Complete events of a stream, owned by the callee; {@link #eventCount} includes them. */
+        void onEvents(Attempt attempt, EventBatch events);
 
         /** The streamed response is complete. */
         void onStreamEnd(Attempt attempt);
@@ -90,6 +91,7 @@
             List<BackendServerId> readers,
             String attemptId,
             boolean streaming,
+            long maxGapNanos,
             ByteBudget responseBodyBudget) {
         this.listener = listener;
         this.protocol = protocol;
@@ -100,6 +102,7 @@
         this.readers = readers;
         this.attemptId = attemptId;
         this.streaming = streaming;
+        this.progress = new StreamProgress(maxGapNanos);
         this.responseBody = new BufferedBody(responseBodyBudget, MAX_BODY_BYTES);
     }
 
@@ -144,6 +147,11 @@
         return response;
     }
 
+    /** Number of events of the stream so far that made progress. */
+    long eventCount() {
+        return eventCount;
+    }
+
     /** The helper that the response names by its address as faulty; the address may belong to another server by now. */
     Optional<BackendServerId> faultyHelper() {
         Optional<String> address = response.faultyServer();
@@ -161,8 +169,14 @@
         connection.send(request, this);
     }
 
-    /** Pauses or resumes reading from the server. */
+    /** Pauses or resumes reading from the server, unless its response is complete and others may use the connection. */
     void setReading(boolean reading) {
+        if (complete) {
+            return;
+        }
+        if (reading) {
+            progress.restart(System.nanoTime());
+        }
         connection.setReading(reading);
     }
 
@@ -190,16 +204,17 @@
         head = received;
         response = protocol.decode(received);
         if (!response.attemptId().equals(attemptId)) {
-            abort("answer to another request");
+            abort(AttemptEnd.BROKEN, "answer to another request");
         } else if (response.isSuccess() && !response.isSigned()) {
-            abort("success without signature");
+            abort(AttemptEnd.BROKEN, "success without signature");
         } else {
+            progress.restart(System.nanoTime());
             listener.onHead(this);
         }
     }
 
     private boolean isStream() {
-        return streaming && response.isSuccess();
+        return streaming && response != null && response.isSuccess();
     }
 
     @Override
@@ -209,13 +224,12 @@
             return;
         }
         if (isStream()) {
-            if (!splitter.add(content, this::forwardEvent)) {
-                abort("event is too long");
-            }
+            splitter.append(content);
             return;
         }
-        if (responseBody.add(content) != BufferedBody.Outcome.TAKEN) {
-            abort("answer is too long");
+        BufferedBody.Outcome outcome = responseBody.add(content);
+        if (outcome != BufferedBody.Outcome.TAKEN) {
+            abort(AttemptEnd.UNBOUNDED, "answer is too long: " + outcome);
         }
     }
 
@@ -228,22 +242,39 @@
         }
     }
 
-    private void forwardEvent(ByteBuf event, OptionalLong id) {
-        if (ended) {
-            event.release();
+    @Override
+    public void onReadComplete() {
+        if (discarded || !isStream()) {
             return;
         }
-        eventCount++;
-        listener.onEvent(this, event, id, eventCount);
+        Optional<EventBatch> events = splitter.takeComplete();
+        Optional<String> fault = progress.received(events, System.nanoTime());
+        events.ifPresent(this::forward);
+        if (fault.isPresent()) {
+            abort(AttemptEnd.UNBOUNDED, fault.get());
+        } else if (splitter.isEventTooLong()) {
+            abort(AttemptEnd.UNBOUNDED, "event is too long");
+        }
+    }
+
+    /** Forwards all events that were read at once together, so that the cost of a read is bounded. */
+    private void forward(EventBatch events) {
+        if (ended || discarded) {
+            events.release();
+            return;
+        }
+        eventCount += events.progressEvents();
+        listener.onEvents(this, events);
     }
 
     @Override
     public void onComplete() {
+        complete = true;
+        splitter.takeComplete().ifPresent(this::forward);
         pools.release(server(), connection);
         if (ended) {
             return;
         }
-        complete = true;
         if (discarded) {
             end();
             listener.onDiscardedEnd(this);
@@ -290,6 +321,7 @@
 
     @Override
     public void onFailure(ConnectionFailure failure) {
+        splitter.takeComplete().ifPresent(this::forward);
         lostConnection = failure.isBreak();
         if (discarded) {
             end();
@@ -299,9 +331,9 @@
         fail(AttemptEnd.of(failure), failure.toString());
     }
 
-    private void abort(String reason) {
+    private void abort(AttemptEnd end, String reason) {
         connection.abort();
-        fail(AttemptEnd.BROKEN, reason);
+        fail(end, reason);
     }
 
     private void fail(AttemptEnd end, String reason) {
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/AttemptEnd.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/AttemptEnd.java
@@ -17,6 +17,8 @@
     FAILED(true, AttemptOutcome.FAILED),
     /** The connection broke, or its bytes are not a response to the request. */
     BROKEN(true, AttemptOutcome.BROKEN),
+    /** The server goes on to send bytes that are no answer, or more than an answer has. */
+    UNBOUNDED(true, AttemptOutcome.BROKEN),
     /** The server sent nothing for much longer than expected, or counts as dead because it answers no checks. */
     SILENT(true, AttemptOutcome.BROKEN);
 
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/AttemptStarter.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/AttemptStarter.java
@@ -18,6 +18,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 /** Opens the attempts of one request and sends the request to their backend servers. */
 final class AttemptStarter {
@@ -66,6 +67,7 @@
                 placement.readers().stream().map(PrefillReader::server).toList(),
                 request.attemptId(),
                 route.kind().isStreaming(),
+                TimeUnit.MILLISECONDS.toNanos(route.patienceMs()),
                 forwarder.responseBodyBudget());
     }
 
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/CallResponse.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/CallResponse.java
@@ -1,6 +1,7 @@
 package io.figspan.gateway.forward;
 
 import io.figspan.core.error.Problem;
+import io.figspan.gateway.http.EventBatch;
 import io.figspan.gateway.protocol.CallerProtocol;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -46,13 +47,13 @@
         caller.beginResponse(head);
     }
 
-    /** Forwards an event of a streamed response and takes ownership of it. */
-    void forward(ByteBuf event, OptionalLong id) {
-        if (id.isPresent()) {
-            lastEventId = id;
+    /** Forwards events of a streamed response and takes ownership of them. */
+    void forward(EventBatch events) {
+        if (events.lastId().isPresent()) {
+            lastEventId = events.lastId();
         }
-        forwardedEvents++;
-        caller.write(event);
+        forwardedEvents += events.progressEvents();
+        caller.write(events.bytes());
     }
 
     /** Whether events can be forwarded without accumulating in the outbound buffer. */
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/CrashObserver.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/CrashObserver.java
@@ -91,13 +91,16 @@
         };
     }
 
-    /** An event has arrived from an engine. */
-    void eventArrived(Attempt attempt, long eventCount, long nowNanos) {
+    /** Events have arrived from an engine, this many of which make progress. */
+    void eventsArrived(Attempt attempt, long received, long nowNanos) {
         crashes.serverResponded(attempt.incarnation(), attempt.sentNanos(), nowNanos);
-        if (eventCount >= EVENTS_OF_A_BEGUN_ANSWER) {
+        if (received == 0) {
+            return;
+        }
+        if (attempt.eventCount() >= EVENTS_OF_A_BEGUN_ANSWER) {
             answerBegan(nowNanos);
         }
-        if (eventCount == 1) {
+        if (attempt.eventCount() == received) {
             firstEventNanos = nowNanos;
             isProvenSound = false;
         } else if (!isProvenSound && nowNanos - firstEventNanos >= PROVEN_SOUND_NANOS) {
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
@@ -6,7 +6,7 @@
 import io.figspan.core.id.OrganisationId;
 import io.figspan.gateway.backend.BackendServer;
 import io.figspan.gateway.backend.HoldGroup;
-import io.figspan.gateway.http.EventSplitter;
+import io.figspan.gateway.http.EventBatch;
 import io.figspan.gateway.protocol.CallerRequest;
 import io.figspan.policy.placing.Job;
 import io.figspan.policy.placing.Placement;
@@ -15,7 +15,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.FullHttpResponse;
 import java.util.Optional;
-import java.util.OptionalLong;
 
 /**
  * One request of a caller from its receipt to its final response: waits for a placement, sends the request to a backend
@@ -152,22 +151,22 @@
     }
 
     @Override
-    public void onEvent(Attempt from, ByteBuf event, OptionalLong id, long eventCount) {
-        crashObserver.eventArrived(from, eventCount, System.nanoTime());
-        if (!EventSplitter.isComment(event)) {
+    public void onEvents(Attempt from, EventBatch events) {
+        crashObserver.eventsArrived(from, events.progressEvents(), System.nanoTime());
+        if (events.hasProgress()) {
             attempts.delivered(from);
         } else if (attempts.hasSilent()) {
             // A comment is no progress of the stream, so it does not decide between the servers.
-            event.release();
+            events.release();
             return;
         }
         if (!state.hasBegunResponse()) {
             beginStream(from);
         }
-        if (id.isPresent()) {
-            dispatcher.pieceArrived(job, eventCount, System.nanoTime());
+        if (events.hasProgress()) {
+            dispatcher.piecesArrived(job, events.progressEvents(), from.eventCount(), System.nanoTime());
         }
-        response.forward(event, id);
+        response.forward(events);
         if (!response.isWritable()) {
             from.setReading(false);
         }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatcher.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatcher.java
@@ -108,9 +108,10 @@
         place(() -> placer.arrived(job, nowNanos));
     }
 
-    void pieceArrived(Job job, long eventCount, long nowNanos) {
-        processorTime.measure(Activity.PLACEMENT, () -> placer.pieceArrived(job, eventCount, nowNanos));
-        if (eventCount == 1) {
+    /** This many pieces of the answer were received together; {@code pieceCount} have been received so far. */
+    void piecesArrived(Job job, long received, long pieceCount, long nowNanos) {
+        processorTime.measure(Activity.PLACEMENT, () -> placer.pieceArrived(job, pieceCount, nowNanos));
+        if (pieceCount == received) {
             workListener.accept(WorkChange.LOAD_REDUCED);
         }
     }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/http/Channels.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/http/Channels.java
@@ -1,14 +1,26 @@
 package io.figspan.gateway.http;
 
 import io.netty.channel.Channel;
+import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.RecvByteBufAllocator;
 
 /**
- * Channel operations whose future is ignored: a failed write closes the channel, and its handlers are notified of the
- * close.
+ * Settings and operations that all channels share. The futures of the operations are ignored: a failed write closes the
+ * channel, and its handlers are notified of the close.
  */
 public final class Channels {
+    private static final int READ_BYTES = 16 * 1_024;
+
+    /** Enough for the longest head and a small body, which are then received at once. */
+    private static final int MAX_READS_PER_TURN = 4;
+
     private Channels() {}
 
+    /** Bounds what the event loop reads from one channel before it gets to the other channels and the timers. */
+    public static RecvByteBufAllocator boundedReads() {
+        return new FixedRecvByteBufAllocator(READ_BYTES).maxMessagesPerRead(MAX_READS_PER_TURN);
+    }
+
     public static void close(Channel channel) {
         var unused = channel.close();
     }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/http/EventSplitter.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/http/EventSplitter.java
@@ -3,136 +3,172 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.function.BiConsumer;
 
 /**
- * Splits a stream of server-sent events (WHATWG HTML, section 9.2) into complete events without changing their bytes.
- * An incomplete event is never emitted. Not thread-safe.
+ * Splits a stream of server-sent events (WHATWG HTML, section 9.2) behind complete events without changing its bytes.
+ * Each byte is scanned once, and all events that are complete are taken together, so that the cost of a byte does not
+ * depend on how the stream is divided into lines, events and reads. Not thread-safe.
  */
 public final class EventSplitter {
     private static final byte LINE_FEED = '\n';
     private static final byte CARRIAGE_RETURN = '\r';
     private static final byte COLON = ':';
-    private static final byte[] ID_FIELD = {'i', 'd', ':'};
+    private static final byte SPACE = ' ';
+    private static final byte[] ID_FIELD = {'i', 'd'};
+    private static final byte[] DATA_FIELD = {'d', 'a', 't', 'a'};
+
+    /** Digits of the longest id. */
+    private static final int MAX_ID_BYTES = 20;
 
     private final int maxEventBytes;
     private ByteBuf pending = Unpooled.EMPTY_BUFFER;
+    /** Offsets from the reader index of the pending bytes. */
     private int scannedBytes;
-    /** Offset of the value of the first id field from the start of the current event; 0 while there is none. */
-    private int idStartOffset;
 
-    private int idEndOffset;
+    private int lineStart;
+    private int completeBytes;
+    private int trailingFillerBytes;
+    private long progressEvents;
+    private OptionalLong lastCompleteId = OptionalLong.empty();
+
+    /** What is known of the event that is not complete yet. */
+    private OptionalLong eventId = OptionalLong.empty();
+
+    private boolean hasIdField;
+    private boolean hasData;
+    private long greatestId = Long.MIN_VALUE;
 
     public EventSplitter(int maxEventBytes) {
         this.maxEventBytes = maxEventBytes;
     }
 
-    /**
-     * Appends bytes and emits each complete event with its id, if it has a numeric one. The buffer given to the
-     * consumer is a copy that the consumer owns.
-     *
-     * @return false if an event exceeds the maximum length; the splitter can't be used any more then
-     */
-    public boolean add(ByteBuf bytes, BiConsumer<ByteBuf, OptionalLong> consumer) {
-        pending = append(bytes);
-        int length;
-        while ((length = completeEventLength()) > 0) {
-            OptionalLong id = readId();
-            ByteBuf event = pending.readRetainedSlice(length);
-            resetScan();
-            consumer.accept(event, id);
-        }
-        if (!pending.isReadable()) {
-            release();
+    /** Appends a copy of bytes that were read. */
+    public void append(ByteBuf bytes) {
+        if (pending.capacity() == 0) {
+            pending = Unpooled.buffer(bytes.readableBytes());
         }
-        return pending.readableBytes() <= maxEventBytes;
+        pending.writeBytes(bytes, bytes.readerIndex(), bytes.readableBytes());
+        scan();
     }
 
-    /** Whether a complete event has no fields: servers send comments to keep a connection open. */
-    public static boolean isComment(ByteBuf event) {
-        int lineStart = event.readerIndex();
-        while (lineStart < event.writerIndex()) {
-            byte first = event.getByte(lineStart);
-            if (first != COLON && first != LINE_FEED && first != CARRIAGE_RETURN) {
-                return false;
-            }
-            lineStart = event.indexOf(lineStart, event.writerIndex(), LINE_FEED) + 1;
+    /** Removes all complete events; empty if there is none. */
+    public Optional<EventBatch> takeComplete() {
+        if (completeBytes == 0) {
+            return Optional.empty();
         }
-        return true;
+        EventBatch batch = new EventBatch(detachComplete(), progressEvents, lastCompleteId, trailingFillerBytes);
+        scannedBytes -= completeBytes;
+        lineStart -= completeBytes;
+        completeBytes = 0;
+        trailingFillerBytes = 0;
+        progressEvents = 0;
+        lastCompleteId = OptionalLong.empty();
+        return Optional.of(batch);
+    }
+
+    /** Passes the buffer on and keeps a copy of the event that is not complete, which was read with the others. */
+    private ByteBuf detachComplete() {
+        ByteBuf detached = pending;
+        int restBytes = detached.readableBytes() - completeBytes;
+        pending = restBytes == 0
+                ? Unpooled.EMPTY_BUFFER
+                : Unpooled.buffer(restBytes).writeBytes(detached, completeBytes, restBytes);
+        return detached.writerIndex(completeBytes);
+    }
+
+    /** Whether the event that is not complete yet exceeds the maximum length. */
+    public boolean isEventTooLong() {
+        return pending.readableBytes() - completeBytes > maxEventBytes;
     }
 
     /** Whether the start of an incomplete event is buffered. */
     public boolean hasPartialEvent() {
-        return pending.isReadable();
+        return pending.readableBytes() > completeBytes;
     }
 
     public void release() {
         pending.release();
         pending = Unpooled.EMPTY_BUFFER;
-        resetScan();
-    }
-
-    private void resetScan() {
         scannedBytes = 0;
-        idStartOffset = 0;
-        idEndOffset = 0;
+        lineStart = 0;
+        completeBytes = 0;
     }
 
-    private ByteBuf append(ByteBuf bytes) {
-        if (!pending.isReadable()) {
-            return Unpooled.copiedBuffer(bytes);
-        }
-        ByteBuf joined = Unpooled.buffer(pending.readableBytes() + bytes.readableBytes());
-        joined.writeBytes(pending);
-        joined.writeBytes(bytes, bytes.readerIndex(), bytes.readableBytes());
-        pending.release();
-        return joined;
-    }
+    // Scanning. Buffers are never read from in place, so that offsets are indexes.
 
-    /** Length of the first buffered event, including the empty line that ends it; 0 if it is incomplete. */
-    private int completeEventLength() {
-        int start = pending.readerIndex();
-        int lineStart = start + scannedBytes;
-        while (true) {
-            int lineEnd = pending.indexOf(lineStart, pending.writerIndex(), LINE_FEED);
+    private void scan() {
+        int end = pending.writerIndex();
+        while (scannedBytes < end) {
+            int lineEnd = pending.indexOf(scannedBytes, end, LINE_FEED);
             if (lineEnd < 0) {
-                scannedBytes = lineStart - start;
-                return 0;
-            }
-            if (isEmptyLine(lineStart, lineEnd)) {
-                return lineEnd + 1 - start;
+                scannedBytes = end;
+                return;
             }
-            if (idStartOffset == 0 && isIdField(lineStart, lineEnd)) {
-                idStartOffset = lineStart + ID_FIELD.length - start;
-                idEndOffset = lineEnd - start;
-            }
-            lineStart = lineEnd + 1;
+            scannedBytes = lineEnd + 1;
+            lineComplete(lineEnd);
+            lineStart = scannedBytes;
         }
     }
 
-    private boolean isEmptyLine(int lineStart, int lineEnd) {
-        return lineEnd == lineStart || (lineEnd == lineStart + 1 && pending.getByte(lineStart) == CARRIAGE_RETURN);
+    private void lineComplete(int lineEnd) {
+        boolean hasCarriageReturn = lineEnd > lineStart && pending.getByte(lineEnd - 1) == CARRIAGE_RETURN;
+        int contentEnd = hasCarriageReturn ? lineEnd - 1 : lineEnd;
+        if (contentEnd == lineStart) {
+            eventComplete();
+        } else if (!hasData && isField(DATA_FIELD, contentEnd)) {
+            hasData = valueStart(DATA_FIELD, contentEnd) < contentEnd;
+        } else if (!hasIdField && isField(ID_FIELD, contentEnd)) {
+            hasIdField = true;
+            eventId = parseId(valueStart(ID_FIELD, contentEnd), contentEnd);
+        }
     }
 
-    private boolean isIdField(int lineStart, int lineEnd) {
-        if (lineEnd - lineStart < ID_FIELD.length) {
+    private void eventComplete() {
+        boolean isNewId = eventId.isPresent() && eventId.getAsLong() > greatestId;
+        if (isNewId) {
+            greatestId = eventId.getAsLong();
+        }
+        if (isNewId || hasData) {
+            progressEvents++;
+            trailingFillerBytes = 0;
+        } else {
+            trailingFillerBytes += scannedBytes - completeBytes;
+        }
+        if (eventId.isPresent()) {
+            lastCompleteId = eventId;
+        }
+        completeBytes = scannedBytes;
+        eventId = OptionalLong.empty();
+        hasIdField = false;
+        hasData = false;
+    }
+
+    /** Whether the line has this field, with a colon behind its name. */
+    private boolean isField(byte[] name, int contentEnd) {
+        int colon = lineStart + name.length;
+        if (colon >= contentEnd || pending.getByte(colon) != COLON) {
             return false;
         }
-        for (int i = 0; i < ID_FIELD.length; i++) {
-            if (pending.getByte(lineStart + i) != ID_FIELD[i]) {
+        for (int i = 0; i < name.length; i++) {
+            if (pending.getByte(lineStart + i) != name[i]) {
                 return false;
             }
         }
         return true;
     }
 
-    private OptionalLong readId() {
-        if (idStartOffset == 0) {
+    private int valueStart(byte[] name, int contentEnd) {
+        int start = lineStart + name.length + 1;
+        return start < contentEnd && pending.getByte(start) == SPACE ? start + 1 : start;
+    }
+
+    private OptionalLong parseId(int start, int contentEnd) {
+        if (contentEnd - start > MAX_ID_BYTES) {
             return OptionalLong.empty();
         }
-        String id = pending.toString(
-                pending.readerIndex() + idStartOffset, idEndOffset - idStartOffset, StandardCharsets.UTF_8);
+        String id = pending.toString(start, contentEnd - start, StandardCharsets.UTF_8);
         try {
             return OptionalLong.of(Long.parseLong(id.strip()));
         } catch (NumberFormatException e) {
--- a/figspan-gateway/src/main/java/io/figspan/gateway/http/ExchangeListener.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/http/ExchangeListener.java
@@ -22,6 +22,9 @@
     /** A chunk of the body was received; the listener does not own the buffer. */
     void onContent(ByteBuf content);
 
+    /** All that was read from the connection at once has been passed on; more may follow. */
+    default void onReadComplete() {}
+
     /** The response is complete. */
     void onComplete();
 
--- a/figspan-gateway/src/main/java/io/figspan/gateway/http/HttpConnection.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/http/HttpConnection.java
@@ -64,6 +64,7 @@
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs)
+                .option(ChannelOption.RCVBUF_ALLOCATOR, Channels.boundedReads())
                 .handler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel ch) {
@@ -201,6 +202,13 @@
         }
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        if (activeListener != null && headReceived) {
+            activeListener.onReadComplete();
+        }
+    }
+
     private void read(HttpObject message) {
         if (closed) {
             return;
--- a/figspan-gateway/src/main/java/io/figspan/gateway/http/SimpleHttpServer.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/http/SimpleHttpServer.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -46,6 +47,7 @@
         return new ServerBootstrap()
                 .group(loop)
                 .channel(NioServerSocketChannel.class)
+                .childOption(ChannelOption.RCVBUF_ALLOCATOR, Channels.boundedReads())
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel ch) {
--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/StreamCaller.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/StreamCaller.java
@@ -4,16 +4,23 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Pattern;
 
-/** A caller that records what it receives, one entry for each call of this interface. */
+/**
+ * A caller that records what it receives, one entry for each call of this interface and for each event, since events
+ * that are read together are written together.
+ */
 final class StreamCaller implements CallerExchange {
     static final String HEAD = "head 200";
     static final String END = "end";
     static final String ABORT = "abort";
 
+    private static final Pattern EVENT_END = Pattern.compile("(?<=\\n\\n)");
+
     private static final long LIMIT_S = 20;
 
     private final BlockingQueue<String> received = new LinkedBlockingQueue<>();
@@ -48,7 +55,7 @@
 
     @Override
     public void write(ByteBuf chunk) {
-        received.add(chunk.toString(StandardCharsets.UTF_8));
+        received.addAll(List.of(EVENT_END.split(chunk.toString(StandardCharsets.UTF_8))));
         chunk.release();
     }
 
--- a/figspan-settings/src/main/java/io/figspan/settings/gateway/Route.java
+++ b/figspan-settings/src/main/java/io/figspan/settings/gateway/Route.java
@@ -34,6 +34,12 @@
         boolean describesPrompt,
         boolean isResumable,
         long maxGapMs) {
+    /** Callers wait at least this long for the next event of a stream. */
+    private static final long MIN_PATIENCE_MS = 2_000;
+
+    private static final int TARGET_LATENCIES_OF_PATIENCE = 4;
+    private static final int GAPS_OF_PATIENCE = 8;
+
     public Route {
         if (!pathPrefix.startsWith("/") || !pathPrefix.endsWith("/")) {
             throw new FigspanException(
@@ -49,4 +55,10 @@
     public boolean mayRepeat() {
         return kind.mayRepeat(isResumable);
     }
+
+    /** Longest time in milliseconds for which callers wait for the next event of a stream. */
+    public long patienceMs() {
+        long ms = Math.max(TARGET_LATENCIES_OF_PATIENCE * targetLatencyMs, GAPS_OF_PATIENCE * maxGapMs);
+        return Math.max(MIN_PATIENCE_MS, ms);
+    }
 }
