Quarantine: consider all parts of a prompt, whatever their number

Cause: PlatformCallerProtocol read the first 16 parts of a prompt only, so that the quarantine never saw the one that crashed the servers, and rightly cleared the others.

Change: all different parts are read; a head of 16 KB names some 4,000 at most, which is the new bound of CallerRequest.MAX_SHARED_PARTS and of the table of suspects. The table evicts the least harmful suspects, some at once, and the list of recent answers has room for all parts of some prompts and drops what is no longer recent. A log line names 16 parts at most.

CrashQuarantineFleetTest plays the part at the first, middle and last place of 2 to 2,003 shared parts.

--- a/figspan-cluster/src/main/java/io/figspan/cluster/message/SuspectKind.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/message/SuspectKind.java
@@ -3,7 +3,7 @@
 /** What may crash backend servers, with the bounds and thresholds that apply to it. */
 public enum SuspectKind {
     /** A part that several prompts share. */
-    PROMPT_PART(512, 4, true),
+    PROMPT_PART(4_096, 4, true),
     /** A single request, by its fingerprint. */
     REQUEST(1_024, 5, false);
 
--- a/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/RecentAnswers.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/RecentAnswers.java
@@ -1,6 +1,7 @@
 package io.figspan.cluster.quarantine;
 
 import io.figspan.cluster.message.SuspectId;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -11,15 +12,16 @@
     static final long RECENT_NANOS = TimeUnit.SECONDS.toNanos(2);
 
     /** Bounds the table; the entry whose latest answer is the oldest is evicted. */
-    static final int MAX_ENTRIES = 1_024;
+    static final int MAX_ENTRIES = 16_384;
 
     private final Map<SuspectId, Long> lastNanos = new LinkedHashMap<>();
 
     void record(SuspectId sound, long nowNanos) {
         lastNanos.remove(sound);
         lastNanos.put(sound, nowNanos);
-        if (lastNanos.size() > MAX_ENTRIES) {
-            lastNanos.remove(lastNanos.keySet().iterator().next());
+        Iterator<Long> oldest = lastNanos.values().iterator();
+        while (nowNanos - oldest.next() >= RECENT_NANOS || lastNanos.size() > MAX_ENTRIES) {
+            oldest.remove();
         }
     }
 
--- a/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/SuspectTable.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/SuspectTable.java
@@ -21,6 +21,9 @@
 
     private static final int MAX_PAGES = 8;
 
+    /** The part of a full table that is evicted for new suspects. */
+    private static final int EVICTIONS_OF_TABLE = 16;
+
     /** Suspects of a message of gossip that are always the most important ones; the others take turns. */
     private static final int IMPORTANT_PER_GOSSIP = 16;
 
@@ -67,20 +70,25 @@
             return known;
         }
         if (suspects.size() >= id.kind().maxTracked()) {
-            leastHarmful(suspects.values(), id.kind()).ifPresent(evicted -> suspects.remove(evicted.id()));
+            leastHarmful(suspects.values(), id.kind()).forEach(evicted -> suspects.remove(evicted.id()));
         }
         Suspect added = new Suspect(id, crashedNanos, nowNanos);
         suspects.put(id, added);
         return added;
     }
 
-    /** A quarantined suspect is evicted only if a quarter of the table would not be left for new ones. */
-    private static Optional<Suspect> leastHarmful(Collection<Suspect> suspects, SuspectKind kind) {
+    /**
+     * Some at once, since one crash may add thousands. A quarantined suspect is evicted only if a quarter of the table
+     * would not be left for new ones.
+     */
+    private static List<Suspect> leastHarmful(Collection<Suspect> suspects, SuspectKind kind) {
         long quarantined = suspects.stream().filter(Suspect::isQuarantined).count();
         boolean evictsQuarantined = quarantined > kind.maxTracked() * 3L / 4;
         return suspects.stream()
                 .filter(suspect -> suspect.isQuarantined() == evictsQuarantined)
-                .min(LEAST_HARMFUL);
+                .sorted(LEAST_HARMFUL)
+                .limit(Math.max(1, kind.maxTracked() / EVICTIONS_OF_TABLE))
+                .toList();
     }
 
     void removeExpired(long nowNanos) {
--- a/figspan-cluster/src/test/java/io/figspan/cluster/quarantine/CrashQuarantineFleetTest.java
+++ b/figspan-cluster/src/test/java/io/figspan/cluster/quarantine/CrashQuarantineFleetTest.java
@@ -41,6 +41,29 @@
         }
     }
 
+    /** Guards against a part that is out of reach because of its place among many others (review/3). */
+    @ParameterizedTest
+    @CsvSource({
+        "0, 0, 20", "0, 1, 20", "0, 2, 20",
+        "1, 0, 20", "1, 1, 20", "1, 3, 20",
+        "15, 0, 10", "15, 8, 10", "15, 17, 10",
+        "62, 0, 5", "62, 32, 5", "62, 64, 5",
+        "2000, 0, 1", "2000, 1000, 1", "2000, 2002, 1"
+    })
+    void aCrashingPartAtAnyPlaceDoesntReachTheEnginesForLong(int passages, int depth, int seeds) {
+        for (int seed = 0; seed < seeds; seed++) {
+            SimulatedFleet fleet = new SimulatedFleet(new Load(3, ENGINES, 4, 1, depth, 0, passages), seed);
+
+            fleet.runFor(40_000);
+
+            long sentLater = fleet.crashingSentAfterFifthCrash(STABLE_MS);
+            assertTrue(sentLater <= MAX_SENT_LATER, "seed " + seed + ": " + sentLater + " were sent later");
+            long refused = fleet.soundRefusedAfterFifthCrash(2 * STABLE_MS);
+            long arrived = fleet.soundArrivedAfterFifthCrash(2 * STABLE_MS);
+            assertTrue(2 * refused <= arrived, "seed " + seed + ": " + refused + " of " + arrived + " were refused");
+        }
+    }
+
     /** Guards against sound prompts that are refused together with those that share a part with them. */
     @ParameterizedTest
     @CsvSource({"7, 25, 6, 1, 0", "7, 25, 6, 0, 0", "7, 25, 6, 2, 20", "7, 2, 0.4, 1, 0", "75, 60, 20, 1, 5"})
--- a/figspan-cluster/src/test/java/io/figspan/cluster/quarantine/SimulatedFleet.java
+++ b/figspan-cluster/src/test/java/io/figspan/cluster/quarantine/SimulatedFleet.java
@@ -54,6 +54,7 @@
      * @param crashingPerSecond prompts with the crashing part
      * @param crashingDepth position of the crashing part among the shared parts
      * @param lossPercent share of the messages between hosts that are lost
+     * @param passages parts that all prompts share, besides the first one
      */
     record Load(
             int hosts,
@@ -61,7 +62,28 @@
             double soundPerSecond,
             double crashingPerSecond,
             int crashingDepth,
-            int lossPercent) {}
+            int lossPercent,
+            int passages) {
+        Load(
+                int hosts,
+                int engines,
+                double soundPerSecond,
+                double crashingPerSecond,
+                int crashingDepth,
+                int lossPercent) {
+            this(hosts, engines, soundPerSecond, crashingPerSecond, crashingDepth, lossPercent, 0);
+        }
+
+        /** The parts of a sound prompt on one of the documents. */
+        private List<PromptPartId> parts(int document) {
+            List<PromptPartId> parts = new ArrayList<>(List.of(COMMON));
+            for (int passage = 0; passage < passages; passage++) {
+                parts.add(PromptPartId.of("a" + passage));
+            }
+            parts.add(PromptPartId.of("d" + document));
+            return parts;
+        }
+    }
 
     /** A prompt on its way. */
     private static final class Prompt {
@@ -250,7 +272,7 @@
     }
 
     private void arrive(boolean isCrashing) {
-        List<PromptPartId> parts = new ArrayList<>(List.of(COMMON, PromptPartId.of("d" + random.nextInt(DOCUMENTS))));
+        List<PromptPartId> parts = load.parts(random.nextInt(DOCUMENTS));
         if (isCrashing) {
             parts.add(load.crashingDepth(), CRASHING);
         } else {
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/CallLog.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/CallLog.java
@@ -73,7 +73,7 @@
                 .number(
                         "promptTokens",
                         job.prompt().map(PromptLengths::promptTokens).orElse(0L))
-                .text("parts", sharedParts)
+                .list("parts", sharedParts)
                 .text("why", placement.reason())
                 .text(
                         "readers",
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/RequestCrashes.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/RequestCrashes.java
@@ -155,7 +155,7 @@
                 .text("server", server)
                 .text("fingerprint", request.fingerprint().digest())
                 .text("organisation", organisationOf(request.fingerprint()))
-                .text("parts", mayBePart ? request.sharedParts() : List.of())
+                .list("parts", mayBePart ? request.sharedParts() : List.of())
                 .write();
         quarantine.serverCrashed(server, request, mayBePart, nowNanos);
     }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/log/DecisionLog.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/log/DecisionLog.java
@@ -7,6 +7,7 @@
 import java.io.StringWriter;
 import java.io.UncheckedIOException;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
@@ -69,6 +70,9 @@
     public static final class Line {
         private static final Line DISCARDED = new Line();
 
+        /** Values of a list that a line holds, so that its length is bounded. */
+        private static final int MAX_LISTED = 16;
+
         private final Level level;
         private final StringWriter text;
         private final JsonGenerator json;
@@ -103,6 +107,13 @@
             return this;
         }
 
+        /** Writes the first of the values, and how many more there are. */
+        public Line list(String name, List<?> values) {
+            return values.size() <= MAX_LISTED
+                    ? text(name, values)
+                    : text(name, values.subList(0, MAX_LISTED)).number(name + "LeftOut", values.size() - MAX_LISTED);
+        }
+
         public Line number(String name, long value) {
             if (json != null) {
                 try {
--- a/figspan-gateway/src/main/java/io/figspan/gateway/protocol/CallerRequest.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/protocol/CallerRequest.java
@@ -19,7 +19,7 @@
  * @param waitMs how long the caller will wait from now on
  * @param key the caller's credential
  * @param prompt lengths of the prompt, if the request has one
- * @param sharedParts the parts of the prompt that other prompts may share, in their order; at most {@link
+ * @param sharedParts the different parts of the prompt that other prompts may share, in their order; at most {@link
  *     #MAX_SHARED_PARTS}
  * @param lastEventId id of the last event that the caller received of a stream that it resumes
  */
@@ -34,8 +34,8 @@
         Optional<PromptLengths> prompt,
         List<PromptPartId> sharedParts,
         OptionalLong lastEventId) {
-    /** Further parts of a prompt are ignored. */
-    public static final int MAX_SHARED_PARTS = 16;
+    /** As many different parts as the longest head, of 16 KB, can name; further ones are ignored. */
+    public static final int MAX_SHARED_PARTS = 4_096;
 
     public CallerRequest {
         sharedParts = List.copyOf(sharedParts);
