Quarantine: refuse only prompts with all parts that crashes can't tell apart

Cause: of parts with equally many crashes the deepest one was quarantined (CrashAttribution.outranksSameKind, MOST_SPECIFIC_PART), though parts of the same prompts have the same crashes wherever they stand. Whether it happened depended on when the last sound answer was (2 s before a crash it clears a part).

Change: the decision on parts is made anew from all evidence (Verdict, Accusation). Parts with the same crashes are accused together, and only prompts that hold all of them are refused: any other prompt is served, and its answer or its crash tells them apart. A part whose crashes another one explains is released. Where two independent causes may have crashed servers under a part that both share, one prompt without them is tried after a second. A refusal for a tie names 2 s. The depth of a part is no longer exchanged. Waiting requests are checked against the whole decision, and a log line names all its parts.

--- a/figspan-cluster/src/main/java/io/figspan/cluster/message/SuspectEvidence.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/message/SuspectEvidence.java
@@ -10,8 +10,6 @@
 /**
  * What a host knows of crashes of backend servers that one suspect may have caused.
  *
- * @param depth position of a prompt part in its prompts, from 0, since parts that more prompts share come first; 0 for
- *     a request
  * @param isQuarantined whether the host refuses requests because of the suspect
  * @param ageMs time since the latest crash
  * @param crashes servers that crashed and for which the suspect may be the cause
@@ -20,16 +18,15 @@
  */
 public record SuspectEvidence(
         SuspectId suspect,
-        int depth,
         boolean isQuarantined,
         long ageMs,
         List<BackendIncarnation> crashes,
         List<BackendIncarnation> refuted,
         List<RequestFingerprint> requests) {
     public SuspectEvidence {
-        if (depth < 0 || ageMs < 0) {
+        if (ageMs < 0) {
             throw new FigspanException(
-                    ProblemKind.INVALID_VALUE, "depth or age is negative", Location.of("suspect evidence"));
+                    ProblemKind.INVALID_VALUE, "the age is negative", Location.of("suspect evidence"));
         }
         crashes = List.copyOf(crashes);
         refuted = List.copyOf(refuted);
--- a/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/CrashQuarantine.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/CrashQuarantine.java
@@ -17,7 +17,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Stream;
+import java.util.stream.Collectors;
 
 /**
  * Attributes crashes of backend servers to the requests that ran there and to the shared parts of their prompts, and
@@ -27,9 +27,9 @@
  * <p>A request is suspected of each crash under it, also after its response has begun; a complete response at any host
  * refutes all its crashes so far. A part is suspected of each crash under a prompt with it whose answer had not begun;
  * an answer that begins refutes them. A response of a server refutes the crash of that server. {@link CrashAttribution}
- * decides between suspects; the crashes of a quarantined one no longer count against others. While a part is
- * quarantined, one host lets a single prompt through now and then, at increasing intervals. A quarantined request is
- * not sent again until the quarantine expires.
+ * decides between suspects; the crashes of a quarantined one no longer count against others. Of parts that all crashes
+ * have in common, only the prompts with all of them are refused. While a part is quarantined, one host admits a single
+ * prompt now and then, at increasing intervals. A quarantined request is not sent again until the quarantine expires.
  *
  * <p>Performs no I/O and is not thread-safe; times are monotonic, in nanoseconds.
  */
@@ -61,6 +61,7 @@
     private final TrialSchedule trials = new TrialSchedule();
     private final Map<SuspectKind, RecentAnswers> recentAnswers = new EnumMap<>(SuspectKind.class);
     private final List<QuarantineAction> decided = new ArrayList<>();
+    private List<Verdict> partVerdicts = List.of();
     private Set<HostId> hosts;
     private long lastGossipNanos;
     private long lastChangeNanos;
@@ -68,11 +69,16 @@
     private long lastCleanupNanos;
 
     /**
-     * A request is not sent because of this suspect.
+     * A request is not sent because of these suspects: the request itself, or all the parts of its prompt that the
+     * crashes have in common.
      *
-     * @param retryAfterMs time until the next trial; empty if there is none
+     * @param retryAfterMs time until the decision may have changed; empty if it won't
      */
-    public record Refusal(SuspectId suspect, OptionalLong retryAfterMs) {}
+    public record Refusal(Set<SuspectId> suspects, OptionalLong retryAfterMs) {
+        public Refusal {
+            suspects = Set.copyOf(suspects);
+        }
+    }
 
     public CrashQuarantine(HostId self, long nowNanos) {
         this.self = self;
@@ -100,24 +106,19 @@
      */
     public void serverCrashed(BackendIncarnation server, RequestIdentity request, boolean mayBePart, long nowNanos) {
         crashedServers.observed(server, nowNanos);
-        addCrash(server, request.request(), 0, List.of(), nowNanos);
-        if (!mayBePart) {
-            return;
-        }
-        List<SuspectId> parts = request.parts();
-        for (int depth = 0; depth < parts.size(); depth++) {
-            addCrash(server, parts.get(depth), depth, List.of(request.fingerprint()), nowNanos);
+        addCrash(server, request.request(), List.of(), nowNanos);
+        if (mayBePart) {
+            request.parts().forEach(part -> addCrash(server, part, List.of(request.fingerprint()), nowNanos));
         }
     }
 
-    private void addCrash(
-            BackendIncarnation server, SuspectId id, int depth, List<RequestFingerprint> requests, long nowNanos) {
+    private void addCrash(BackendIncarnation server, SuspectId id, List<RequestFingerprint> requests, long nowNanos) {
         if (recentAnswers.get(id.kind()).isRecent(id, nowNanos)) {
             return;
         }
         Suspect suspect = suspects.findOrAdd(id, nowNanos, nowNanos);
         suspect.setObservedHere();
-        boolean isNewCrash = suspect.addCrash(server, depth, nowNanos, nowNanos);
+        boolean isNewCrash = suspect.addCrash(server, nowNanos, nowNanos);
         boolean isNewRequest = suspect.crashCount() > 0 && suspect.addRequests(requests);
         if (isNewCrash || isNewRequest) {
             evidenceChanged(id, nowNanos);
@@ -162,7 +163,7 @@
             }
         }
         if (evidence.suspects().stream().anyMatch(SuspectEvidence::isQuarantined)) {
-            adoptQuarantines();
+            decide(nowNanos);
         }
     }
 
@@ -189,51 +190,91 @@
 
     // Decisions
 
+    /** Decides anew on all evidence, so that a wrong decision ends with the evidence that contradicts it. */
     private void decide(long nowNanos) {
         List<Suspect> all = suspects.all();
-        for (Suspect suspect : all.stream().filter(Suspect::isQuarantined).toList()) {
-            boolean holds =
-                    suspect.crashCount() >= CrashAttribution.MIN_CRASHES && !CrashAttribution.isExplained(suspect, all);
-            if (!holds) {
-                release(suspect, nowNanos);
-            }
-        }
-        adoptQuarantines();
-        List<Suspect> culprits = new CrashAttribution(all, nowNanos - SETTLE_NANOS).culprits();
-        while (!culprits.isEmpty()) {
-            culprits.forEach(culprit -> quarantine(culprit, nowNanos));
-            culprits = new CrashAttribution(all, nowNanos - SETTLE_NANOS).culprits();
-        }
+        releaseRequests(all, nowNanos);
+        adoptRequests(all);
+        List<Verdict> verdicts = new CrashAttribution(all, nowNanos - SETTLE_NANOS).verdicts();
+        verdicts.stream()
+                .filter(verdict -> verdict.kind() == SuspectKind.REQUEST)
+                .forEach(verdict -> quarantine(verdict, nowNanos));
+        decideOnParts(
+                verdicts.stream()
+                        .filter(verdict -> verdict.kind() == SuspectKind.PROMPT_PART)
+                        .toList(),
+                nowNanos);
     }
 
-    /** Quarantines what other hosts have quarantined, which they have sent to all hosts already. */
-    private void adoptQuarantines() {
-        List<Suspect> all = suspects.all();
+    private void releaseRequests(List<Suspect> all, long nowNanos) {
+        List<Suspect> released = all.stream()
+                .filter(suspect -> suspect.kind() == SuspectKind.REQUEST && suspect.isQuarantined())
+                .filter(suspect -> suspect.crashCount() < CrashAttribution.MIN_CRASHES
+                        || CrashAttribution.isExplained(suspect, all))
+                .toList();
+        released.forEach(suspect -> release(List.of(suspect), nowNanos));
+    }
+
+    /** Quarantines the requests that other hosts have quarantined, which they have sent to all hosts already. */
+    private void adoptRequests(List<Suspect> all) {
         for (Suspect suspect : all) {
-            if (suspect.isQuarantinedElsewhere()
+            if (suspect.kind() == SuspectKind.REQUEST
+                    && suspect.isQuarantinedElsewhere()
                     && !suspect.isQuarantined()
                     && suspect.crashCount() >= CrashAttribution.MIN_CRASHES
                     && !CrashAttribution.isExplained(suspect, all)) {
                 suspect.quarantine();
-                decided.add(new QuarantineAction.Quarantined(suspect.id(), suspect.crashCount()));
+                decided.add(new QuarantineAction.Quarantined(Set.of(suspect.id()), suspect.crashCount()));
             }
         }
     }
 
+    private void decideOnParts(List<Verdict> verdicts, long nowNanos) {
+        Set<Set<SuspectId>> before =
+                partVerdicts.stream().map(Verdict::suspects).collect(Collectors.toSet());
+        Set<SuspectId> quarantined = new HashSet<>();
+        verdicts.forEach(verdict -> quarantined.addAll(verdict.suspects()));
+        partVerdicts = verdicts;
+        List<Suspect> released = suspects.all().stream()
+                .filter(suspect -> suspect.kind() == SuspectKind.PROMPT_PART && suspect.isQuarantined())
+                .filter(suspect -> !quarantined.contains(suspect.id()))
+                .toList();
+        if (!released.isEmpty()) {
+            release(released, nowNanos);
+        }
+        verdicts.stream()
+                .filter(verdict -> !before.contains(verdict.suspects()))
+                .forEach(verdict -> quarantine(verdict, nowNanos));
+    }
+
     /** Only hosts that have seen a crash send the decision at once, since in a large fleet all make it together. */
-    private void quarantine(Suspect suspect, long nowNanos) {
-        suspect.quarantine();
-        decided.add(new QuarantineAction.Quarantined(suspect.id(), suspect.crashCount()));
-        if (suspect.isObservedHere()) {
-            evidenceChanged(suspect.id(), nowNanos);
+    private void quarantine(Verdict verdict, long nowNanos) {
+        boolean isNew = verdict.kind() == SuspectKind.PROMPT_PART;
+        for (SuspectId id : verdict.suspects()) {
+            Suspect suspect = suspects.find(id).orElseThrow();
+            if (suspect.isQuarantined()) {
+                continue;
+            }
+            isNew = true;
+            suspect.quarantine();
+            if (suspect.isObservedHere()) {
+                evidenceChanged(id, nowNanos);
+            }
+        }
+        if (isNew) {
+            decided.add(new QuarantineAction.Quarantined(verdict.suspects(), verdict.crashes()));
         }
     }
 
-    private void release(Suspect suspect, long nowNanos) {
-        suspect.release();
-        decided.add(new QuarantineAction.Released(suspect.id(), suspect.crashCount()));
-        if (suspect.isObservedHere()) {
-            evidenceChanged(suspect.id(), nowNanos);
+    private void release(List<Suspect> released, long nowNanos) {
+        int crashes = released.stream().mapToInt(Suspect::crashCount).max().orElse(0);
+        Set<SuspectId> ids = released.stream().map(Suspect::id).collect(Collectors.toSet());
+        decided.add(new QuarantineAction.Released(ids, crashes));
+        for (Suspect suspect : released) {
+            suspect.release();
+            if (suspect.isObservedHere()) {
+                evidenceChanged(suspect.id(), nowNanos);
+            }
         }
     }
 
@@ -246,34 +287,54 @@
 
     /** Whether a request must be refused now. */
     public Optional<Refusal> refusal(RequestIdentity request, long nowNanos) {
-        return quarantined(request)
-                .filter(suspect -> !isTrialDue(suspect, nowNanos))
+        return verdictsOn(request).stream()
+                .filter(verdict -> !isTrialDue(verdict, request, nowNanos))
                 .findFirst()
-                .map(suspect -> new Refusal(suspect.id(), trials.retryAfterMs(suspect, nowNanos)));
+                .map(verdict -> new Refusal(verdict.suspects(), trials.retryAfterMs(verdict, nowNanos)));
     }
 
-    private Stream<Suspect> quarantined(RequestIdentity request) {
-        return Stream.concat(Stream.of(request.request()), request.parts().stream())
-                .flatMap(id -> suspects.find(id).stream())
-                .filter(Suspect::isQuarantined);
+    private List<Verdict> verdictsOn(RequestIdentity request) {
+        List<Verdict> verdicts = new ArrayList<>();
+        suspects.find(request.request())
+                .filter(Suspect::isQuarantined)
+                .map(suspect ->
+                        new Verdict(Set.of(suspect.id()), suspect.crashCount(), suspect.lastCrashNanos(), false))
+                .ifPresent(verdicts::add);
+        if (!partVerdicts.isEmpty()) {
+            Set<SuspectId> parts = new HashSet<>(request.parts());
+            partVerdicts.stream()
+                    .filter(verdict -> parts.containsAll(verdict.suspects()))
+                    .forEach(verdicts::add);
+        }
+        return verdicts;
     }
 
     /** Like {@link #refusal}, right before the request is sent; one that is not refused uses up a due trial. */
     public Optional<Refusal> refusalOfSend(RequestIdentity request, long nowNanos) {
         Optional<Refusal> refusal = refusal(request, nowNanos);
         if (refusal.isEmpty()) {
-            quarantined(request).forEach(suspect -> trials.recordTrial(suspect, nowNanos));
+            verdictsOn(request).forEach(verdict -> trials.recordTrial(verdict, nowNanos));
         }
         return refusal;
     }
 
-    private boolean isTrialDue(Suspect suspect, long nowNanos) {
-        return trials.isDue(suspect, nowNanos) && isTrialHost(suspect.id());
+    private boolean isTrialDue(Verdict verdict, RequestIdentity request, long nowNanos) {
+        if (!trials.isDue(verdict, nowNanos)) {
+            return false;
+        }
+        int rank = RendezvousHash.order(verdict.first().toString(), hosts).indexOf(self);
+        return rank >= 0
+                && rank < trials.trialHosts(verdict, nowNanos)
+                && (!verdict.isAmbiguous() || holdsNoOtherSuspect(request, verdict));
     }
 
-    /** Whether this host is the one that lets requests with the suspect through for a trial. */
-    private boolean isTrialHost(SuspectId suspect) {
-        return RendezvousHash.order(suspect.toString(), hosts).get(0).equals(self);
+    /** Whether the answer to a request, or its crash, decides on the suspects of a verdict. */
+    private boolean holdsNoOtherSuspect(RequestIdentity request, Verdict verdict) {
+        return request.parts().stream()
+                .filter(part -> !verdict.suspects().contains(part))
+                .allMatch(part -> suspects.find(part)
+                        .filter(suspect -> suspect.crashCount() > 0)
+                        .isEmpty());
     }
 
     // Exchange with other hosts
@@ -285,7 +346,9 @@
     public List<QuarantineAction> tick(long nowNanos) {
         if (nowNanos - lastCleanupNanos >= CLEANUP_INTERVAL_NANOS) {
             lastCleanupNanos = nowNanos;
-            suspects.removeExpired(nowNanos);
+            if (suspects.removeExpired(nowNanos)) {
+                decide(nowNanos);
+            }
             trials.retain(id -> suspects.find(id).isPresent());
         }
         // Not nowNanos: a host that was paused after a change must still decide on it once.
--- a/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/RequestIdentity.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/RequestIdentity.java
@@ -22,12 +22,4 @@
     List<SuspectId> parts() {
         return sharedParts.stream().<SuspectId>map(SuspectId.OfPart::new).toList();
     }
-
-    /** Whether a suspect is this request or a part of its prompt. */
-    public boolean involves(SuspectId suspect) {
-        if (suspect instanceof SuspectId.OfPart part) {
-            return sharedParts.contains(part.part());
-        }
-        return request().equals(suspect);
-    }
 }
--- a/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/Suspect.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/Suspect.java
@@ -33,7 +33,6 @@
     private final Map<BackendIncarnation, Long> heardNanosByCrash = new LinkedHashMap<>();
     private final Set<BackendIncarnation> refuted = new LinkedHashSet<>();
     private final TreeSet<RequestFingerprint> requests = new TreeSet<>();
-    private int depth;
     private long lastCrashNanos;
     private long lastChangeNanos;
     private boolean isQuarantined;
@@ -54,10 +53,6 @@
         return id.kind();
     }
 
-    int depth() {
-        return depth;
-    }
-
     long lastCrashNanos() {
         return lastCrashNanos;
     }
@@ -135,9 +130,8 @@
         return count;
     }
 
-    /** Adds a crash at this depth, unless it is known already; returns whether anything has changed. */
-    boolean addCrash(BackendIncarnation server, int newDepth, long crashedNanos, long nowNanos) {
-        depth = Math.max(depth, newDepth);
+    /** Adds a crash, unless it is known already; returns whether anything has changed. */
+    boolean addCrash(BackendIncarnation server, long crashedNanos, long nowNanos) {
         boolean isKnown = heardNanosByCrash.containsKey(server) || refuted.contains(server);
         if (isKnown || (heardNanosByCrash.size() >= MAX_CRASHES && !dropSimultaneousCrash())) {
             return false;
@@ -190,7 +184,7 @@
             hasChanged |= refute(server, nowNanos);
         }
         for (BackendIncarnation server : received.crashes()) {
-            hasChanged |= addCrash(server, received.depth(), crashedNanos, nowNanos);
+            hasChanged |= addCrash(server, crashedNanos, nowNanos);
         }
         if (!heardNanosByCrash.isEmpty()) {
             hasChanged |= addRequests(received.requests());
@@ -209,7 +203,6 @@
     SuspectEvidence toEvidence(long nowNanos) {
         return new SuspectEvidence(
                 id,
-                depth,
                 isQuarantined,
                 Math.max(0, TimeUnit.NANOSECONDS.toMillis(nowNanos - lastCrashNanos)),
                 List.copyOf(crashes()),
--- a/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/SuspectTable.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/SuspectTable.java
@@ -91,11 +91,14 @@
                 .toList();
     }
 
-    void removeExpired(long nowNanos) {
+    /** Forgets the suspects without recent crashes; returns whether there were any. */
+    boolean removeExpired(long nowNanos) {
+        boolean hasChanged = false;
         for (Map<SuspectId, Suspect> suspects : byKind.values()) {
-            suspects.values()
+            hasChanged |= suspects.values()
                     .removeIf(suspect -> nowNanos - suspect.lastCrashNanos() >= expiryNanos(suspect.isQuarantined()));
         }
+        return hasChanged;
     }
 
     /** Time after the latest crash after which a suspect is forgotten. */
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/CrashObserver.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/CrashObserver.java
@@ -52,11 +52,6 @@
         return request.fingerprint();
     }
 
-    /** Whether the request must be refused because of a suspect that was quarantined. */
-    boolean involves(SuspectId suspect) {
-        return request.involves(suspect);
-    }
-
     /** Why the request must be refused now. */
     Optional<Problem> refusal(long nowNanos) {
         return crashes.refusal(request, nowNanos).map(CrashObserver::problemOf);
@@ -68,26 +63,23 @@
     }
 
     private static Problem problemOf(Refusal refusal) {
-        Problem problem = problemOf(refusal.suspect());
-        return refusal.retryAfterMs().isPresent()
-                ? problem.withRetryAfterMs(refusal.retryAfterMs().getAsLong())
-                : problem;
-    }
-
-    /** The answer to a request that has not run and is refused because of this suspect. */
-    static Problem problemOf(SuspectId suspect) {
+        SuspectId first = refusal.suspects().iterator().next();
         ProblemKind kind =
-                switch (suspect.kind()) {
+                switch (first.kind()) {
                     case PROMPT_PART -> ProblemKind.PROMPT_QUARANTINED;
                     case REQUEST -> ProblemKind.REQUEST_QUARANTINED;
                 };
-        return Problem.notRun(kind, detail(suspect));
+        Problem problem = Problem.notRun(kind, detail(first, refusal.suspects().size()));
+        return refusal.retryAfterMs().isPresent()
+                ? problem.withRetryAfterMs(refusal.retryAfterMs().getAsLong())
+                : problem;
     }
 
-    private static String detail(SuspectId suspect) {
-        return switch (suspect.kind()) {
-            case PROMPT_PART -> "prompts with the part " + suspect + " have crashed several engines";
-            case REQUEST -> "the request " + suspect + " has crashed several backend servers";
+    private static String detail(SuspectId first, int suspects) {
+        String others = suspects > 1 ? " and " + (suspects - 1) + " others of its parts" : "";
+        return switch (first.kind()) {
+            case PROMPT_PART -> "prompts with the part " + first + others + " have crashed several engines";
+            case REQUEST -> "the request " + first + " has crashed several backend servers";
         };
     }
 
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
@@ -1,6 +1,5 @@
 package io.figspan.gateway.forward;
 
-import io.figspan.cluster.message.SuspectId;
 import io.figspan.core.error.Problem;
 import io.figspan.core.error.ProblemKind;
 import io.figspan.core.id.OrganisationId;
@@ -310,14 +309,15 @@
         }
     }
 
-    /** Ends the request if it was quarantined, or a part of it, so that it doesn't crash the server that has it now. */
-    void onQuarantined(SuspectId suspect) {
-        if (state.isDone() || state.hasBegunResponse() || !crashObserver.involves(suspect)) {
+    /** Ends the request if it was quarantined, or parts of it, so that it doesn't crash the server that has it now. */
+    void onQuarantined() {
+        if (state.isDone() || state.hasBegunResponse()) {
             return;
         }
-        Problem refusal = CrashObserver.problemOf(suspect);
-        Problem problem = isSent() ? Problem.unknown(ProblemKind.BACKEND_FAILED, refusal.detail()) : refusal;
-        endWithProblem(problem, refusal.detail());
+        crashObserver.refusal(System.nanoTime()).ifPresent(refusal -> {
+            Problem problem = isSent() ? Problem.unknown(ProblemKind.BACKEND_FAILED, refusal.detail()) : refusal;
+            endWithProblem(problem, refusal.detail());
+        });
     }
 
     /**
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/RequestCrashes.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/RequestCrashes.java
@@ -17,7 +17,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Consumer;
+import java.util.stream.Stream;
 
 /**
  * Drives the quarantine of requests and prompt parts that crash backend servers: passes on what this host observes,
@@ -28,7 +28,7 @@
     private final DecisionLog log;
     private final GatewayMetrics metrics;
     private Optional<PeerSender> sender = Optional.empty();
-    private Consumer<SuspectId> quarantineListener = suspect -> {};
+    private Runnable quarantineListener = () -> {};
 
     public RequestCrashes(HostId self, DecisionLog log, GatewayMetrics metrics) {
         this.quarantine = new CrashQuarantine(self, System.nanoTime());
@@ -43,8 +43,8 @@
         sender = Optional.of(newSender);
     }
 
-    /** Sets the listener for suspects because of which requests must be refused from now on. */
-    void onQuarantined(Consumer<SuspectId> listener) {
+    /** Sets the listener that is called when more requests must be refused from now on. */
+    void onQuarantined(Runnable listener) {
         quarantineListener = listener;
     }
 
@@ -79,42 +79,47 @@
             sender.ifPresent(peers -> peers.sendToSome(some.message(), CrashQuarantine.GOSSIP_FANOUT));
         } else if (action instanceof QuarantineAction.Quarantined quarantined) {
             logQuarantined(quarantined);
-            quarantineListener.accept(quarantined.suspect());
+            quarantineListener.run();
         } else if (action instanceof QuarantineAction.Released released) {
             logReleased(released);
         }
     }
 
     private void logQuarantined(QuarantineAction.Quarantined quarantined) {
-        if (quarantined.suspect() instanceof SuspectId.OfRequest request) {
-            metrics.count("requests.quarantines");
-            log.warn(Part.PLACE, "requestQuarantined")
-                    .text("fingerprint", request.fingerprint().digest())
-                    .text("organisation", organisationOf(request.fingerprint()))
-                    .number("crashes", quarantined.crashes())
-                    .write();
-        } else {
-            metrics.count("prompts.quarantines");
-            log.warn(Part.PLACE, "promptQuarantined")
-                    .text("promptPart", quarantined.suspect())
-                    .number("crashes", quarantined.crashes())
-                    .write();
-        }
+        Optional<RequestFingerprint> request = requestOf(quarantined.suspects());
+        metrics.count(request.isPresent() ? "requests.quarantines" : "prompts.quarantines");
+        logDecision(
+                request.isPresent() ? "requestQuarantined" : "promptQuarantined",
+                quarantined.suspects(),
+                quarantined.crashes());
     }
 
     private void logReleased(QuarantineAction.Released released) {
-        if (released.suspect() instanceof SuspectId.OfRequest request) {
-            log.warn(Part.PLACE, "requestReleased")
-                    .text("fingerprint", request.fingerprint().digest())
-                    .text("organisation", organisationOf(request.fingerprint()))
-                    .number("crashes", released.crashes())
-                    .write();
-        } else {
-            log.warn(Part.PLACE, "promptReleased")
-                    .text("promptPart", released.suspect())
-                    .number("crashes", released.crashes())
-                    .write();
-        }
+        boolean isRequest = requestOf(released.suspects()).isPresent();
+        logDecision(isRequest ? "requestReleased" : "promptReleased", released.suspects(), released.crashes());
+    }
+
+    private void logDecision(String event, Set<SuspectId> suspects, int crashes) {
+        DecisionLog.Line line = log.warn(Part.PLACE, event);
+        requestOf(suspects)
+                .ifPresentOrElse(
+                        fingerprint -> line.text("fingerprint", fingerprint.digest())
+                                .text("organisation", organisationOf(fingerprint)),
+                        () -> line.list(
+                                "promptParts",
+                                suspects.stream()
+                                        .map(SuspectId::toString)
+                                        .sorted()
+                                        .toList()));
+        line.number("crashes", crashes).write();
+    }
+
+    private static Optional<RequestFingerprint> requestOf(Set<SuspectId> suspects) {
+        return suspects.stream()
+                .flatMap(suspect -> suspect instanceof SuspectId.OfRequest request
+                        ? Stream.of(request.fingerprint())
+                        : Stream.empty())
+                .findFirst();
     }
 
     private static String organisationOf(RequestFingerprint fingerprint) {
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatcher.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatcher.java
@@ -1,6 +1,5 @@
 package io.figspan.gateway.forward;
 
-import io.figspan.cluster.message.SuspectId;
 import io.figspan.core.id.BackendServerId;
 import io.figspan.core.id.HostId;
 import io.figspan.core.work.PlacedRequest;
@@ -170,8 +169,8 @@
     }
 
     /** Ends the requests in progress that a quarantine concerns. */
-    void quarantined(SuspectId suspect) {
-        List.copyOf(calls.values()).forEach(call -> call.onQuarantined(suspect));
+    void quarantined() {
+        List.copyOf(calls.values()).forEach(ForwardCall::onQuarantined);
     }
 
     /** Ends the requests that no server has and that can't end before this host stops. */
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatchers.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatchers.java
@@ -1,6 +1,5 @@
 package io.figspan.gateway.forward;
 
-import io.figspan.cluster.message.SuspectId;
 import io.figspan.control.leaving.LeavingSource;
 import io.figspan.core.id.BackendIncarnation;
 import io.figspan.core.id.BackendServerId;
@@ -188,8 +187,8 @@
     }
 
     /** Ends the requests in progress that a quarantine concerns. */
-    void quarantined(SuspectId suspect) {
-        dispatchers.values().forEach(dispatcher -> dispatcher.quarantined(suspect));
+    void quarantined() {
+        dispatchers.values().forEach(ServiceDispatcher::quarantined);
     }
 
     /** Ends the requests that no server has and that can't end before this host stops. */
--- a/figspan-wire/src/main/java/io/figspan/wire/MessageReader.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/MessageReader.java
@@ -138,7 +138,6 @@
         for (int i = 0; i < count; i++) {
             suspects.add(new SuspectEvidence(
                     readSuspect(),
-                    unpacker.unpackInt(),
                     unpacker.unpackBoolean(),
                     unpacker.unpackLong(),
                     readIncarnations(),
--- a/figspan-wire/src/main/java/io/figspan/wire/MessageWriter.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/MessageWriter.java
@@ -172,7 +172,6 @@
         packer.packArrayHeader(evidence.suspects().size());
         for (SuspectEvidence suspect : evidence.suspects()) {
             writeSuspect(suspect.suspect());
-            packer.packInt(suspect.depth());
             packer.packBoolean(suspect.isQuarantined());
             packer.packLong(suspect.ageMs());
             writeIncarnations(suspect.crashes());
--- a/figspan-wire/src/test/java/io/figspan/wire/FrameCodecProperties.java
+++ b/figspan-wire/src/test/java/io/figspan/wire/FrameCodecProperties.java
@@ -80,7 +80,6 @@
             new PeerMessage.CrashEvidence(List.of(
                     new SuspectEvidence(
                             new SuspectId.OfPart(PromptPartId.of("91bd3f06")),
-                            1,
                             true,
                             4_200,
                             PIGGYBACK.leaving(),
@@ -88,7 +87,6 @@
                             List.of(fingerprint(Optional.empty()))),
                     new SuspectEvidence(
                             new SuspectId.OfRequest(fingerprint(Optional.of(OrganisationId.of("org-1")))),
-                            0,
                             false,
                             300,
                             PIGGYBACK.leaving(),
