Bound what endless answers hold in memory, by kind and in total

Report of other operators: a faulty server sent bytes that were no answer without end; the host kept them all, ran out of memory and ended with the requests of all its callers. It could happen here.

Cause: BufferedExchange kept up to 8 MB of any response, also of the answer to an order about memory, which has some ten bytes, and nothing bounded the sum. Eight at once are the whole heap of 64 MB; -XX:+ExitOnOutOfMemoryError ends the process. Incomplete events of streams (256 KB each) counted nowhere either.

Change: each kind of buffered response has a limit of its own (ResponseLimit): 16 KB for orders and reports of engines, 1 MB of them in total; 8 MB for the store and for copies, one at a time each, as before. Incomplete events count against the budget of answers (12 MB). The first 4 KB of each buffer don't count (BudgetShare), so that sound answers get room when faulty ones hold the budget. What exceeds a limit ends that exchange alone, with a reason in the log.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/backend/HttpEngineClient.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/backend/HttpEngineClient.java
@@ -4,7 +4,9 @@
 import io.figspan.core.id.BackendIncarnation;
 import io.figspan.core.id.BackendServerId;
 import io.figspan.gateway.http.BufferedExchange;
+import io.figspan.gateway.http.ExchangeTimeout;
 import io.figspan.gateway.http.HttpConnection;
+import io.figspan.gateway.http.ResponseLimit;
 import io.figspan.gateway.protocol.BackendProtocol;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -20,9 +22,15 @@
 public final class HttpEngineClient implements EngineClient {
     private static final int PROBE_CONNECT_TIMEOUT_MS = 400;
 
+    /** An order is answered with some ten bytes, a report with a line for each of up to 64 reservations. */
+    private static final int MAX_RESPONSE_BYTES = 16 * 1_024;
+
+    private static final long MAX_RESPONSES_BYTES = 1_024 * 1_024;
+
     private final EventLoop loop;
     private final BackendPools pools;
     private final BackendProtocol protocol;
+    private final ResponseLimit limit = ResponseLimit.of(MAX_RESPONSE_BYTES, MAX_RESPONSES_BYTES);
 
     public HttpEngineClient(EventLoop loop, BackendPools pools, BackendProtocol protocol) {
         this.loop = loop;
@@ -69,8 +77,12 @@
             BackendServerId engine, FullHttpRequest request, long timeoutMs, Consumer<EngineOutcome> listener) {
         HttpConnection connection = pools.acquire(engine, false, System.nanoTime());
         Runnable returnToPool = () -> pools.release(engine, connection);
-        OutcomeListener outcomeListener = new OutcomeListener(engine, returnToPool, listener);
-        BufferedExchange.send(loop, connection, request, timeoutMs, this::isExpected, outcomeListener);
+        send(connection, request, timeoutMs, new OutcomeListener(engine, returnToPool, listener));
+    }
+
+    private void send(HttpConnection connection, FullHttpRequest request, long timeoutMs, OutcomeListener listener) {
+        ExchangeTimeout timeout = ExchangeTimeout.ofTotal(timeoutMs);
+        BufferedExchange.send(loop, connection, request, timeout, limit, this::isExpected, listener);
     }
 
     /** These requests have no attempt id, so a response with one is an extra one to an earlier request. */
@@ -83,8 +95,7 @@
             BackendServerId engine, InetSocketAddress address, long timeoutMs, Consumer<EngineOutcome> listener) {
         HttpConnection connection = HttpConnection.open(loop, address, PROBE_CONNECT_TIMEOUT_MS);
         FullHttpRequest request = protocol.report(engine);
-        OutcomeListener outcomeListener = new OutcomeListener(engine, connection::close, listener);
-        BufferedExchange.send(loop, connection, request, timeoutMs, this::isExpected, outcomeListener);
+        send(connection, request, timeoutMs, new OutcomeListener(engine, connection::close, listener));
     }
 
     /** Translates the result of an exchange. A failed exchange has closed its connection already. */
--- a/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerServer.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerServer.java
@@ -79,6 +79,7 @@
                 .channelFactory(() -> new NioServerSocketChannel(port))
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.RCVBUF_ALLOCATOR, Channels.boundedReads())
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, Channels.boundedWrites())
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel ch) {
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Attempt.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Attempt.java
@@ -4,6 +4,7 @@
 import io.figspan.core.id.BackendServerId;
 import io.figspan.gateway.backend.BackendPools;
 import io.figspan.gateway.backend.HoldGroup;
+import io.figspan.gateway.http.BudgetShare;
 import io.figspan.gateway.http.BufferedBody;
 import io.figspan.gateway.http.ByteBudget;
 import io.figspan.gateway.http.ConnectionFailure;
@@ -47,6 +48,7 @@
     private final long sentNanos = System.nanoTime();
     private final EventSplitter splitter = new EventSplitter(MAX_EVENT_BYTES);
     private final StreamProgress progress;
+    private final BudgetShare partialEventShare;
     private final BufferedBody responseBody;
     private long discardedBytes;
     private HttpResponse head;
@@ -103,6 +105,7 @@
         this.attemptId = attemptId;
         this.streaming = streaming;
         this.progress = new StreamProgress(maxGapNanos);
+        this.partialEventShare = new BudgetShare(responseBodyBudget);
         this.responseBody = new BufferedBody(responseBodyBudget, MAX_BODY_BYTES);
     }
 
@@ -254,6 +257,8 @@
             abort(AttemptEnd.UNBOUNDED, fault.get());
         } else if (splitter.isEventTooLong()) {
             abort(AttemptEnd.UNBOUNDED, "event is too long");
+        } else if (!ended && !partialEventShare.tryResize(splitter.partialEventBytes())) {
+            abort(AttemptEnd.UNBOUNDED, "incomplete events and answers of all servers hold too much");
         }
     }
 
@@ -347,6 +352,7 @@
         if (!ended) {
             ended = true;
             splitter.release();
+            partialEventShare.release();
             responseBody.release();
         }
     }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/http/BufferedBody.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/http/BufferedBody.java
@@ -9,7 +9,7 @@
  * not with the announced length, and the bytes count against the budget until {@link #release}.
  */
 public final class BufferedBody {
-    private final ByteBudget budget;
+    private final BudgetShare share;
     private final int maxBytes;
     private ByteBuf buffer = Unpooled.EMPTY_BUFFER;
     private int lengthBytes;
@@ -29,7 +29,7 @@
      * @param maxBytes maximum length of the body
      */
     public BufferedBody(ByteBudget budget, int maxBytes) {
-        this.budget = budget;
+        this.share = new BudgetShare(budget);
         this.maxBytes = maxBytes;
     }
 
@@ -39,7 +39,7 @@
         if (length > maxBytes - lengthBytes) {
             return Outcome.TOO_LONG;
         }
-        if (!budget.tryAcquire(length)) {
+        if (!share.tryResize((long) lengthBytes + length)) {
             return Outcome.NO_ROOM;
         }
         lengthBytes += length;
@@ -66,7 +66,7 @@
     public void release() {
         buffer.release();
         buffer = Unpooled.EMPTY_BUFFER;
-        budget.release(lengthBytes);
+        share.release();
         lengthBytes = 0;
     }
 }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/http/BufferedExchange.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/http/BufferedExchange.java
@@ -1,6 +1,7 @@
 package io.figspan.gateway.http;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -17,14 +18,13 @@
 
 /** An HTTP exchange with a timeout whose whole response is buffered in memory. */
 public final class BufferedExchange implements ExchangeListener {
-    private static final int MAX_RESPONSE_BYTES = 8 * 1_024 * 1_024;
-
     private final EventLoop loop;
     private final HttpConnection connection;
     private final Listener listener;
     private final ExchangeTimeout timeout;
     private final Predicate<HttpResponse> isExpected;
-    private final ByteBuf body = Unpooled.buffer();
+    private final ResponseLimit limit;
+    private final BufferedBody body;
     private final long startNanos = System.nanoTime();
     private OptionalLong lastByteNanos = OptionalLong.empty();
     private ScheduledFuture<?> timeoutTimer;
@@ -45,33 +45,40 @@
             HttpConnection connection,
             Listener listener,
             ExchangeTimeout timeout,
+            ResponseLimit limit,
             Predicate<HttpResponse> isExpected) {
         this.loop = loop;
         this.connection = connection;
         this.listener = listener;
         this.timeout = timeout;
+        this.limit = limit;
+        this.body = new BufferedBody(limit.total(), limit.maxBytes());
         this.isExpected = isExpected;
         startTimer(timeout.remainingNanos(startNanos, lastByteNanos, startNanos));
     }
 
     /** Sends a GET request. On failure, which includes a timeout, the connection is closed. */
     public static void get(
-            EventLoop loop, HttpConnection connection, String target, long timeoutMs, Listener listener) {
-        get(loop, connection, target, ExchangeTimeout.ofTotal(timeoutMs), listener);
-    }
-
-    /** Sends a GET request. On failure, which includes a timeout, the connection is closed. */
-    public static void get(
-            EventLoop loop, HttpConnection connection, String target, ExchangeTimeout timeout, Listener listener) {
-        send(loop, connection, getRequest(target), timeout, head -> true, listener);
+            EventLoop loop,
+            HttpConnection connection,
+            String target,
+            ExchangeTimeout timeout,
+            ResponseLimit limit,
+            Listener listener) {
+        send(loop, connection, getRequest(target), timeout, limit, head -> true, listener);
     }
 
     /** Sends a GET request whose response may be compressed; the listener receives the decompressed body. */
     public static void getCompressed(
-            EventLoop loop, HttpConnection connection, String target, ExchangeTimeout timeout, Listener listener) {
+            EventLoop loop,
+            HttpConnection connection,
+            String target,
+            ExchangeTimeout timeout,
+            ResponseLimit limit,
+            Listener listener) {
         FullHttpRequest request = getRequest(target);
         request.headers().set(HttpHeaderNames.ACCEPT_ENCODING, DeflateCoding.NAME);
-        send(loop, connection, request, timeout, head -> true, listener);
+        send(loop, connection, request, timeout, limit, head -> true, listener);
     }
 
     private static FullHttpRequest getRequest(String target) {
@@ -84,24 +91,15 @@
      * @param isExpected whether the head of a response can belong to the request; another one is a failure
      */
     public static void send(
-            EventLoop loop,
-            HttpConnection connection,
-            FullHttpRequest request,
-            long timeoutMs,
-            Predicate<HttpResponse> isExpected,
-            Listener listener) {
-        send(loop, connection, request, ExchangeTimeout.ofTotal(timeoutMs), isExpected, listener);
-    }
-
-    private static void send(
             EventLoop loop,
             HttpConnection connection,
             FullHttpRequest request,
             ExchangeTimeout timeout,
+            ResponseLimit limit,
             Predicate<HttpResponse> isExpected,
             Listener listener) {
         request.headers().set(HttpHeaderNames.HOST, HostPort.of(connection.address()));
-        connection.send(request, new BufferedExchange(loop, connection, listener, timeout, isExpected));
+        connection.send(request, new BufferedExchange(loop, connection, listener, timeout, limit, isExpected));
     }
 
     private void startTimer(long nanos) {
@@ -134,12 +132,15 @@
     @Override
     public void onContent(ByteBuf content) {
         lastByteNanos = OptionalLong.of(System.nanoTime());
-        if (body.readableBytes() + content.readableBytes() > MAX_RESPONSE_BYTES) {
+        BufferedBody.Outcome outcome = body.add(content);
+        if (outcome == BufferedBody.Outcome.TOO_LONG) {
             connection.abort();
-            fail("the response is longer than " + MAX_RESPONSE_BYTES + " bytes");
-            return;
+            fail("the response is longer than " + limit.maxBytes() + " bytes");
+        } else if (outcome == BufferedBody.Outcome.NO_ROOM) {
+            connection.abort();
+            fail("the responses that are being received hold all "
+                    + limit.total().usedBytes() + " bytes");
         }
-        body.writeBytes(content);
     }
 
     @Override
@@ -147,8 +148,9 @@
         if (!markFinished()) {
             return;
         }
-        byte[] bytes = new byte[body.readableBytes()];
-        body.readBytes(bytes);
+        ByteBuf received = body.detachBytes();
+        byte[] bytes = ByteBufUtil.getBytes(received);
+        received.release();
         body.release();
         if (isCompressed) {
             decompress(bytes);
@@ -160,7 +162,7 @@
     private void decompress(byte[] bytes) {
         byte[] decompressed;
         try {
-            decompressed = DeflateCoding.decompress(bytes, MAX_RESPONSE_BYTES);
+            decompressed = DeflateCoding.decompress(bytes, limit.maxBytes());
         } catch (DataFormatException e) {
             connection.abort();
             listener.onFailure("malformed compressed response: " + e.getMessage());
--- a/figspan-gateway/src/main/java/io/figspan/gateway/http/EventSplitter.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/http/EventSplitter.java
@@ -80,12 +80,17 @@
 
     /** Whether the event that is not complete yet exceeds the maximum length. */
     public boolean isEventTooLong() {
-        return pending.readableBytes() - completeBytes > maxEventBytes;
+        return partialEventBytes() > maxEventBytes;
     }
 
     /** Whether the start of an incomplete event is buffered. */
     public boolean hasPartialEvent() {
-        return pending.readableBytes() > completeBytes;
+        return partialEventBytes() > 0;
+    }
+
+    /** Length so far of the event that is not complete yet. */
+    public int partialEventBytes() {
+        return pending.readableBytes() - completeBytes;
     }
 
     public void release() {
--- a/figspan-gateway/src/main/java/io/figspan/gateway/peer/CopyReader.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/peer/CopyReader.java
@@ -10,6 +10,7 @@
 import io.figspan.gateway.http.BufferedExchange;
 import io.figspan.gateway.http.ExchangeTimeout;
 import io.figspan.gateway.http.HttpConnection;
+import io.figspan.gateway.http.ResponseLimit;
 import io.figspan.gateway.log.DecisionLog;
 import io.figspan.gateway.metrics.GatewayMetrics;
 import io.figspan.gateway.store.ItemChanges;
@@ -32,6 +33,10 @@
             CopyFetcher.STALL_TIMEOUT_MS, CopyFetcher.STALL_TIMEOUT_MS, CopyFetcher.READ_TIMEOUT_MS);
 
     private static final int CONNECT_TIMEOUT_MS = 400;
+
+    /** The largest settings, or the entries of all servers; a reader has one response at a time. */
+    private static final int MAX_RESPONSE_BYTES = 8 * 1_024 * 1_024;
+
     private static final int OK = 200;
     private static final int BUSY = 503;
 
@@ -44,6 +49,7 @@
     private final Consumer<ItemChanges> listener;
     private final BooleanSupplier watchesStore;
     private final CopyFetcher fetcher;
+    private final ResponseLimit limit = ResponseLimit.of(MAX_RESPONSE_BYTES, MAX_RESPONSE_BYTES);
     private ScheduledFuture<?> nextDecision;
 
     /**
@@ -113,7 +119,7 @@
         HttpConnection connection = HttpConnection.open(loop, address, CONNECT_TIMEOUT_MS);
         String target = CopyEndpoint.PATH + name + "?" + CopyEndpoint.AFTER + "=" + copy.revision();
         long startNanos = System.nanoTime();
-        BufferedExchange.getCompressed(loop, connection, target, TIMEOUT, new BufferedExchange.Listener() {
+        BufferedExchange.getCompressed(loop, connection, target, TIMEOUT, limit, new BufferedExchange.Listener() {
             @Override
             public void onResponse(HttpResponse head, byte[] body) {
                 connection.close();
--- a/figspan-gateway/src/main/java/io/figspan/gateway/store/StoreWatcher.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/store/StoreWatcher.java
@@ -8,6 +8,7 @@
 import io.figspan.gateway.http.BufferedExchange;
 import io.figspan.gateway.http.ExchangeTimeout;
 import io.figspan.gateway.http.HttpConnection;
+import io.figspan.gateway.http.ResponseLimit;
 import io.figspan.gateway.log.DecisionLog;
 import io.figspan.gateway.log.StackTraceSummary;
 import io.figspan.gateway.protocol.StoreProtocol;
@@ -35,6 +36,9 @@
     /** Time for a large response over a slow link, while its bytes arrive. */
     private static final long TRANSFER_TIMEOUT_MS = 4_000;
 
+    /** Several versions of the largest settings; a watcher has one response at a time. */
+    private static final int MAX_RESPONSE_BYTES = 8 * 1_024 * 1_024;
+
     private static final int OK = 200;
 
     /** Mean interval between the polls of a host that relies on the reports of others. */
@@ -47,6 +51,7 @@
     private final DecisionLog log;
     private final PrefixWatcher prefixWatcher;
     private final RandomGenerator random;
+    private final ResponseLimit limit = ResponseLimit.of(MAX_RESPONSE_BYTES, MAX_RESPONSE_BYTES);
     private InetSocketAddress address;
     private HttpConnection connection;
     private boolean reachable = true;
@@ -158,7 +163,7 @@
         }
         ExchangeTimeout timeout =
                 new ExchangeTimeout(responseTimeoutMs, RESPONSE_TIMEOUT_MS, responseTimeoutMs + TRANSFER_TIMEOUT_MS);
-        BufferedExchange.get(loop, connection, target, timeout, new BufferedExchange.Listener() {
+        BufferedExchange.get(loop, connection, target, timeout, limit, new BufferedExchange.Listener() {
             @Override
             public void onResponse(HttpResponse head, byte[] body) {
                 guarded(() -> responseReceived(watch, head, body));
--- a/figspan-gateway/src/test/java/io/figspan/gateway/backend/ReservationExtraResponseTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/backend/ReservationExtraResponseTest.java
@@ -13,7 +13,9 @@
 import io.figspan.gateway.TestProtocol;
 import io.figspan.gateway.backend.MemoryHolds.HoldRequest;
 import io.figspan.gateway.http.BufferedExchange;
+import io.figspan.gateway.http.ExchangeTimeout;
 import io.figspan.gateway.http.HttpConnection;
+import io.figspan.gateway.http.ResponseLimit;
 import io.figspan.gateway.log.DecisionLog;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -72,18 +74,24 @@
         CompletableFuture<Integer> response = new CompletableFuture<>();
         loop.execute(() -> {
             HttpConnection connection = pools.acquire(HOLDER, false, System.nanoTime());
-            BufferedExchange.get(loop, connection, "/read/1", TIMEOUT_MS, new BufferedExchange.Listener() {
-                @Override
-                public void onResponse(HttpResponse head, byte[] body) {
-                    pools.release(HOLDER, connection);
-                    response.complete(head.status().code());
-                }
+            BufferedExchange.get(
+                    loop,
+                    connection,
+                    "/read/1",
+                    ExchangeTimeout.ofTotal(TIMEOUT_MS),
+                    ResponseLimit.of(1_024, 1_024),
+                    new BufferedExchange.Listener() {
+                        @Override
+                        public void onResponse(HttpResponse head, byte[] body) {
+                            pools.release(HOLDER, connection);
+                            response.complete(head.status().code());
+                        }
 
-                @Override
-                public void onFailure(String reason) {
-                    response.completeExceptionally(new AssertionError(reason));
-                }
-            });
+                        @Override
+                        public void onFailure(String reason) {
+                            response.completeExceptionally(new AssertionError(reason));
+                        }
+                    });
         });
         response.get(TIMEOUT_S, TimeUnit.SECONDS);
     }
