Callers: answer pipelined requests in a loop instead of one inside the other

Found while looking for work without bound in what a caller sends: each request behind one in progress that was answered at once (a refusal) added ten stack frames before the next. A read of 32 KB holds 1,800 requests of 18 bytes. With the 256 KB of stack that a thread has in the deployment, PipelinedRequestsTest.thousandsOfRequestsThatAreRefusedAtOnceAreAllAnswered ended in a stack overflow before, and the caller got no answers (read timed out); with the default stack it passed. The loop is entered once.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerConnection.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerConnection.java
@@ -39,6 +39,7 @@
     private int maxBodyBytes;
     private InFlightCall call;
     private boolean responding;
+    private boolean handlingPipelined;
     private long requestCount;
 
     CallerConnection(CallerServer server, Channel channel, CallerLimits limits) {
@@ -266,9 +267,18 @@
         handlePipelined();
     }
 
+    /** Handles what has arrived behind a request. A request that is answered at once returns here before the next. */
     private void handlePipelined() {
-        while (!responding && !writer.isClosing() && !pipelined.isEmpty()) {
-            handle(pipelined.poll());
+        if (handlingPipelined) {
+            return;
+        }
+        handlingPipelined = true;
+        try {
+            while (!responding && !writer.isClosing() && !pipelined.isEmpty()) {
+                handle(pipelined.poll());
+            }
+        } finally {
+            handlingPipelined = false;
         }
         pipelined.resumeReading();
     }
--- a/figspan-gateway/src/test/java/io/figspan/gateway/caller/PipelinedRequestsTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/caller/PipelinedRequestsTest.java
@@ -6,10 +6,12 @@
 import io.figspan.gateway.GatewayHarness;
 import java.io.IOException;
 import java.io.InterruptedIOException;
+import java.io.UncheckedIOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Pattern;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -27,6 +29,8 @@
     /** Enough requests that the gateway stops reading before the last one. */
     private static final int MANY = 150;
 
+    private static final int THOUSANDS = 20_000;
+
     private static final String LONG_TARGET = "/read/long";
 
     /** More than the socket buffers hold, so that the caller receives the rest after it was written. */
@@ -119,6 +123,30 @@
         gateway.awaitNoBusyCaller();
     }
 
+    /** Guards against one stack frame for each request behind another one that is answered at once. */
+    @Test
+    void thousandsOfRequestsThatAreRefusedAtOnceAreAllAnswered() throws IOException {
+        send("/read/1", "");
+        String refused = "GET / HTTP/1.1\r\n\r\n".repeat(THOUSANDS - 1) + "GET / HTTP/1.0\r\n\r\n";
+        Thread writer = new Thread(() -> {
+            try {
+                caller.getOutputStream().write(refused.getBytes(StandardCharsets.ISO_8859_1));
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        });
+        writer.start();
+        gateway.awaitRead();
+        released.countDown();
+
+        String response = readAll();
+
+        assertEquals(1, answers(response));
+        assertEquals(
+                THOUSANDS,
+                Pattern.compile("HTTP/1.1 404").matcher(response).results().count());
+    }
+
     @Test
     void aHostThatStopsAnswersTheRequestsBehindOneInProgress() throws IOException {
         send("/read/1", "");
