Own interface: bound the bodies of responses

BoundedResponse reads a body up to a limit and closes the connection beyond it: 1 MB for replies of engines (16 MB for exported KV cache), 4 MB for answers of services and the host list, 2 MB for a value of the configuration service. The sum over open exchanges is not bounded there yet.

--- a/figspan-host/src/main/java/io/figspan/host/backend/EngineClient.java
+++ b/figspan-host/src/main/java/io/figspan/host/backend/EngineClient.java
@@ -5,6 +5,7 @@
 import io.figspan.core.error.ProblemKind;
 import io.figspan.core.id.HoldHandle;
 import io.figspan.core.id.StreamId;
+import io.figspan.host.BoundedResponse;
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Single;
 import io.vertx.core.Future;
@@ -32,6 +33,11 @@
 
     private static final int MAX_WAITING_CALLS_PER_ENGINE = 256;
 
+    /** A report names the holds and models of an engine; all other replies are shorter. */
+    private static final int MAX_REPLY_BYTES = 1_024 * 1_024;
+
+    private static final int MAX_KV_BYTES = 16 * 1_024 * 1_024;
+
     /** An engine confirms a prompt or a hold within milliseconds; this bound covers a busy machine. */
     public static final long SHORT_CALL_TIMEOUT_MS = 2_000;
 
@@ -98,7 +104,8 @@
 
     /** Exports the KV cache of a hold. */
     public Future<EngineMessages.KvBlob> exportKv(BackendTable.Server server, HoldHandle handle) {
-        return call(server, HttpMethod.GET, "/v1/kv/" + path(handle), Buffer.buffer(), SHORT_CALL_TIMEOUT_MS)
+        RequestOptions options = options(server, HttpMethod.GET, "/v1/kv/" + path(handle));
+        return call(server, options.setTimeout(SHORT_CALL_TIMEOUT_MS), Buffer.buffer(), MAX_KV_BYTES)
                 .compose(EngineClient::requireOk)
                 .map(reply -> decode(reply.body(), EngineMessages.KvBlob.class));
     }
@@ -129,12 +136,15 @@
 
     private Future<Reply> call(
             BackendTable.Server server, HttpMethod method, String path, Buffer body, long timeoutMs) {
-        return client.request(options(server, method, path).setTimeout(timeoutMs))
-                .compose(request -> request.send(body))
-                .compose(response -> {
-                    noteReport(server, response);
-                    return response.body().map(received -> new Reply(response.statusCode(), received));
-                });
+        return call(server, options(server, method, path).setTimeout(timeoutMs), body, MAX_REPLY_BYTES);
+    }
+
+    private Future<Reply> call(BackendTable.Server server, RequestOptions options, Buffer body, int maxReplyBytes) {
+        return client.request(options).compose(request -> request.send(body)).compose(response -> {
+            noteReport(server, response);
+            return BoundedResponse.body(response, maxReplyBytes)
+                    .map(received -> new Reply(response.statusCode(), received));
+        });
     }
 
     private Flowable<EngineEvent> stream(BackendTable.Server server, HttpMethod method, String path, Buffer body) {
@@ -167,8 +177,9 @@
 
     private Flowable<EngineEvent> events(HttpClientResponse response) {
         if (response.statusCode() != HTTP_OK) {
-            return FlowableHelper.toFlowable(response)
-                    .reduce(Buffer.buffer(), Buffer::appendBuffer)
+            return Single.<Buffer>create(emitter -> BoundedResponse.body(response, MAX_REPLY_BYTES)
+                            .onSuccess(emitter::onSuccess)
+                            .onFailure(emitter::tryOnError))
                     .flatMapPublisher(body -> Flowable.error(refused(response.statusCode(), body)));
         }
         HttpClientRequest request = response.request();
--- a/figspan-host/src/main/java/io/figspan/host/order/ServiceWriter.java
+++ b/figspan-host/src/main/java/io/figspan/host/order/ServiceWriter.java
@@ -2,6 +2,7 @@
 
 import io.figspan.control.ticket.AnswerBody;
 import io.figspan.control.ticket.ServiceAnswer;
+import io.figspan.host.BoundedResponse;
 import io.figspan.host.backend.BackendTable;
 import io.reactivex.rxjava3.core.Single;
 import io.vertx.core.http.HttpClientOptions;
@@ -27,6 +28,7 @@
     private static final int MAX_CONNECTIONS_PER_SERVER = 256;
     private static final int MAX_WAITING_FOR_CONNECTION = 1_024;
     private static final int FIRST_REFUSAL = 400;
+    private static final int MAX_ANSWER_BYTES = 4 * 1_024 * 1_024;
 
     private final HttpClient client;
 
@@ -51,10 +53,16 @@
     /** Writes the order once and reads the answer; the client follows no redirects and never writes again. */
     Single<ServiceAnswer> write(HttpClientRequest connected, String key, byte[] body) {
         connected.putHeader("Content-Type", "application/json").putHeader(KEY_HEADER, key);
-        return connected.rxSend(Buffer.buffer(body)).flatMap(response -> response.rxBody()
+        return connected.rxSend(Buffer.buffer(body)).flatMap(response -> body(response)
                 .map(answer -> toAnswer(response, answer)));
     }
 
+    private static Single<Buffer> body(HttpClientResponse response) {
+        return Single.create(emitter -> BoundedResponse.body(response.getDelegate(), MAX_ANSWER_BYTES)
+                .onSuccess(body -> emitter.onSuccess(Buffer.newInstance(body)))
+                .onFailure(emitter::tryOnError));
+    }
+
     private static ServiceAnswer toAnswer(HttpClientResponse response, Buffer body) {
         String mediaType = response.getHeader("Content-Type");
         ServiceAnswer answer = ServiceAnswer.of(
--- a/figspan-host/src/main/java/io/figspan/host/platform/ConfigurationServiceReader.java
+++ b/figspan-host/src/main/java/io/figspan/host/platform/ConfigurationServiceReader.java
@@ -7,6 +7,7 @@
 import io.figspan.core.error.Problem;
 import io.figspan.core.error.ProblemKind;
 import io.figspan.core.id.SettingsVersion;
+import io.figspan.host.BoundedResponse;
 import io.figspan.host.peer.ConfigurationSource;
 import io.figspan.settings.SettingsManifest;
 import io.figspan.settings.SettingsPart;
@@ -40,6 +41,10 @@
     private static final Location LOCATION = Location.of("configuration service");
     private static final String INDEX_HEADER = "Config-Index";
     private static final int HTTP_OK = 200;
+
+    /** A value has a megabyte at most. */
+    private static final int MAX_VALUE_BYTES = 2 * 1_024 * 1_024;
+
     private static final int HTTP_NOT_MODIFIED = 304;
     private static final int HTTP_NOT_FOUND = 404;
 
@@ -124,7 +129,10 @@
         long index = Long.parseLong(
                 Optional.ofNullable(response.getHeader(INDEX_HEADER)).orElse("0"));
         return switch (response.statusCode()) {
-            case HTTP_OK -> response.body().map(Buffer::toString).map(text -> new Answer(Optional.of(text), index));
+            case HTTP_OK ->
+                BoundedResponse.body(response, MAX_VALUE_BYTES)
+                        .map(Buffer::toString)
+                        .map(text -> new Answer(Optional.of(text), index));
             case HTTP_NOT_FOUND, HTTP_NOT_MODIFIED -> Future.succeededFuture(new Answer(Optional.empty(), index));
             default -> Future.failedFuture(failed("the service answered " + response.statusCode()));
         };
--- a/figspan-host/src/main/java/io/figspan/host/platform/FleetListPoller.java
+++ b/figspan-host/src/main/java/io/figspan/host/platform/FleetListPoller.java
@@ -2,10 +2,10 @@
 
 import io.figspan.core.error.FigspanException;
 import io.figspan.core.event.Part;
+import io.figspan.host.BoundedResponse;
 import io.figspan.host.HostContext;
 import io.figspan.settings.FleetList;
 import io.figspan.settings.cfg.PeerAddress;
-import io.vertx.core.http.HttpClientResponse;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -17,6 +17,9 @@
     private static final long TIMEOUT_MS = 2_000;
     private static final String PATH = "/hosts";
 
+    /** Some 200 bytes for each of a thousand hosts and servers, with room to grow. */
+    private static final int MAX_LIST_BYTES = 4 * 1_024 * 1_024;
+
     private final HostContext context;
     private final Consumer<FleetList> listener;
     private final PlatformClient client;
@@ -39,14 +42,15 @@
             return;
         }
         inFlight = true;
-        client.get(PATH, TIMEOUT_MS, HttpClientResponse::body).onComplete(result -> {
-            inFlight = false;
-            if (result.succeeded()) {
-                accept(result.result().toString());
-            } else {
-                note(String.valueOf(result.cause().getMessage()));
-            }
-        });
+        client.get(PATH, TIMEOUT_MS, response -> BoundedResponse.body(response, MAX_LIST_BYTES))
+                .onComplete(result -> {
+                    inFlight = false;
+                    if (result.succeeded()) {
+                        accept(result.result().toString());
+                    } else {
+                        note(String.valueOf(result.cause().getMessage()));
+                    }
+                });
     }
 
     private void accept(String json) {
