Quarantine: one entry of evidence for all suspects of which the same is known

Since all parts of a prompt are considered, the evidence of one crash may name thousands of suspects; with an entry for each and 32 in a message, 2,000 parts made 63 messages to each host, three times. Entries now hold the suspects of which a host knows the same, such as the parts of one prompt, 512 in a message (EvidencePages, split off SuspectTable): 4 messages (CrashQuarantineTest.thePartsOfOnePromptShareAnEntryInFewMessages). The bound of a message is 32 entries, as before; its tests check entries now.

--- a/figspan-cluster/src/main/java/io/figspan/cluster/message/SuspectEvidence.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/message/SuspectEvidence.java
@@ -8,8 +8,9 @@
 import java.util.List;
 
 /**
- * What a host knows of crashes of backend servers that one suspect may have caused.
+ * What a host knows of crashes of backend servers that suspects may have caused.
  *
+ * @param suspects those of which it knows just this, such as the parts of one prompt; never empty
  * @param isQuarantined whether the host refuses requests because of the suspect
  * @param ageMs time since the latest crash
  * @param crashes servers that crashed and for which the suspect may be the cause
@@ -17,16 +18,19 @@
  * @param requests some of the requests with a prompt part under which servers crashed; empty for a request
  */
 public record SuspectEvidence(
-        SuspectId suspect,
+        List<SuspectId> suspects,
         boolean isQuarantined,
         long ageMs,
         List<BackendIncarnation> crashes,
         List<BackendIncarnation> refuted,
         List<RequestFingerprint> requests) {
     public SuspectEvidence {
-        if (ageMs < 0) {
+        suspects = List.copyOf(suspects);
+        if (ageMs < 0 || suspects.isEmpty()) {
             throw new FigspanException(
-                    ProblemKind.INVALID_VALUE, "the age is negative", Location.of("suspect evidence"));
+                    ProblemKind.INVALID_VALUE,
+                    "the age is negative or there is no suspect",
+                    Location.of("suspect evidence"));
         }
         crashes = List.copyOf(crashes);
         refuted = List.copyOf(refuted);
--- a/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/CrashQuarantine.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/CrashQuarantine.java
@@ -159,7 +159,8 @@
     public void receive(PeerMessage.CrashEvidence evidence, long nowNanos) {
         for (SuspectEvidence received : evidence.suspects()) {
             if (TimeUnit.MILLISECONDS.toNanos(received.ageMs()) < SuspectTable.expiryNanos(received.isQuarantined())) {
-                merge(received, nowNanos);
+                received.crashes().forEach(server -> crashedServers.reported(server, nowNanos));
+                received.suspects().forEach(id -> merge(id, received, nowNanos));
             }
         }
         if (evidence.suspects().stream().anyMatch(SuspectEvidence::isQuarantined)) {
@@ -167,9 +168,7 @@
         }
     }
 
-    private void merge(SuspectEvidence received, long nowNanos) {
-        received.crashes().forEach(server -> crashedServers.reported(server, nowNanos));
-        SuspectId id = received.suspect();
+    private void merge(SuspectId id, SuspectEvidence received, long nowNanos) {
         long crashedNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(received.ageMs());
         Suspect suspect = suspects.findOrAdd(id, crashedNanos, nowNanos);
         if (suspect.merge(received, crashedNanos, nowNanos)) {
@@ -358,14 +357,14 @@
         }
         List<QuarantineAction> actions = new ArrayList<>(decided);
         decided.clear();
-        SuspectTable.message(takeDue(nowNanos), nowNanos)
+        EvidencePages.message(takeDue(nowNanos), nowNanos)
                 .ifPresent(news -> actions.add(new QuarantineAction.SendToAll(news)));
         for (HostId host : newHosts.takeDue(nowNanos)) {
-            suspects.pages(nowNanos).forEach(page -> actions.add(new QuarantineAction.SendToHost(host, page)));
+            pages(nowNanos).forEach(page -> actions.add(new QuarantineAction.SendToHost(host, page)));
         }
         if (nowNanos - lastGossipNanos >= gossipIntervalNanos(nowNanos)) {
             lastGossipNanos = nowNanos;
-            SuspectTable.message(suspects.forGossip(nowNanos), nowNanos)
+            EvidencePages.message(suspects.forGossip(nowNanos), nowNanos)
                     .ifPresent(some -> actions.add(new QuarantineAction.SendToSome(some)));
         }
         return actions;
@@ -377,7 +376,7 @@
             Optional<Suspect> suspect = suspects.find(id);
             suspect.ifPresentOrElse(due::add, () -> outbox.remove(id));
         }
-        List<Suspect> taken = SuspectTable.mostImportant(due);
+        List<Suspect> taken = EvidencePages.first(SuspectTable.byImportance(due));
         taken.forEach(suspect -> outbox.sent(suspect.id(), nowNanos));
         return taken;
     }
@@ -402,7 +401,12 @@
             return List.of();
         }
         newHosts.joined(newHost, nowNanos);
-        return suspects.pages(nowNanos);
+        return pages(nowNanos);
+    }
+
+    /** All evidence for a new host, the most important first, in a bounded number of messages. */
+    private List<PeerMessage.CrashEvidence> pages(long nowNanos) {
+        return EvidencePages.all(suspects.reportable(nowNanos), nowNanos);
     }
 
     /** Number of suspects of a kind because of which requests are refused. */
--- a/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/Suspect.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/Suspect.java
@@ -200,13 +200,28 @@
                 && (sent.isQuarantined() || !isQuarantined);
     }
 
-    SuspectEvidence toEvidence(long nowNanos) {
-        return new SuspectEvidence(
-                id,
+    /** What this host knows of the suspect, as of now. */
+    Knowledge knowledge() {
+        return new Knowledge(
+                id.kind(),
                 isQuarantined,
-                Math.max(0, TimeUnit.NANOSECONDS.toMillis(nowNanos - lastCrashNanos)),
+                lastCrashNanos,
                 List.copyOf(crashes()),
                 List.copyOf(refuted),
                 List.copyOf(requests));
     }
+
+    /** What a host knows of one suspect, or of several for which it is the same. */
+    record Knowledge(
+            SuspectKind kind,
+            boolean isQuarantined,
+            long lastCrashNanos,
+            List<BackendIncarnation> crashes,
+            List<BackendIncarnation> refuted,
+            List<RequestFingerprint> requests) {
+        SuspectEvidence toEvidence(List<SuspectId> suspects, long nowNanos) {
+            long ageMs = Math.max(0, TimeUnit.NANOSECONDS.toMillis(nowNanos - lastCrashNanos));
+            return new SuspectEvidence(suspects, isQuarantined, ageMs, crashes, refuted, requests);
+        }
+    }
 }
--- a/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/SuspectTable.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/SuspectTable.java
@@ -1,7 +1,5 @@
 package io.figspan.cluster.quarantine;
 
-import com.google.common.collect.Lists;
-import io.figspan.cluster.message.PeerMessage;
 import io.figspan.cluster.message.SuspectId;
 import io.figspan.cluster.message.SuspectKind;
 import java.util.ArrayList;
@@ -13,20 +11,18 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 /** The suspects, a bounded number of each kind. */
 final class SuspectTable {
-    /** Bounds a message to a few kilobytes. */
-    static final int MAX_PER_MESSAGE = 32;
-
-    private static final int MAX_PAGES = 8;
-
     /** The part of a full table that is evicted for new suspects. */
     private static final int EVICTIONS_OF_TABLE = 16;
 
     /** Suspects of a message of gossip that are always the most important ones; the others take turns. */
     private static final int IMPORTANT_PER_GOSSIP = 16;
 
+    private static final int OTHERS_PER_GOSSIP = EvidencePages.MAX_SUSPECTS - IMPORTANT_PER_GOSSIP;
+
     /** Changes are repeated at the shorter interval for this long, so that lost messages don't matter. */
     static final long REPEAT_NANOS = TimeUnit.SECONDS.toNanos(10);
 
@@ -110,9 +106,9 @@
         return byKind.get(kind).values().stream().filter(Suspect::isQuarantined).count();
     }
 
-    /** The most important of these suspects, as many as fit into a message. */
-    static List<Suspect> mostImportant(Collection<Suspect> from) {
-        return from.stream().sorted(MOST_IMPORTANT).limit(MAX_PER_MESSAGE).toList();
+    /** These suspects, the most important ones first. */
+    static List<Suspect> byImportance(Collection<Suspect> from) {
+        return from.stream().sorted(MOST_IMPORTANT).toList();
     }
 
     /** All suspects with evidence to report, the most important ones first. */
@@ -123,36 +119,19 @@
                 .toList();
     }
 
-    /** All evidence for a new host, the most important first, in a bounded number of messages. */
-    List<PeerMessage.CrashEvidence> pages(long nowNanos) {
-        return Lists.partition(reportable(nowNanos), MAX_PER_MESSAGE).stream()
-                .limit(MAX_PAGES)
-                .flatMap(page -> message(page, nowNanos).stream())
-                .toList();
-    }
-
-    /** The suspects for one round of gossip. */
+    /** The suspects for one round of gossip: the most important ones, and others in turns. */
     List<Suspect> forGossip(long nowNanos) {
         List<Suspect> reportable = reportable(nowNanos);
-        if (reportable.size() <= MAX_PER_MESSAGE) {
+        if (reportable.size() <= IMPORTANT_PER_GOSSIP) {
             return reportable;
         }
         List<Suspect> chosen = new ArrayList<>(reportable.subList(0, IMPORTANT_PER_GOSSIP));
         List<Suspect> others = reportable.subList(IMPORTANT_PER_GOSSIP, reportable.size());
-        while (chosen.size() < MAX_PER_MESSAGE) {
-            gossipOffset = (gossipOffset + 1) % others.size();
-            chosen.add(others.get(gossipOffset));
-        }
-        return chosen;
-    }
-
-    /** A message with the evidence on these suspects; empty if there are none. */
-    static Optional<PeerMessage.CrashEvidence> message(List<Suspect> suspects, long nowNanos) {
-        return suspects.isEmpty()
-                ? Optional.empty()
-                : Optional.of(new PeerMessage.CrashEvidence(suspects.stream()
-                        .map(suspect -> suspect.toEvidence(nowNanos))
-                        .toList()));
+        gossipOffset = (gossipOffset + OTHERS_PER_GOSSIP) % others.size();
+        chosen.addAll(Stream.concat(others.stream().skip(gossipOffset), others.stream())
+                .limit(Math.min(OTHERS_PER_GOSSIP, others.size()))
+                .toList());
+        return EvidencePages.first(chosen);
     }
 
     private static boolean hasChangedLately(Suspect suspect, long nowNanos) {
--- a/figspan-wire/src/main/java/io/figspan/wire/MessageReader.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/MessageReader.java
@@ -137,7 +137,7 @@
         List<SuspectEvidence> suspects = new ArrayList<>(count);
         for (int i = 0; i < count; i++) {
             suspects.add(new SuspectEvidence(
-                    readSuspect(),
+                    readSuspects(),
                     unpacker.unpackBoolean(),
                     unpacker.unpackLong(),
                     readIncarnations(),
@@ -147,6 +147,15 @@
         return suspects;
     }
 
+    private List<SuspectId> readSuspects() throws IOException {
+        int count = readCount();
+        List<SuspectId> suspects = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            suspects.add(readSuspect());
+        }
+        return suspects;
+    }
+
     private SuspectId readSuspect() throws IOException {
         int kind = unpacker.unpackInt();
         return switch (kind) {
--- a/figspan-wire/src/main/java/io/figspan/wire/MessageWriter.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/MessageWriter.java
@@ -170,14 +170,17 @@
 
     private void writeEvidence(PeerMessage.CrashEvidence evidence) throws IOException {
         packer.packArrayHeader(evidence.suspects().size());
-        for (SuspectEvidence suspect : evidence.suspects()) {
-            writeSuspect(suspect.suspect());
-            packer.packBoolean(suspect.isQuarantined());
-            packer.packLong(suspect.ageMs());
-            writeIncarnations(suspect.crashes());
-            writeIncarnations(suspect.refuted());
-            packer.packArrayHeader(suspect.requests().size());
-            for (RequestFingerprint request : suspect.requests()) {
+        for (SuspectEvidence entry : evidence.suspects()) {
+            packer.packArrayHeader(entry.suspects().size());
+            for (SuspectId suspect : entry.suspects()) {
+                writeSuspect(suspect);
+            }
+            packer.packBoolean(entry.isQuarantined());
+            packer.packLong(entry.ageMs());
+            writeIncarnations(entry.crashes());
+            writeIncarnations(entry.refuted());
+            packer.packArrayHeader(entry.requests().size());
+            for (RequestFingerprint request : entry.requests()) {
                 writeFingerprint(request);
             }
         }
