--- a/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/CrashAttribution.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/CrashAttribution.java
@@ -14,7 +14,7 @@
 /**
  * Decides which suspects cause the crashes at one time, anew from all evidence: first those with the most crashes, then
  * those of the crashes that these don't explain. With equally many crashes, a request comes before prompt parts, and
- * parts that can't be told apart are one decision, whatever their places in the prompts.
+ * parts that crashes don't distinguish are one decision, whatever their places in the prompts.
  */
 final class CrashAttribution {
     /** Crashes of a suspect that is alone with them for which it is quarantined. */
--- a/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/CrashQuarantine.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/CrashQuarantine.java
@@ -17,7 +17,6 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Collectors;
 
 /**
  * Attributes crashes of backend servers to the requests that ran there and to the shared parts of their prompts, and
@@ -58,10 +57,8 @@
     private final EvidenceOutbox outbox = new EvidenceOutbox();
     private final CrashedServers crashedServers = new CrashedServers();
     private final NewHosts newHosts = new NewHosts();
-    private final TrialSchedule trials = new TrialSchedule();
+    private final QuarantineDecisions decisions;
     private final Map<SuspectKind, RecentAnswers> recentAnswers = new EnumMap<>(SuspectKind.class);
-    private final List<QuarantineAction> decided = new ArrayList<>();
-    private List<Verdict> partVerdicts = List.of();
     private Set<HostId> hosts;
     private long lastGossipNanos;
     private long lastChangeNanos;
@@ -83,6 +80,7 @@
     public CrashQuarantine(HostId self, long nowNanos) {
         this.self = self;
         this.hosts = Set.of(self);
+        this.decisions = new QuarantineDecisions(self, suspects, this::evidenceChanged);
         this.lastGossipNanos = nowNanos;
         this.lastChangeNanos = nowNanos;
         this.lastDecisionNanos = nowNanos;
@@ -95,6 +93,7 @@
     /** Replaces the set of live hosts, which includes this one. */
     public void hostsChanged(Set<HostId> liveHosts) {
         hosts = Set.copyOf(liveHosts);
+        decisions.hostsChanged(hosts);
     }
 
     // Evidence
@@ -164,7 +163,7 @@
             }
         }
         if (evidence.suspects().stream().anyMatch(SuspectEvidence::isQuarantined)) {
-            decide(nowNanos);
+            decisions.decide(nowNanos);
         }
     }
 
@@ -187,96 +186,6 @@
         lastChangeNanos = nowNanos;
     }
 
-    // Decisions
-
-    /** Decides anew on all evidence, so that a wrong decision ends with the evidence that contradicts it. */
-    private void decide(long nowNanos) {
-        List<Suspect> all = suspects.all();
-        releaseRequests(all, nowNanos);
-        adoptRequests(all);
-        List<Verdict> verdicts = new CrashAttribution(all, nowNanos - SETTLE_NANOS).verdicts();
-        verdicts.stream()
-                .filter(verdict -> verdict.kind() == SuspectKind.REQUEST)
-                .forEach(verdict -> quarantine(verdict, nowNanos));
-        decideOnParts(
-                verdicts.stream()
-                        .filter(verdict -> verdict.kind() == SuspectKind.PROMPT_PART)
-                        .toList(),
-                nowNanos);
-    }
-
-    private void releaseRequests(List<Suspect> all, long nowNanos) {
-        List<Suspect> released = all.stream()
-                .filter(suspect -> suspect.kind() == SuspectKind.REQUEST && suspect.isQuarantined())
-                .filter(suspect -> suspect.crashCount() < CrashAttribution.MIN_CRASHES
-                        || CrashAttribution.isExplained(suspect, all))
-                .toList();
-        released.forEach(suspect -> release(List.of(suspect), nowNanos));
-    }
-
-    /** Quarantines the requests that other hosts have quarantined, which they have sent to all hosts already. */
-    private void adoptRequests(List<Suspect> all) {
-        for (Suspect suspect : all) {
-            if (suspect.kind() == SuspectKind.REQUEST
-                    && suspect.isQuarantinedElsewhere()
-                    && !suspect.isQuarantined()
-                    && suspect.crashCount() >= CrashAttribution.MIN_CRASHES
-                    && !CrashAttribution.isExplained(suspect, all)) {
-                suspect.quarantine();
-                decided.add(new QuarantineAction.Quarantined(Set.of(suspect.id()), suspect.crashCount()));
-            }
-        }
-    }
-
-    private void decideOnParts(List<Verdict> verdicts, long nowNanos) {
-        Set<Set<SuspectId>> before =
-                partVerdicts.stream().map(Verdict::suspects).collect(Collectors.toSet());
-        Set<SuspectId> quarantined = new HashSet<>();
-        verdicts.forEach(verdict -> quarantined.addAll(verdict.suspects()));
-        partVerdicts = verdicts;
-        List<Suspect> released = suspects.all().stream()
-                .filter(suspect -> suspect.kind() == SuspectKind.PROMPT_PART && suspect.isQuarantined())
-                .filter(suspect -> !quarantined.contains(suspect.id()))
-                .toList();
-        if (!released.isEmpty()) {
-            release(released, nowNanos);
-        }
-        verdicts.stream()
-                .filter(verdict -> !before.contains(verdict.suspects()))
-                .forEach(verdict -> quarantine(verdict, nowNanos));
-    }
-
-    /** Only hosts that have seen a crash send the decision at once, since in a large fleet all make it together. */
-    private void quarantine(Verdict verdict, long nowNanos) {
-        boolean isNew = verdict.kind() == SuspectKind.PROMPT_PART;
-        for (SuspectId id : verdict.suspects()) {
-            Suspect suspect = suspects.find(id).orElseThrow();
-            if (suspect.isQuarantined()) {
-                continue;
-            }
-            isNew = true;
-            suspect.quarantine();
-            if (suspect.isObservedHere()) {
-                evidenceChanged(id, nowNanos);
-            }
-        }
-        if (isNew) {
-            decided.add(new QuarantineAction.Quarantined(verdict.suspects(), verdict.crashes()));
-        }
-    }
-
-    private void release(List<Suspect> released, long nowNanos) {
-        int crashes = released.stream().mapToInt(Suspect::crashCount).max().orElse(0);
-        Set<SuspectId> ids = released.stream().map(Suspect::id).collect(Collectors.toSet());
-        decided.add(new QuarantineAction.Released(ids, crashes));
-        for (Suspect suspect : released) {
-            suspect.release();
-            if (suspect.isObservedHere()) {
-                evidenceChanged(suspect.id(), nowNanos);
-            }
-        }
-    }
-
     /** Whether servers have crashed under a request and it has not been cleared. */
     public boolean isSuspect(RequestFingerprint fingerprint) {
         return suspects.find(new SuspectId.OfRequest(fingerprint))
@@ -286,54 +195,12 @@
 
     /** Whether a request must be refused now. */
     public Optional<Refusal> refusal(RequestIdentity request, long nowNanos) {
-        return verdictsOn(request).stream()
-                .filter(verdict -> !isTrialDue(verdict, request, nowNanos))
-                .findFirst()
-                .map(verdict -> new Refusal(verdict.suspects(), trials.retryAfterMs(verdict, nowNanos)));
-    }
-
-    private List<Verdict> verdictsOn(RequestIdentity request) {
-        List<Verdict> verdicts = new ArrayList<>();
-        suspects.find(request.request())
-                .filter(Suspect::isQuarantined)
-                .map(suspect ->
-                        new Verdict(Set.of(suspect.id()), suspect.crashCount(), suspect.lastCrashNanos(), false))
-                .ifPresent(verdicts::add);
-        if (!partVerdicts.isEmpty()) {
-            Set<SuspectId> parts = new HashSet<>(request.parts());
-            partVerdicts.stream()
-                    .filter(verdict -> parts.containsAll(verdict.suspects()))
-                    .forEach(verdicts::add);
-        }
-        return verdicts;
+        return decisions.refusal(request, nowNanos);
     }
 
     /** Like {@link #refusal}, right before the request is sent; one that is not refused uses up a due trial. */
     public Optional<Refusal> refusalOfSend(RequestIdentity request, long nowNanos) {
-        Optional<Refusal> refusal = refusal(request, nowNanos);
-        if (refusal.isEmpty()) {
-            verdictsOn(request).forEach(verdict -> trials.recordTrial(verdict, nowNanos));
-        }
-        return refusal;
-    }
-
-    private boolean isTrialDue(Verdict verdict, RequestIdentity request, long nowNanos) {
-        if (!trials.isDue(verdict, nowNanos)) {
-            return false;
-        }
-        int rank = RendezvousHash.order(verdict.first().toString(), hosts).indexOf(self);
-        return rank >= 0
-                && rank < trials.trialHosts(verdict, nowNanos)
-                && (!verdict.isAmbiguous() || holdsNoOtherSuspect(request, verdict));
-    }
-
-    /** Whether the answer to a request, or its crash, decides on the suspects of a verdict. */
-    private boolean holdsNoOtherSuspect(RequestIdentity request, Verdict verdict) {
-        return request.parts().stream()
-                .filter(part -> !verdict.suspects().contains(part))
-                .allMatch(part -> suspects.find(part)
-                        .filter(suspect -> suspect.crashCount() > 0)
-                        .isEmpty());
+        return decisions.refusalOfSend(request, nowNanos);
     }
 
     // Exchange with other hosts
@@ -346,17 +213,16 @@
         if (nowNanos - lastCleanupNanos >= CLEANUP_INTERVAL_NANOS) {
             lastCleanupNanos = nowNanos;
             if (suspects.removeExpired(nowNanos)) {
-                decide(nowNanos);
+                decisions.decide(nowNanos);
             }
-            trials.retain(id -> suspects.find(id).isPresent());
+            decisions.forgetTrials();
         }
         // Not nowNanos: a host that was paused after a change must still decide on it once.
         if (lastDecisionNanos - lastChangeNanos < DECISION_NANOS) {
             lastDecisionNanos = nowNanos;
-            decide(nowNanos);
+            decisions.decide(nowNanos);
         }
-        List<QuarantineAction> actions = new ArrayList<>(decided);
-        decided.clear();
+        List<QuarantineAction> actions = new ArrayList<>(decisions.takeDecided());
         EvidencePages.message(takeDue(nowNanos), nowNanos)
                 .ifPresent(news -> actions.add(new QuarantineAction.SendToAll(news)));
         for (HostId host : newHosts.takeDue(nowNanos)) {
--- a/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/TrialSchedule.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/TrialSchedule.java
@@ -25,7 +25,7 @@
 
     private static final long MIN_RETRY_AFTER_MS = 1_000;
 
-    /** Time in which other prompts usually tell apart the suspects of a tie. */
+    /** Time in which answers to other prompts usually end a tie. */
     private static final long TIE_RETRY_AFTER_MS = 2_000;
 
     private final Map<SuspectId, Long> lastTrialNanos = new HashMap<>();
--- a/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/Verdict.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/Verdict.java
@@ -7,8 +7,8 @@
 
 /**
  * The decision that suspects cause crashes. Several are prompt parts that all crashes have in common, one of which is
- * the cause: only prompts that hold all of them are refused, since the answer to any other one, or its crash, tells
- * them apart (group testing).
+ * the cause: only prompts that hold all of them are refused, since the answer to any other one, or its crash,
+ * distinguishes them (group testing).
  *
  * @param crashes number of crashes that the suspects have in common
  * @param lastCrashNanos monotonic time of the latest crash
@@ -24,7 +24,7 @@
         return suspects.iterator().next().kind();
     }
 
-    /** Whether the suspects can't be told apart by the crashes so far. */
+    /** Whether the crashes so far don't distinguish the suspects. */
     boolean isTie() {
         return suspects.size() > 1;
     }
--- a/figspan-cluster/src/test/java/io/figspan/cluster/quarantine/CrashQuarantineTest.java
+++ b/figspan-cluster/src/test/java/io/figspan/cluster/quarantine/CrashQuarantineTest.java
@@ -104,7 +104,7 @@
     }
 
     @Test
-    void anAnswerTellsPartsWithTheSameCrashesApart() {
+    void anAnswerDistinguishesPartsWithTheSameCrashes() {
         for (int engine = 1; engine <= 4; engine++) {
             crash(engine, COMMON, CRASHING, DOCUMENT);
         }
@@ -116,7 +116,7 @@
     }
 
     @Test
-    void aCrashWithoutSomeOfThemTellsPartsWithTheSameCrashesApart() {
+    void aCrashWithoutSomeOfThemDistinguishesPartsWithTheSameCrashes() {
         for (int engine = 1; engine <= 4; engine++) {
             crash(engine, COMMON, CRASHING, DOCUMENT);
         }
--- a/figspan-cluster/src/test/java/io/figspan/cluster/quarantine/TiedPartsFleetTest.java
+++ b/figspan-cluster/src/test/java/io/figspan/cluster/quarantine/TiedPartsFleetTest.java
@@ -11,8 +11,8 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 /**
- * Guards against a sound part that is quarantined instead of the one that crashes servers, because no crash tells them
- * apart and the sound one stands behind the other (review/5). Sound prompts come in rounds, those that crash servers
+ * Guards against a sound part that is quarantined instead of the one that crashes servers, because they have the same
+ * crashes and the sound one stands behind the other (review/5). Sound prompts come in rounds, those that crash servers
  * between them.
  */
 class TiedPartsFleetTest {
@@ -122,7 +122,7 @@
         }
     }
 
-    /** Two causes at the same time, which all share the first part; and one deadly request beside them. */
+    /** Two causes at a time, whose prompts share the first part, and one request that crashes servers beside them. */
     @ParameterizedTest
     @CsvSource({"3, 0", "6, 33"})
     void soundPromptsAreServedBesideTwoIndependentCrashingParts(int hosts, int lossPercent) {
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Attempt.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Attempt.java
@@ -4,12 +4,10 @@
 import io.figspan.core.id.BackendServerId;
 import io.figspan.gateway.backend.BackendPools;
 import io.figspan.gateway.backend.HoldGroup;
-import io.figspan.gateway.http.BudgetShare;
 import io.figspan.gateway.http.BufferedBody;
 import io.figspan.gateway.http.ByteBudget;
 import io.figspan.gateway.http.ConnectionFailure;
 import io.figspan.gateway.http.EventBatch;
-import io.figspan.gateway.http.EventSplitter;
 import io.figspan.gateway.http.ExchangeListener;
 import io.figspan.gateway.http.HostPort;
 import io.figspan.gateway.http.HttpConnection;
@@ -27,9 +25,6 @@
  * streamed response into complete events and buffers any other response. All methods must be called on the event loop.
  */
 final class Attempt implements ExchangeListener {
-    /** Maximum length of an event. Events have a few hundred bytes, so anything longer is not an event. */
-    private static final int MAX_EVENT_BYTES = 256 * 1_024;
-
     /** Maximum length of a buffered response body. */
     private static final int MAX_BODY_BYTES = 4 * 1_024 * 1_024;
 
@@ -46,9 +41,7 @@
     private final String attemptId;
     private final boolean streaming;
     private final long sentNanos = System.nanoTime();
-    private final EventSplitter splitter = new EventSplitter(MAX_EVENT_BYTES);
-    private final StreamProgress progress;
-    private final BudgetShare partialEventShare;
+    private final EventStream events;
     private final BufferedBody responseBody;
     private long discardedBytes;
     private HttpResponse head;
@@ -104,8 +97,7 @@
         this.readers = readers;
         this.attemptId = attemptId;
         this.streaming = streaming;
-        this.progress = new StreamProgress(maxGapNanos);
-        this.partialEventShare = new BudgetShare(responseBodyBudget);
+        this.events = new EventStream(maxGapNanos, responseBodyBudget);
         this.responseBody = new BufferedBody(responseBodyBudget, MAX_BODY_BYTES);
     }
 
@@ -178,7 +170,7 @@
             return;
         }
         if (reading) {
-            progress.restart(System.nanoTime());
+            events.restart(System.nanoTime());
         }
         connection.setReading(reading);
     }
@@ -211,7 +203,7 @@
         } else if (response.isSuccess() && !response.isSigned()) {
             abort(AttemptEnd.BROKEN, "success without signature");
         } else {
-            progress.restart(System.nanoTime());
+            events.restart(System.nanoTime());
             listener.onHead(this);
         }
     }
@@ -227,7 +219,7 @@
             return;
         }
         if (isStream()) {
-            splitter.append(content);
+            events.append(content);
             return;
         }
         BufferedBody.Outcome outcome = responseBody.add(content);
@@ -250,32 +242,26 @@
         if (discarded || !isStream()) {
             return;
         }
-        Optional<EventBatch> events = splitter.takeComplete();
-        Optional<String> fault = progress.received(events, System.nanoTime());
-        events.ifPresent(this::forward);
-        if (fault.isPresent()) {
-            abort(AttemptEnd.UNBOUNDED, fault.get());
-        } else if (splitter.isEventTooLong()) {
-            abort(AttemptEnd.UNBOUNDED, "event is too long");
-        } else if (!ended && !partialEventShare.tryResize(splitter.partialEventBytes())) {
-            abort(AttemptEnd.UNBOUNDED, "incomplete events and answers of all servers hold too much");
-        }
+        Optional<EventBatch> taken = events.takeComplete();
+        Optional<String> fault = events.exceededBound(taken, System.nanoTime());
+        taken.ifPresent(this::forward);
+        fault.ifPresent(reason -> abort(AttemptEnd.UNBOUNDED, reason));
     }
 
     /** Forwards all events that were read at once together, so that the cost of a read is bounded. */
-    private void forward(EventBatch events) {
+    private void forward(EventBatch batch) {
         if (ended || discarded) {
-            events.release();
+            batch.release();
             return;
         }
-        eventCount += events.progressEvents();
-        listener.onEvents(this, events);
+        eventCount += batch.progressEvents();
+        listener.onEvents(this, batch);
     }
 
     @Override
     public void onComplete() {
         complete = true;
-        splitter.takeComplete().ifPresent(this::forward);
+        events.takeComplete().ifPresent(this::forward);
         pools.release(server(), connection);
         if (ended) {
             return;
@@ -305,7 +291,7 @@
     }
 
     private void endStream() {
-        if (splitter.hasPartialEvent()) {
+        if (events.hasPartialEvent()) {
             lostConnection = isEndedByClose();
             fail(AttemptEnd.BROKEN, "stream ended within an event");
             return;
@@ -326,7 +312,7 @@
 
     @Override
     public void onFailure(ConnectionFailure failure) {
-        splitter.takeComplete().ifPresent(this::forward);
+        events.takeComplete().ifPresent(this::forward);
         lostConnection = failure.isBreak();
         if (discarded) {
             end();
@@ -351,8 +337,7 @@
     private void end() {
         if (!ended) {
             ended = true;
-            splitter.release();
-            partialEventShare.release();
+            events.release();
             responseBody.release();
         }
     }
--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/EndlessStreamTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/EndlessStreamTest.java
@@ -22,7 +22,7 @@
 
 /**
  * Guards against a server whose stream holds empty lines, or other bytes that are no events, without end: they kept the
- * event loop busy, so that the host answered nobody.
+ * event loop busy, so that the host answered no caller.
  */
 class EndlessStreamTest {
     private static final int TIMEOUT_S = 20;
