Quarantine: a pause between two events proves no request sound

A request under which a server has written events for 3 s counts as sound at all hosts. Each gap counts for half a second at most now (WritingTime). WritingTimeTest plays a pause of a minute; the rule before had no code of its own to test.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/CrashObserver.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/CrashObserver.java
@@ -11,24 +11,20 @@
 import io.figspan.gateway.protocol.CallerRequest;
 import io.netty.buffer.ByteBuf;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 
 /** Observes for one request whether it crashes backend servers, and whether it must be refused for that. */
 final class CrashObserver {
     /** Events after which an answer counts as begun, so that no part of its prompt crashes servers. */
     private static final long EVENTS_OF_A_BEGUN_ANSWER = 2;
 
-    /** A request under which a server has written events for so long does not crash it. */
-    private static final long PROVEN_SOUND_NANOS = TimeUnit.SECONDS.toNanos(3);
-
     /** Status codes from here on say that the server failed, perhaps right before it ended. */
     private static final int HTTP_INTERNAL_SERVER_ERROR = 500;
 
     private final RequestCrashes crashes;
     private final BackendPools pools;
     private final RequestIdentity request;
+    private final WritingTime writingTime = new WritingTime();
     private boolean hasBegun;
-    private long firstEventNanos;
     private boolean isProvenSound;
 
     CrashObserver(
@@ -93,9 +89,12 @@
             answerBegan(nowNanos);
         }
         if (attempt.eventCount() == received) {
-            firstEventNanos = nowNanos;
+            writingTime.restart(nowNanos);
             isProvenSound = false;
-        } else if (!isProvenSound && nowNanos - firstEventNanos >= PROVEN_SOUND_NANOS) {
+            return;
+        }
+        writingTime.eventArrived(nowNanos);
+        if (!isProvenSound && writingTime.isProvenSound()) {
             isProvenSound = true;
             crashes.requestServed(request, nowNanos);
         }
