--- a/figspan-gateway/src/main/java/io/figspan/gateway/http/EventSplitter.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/http/EventSplitter.java
@@ -1,5 +1,6 @@
 package io.figspan.gateway.http;
 
+import com.google.common.primitives.Longs;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
@@ -169,15 +170,13 @@
         return start < contentEnd && pending.getByte(start) == SPACE ? start + 1 : start;
     }
 
+    /** Reads a number without an exception for other values, since a faulty server may send a million of them. */
     private OptionalLong parseId(int start, int contentEnd) {
         if (contentEnd - start > MAX_ID_BYTES) {
             return OptionalLong.empty();
         }
-        String id = pending.toString(start, contentEnd - start, StandardCharsets.UTF_8);
-        try {
-            return OptionalLong.of(Long.parseLong(id.strip()));
-        } catch (NumberFormatException e) {
-            return OptionalLong.empty();
-        }
+        String id = pending.toString(start, contentEnd - start, StandardCharsets.ISO_8859_1);
+        Long number = Longs.tryParse(id.strip());
+        return number == null ? OptionalLong.empty() : OptionalLong.of(number);
     }
 }
