Quarantine: repeat all suspects in turns, however many fit into a message

With 1,008 suspects of their own evidence only 48 were ever repeated to hosts that had missed a message. The next round begins behind the last suspect that was sent.

RequestQuarantineTest.allOfManySuspectsAreRepeatedInTurns fails before: 48.

--- a/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/SuspectTable.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/SuspectTable.java
@@ -127,11 +127,12 @@
         }
         List<Suspect> chosen = new ArrayList<>(reportable.subList(0, IMPORTANT_PER_GOSSIP));
         List<Suspect> others = reportable.subList(IMPORTANT_PER_GOSSIP, reportable.size());
-        gossipOffset = (gossipOffset + OTHERS_PER_GOSSIP) % others.size();
-        chosen.addAll(Stream.concat(others.stream().skip(gossipOffset), others.stream())
+        Stream.concat(others.stream().skip(gossipOffset % others.size()), others.stream())
                 .limit(Math.min(OTHERS_PER_GOSSIP, others.size()))
-                .toList());
-        return EvidencePages.first(chosen);
+                .forEach(chosen::add);
+        List<Suspect> page = EvidencePages.first(chosen);
+        gossipOffset = (gossipOffset + page.size() - IMPORTANT_PER_GOSSIP) % others.size();
+        return page;
     }
 
     private static boolean hasChangedLately(Suspect suspect, long nowNanos) {
--- a/figspan-cluster/src/test/java/io/figspan/cluster/quarantine/RequestQuarantineTest.java
+++ b/figspan-cluster/src/test/java/io/figspan/cluster/quarantine/RequestQuarantineTest.java
@@ -14,6 +14,7 @@
 import io.figspan.core.id.PromptPartId;
 import io.figspan.core.id.RequestFingerprint;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -271,6 +272,22 @@
                 .allMatch(entries -> entries.size() <= EvidencePages.MAX_ENTRIES));
     }
 
+    /** Guards against suspects that are never repeated, since the same ones take turns. */
+    @Test
+    void allOfManySuspectsAreRepeatedInTurns() {
+        SuspectTable table = new SuspectTable();
+        for (int number = 0; number < 1_008; number++) {
+            SuspectId id = new SuspectId.OfRequest(request("r-" + number).fingerprint());
+            table.findOrAdd(id, 0, 0).addCrash(server(number), 0, 0);
+        }
+        Set<SuspectId> repeated = new HashSet<>();
+        for (int round = 0; round < 70; round++) {
+            table.forGossip(0).forEach(suspect -> repeated.add(suspect.id()));
+        }
+
+        assertEquals(1_008, repeated.size());
+    }
+
     /** Guards against the loss of a message, after which the other hosts would learn of a quarantine too late. */
     @Test
     void aQuarantineIsSentToAllHostsSeveralTimes() {
