--- a/figspan-cluster/src/test/java/io/figspan/cluster/quarantine/CrashQuarantineTest.java
+++ b/figspan-cluster/src/test/java/io/figspan/cluster/quarantine/CrashQuarantineTest.java
@@ -291,7 +291,10 @@
         Set<SuspectId> known = new HashSet<>();
         for (PeerMessage.CrashEvidence message : sent) {
             assertTrue(message.suspects().size() <= 2, "the request and one entry for its parts");
-            message.suspects().forEach(entry -> known.addAll(entry.suspects()));
+            message.suspects().forEach(entry -> {
+                assertTrue(entry.suspects().size() <= EvidencePages.MAX_SUSPECTS);
+                known.addAll(entry.suspects());
+            });
         }
         assertEquals(2_001, known.size());
         assertTrue(sent.size() <= 4 * EvidenceOutbox.SENDS, sent.size() + " messages");
@@ -311,6 +314,9 @@
         assertTrue(actions.stream()
                 .filter(action -> action instanceof QuarantineAction.SendToAll)
                 .map(action -> ((QuarantineAction.SendToAll) action).message().suspects())
-                .allMatch(entries -> entries.size() <= EvidencePages.MAX_ENTRIES));
+                .allMatch(entries -> entries.stream()
+                                .mapToInt(entry -> entry.suspects().size())
+                                .sum()
+                        <= EvidencePages.MAX_ENTRIES));
     }
 }
--- a/figspan-cluster/src/test/java/io/figspan/cluster/quarantine/RequestQuarantineTest.java
+++ b/figspan-cluster/src/test/java/io/figspan/cluster/quarantine/RequestQuarantineTest.java
@@ -269,7 +269,12 @@
         assertTrue(actions.stream()
                 .filter(action -> action instanceof QuarantineAction.SendToAll)
                 .map(action -> ((QuarantineAction.SendToAll) action).message().suspects())
-                .allMatch(entries -> entries.size() <= EvidencePages.MAX_ENTRIES));
+                .allMatch(entries -> entries.size() <= EvidencePages.MAX_ENTRIES
+                        && entries.stream()
+                                        .flatMap(entry -> entry.suspects().stream())
+                                        .filter(suspect -> suspect.kind() == SuspectKind.REQUEST)
+                                        .count()
+                                <= EvidencePages.MAX_ENTRIES));
     }
 
     /** Guards against suspects that are never repeated, since the same ones take turns. */
