Planned stop: logs name each request that it sends, refuses or ends, and by what estimate

sentDuringStop, refusedByStop and interruptedByStop name the time since the signal, the time left, the expected duration and the durations it was derived from; counters stop.sent, stop.refused and stop.interrupted. These lines and stopping and stopped have a queue of their own and no rate limit. The flush at the end is bounded even if nobody reads the log.

No decision changes.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/Shutdown.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/Shutdown.java
@@ -79,7 +79,7 @@
             return;
         }
         plan = new DrainPlan(nowNanos, graceMs);
-        log.info(Part.ENTRY, "stopping")
+        log.lifecycle(Part.ENTRY, "stopping")
                 .number("busy", callers.busy())
                 .number("graceMs", graceMs)
                 .write();
@@ -135,7 +135,7 @@
         callers.closeIdle();
         EndedRequests refused = forwarder.drain().refused();
         EndedRequests interrupted = forwarder.drain().interrupted();
-        log.info(Part.ENTRY, "stopped")
+        log.lifecycle(Part.ENTRY, "stopped")
                 .text("reason", reason)
                 .number("busy", callers.busy())
                 .number("openHolds", openHolds.getAsLong())
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/DrainControl.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/DrainControl.java
@@ -2,7 +2,10 @@
 
 import io.figspan.core.error.Problem;
 import io.figspan.core.error.ProblemKind;
+import io.figspan.gateway.log.DecisionLog;
+import io.figspan.gateway.metrics.GatewayMetrics;
 import io.figspan.policy.drain.DrainPlan;
+import io.figspan.policy.drain.DurationEstimate;
 import io.figspan.policy.drain.RequestDurations;
 import io.figspan.policy.drain.RequestProfile;
 import io.figspan.policy.placing.Job;
@@ -11,6 +14,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
 /**
@@ -22,6 +26,7 @@
     static final int MAX_LISTED_IDS = 64;
 
     private final RandomGenerator random;
+    private final DrainLog log;
     private final RequestDurations durations = new RequestDurations();
     private final EndedRequests refused = new EndedRequests();
     private final EndedRequests interrupted = new EndedRequests();
@@ -50,8 +55,9 @@
         }
     }
 
-    DrainControl(RandomGenerator random) {
+    DrainControl(RandomGenerator random, DecisionLog log, GatewayMetrics metrics) {
         this.random = random;
+        this.log = new DrainLog(log, metrics);
     }
 
     RequestDurations durations() {
@@ -114,19 +120,40 @@
     }
 
     private long expectedMs(Route route, Optional<PromptLengths> prompt) {
-        return durations.expectedMs(profile(route, prompt));
+        return estimate(route, prompt).expectedMs();
+    }
+
+    private DurationEstimate estimate(Route route, Optional<PromptLengths> prompt) {
+        return durations.estimate(profile(route, prompt));
     }
 
     private static RequestProfile profile(Route route, Optional<PromptLengths> prompt) {
         return new RequestProfile(route.name(), prompt, route.mayRepeat(), route.timeoutMs());
     }
 
-    /** The answer to a request that has not run. */
-    Problem refuse(String requestId) {
+    /** Logs that a request is sent to a server during the stop, and the estimate that allows it. */
+    void logSent(Route route, Job job, long nowNanos) {
+        plan.ifPresent(known -> log.sent(job.requestId(), estimate(route, job.prompt()), timing(known, nowNanos)));
+    }
+
+    /** The answer to a request that has not run, although its route is known. */
+    Problem refuse(String requestId, Route route, Optional<PromptLengths> prompt, long nowNanos) {
+        plan.ifPresent(known -> log.refused(requestId, estimate(route, prompt), timing(known, nowNanos)));
+        refused.add(requestId);
+        return refusal();
+    }
+
+    /** The answer to a request that has not run and for whose duration nothing is estimated. */
+    Problem refuse(String requestId, long nowNanos) {
+        plan.ifPresent(known -> log.refused(requestId, timing(known, nowNanos)));
         refused.add(requestId);
         return refusal();
     }
 
+    private DrainLog.Timing timing(DrainPlan known, long nowNanos) {
+        return new DrainLog.Timing(known.elapsedMs(nowNanos), known.leftMs(inProgress, nowNanos), inProgress);
+    }
+
     /** The answer to a request whose id has not arrived yet. */
     public Problem refusal() {
         return Problem.notRun(ProblemKind.SHUTTING_DOWN, "this host stops before the request could end")
@@ -134,10 +161,13 @@
     }
 
     /** The answer to a request that may have run; its caller is told to come back only if it may be repeated. */
-    Problem interrupt(String requestId, boolean mayRepeat) {
-        interrupted.add(requestId);
+    Problem interrupt(Route route, Job job, long nowNanos) {
+        long ageMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - job.arrivedNanos());
+        plan.ifPresent(known ->
+                log.interrupted(job.requestId(), ageMs, estimate(route, job.prompt()), timing(known, nowNanos)));
+        interrupted.add(job.requestId());
         Problem problem = Problem.unknown(ProblemKind.HOST_STOPPED, "this host stopped before the answer came");
-        return mayRepeat ? problem.withRetryAfterMs(retryAfterMs()) : problem;
+        return route.mayRepeat() ? problem.withRetryAfterMs(retryAfterMs()) : problem;
     }
 
     private long retryAfterMs() {
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
@@ -135,6 +135,7 @@
         history.recordSent();
         state.transition(CallEvent.SENT);
         log.sent(placement, history.attempts(), nowNanos);
+        forwarder.drain().logSent(route, job, nowNanos);
         Attempt opened = starter.open(server, placement, holds, this, nowNanos);
         attempts.setCurrent(opened);
         forwarder.holds().monitorUse(holds, server, () -> onMemoryLost(opened));
@@ -339,9 +340,10 @@
             return;
         }
         DrainControl drain = forwarder.drain();
+        long nowNanos = System.nanoTime();
         Problem problem = isSent() || state.hasBegunResponse() || history.mayHaveRun()
-                ? drain.interrupt(job.requestId(), route.mayRepeat())
-                : drain.refuse(job.requestId());
+                ? drain.interrupt(route, job, nowNanos)
+                : drain.refuse(job.requestId(), route, job.prompt(), nowNanos);
         endWithProblem(problem, problem.detail());
     }
 
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
@@ -91,7 +91,7 @@
         this.random = random;
         this.requestCrashes = requestCrashes;
         this.requestLimits = requestLimits;
-        this.drain = new DrainControl(random);
+        this.drain = new DrainControl(random, log, metrics);
         requestCrashes.onQuarantined(dispatchers::quarantined);
         requestLimits.setHostsUsing(dispatchers::hostsUsing);
         this.dispatchers = dispatchers;
@@ -161,7 +161,7 @@
             return forward(request, body, caller, nowNanos);
         }
         if (drain.hasBegun()) {
-            return refuse(request, body, caller, drain.refuse(request.attemptId()));
+            return refuse(request, body, caller, drain.refuse(request.attemptId(), nowNanos));
         }
         Optional<QueuedCall> waiting = startupQueue.add(request, body, caller, nowNanos);
         if (waiting.isEmpty()) {
@@ -284,8 +284,9 @@
     /** Begins a planned stop. A host that has not opened yet forwards nothing any more. */
     public void beginDrain(DrainPlan plan) {
         drain.begin(plan);
+        long nowNanos = System.nanoTime();
         for (QueuedCall call : startupQueue.drain()) {
-            refuse(call.request, call.body, call.caller, drain.refuse(call.request.attemptId()));
+            refuse(call.request, call.body, call.caller, drain.refuse(call.request.attemptId(), nowNanos));
         }
     }
 
@@ -308,10 +309,14 @@
 
     /** The refusal of a request whose body is still arriving and that can't end before this host stops. */
     public Optional<Problem> refusalOfIncomplete(CallerRequest request, long nowNanos) {
-        boolean fits = routes.find(request.hostName(), request.path())
-                .map(route -> drain.fits(route, request.prompt(), nowNanos))
-                .orElseGet(() -> drain.fits(nowNanos));
-        return fits ? Optional.empty() : Optional.of(drain.refuse(request.attemptId()));
+        Optional<Route> route = routes.find(request.hostName(), request.path());
+        if (route.isEmpty()) {
+            return drain.fits(nowNanos) ? Optional.empty() : Optional.of(drain.refuse(request.attemptId(), nowNanos));
+        }
+        if (drain.fits(route.get(), request.prompt(), nowNanos)) {
+            return Optional.empty();
+        }
+        return Optional.of(drain.refuse(request.attemptId(), route.get(), request.prompt(), nowNanos));
     }
 
     public DrainControl drain() {
--- a/figspan-gateway/src/main/java/io/figspan/gateway/log/DecisionLog.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/log/DecisionLog.java
@@ -12,12 +12,15 @@
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.slf4j.Marker;
+import org.slf4j.MarkerFactory;
 import org.slf4j.event.Level;
+import org.slf4j.spi.LoggingEventBuilder;
 
 /**
  * Writes one line of JSON for each decision: {@code {"part","event", fields...}}. The volume is bounded: the lines of
- * each event are limited per second, and the next line of the event gives the number that were dropped. Confined to one
- * thread.
+ * each event are limited per second, and the next line of the event gives the number that were dropped. Lines on the
+ * life of the process have no such limit, and a queue of their own. Confined to one thread.
  */
 public final class DecisionLog {
     /** Lines of one event per second; above the request rate of one host at the design scale. */
@@ -26,6 +29,9 @@
     /** Name of the logger whose messages are JSON already. */
     static final String LOGGER_NAME = "figspan";
 
+    /** Marks the lines on the life of the process. */
+    static final Marker LIFECYCLE = MarkerFactory.getMarker("lifecycle");
+
     private static final Logger LOG = LoggerFactory.getLogger(LOGGER_NAME);
     private static final JsonFactory JSON = new JsonFactory();
 
@@ -46,6 +52,14 @@
         return line(Level.WARN, part, event);
     }
 
+    /**
+     * A line on the life of the process, or on a request that ends with it. The caller bounds the number of lines, for
+     * example by one for each request.
+     */
+    public Line lifecycle(Part part, String event) {
+        return LOG.isInfoEnabled() ? new Line(Level.INFO, part, event, true) : Line.DISCARDED;
+    }
+
     private Line line(Level level, Part part, String event) {
         Window window = windows.computeIfAbsent(event, ignored -> new Window());
         long nowNanos = System.nanoTime();
@@ -58,7 +72,7 @@
             return Line.DISCARDED;
         }
         window.lines++;
-        Line line = new Line(level, part, event);
+        Line line = new Line(level, part, event, false);
         if (window.dropped > 0) {
             line.number("leftOutBefore", window.dropped);
             window.dropped = 0;
@@ -76,15 +90,18 @@
         private final Level level;
         private final StringWriter text;
         private final JsonGenerator json;
+        private final boolean isLifecycle;
 
         private Line() {
             this.level = Level.INFO;
+            this.isLifecycle = false;
             this.text = null;
             this.json = null;
         }
 
-        private Line(Level level, Part part, String event) {
+        private Line(Level level, Part part, String event, boolean isLifecycle) {
             this.level = level;
+            this.isLifecycle = isLifecycle;
             this.text = new StringWriter();
             try {
                 this.json = JSON.createGenerator(text);
@@ -135,7 +152,11 @@
             } catch (IOException e) {
                 throw new UncheckedIOException(e);
             }
-            LOG.atLevel(level).log(text.toString());
+            LoggingEventBuilder logged = LOG.atLevel(level);
+            if (isLifecycle) {
+                logged = logged.addMarker(LIFECYCLE);
+            }
+            logged.log(text.toString());
         }
     }
 }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/log/LogSetup.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/log/LogSetup.java
@@ -10,25 +10,61 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Configures logging to standard output through a bounded queue. When the queue is full, lines are dropped instead of
- * blocking. It is code rather than a configuration file because that starts faster.
+ * Configures logging to standard output through bounded queues. When a queue is full, lines are dropped instead of
+ * blocking. The lines on the life of the process have a queue of their own, so that those of a planned stop don't wait
+ * behind thousands of others. It is code rather than a configuration file because that starts faster.
  */
 public final class LogSetup extends ContextAwareBase implements Configurator {
     /** Capacity of the queue in lines; a few seconds of output of a busy host. */
     private static final int QUEUE_CAPACITY_LINES = 2_048;
 
-    /** Maximum time that the exit of the process waits for the queued lines. */
+    /** Capacity of the queue of lines on the life of the process: one for each request that a planned stop ends. */
+    private static final int LIFECYCLE_CAPACITY_LINES = 1_024;
+
+    /** Maximum time that the exit of the process waits for the queued lines of one queue. */
     private static final int MAX_FLUSH_MS = 150;
 
-    /** Writes the queued lines. Nothing can be logged afterwards. */
-    public static void flush() {
+    /**
+     * Writes the queued lines, those on the life of the process first. Nothing can be logged afterwards. Returns in
+     * time even if nobody reads standard output.
+     *
+     * @param maxMs longest time that it may take
+     */
+    public static void flush(long maxMs) throws InterruptedException {
         if (LoggerFactory.getILoggerFactory() instanceof LoggerContext context) {
-            context.stop();
+            Thread flusher = new Thread(context::stop, "log-flush");
+            flusher.setDaemon(true);
+            flusher.start();
+            flusher.join(Math.max(1, maxMs));
         }
     }
 
     @Override
     public ExecutionStatus configure(LoggerContext context) {
+        ch.qos.logback.classic.Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
+        root.setLevel(Level.INFO);
+        AsyncAppender lifecycleQueue = queue(context, true, LIFECYCLE_CAPACITY_LINES);
+        lifecycleQueue.setDiscardingThreshold(0);
+        root.addAppender(lifecycleQueue);
+        root.addAppender(queue(context, false, QUEUE_CAPACITY_LINES));
+        context.getLogger("io.netty").setLevel(Level.ERROR);
+        return ExecutionStatus.DO_NOT_INVOKE_NEXT_IF_ANY;
+    }
+
+    /** A queue stops its console at its end, so each has one of its own. */
+    private static AsyncAppender queue(LoggerContext context, boolean isLifecycle, int capacityLines) {
+        AsyncAppender queue = new AsyncAppender();
+        queue.setContext(context);
+        queue.setQueueSize(capacityLines);
+        queue.setNeverBlock(true);
+        queue.setMaxFlushTime(MAX_FLUSH_MS);
+        queue.addFilter(new LifecycleFilter(isLifecycle));
+        queue.addAppender(console(context));
+        queue.start();
+        return queue;
+    }
+
+    private static ConsoleAppender<ILoggingEvent> console(LoggerContext context) {
         JsonLineEncoder encoder = new JsonLineEncoder();
         encoder.setContext(context);
         encoder.start();
@@ -36,16 +72,6 @@
         console.setContext(context);
         console.setEncoder(encoder);
         console.start();
-        AsyncAppender queue = new AsyncAppender();
-        queue.setContext(context);
-        queue.setQueueSize(QUEUE_CAPACITY_LINES);
-        queue.setNeverBlock(true);
-        queue.setMaxFlushTime(MAX_FLUSH_MS);
-        queue.addAppender(console);
-        queue.start();
-        context.getLogger("io.netty").setLevel(Level.ERROR);
-        context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME).setLevel(Level.INFO);
-        context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME).addAppender(queue);
-        return ExecutionStatus.DO_NOT_INVOKE_NEXT_IF_ANY;
+        return console;
     }
 }
--- a/figspan-gateway/src/test/java/io/figspan/gateway/log/LogEventsPageTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/log/LogEventsPageTest.java
@@ -19,7 +19,7 @@
     private static final Path PAGE = Path.of("..", "docs", "OPERATIONS.md");
     private static final Path SOURCES = Path.of("src", "main", "java");
     private static final Pattern EVENT =
-            Pattern.compile("(?:info|warn)\\(Part\\.\\w+, \"(\\w+)\"|\\bline\\(\"(\\w+)\"");
+            Pattern.compile("(?:info|warn|lifecycle)\\(Part\\.\\w+, \"(\\w+)\"|\\bline\\(\"(\\w+)\"");
 
     private static Set<String> eventsInSources() throws IOException {
         Set<String> events = new TreeSet<>();
--- a/figspan-policy/src/main/java/io/figspan/policy/drain/DrainPlan.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/drain/DrainPlan.java
@@ -83,6 +83,16 @@
         return endNanos - afterBegin(lastAnswersMs(inProgress)) < 0;
     }
 
+    /** Time in milliseconds until the last answers are due, with this number of requests in progress. */
+    public long leftMs(long inProgress, long nowNanos) {
+        return TimeUnit.NANOSECONDS.toMillis(afterBegin(lastAnswersMs(inProgress)) - nowNanos);
+    }
+
+    /** Time in milliseconds since the signal. */
+    public long elapsedMs(long nowNanos) {
+        return TimeUnit.NANOSECONDS.toMillis(nowNanos - beginNanos);
+    }
+
     /** Whether the requests in progress have to be answered now, so that all answers are written before the exit. */
     public boolean isTimeForLastAnswers(long inProgress, long nowNanos) {
         return nowNanos - afterBegin(lastAnswersMs(inProgress)) >= 0;
--- a/figspan-policy/src/main/java/io/figspan/policy/drain/RequestDurations.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/drain/RequestDurations.java
@@ -1,5 +1,6 @@
 package io.figspan.policy.drain;
 
+import io.figspan.policy.drain.DurationEstimate.Basis;
 import java.util.Arrays;
 import java.util.Map;
 import java.util.NavigableMap;
@@ -77,24 +78,36 @@
      * recent duration instead of a high quantile, and the timeout when nothing is known, because its caller can't make
      * up for a missing answer.
      */
-    public long expectedMs(RequestProfile request) {
+    public DurationEstimate estimate(RequestProfile request) {
         NavigableMap<Integer, Window> windows = windowsByRoute.get(request.route());
         if (windows == null) {
-            return request.mayRepeat() ? Math.min(DEFAULT_MS, request.timeoutMs()) : request.timeoutMs();
+            long expectedMs = request.mayRepeat() ? Math.min(DEFAULT_MS, request.timeoutMs()) : request.timeoutMs();
+            return new DurationEstimate(expectedMs, Basis.NOTHING);
         }
         double quantile = request.mayRepeat() ? QUANTILE : 1;
-        double estimateMs = estimateMs(windows, request.sizeClass(), window -> window.estimateMs(quantile));
-        return Math.min(request.timeoutMs(), (long) Math.ceil(estimateMs));
+        return estimate(windows, request, window -> window.estimateMs(quantile));
+    }
+
+    /** The time of {@link #estimate}. */
+    public long expectedMs(RequestProfile request) {
+        return estimate(request).expectedMs();
     }
 
     /** Uses the next larger size class if the own one has no durations, otherwise a smaller one in proportion. */
-    private static double estimateMs(
-            NavigableMap<Integer, Window> windows, int sizeClass, Function<Window, Double> estimate) {
+    private static DurationEstimate estimate(
+            NavigableMap<Integer, Window> windows, RequestProfile request, Function<Window, Double> estimate) {
+        int sizeClass = request.sizeClass();
         Map.Entry<Integer, Window> sameOrLarger = windows.ceilingEntry(sizeClass);
         if (sameOrLarger != null) {
-            return estimate.apply(sameOrLarger.getValue());
+            Basis basis = sameOrLarger.getKey() == sizeClass ? Basis.SAME_SIZE : Basis.LARGER_SIZE;
+            return bounded(estimate.apply(sameOrLarger.getValue()), request, basis);
         }
         Map.Entry<Integer, Window> smaller = windows.lastEntry();
-        return estimate.apply(smaller.getValue()) * Math.pow(2, sizeClass - smaller.getKey());
+        double proportion = Math.pow(2, sizeClass - smaller.getKey());
+        return bounded(estimate.apply(smaller.getValue()) * proportion, request, Basis.SMALLER_SIZE);
+    }
+
+    private static DurationEstimate bounded(double estimateMs, RequestProfile request, Basis basis) {
+        return new DurationEstimate(Math.min(request.timeoutMs(), (long) Math.ceil(estimateMs)), basis);
     }
 }
