--- a/figspan-gateway/src/test/java/io/figspan/gateway/PlannedStopTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/PlannedStopTest.java
@@ -35,6 +35,9 @@
     /** Less is left than a request takes for which nothing is known, and more than the last answers take. */
     private static final long THIRD_QUARTER_MS = 4_500;
 
+    /** An idle process ends from now on. */
+    private static final long AFTER_LAST_ARRIVALS_MS = 3_000;
+
     /** Shortly before the last answers are given. */
     private static final long BEFORE_LAST_ANSWERS_MS = 7_100;
 
@@ -416,6 +419,37 @@
         assertEquals(1, engine.received().size());
     }
 
+    /** Guards against the guess of a duration for a route that was renamed, added or not used yet. */
+    @ParameterizedTest
+    @ValueSource(longs = {100, 2_100, 3_050})
+    void aStreamOfWhichNoDurationIsKnownIsRefusedWhenItsTimeoutIsLongerThanWhatIsLeft(long elapsedMs) throws Exception {
+        ScriptedServer engine = addEndless("engine-1");
+        open();
+        Socket caller = connectKept();
+        gateway.stop(GRACE_MS, elapsedMs);
+        write(caller, "POST", "/stream/late", "prompt-tokens: 50\r\n");
+
+        assertNotRun(readAll(caller));
+        assertEquals(List.of(), engine.received());
+    }
+
+    /** Guards against a request that is sent to a server while the process ends. */
+    @Test
+    void aRequestThatArrivesWhenTheProcessEndsIsNotSentToAServer() throws Exception {
+        ScriptedServer server = addEndless("plain-1");
+        open();
+        gateway.onLoop(() -> gateway.forwarder().apply(gateway.settings(500)));
+        Socket caller = connectKept();
+        gateway.onLateLoop(
+                () -> write(caller, "GET", "/read/late", ""),
+                () -> gateway.beginStop(GRACE_MS, AFTER_LAST_ARRIVALS_MS));
+        gateway.awaitStopped();
+        gateway.awaitRead();
+
+        assertNotRun(readAll(caller));
+        assertEquals(List.of(), server.received());
+    }
+
     /** Keeps a request in progress, since an idle process ends before the later quarters. */
     private void keepBusy() throws Exception {
         send("POST", "/stream/1", "prompt-tokens: 50\r\n");
--- a/figspan-policy/src/test/java/io/figspan/policy/drain/DrainPlanTest.java
+++ b/figspan-policy/src/test/java/io/figspan/policy/drain/DrainPlanTest.java
@@ -9,6 +9,7 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 class DrainPlanTest {
@@ -58,6 +59,17 @@
                 .orElseThrow();
     }
 
+    /** Guards against requests that are ended although most of the grace period is left for them. */
+    @ParameterizedTest
+    @CsvSource({"2000, 1", "2000, 1000", "8000, 1", "8000, 50", "8000, 200", "8000, 1000", "30000, 1000", "30000, 9000"
+    })
+    void theLastAnswersAreNotGivenBeforeTheLastSixthOfTheGracePeriod(long graceMs, int inProgress) {
+        DrainPlan other = new DrainPlan(BEGIN_NANOS, graceMs);
+        long lastSixthMs = graceMs - graceMs / 6;
+
+        assertFalse(other.isTimeForLastAnswers(inProgress, at(lastSixthMs - 1)));
+    }
+
     /** Guards against a process that is killed before it has exited by itself. */
     @ParameterizedTest
     @ValueSource(longs = {100, 1_000, 2_000, 8_000, 60_000})
