Planned stop: expect what the slowest requests of the service took and what the caller allows

Callers saw streams end without their end at 7.4 s of 8 s of grace, sent more than 3 s after the signal on kept connections. Cause: the estimate of a request's duration was keyed by the name of its route, and each change of the settings dropped the durations of all other names; a renamed, added or unused route was guessed to take 4 s. With durations it was a quantile of answered requests: one in twenty lasted longer, requests that were cut or given up did not count, and the tokens that the caller allows were not considered (an estimate of the caller was, which is right only in the median). Class of fault: a guess that is treated as a bound, and survivorship in what it is learned from.

The bound is now learned per service and kind from the slowest of the latest 256 answers: for streams the time to the first event by the size of the prompt, and the time between events times the events that the caller allows; requests in progress, and those that were given up, raise it by what they have lasted. With nothing known it is the timeout, so the request is refused at once as not run and another host serves it.

RequestDurationsTest is rewritten for the bound. Two of its tests and one of PlannedStopTest stated what is wrong: that one slow answer in 31 doesn't count, that nothing known means 4 s, and that a cold request with a timeout of 15 s is served with 8 s left. Their replacements ask for the bound in the first two cases, and for service once a duration is known or the timeout fits.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/DrainControl.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/DrainControl.java
@@ -5,12 +5,10 @@
 import io.figspan.gateway.log.DecisionLog;
 import io.figspan.gateway.metrics.GatewayMetrics;
 import io.figspan.policy.drain.DrainPlan;
-import io.figspan.policy.drain.DurationEstimate;
 import io.figspan.policy.drain.RequestDurations;
 import io.figspan.policy.drain.RequestProfile;
+import io.figspan.policy.drain.RequestTiming;
 import io.figspan.policy.placing.Job;
-import io.figspan.policy.placing.PromptLengths;
-import io.figspan.settings.gateway.Route;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -60,10 +58,6 @@
         this.log = new DrainLog(log, metrics);
     }
 
-    RequestDurations durations() {
-        return durations;
-    }
-
     void begin(DrainPlan newPlan) {
         plan = Optional.of(newPlan);
     }
@@ -92,20 +86,25 @@
         return interrupted;
     }
 
-    /** Records the duration of an answered request for later estimates. */
-    void recordDuration(Route route, Job job, long nowNanos) {
-        durations.record(profile(route, job.prompt()), nowNanos - job.arrivedNanos());
+    /** Records a request that was answered, for later estimates. */
+    void recordAnswered(RequestProfile request, RequestTiming timing) {
+        durations.recordAnswered(request, timing);
+    }
+
+    /** Records how long a request has lasted that has no complete answer, for later estimates. */
+    void recordUnfinished(RequestProfile request, RequestTiming timing) {
+        durations.recordUnfinished(request, timing);
     }
 
     /** Whether the request ends before this host stops. */
-    boolean fits(Route route, Job job, long nowNanos) {
+    boolean fits(RequestProfile request, Job job, long nowNanos) {
         return plan.isEmpty()
-                || fits(Math.min(expectedMs(route, job.prompt()), job.deadline().leftMs(nowNanos)), nowNanos);
+                || fits(Math.min(durations.expectedMs(request), job.deadline().leftMs(nowNanos)), nowNanos);
     }
 
     /** Whether a request whose body is still arriving ends before this host stops. */
-    boolean fits(Route route, Optional<PromptLengths> prompt, long nowNanos) {
-        return plan.isEmpty() || fits(expectedMs(route, prompt), nowNanos);
+    boolean fits(RequestProfile request, long nowNanos) {
+        return plan.isEmpty() || fits(durations.expectedMs(request), nowNanos);
     }
 
     /** Whether a request that takes no time ends before this host stops. */
@@ -119,26 +118,14 @@
                         .isEmpty();
     }
 
-    private long expectedMs(Route route, Optional<PromptLengths> prompt) {
-        return estimate(route, prompt).expectedMs();
-    }
-
-    private DurationEstimate estimate(Route route, Optional<PromptLengths> prompt) {
-        return durations.estimate(profile(route, prompt));
-    }
-
-    private static RequestProfile profile(Route route, Optional<PromptLengths> prompt) {
-        return new RequestProfile(route.name(), prompt, route.mayRepeat(), route.timeoutMs());
-    }
-
     /** Logs that a request is sent to a server during the stop, and the estimate that allows it. */
-    void logSent(Route route, Job job, long nowNanos) {
-        plan.ifPresent(known -> log.sent(job.requestId(), estimate(route, job.prompt()), timing(known, nowNanos)));
+    void logSent(String requestId, RequestProfile request, long nowNanos) {
+        plan.ifPresent(known -> log.sent(requestId, durations.estimate(request), timing(known, nowNanos)));
     }
 
-    /** The answer to a request that has not run, although its route is known. */
-    Problem refuse(String requestId, Route route, Optional<PromptLengths> prompt, long nowNanos) {
-        plan.ifPresent(known -> log.refused(requestId, estimate(route, prompt), timing(known, nowNanos)));
+    /** The answer to a request that has not run. */
+    Problem refuse(String requestId, RequestProfile request, long nowNanos) {
+        plan.ifPresent(known -> log.refused(requestId, durations.estimate(request), timing(known, nowNanos)));
         refused.add(requestId);
         return refusal();
     }
@@ -161,13 +148,13 @@
     }
 
     /** The answer to a request that may have run; its caller is told to come back only if it may be repeated. */
-    Problem interrupt(Route route, Job job, long nowNanos) {
+    Problem interrupt(Job job, RequestProfile request, boolean mayRepeat, long nowNanos) {
         long ageMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - job.arrivedNanos());
-        plan.ifPresent(known ->
-                log.interrupted(job.requestId(), ageMs, estimate(route, job.prompt()), timing(known, nowNanos)));
+        plan.ifPresent(
+                known -> log.interrupted(job.requestId(), ageMs, durations.estimate(request), timing(known, nowNanos)));
         interrupted.add(job.requestId());
         Problem problem = Problem.unknown(ProblemKind.HOST_STOPPED, "this host stopped before the answer came");
-        return route.mayRepeat() ? problem.withRetryAfterMs(retryAfterMs()) : problem;
+        return mayRepeat ? problem.withRetryAfterMs(retryAfterMs()) : problem;
     }
 
     private long retryAfterMs() {
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
@@ -7,6 +7,8 @@
 import io.figspan.gateway.backend.HoldGroup;
 import io.figspan.gateway.http.EventBatch;
 import io.figspan.gateway.protocol.CallerRequest;
+import io.figspan.policy.drain.RequestProfile;
+import io.figspan.policy.drain.RequestTiming;
 import io.figspan.policy.placing.Job;
 import io.figspan.policy.placing.Placement;
 import io.figspan.policy.placing.Placer.AttemptOutcome;
@@ -14,6 +16,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.FullHttpResponse;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * One request of a caller from its receipt to its final response: waits for a placement, sends the request to a backend
@@ -25,6 +28,7 @@
     private final Route route;
     private final ByteBuf body;
     private final Job job;
+    private final RequestProfile profile;
     private final CallLog log;
     private final CallResponse response;
     private final AttemptHistory history;
@@ -34,6 +38,7 @@
     private final CrashObserver crashObserver;
     private final PlacementHandler placements;
     private final OpenAttempts attempts;
+    private OptionalLong firstEventNanos = OptionalLong.empty();
 
     ForwardCall(
             Forwarder forwarder,
@@ -43,12 +48,14 @@
             ByteBuf body,
             CallerExchange caller,
             Optional<OrganisationId> organisation,
-            Job job) {
+            Job job,
+            RequestProfile profile) {
         this.forwarder = forwarder;
         this.dispatcher = dispatcher;
         this.route = route;
         this.body = body;
         this.job = job;
+        this.profile = profile;
         this.log = new CallLog(forwarder, job, route, request.sharedParts());
         this.response = new CallResponse(forwarder.callerProtocol(), caller, request.lastEventId());
         this.history = new AttemptHistory(route, job.deadline(), dispatcher::budget);
@@ -79,6 +86,7 @@
             return;
         }
         log.callerLeft(history.attempts(), response.forwardedEvents());
+        observeDuration(System.nanoTime());
         finish();
         if (attempts.isEmpty()) {
             return;
@@ -118,7 +126,7 @@
 
     @Override
     public boolean endsBeforeStop(long nowNanos) {
-        return forwarder.drain().fits(route, job, nowNanos);
+        return forwarder.drain().fits(profile, job, nowNanos);
     }
 
     @Override
@@ -135,7 +143,7 @@
         history.recordSent();
         state.transition(CallEvent.SENT);
         log.sent(placement, history.attempts(), nowNanos);
-        forwarder.drain().logSent(route, job, nowNanos);
+        forwarder.drain().logSent(job.requestId(), profile, nowNanos);
         Attempt opened = starter.open(server, placement, holds, this, nowNanos);
         attempts.setCurrent(opened);
         forwarder.holds().monitorUse(holds, server, () -> onMemoryLost(opened));
@@ -164,6 +172,7 @@
             beginStream(from);
         }
         if (events.hasProgress()) {
+            firstEventNanos = OptionalLong.of(firstEventNanos.orElseGet(this::elapsedNanos));
             dispatcher.piecesArrived(job, events.progressEvents(), from.eventCount(), System.nanoTime());
         }
         response.forward(events);
@@ -205,12 +214,25 @@
     /** Ends the request with the server's response. */
     private void endWithResponse(Attempt from) {
         crashObserver.responseCompleted(from, System.nanoTime());
-        forwarder.drain().recordDuration(route, job, System.nanoTime());
+        forwarder.drain().recordAnswered(profile, timing(System.nanoTime()));
         attempts.remove(from);
         finish();
         logAnswered(from);
     }
 
+    /** Records how long the request has lasted without its complete answer. */
+    void observeDuration(long nowNanos) {
+        forwarder.drain().recordUnfinished(profile, timing(nowNanos));
+    }
+
+    private RequestTiming timing(long nowNanos) {
+        return new RequestTiming(nowNanos - job.arrivedNanos(), firstEventNanos, response.forwardedEvents());
+    }
+
+    private long elapsedNanos() {
+        return System.nanoTime() - job.arrivedNanos();
+    }
+
     private void logAnswered(Attempt from) {
         log.answered(from.response().status(), from.server(), response.forwardedEvents());
     }
@@ -327,7 +349,7 @@
      * @return whether it was ended
      */
     boolean endIfOutOfTime(long nowNanos) {
-        if (state.isDone() || isSent() || forwarder.drain().fits(route, job, nowNanos)) {
+        if (state.isDone() || isSent() || forwarder.drain().fits(profile, job, nowNanos)) {
             return false;
         }
         endForShutdown();
@@ -342,8 +364,8 @@
         DrainControl drain = forwarder.drain();
         long nowNanos = System.nanoTime();
         Problem problem = isSent() || state.hasBegunResponse() || history.mayHaveRun()
-                ? drain.interrupt(route, job, nowNanos)
-                : drain.refuse(job.requestId(), route, job.prompt(), nowNanos);
+                ? drain.interrupt(job, profile, route.mayRepeat(), nowNanos)
+                : drain.refuse(job.requestId(), profile, nowNanos);
         endWithProblem(problem, problem.detail());
     }
 
@@ -368,6 +390,7 @@
             return;
         }
         boolean responseBegan = state.hasBegunResponse();
+        observeDuration(System.nanoTime());
         finish();
         if (responseBegan) {
             log.brokenOff(reason, response.forwardedEvents());
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
@@ -17,13 +17,16 @@
 import io.figspan.gateway.protocol.CallerProtocol;
 import io.figspan.gateway.protocol.CallerRequest;
 import io.figspan.policy.drain.DrainPlan;
+import io.figspan.policy.drain.RequestProfile;
 import io.figspan.policy.placing.Job;
 import io.figspan.policy.route.ApiKeyIndex;
 import io.figspan.policy.route.RouteTable;
 import io.figspan.policy.route.ServiceSelector;
+import io.figspan.settings.gateway.EngineProfile;
 import io.figspan.settings.gateway.GatewaySettings;
 import io.figspan.settings.gateway.OrganisationKeys;
 import io.figspan.settings.gateway.Route;
+import io.figspan.settings.gateway.ServiceProfile;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
 import java.util.List;
@@ -34,7 +37,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
-import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /**
  * Entry point for the requests of callers: finds the route, checks the key, chooses the service and starts a {@link
@@ -111,8 +114,6 @@
         settings = newSettings;
         routes = new RouteTable(newSettings.routes());
         keys = new ApiKeyIndex(newSettings.organisations());
-        drain.durations()
-                .retainRoutes(newSettings.routes().stream().map(Route::name).collect(Collectors.toSet()));
         dispatchers.apply(newSettings);
         settingsListener.accept(newSettings);
     }
@@ -218,7 +219,7 @@
             ServiceId service,
             Optional<OrganisationKeys> organisation,
             long arrivedNanos) {
-        long timeoutMs = Math.min(request.waitMs().orElse(route.timeoutMs()), route.timeoutMs());
+        long timeoutMs = timeoutMs(route, request);
         int rank = organisation
                 .map(OrganisationKeys::rank)
                 .filter(OptionalInt::isPresent)
@@ -236,11 +237,31 @@
         long nowNanos = System.nanoTime();
         dispatcher.budget().recordRequest(nowNanos);
         ForwardCall call = new ForwardCall(
-                this, dispatcher, route, request, body, caller, organisation.map(OrganisationKeys::id), job);
+                this,
+                dispatcher,
+                route,
+                request,
+                body,
+                caller,
+                organisation.map(OrganisationKeys::id),
+                job,
+                profile(route, service, request, timeoutMs));
         call.start(nowNanos);
         return call;
     }
 
+    private static long timeoutMs(Route route, CallerRequest request) {
+        return Math.min(request.waitMs().orElse(route.timeoutMs()), route.timeoutMs());
+    }
+
+    private RequestProfile profile(Route route, ServiceId service, CallerRequest request, long timeoutMs) {
+        Optional<EngineProfile> engine =
+                Optional.ofNullable(settings.services().get(service)).flatMap(ServiceProfile::engine);
+        OptionalInt tokensPerEvent =
+                engine.map(known -> OptionalInt.of(known.decodeStepsPerPass())).orElse(OptionalInt.empty());
+        return new RequestProfile(service, route.kind(), request.prompt(), tokensPerEvent, timeoutMs);
+    }
+
     private Optional<InFlightCall> refuse(CallerRequest request, ByteBuf body, CallerExchange caller, Problem problem) {
         body.release();
         metrics.requestEnded(RequestEnd.REFUSED, 0);
@@ -297,6 +318,7 @@
      */
     public void endCallsOutOfTime(long inProgress, long nowNanos) {
         drain.setInProgress(inProgress);
+        dispatchers.observeDurations(nowNanos);
         dispatchers.endCallsOutOfTime(nowNanos);
     }
 
@@ -313,10 +335,16 @@
         if (route.isEmpty()) {
             return drain.fits(nowNanos) ? Optional.empty() : Optional.of(drain.refuse(request.attemptId(), nowNanos));
         }
-        if (drain.fits(route.get(), request.prompt(), nowNanos)) {
-            return Optional.empty();
-        }
-        return Optional.of(drain.refuse(request.attemptId(), route.get(), request.prompt(), nowNanos));
+        return profiles(route.get(), request)
+                .filter(profile -> !drain.fits(profile, nowNanos))
+                .findFirst()
+                .map(profile -> drain.refuse(request.attemptId(), profile, nowNanos));
+    }
+
+    /** What the request would be at each service that its route may choose. */
+    private Stream<RequestProfile> profiles(Route route, CallerRequest request) {
+        long timeoutMs = timeoutMs(route, request);
+        return route.services().stream().map(choice -> profile(route, choice.service(), request, timeoutMs));
     }
 
     public DrainControl drain() {
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatcher.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatcher.java
@@ -173,6 +173,11 @@
         List.copyOf(calls.values()).forEach(ForwardCall::onQuarantined);
     }
 
+    /** Records how long the requests in progress have lasted, for the estimates of later ones. */
+    void observeDurations(long nowNanos) {
+        calls.values().forEach(call -> call.observeDuration(nowNanos));
+    }
+
     /** Ends the requests that no server has and that can't end before this host stops. */
     void endCallsOutOfTime(long nowNanos) {
         List.copyOf(calls.values()).forEach(call -> call.endIfOutOfTime(nowNanos));
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatchers.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatchers.java
@@ -191,6 +191,11 @@
         dispatchers.values().forEach(ServiceDispatcher::quarantined);
     }
 
+    /** Records how long the requests in progress have lasted, for the estimates of later ones. */
+    void observeDurations(long nowNanos) {
+        dispatchers.values().forEach(dispatcher -> dispatcher.observeDurations(nowNanos));
+    }
+
     /** Ends the requests that no server has and that can't end before this host stops. */
     void endCallsOutOfTime(long nowNanos) {
         List.copyOf(dispatchers.values()).forEach(dispatcher -> dispatcher.endCallsOutOfTime(nowNanos));
--- a/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
@@ -393,6 +393,34 @@
                 List.of(new OrganisationKeys(OrganisationId.of("house-1"), List.of(KEY), OptionalInt.empty())));
     }
 
+    /** Settings of the next version with the same routes under other names. */
+    public GatewaySettings renamedSettings(long timeoutMs) {
+        GatewaySettings same = settings(timeoutMs);
+        return new GatewaySettings(
+                same.version(),
+                same.routes().stream().map(GatewayHarness::renamed).toList(),
+                same.services(),
+                same.callerLimits(),
+                same.organisations());
+    }
+
+    private static Route renamed(Route route) {
+        return new Route(
+                "renamed-" + route.name(),
+                route.hostName(),
+                route.pathPrefix(),
+                route.kind(),
+                route.timeoutMs(),
+                route.targetLatencyMs(),
+                route.rank(),
+                route.services(),
+                route.maxAttempts(),
+                route.isPublic(),
+                route.describesPrompt(),
+                route.isResumable(),
+                route.maxGapMs());
+    }
+
     /** A route for streams that may not be resumed. */
     private static Route onceOnly(String prefix, long timeoutMs) {
         List<WeightedService> services = List.of(new WeightedService(ENGINES, 1));
--- a/figspan-gateway/src/test/java/io/figspan/gateway/PlannedStopTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/PlannedStopTest.java
@@ -460,12 +460,43 @@
     void aRequestOnANewConnectionIsServedAfterTheSignal() throws Exception {
         addServer("plain-1", (request, connection) -> connection.answer(request, 200, "", "ok"));
         open();
+        assertTrue(gateway.call("GET", "/read/1", "", "").startsWith("HTTP/1.1 200"));
+        gateway.stop(GRACE_MS, 0);
+
+        String response = gateway.call("GET", "/read/2", "", "");
+        assertTrue(response.startsWith("HTTP/1.1 200"), response);
+    }
+
+    @Test
+    void aRequestOfWhichNoDurationIsKnownIsServedWhenItsTimeoutEndsInTime() throws Exception {
+        addServer("plain-1", (request, connection) -> connection.answer(request, 200, "", "ok"));
+        open();
+        gateway.onLoop(() -> gateway.forwarder().apply(gateway.settings(GRACE_MS / 2)));
         gateway.stop(GRACE_MS, 0);
 
         String response = gateway.call("GET", "/read/1", "", "");
         assertTrue(response.startsWith("HTTP/1.1 200"), response);
     }
 
+    /** Guards against estimates that are lost with the name or the path of a route. */
+    @Test
+    void aStreamIsServedDuringTheStopAfterItsRouteWasRenamed() throws Exception {
+        addServer(
+                "engine-1",
+                (request, connection) ->
+                        connection.answer(request, 200, "content-type: text/event-stream\r\n", EVENT + EVENT));
+        open();
+        for (int number = 0; number < RECENT_REQUESTS; number++) {
+            gateway.call("POST", "/stream/" + number, "prompt-tokens: 50\r\n", "");
+        }
+        gateway.onLoop(() -> gateway.forwarder().apply(gateway.renamedSettings(TIMEOUT_MS)));
+        gateway.stop(GRACE_MS, 2_100);
+
+        String response = gateway.call("POST", "/stream/late", "prompt-tokens: 50\r\n", "");
+        assertTrue(response.startsWith("HTTP/1.1 200"), response);
+        assertTrue(response.endsWith("0\r\n\r\n"), response);
+    }
+
     @Test
     void aRequestThatFailsIsNotSentAgainWhenNoTimeIsLeftForIt() throws Exception {
         Semaphore mayFail = new Semaphore(0);
--- a/figspan-policy/src/test/java/io/figspan/policy/drain/RequestDurationsTest.java
+++ b/figspan-policy/src/test/java/io/figspan/policy/drain/RequestDurationsTest.java
@@ -3,33 +3,68 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.figspan.core.id.ServiceId;
+import io.figspan.policy.drain.DurationEstimate.Basis;
 import io.figspan.policy.placing.PromptLengths;
+import io.figspan.settings.gateway.RequestKind;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.Set;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class RequestDurationsTest {
     private static final long TIMEOUT_MS = 15_000;
+    private static final ServiceId SERVICE = ServiceId.of("service");
+    private static final int TOKENS_PER_EVENT = 50;
 
     private final RequestDurations durations = new RequestDurations();
 
-    private static RequestProfile plain(String route, boolean mayRepeat) {
-        return new RequestProfile(route, Optional.empty(), mayRepeat, TIMEOUT_MS);
+    private static RequestProfile plain(String service, RequestKind kind) {
+        return new RequestProfile(ServiceId.of(service), kind, Optional.empty(), OptionalInt.empty(), TIMEOUT_MS);
     }
 
+    private static RequestProfile read(String service) {
+        return plain(service, RequestKind.IDEMPOTENT);
+    }
+
+    /** A prompt that is answered as a whole. */
     private static RequestProfile prompt(long tokens) {
-        PromptLengths lengths = new PromptLengths(tokens, 1_000, OptionalInt.of(100));
-        return new RequestProfile("prompts", Optional.of(lengths), true, TIMEOUT_MS);
+        return request(RequestKind.IDEMPOTENT, tokens, 1_000, OptionalInt.empty());
+    }
+
+    private static RequestProfile stream(long tokens, int events) {
+        return request(RequestKind.STREAM, tokens, events * TOKENS_PER_EVENT, OptionalInt.of(TOKENS_PER_EVENT));
+    }
+
+    private static RequestProfile request(RequestKind kind, long tokens, int maxOutputTokens, OptionalInt perEvent) {
+        PromptLengths lengths = new PromptLengths(tokens, maxOutputTokens, OptionalInt.of(10));
+        return new RequestProfile(SERVICE, kind, Optional.of(lengths), perEvent, TIMEOUT_MS);
     }
 
     private void record(RequestProfile request, int times, long durationMs) {
         for (int i = 0; i < times; i++) {
-            durations.record(request, TimeUnit.MILLISECONDS.toNanos(durationMs));
+            durations.recordAnswered(request, new RequestTiming(nanos(durationMs), OptionalLong.empty(), 0));
         }
     }
 
+    private void recordStream(RequestProfile request, int times, long firstMs, long gapMs, int events) {
+        for (int i = 0; i < times; i++) {
+            durations.recordAnswered(request, streamTiming(firstMs, gapMs, events));
+        }
+    }
+
+    private static RequestTiming streamTiming(long firstMs, long gapMs, int events) {
+        return new RequestTiming(nanos(firstMs + gapMs * (events - 1)), OptionalLong.of(nanos(firstMs)), events);
+    }
+
+    private static long nanos(long ms) {
+        return TimeUnit.MILLISECONDS.toNanos(ms);
+    }
+
     /** Guards against the estimate of short prompts for long ones, which take a hundred times as long. */
     @Test
     void longPromptsAreExpectedToTakeLongerThanShortOnes() {
@@ -47,6 +82,7 @@
 
         assertTrue(durations.expectedMs(prompt(160_000)) >= 6_400);
         assertTrue(durations.expectedMs(prompt(1_000_000)) <= TIMEOUT_MS);
+        assertEquals(Basis.SMALLER_SIZE, durations.estimate(prompt(160_000)).basis());
     }
 
     /** Guards against refusals of short prompts, of which most are known to be longer. */
@@ -56,58 +92,132 @@
         record(prompt(160_000), 20, 6_000);
 
         assertEquals(1_000, durations.expectedMs(prompt(2_000)));
+        assertEquals(Basis.LARGER_SIZE, durations.estimate(prompt(2_000)).basis());
     }
 
-    /** Guards against one slow answer that makes a host refuse all requests of its route. */
-    @Test
-    void oneSlowAnswerCountsOnlyForRequestsThatMayNotBeRepeated() {
-        record(plain("read", true), 30, 20);
-        record(plain("read", true), 1, 9_000);
-
-        assertEquals(25, durations.expectedMs(plain("read", true)));
-        assertTrue(durations.expectedMs(plain("read", false)) >= 9_000);
+    /** Guards against a stopping host that accepts what one in twenty of its requests shows to be too long. */
+    @ParameterizedTest
+    @EnumSource(
+            value = RequestKind.class,
+            names = {"IDEMPOTENT", "NON_IDEMPOTENT"})
+    void oneSlowAnswerCountsUntilItIsOld(RequestKind kind) {
+        record(plain("a", kind), 30, 20);
+        record(plain("a", kind), 1, 9_000);
+        record(plain("a", kind), RecentMaximum.WINDOW_SIZE / 2, 20);
+        assertTrue(durations.expectedMs(plain("a", kind)) >= 9_000);
+
+        record(plain("a", kind), RecentMaximum.WINDOW_SIZE, 20);
+        assertEquals(25, durations.expectedMs(plain("a", kind)));
     }
 
     /** Guards against estimates from a time in which the servers were faster. */
     @Test
     void onlyTheLatestDurationsCount() {
-        record(plain("read", true), 100, 20);
-        record(plain("read", true), RequestDurations.WINDOW_SIZE, 3_000);
-        assertTrue(durations.expectedMs(plain("read", true)) >= 3_000);
+        record(read("a"), 100, 20);
+        record(read("a"), 1, 3_000);
+        assertTrue(durations.expectedMs(read("a")) >= 3_000);
 
-        record(plain("read", true), RequestDurations.WINDOW_SIZE, 20);
-        assertEquals(25, durations.expectedMs(plain("read", false)));
+        record(read("a"), RecentMaximum.WINDOW_SIZE, 20);
+        assertEquals(25, durations.expectedMs(read("a")));
     }
 
     /** Guards against a first lucky answer that stands for all later ones. */
     @Test
     void fewDurationsHaveALargerMargin() {
-        record(plain("read", true), 1, 1_000);
+        record(read("a"), 1, 1_000);
 
-        assertEquals(2_000, durations.expectedMs(plain("read", true)));
+        assertEquals(2_000, durations.expectedMs(read("a")));
     }
 
-    /** Guards against requests that may run once, are accepted without knowledge, and are cut off. */
+    /** Guards against requests that are accepted without knowledge and are cut off. */
+    @ParameterizedTest
+    @EnumSource(RequestKind.class)
+    void withoutKnowledgeARequestIsExpectedToTakeItsTimeout(RequestKind kind) {
+        RequestProfile request = plain("a", kind);
+
+        assertEquals(new DurationEstimate(TIMEOUT_MS, Basis.NOTHING), durations.estimate(request));
+    }
+
+    /** Guards against a guess for a kind of request whose service is only known from another kind. */
     @Test
-    void withoutKnowledgeARequestThatMayNotBeRepeatedIsExpectedToTakeItsTimeout() {
-        assertEquals(TIMEOUT_MS, durations.expectedMs(plain("order", false)));
-        assertEquals(RequestDurations.DEFAULT_MS, durations.expectedMs(plain("read", true)));
-        assertEquals(500, durations.expectedMs(new RequestProfile("read", Optional.empty(), true, 500)));
+    void durationsOfOneKindAndServiceSayNothingAboutOthers() {
+        record(read("a"), 100, 20);
+
+        assertEquals(TIMEOUT_MS, durations.expectedMs(plain("a", RequestKind.NON_IDEMPOTENT)));
+        assertEquals(TIMEOUT_MS, durations.expectedMs(read("b")));
+    }
+
+    /** Guards against a stream that is taken for one of usual length although its caller allows many more tokens. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 3, 10})
+    void aStreamIsExpectedToTakeAsLongAsTheTokensThatItsCallerAllows(int times) {
+        recordStream(stream(5_000, 20), 50, 300, 40, 20);
+
+        long longestMs = 300 + 40 * (20L * times - 1);
+        assertTrue(durations.expectedMs(stream(5_000, 20 * times)) >= longestMs);
+        assertTrue(durations.expectedMs(stream(5_000, 20 * times)) <= longestMs * 5 / 4 + 1);
+    }
+
+    /** Guards against answers that end early and hide how long those take that use all allowed tokens. */
+    @Test
+    void anAnswerThatEndsEarlySaysHowLongAnEventTakes() {
+        recordStream(stream(5_000, 200), 50, 300, 40, 10);
+
+        assertTrue(durations.expectedMs(stream(5_000, 200)) >= 300 + 40 * 199);
+    }
+
+    /** Guards against streams whose events hold fewer tokens than the settings say. */
+    @Test
+    void moreEventsThanAllowedByTheSettingsTakeTheTimeThatTheyTook() {
+        recordStream(stream(5_000, 10), 50, 300, 40, 500);
+
+        assertTrue(durations.expectedMs(stream(5_000, 10)) >= TIMEOUT_MS);
+    }
+
+    /** Guards against a long prompt that is read in the time of a short one, when only short ones were seen. */
+    @Test
+    void theTimeForReadingAPromptGrowsWithTheSquareOfItsLength() {
+        recordStream(stream(10_000, 20), 50, 100, 40, 20);
+
+        assertTrue(durations.expectedMs(stream(80_000, 20)) >= 100 * 64 + 40 * 19);
+    }
+
+    /** Guards against estimates that know only the requests that ended in time, while servers have become slower. */
+    @Test
+    void requestsThatHaveNotEndedRaiseTheEstimateByWhatTheyHaveTaken() {
+        recordStream(stream(5_000, 20), 50, 300, 40, 20);
+        long beforeMs = durations.expectedMs(stream(5_000, 20));
+
+        durations.recordUnfinished(stream(5_000, 20), new RequestTiming(nanos(5_000), OptionalLong.empty(), 0));
+        assertTrue(durations.expectedMs(stream(5_000, 20)) >= 5_000 + 40 * 19);
+
+        durations.recordUnfinished(stream(5_000, 20), streamTiming(300, 200, 5));
+        assertTrue(durations.expectedMs(stream(5_000, 20)) >= 5_000 + 200 * 19);
+        assertTrue(beforeMs < 1_500, "before: " + beforeMs);
+    }
+
+    /** Guards against callers that leave early and make a request look short. */
+    @Test
+    void requestsThatHaveNotEndedAreNoKnowledgeAlone() {
+        durations.recordUnfinished(read("a"), new RequestTiming(nanos(10), OptionalLong.empty(), 0));
+        assertEquals(TIMEOUT_MS, durations.expectedMs(read("a")));
+
+        record(read("a"), 1, 1_000);
+        durations.recordUnfinished(read("a"), new RequestTiming(nanos(10), OptionalLong.empty(), 0));
+        assertEquals(2_000, durations.expectedMs(read("a")));
     }
 
     /** Guards against memory that grows with each changed configuration. */
     @Test
-    void routesThatAreRemovedAreForgottenAndTheirNumberIsBounded() {
-        for (int number = 0; number < 2 * RequestDurations.MAX_ROUTES; number++) {
-            record(plain("route-" + number, true), 20, 10);
+    void theNumberOfServicesIsBoundedAndTheOneThatWasUsedLongestAgoIsForgotten() {
+        for (int number = 0; number < RequestDurations.MAX_SERVICES; number++) {
+            record(read("service-" + number), 20, 10);
         }
-        int last = 2 * RequestDurations.MAX_ROUTES - 1;
-        assertEquals(RequestDurations.DEFAULT_MS, durations.expectedMs(plain("route-" + last, true)));
-
-        durations.retainRoutes(Set.of("route-1"));
-        assertEquals(13, durations.expectedMs(plain("route-1", true)));
-        assertEquals(RequestDurations.DEFAULT_MS, durations.expectedMs(plain("route-2", true)));
-        record(plain("route-" + last, true), 20, 10);
-        assertEquals(13, durations.expectedMs(plain("route-" + last, true)));
+        record(read("service-0"), 1, 10);
+        record(read("another"), 20, 10);
+
+        assertEquals(13, durations.expectedMs(read("service-0")));
+        assertEquals(13, durations.expectedMs(read("another")));
+        assertEquals(TIMEOUT_MS, durations.expectedMs(read("service-1")));
     }
 }
