Planned stop: no request in progress is ended before the last sixth of the grace period

Callers of a host with many connections, or with a short grace period, lost answers that had the time to end: the margins for the last answers and for the exit took up to a quarter of the grace period each, so that all requests were ended at 1.4 s of 2 s, and at 6.6 and 5.6 s of 8 s with 200 and 1,000 in progress. Class of fault: a margin that grows without regard to what it is taken from.

Both margins together are at most a sixth of the grace period, the exit at most a twelfth. A request fits only if it ends before the last answers with twice as many in progress and 50 more, so that what comes later doesn't cut it.

A thousand answers must now be written within 0.93 s of 8 s.

--- a/figspan-policy/src/main/java/io/figspan/policy/drain/DrainPlan.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/drain/DrainPlan.java
@@ -40,8 +40,17 @@
     private static final long RETRY_AFTER_MS_PER_REQUEST = 2;
     private static final long MAX_RETRY_AFTER_MS = 500;
 
-    /** No margin takes more than this fraction of the grace period. */
-    private static final int MIN_GRACE_PER_MARGIN = 4;
+    /** All margins together take no more than this fraction of the grace period; a request may run until then. */
+    private static final int MIN_GRACE_PER_MARGIN = 6;
+
+    /** The exit takes no more than this fraction of the grace period. */
+    private static final int MIN_GRACE_PER_EXIT = 12;
+
+    /** The last arrivals are awaited for no more than this fraction of the grace period. */
+    private static final int MIN_GRACE_PER_ARRIVALS = 4;
+
+    /** Requests that may come into progress after one that is accepted; as many as there are, and these besides. */
+    private static final long MORE_IN_PROGRESS = 50;
 
     /** A short grace period leaves at least half of it for the requests that were accepted last. */
     private static final int MIN_GRACE_PER_ACCEPT_PERIOD = 2;
@@ -50,17 +59,17 @@
         return beginNanos + TimeUnit.MILLISECONDS.toNanos(ms);
     }
 
-    private long bounded(long marginMs) {
-        return Math.min(marginMs, graceMs / MIN_GRACE_PER_MARGIN);
+    private long exitMarginMs() {
+        return Math.min(EXIT_MARGIN_MS, graceMs / MIN_GRACE_PER_EXIT);
     }
 
     private long exitMs() {
-        return graceMs - bounded(EXIT_MARGIN_MS);
+        return graceMs - exitMarginMs();
     }
 
     private long lastAnswersMs(long inProgress) {
         long marginMs = ANSWER_MARGIN_MS + TimeUnit.MICROSECONDS.toMillis(inProgress * ANSWER_MICROS_PER_REQUEST);
-        return exitMs() - bounded(marginMs);
+        return exitMs() - Math.min(marginMs, graceMs / MIN_GRACE_PER_MARGIN - exitMarginMs());
     }
 
     private long acceptMs() {
@@ -74,13 +83,16 @@
 
     /** Whether the requests of the connections that were accepted last have had the time to arrive. */
     public boolean haveLastRequestsArrived(long nowNanos) {
-        return nowNanos - afterBegin(acceptMs() + bounded(LAST_ARRIVALS_MS)) >= 0;
+        return nowNanos - afterBegin(acceptMs() + Math.min(LAST_ARRIVALS_MS, graceMs / MIN_GRACE_PER_ARRIVALS)) >= 0;
     }
 
-    /** Whether a request that takes this long from now on ends in time, with this number of others in progress. */
+    /**
+     * Whether a request that takes this long from now on ends in time, with this number of others in progress, which
+     * may double until its end.
+     */
     public boolean fits(long expectedMs, long inProgress, long nowNanos) {
         long endNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(expectedMs);
-        return endNanos - afterBegin(lastAnswersMs(inProgress)) < 0;
+        return endNanos - afterBegin(lastAnswersMs(2 * inProgress + MORE_IN_PROGRESS)) < 0;
     }
 
     /** Time in milliseconds until the last answers are due, with this number of requests in progress. */
--- a/figspan-policy/src/test/java/io/figspan/policy/drain/DrainPlanTest.java
+++ b/figspan-policy/src/test/java/io/figspan/policy/drain/DrainPlanTest.java
@@ -35,6 +35,18 @@
         }
     }
 
+    /** Guards against a request that is accepted, and ended earlier because others have come meanwhile. */
+    @ParameterizedTest
+    @ValueSource(longs = {0, 10, 100, 500})
+    void aRequestThatFitsStillDoesWhenTwiceAsManyAreInProgressAtItsEnd(long inProgress) {
+        long arrivalMs = 3_100;
+        for (long expectedMs = 0; expectedMs < GRACE_MS; expectedMs += 10) {
+            if (plan.fits(expectedMs, inProgress, at(arrivalMs))) {
+                assertFalse(plan.isTimeForLastAnswers(2 * inProgress, at(arrivalMs + expectedMs)));
+            }
+        }
+    }
+
     /** Guards against a plan that turns away what it could serve. */
     @Test
     void shortRequestsFitUntilTheLastAnswers() {
