Planned stop: nothing is sent to a server between the decision to end and the end of the process

Callers on kept connections whose request arrived in the last moments of a host got no answer, although a server ran it: the stop found all connections idle, let the process exit, and closed the idle connections afterwards, while the event loop went on reading and accepting. The log had been flushed by then, so no line named the request. Class of fault: check and act are apart, and what happens between them isn't covered by the check.

Once all is idle, arrivals are refused as not run, the idle connections are closed after a last read, and the process ends when none is left. The wait for the last arrivals begins when the port is closed, also when that is late.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/Shutdown.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/Shutdown.java
@@ -6,13 +6,15 @@
 import io.figspan.gateway.forward.Forwarder;
 import io.figspan.gateway.log.DecisionLog;
 import io.figspan.policy.drain.DrainPlan;
+import java.util.OptionalLong;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.LongSupplier;
 
 /**
  * Planned stop of this host. Other hosts and the readiness check are notified at once. Requests that arrive are served
  * while they can end in time; the others are refused at once, and their callers use another host. Requests in progress
- * that can't end are answered before the process is killed. The process ends as soon as all answers are written.
+ * that can't end are answered before the process is killed. As soon as all answers are written, the connections are
+ * closed, and whatever still arrives on them is refused; the process ends when none is left.
  *
  * <p>Each decision is made for the time at which it is made, so that a process that was paused, and whose timers come
  * late, accepts nothing that it can't answer. Confined to the event loop, except for {@link #done()} and {@link
@@ -27,8 +29,9 @@
     private final CountDownLatch done = new CountDownLatch(1);
     private volatile long graceMs;
     private DrainPlan plan;
-    private boolean accepting = true;
+    private OptionalLong stoppedAcceptingNanos = OptionalLong.empty();
     private boolean haveLastAnswersBegun;
+    private boolean closing;
     private boolean isIdle;
     private long idleSinceNanos;
 
@@ -96,8 +99,8 @@
         long unfinished = callers.unfinished();
         forwarder.endCallsOutOfTime(unfinished, nowNanos);
         callers.refuseIncompleteOutOfTime(nowNanos);
-        if (accepting && !plan.acceptsConnections(nowNanos)) {
-            accepting = false;
+        if (stoppedAcceptingNanos.isEmpty() && !plan.acceptsConnections(nowNanos)) {
+            stoppedAcceptingNanos = OptionalLong.of(nowNanos);
             callers.stopAccepting();
         }
         if (!haveLastAnswersBegun && plan.isTimeForLastAnswers(unfinished, nowNanos)) {
@@ -105,11 +108,18 @@
         }
         if (plan.mustExit(nowNanos)) {
             finish("time is over");
-        } else if (plan.haveLastRequestsArrived(nowNanos)) {
-            finishIfIdle(nowNanos);
+        } else if (closing) {
+            finishIfClosed();
+        } else if (haveLastRequestsArrived(nowNanos)) {
+            closeIfIdle(nowNanos);
         }
     }
 
+    private boolean haveLastRequestsArrived(long nowNanos) {
+        return stoppedAcceptingNanos.isPresent()
+                && plan.haveLastRequestsArrived(stoppedAcceptingNanos.getAsLong(), nowNanos);
+    }
+
     private void giveLastAnswers(long nowNanos) {
         haveLastAnswersBegun = true;
         forwarder.endCallsForShutdown(nowNanos);
@@ -117,7 +127,7 @@
         callers.refuseIncomplete();
     }
 
-    private void finishIfIdle(long nowNanos) {
+    private void closeIfIdle(long nowNanos) {
         boolean wasIdle = isIdle;
         isIdle = callers.unfinished() == 0;
         if (!isIdle) {
@@ -127,12 +137,22 @@
             idleSinceNanos = nowNanos;
         }
         if (openHolds.getAsLong() == 0 || DrainPlan.hasWaitedForReleases(idleSinceNanos, nowNanos)) {
+            closing = true;
+            forwarder.refuseArrivals();
+            callers.closeIdle();
+        }
+    }
+
+    /** A request that was on its way when its connection was found idle is refused before the process ends. */
+    private void finishIfClosed() {
+        if (callers.openConnections() == 0) {
             finish("no request is in progress");
+        } else {
+            callers.closeIdle();
         }
     }
 
     private void finish(String reason) {
-        callers.closeIdle();
         EndedRequests refused = forwarder.drain().refused();
         EndedRequests interrupted = forwarder.drain().interrupted();
         log.lifecycle(Part.ENTRY, "stopped")
--- a/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerServer.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerServer.java
@@ -121,7 +121,7 @@
         draining = true;
     }
 
-    /** Stops accepting connections. Those that exist are served. */
+    /** Stops accepting connections. Those that exist are served, also those that were waiting to be accepted. */
     public void stopAccepting() {
         Channels.close(listener);
     }
@@ -141,6 +141,11 @@
         new ArrayList<>(connections).forEach(CallerConnection::refuseIncomplete);
     }
 
+    /** Number of connections that are not closed yet. */
+    public long openConnections() {
+        return connections.size();
+    }
+
     /** Number of connections with a request in progress. */
     public long busy() {
         return connections.stream().filter(CallerConnection::isBusy).count();
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
@@ -329,6 +329,11 @@
         dispatchers.endCallsForShutdown();
     }
 
+    /** From now on each request that arrives is refused, since this host ends. */
+    public void refuseArrivals() {
+        drain.lastAnswersDue();
+    }
+
     /** The refusal of a request whose body is still arriving and that can't end before this host stops. */
     public Optional<Problem> refusalOfIncomplete(CallerRequest request, long nowNanos) {
         Optional<Route> route = routes.find(request.hostName(), request.path());
--- a/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
@@ -151,6 +151,11 @@
         onLoop(() -> isShutdownTimerPaused = false);
     }
 
+    /** Runs the timer of a planned stop as if this much time had passed. For callers on the event loop. */
+    public void tickShutdown(long aheadMs) {
+        shutdown.tick(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(aheadMs));
+    }
+
     /** Returns when a caller doesn't read as fast as its answer arrives. */
     public void awaitUnsentBytes() {
         while (!loop.submit(callers::hasUnsentBytes).syncUninterruptibly().getNow()) {
--- a/figspan-policy/src/main/java/io/figspan/policy/drain/DrainPlan.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/drain/DrainPlan.java
@@ -81,9 +81,10 @@
         return nowNanos - afterBegin(acceptMs()) < 0;
     }
 
-    /** Whether the requests of the connections that were accepted last have had the time to arrive. */
-    public boolean haveLastRequestsArrived(long nowNanos) {
-        return nowNanos - afterBegin(acceptMs() + Math.min(LAST_ARRIVALS_MS, graceMs / MIN_GRACE_PER_ARRIVALS)) >= 0;
+    /** Whether the requests of the connections that were accepted last, at this time, have had the time to arrive. */
+    public boolean haveLastRequestsArrived(long stoppedAcceptingNanos, long nowNanos) {
+        long arrivalsMs = Math.min(LAST_ARRIVALS_MS, graceMs / MIN_GRACE_PER_ARRIVALS);
+        return nowNanos - stoppedAcceptingNanos >= TimeUnit.MILLISECONDS.toNanos(arrivalsMs);
     }
 
     /**
--- a/figspan-policy/src/test/java/io/figspan/policy/drain/DrainPlanTest.java
+++ b/figspan-policy/src/test/java/io/figspan/policy/drain/DrainPlanTest.java
@@ -116,8 +116,8 @@
                 .filter(candidate -> !plan.acceptsConnections(at(candidate)))
                 .findFirst()
                 .orElseThrow();
-        assertFalse(plan.haveLastRequestsArrived(at(ms + 100)));
-        assertTrue(plan.haveLastRequestsArrived(at(ms + 1_000)));
+        assertFalse(plan.haveLastRequestsArrived(at(ms), at(ms + 100)));
+        assertTrue(plan.haveLastRequestsArrived(at(ms), at(ms + 1_000)));
     }
 
     /** Guards against callers that are refused together and return together to one host. */
