Planned stop: connections in the backlog are accepted before the port is closed

Callers on a busy host got a reset for requests that they had sent on new connections: these waited to be accepted when the port was closed. The port is closed only after all that waits behind it is accepted; what can't end in time is refused.

Evidence: theRequestsOnConnectionsThatWaitToBeAcceptedAreAnswered failed with a reset connection (100 connections while the event loop was blocked) and passes.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerServer.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerServer.java
@@ -19,6 +19,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpServerCodec;
@@ -26,6 +27,7 @@
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.Optional;
@@ -54,6 +56,7 @@
     private final Set<CallerConnection> connections = new HashSet<>();
     private CallerLimits limits = CallerLimits.DEFAULT;
     private boolean draining;
+    private ServerSocketChannel port;
     private Channel listener;
 
     public CallerServer(EventLoop loop, Forwarder forwarder, CallerProtocol protocol, UnexpectedErrors errors) {
@@ -73,10 +76,11 @@
     }
 
     /** Accepts connections from a bound port. */
-    public ChannelFuture serve(ServerSocketChannel port) {
+    public ChannelFuture serve(ServerSocketChannel boundPort) {
+        port = boundPort;
         ChannelFuture registered = new ServerBootstrap()
                 .group(loop)
-                .channelFactory(() -> new NioServerSocketChannel(port))
+                .channelFactory(() -> new NioServerSocketChannel(boundPort))
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.RCVBUF_ALLOCATOR, Channels.boundedReads())
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, Channels.boundedWrites())
@@ -123,9 +127,25 @@
 
     /** Stops accepting connections. Those that exist are served, also those that were waiting to be accepted. */
     public void stopAccepting() {
+        acceptBacklog();
         Channels.close(listener);
     }
 
+    /** Closing the port would reset the connections that wait behind it, although their requests may have been sent. */
+    private void acceptBacklog() {
+        try {
+            for (int accepted = 0; accepted < BACKLOG; accepted++) {
+                SocketChannel waiting = port.accept();
+                if (waiting == null) {
+                    return;
+                }
+                listener.pipeline().fireChannelRead(new NioSocketChannel(listener, waiting));
+            }
+        } catch (IOException e) {
+            errors.report(e);
+        }
+    }
+
     /** Closes the connections without a request in progress. */
     public void closeIdle() {
         new ArrayList<>(connections).forEach(CallerConnection::closeIfIdle);
--- a/figspan-gateway/src/test/java/io/figspan/gateway/ArrivalsDuringStopTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/ArrivalsDuringStopTest.java
@@ -110,6 +110,25 @@
         assertEquals(List.of(), server.received());
     }
 
+    /** Guards against connections that are reset because they were not accepted before the port was closed. */
+    @Test
+    void theRequestsOnConnectionsThatWaitToBeAcceptedAreAnswered() throws Exception {
+        addServer("plain-1", (request, connection) -> connection.answer(request, 200, "", "ok"));
+        open();
+        gateway.onLateLoop(
+                () -> {
+                    for (int number = 0; number < WAITING_CONNECTIONS; number++) {
+                        send("GET", "/read/" + number, "");
+                    }
+                },
+                () -> gateway.beginStop(GRACE_MS, AFTER_LAST_ARRIVALS_MS));
+
+        for (Socket caller : sockets) {
+            assertNotRun(readAll(caller));
+        }
+        gateway.awaitStopped();
+    }
+
     /** Keeps a request in progress, since an idle process ends before the later quarters. */
     private void keepBusy() throws Exception {
         send("POST", "/stream/1", "prompt-tokens: 50\r\n");
