--- a/figspan-gateway/src/main/java/io/figspan/gateway/log/LogSetup.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/log/LogSetup.java
@@ -22,7 +22,7 @@
     private static final int LIFECYCLE_CAPACITY_LINES = 1_024;
 
     /** Maximum time that the exit of the process waits for the queued lines of one queue. */
-    private static final int MAX_FLUSH_MS = 150;
+    private static final int MAX_FLUSH_MS = 500;
 
     /**
      * Writes the queued lines, those on the life of the process first. Nothing can be logged afterwards. Returns in
