--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
@@ -8,7 +8,6 @@
 import io.figspan.gateway.http.EventBatch;
 import io.figspan.gateway.protocol.CallerRequest;
 import io.figspan.policy.drain.RequestProfile;
-import io.figspan.policy.drain.RequestTiming;
 import io.figspan.policy.placing.Job;
 import io.figspan.policy.placing.Placement;
 import io.figspan.policy.placing.Placer.AttemptOutcome;
@@ -16,7 +15,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.FullHttpResponse;
 import java.util.Optional;
-import java.util.OptionalLong;
 
 /**
  * One request of a caller from its receipt to its final response: waits for a placement, sends the request to a backend
@@ -28,7 +26,7 @@
     private final Route route;
     private final ByteBuf body;
     private final Job job;
-    private final RequestProfile profile;
+    private final CallDuration duration;
     private final CallLog log;
     private final CallResponse response;
     private final AttemptHistory history;
@@ -38,7 +36,6 @@
     private final CrashObserver crashObserver;
     private final PlacementHandler placements;
     private final OpenAttempts attempts;
-    private OptionalLong firstEventNanos = OptionalLong.empty();
 
     ForwardCall(
             Forwarder forwarder,
@@ -55,7 +52,7 @@
         this.route = route;
         this.body = body;
         this.job = job;
-        this.profile = profile;
+        this.duration = new CallDuration(forwarder.drain(), profile, job.arrivedNanos());
         this.log = new CallLog(forwarder, job, route, request.sharedParts());
         this.response = new CallResponse(forwarder.callerProtocol(), caller, request.lastEventId());
         this.history = new AttemptHistory(route, job.deadline(), dispatcher::budget);
@@ -126,7 +123,7 @@
 
     @Override
     public boolean endsBeforeStop(long nowNanos) {
-        return forwarder.drain().fits(profile, job, nowNanos);
+        return forwarder.drain().fits(duration.profile(), job, nowNanos);
     }
 
     @Override
@@ -143,7 +140,7 @@
         history.recordSent();
         state.transition(CallEvent.SENT);
         log.sent(placement, history.attempts(), nowNanos);
-        forwarder.drain().logSent(job.requestId(), profile, nowNanos);
+        forwarder.drain().logSent(job.requestId(), duration.profile(), nowNanos);
         Attempt opened = starter.open(server, placement, holds, this, nowNanos);
         attempts.setCurrent(opened);
         forwarder.holds().monitorUse(holds, server, () -> onMemoryLost(opened));
@@ -160,7 +157,8 @@
 
     @Override
     public void onEvents(Attempt from, EventBatch events) {
-        crashObserver.eventsArrived(from, events.progressEvents(), System.nanoTime());
+        long nowNanos = System.nanoTime();
+        crashObserver.eventsArrived(from, events.progressEvents(), nowNanos);
         if (events.hasProgress()) {
             attempts.delivered(from);
         } else if (attempts.hasSilent()) {
@@ -172,9 +170,9 @@
             beginStream(from);
         }
         if (events.hasProgress()) {
-            firstEventNanos = OptionalLong.of(firstEventNanos.orElseGet(this::elapsedNanos));
-            dispatcher.piecesArrived(job, events.progressEvents(), from.eventCount(), System.nanoTime());
+            dispatcher.piecesArrived(job, events.progressEvents(), from.eventCount(), nowNanos);
         }
+        duration.eventsArrived(events.progressEvents(), nowNanos);
         response.forward(events);
         if (!response.isWritable()) {
             from.setReading(false);
@@ -214,7 +212,7 @@
     /** Ends the request with the server's response. */
     private void endWithResponse(Attempt from) {
         crashObserver.responseCompleted(from, System.nanoTime());
-        forwarder.drain().recordAnswered(profile, timing(System.nanoTime()));
+        duration.answered(System.nanoTime());
         attempts.remove(from);
         finish();
         logAnswered(from);
@@ -222,15 +220,7 @@
 
     /** Records how long the request has lasted without its complete answer. */
     void observeDuration(long nowNanos) {
-        forwarder.drain().recordUnfinished(profile, timing(nowNanos));
-    }
-
-    private RequestTiming timing(long nowNanos) {
-        return new RequestTiming(nowNanos - job.arrivedNanos(), firstEventNanos, response.forwardedEvents());
-    }
-
-    private long elapsedNanos() {
-        return System.nanoTime() - job.arrivedNanos();
+        duration.unfinished(nowNanos);
     }
 
     private void logAnswered(Attempt from) {
@@ -349,7 +339,7 @@
      * @return whether it was ended
      */
     boolean endIfOutOfTime(long nowNanos) {
-        if (state.isDone() || isSent() || forwarder.drain().fits(profile, job, nowNanos)) {
+        if (state.isDone() || isSent() || forwarder.drain().fits(duration.profile(), job, nowNanos)) {
             return false;
         }
         endForShutdown();
@@ -364,8 +354,8 @@
         DrainControl drain = forwarder.drain();
         long nowNanos = System.nanoTime();
         Problem problem = isSent() || state.hasBegunResponse() || history.mayHaveRun()
-                ? drain.interrupt(job, profile, route.mayRepeat(), nowNanos)
-                : drain.refuse(job.requestId(), profile, nowNanos);
+                ? drain.interrupt(job, duration.profile(), route.mayRepeat(), nowNanos)
+                : drain.refuse(job.requestId(), duration.profile(), nowNanos);
         endWithProblem(problem, problem.detail());
     }
 
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
@@ -17,19 +17,17 @@
 import io.figspan.gateway.protocol.CallerProtocol;
 import io.figspan.gateway.protocol.CallerRequest;
 import io.figspan.policy.drain.DrainPlan;
-import io.figspan.policy.drain.RequestProfile;
 import io.figspan.policy.placing.Job;
 import io.figspan.policy.route.ApiKeyIndex;
 import io.figspan.policy.route.RouteTable;
 import io.figspan.policy.route.ServiceSelector;
-import io.figspan.settings.gateway.EngineProfile;
 import io.figspan.settings.gateway.GatewaySettings;
 import io.figspan.settings.gateway.OrganisationKeys;
 import io.figspan.settings.gateway.Route;
-import io.figspan.settings.gateway.ServiceProfile;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
@@ -37,7 +35,6 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
-import java.util.stream.Stream;
 
 /**
  * Entry point for the requests of callers: finds the route, checks the key, chooses the service and starts a {@link
@@ -70,6 +67,7 @@
     private Consumer<GatewaySettings> settingsListener = applied -> {};
     private GatewaySettings settings;
     private RouteTable routes = new RouteTable(List.of());
+    private RequestProfiles profiles = new RequestProfiles(Map.of());
     private ApiKeyIndex keys = new ApiKeyIndex(List.of());
 
     public Forwarder(
@@ -114,6 +112,7 @@
         settings = newSettings;
         routes = new RouteTable(newSettings.routes());
         keys = new ApiKeyIndex(newSettings.organisations());
+        profiles = new RequestProfiles(newSettings.services());
         dispatchers.apply(newSettings);
         settingsListener.accept(newSettings);
     }
@@ -219,7 +218,7 @@
             ServiceId service,
             Optional<OrganisationKeys> organisation,
             long arrivedNanos) {
-        long timeoutMs = timeoutMs(route, request);
+        long timeoutMs = RequestProfiles.timeoutMs(route, request);
         int rank = organisation
                 .map(OrganisationKeys::rank)
                 .filter(OptionalInt::isPresent)
@@ -245,23 +244,11 @@
                 caller,
                 organisation.map(OrganisationKeys::id),
                 job,
-                profile(route, service, request, timeoutMs));
+                profiles.of(route, service, request));
         call.start(nowNanos);
         return call;
     }
 
-    private static long timeoutMs(Route route, CallerRequest request) {
-        return Math.min(request.waitMs().orElse(route.timeoutMs()), route.timeoutMs());
-    }
-
-    private RequestProfile profile(Route route, ServiceId service, CallerRequest request, long timeoutMs) {
-        Optional<EngineProfile> engine =
-                Optional.ofNullable(settings.services().get(service)).flatMap(ServiceProfile::engine);
-        OptionalInt tokensPerEvent =
-                engine.map(known -> OptionalInt.of(known.decodeStepsPerPass())).orElse(OptionalInt.empty());
-        return new RequestProfile(service, route.kind(), request.prompt(), tokensPerEvent, timeoutMs);
-    }
-
     private Optional<InFlightCall> refuse(CallerRequest request, ByteBuf body, CallerExchange caller, Problem problem) {
         body.release();
         metrics.requestEnded(RequestEnd.REFUSED, 0);
@@ -340,18 +327,12 @@
         if (route.isEmpty()) {
             return drain.fits(nowNanos) ? Optional.empty() : Optional.of(drain.refuse(request.attemptId(), nowNanos));
         }
-        return profiles(route.get(), request)
+        return profiles.ofAllServices(route.get(), request)
                 .filter(profile -> !drain.fits(profile, nowNanos))
                 .findFirst()
                 .map(profile -> drain.refuse(request.attemptId(), profile, nowNanos));
     }
 
-    /** What the request would be at each service that its route may choose. */
-    private Stream<RequestProfile> profiles(Route route, CallerRequest request) {
-        long timeoutMs = timeoutMs(route, request);
-        return route.services().stream().map(choice -> profile(route, choice.service(), request, timeoutMs));
-    }
-
     public DrainControl drain() {
         return drain;
     }
