Planned stop: a request that no server has received is refused, also while its connection is established

A request whose connection to a server was being established at the last answers was answered with 502, which leaves open whether it has run, so an order that may not be repeated was lost to its caller. And the decision that a request ends in time was made before the connection was established, up to a quarter of a second before the write.

What was not written is refused as not run; right before the write the request must still end in time.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Attempt.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Attempt.java
@@ -57,6 +57,9 @@
      * #onFailed} or {@link #onDiscardedEnd}.
      */
     interface Listener {
+        /** Whether the request may still be written, after the connection has been established. */
+        boolean mayWrite();
+
         /** The head of the response has arrived, and belongs to the request. */
         void onHead(Attempt attempt);
 
@@ -186,10 +189,15 @@
         discarded = true;
     }
 
-    /** The server may have begun to drain while the connection was being established. */
+    /** The server may have begun to drain, and this host to stop, while the connection was being established. */
     @Override
     public boolean mayWrite() {
-        return pools.acceptsRequests(server());
+        return pools.acceptsRequests(server()) && listener.mayWrite();
+    }
+
+    /** Whether the server may have received the request. */
+    boolean isWritten() {
+        return !connection.isRequestPending();
     }
 
     // Response
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/AttemptEnd.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/AttemptEnd.java
@@ -7,7 +7,7 @@
 enum AttemptEnd {
     /** The server was unreachable, so it has received nothing. */
     NOT_CONNECTED(false, AttemptOutcome.BROKEN),
-    /** The server began to drain before the request was written, so it has received nothing. */
+    /** The server began to drain, or this host to stop, before the request was written, so it has received nothing. */
     WITHDRAWN(false, AttemptOutcome.CANCELLED),
     /** The server, or another one at its address, stated that it did not run the request. */
     TURNED_AWAY(false, AttemptOutcome.TURNED_AWAY),
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
@@ -149,6 +149,11 @@
 
     // Response
 
+    @Override
+    public boolean mayWrite() {
+        return endsBeforeStop(System.nanoTime());
+    }
+
     @Override
     public void onHead(Attempt from) {
         forwarder.requestLimits().answered(from.incarnation(), from.response());
@@ -353,7 +358,7 @@
         }
         DrainControl drain = forwarder.drain();
         long nowNanos = System.nanoTime();
-        Problem problem = isSent() || state.hasBegunResponse() || history.mayHaveRun()
+        Problem problem = attempts.isWritten() || state.hasBegunResponse() || history.mayHaveRun()
                 ? drain.interrupt(job, duration.profile(), route.mayRepeat(), nowNanos)
                 : drain.refuse(job.requestId(), duration.profile(), nowNanos);
         endWithProblem(problem, problem.detail());
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/OpenAttempts.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/OpenAttempts.java
@@ -33,6 +33,11 @@
         return current.isEmpty() && silent.isEmpty();
     }
 
+    /** Whether a server may have received the request. */
+    boolean isWritten() {
+        return all().stream().anyMatch(Attempt::isWritten);
+    }
+
     boolean contains(Attempt attempt) {
         return isCurrent(attempt) || isSilent(attempt);
     }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/http/HttpConnection.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/http/HttpConnection.java
@@ -145,6 +145,11 @@
         Channels.close(channel);
     }
 
+    /** Whether the current request has not been written, since the connection is not established yet. */
+    public boolean isRequestPending() {
+        return pendingRequest != null;
+    }
+
     private void onConnected(boolean success) {
         connected = success;
         if (!success || closed) {
--- a/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
@@ -229,6 +229,11 @@
         void run() throws IOException;
     }
 
+    /** Runs an action once the event loop has read what was received, before connections that this opens are known. */
+    public void afterNextRead(Runnable action) {
+        var unused = loop.schedule(action, 1, TimeUnit.NANOSECONDS);
+    }
+
     /** Returns when the event loop has read what was received before. */
     public void awaitRead() {
         CountDownLatch read = new CountDownLatch(1);
--- a/figspan-gateway/src/test/java/io/figspan/gateway/PlannedStopTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/PlannedStopTest.java
@@ -121,6 +121,43 @@
         assertNotRun(responses.substring(second));
     }
 
+    /** Guards against an answer that leaves open whether a request has run that no server has received. */
+    @Test
+    void aRequestWhoseConnectionToTheServerIsNotEstablishedIsRefused() throws Exception {
+        ScriptedServer server = addEndless("plain-1");
+        open();
+        Socket caller = connectKept();
+        gateway.onLateLoop(
+                () -> write(caller, "POST", "/order/1", ""),
+                () -> gateway.afterNextRead(this::beginStopAndEndRequests));
+
+        assertNotRun(readAll(caller));
+        gateway.awaitStopped();
+        assertEquals(List.of(), server.received());
+    }
+
+    private void beginStopAndEndRequests() {
+        gateway.beginStop(GRACE_MS, BEFORE_LAST_ANSWERS_MS);
+        gateway.tickShutdown(GRACE_MS - BEFORE_LAST_ANSWERS_MS);
+    }
+
+    /** Guards against a stop that begins between the decision to send a request and its write. */
+    @Test
+    void aRequestIsNotWrittenWhenTheStopLeavesItNoTimeAfterItsConnectionIsEstablished() throws Exception {
+        ScriptedServer server = addEndless("plain-1");
+        open();
+        Socket caller = connectKept();
+        gateway.pauseShutdownTimer();
+        gateway.onLateLoop(
+                () -> write(caller, "POST", "/order/1", ""),
+                () -> gateway.afterNextRead(() -> gateway.beginStop(GRACE_MS, THIRD_QUARTER_MS)));
+
+        assertNotRun(readAll(caller));
+        gateway.resumeShutdownTimer();
+        gateway.awaitStopped();
+        assertEquals(List.of(), server.received());
+    }
+
     // Requests that may have run
 
     @ParameterizedTest
