Planned stop: bounds follow what the known requests of other sizes and unfinished ones show

A stopping host accepted requests by bounds below what it could know: a request in progress of a size without answers raised nothing, a longer prompt could be expected to end sooner than a shorter one, a stall after the first event was not seen, a size class spans a factor of four in reading time, and the time of an event was kept when the tokens in an event changed.

Size classes are eighths of a doubling, the bound of a size is at least that of each smaller one, unfinished requests count in all of them, writing is learned per token, and the whole duration beside its phases.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/CallDuration.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/CallDuration.java
@@ -2,15 +2,14 @@
 
 import io.figspan.policy.drain.RequestProfile;
 import io.figspan.policy.drain.RequestTiming;
-import java.util.OptionalLong;
+import java.util.Optional;
 
 /** The course of one request, which is recorded for the estimates of a planned stop. Confined to the event loop. */
 final class CallDuration {
     private final DrainControl drain;
     private final RequestProfile profile;
     private final long arrivedNanos;
-    private OptionalLong firstEventNanos = OptionalLong.empty();
-    private long events;
+    private Optional<RequestTiming.Events> events = Optional.empty();
 
     CallDuration(DrainControl drain, RequestProfile profile, long arrivedNanos) {
         this.drain = drain;
@@ -24,10 +23,14 @@
 
     /** This many events of the response have arrived that are progress. */
     void eventsArrived(long progressEvents, long nowNanos) {
-        if (progressEvents > 0 && firstEventNanos.isEmpty()) {
-            firstEventNanos = OptionalLong.of(nowNanos - arrivedNanos);
+        if (progressEvents == 0) {
+            return;
         }
-        events += progressEvents;
+        long sinceArrivalNanos = nowNanos - arrivedNanos;
+        RequestTiming.Events before =
+                events.orElseGet(() -> new RequestTiming.Events(sinceArrivalNanos, sinceArrivalNanos, 0));
+        events = Optional.of(
+                new RequestTiming.Events(before.firstNanos(), sinceArrivalNanos, before.count() + progressEvents));
     }
 
     /** The response is complete. */
@@ -41,6 +44,6 @@
     }
 
     private RequestTiming timing(long nowNanos) {
-        return new RequestTiming(nowNanos - arrivedNanos, firstEventNanos, events);
+        return new RequestTiming(nowNanos - arrivedNanos, events);
     }
 }
--- a/figspan-policy/src/main/java/io/figspan/policy/drain/RecentMaximum.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/drain/RecentMaximum.java
@@ -1,6 +1,6 @@
 package io.figspan.policy.drain;
 
-/** The largest of the latest durations in nanoseconds, as a bound for the next one. Not thread-safe. */
+/** The largest of the latest durations, as a bound for the next one. Not thread-safe. */
 final class RecentMaximum {
     /** No duration counts after this many newer ones. */
     static final int WINDOW_SIZE = 256;
@@ -14,12 +14,12 @@
     private static final double MARGIN_FACTOR = 1.25;
     private static final double FEW_DURATIONS_FACTOR = 2;
 
-    private final long[] maximumsNanos = new long[BUCKETS];
+    private final double[] maximumsNanos = new double[BUCKETS];
     private int bucket;
     private int bucketCount;
     private int count;
 
-    void add(long nanos) {
+    void add(double nanos) {
         if (bucketCount == BUCKET_SIZE) {
             bucket = (bucket + 1) % BUCKETS;
             maximumsNanos[bucket] = 0;
@@ -31,14 +31,19 @@
     }
 
     /** Takes account of a request that has taken this long and has not ended. */
-    void raise(long nanos) {
+    void raise(double nanos) {
         maximumsNanos[bucket] = Math.max(maximumsNanos[bucket], nanos);
     }
 
+    /** Whether nothing was added. */
+    boolean isEmpty() {
+        return count == 0;
+    }
+
     /** Bound for the next duration in nanoseconds. */
     double boundNanos() {
-        long maximumNanos = 0;
-        for (long candidateNanos : maximumsNanos) {
+        double maximumNanos = 0;
+        for (double candidateNanos : maximumsNanos) {
             maximumNanos = Math.max(maximumNanos, candidateNanos);
         }
         return maximumNanos * (count < MIN_DURATIONS ? FEW_DURATIONS_FACTOR : MARGIN_FACTOR);
--- a/figspan-policy/src/main/java/io/figspan/policy/drain/RequestProfile.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/drain/RequestProfile.java
@@ -22,33 +22,31 @@
         Optional<PromptLengths> prompt,
         OptionalInt tokensPerEvent,
         long timeoutMs) {
-    private static final long TOKENS_READ_PER_TOKEN_WRITTEN = 10;
+    private static final double TOKENS_READ_PER_TOKEN_WRITTEN = 10;
 
     /** Whether the longest answer is known as a number of events. */
     boolean hasKnownLength() {
         return kind.isStreaming() && prompt.isPresent() && tokensPerEvent.isPresent();
     }
 
-    /** Size class of the prompt alone, one for each power of two. */
-    int promptSizeClass() {
-        return sizeClass(prompt.orElseThrow().promptTokens());
+    /** Length of the prompt in tokens. */
+    double promptTokens() {
+        return prompt.orElseThrow().promptTokens();
     }
 
-    /** Size class of the prompt and its longest answer, one for each power of two; 0 without a prompt. */
-    int requestSizeClass() {
+    /** Size of the prompt and its longest answer, as a number of prompt tokens; 0 without a prompt. */
+    double sizeTokens() {
         return prompt.map(lengths -> lengths.promptTokens() + TOKENS_READ_PER_TOKEN_WRITTEN * lengths.maxOutputTokens())
-                .map(RequestProfile::sizeClass)
-                .orElse(0);
+                .orElse(0.0);
     }
 
-    private static int sizeClass(long tokens) {
-        return Long.SIZE - Long.numberOfLeadingZeros(Math.max(1, tokens));
+    /** Tokens in one event. */
+    double eventTokens() {
+        return Math.max(1, tokensPerEvent.orElseThrow());
     }
 
-    /** Gaps between the events of the longest answer that the caller allows. */
-    long maxGaps() {
-        long tokens = prompt.orElseThrow().maxOutputTokens();
-        int perEvent = Math.max(1, tokensPerEvent.orElseThrow());
-        return Math.max(0, (tokens + perEvent - 1) / perEvent - 1);
+    /** Tokens of the longest answer that the caller allows, without those of the first event. */
+    double tokensAfterFirstEvent() {
+        return Math.max(0, prompt.orElseThrow().maxOutputTokens() - eventTokens());
     }
 }
--- a/figspan-policy/src/main/java/io/figspan/policy/drain/RequestTiming.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/drain/RequestTiming.java
@@ -1,26 +1,41 @@
 package io.figspan.policy.drain;
 
-import java.util.OptionalLong;
+import java.util.Optional;
+import java.util.OptionalDouble;
 
 /**
- * The course of one request, whether it has ended or not. Durations are in nanoseconds since its receipt.
+ * The course of one request, whether it has ended or not.
  *
- * @param totalNanos time until its end, or until now
- * @param firstEventNanos time until the first event of its stream; empty without one
- * @param events events of its stream so far
+ * @param totalNanos time from its receipt until its end, or until now
+ * @param events the events of its stream so far; empty without one
  */
-public record RequestTiming(long totalNanos, OptionalLong firstEventNanos, long events) {
+public record RequestTiming(long totalNanos, Optional<Events> events) {
+    /**
+     * Events of a stream. Durations are in nanoseconds since the receipt of the request.
+     *
+     * @param firstNanos time until the first event
+     * @param lastNanos time until the latest event
+     * @param count number of events
+     */
+    public record Events(long firstNanos, long lastNanos, long count) {}
+
+    /** A request without events. */
+    public static RequestTiming withoutEvents(long totalNanos) {
+        return new RequestTiming(totalNanos, Optional.empty());
+    }
+
     /** Time until the first event, or until now while there is none. */
     long readingNanos() {
-        return firstEventNanos.orElse(totalNanos);
+        return events.map(Events::firstNanos).orElse(totalNanos);
     }
 
-    /** Mean time between two events so far, of a stream that has at most this many gaps. */
-    OptionalLong gapNanos(long maxGaps) {
-        if (firstEventNanos.isEmpty() || events < 2) {
-            return OptionalLong.empty();
+    /** Mean time for a token after the first event in nanoseconds; empty with fewer than two events. */
+    OptionalDouble tokenNanos(RequestProfile request) {
+        if (events.isEmpty() || events.get().count() < 2) {
+            return OptionalDouble.empty();
         }
-        long gaps = Math.max(1, Math.min(events - 1, maxGaps));
-        return OptionalLong.of((totalNanos - firstEventNanos.getAsLong()) / gaps);
+        Events seen = events.get();
+        double tokens = Math.min((seen.count() - 1) * request.eventTokens(), request.tokensAfterFirstEvent());
+        return OptionalDouble.of((seen.lastNanos() - seen.firstNanos()) / Math.max(1, tokens));
     }
 }
--- a/figspan-policy/src/main/java/io/figspan/policy/drain/ServiceDurations.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/drain/ServiceDurations.java
@@ -5,50 +5,47 @@
 
 /**
  * The latest durations of the requests of one kind at one service. Streams whose longest answer is known have two
- * phases: the time until the first event grows with the prompt, the rest with the number of events. Not thread-safe.
+ * phases: the time until the first event grows with the prompt, the rest with the number of tokens. Not thread-safe.
  */
 final class ServiceDurations {
     /** The time for reading a prompt grows with the square of its length at most. */
-    private static final double READING_GROWTH_PER_CLASS = 4;
+    private static final double READING_GROWTH_PER_DOUBLING = 4;
 
-    private static final double GROWTH_PER_CLASS = 2;
+    private static final double GROWTH_PER_DOUBLING = 2;
 
-    private final SizedDurations reading = new SizedDurations(READING_GROWTH_PER_CLASS);
-    private final SizedDurations total = new SizedDurations(GROWTH_PER_CLASS);
-    private Optional<RecentMaximum> gaps = Optional.empty();
+    private final SizedDurations reading = new SizedDurations(READING_GROWTH_PER_DOUBLING);
+    private final SizedDurations total = new SizedDurations(GROWTH_PER_DOUBLING);
+    private final RecentMaximum perToken = new RecentMaximum();
 
     void add(RequestProfile request, RequestTiming timing) {
-        if (!request.hasKnownLength()) {
-            total.add(request.requestSizeClass(), timing.totalNanos());
-            return;
+        total.add(request.sizeTokens(), timing.totalNanos());
+        if (request.hasKnownLength()) {
+            reading.add(request.promptTokens(), timing.readingNanos());
+            timing.tokenNanos(request).ifPresent(perToken::add);
         }
-        reading.add(request.promptSizeClass(), timing.readingNanos());
-        timing.gapNanos(request.maxGaps()).ifPresent(nanos -> {
-            gaps = gaps.or(() -> Optional.of(new RecentMaximum()));
-            gaps.orElseThrow().add(nanos);
-        });
     }
 
     /** Takes account of a request that has not ended. */
     void raise(RequestProfile request, RequestTiming timing) {
-        if (!request.hasKnownLength()) {
-            total.raise(request.requestSizeClass(), timing.totalNanos());
-            return;
+        total.raise(request.sizeTokens(), timing.totalNanos());
+        if (request.hasKnownLength()) {
+            reading.raise(request.promptTokens(), timing.readingNanos());
+            timing.tokenNanos(request).ifPresent(perToken::raise);
         }
-        reading.raise(request.promptSizeClass(), timing.readingNanos());
-        timing.gapNanos(request.maxGaps()).ifPresent(nanos -> gaps.ifPresent(known -> known.raise(nanos)));
     }
 
     /** Bound for the duration of a request; empty if nothing is known about one of its phases. */
     Optional<Bound> bound(RequestProfile request) {
+        Optional<Bound> ofTotal = total.bound(request.sizeTokens());
         if (!request.hasKnownLength()) {
-            return total.bound(request.requestSizeClass());
+            return ofTotal;
         }
-        if (request.maxGaps() > 0 && gaps.isEmpty()) {
+        if (perToken.isEmpty() && request.tokensAfterFirstEvent() > 0) {
             return Optional.empty();
         }
-        double writingNanos = gaps.map(RecentMaximum::boundNanos).orElse(0.0) * request.maxGaps();
-        return reading.bound(request.promptSizeClass())
-                .map(bound -> new Bound(bound.nanos() + writingNanos, bound.basis()));
+        double writingNanos = perToken.boundNanos() * request.tokensAfterFirstEvent();
+        double totalNanos = total.largestUpToNanos(request.sizeTokens());
+        return reading.bound(request.promptTokens())
+                .map(bound -> new Bound(bound.nanos() + writingNanos, bound.basis()).atLeast(totalNanos));
     }
 }
--- a/figspan-policy/src/main/java/io/figspan/policy/drain/SizedDurations.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/drain/SizedDurations.java
@@ -6,47 +6,80 @@
 import java.util.Optional;
 import java.util.TreeMap;
 
-/** The latest durations by size class, one for each power of two. Not thread-safe. */
+/**
+ * The latest durations by size class. The bound of a larger size is at least that of each smaller one. Not thread-safe.
+ */
 final class SizedDurations {
-    private final double growthPerClass;
+    /** Within one class durations grow by less than the margin of a bound. */
+    private static final double CLASSES_PER_DOUBLING = 8;
+
+    private final double growthPerDoubling;
     private final NavigableMap<Integer, RecentMaximum> bySizeClass = new TreeMap<>();
 
     /** A bound and the durations from which it was derived. */
-    record Bound(double nanos, Basis basis) {}
+    record Bound(double nanos, Basis basis) {
+        Bound atLeast(double leastNanos) {
+            return leastNanos > nanos ? new Bound(leastNanos, basis) : this;
+        }
+    }
 
     /**
      * Creates an empty table.
      *
-     * @param growthPerClass factor by which durations may grow from one size class to the next
+     * @param growthPerDoubling factor by which durations may grow when the size doubles
      */
-    SizedDurations(double growthPerClass) {
-        this.growthPerClass = growthPerClass;
+    SizedDurations(double growthPerDoubling) {
+        this.growthPerDoubling = growthPerDoubling;
     }
 
-    void add(int sizeClass, long nanos) {
-        bySizeClass.computeIfAbsent(sizeClass, created -> new RecentMaximum()).add(nanos);
+    private static int sizeClass(double tokens) {
+        return (int) (CLASSES_PER_DOUBLING * Math.log(Math.max(1, tokens)) / Math.log(2));
     }
 
-    /** Takes account of a request that has not ended; without any that has, nothing is known about its class. */
-    void raise(int sizeClass, long nanos) {
-        RecentMaximum known = bySizeClass.get(sizeClass);
-        if (known != null) {
-            known.raise(nanos);
-        }
+    private RecentMaximum of(double tokens) {
+        return bySizeClass.computeIfAbsent(sizeClass(tokens), created -> new RecentMaximum());
     }
 
-    /** Uses the next larger size class if the own one has no durations, otherwise a smaller one in proportion. */
-    Optional<Bound> bound(int sizeClass) {
-        if (bySizeClass.isEmpty()) {
-            return Optional.empty();
-        }
-        Map.Entry<Integer, RecentMaximum> sameOrLarger = bySizeClass.ceilingEntry(sizeClass);
-        if (sameOrLarger != null) {
-            Basis basis = sameOrLarger.getKey() == sizeClass ? Basis.SAME_SIZE : Basis.LARGER_SIZE;
-            return Optional.of(new Bound(sameOrLarger.getValue().boundNanos(), basis));
+    void add(double tokens, long nanos) {
+        of(tokens).add((double) nanos);
+    }
+
+    /** Takes account of a request that has not ended. */
+    void raise(double tokens, long nanos) {
+        of(tokens).raise((double) nanos);
+    }
+
+    /** Bound for a request of this size; empty if no request has ended. */
+    Optional<Bound> bound(double tokens) {
+        int sizeClass = sizeClass(tokens);
+        return answeredBound(sizeClass).map(bound -> bound.atLeast(largestUpToNanos(tokens)));
+    }
+
+    /** Uses the next larger size class if the own one has no answers, otherwise a smaller one in proportion. */
+    private Optional<Bound> answeredBound(int sizeClass) {
+        Optional<Map.Entry<Integer, RecentMaximum>> sameOrLarger = firstAnswered(bySizeClass.tailMap(sizeClass, true));
+        if (sameOrLarger.isPresent()) {
+            Basis basis = sameOrLarger.get().getKey() == sizeClass ? Basis.SAME_SIZE : Basis.LARGER_SIZE;
+            return Optional.of(new Bound(sameOrLarger.get().getValue().boundNanos(), basis));
         }
-        Map.Entry<Integer, RecentMaximum> smaller = bySizeClass.lastEntry();
-        double growth = Math.pow(growthPerClass, sizeClass - smaller.getKey());
-        return Optional.of(new Bound(smaller.getValue().boundNanos() * growth, Basis.SMALLER_SIZE));
+        return firstAnswered(bySizeClass.descendingMap()).map(smaller -> {
+            double doublings = (sizeClass - smaller.getKey()) / CLASSES_PER_DOUBLING;
+            double growth = Math.pow(growthPerDoubling, doublings);
+            return new Bound(smaller.getValue().boundNanos() * growth, Basis.SMALLER_SIZE);
+        });
+    }
+
+    private static Optional<Map.Entry<Integer, RecentMaximum>> firstAnswered(Map<Integer, RecentMaximum> classes) {
+        return classes.entrySet().stream()
+                .filter(entry -> !entry.getValue().isEmpty())
+                .findFirst();
+    }
+
+    /** The largest bound in nanoseconds of requests up to this size, also of those that have not ended. */
+    double largestUpToNanos(double tokens) {
+        return bySizeClass.headMap(sizeClass(tokens), true).values().stream()
+                .mapToDouble(RecentMaximum::boundNanos)
+                .max()
+                .orElse(0);
     }
 }
--- a/figspan-policy/src/test/java/io/figspan/policy/drain/RequestDurationsEdgesTest.java
+++ b/figspan-policy/src/test/java/io/figspan/policy/drain/RequestDurationsEdgesTest.java
@@ -7,7 +7,6 @@
 import io.figspan.settings.gateway.RequestKind;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
@@ -32,11 +31,12 @@
     }
 
     private static RequestTiming timing(long totalMs) {
-        return new RequestTiming(nanos(totalMs), OptionalLong.empty(), 0);
+        return RequestTiming.withoutEvents(nanos(totalMs));
     }
 
-    private static RequestTiming timing(long totalMs, long firstMs, long events) {
-        return new RequestTiming(nanos(totalMs), OptionalLong.of(nanos(firstMs)), events);
+    private static RequestTiming timing(long totalMs, long firstMs, long lastMs, long events) {
+        return new RequestTiming(
+                nanos(totalMs), Optional.of(new RequestTiming.Events(nanos(firstMs), nanos(lastMs), events)));
     }
 
     private static long nanos(long ms) {
@@ -76,8 +76,8 @@
     /** Guards against servers that stop writing after the first event of each stream. */
     @Test
     void aStreamThatStallsAfterItsFirstEventRaisesTheEstimate() {
-        record(stream(5_000, 1_000, 50), timing(300 + 19 * 40, 300, 20));
-        durations.recordUnfinished(stream(5_000, 1_000, 50), timing(5_000, 300, 1));
+        record(stream(5_000, 1_000, 50), timing(1_060, 300, 1_060, 20));
+        durations.recordUnfinished(stream(5_000, 1_000, 50), timing(5_000, 300, 300, 1));
 
         assertExpected(stream(5_000, 1_000, 50), 5_000);
     }
@@ -85,7 +85,7 @@
     /** Guards against the time of the smallest prompt of a size class for the largest one. */
     @Test
     void theReadingTimeGrowsWithTheSquareOfTheLengthWithinASizeClass() {
-        record(stream(132_000, 50, 50), timing(2_200, 2_200, 1));
+        record(stream(132_000, 50, 50), timing(2_200, 2_200, 2_200, 1));
 
         assertExpected(stream(260_000, 50, 50), 4 * 2_200);
     }
@@ -93,7 +93,7 @@
     /** Guards against the time of small events for larger ones after a change of the service's profile. */
     @Test
     void theTimeOfAnEventGrowsWithItsTokens() {
-        record(stream(5_000, 1_000, 1), timing(300 + 999 * 2, 300, 1_000));
+        record(stream(5_000, 1_000, 1), timing(2_298, 300, 2_298, 1_000));
 
         assertExpected(stream(5_000, 1_000, 80), 300 + 999 * 2);
     }
@@ -101,7 +101,7 @@
     /** Guards against an overflow that makes the longest stream the shortest. */
     @Test
     void aStreamOfWhichTheCallerAllowsAnyLengthIsExpectedToTakeItsTimeout() {
-        record(stream(5_000, 1_000, 50), timing(300 + 19 * 40, 300, 20));
+        record(stream(5_000, 1_000, 50), timing(1_060, 300, 1_060, 20));
 
         assertExpected(stream(5_000, Long.MAX_VALUE, 50), TIMEOUT_MS);
     }
--- a/figspan-policy/src/test/java/io/figspan/policy/drain/RequestDurationsTest.java
+++ b/figspan-policy/src/test/java/io/figspan/policy/drain/RequestDurationsTest.java
@@ -9,7 +9,6 @@
 import io.figspan.settings.gateway.RequestKind;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -47,7 +46,7 @@
 
     private void record(RequestProfile request, int times, long durationMs) {
         for (int i = 0; i < times; i++) {
-            durations.recordAnswered(request, new RequestTiming(nanos(durationMs), OptionalLong.empty(), 0));
+            durations.recordAnswered(request, RequestTiming.withoutEvents(nanos(durationMs)));
         }
     }
 
@@ -58,7 +57,8 @@
     }
 
     private static RequestTiming streamTiming(long firstMs, long gapMs, int events) {
-        return new RequestTiming(nanos(firstMs + gapMs * (events - 1)), OptionalLong.of(nanos(firstMs)), events);
+        long lastNanos = nanos(firstMs + gapMs * (events - 1));
+        return new RequestTiming(lastNanos, Optional.of(new RequestTiming.Events(nanos(firstMs), lastNanos, events)));
     }
 
     private static long nanos(long ms) {
@@ -188,7 +188,7 @@
         recordStream(stream(5_000, 20), 50, 300, 40, 20);
         long beforeMs = durations.expectedMs(stream(5_000, 20));
 
-        durations.recordUnfinished(stream(5_000, 20), new RequestTiming(nanos(5_000), OptionalLong.empty(), 0));
+        durations.recordUnfinished(stream(5_000, 20), RequestTiming.withoutEvents(nanos(5_000)));
         assertTrue(durations.expectedMs(stream(5_000, 20)) >= 5_000 + 40 * 19);
 
         durations.recordUnfinished(stream(5_000, 20), streamTiming(300, 200, 5));
@@ -199,11 +199,11 @@
     /** Guards against callers that leave early and make a request look short. */
     @Test
     void requestsThatHaveNotEndedAreNoKnowledgeAlone() {
-        durations.recordUnfinished(read("a"), new RequestTiming(nanos(10), OptionalLong.empty(), 0));
+        durations.recordUnfinished(read("a"), RequestTiming.withoutEvents(nanos(10)));
         assertEquals(TIMEOUT_MS, durations.expectedMs(read("a")));
 
         record(read("a"), 1, 1_000);
-        durations.recordUnfinished(read("a"), new RequestTiming(nanos(10), OptionalLong.empty(), 0));
+        durations.recordUnfinished(read("a"), RequestTiming.withoutEvents(nanos(10)));
         assertEquals(2_000, durations.expectedMs(read("a")));
     }
 
