Planned stop: a stream that has begun is resumed for as long as there is any time

A stream whose server broke off during the stop was given up at once, long before the last answers, because the estimate of a whole request decided on what was left of it. A begun response can't be refused as not run, so this gained nothing.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
@@ -121,9 +121,12 @@
         }
     }
 
+    /** A response that has begun can't be refused any more, so it goes on for as long as there is any time. */
     @Override
     public boolean endsBeforeStop(long nowNanos) {
-        return forwarder.drain().fits(duration.profile(), job, nowNanos);
+        return state.hasBegunResponse()
+                ? forwarder.drain().fits(nowNanos)
+                : forwarder.drain().fits(duration.profile(), job, nowNanos);
     }
 
     @Override
@@ -344,7 +347,7 @@
      * @return whether it was ended
      */
     boolean endIfOutOfTime(long nowNanos) {
-        if (state.isDone() || isSent() || forwarder.drain().fits(duration.profile(), job, nowNanos)) {
+        if (state.isDone() || isSent() || endsBeforeStop(nowNanos)) {
             return false;
         }
         endForShutdown();
