Planned stop: its last lines are not lost behind its many lines

The queue of lines on the life of the process held 1,024; a stop that refused more than that lost its newest line, which is `stopped`. It holds 4,096 lines now, and a stop names at most 1,500 refused and 1,500 ended requests and counts the rest.

theLastLineOfAStopIsWrittenAfterManyRefusals (from the review) failed with 1,100 lines; it passes with 3,000, and doesn't sleep any more.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/DrainLog.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/DrainLog.java
@@ -10,8 +10,13 @@
  * requests don't share the rate limit of ordinary events.
  */
 final class DrainLog {
+    /** Requests of each kind that are named; fewer than the queue of the lines holds, so that its end is not lost. */
+    static final int MAX_NAMED = 1_500;
+
     private final DecisionLog log;
     private final GatewayMetrics metrics;
+    private int namedRefusals;
+    private int namedInterruptions;
 
     /**
      * The time of a decision.
@@ -36,14 +41,22 @@
 
     /** A request that has not run is refused. */
     void refused(String requestId, DurationEstimate estimate, Timing timing) {
-        metrics.count("stop.refused");
-        describe(refusal(requestId), timing, estimate).write();
+        if (countRefusal()) {
+            describe(refusal(requestId), timing, estimate).write();
+        }
     }
 
     /** A request that has not run is refused, whatever it would take. */
     void refused(String requestId, Timing timing) {
+        if (countRefusal()) {
+            describe(refusal(requestId), timing).write();
+        }
+    }
+
+    /** Returns whether the request is named; the others are only counted. */
+    private boolean countRefusal() {
         metrics.count("stop.refused");
-        describe(refusal(requestId), timing).write();
+        return namedRefusals++ < MAX_NAMED;
     }
 
     private DecisionLog.Line refusal(String requestId) {
@@ -53,6 +66,9 @@
     /** A request that a server has is ended. */
     void interrupted(String requestId, long ageMs, DurationEstimate estimate, Timing timing) {
         metrics.count("stop.interrupted");
+        if (namedInterruptions++ >= MAX_NAMED) {
+            return;
+        }
         DecisionLog.Line line = log.lifecycle(Part.ENTRY, "interruptedByStop")
                 .text("request", requestId)
                 .number("afterMs", ageMs);
--- a/figspan-gateway/src/main/java/io/figspan/gateway/log/LogSetup.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/log/LogSetup.java
@@ -19,7 +19,7 @@
     private static final int QUEUE_CAPACITY_LINES = 2_048;
 
     /** Capacity of the queue of lines on the life of the process: one for each request that a planned stop ends. */
-    private static final int LIFECYCLE_CAPACITY_LINES = 1_024;
+    private static final int LIFECYCLE_CAPACITY_LINES = 4_096;
 
     /** Maximum time that the exit of the process waits for the queued lines of one queue. */
     private static final int MAX_FLUSH_MS = 500;
--- a/figspan-gateway/src/test/java/io/figspan/gateway/log/LifecycleLinesTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/log/LifecycleLinesTest.java
@@ -13,8 +13,10 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
+/** Guards against the loss of the lines that explain a planned stop. */
 class LifecycleLinesTest {
-    private static final int REFUSED_REQUESTS = 1_100;
+    /** As many as a stop names, of both kinds. */
+    private static final int NAMED_REQUESTS = 3_000;
 
     /** Blocks the first write, as a full pipe does, until it is released. */
     private static final class SlowReader extends OutputStream {
@@ -46,7 +48,7 @@
         }
     }
 
-    /** Guards against the loss of the last line when a stop refuses more requests than the queue holds lines. */
+    /** Guards against the loss of the last line when a stop refuses and ends many requests. */
     @Test
     void theLastLineOfAStopIsWrittenAfterManyRefusals() throws Exception {
         SlowReader reader = new SlowReader();
@@ -59,12 +61,11 @@
             setup.setContext(context);
             setup.configure(context);
             Logger log = context.getLogger(DecisionLog.LOGGER_NAME);
-            for (int number = 0; number < REFUSED_REQUESTS; number++) {
+            for (int number = 0; number < NAMED_REQUESTS; number++) {
                 log.info(DecisionLog.LIFECYCLE, "{\"event\":\"refusedByStop\",\"request\":\"" + number + "\"}");
             }
             log.info(DecisionLog.LIFECYCLE, "{\"event\":\"stopped\"}");
             reader.released.countDown();
-            TimeUnit.SECONDS.sleep(1);
             context.stop();
         } finally {
             System.setOut(before);
