Planned stop: an error in one step does not keep the others from being made

An error while the other hosts are notified left the stop begun but never carried out, and one faulty request skipped the last answers and the exit in each tick.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
@@ -143,7 +143,8 @@
         CopyEndpoint copies =
                 new CopyEndpoint(Map.of(SETTINGS_COPY, fleet.settings(), SERVERS_COPY, fleet.servers()), metrics);
         this.endpoints = new AuxiliaryEndpoints(config, adapter.operator(), peers, copies, metrics, this::isReady);
-        this.shutdown = new Shutdown(log, callers, forwarder, peers::leave, holds::openCount, config.shutdownGraceMs());
+        this.shutdown =
+                new Shutdown(log, errors, callers, forwarder, peers::leave, holds::openCount, config.shutdownGraceMs());
         this.reloader = new ConfigReloader(source, config, log, this::configChanged);
     }
 
--- a/figspan-gateway/src/main/java/io/figspan/gateway/Shutdown.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/Shutdown.java
@@ -5,6 +5,7 @@
 import io.figspan.gateway.forward.DrainControl.EndedRequests;
 import io.figspan.gateway.forward.Forwarder;
 import io.figspan.gateway.log.DecisionLog;
+import io.figspan.gateway.log.UnexpectedErrors;
 import io.figspan.policy.drain.DrainPlan;
 import java.util.OptionalLong;
 import java.util.concurrent.CountDownLatch;
@@ -22,6 +23,7 @@
  */
 final class Shutdown {
     private final DecisionLog log;
+    private final UnexpectedErrors errors;
     private final CallerServer callers;
     private final Forwarder forwarder;
     private final Runnable leaveFleet;
@@ -43,12 +45,14 @@
      */
     Shutdown(
             DecisionLog log,
+            UnexpectedErrors errors,
             CallerServer callers,
             Forwarder forwarder,
             Runnable leaveFleet,
             LongSupplier openHolds,
             long graceMs) {
         this.log = log;
+        this.errors = errors;
         this.callers = callers;
         this.forwarder = forwarder;
         this.leaveFleet = leaveFleet;
@@ -86,9 +90,9 @@
                 .number("busy", callers.busy())
                 .number("graceMs", graceMs)
                 .write();
-        leaveFleet.run();
         callers.disableKeepAlive();
-        forwarder.beginDrain(plan);
+        guarded(() -> forwarder.beginDrain(plan));
+        guarded(leaveFleet);
         tick(nowNanos);
     }
 
@@ -97,8 +101,8 @@
             return;
         }
         long unfinished = callers.unfinished();
-        forwarder.endCallsOutOfTime(unfinished, nowNanos);
-        callers.refuseIncompleteOutOfTime(nowNanos);
+        guarded(() -> forwarder.endCallsOutOfTime(unfinished, nowNanos));
+        guarded(() -> callers.refuseIncompleteOutOfTime(nowNanos));
         if (stoppedAcceptingNanos.isEmpty() && !plan.acceptsConnections(nowNanos)) {
             stoppedAcceptingNanos = OptionalLong.of(nowNanos);
             callers.stopAccepting();
@@ -122,9 +126,18 @@
 
     private void giveLastAnswers(long nowNanos) {
         haveLastAnswersBegun = true;
-        forwarder.endCallsForShutdown(nowNanos);
-        callers.refuseIncompleteOutOfTime(nowNanos);
-        callers.refuseIncomplete();
+        guarded(() -> forwarder.endCallsForShutdown(nowNanos));
+        guarded(() -> callers.refuseIncompleteOutOfTime(nowNanos));
+        guarded(callers::refuseIncomplete);
+    }
+
+    /** A fault with one request keeps no other step of the shutdown from being made. */
+    private void guarded(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException e) {
+            errors.report(e);
+        }
     }
 
     private void closeIfIdle(long nowNanos) {
--- a/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
@@ -81,6 +81,7 @@
     private final CallerServer callers;
     private final MemoryHolds holds;
     private final Shutdown shutdown;
+    private Runnable leaveFleet = () -> {};
     private boolean isShutdownTimerPaused;
     private final InetSocketAddress address;
     private long version = 1;
@@ -113,8 +114,9 @@
                 requestCrashes,
                 requestLimits,
                 dispatchers);
-        callers = new CallerServer(loop, forwarder, protocol, new UnexpectedErrors(log, metrics));
-        shutdown = new Shutdown(log, callers, forwarder, () -> {}, holds::openCount, GRACE_MS);
+        UnexpectedErrors errors = new UnexpectedErrors(log, metrics);
+        callers = new CallerServer(loop, forwarder, protocol, errors);
+        shutdown = new Shutdown(log, errors, callers, forwarder, () -> leaveFleet.run(), holds::openCount, GRACE_MS);
         ServerSocketChannel port = CallerServer.open(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
         address = (InetSocketAddress) port.getLocalAddress();
         callers.serve(port).syncUninterruptibly();
@@ -142,6 +144,11 @@
         shutdown.begin(System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(elapsedMs));
     }
 
+    /** Sets how the other hosts are notified of a planned stop. */
+    public void onLeaveFleet(Runnable action) {
+        leaveFleet = action;
+    }
+
     /** From now on the timer of a planned stop doesn't run, as in a process that is paused. */
     public void pauseShutdownTimer() {
         onLoop(() -> isShutdownTimerPaused = true);
--- a/figspan-gateway/src/test/java/io/figspan/gateway/PlannedStopTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/PlannedStopTest.java
@@ -285,6 +285,22 @@
 
     // Events during the stop
 
+    /** Guards against a stop that never begins because the other hosts can't be notified. */
+    @Test
+    void anErrorWhileTheOtherHostsAreNotifiedDoesNotKeepTheHostFromStopping() throws Exception {
+        addEndless("plain-1");
+        open();
+        gateway.onLeaveFleet(() -> {
+            throw new IllegalStateException("the port is closed");
+        });
+        Socket caller = send("GET", "/read/1", "");
+        awaitReceived();
+        gateway.stop(GRACE_MS, BEFORE_LAST_ANSWERS_MS);
+
+        assertMayHaveRun(readAll(caller));
+        gateway.awaitStopped();
+    }
+
     @Test
     void theProcessEndsAsSoonAsTheLastAnswerIsWritten() throws Exception {
         Semaphore mayAnswer = new Semaphore(0);
