--- a/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
@@ -421,6 +421,12 @@
                 same.organisations());
     }
 
+    /** Settings of the next version without routes and keys. */
+    public GatewaySettings settingsWithoutRoutes() {
+        GatewaySettings same = settings(1);
+        return new GatewaySettings(same.version(), List.of(), same.services(), same.callerLimits(), List.of());
+    }
+
     private static Route renamed(Route route) {
         return new Route(
                 "renamed-" + route.name(),
--- a/figspan-gateway/src/test/java/io/figspan/gateway/PlannedStopTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/PlannedStopTest.java
@@ -345,6 +345,43 @@
         gateway.awaitStopped();
     }
 
+    @Test
+    void aRequestInProgressIsAnsweredAlthoughItsRouteAndItsKeyAreDroppedDuringTheStop() throws Exception {
+        Semaphore mayAnswer = new Semaphore(0);
+        addServer("plain-1", (request, connection) -> {
+            mayAnswer.acquireUninterruptibly();
+            connection.answer(request, 200, "", "ok");
+        });
+        open();
+        Socket caller = send("POST", "/order/1", "");
+        awaitReceived();
+        gateway.stop(GRACE_MS, 0);
+        gateway.apply(gateway.settingsWithoutRoutes());
+        mayAnswer.release();
+
+        assertTrue(readAll(caller).startsWith("HTTP/1.1 200"));
+        gateway.awaitStopped();
+    }
+
+    /** Guards against a stop whose effect on callers shows in no metric. */
+    @Test
+    void whatTheStopRefusesAndEndsIsCounted() throws Exception {
+        addEndless("plain-1");
+        open();
+        Socket sent = send("GET", "/read/1", "");
+        awaitReceived();
+        Socket kept = connectKept();
+        gateway.stop(GRACE_MS, BEFORE_LAST_ANSWERS_MS);
+        write(kept, "GET", "/read/2", "");
+        assertNotRun(readAll(kept));
+        assertMayHaveRun(readAll(sent));
+        gateway.awaitStopped();
+
+        String metrics = gateway.metrics().text();
+        assertTrue(metrics.contains("stop_refused_total 1"), metrics);
+        assertTrue(metrics.contains("stop_interrupted_total 1"), metrics);
+    }
+
     @Test
     void aProcessThatWasPausedBeyondItsEndAcceptsNothingMore() throws Exception {
         ScriptedServer server = addEndless("plain-1");
