Quarantine: decide again only when the decisions can differ

Change: EvidenceVersion counts the changes on which decisions depend (crashes, requests, quarantine flags, evictions, expiry). A decision returns early if the version is the one decided on and no further crash of a possible culprit has settled since. A decision that changes the quarantine of a suspect itself is followed by another, as before. Requests are compared with the quarantined requests only, and Suspect.addRequests copies nothing if it adds nothing.

--- a/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/Accusation.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/Accusation.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /**
@@ -53,6 +54,11 @@
         return suspects.get(0).separateCrashes(explained, untilNanos);
     }
 
+    /** The earliest time after {@code untilNanos} at which one of the crashes was heard of; empty if there is none. */
+    OptionalLong firstCrashHeardAfter(long untilNanos) {
+        return suspects.get(0).firstCrashHeardAfter(untilNanos);
+    }
+
     /**
      * Number of crashes that none of the given ones explains: those that count for a decision, or all once a host has
      * decided, since others learn of them at the same time.
--- a/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/CrashAttribution.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/CrashAttribution.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /**
@@ -58,6 +59,14 @@
         return verdicts;
     }
 
+    /** When the next crash that may change the verdicts was heard of; empty if all such crashes count already. */
+    OptionalLong nextCrashNanos() {
+        return accusations.stream()
+                .filter(accusation -> accusation.crashes().size() >= MIN_CRASHES)
+                .flatMapToLong(accusation -> accusation.firstCrashHeardAfter(untilNanos).stream())
+                .min();
+    }
+
     /** The accusations that are not outranked now; those that tie stand together. */
     private List<List<Accusation>> culprits() {
         Map<Accusation, Integer> crashes = new LinkedHashMap<>();
@@ -183,12 +192,10 @@
         return part.separateCrashes(explained, untilNanos);
     }
 
-    /** Whether another quarantined request explains all crashes of a request, and more. */
-    static boolean isExplained(Suspect suspect, Collection<Suspect> suspects) {
-        return suspect.kind() == SuspectKind.REQUEST
-                && suspects.stream()
-                        .filter(other -> other.isQuarantined() && other.kind() == SuspectKind.REQUEST)
-                        .anyMatch(other -> other.crashCount() > suspect.crashCount()
-                                && other.crashes().containsAll(suspect.crashes()));
+    /** Whether one of the quarantined requests explains all crashes of a request, and more. */
+    static boolean isExplained(Suspect request, Collection<Suspect> quarantinedRequests) {
+        return quarantinedRequests.stream()
+                .anyMatch(other -> other.crashCount() > request.crashCount()
+                        && other.crashes().containsAll(request.crashes()));
     }
 }
--- a/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/CrashQuarantine.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/CrashQuarantine.java
@@ -53,7 +53,7 @@
     private static final int JOIN_SENDERS = 3;
 
     private final HostId self;
-    private final SuspectTable suspects = new SuspectTable();
+    private final SuspectTable suspects;
     private final EvidenceOutbox outbox = new EvidenceOutbox();
     private final CrashedServers crashedServers = new CrashedServers();
     private final NewHosts newHosts = new NewHosts();
@@ -78,7 +78,12 @@
     }
 
     public CrashQuarantine(HostId self, long nowNanos) {
+        this(self, new EvidenceVersion(), nowNanos);
+    }
+
+    CrashQuarantine(HostId self, EvidenceVersion version, long nowNanos) {
         this.self = self;
+        this.suspects = new SuspectTable(version);
         this.hosts = Set.of(self);
         this.decisions = new QuarantineDecisions(self, suspects, this::evidenceChanged);
         this.lastGossipNanos = nowNanos;
--- a/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/QuarantineDecisions.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/QuarantineDecisions.java
@@ -9,6 +9,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.Collectors;
 
@@ -17,6 +18,9 @@
  * that they concern, except for trials. Not thread-safe; times are monotonic, in nanoseconds.
  */
 final class QuarantineDecisions {
+    /** No version of the evidence has been decided on. */
+    private static final long UNDECIDED = -1;
+
     private final HostId self;
     private final SuspectTable suspects;
     private final EvidenceListener evidenceListener;
@@ -24,6 +28,8 @@
     private final List<QuarantineAction> decided = new ArrayList<>();
     private List<Verdict> partVerdicts = List.of();
     private Set<HostId> hosts;
+    private long decidedVersion = UNDECIDED;
+    private OptionalLong nextCrashNanos = OptionalLong.empty();
 
     /** Receives the suspects whose quarantine has changed and must be sent to other hosts. */
     interface EvidenceListener {
@@ -56,12 +62,31 @@
 
     // Decisions
 
-    /** Decides anew on all evidence, so that a wrong decision ends with the evidence that contradicts it. */
+    /**
+     * Decides anew on all evidence, so that a wrong decision ends with the evidence that contradicts it. Returns early
+     * if the decisions can't differ from the last ones: the evidence is the same, and no more crashes count.
+     */
     void decide(long nowNanos) {
+        long untilNanos = nowNanos - CrashQuarantine.SETTLE_NANOS;
+        long version = suspects.version();
+        if (version == decidedVersion && !isNextCrashSettled(untilNanos)) {
+            return;
+        }
+        // The version before the decisions: what they change themselves is decided on again.
+        decidedVersion = version;
         List<Suspect> all = suspects.all();
         releaseRequests(all, nowNanos);
         adoptRequests(all);
-        List<Verdict> verdicts = new CrashAttribution(all, nowNanos - CrashQuarantine.SETTLE_NANOS).verdicts();
+        CrashAttribution attribution = new CrashAttribution(all, untilNanos);
+        nextCrashNanos = attribution.nextCrashNanos();
+        apply(attribution.verdicts(), nowNanos);
+    }
+
+    private boolean isNextCrashSettled(long untilNanos) {
+        return nextCrashNanos.isPresent() && nextCrashNanos.getAsLong() - untilNanos <= 0;
+    }
+
+    private void apply(List<Verdict> verdicts, long nowNanos) {
         verdicts.stream()
                 .filter(verdict -> verdict.kind() == SuspectKind.REQUEST)
                 .forEach(verdict -> quarantine(verdict, nowNanos));
@@ -72,24 +97,32 @@
                 nowNanos);
     }
 
+    private static List<Suspect> quarantinedRequests(List<Suspect> all) {
+        return all.stream()
+                .filter(suspect -> suspect.isQuarantined() && suspect.kind() == SuspectKind.REQUEST)
+                .toList();
+    }
+
     private void releaseRequests(List<Suspect> all, long nowNanos) {
-        List<Suspect> released = all.stream()
-                .filter(suspect -> suspect.kind() == SuspectKind.REQUEST && suspect.isQuarantined())
+        List<Suspect> quarantined = quarantinedRequests(all);
+        List<Suspect> released = quarantined.stream()
                 .filter(suspect -> suspect.crashCount() < CrashAttribution.MIN_CRASHES
-                        || CrashAttribution.isExplained(suspect, all))
+                        || CrashAttribution.isExplained(suspect, quarantined))
                 .toList();
         released.forEach(suspect -> release(List.of(suspect), nowNanos));
     }
 
     /** Quarantines the requests that other hosts have quarantined, which they have sent to all hosts already. */
     private void adoptRequests(List<Suspect> all) {
+        List<Suspect> quarantined = new ArrayList<>(quarantinedRequests(all));
         for (Suspect suspect : all) {
             if (suspect.kind() == SuspectKind.REQUEST
                     && suspect.isQuarantinedElsewhere()
                     && !suspect.isQuarantined()
                     && suspect.crashCount() >= CrashAttribution.MIN_CRASHES
-                    && !CrashAttribution.isExplained(suspect, all)) {
+                    && !CrashAttribution.isExplained(suspect, quarantined)) {
                 suspect.quarantine();
+                quarantined.add(suspect);
                 decided.add(new QuarantineAction.Quarantined(Set.of(suspect.id()), suspect.crashCount()));
             }
         }
--- a/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/Suspect.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/Suspect.java
@@ -11,6 +11,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
@@ -30,6 +31,7 @@
     private static final int MAX_REQUESTS = 2;
 
     private final SuspectId id;
+    private final EvidenceVersion version;
     private final Map<BackendIncarnation, Long> heardNanosByCrash = new LinkedHashMap<>();
     private final Set<BackendIncarnation> refuted = new LinkedHashSet<>();
     private final TreeSet<RequestFingerprint> requests = new TreeSet<>();
@@ -39,8 +41,9 @@
     private boolean isQuarantinedElsewhere;
     private boolean isObservedHere;
 
-    Suspect(SuspectId id, long lastCrashNanos, long nowNanos) {
+    Suspect(SuspectId id, EvidenceVersion version, long lastCrashNanos, long nowNanos) {
         this.id = id;
+        this.version = version;
         this.lastCrashNanos = lastCrashNanos;
         this.lastChangeNanos = nowNanos;
     }
@@ -66,12 +69,16 @@
     }
 
     void quarantine() {
-        isQuarantined = true;
+        if (!isQuarantined) {
+            isQuarantined = true;
+            version.changed();
+        }
     }
 
     void release() {
         isQuarantined = false;
         isQuarantinedElsewhere = false;
+        version.changed();
     }
 
     /** Whether another host has reported that it has quarantined the suspect. */
@@ -95,12 +102,19 @@
 
     /** Adds requests under which a server crashed. All hosts keep the same ones, the first in their order. */
     boolean addRequests(Collection<RequestFingerprint> added) {
+        if (requests.containsAll(added)) {
+            return false;
+        }
         Set<RequestFingerprint> before = Set.copyOf(requests);
         requests.addAll(added);
         while (requests.size() > MAX_REQUESTS) {
             requests.pollLast();
         }
-        return !requests.equals(before);
+        boolean hasChanged = !requests.equals(before);
+        if (hasChanged) {
+            version.changed();
+        }
+        return hasChanged;
     }
 
     /** The crashes that the suspect may have caused. */
@@ -130,6 +144,14 @@
         return count;
     }
 
+    /** The earliest time after {@code untilNanos} at which a crash was heard of; empty if there is none. */
+    OptionalLong firstCrashHeardAfter(long untilNanos) {
+        return heardNanosByCrash.values().stream()
+                .mapToLong(Long::longValue)
+                .filter(heardNanos -> heardNanos - untilNanos > 0)
+                .min();
+    }
+
     /** Adds a crash, unless it is known already; returns whether anything has changed. */
     boolean addCrash(BackendIncarnation server, long crashedNanos, long nowNanos) {
         boolean isKnown = heardNanosByCrash.containsKey(server) || refuted.contains(server);
@@ -137,6 +159,7 @@
             return false;
         }
         heardNanosByCrash.put(server, nowNanos);
+        version.changed();
         lastCrashNanos = Math.max(lastCrashNanos, crashedNanos);
         lastChangeNanos = nowNanos;
         return true;
@@ -160,7 +183,9 @@
         if (!refuted.add(server)) {
             return false;
         }
-        heardNanosByCrash.remove(server);
+        if (heardNanosByCrash.remove(server) != null) {
+            version.changed();
+        }
         lastChangeNanos = nowNanos;
         if (refuted.size() > MAX_REFUTED) {
             refuted.remove(refuted.iterator().next());
@@ -179,7 +204,10 @@
     /** Merges what another host knows; returns whether anything has changed. */
     boolean merge(SuspectEvidence received, long crashedNanos, long nowNanos) {
         boolean hasChanged = received.isQuarantined() && !isQuarantinedElsewhere;
-        isQuarantinedElsewhere |= received.isQuarantined();
+        if (hasChanged) {
+            isQuarantinedElsewhere = true;
+            version.changed();
+        }
         for (BackendIncarnation server : received.refuted()) {
             hasChanged |= refute(server, nowNanos);
         }
--- a/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/SuspectTable.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/SuspectTable.java
@@ -40,14 +40,25 @@
             .reversed();
 
     private final Map<SuspectKind, Map<SuspectId, Suspect>> byKind = new EnumMap<>(SuspectKind.class);
+    private final EvidenceVersion version;
     private int gossipOffset;
 
     SuspectTable() {
+        this(new EvidenceVersion());
+    }
+
+    SuspectTable(EvidenceVersion version) {
+        this.version = version;
         for (SuspectKind kind : SuspectKind.values()) {
             byKind.put(kind, new LinkedHashMap<>());
         }
     }
 
+    /** The version of the evidence on all suspects. */
+    long version() {
+        return version.current();
+    }
+
     List<Suspect> all() {
         List<Suspect> all = new ArrayList<>();
         byKind.values().forEach(suspects -> all.addAll(suspects.values()));
@@ -67,8 +78,9 @@
         }
         if (suspects.size() >= id.kind().maxTracked()) {
             leastHarmful(suspects.values(), id.kind()).forEach(evicted -> suspects.remove(evicted.id()));
+            version.changed();
         }
-        Suspect added = new Suspect(id, crashedNanos, nowNanos);
+        Suspect added = new Suspect(id, version, crashedNanos, nowNanos);
         suspects.put(id, added);
         return added;
     }
@@ -94,6 +106,9 @@
             hasChanged |= suspects.values()
                     .removeIf(suspect -> nowNanos - suspect.lastCrashNanos() >= expiryNanos(suspect.isQuarantined()));
         }
+        if (hasChanged) {
+            version.changed();
+        }
         return hasChanged;
     }
 
