Host file: shutdownGraceSeconds, the time from SIGTERM to the kill

Nothing told figspand how long its process manager waits, so that a planned stop could only assume a time of 3,700 s. The setting has this default and is at least 1 s. Nothing uses it yet.

--- a/figspan-settings/src/main/java/io/figspan/settings/cfg/HostConfig.java
+++ b/figspan-settings/src/main/java/io/figspan/settings/cfg/HostConfig.java
@@ -24,6 +24,7 @@
  * @param hostList address of the platform's host list, if there is one
  * @param keepSeconds how long callers may cache an entry list, in seconds
  * @param shutdownMarginSeconds how long a leaving host continues to serve after {@code keepSeconds}
+ * @param shutdownGraceSeconds time from SIGTERM to the kill by the process manager, in seconds
  */
 public record HostConfig(
         HostId hostId,
@@ -39,7 +40,8 @@
         Optional<PeerAddress> configurationService,
         Optional<PeerAddress> hostList,
         int keepSeconds,
-        int shutdownMarginSeconds) {
+        int shutdownMarginSeconds,
+        int shutdownGraceSeconds) {
     public static final int DEFAULT_CALLER_PORT = 7400;
     public static final int DEFAULT_OPERATOR_PORT = 7401;
     public static final int DEFAULT_PEER_PORT = 7402;
@@ -50,13 +52,17 @@
     /** Covers the network and scheduling delay of a caller that uses its list just before it expires. */
     public static final int DEFAULT_SHUTDOWN_MARGIN_SECONDS = 5;
 
+    /** The longest deadline of a request, and a margin for the exit. */
+    public static final int DEFAULT_SHUTDOWN_GRACE_SECONDS = 3_700;
+
     public HostConfig {
         seedPeers = List.copyOf(seedPeers);
         requirePort("callerPort", callerPort);
         requirePort("operatorPort", operatorPort);
         requirePort("peerPort", peerPort);
-        requireAtLeastZero("keepSeconds", keepSeconds);
-        requireAtLeastZero("shutdownMarginSeconds", shutdownMarginSeconds);
+        requireAtLeast("keepSeconds", keepSeconds, 0);
+        requireAtLeast("shutdownMarginSeconds", shutdownMarginSeconds, 0);
+        requireAtLeast("shutdownGraceSeconds", shutdownGraceSeconds, 1);
     }
 
     /**
@@ -77,7 +83,8 @@
                 Optional.empty(),
                 Optional.empty(),
                 DEFAULT_KEEP_SECONDS,
-                DEFAULT_SHUTDOWN_MARGIN_SECONDS);
+                DEFAULT_SHUTDOWN_MARGIN_SECONDS,
+                DEFAULT_SHUTDOWN_GRACE_SECONDS);
     }
 
     public HostConfig withBindAddress(String newBindAddress) {
@@ -95,7 +102,8 @@
                 configurationService,
                 hostList,
                 keepSeconds,
-                shutdownMarginSeconds);
+                shutdownMarginSeconds,
+                shutdownGraceSeconds);
     }
 
     public HostConfig withCallerPort(int newCallerPort) {
@@ -113,7 +121,8 @@
                 configurationService,
                 hostList,
                 keepSeconds,
-                shutdownMarginSeconds);
+                shutdownMarginSeconds,
+                shutdownGraceSeconds);
     }
 
     public HostConfig withOperatorPort(int newOperatorPort) {
@@ -131,7 +140,8 @@
                 configurationService,
                 hostList,
                 keepSeconds,
-                shutdownMarginSeconds);
+                shutdownMarginSeconds,
+                shutdownGraceSeconds);
     }
 
     public HostConfig withPeerPort(int newPeerPort) {
@@ -149,7 +159,8 @@
                 configurationService,
                 hostList,
                 keepSeconds,
-                shutdownMarginSeconds);
+                shutdownMarginSeconds,
+                shutdownGraceSeconds);
     }
 
     public HostConfig withSeedPeers(List<PeerAddress> newSeedPeers) {
@@ -167,7 +178,8 @@
                 configurationService,
                 hostList,
                 keepSeconds,
-                shutdownMarginSeconds);
+                shutdownMarginSeconds,
+                shutdownGraceSeconds);
     }
 
     public HostConfig withPeerKey(Secret newPeerKey) {
@@ -185,7 +197,8 @@
                 configurationService,
                 hostList,
                 keepSeconds,
-                shutdownMarginSeconds);
+                shutdownMarginSeconds,
+                shutdownGraceSeconds);
     }
 
     public HostConfig withTokenKey(Secret newTokenKey) {
@@ -203,7 +216,8 @@
                 configurationService,
                 hostList,
                 keepSeconds,
-                shutdownMarginSeconds);
+                shutdownMarginSeconds,
+                shutdownGraceSeconds);
     }
 
     public HostConfig withConfigurationService(PeerAddress newConfigurationService) {
@@ -221,7 +235,8 @@
                 Optional.of(newConfigurationService),
                 hostList,
                 keepSeconds,
-                shutdownMarginSeconds);
+                shutdownMarginSeconds,
+                shutdownGraceSeconds);
     }
 
     public HostConfig withHostList(PeerAddress newHostList) {
@@ -239,7 +254,8 @@
                 configurationService,
                 Optional.of(newHostList),
                 keepSeconds,
-                shutdownMarginSeconds);
+                shutdownMarginSeconds,
+                shutdownGraceSeconds);
     }
 
     public HostConfig withKeepSeconds(int newKeepSeconds) {
@@ -257,7 +273,8 @@
                 configurationService,
                 hostList,
                 newKeepSeconds,
-                shutdownMarginSeconds);
+                shutdownMarginSeconds,
+                shutdownGraceSeconds);
     }
 
     public HostConfig withShutdownMarginSeconds(int newShutdownMarginSeconds) {
@@ -275,7 +292,27 @@
                 configurationService,
                 hostList,
                 keepSeconds,
-                newShutdownMarginSeconds);
+                newShutdownMarginSeconds,
+                shutdownGraceSeconds);
+    }
+
+    public HostConfig withShutdownGraceSeconds(int newShutdownGraceSeconds) {
+        return new HostConfig(
+                hostId,
+                region,
+                availabilityZone,
+                bindAddress,
+                callerPort,
+                operatorPort,
+                peerPort,
+                seedPeers,
+                peerKey,
+                tokenKey,
+                configurationService,
+                hostList,
+                keepSeconds,
+                shutdownMarginSeconds,
+                newShutdownGraceSeconds);
     }
 
     private static void requirePort(String name, int port) {
@@ -284,9 +321,9 @@
         }
     }
 
-    private static void requireAtLeastZero(String name, int value) {
-        if (value < 0) {
-            throw invalid(name, value + " is below 0");
+    private static void requireAtLeast(String name, int value, int minimum) {
+        if (value < minimum) {
+            throw invalid(name, value + " is below " + minimum);
         }
     }
 
--- a/figspan-settings/src/main/java/io/figspan/settings/cfg/HostConfigReader.java
+++ b/figspan-settings/src/main/java/io/figspan/settings/cfg/HostConfigReader.java
@@ -44,7 +44,8 @@
             "configurationService",
             "hostList",
             "keepSeconds",
-            "shutdownMarginSeconds");
+            "shutdownMarginSeconds",
+            "shutdownGraceSeconds");
 
     /** Shortest key of the HMAC on frames, in characters: the output length of SHA-256 in bytes. */
     private static final int MIN_KEY_CHARS = 32;
@@ -98,7 +99,8 @@
                 readAddress("configurationService"),
                 readAddress("hostList"),
                 readInt("keepSeconds", HostConfig.DEFAULT_KEEP_SECONDS, 86_400),
-                readInt("shutdownMarginSeconds", HostConfig.DEFAULT_SHUTDOWN_MARGIN_SECONDS, 86_400));
+                readInt("shutdownMarginSeconds", HostConfig.DEFAULT_SHUTDOWN_MARGIN_SECONDS, 86_400),
+                readInt("shutdownGraceSeconds", HostConfig.DEFAULT_SHUTDOWN_GRACE_SECONDS, 1, 86_400));
     }
 
     private void requireKnownKeys() {
@@ -192,13 +194,17 @@
     }
 
     private int readInt(String key, int defaultValue, int maximum) {
+        return readInt(key, defaultValue, 0, maximum);
+    }
+
+    private int readInt(String key, int defaultValue, int minimum, int maximum) {
         JsonNode node = document.path(key);
         if (node.isMissingNode()) {
             return defaultValue;
         }
-        boolean valid = node.isInt() && node.intValue() >= 0 && node.intValue() <= maximum;
+        boolean valid = node.isInt() && node.intValue() >= minimum && node.intValue() <= maximum;
         if (!valid) {
-            throw invalid("key '" + key + "': expected a whole number from 0 to " + maximum);
+            throw invalid("key '" + key + "': expected a whole number from " + minimum + " to " + maximum);
         }
         return node.intValue();
     }
--- a/figspan-settings/src/test/java/io/figspan/settings/cfg/HostConfigReaderTest.java
+++ b/figspan-settings/src/test/java/io/figspan/settings/cfg/HostConfigReaderTest.java
@@ -35,6 +35,7 @@
                 seedPeers = ["127.0.0.1:7402", "[::1]:7402"]
                 configurationService = "127.0.0.1:9100"
                 keepSeconds = 2
+                shutdownGraceSeconds = 30
                 """);
         assertEquals("h1", config.hostId().value());
         assertEquals(KEY, config.peerKey().text());
@@ -43,6 +44,8 @@
                 config.seedPeers().toString());
         assertEquals(9100, config.configurationService().orElseThrow().port());
         assertEquals(2, config.keepSeconds());
+        assertEquals(30, config.shutdownGraceSeconds());
+        assertEquals(8, config.withShutdownGraceSeconds(8).shutdownGraceSeconds());
         assertEquals(9, config.withKeepSeconds(9).keepSeconds());
         assertFalse(config.toString().contains(KEY));
     }
@@ -58,6 +61,7 @@
                         NAMES + "peerKeyFile = \"missing.key\"\n",
                         NAMES + key + "calerPort = 1\n",
                         NAMES + key + "callerPort = 70000\n",
+                        NAMES + key + "shutdownGraceSeconds = 0\n",
                         NAMES + key + "bindAddress = \"localhost\"\n",
                         NAMES + key + "seedPeers = [\"127.0.0.1\"]\n",
                         NAMES + key + "hostList = \"example.org:80\"\n",
