Host: what is in progress at the end of the grace time gets a final answer

A planned stop waited up to 3,700 s for requests in flight, whatever the time until the kill, and for the expiry of cached entry lists before that. So a kill cut streams, bodies and orders without an answer. The time now comes from shutdownGraceSeconds through DrainPlan: the lifecycle has the state ENDING, in which each request gets its final answer, and it leaves UNLISTED for it too. What has not been sent to an engine is notRun, all else is unknown. The engine goes on with a stream that has begun, so that its caller can resume at another host. The process exits before the kill, also with connections that don't close. The log names each request that was ended.

The other tests of HostLifecycleTest use 61 s in place of 60 s: the figure was the limit of the wait and is now the time of the kill, which lies after the last answers; their assertions are unchanged.

--- a/figspan-control/src/main/java/io/figspan/control/lifecycle/HostEvent.java
+++ b/figspan-control/src/main/java/io/figspan/control/lifecycle/HostEvent.java
@@ -10,6 +10,8 @@
     LISTS_RAN_OUT,
     /** No request is in flight and no ticket can still be executed. */
     IDLE,
-    /** The shutdown timeout has passed. */
+    /** The requests in progress can't go on, or their last answers would not be written before the kill. */
+    LAST_ANSWERS_DUE,
+    /** The process has to exit, or it is killed. */
     LIMIT_REACHED
 }
--- a/figspan-control/src/main/java/io/figspan/control/lifecycle/HostLifecycle.java
+++ b/figspan-control/src/main/java/io/figspan/control/lifecycle/HostLifecycle.java
@@ -2,11 +2,14 @@
 
 import io.figspan.core.chart.StateChart;
 import io.figspan.core.error.Result;
+import io.figspan.policy.drain.DrainPlan;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /**
  * Lifecycle of a host process. On shutdown the host leaves the entry list, accepts work until every caller's cached
- * copy of the list has expired, and then finishes what is in flight. Not thread-safe.
+ * copy of the list has expired, and then finishes what is in flight. What can't end within the grace time gets its
+ * final answer before the kill. Not thread-safe.
  */
 public final class HostLifecycle {
     private static final StateChart<HostState, HostEvent> CHART =
@@ -19,10 +22,11 @@
     private static final long POST_PAUSE_ACCEPT_MS = 1_000;
 
     private final long entryListMarginMs;
-    private final long shutdownTimeoutMs;
+    private final long graceMs;
     private HostState state = CHART.initial();
     private long keepSeconds;
     private long shutdownNanos;
+    private Optional<DrainPlan> drainPlan = Optional.empty();
     private long lastTickNanos;
     private long resumedNanos;
 
@@ -30,11 +34,11 @@
      * Creates the lifecycle of a process that has no settings yet.
      *
      * @param entryListMarginMs time after {@code keepSeconds} in which callers may still connect
-     * @param shutdownTimeoutMs longest time from the shutdown request to the exit; longer than any request's deadline
+     * @param graceMs time from the shutdown request to the kill of the process
      */
-    public HostLifecycle(long entryListMarginMs, long shutdownTimeoutMs) {
+    public HostLifecycle(long entryListMarginMs, long graceMs) {
         this.entryListMarginMs = entryListMarginMs;
-        this.shutdownTimeoutMs = shutdownTimeoutMs;
+        this.graceMs = graceMs;
     }
 
     public void onSettingsReady() {
@@ -46,6 +50,7 @@
         if (CHART.changesState(state, HostEvent.SHUTDOWN)) {
             keepSeconds = newKeepSeconds;
             shutdownNanos = nowNanos;
+            drainPlan = Optional.of(new DrainPlan(nowNanos, graceMs));
             lastTickNanos = nowNanos;
             resumedNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(POST_PAUSE_ACCEPT_MS);
         }
@@ -55,7 +60,7 @@
     /**
      * Applies the timeouts and returns the new state; must be called at least every {@value #PAUSE_THRESHOLD_MS} ms.
      *
-     * @param inFlight number of requests in flight and of tickets that can still be executed
+     * @param inFlight number of requests and orders in flight
      */
     public HostState onTick(int inFlight, long nowNanos) {
         if (nowNanos - lastTickNanos > TimeUnit.MILLISECONDS.toNanos(PAUSE_THRESHOLD_MS)) {
@@ -69,15 +74,23 @@
                 && sinceShutdownMs >= TimeUnit.SECONDS.toMillis(keepSeconds) + entryListMarginMs) {
             transition(HostEvent.LISTS_RAN_OUT);
         }
-        if (state == HostState.DRAINING && inFlight == 0) {
+        if (drainPlan.filter(plan -> plan.isTimeForLastAnswers(inFlight, nowNanos)).isPresent()) {
+            transition(HostEvent.LAST_ANSWERS_DUE);
+        }
+        if (inFlight == 0) {
             transition(HostEvent.IDLE);
         }
-        if (state == HostState.DRAINING && sinceShutdownMs >= shutdownTimeoutMs) {
+        if (mustExit(nowNanos)) {
             transition(HostEvent.LIMIT_REACHED);
         }
         return state;
     }
 
+    /** Returns whether the grace time is over, but for the time that the exit takes. */
+    public boolean mustExit(long nowNanos) {
+        return drainPlan.filter(plan -> plan.mustExit(nowNanos)).isPresent();
+    }
+
     public HostState state() {
         return state;
     }
--- a/figspan-control/src/main/java/io/figspan/control/lifecycle/HostState.java
+++ b/figspan-control/src/main/java/io/figspan/control/lifecycle/HostState.java
@@ -10,6 +10,8 @@
     UNLISTED,
     /** Accepts no new work and finishes what is in flight. */
     DRAINING,
-    /** Nothing is in flight; the process may exit. */
+    /** Ends what is still in flight with a final answer. */
+    ENDING,
+    /** Nothing is in flight, or the grace time is over; the process exits. */
     STOPPED
 }
--- a/figspan-control/src/test/java/io/figspan/control/lifecycle/HostLifecycleTest.java
+++ b/figspan-control/src/test/java/io/figspan/control/lifecycle/HostLifecycleTest.java
@@ -8,7 +8,7 @@
 import org.junit.jupiter.api.Test;
 
 class HostLifecycleTest {
-    private final HostLifecycle lifecycle = new HostLifecycle(1_000, 60_000);
+    private final HostLifecycle lifecycle = new HostLifecycle(1_000, 61_000);
 
     /** Guards against a shutdown that refuses callers with a cached entry list or aborts their requests. */
     @Test
@@ -47,6 +47,19 @@
         assertEquals(HostState.STOPPED, lifecycle.onTick(0, ms(10_000)));
     }
 
+    /** Guards against a process that still takes requests, or still runs, when its process manager kills it. */
+    @Test
+    void aHostStopsBeforeTheKillAlsoWhileCallersUseCachedEntryLists() {
+        HostLifecycle stopping = new HostLifecycle(1_000, 8_000);
+        stopping.onSettingsReady();
+        stopping.onShutdown(3_600, ms(0));
+        stopping.onTick(3, ms(6_600));
+        assertTrue(stopping.takesNewWork());
+        stopping.onTick(3, ms(7_500));
+        assertFalse(stopping.takesNewWork());
+        assertEquals(HostState.STOPPED, stopping.onTick(3, ms(7_700)));
+    }
+
     private void tickUntil(long untilMs) {
         for (long nowMs = Math.max(0, untilMs - 900); nowMs <= untilMs; nowMs += 100) {
             lifecycle.onTick(0, ms(nowMs));
--- a/figspan-host/src/main/java/io/figspan/host/HostProcess.java
+++ b/figspan-host/src/main/java/io/figspan/host/HostProcess.java
@@ -59,9 +59,6 @@
     /** Speed that predictions use until settings are in force; the defaults of the settings. */
     private static final EngineSpeed DEFAULT_SPEED = new EngineSpeed(40_000, 512, 30_000_000, 400_000);
 
-    /** Longest time of a graceful shutdown: the longest deadline of a request and some margin. */
-    private static final long SHUTDOWN_LIMIT_MS = 3_700_000;
-
     private final HostContext context;
     private final EntryDirectory directory;
     private final LimitGate limits;
@@ -86,7 +83,8 @@
         this.operator.setMembers(
                 () -> peers.node().view().live().stream().map(Peer::toString).toList());
         this.lifecycle = new HostLifecycle(
-                TimeUnit.SECONDS.toMillis(context.config().shutdownMarginSeconds()), SHUTDOWN_LIMIT_MS);
+                TimeUnit.SECONDS.toMillis(context.config().shutdownMarginSeconds()),
+                TimeUnit.SECONDS.toMillis(context.config().shutdownGraceSeconds()));
     }
 
     /** Creates a process with one event loop: at 15 requests per second and host, one core is enough. */
@@ -173,7 +171,8 @@
 
     /**
      * Shuts down without cutting off a request: leaves the entry list, serves on for as long as callers may keep a list
-     * plus a margin, then refuses new requests and finishes those in flight. The future completes at the end.
+     * plus a margin, then refuses new requests and finishes those in flight. What can't end within the grace time gets
+     * a final answer before the kill. The future completes at the end.
      */
     public Future<Void> shutDown() {
         context.vertx().runOnContext(nothing -> {
@@ -199,19 +198,33 @@
             return;
         }
         LOG.info("{} host {} is {}", PREFIX, context.incarnation(), now.name().toLowerCase(Locale.ROOT));
-        if (now == HostState.DRAINING || now == HostState.STOPPED) {
+        if (!lifecycle.takesNewWork()) {
             orders.drain();
             entry.refuseNew();
         }
+        if (now == HostState.ENDING || now == HostState.STOPPED) {
+            orders.endAll();
+            entry.endAll();
+        }
         if (now == HostState.STOPPED) {
-            entry.close().compose(closed -> operator.close()).onComplete(closed -> {
-                var unused = peers.node().close().onErrorComplete().subscribe(() -> context.vertx()
-                        .close()
-                        .onComplete(stopped));
-            });
+            closePorts();
         }
     }
 
+    /** Closes all ports; a connection that does not close is given up when the process has to exit. */
+    private void closePorts() {
+        context.vertx().setPeriodic(TICK_MS, id -> {
+            if (lifecycle.mustExit(context.nowNanos())) {
+                stopped.tryComplete();
+            }
+        });
+        entry.close().compose(closed -> operator.close()).onComplete(closed -> {
+            var unused = peers.node().close().onErrorComplete().subscribe(() -> context.vertx()
+                    .close()
+                    .onComplete(ended -> stopped.tryComplete()));
+        });
+    }
+
     private Single<PeerMessage.OrderOutcome> forwardOrder(
             HostIncarnation owner, LongFunction<PeerMessage> message, long timeoutMs) {
         return peers.addressOf(owner)
--- a/figspan-host/src/main/java/io/figspan/host/Main.java
+++ b/figspan-host/src/main/java/io/figspan/host/Main.java
@@ -20,9 +20,6 @@
     private static final int EXIT_FAILED = 1;
     private static final int EXIT_USAGE = 2;
 
-    /** Longest time that a shutdown waits for requests in flight: the longest deadline plus the margin. */
-    private static final long MAX_SHUTDOWN_SECONDS = 4_000;
-
     @Parameter(names = "--config", required = true, description = "host file of this process")
     private String config;
 
@@ -54,7 +51,9 @@
     private void run(HostConfig hostConfig) {
         HostProcess.create(hostConfig, EntryServer.Limits.DEFAULT)
                 .compose(process -> {
-                    Runtime.getRuntime().addShutdownHook(new Thread(() -> awaitShutdown(process), "shutdown"));
+                    Runtime.getRuntime()
+                            .addShutdownHook(new Thread(
+                                    () -> awaitShutdown(process, hostConfig.shutdownGraceSeconds()), "shutdown"));
                     return process.start();
                 })
                 .onFailure(cause -> {
@@ -63,11 +62,11 @@
                 });
     }
 
-    private static void awaitShutdown(HostProcess process) {
+    private static void awaitShutdown(HostProcess process, int graceSeconds) {
         CountDownLatch done = new CountDownLatch(1);
         process.shutDown().onComplete(result -> done.countDown());
         try {
-            if (!done.await(MAX_SHUTDOWN_SECONDS, TimeUnit.SECONDS)) {
+            if (!done.await(graceSeconds, TimeUnit.SECONDS)) {
                 LOG.warn("{} shutdown ends with requests in flight", Part.ENTRY.logPrefix());
             }
         } catch (InterruptedException e) {
--- a/figspan-host/src/main/java/io/figspan/host/entry/CompletionCall.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/CompletionCall.java
@@ -75,6 +75,8 @@
     private int openSends;
 
     private boolean over;
+    /** Whether the engine goes on with a stream after the end of this call, so that it can be resumed elsewhere. */
+    private boolean keepsStream;
 
     CompletionCall(
             HostContext context,
@@ -370,6 +372,25 @@
         end();
     }
 
+    /** Ends the call because the process exits. A stream that has begun can be resumed at another host. */
+    void endForExit() {
+        if (over) {
+            return;
+        }
+        LOG.info(
+                "{} request {} ended: the process exits before its answer is complete; sent to {}, {} attempts",
+                Part.ENTRY.logPrefix(),
+                head.request(),
+                servers,
+                attempts);
+        keepsStream = true;
+        fail(
+                openSends > 0
+                        ? Problem.unknown(ProblemKind.HOST_STOPPED, "this host stops before the answer is complete")
+                        : Problem.notRun(ProblemKind.SHUTTING_DOWN, "this host stops before the request has begun")
+                                .withRetryAfterMs(1));
+    }
+
     // End
 
     private void end() {
@@ -407,6 +428,9 @@
             release(hold, reserved);
             return;
         }
+        if (keepsStream) {
+            return;
+        }
         AnswerRelay opened = running.get();
         context.engines()
                 .cancel(opened.server(), opened.stream(), opened.readerNumber())
--- a/figspan-host/src/main/java/io/figspan/host/entry/EntryServer.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/EntryServer.java
@@ -70,7 +70,7 @@
     private final Dispatcher dispatcher;
     private HttpServer server;
     private int connections;
-    private int inFlight;
+    private final RequestsInProgress inProgress = new RequestsInProgress();
     private boolean refusing;
 
     public EntryServer(
@@ -107,7 +107,7 @@
     }
 
     public int inFlight() {
-        return inFlight;
+        return inProgress.size();
     }
 
     public int queued() {
@@ -119,6 +119,11 @@
         refusing = true;
     }
 
+    /** Gives each request in progress its final answer, because the process exits before they can end. */
+    public void endAll() {
+        inProgress.endAll();
+    }
+
     public Future<Void> close() {
         return server.close();
     }
@@ -204,6 +209,9 @@
         withHead(
                 request,
                 head -> body.onSuccess(collected -> {
+                    if (request.response().ended()) {
+                        return;
+                    }
                     if (collected instanceof Result.Failed<Buffer> failed) {
                         // The rest of the body is not read, so the connection cannot carry another request.
                         request.response().putHeader("Connection", "close");
@@ -227,21 +235,31 @@
 
     /** Counts a request as in flight until its response ends or its connection closes. */
     private void track(HttpServerRequest request) {
-        inFlight++;
-        boolean[] counted = {true};
-        Runnable end = () -> {
-            if (counted[0]) {
-                counted[0] = false;
-                inFlight--;
-            }
-        };
-        request.response().endHandler(nothing -> end.run());
+        inProgress.put(request, () -> refuseAsStopped(request));
+        request.response().endHandler(nothing -> inProgress.remove(request));
         request.connection().closeHandler(nothing -> {
             connections--;
-            end.run();
+            inProgress.remove(request);
         });
     }
 
+    private void refuseAsStopped(HttpServerRequest request) {
+        LOG.info("{} request {} refused: the process exits before it has begun", PREFIX, nameOf(request));
+        context.count("requests.refused.shuttingDown");
+        request.response().putHeader("Connection", "close");
+        refuse(
+                request,
+                Problem.notRun(ProblemKind.SHUTTING_DOWN, "this host stops before the request has begun")
+                        .withRetryAfterMs(1));
+    }
+
+    /** The caller's id of a request, as far as it names one; else its path. */
+    private static String nameOf(HttpServerRequest request) {
+        return RequestHead.parse(request.headers(), request.path()) instanceof Result.Ok<RequestHead> head
+                ? head.value().request().value()
+                : request.path();
+    }
+
     // Entry list and prompts
 
     private void listHosts(HttpServerRequest request) {
@@ -284,7 +302,7 @@
         Deadline deadline = Deadline.after(context.nowNanos(), deadlineMs(head, settings, prompt.promptTokens()));
         CallerStream caller =
                 new CallerStream(request.response(), head.request().value());
-        new CompletionCall(
+        CompletionCall call = new CompletionCall(
                         context,
                         dispatcher,
                         tokens(),
@@ -293,8 +311,9 @@
                         caller,
                         priority(head, settings),
                         deadline,
-                        () -> limitGate.refund(head.organisation(), workTokens))
-                .start();
+                        () -> limitGate.refund(head.organisation(), workTokens));
+        inProgress.put(request, call::endForExit);
+        call.start();
     }
 
     private void resume(HttpServerRequest request, RequestHead head) {
@@ -312,7 +331,9 @@
         Deadline deadline = Deadline.after(context.nowNanos(), deadlineMs(head, settings, 0));
         CallerStream caller =
                 new CallerStream(request.response(), head.request().value());
-        new ResumeCall(context, caller, head, deadline).start(tokens, ((Result.Ok<ResumeToken>) position).value());
+        ResumeCall call = new ResumeCall(context, caller, head, deadline);
+        inProgress.put(request, call::endForExit);
+        call.start(tokens, ((Result.Ok<ResumeToken>) position).value());
     }
 
     private static long deadlineMs(RequestHead head, ResolvedSettings settings, int promptTokens) {
--- a/figspan-host/src/main/java/io/figspan/host/entry/ResumeCall.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/ResumeCall.java
@@ -9,9 +9,13 @@
 import io.figspan.host.HostContext;
 import io.figspan.host.backend.BackendTable;
 import java.util.Optional;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** A caller that goes on reading an answer, after a break or at another host. */
 final class ResumeCall {
+    private static final Logger LOG = LoggerFactory.getLogger(ResumeCall.class);
+
     private final HostContext context;
     private final CallerStream caller;
     private final RequestHead head;
@@ -85,6 +89,21 @@
         }
     }
 
+    /** Ends the call because the process exits. The engine goes on, so that the caller can resume at another host. */
+    void endForExit() {
+        if (over) {
+            return;
+        }
+        LOG.info(
+                "{} request {} ended: the process exits before its resumed answer is complete",
+                Part.ENTRY.logPrefix(),
+                head.request());
+        context.count("prompts.failed." + ProblemKind.HOST_STOPPED.wireName());
+        relay.ifPresent(AnswerRelay::stop);
+        relay = Optional.empty();
+        fail(Problem.unknown(ProblemKind.HOST_STOPPED, "this host stops before the answer is complete"));
+    }
+
     private void fail(Problem problem) {
         caller.problem(problem);
         end();
--- a/figspan-host/src/main/java/io/figspan/host/order/OrderCalls.java
+++ b/figspan-host/src/main/java/io/figspan/host/order/OrderCalls.java
@@ -23,9 +23,12 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.LongFunction;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Calls that wait for an outcome, and the driver of the ticket owner. Used on the event loop only. */
 final class OrderCalls {
+    private static final Logger LOG = LoggerFactory.getLogger(OrderCalls.class);
     private static final long TICK_MS = 20;
 
     /** A forwarded call gets its answer this long before the deadline, so that the owner's own answer can arrive. */
@@ -39,6 +42,7 @@
     private final OrderWrites writes;
     private final Map<CallId, Call> waiting = new HashMap<>();
     private long nextCall;
+    private boolean exiting;
 
     /**
      * One call.
@@ -70,6 +74,10 @@
     }
 
     void execute(Call call, Ticket ticket, byte[] body) {
+        if (exiting) {
+            answer(add(call), stopped());
+            return;
+        }
         ResolvedSettings settings = context.tree().resolve(ticket.organisation(), ticket.service());
         OrderRules rules = new OrderRules(
                 settings.flag(SettingKey.ORDERS_IDEMPOTENCY_KEY),
@@ -79,9 +87,30 @@
     }
 
     void query(Call call, Ticket ticket) {
+        if (exiting) {
+            answer(add(call), stopped());
+            return;
+        }
         perform(owner.onQuery(add(call), ticket, context.nowNanos()), NO_BODY);
     }
 
+    /** Answers all calls, now and from now on, with an unknown outcome: the order may have been written. */
+    void endAll() {
+        exiting = true;
+        for (CallId id : List.copyOf(waiting.keySet())) {
+            LOG.info(
+                    "{} order of request {} ended: the process exits before its outcome is known",
+                    Part.TICKET.logPrefix(),
+                    waiting.get(id).request());
+            answer(id, stopped());
+        }
+    }
+
+    private static OutcomeForm stopped() {
+        return OutcomeForm.of(
+                Problem.unknown(ProblemKind.HOST_STOPPED, "this host stops before the outcome of the order is known"));
+    }
+
     private CallId add(Call call) {
         nextCall++;
         CallId id = new CallId(nextCall);
--- a/figspan-host/src/main/java/io/figspan/host/order/OrderService.java
+++ b/figspan-host/src/main/java/io/figspan/host/order/OrderService.java
@@ -58,6 +58,11 @@
         owner.drain();
     }
 
+    /** Answers the calls that wait, and from now on all others, because the process exits. */
+    public void endAll() {
+        calls.endAll();
+    }
+
     /** Orders that are being executed here. */
     public int inFlight() {
         return owner.inFlightCount();
--- a/figspan-host/src/test/java/io/figspan/host/LoopbackFleet.java
+++ b/figspan-host/src/test/java/io/figspan/host/LoopbackFleet.java
@@ -20,12 +20,15 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
+import java.util.function.UnaryOperator;
 
 /** Stand-ins and hosts over loopback sockets in one process. Waits are for conditions, with a bound far above need. */
 final class LoopbackFleet {
     static final String ADDRESS = "127.0.0.1";
     static final String ORGANISATION = "driftglass";
 
+    private static final String DEADLINE_HEADER = "Figspan-Deadline-Ms";
+    private static final long DEADLINE_MS = 120_000;
     private static final long WAIT_SECONDS = 60;
     private static final long POLL_MS = 20;
     private static final ObjectMapper MAPPER = new ObjectMapper();
@@ -37,13 +40,23 @@
     private final StandinFleet standins = new StandinFleet(vertx, ADDRESS);
 
     LoopbackFleet(Path directory, int hostCount, int enginesPerZone, EntryServer.Limits limits) throws Exception {
+        this(directory, hostCount, enginesPerZone, limits, UnaryOperator.identity());
+    }
+
+    LoopbackFleet(
+            Path directory,
+            int hostCount,
+            int enginesPerZone,
+            EntryServer.Limits limits,
+            UnaryOperator<HostConfig> configuration)
+            throws Exception {
         await(standins.start(enginesPerZone, 1));
         List<StandinFiles.HostPorts> ports = StandinFiles.pickPorts(ADDRESS, hostCount);
         standins.publish(ports);
         new StandinFiles(directory, ADDRESS).write(standins, ports, 0);
         for (StandinFiles.HostPorts port : ports) {
             HostConfig config = HostConfigReader.readFile(directory.resolve(port.id() + ".toml"));
-            HostProcess host = await(HostProcess.create(config, limits));
+            HostProcess host = await(HostProcess.create(configuration.apply(config), limits));
             await(host.start());
             hosts.add(host);
         }
@@ -81,7 +94,7 @@
         return HttpRequest.newBuilder(uri(callerPort(host), path))
                 .header("Figspan-Organisation", ORGANISATION)
                 .header("Figspan-Request-Id", requestId)
-                .header("Figspan-Deadline-Ms", "120000");
+                .header(DEADLINE_HEADER, Long.toString(DEADLINE_MS));
     }
 
     /** The head of a request for a prompt whose connection closes after the answer. */
@@ -93,12 +106,17 @@
 
     /** Starts a prompt and returns its answer, which is read as it arrives. */
     SseAnswer prompt(int host, String requestId, String prompt, int maxTokens) throws Exception {
+        return prompt(host, requestId, prompt, maxTokens, DEADLINE_MS);
+    }
+
+    SseAnswer prompt(int host, String requestId, String prompt, int maxTokens, long deadlineMs) throws Exception {
         String body = MAPPER.createObjectNode()
                 .put("model", StandinFleet.MODEL)
                 .put("prompt", prompt)
                 .put("max_tokens", maxTokens)
                 .toString();
         HttpRequest request = request(host, "/v1/completions", requestId)
+                .setHeader(DEADLINE_HEADER, Long.toString(deadlineMs))
                 .POST(HttpRequest.BodyPublishers.ofString(body))
                 .build();
         return new SseAnswer(http.send(request, HttpResponse.BodyHandlers.ofInputStream()));
