Host: a stopping host refuses at once what it can't end before the kill

From SIGTERM until the cached entry lists expire, the host accepted requests whatever they may take, so that the end of the grace time ended them. A request whose deadline is later than the last answers is now refused as not run, at its head and again when its body is complete and its whole deadline is known; its caller uses another host. Orders and streams to resume say unknown there, since an earlier call may have run them; a refused resumption said notRun. The log names each refused request, and requests.refused.shuttingDown counts them.

Failed before: PlannedStopTest.aStoppingHostTakesOnlyRequestsWhoseDeadlineIsBeforeTheEndOfTheGraceTime (no request was refused within the 60 s that the test waits).

--- a/figspan-control/src/main/java/io/figspan/control/lifecycle/HostLifecycle.java
+++ b/figspan-control/src/main/java/io/figspan/control/lifecycle/HostLifecycle.java
@@ -74,7 +74,9 @@
                 && sinceShutdownMs >= TimeUnit.SECONDS.toMillis(keepSeconds) + entryListMarginMs) {
             transition(HostEvent.LISTS_RAN_OUT);
         }
-        if (drainPlan.filter(plan -> plan.isTimeForLastAnswers(inFlight, nowNanos)).isPresent()) {
+        if (drainPlan
+                .filter(plan -> plan.isTimeForLastAnswers(inFlight, nowNanos))
+                .isPresent()) {
             transition(HostEvent.LAST_ANSWERS_DUE);
         }
         if (inFlight == 0) {
@@ -100,6 +102,18 @@
         return state == HostState.SERVING;
     }
 
+    /**
+     * Returns whether a request that may take this long can end in time. During a shutdown it has to end before the
+     * last answers are written; its caller can use another host otherwise.
+     *
+     * @param inFlight number of requests and orders in flight
+     */
+    public boolean endsInTime(long boundMs, int inFlight, long nowNanos) {
+        boolean exits = state == HostState.ENDING || state == HostState.STOPPED;
+        return !exits
+                && drainPlan.map(plan -> plan.fits(boundMs, inFlight, nowNanos)).orElse(true);
+    }
+
     /** Returns whether new requests are accepted. */
     public boolean takesNewWork() {
         return state == HostState.SERVING || state == HostState.UNLISTED;
--- a/figspan-control/src/test/java/io/figspan/control/lifecycle/HostLifecycleTest.java
+++ b/figspan-control/src/test/java/io/figspan/control/lifecycle/HostLifecycleTest.java
@@ -60,6 +60,20 @@
         assertEquals(HostState.STOPPED, stopping.onTick(3, ms(7_700)));
     }
 
+    /** Guards against a stopping host that takes a request which can't end before the kill. */
+    @Test
+    void aStoppingHostAcceptsWhatEndsBeforeTheLastAnswers() {
+        HostLifecycle stopping = new HostLifecycle(1_000, 30_000);
+        stopping.onSettingsReady();
+        assertTrue(stopping.endsInTime(3_600_000, 0, ms(0)));
+        stopping.onShutdown(3_600, ms(0));
+        assertTrue(stopping.endsInTime(24_000, 0, ms(1_000)));
+        assertFalse(stopping.endsInTime(29_500, 0, ms(1_000)));
+        assertFalse(stopping.endsInTime(24_000, 0, ms(6_000)));
+        stopping.onTick(0, ms(29_900));
+        assertFalse(stopping.endsInTime(0, 0, ms(29_900)));
+    }
+
     private void tickUntil(long untilMs) {
         for (long nowMs = Math.max(0, untilMs - 900); nowMs <= untilMs; nowMs += 100) {
             lifecycle.onTick(0, ms(nowMs));
--- a/figspan-host/src/main/java/io/figspan/host/HostProcess.java
+++ b/figspan-host/src/main/java/io/figspan/host/HostProcess.java
@@ -68,6 +68,7 @@
     private final OperatorServer operator;
     private final HostLifecycle lifecycle;
     private final Promise<Void> stopped = Promise.promise();
+
     private int callerPort;
     private int operatorPort;
 
@@ -78,7 +79,7 @@
         this.orders = new OrderService(context, this::forwardOrder);
         SettingsInForce adopter = new SettingsInForce(context, this::onSettings);
         this.peers = new PeerDriver(context, limits, directory, adopter, orders, this::onSuperseded);
-        this.entry = new EntryServer(context, entryLimits, directory, orders, limits, peers);
+        this.entry = new EntryServer(context, entryLimits, directory, orders, limits, peers, this::endsInTime);
         this.operator = new OperatorServer(context, this::gauges);
         this.operator.setMembers(
                 () -> peers.node().view().live().stream().map(Peer::toString).toList());
@@ -191,9 +192,17 @@
 
     // Events
 
+    private int inFlight() {
+        return entry.inFlight() + orders.inFlight();
+    }
+
+    private boolean endsInTime(long boundMs) {
+        return lifecycle.endsInTime(boundMs, inFlight(), context.nowNanos());
+    }
+
     private void tick() {
         HostState before = lifecycle.state();
-        HostState now = lifecycle.onTick(entry.inFlight() + orders.inFlight(), context.nowNanos());
+        HostState now = lifecycle.onTick(inFlight(), context.nowNanos());
         if (now == before) {
             return;
         }
--- a/figspan-host/src/main/java/io/figspan/host/entry/EntryServer.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/EntryServer.java
@@ -24,6 +24,7 @@
 import io.vertx.core.json.Json;
 import java.util.Locale;
 import java.util.function.BiConsumer;
+import java.util.function.LongPredicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -68,24 +69,32 @@
     private final LimitGate limitGate;
     private final LimitGate.Lenders lenders;
     private final Dispatcher dispatcher;
+    private final LongPredicate admission;
     private HttpServer server;
     private int connections;
     private final RequestsInProgress inProgress = new RequestsInProgress();
     private boolean refusing;
 
+    /**
+     * Creates the server; it does not listen yet.
+     *
+     * @param admission whether a request that may take this long, in milliseconds, ends before the process exits
+     */
     public EntryServer(
             HostContext context,
             Limits limits,
             EntryDirectory directory,
             OrderHandler orders,
             LimitGate limitGate,
-            LimitGate.Lenders lenders) {
+            LimitGate.Lenders lenders,
+            LongPredicate admission) {
         this.context = context;
         this.limits = limits;
         this.directory = directory;
         this.orders = orders;
         this.limitGate = limitGate;
         this.lenders = lenders;
+        this.admission = admission;
         this.dispatcher = new Dispatcher(context);
         context.backends().setChangeListener(dispatcher::poll);
     }
@@ -164,6 +173,7 @@
                         request,
                         limits.promptBodyBytes(),
                         limits.bodyMs(),
+                        SettingKey.PROMPTS_DEADLINE_MS,
                         (head, body) -> complete(request, head, body));
             case "GET /v1/completions/stream" -> withHead(request, head -> resume(request, head));
             case "POST /v1/tickets" ->
@@ -171,9 +181,15 @@
                         request,
                         MAX_ORDER_BODY_BYTES,
                         ORDER_BODY_MS,
+                        SettingKey.ORDERS_DEADLINE_MS,
                         (head, body) -> orders.issue(request, head, body));
             case "POST /v1/orders" ->
-                withBody(request, MAX_ORDER_BODY_BYTES, ORDER_BODY_MS, (head, body) -> orders.run(request, head, body));
+                withBody(
+                        request,
+                        MAX_ORDER_BODY_BYTES,
+                        ORDER_BODY_MS,
+                        SettingKey.ORDERS_DEADLINE_MS,
+                        (head, body) -> orders.run(request, head, body));
             default -> routeOther(request);
         }
     }
@@ -203,34 +219,62 @@
         action.accept(((Result.Ok<RequestHead>) head).value());
     }
 
-    private void withBody(HttpServerRequest request, int maxBytes, long maxMs, BiConsumer<RequestHead, Buffer> action) {
+    private void withBody(
+            HttpServerRequest request,
+            int maxBytes,
+            long maxMs,
+            SettingKey defaultDeadline,
+            BiConsumer<RequestHead, Buffer> action) {
         track(request);
         Future<Result<Buffer>> body = BodyCollector.collect(context.vertx(), request, maxBytes, maxMs);
-        withHead(
+        withHead(request, head -> {
+            ResolvedSettings settings = context.tree().resolve(head.organisation(), head.service());
+            if (!admits(request, head, head.deadlineMs().orElse(settings.integer(defaultDeadline)))) {
+                return;
+            }
+            body.onSuccess(collected -> {
+                if (request.response().ended()) {
+                    return;
+                }
+                if (collected instanceof Result.Failed<Buffer> failed) {
+                    // The rest of the body is not read, so the connection cannot carry another request.
+                    request.response().putHeader("Connection", "close");
+                    refuse(request, failed.problem());
+                    context.vertx()
+                            .setTimer(CLOSE_DELAY_MS, id -> request.connection().close());
+                    return;
+                }
+                action.accept(head, ((Result.Ok<Buffer>) collected).value());
+            });
+        });
+    }
+
+    /** Refuses a request whose deadline is later than this host can serve it, and returns whether it goes on. */
+    private boolean admits(HttpServerRequest request, RequestHead head, long deadlineMs) {
+        if (admission.test(deadlineMs)) {
+            return true;
+        }
+        LOG.info(
+                "{} request {} refused: it may take {} ms, and this host stops before that",
+                PREFIX,
+                head.request(),
+                deadlineMs);
+        context.count("requests.refused.shuttingDown");
+        refuse(
                 request,
-                head -> body.onSuccess(collected -> {
-                    if (request.response().ended()) {
-                        return;
-                    }
-                    if (collected instanceof Result.Failed<Buffer> failed) {
-                        // The rest of the body is not read, so the connection cannot carry another request.
-                        request.response().putHeader("Connection", "close");
-                        refuse(request, failed.problem());
-                        context.vertx().setTimer(CLOSE_DELAY_MS, id -> request.connection()
-                                .close());
-                        return;
-                    }
-                    action.accept(head, ((Result.Ok<Buffer>) collected).value());
-                }));
+                Problem.notRun(ProblemKind.SHUTTING_DOWN, "this host stops before the deadline of the request")
+                        .withRetryAfterMs(1));
+        return false;
     }
 
     /**
-     * Refuses a request before its handler saw it. For an order that says nothing about the ticket, which an earlier
-     * call may have run, so {@code notRun} would be false there.
+     * Refuses a request before its handler saw it. That says nothing about an order's ticket or a stream to resume,
+     * which an earlier call may have run, so {@code notRun} would be false there.
      */
     private static void refuse(HttpServerRequest request, Problem problem) {
-        boolean isOrder = request.path().startsWith("/v1/orders");
-        Problems.write(request.response(), isOrder ? problem.withRun(RunState.UNKNOWN) : problem);
+        boolean mayHaveRun =
+                request.path().startsWith("/v1/orders") || request.path().equals("/v1/completions/stream");
+        Problems.write(request.response(), mayHaveRun ? problem.withRun(RunState.UNKNOWN) : problem);
     }
 
     /** Counts a request as in flight until its response ends or its connection closes. */
@@ -293,25 +337,29 @@
                                     + settings.integer(SettingKey.PROMPTS_MAX_OUTPUT_TOKENS)));
             return;
         }
+        long deadlineMs = deadlineMs(head, settings, prompt.promptTokens());
+        if (!admits(request, head, deadlineMs)) {
+            return;
+        }
         long workTokens = prompt.promptTokens() + (long) prompt.outputTokens();
         if (limitGate.take(head.organisation(), workTokens, lenders) instanceof Result.Failed<Long> refused) {
             context.count("prompts.failed." + refused.problem().kind().wireName());
             Problems.write(request.response(), refused.problem());
             return;
         }
-        Deadline deadline = Deadline.after(context.nowNanos(), deadlineMs(head, settings, prompt.promptTokens()));
+        Deadline deadline = Deadline.after(context.nowNanos(), deadlineMs);
         CallerStream caller =
                 new CallerStream(request.response(), head.request().value());
         CompletionCall call = new CompletionCall(
-                        context,
-                        dispatcher,
-                        tokens(),
-                        head,
-                        prompt,
-                        caller,
-                        priority(head, settings),
-                        deadline,
-                        () -> limitGate.refund(head.organisation(), workTokens));
+                context,
+                dispatcher,
+                tokens(),
+                head,
+                prompt,
+                caller,
+                priority(head, settings),
+                deadline,
+                () -> limitGate.refund(head.organisation(), workTokens));
         inProgress.put(request, call::endForExit);
         call.start();
     }
@@ -326,9 +374,13 @@
             Problems.write(request.response(), failed.problem());
             return;
         }
-        track(request);
         ResolvedSettings settings = context.tree().resolve(head.organisation(), head.service());
-        Deadline deadline = Deadline.after(context.nowNanos(), deadlineMs(head, settings, 0));
+        long deadlineMs = deadlineMs(head, settings, 0);
+        if (!admits(request, head, deadlineMs)) {
+            return;
+        }
+        track(request);
+        Deadline deadline = Deadline.after(context.nowNanos(), deadlineMs);
         CallerStream caller =
                 new CallerStream(request.response(), head.request().value());
         ResumeCall call = new ResumeCall(context, caller, head, deadline);
--- a/figspan-host/src/test/java/io/figspan/host/PlannedStopTest.java
+++ b/figspan-host/src/test/java/io/figspan/host/PlannedStopTest.java
@@ -1,6 +1,7 @@
 package io.figspan.host;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -24,6 +25,8 @@
     private static final int TOKENS = 40;
     private static final int GATE = 7;
     private static final int SHORT_GRACE_SECONDS = 3;
+    private static final int LONG_GRACE_SECONDS = 60;
+    private static final int KEEP_SECONDS = 3_600;
     private static final long SHORT_DEADLINE_MS = 20_000;
     private static final long BODY_MS = 20_000;
 
@@ -79,7 +82,31 @@
         }
     }
 
+    /** Guards against a stopping host that takes what it can't end, or refuses what it can. */
+    @Test
+    void aStoppingHostTakesOnlyRequestsWhoseDeadlineIsBeforeTheEndOfTheGraceTime() throws Exception {
+        start(1, config -> config.withShutdownGraceSeconds(LONG_GRACE_SECONDS).withKeepSeconds(KEEP_SECONDS));
+        Future<Void> stopped = fleet.hosts.get(0).shutDown();
+        fleet.awaitCondition(waiting -> refusesLongRequests());
+        try (SseAnswer answer = fleet.prompt(0, "short", "one two three", 4, SHORT_DEADLINE_MS)) {
+            answer.readToEnd();
+            assertEquals(Answers.answer("one two three", 4), answer.text.toString());
+            assertFalse(stopped.isComplete());
+        }
+    }
+
     private void start(int hosts, UnaryOperator<HostConfig> configuration) throws Exception {
         fleet = new LoopbackFleet(directory, hosts, 1, LoopbackFleet.limits(1 << 20, BODY_MS), configuration);
     }
+
+    private boolean refusesLongRequests() {
+        try (SseAnswer refused = fleet.prompt(0, "long", "one two three", 4)) {
+            refused.readToEnd();
+            return refused.status == 503
+                    && "shuttingDown".equals(refused.problem.path("kind").asText())
+                    && "notRun".equals(refused.problem.path("run").asText());
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
 }
