Host: a stop before the first settings ends the process

The chart goes from STARTING to STOPPED on the signal itself, and the tick compared the state before and after its own call only, so that it never saw the change and closed nothing until the kill. It now compares with the state of the tick before.

Failed before: StartTest.aHostThatIsStoppedBeforeItHasSettingsEnds (timeout after 60 s).

--- a/figspan-host/src/main/java/io/figspan/host/HostProcess.java
+++ b/figspan-host/src/main/java/io/figspan/host/HostProcess.java
@@ -68,6 +68,8 @@
     private final OperatorServer operator;
     private final HostLifecycle lifecycle;
     private final Promise<Void> stopped = Promise.promise();
+    /** State that the last tick saw; other events change the state between ticks. */
+    private HostState tickedState = HostState.STARTING;
 
     private int callerPort;
     private int operatorPort;
@@ -201,11 +203,11 @@
     }
 
     private void tick() {
-        HostState before = lifecycle.state();
         HostState now = lifecycle.onTick(inFlight(), context.nowNanos());
-        if (now == before) {
+        if (now == tickedState) {
             return;
         }
+        tickedState = now;
         LOG.info("{} host {} is {}", PREFIX, context.incarnation(), now.name().toLowerCase(Locale.ROOT));
         if (!lifecycle.takesNewWork()) {
             orders.drain();
