PlannedStopTest: the body case waits until the host has the head before it stops it

The stop could come before the head, and the request was then refused at its head, by another rule than the one under test. The test now reads "100 Continue" first.

--- a/figspan-host/src/test/java/io/figspan/host/PlannedStopTest.java
+++ b/figspan-host/src/test/java/io/figspan/host/PlannedStopTest.java
@@ -28,6 +28,9 @@
     private static final int LONG_GRACE_SECONDS = 60;
     private static final int KEEP_SECONDS = 3_600;
     private static final long SHORT_DEADLINE_MS = 20_000;
+    /** Response that tells a caller that the host has the head of its request. */
+    private static final String CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n";
+
     private static final long BODY_MS = 20_000;
 
     @TempDir
@@ -71,8 +74,12 @@
         start(1, config -> config.withShutdownGraceSeconds(SHORT_GRACE_SECONDS));
         String body = "{\"model\":\"" + StandinFleet.MODEL + "\",\"prompt\":\"slow body\",\"max_tokens\":3}";
         try (Socket caller = new Socket(InetAddress.getLoopbackAddress(), fleet.callerPort(0))) {
-            String begin = fleet.promptHead("slow", body.length()) + body.substring(0, body.length() / 2);
+            String head = fleet.promptHead("slow", body.length())
+                    .replace("Connection: close", "Connection: close\r\nExpect: 100-continue");
+            String begin = head + body.substring(0, body.length() / 2);
             caller.getOutputStream().write(begin.getBytes(StandardCharsets.UTF_8));
+            byte[] accepted = caller.getInputStream().readNBytes(CONTINUE.length());
+            assertEquals(CONTINUE, new String(accepted, StandardCharsets.UTF_8));
             Future<Void> stopped = fleet.hosts.get(0).shutDown();
             String answer = new String(caller.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
             assertTrue(answer.startsWith("HTTP/1.1 503"), answer);
