--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/DrainControl.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/DrainControl.java
@@ -2,15 +2,17 @@
 
 import io.figspan.core.error.Problem;
 import io.figspan.core.error.ProblemKind;
+import io.figspan.gateway.log.DecisionLog;
+import io.figspan.gateway.metrics.GatewayMetrics;
 import io.figspan.policy.drain.DrainPlan;
 import io.figspan.policy.drain.RequestDurations;
 import io.figspan.policy.drain.RequestProfile;
+import io.figspan.policy.drain.RequestTiming;
 import io.figspan.policy.placing.Job;
-import io.figspan.policy.placing.PromptLengths;
-import io.figspan.settings.gateway.Route;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
 /**
@@ -22,6 +24,7 @@
     static final int MAX_LISTED_IDS = 64;
 
     private final RandomGenerator random;
+    private final DrainLog log;
     private final RequestDurations durations = new RequestDurations();
     private final EndedRequests refused = new EndedRequests();
     private final EndedRequests interrupted = new EndedRequests();
@@ -50,12 +53,9 @@
         }
     }
 
-    DrainControl(RandomGenerator random) {
+    DrainControl(RandomGenerator random, DecisionLog log, GatewayMetrics metrics) {
         this.random = random;
-    }
-
-    RequestDurations durations() {
-        return durations;
+        this.log = new DrainLog(log, metrics);
     }
 
     void begin(DrainPlan newPlan) {
@@ -86,20 +86,25 @@
         return interrupted;
     }
 
-    /** Records the duration of an answered request for later estimates. */
-    void recordDuration(Route route, Job job, long nowNanos) {
-        durations.record(profile(route, job.prompt()), nowNanos - job.arrivedNanos());
+    /** Records a request that was answered, for later estimates. */
+    void recordAnswered(RequestProfile request, RequestTiming timing) {
+        durations.recordAnswered(request, timing);
+    }
+
+    /** Records how long a request has lasted that has no complete answer, for later estimates. */
+    void recordUnfinished(RequestProfile request, RequestTiming timing) {
+        durations.recordUnfinished(request, timing);
     }
 
     /** Whether the request ends before this host stops. */
-    boolean fits(Route route, Job job, long nowNanos) {
+    boolean fits(RequestProfile request, Job job, long nowNanos) {
         return plan.isEmpty()
-                || fits(Math.min(expectedMs(route, job.prompt()), job.deadline().leftMs(nowNanos)), nowNanos);
+                || fits(Math.min(durations.expectedMs(request), job.deadline().leftMs(nowNanos)), nowNanos);
     }
 
     /** Whether a request whose body is still arriving ends before this host stops. */
-    boolean fits(Route route, Optional<PromptLengths> prompt, long nowNanos) {
-        return plan.isEmpty() || fits(expectedMs(route, prompt), nowNanos);
+    boolean fits(RequestProfile request, long nowNanos) {
+        return plan.isEmpty() || fits(durations.expectedMs(request), nowNanos);
     }
 
     /** Whether a request that takes no time ends before this host stops. */
@@ -113,20 +118,29 @@
                         .isEmpty();
     }
 
-    private long expectedMs(Route route, Optional<PromptLengths> prompt) {
-        return durations.expectedMs(profile(route, prompt));
+    /** Logs that a request is sent to a server during the stop, and the estimate that allows it. */
+    void logSent(String requestId, RequestProfile request, long nowNanos) {
+        plan.ifPresent(known -> log.sent(requestId, durations.estimate(request), timing(known, nowNanos)));
     }
 
-    private static RequestProfile profile(Route route, Optional<PromptLengths> prompt) {
-        return new RequestProfile(route.name(), prompt, route.mayRepeat(), route.timeoutMs());
+    /** The answer to a request that has not run. */
+    Problem refuse(String requestId, RequestProfile request, long nowNanos) {
+        plan.ifPresent(known -> log.refused(requestId, durations.estimate(request), timing(known, nowNanos)));
+        refused.add(requestId);
+        return refusal();
     }
 
-    /** The answer to a request that has not run. */
-    Problem refuse(String requestId) {
+    /** The answer to a request that has not run and for whose duration nothing is estimated. */
+    Problem refuse(String requestId, long nowNanos) {
+        plan.ifPresent(known -> log.refused(requestId, timing(known, nowNanos)));
         refused.add(requestId);
         return refusal();
     }
 
+    private DrainLog.Timing timing(DrainPlan known, long nowNanos) {
+        return new DrainLog.Timing(known.elapsedMs(nowNanos), known.leftMs(inProgress, nowNanos), inProgress);
+    }
+
     /** The answer to a request whose id has not arrived yet. */
     public Problem refusal() {
         return Problem.notRun(ProblemKind.SHUTTING_DOWN, "this host stops before the request could end")
@@ -134,8 +148,11 @@
     }
 
     /** The answer to a request that may have run; its caller is told to come back only if it may be repeated. */
-    Problem interrupt(String requestId, boolean mayRepeat) {
-        interrupted.add(requestId);
+    Problem interrupt(Job job, RequestProfile request, boolean mayRepeat, long nowNanos) {
+        long ageMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - job.arrivedNanos());
+        plan.ifPresent(
+                known -> log.interrupted(job.requestId(), ageMs, durations.estimate(request), timing(known, nowNanos)));
+        interrupted.add(job.requestId());
         Problem problem = Problem.unknown(ProblemKind.HOST_STOPPED, "this host stopped before the answer came");
         return mayRepeat ? problem.withRetryAfterMs(retryAfterMs()) : problem;
     }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
@@ -7,6 +7,7 @@
 import io.figspan.gateway.backend.HoldGroup;
 import io.figspan.gateway.http.EventBatch;
 import io.figspan.gateway.protocol.CallerRequest;
+import io.figspan.policy.drain.RequestProfile;
 import io.figspan.policy.placing.Job;
 import io.figspan.policy.placing.Placement;
 import io.figspan.policy.placing.Placer.AttemptOutcome;
@@ -25,6 +26,7 @@
     private final Route route;
     private final ByteBuf body;
     private final Job job;
+    private final CallDuration duration;
     private final CallLog log;
     private final CallResponse response;
     private final AttemptHistory history;
@@ -43,12 +45,14 @@
             ByteBuf body,
             CallerExchange caller,
             Optional<OrganisationId> organisation,
-            Job job) {
+            Job job,
+            RequestProfile profile) {
         this.forwarder = forwarder;
         this.dispatcher = dispatcher;
         this.route = route;
         this.body = body;
         this.job = job;
+        this.duration = new CallDuration(forwarder.drain(), profile, job.arrivedNanos());
         this.log = new CallLog(forwarder, job, route, request.sharedParts());
         this.response = new CallResponse(forwarder.callerProtocol(), caller, request.lastEventId());
         this.history = new AttemptHistory(route, job.deadline(), dispatcher::budget);
@@ -79,6 +83,7 @@
             return;
         }
         log.callerLeft(history.attempts(), response.forwardedEvents());
+        observeDuration(System.nanoTime());
         finish();
         if (attempts.isEmpty()) {
             return;
@@ -118,7 +123,7 @@
 
     @Override
     public boolean endsBeforeStop(long nowNanos) {
-        return forwarder.drain().fits(route, job, nowNanos);
+        return forwarder.drain().fits(duration.profile(), job, nowNanos);
     }
 
     @Override
@@ -135,6 +140,7 @@
         history.recordSent();
         state.transition(CallEvent.SENT);
         log.sent(placement, history.attempts(), nowNanos);
+        forwarder.drain().logSent(job.requestId(), duration.profile(), nowNanos);
         Attempt opened = starter.open(server, placement, holds, this, nowNanos);
         attempts.setCurrent(opened);
         forwarder.holds().monitorUse(holds, server, () -> onMemoryLost(opened));
@@ -151,7 +157,8 @@
 
     @Override
     public void onEvents(Attempt from, EventBatch events) {
-        crashObserver.eventsArrived(from, events.progressEvents(), System.nanoTime());
+        long nowNanos = System.nanoTime();
+        crashObserver.eventsArrived(from, events.progressEvents(), nowNanos);
         if (events.hasProgress()) {
             attempts.delivered(from);
         } else if (attempts.hasSilent()) {
@@ -163,8 +170,9 @@
             beginStream(from);
         }
         if (events.hasProgress()) {
-            dispatcher.piecesArrived(job, events.progressEvents(), from.eventCount(), System.nanoTime());
+            dispatcher.piecesArrived(job, events.progressEvents(), from.eventCount(), nowNanos);
         }
+        duration.eventsArrived(events.progressEvents(), nowNanos);
         response.forward(events);
         if (!response.isWritable()) {
             from.setReading(false);
@@ -204,12 +212,17 @@
     /** Ends the request with the server's response. */
     private void endWithResponse(Attempt from) {
         crashObserver.responseCompleted(from, System.nanoTime());
-        forwarder.drain().recordDuration(route, job, System.nanoTime());
+        duration.answered(System.nanoTime());
         attempts.remove(from);
         finish();
         logAnswered(from);
     }
 
+    /** Records how long the request has lasted without its complete answer. */
+    void observeDuration(long nowNanos) {
+        duration.unfinished(nowNanos);
+    }
+
     private void logAnswered(Attempt from) {
         log.answered(from.response().status(), from.server(), response.forwardedEvents());
     }
@@ -326,7 +339,7 @@
      * @return whether it was ended
      */
     boolean endIfOutOfTime(long nowNanos) {
-        if (state.isDone() || isSent() || forwarder.drain().fits(route, job, nowNanos)) {
+        if (state.isDone() || isSent() || forwarder.drain().fits(duration.profile(), job, nowNanos)) {
             return false;
         }
         endForShutdown();
@@ -339,9 +352,10 @@
             return;
         }
         DrainControl drain = forwarder.drain();
+        long nowNanos = System.nanoTime();
         Problem problem = isSent() || state.hasBegunResponse() || history.mayHaveRun()
-                ? drain.interrupt(job.requestId(), route.mayRepeat())
-                : drain.refuse(job.requestId());
+                ? drain.interrupt(job, duration.profile(), route.mayRepeat(), nowNanos)
+                : drain.refuse(job.requestId(), duration.profile(), nowNanos);
         endWithProblem(problem, problem.detail());
     }
 
@@ -366,6 +380,7 @@
             return;
         }
         boolean responseBegan = state.hasBegunResponse();
+        observeDuration(System.nanoTime());
         finish();
         if (responseBegan) {
             log.brokenOff(reason, response.forwardedEvents());
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
@@ -27,6 +27,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
@@ -34,7 +35,6 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
-import java.util.stream.Collectors;
 
 /**
  * Entry point for the requests of callers: finds the route, checks the key, chooses the service and starts a {@link
@@ -67,6 +67,7 @@
     private Consumer<GatewaySettings> settingsListener = applied -> {};
     private GatewaySettings settings;
     private RouteTable routes = new RouteTable(List.of());
+    private RequestProfiles profiles = new RequestProfiles(Map.of());
     private ApiKeyIndex keys = new ApiKeyIndex(List.of());
 
     public Forwarder(
@@ -91,7 +92,7 @@
         this.random = random;
         this.requestCrashes = requestCrashes;
         this.requestLimits = requestLimits;
-        this.drain = new DrainControl(random);
+        this.drain = new DrainControl(random, log, metrics);
         requestCrashes.onQuarantined(dispatchers::quarantined);
         requestLimits.setHostsUsing(dispatchers::hostsUsing);
         this.dispatchers = dispatchers;
@@ -111,8 +112,7 @@
         settings = newSettings;
         routes = new RouteTable(newSettings.routes());
         keys = new ApiKeyIndex(newSettings.organisations());
-        drain.durations()
-                .retainRoutes(newSettings.routes().stream().map(Route::name).collect(Collectors.toSet()));
+        profiles = new RequestProfiles(newSettings.services());
         dispatchers.apply(newSettings);
         settingsListener.accept(newSettings);
     }
@@ -161,7 +161,7 @@
             return forward(request, body, caller, nowNanos);
         }
         if (drain.hasBegun()) {
-            return refuse(request, body, caller, drain.refuse(request.attemptId()));
+            return refuse(request, body, caller, drain.refuse(request.attemptId(), nowNanos));
         }
         Optional<QueuedCall> waiting = startupQueue.add(request, body, caller, nowNanos);
         if (waiting.isEmpty()) {
@@ -218,7 +218,7 @@
             ServiceId service,
             Optional<OrganisationKeys> organisation,
             long arrivedNanos) {
-        long timeoutMs = Math.min(request.waitMs().orElse(route.timeoutMs()), route.timeoutMs());
+        long timeoutMs = RequestProfiles.timeoutMs(route, request);
         int rank = organisation
                 .map(OrganisationKeys::rank)
                 .filter(OptionalInt::isPresent)
@@ -236,7 +236,15 @@
         long nowNanos = System.nanoTime();
         dispatcher.budget().recordRequest(nowNanos);
         ForwardCall call = new ForwardCall(
-                this, dispatcher, route, request, body, caller, organisation.map(OrganisationKeys::id), job);
+                this,
+                dispatcher,
+                route,
+                request,
+                body,
+                caller,
+                organisation.map(OrganisationKeys::id),
+                job,
+                profiles.of(route, service, request));
         call.start(nowNanos);
         return call;
     }
@@ -284,8 +292,9 @@
     /** Begins a planned stop. A host that has not opened yet forwards nothing any more. */
     public void beginDrain(DrainPlan plan) {
         drain.begin(plan);
+        long nowNanos = System.nanoTime();
         for (QueuedCall call : startupQueue.drain()) {
-            refuse(call.request, call.body, call.caller, drain.refuse(call.request.attemptId()));
+            refuse(call.request, call.body, call.caller, drain.refuse(call.request.attemptId(), nowNanos));
         }
     }
 
@@ -296,6 +305,7 @@
      */
     public void endCallsOutOfTime(long inProgress, long nowNanos) {
         drain.setInProgress(inProgress);
+        dispatchers.observeDurations(nowNanos);
         dispatchers.endCallsOutOfTime(nowNanos);
     }
 
@@ -306,12 +316,21 @@
         dispatchers.endCallsForShutdown();
     }
 
+    /** From now on each request that arrives is refused, since this host ends. */
+    public void refuseArrivals() {
+        drain.lastAnswersDue();
+    }
+
     /** The refusal of a request whose body is still arriving and that can't end before this host stops. */
     public Optional<Problem> refusalOfIncomplete(CallerRequest request, long nowNanos) {
-        boolean fits = routes.find(request.hostName(), request.path())
-                .map(route -> drain.fits(route, request.prompt(), nowNanos))
-                .orElseGet(() -> drain.fits(nowNanos));
-        return fits ? Optional.empty() : Optional.of(drain.refuse(request.attemptId()));
+        Optional<Route> route = routes.find(request.hostName(), request.path());
+        if (route.isEmpty()) {
+            return drain.fits(nowNanos) ? Optional.empty() : Optional.of(drain.refuse(request.attemptId(), nowNanos));
+        }
+        return profiles.ofAllServices(route.get(), request)
+                .filter(profile -> !drain.fits(profile, nowNanos))
+                .findFirst()
+                .map(profile -> drain.refuse(request.attemptId(), profile, nowNanos));
     }
 
     public DrainControl drain() {
--- a/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
@@ -151,6 +151,11 @@
         onLoop(() -> isShutdownTimerPaused = false);
     }
 
+    /** Runs the timer of a planned stop as if this much time had passed. For callers on the event loop. */
+    public void tickShutdown(long aheadMs) {
+        shutdown.tick(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(aheadMs));
+    }
+
     /** Returns when a caller doesn't read as fast as its answer arrives. */
     public void awaitUnsentBytes() {
         while (!loop.submit(callers::hasUnsentBytes).syncUninterruptibly().getNow()) {
@@ -393,6 +398,34 @@
                 List.of(new OrganisationKeys(OrganisationId.of("house-1"), List.of(KEY), OptionalInt.empty())));
     }
 
+    /** Settings of the next version with the same routes under other names. */
+    public GatewaySettings renamedSettings(long timeoutMs) {
+        GatewaySettings same = settings(timeoutMs);
+        return new GatewaySettings(
+                same.version(),
+                same.routes().stream().map(GatewayHarness::renamed).toList(),
+                same.services(),
+                same.callerLimits(),
+                same.organisations());
+    }
+
+    private static Route renamed(Route route) {
+        return new Route(
+                "renamed-" + route.name(),
+                route.hostName(),
+                route.pathPrefix(),
+                route.kind(),
+                route.timeoutMs(),
+                route.targetLatencyMs(),
+                route.rank(),
+                route.services(),
+                route.maxAttempts(),
+                route.isPublic(),
+                route.describesPrompt(),
+                route.isResumable(),
+                route.maxGapMs());
+    }
+
     /** A route for streams that may not be resumed. */
     private static Route onceOnly(String prefix, long timeoutMs) {
         List<WeightedService> services = List.of(new WeightedService(ENGINES, 1));
--- a/figspan-policy/src/test/java/io/figspan/policy/drain/DrainPlanTest.java
+++ b/figspan-policy/src/test/java/io/figspan/policy/drain/DrainPlanTest.java
@@ -9,6 +9,7 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 class DrainPlanTest {
@@ -34,6 +35,18 @@
         }
     }
 
+    /** Guards against a request that is accepted, and ended earlier because others have come meanwhile. */
+    @ParameterizedTest
+    @ValueSource(longs = {0, 10, 100, 500})
+    void aRequestThatFitsStillDoesWhenTwiceAsManyAreInProgressAtItsEnd(long inProgress) {
+        long arrivalMs = 3_100;
+        for (long expectedMs = 0; expectedMs < GRACE_MS; expectedMs += 10) {
+            if (plan.fits(expectedMs, inProgress, at(arrivalMs))) {
+                assertFalse(plan.isTimeForLastAnswers(2 * inProgress, at(arrivalMs + expectedMs)));
+            }
+        }
+    }
+
     /** Guards against a plan that turns away what it could serve. */
     @Test
     void shortRequestsFitUntilTheLastAnswers() {
@@ -58,6 +71,17 @@
                 .orElseThrow();
     }
 
+    /** Guards against requests that are ended although most of the grace period is left for them. */
+    @ParameterizedTest
+    @CsvSource({"2000, 1", "2000, 1000", "8000, 1", "8000, 50", "8000, 200", "8000, 1000", "30000, 1000", "30000, 9000"
+    })
+    void theLastAnswersAreNotGivenBeforeTheLastSixthOfTheGracePeriod(long graceMs, int inProgress) {
+        DrainPlan other = new DrainPlan(BEGIN_NANOS, graceMs);
+        long lastSixthMs = graceMs - graceMs / 6;
+
+        assertFalse(other.isTimeForLastAnswers(inProgress, at(lastSixthMs - 1)));
+    }
+
     /** Guards against a process that is killed before it has exited by itself. */
     @ParameterizedTest
     @ValueSource(longs = {100, 1_000, 2_000, 8_000, 60_000})
@@ -92,8 +116,8 @@
                 .filter(candidate -> !plan.acceptsConnections(at(candidate)))
                 .findFirst()
                 .orElseThrow();
-        assertFalse(plan.haveLastRequestsArrived(at(ms + 100)));
-        assertTrue(plan.haveLastRequestsArrived(at(ms + 1_000)));
+        assertFalse(plan.haveLastRequestsArrived(at(ms), at(ms + 100)));
+        assertTrue(plan.haveLastRequestsArrived(at(ms), at(ms + 1_000)));
     }
 
     /** Guards against callers that are refused together and return together to one host. */
