Planned stop: an upload is judged by the services that its route may choose

A request whose body was still arriving was refused when any service of its route had no durations, also one without weight. anUploadIsServedAlthoughItsRouteNamesAServiceWithoutWeight failed with 503 and passes.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/RequestProfiles.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/RequestProfiles.java
@@ -32,6 +32,8 @@
 
     /** What the request would be at each service that its route may choose. */
     Stream<RequestProfile> ofAllServices(Route route, CallerRequest request) {
-        return route.services().stream().map(choice -> of(route, choice.service(), request));
+        return route.services().stream()
+                .filter(choice -> choice.weight() > 0)
+                .map(choice -> of(route, choice.service(), request));
     }
 }
--- a/figspan-gateway/src/test/java/io/figspan/gateway/ArrivalsDuringStopTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/ArrivalsDuringStopTest.java
@@ -74,6 +74,30 @@
         assertEquals(List.of(), engine.received());
     }
 
+    /** Guards against refusals for the sake of a service that the route does not choose. */
+    @Test
+    void anUploadIsServedAlthoughItsRouteNamesAServiceWithoutWeight() throws Exception {
+        addServer("plain-1", (request, connection) -> connection.answer(request, 200, "", "ok"));
+        open();
+        gateway.onLoop(() -> gateway.forwarder().apply(gateway.settingsWithUnusedService(TIMEOUT_MS)));
+        for (int number = 0; number < RECENT_REQUESTS; number++) {
+            assertTrue(gateway.call("POST", "/order/" + number, "", "").startsWith("HTTP/1.1 200"));
+        }
+        Socket caller = connect();
+        write(caller, "POST", "/order/first", "");
+        assertTrue(readResponse(caller).startsWith("HTTP/1.1 200"));
+        byte[] upload = GatewayHarness.request("POST", "/order/late", "", "body");
+        caller.getOutputStream().write(upload, 0, upload.length - 1);
+        gateway.pauseShutdownTimer();
+        gateway.stop(GRACE_MS, THIRD_QUARTER_MS);
+        gateway.awaitRead();
+        gateway.onLoop(() -> gateway.tickShutdown(0));
+        caller.getOutputStream().write(upload, upload.length - 1, 1);
+
+        String response = readResponse(caller);
+        assertTrue(response.startsWith("HTTP/1.1 200"), response);
+    }
+
     /** Guards against a request that is sent to a server while the process ends. */
     @Test
     void aRequestThatArrivesWhenTheProcessEndsIsAnsweredBeforeItsEnd() throws Exception {
--- a/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
@@ -49,6 +49,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import java.util.function.UnaryOperator;
 
 /** The forwarding path of one host on loopback: the port for callers, with scripted backend servers behind it. */
 public final class GatewayHarness implements AutoCloseable {
@@ -413,12 +414,23 @@
     /** Settings of the next version with the same routes under other names. */
     public GatewaySettings renamedSettings(long timeoutMs) {
         GatewaySettings same = settings(timeoutMs);
+        return withRoutes(same, route -> copy(route, "renamed-" + route.name(), route.services()));
+    }
+
+    private static GatewaySettings withRoutes(GatewaySettings settings, UnaryOperator<Route> change) {
         return new GatewaySettings(
-                same.version(),
-                same.routes().stream().map(GatewayHarness::renamed).toList(),
-                same.services(),
-                same.callerLimits(),
-                same.organisations());
+                settings.version(),
+                settings.routes().stream().map(change).toList(),
+                settings.services(),
+                settings.callerLimits(),
+                settings.organisations());
+    }
+
+    /** Settings of the next version in which each route also names a service that it does not choose. */
+    public GatewaySettings settingsWithUnusedService(long timeoutMs) {
+        GatewaySettings same = settings(timeoutMs);
+        List<WeightedService> services = List.of(new WeightedService(PLAIN, 1), new WeightedService(SPARE, 0));
+        return withRoutes(same, route -> copy(route, route.name(), services));
     }
 
     /** Settings of the next version without routes and keys. */
@@ -427,16 +439,16 @@
         return new GatewaySettings(same.version(), List.of(), same.services(), same.callerLimits(), List.of());
     }
 
-    private static Route renamed(Route route) {
+    private static Route copy(Route route, String name, List<WeightedService> services) {
         return new Route(
-                "renamed-" + route.name(),
+                name,
                 route.hostName(),
                 route.pathPrefix(),
                 route.kind(),
                 route.timeoutMs(),
                 route.targetLatencyMs(),
                 route.rank(),
-                route.services(),
+                services,
                 route.maxAttempts(),
                 route.isPublic(),
                 route.describesPrompt(),
