--- a/figspan-policy/src/main/java/io/figspan/policy/drain/RecentMaximum.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/drain/RecentMaximum.java
@@ -40,6 +40,11 @@
         return count == 0;
     }
 
+    /** Whether each duration gives way to newer ones. */
+    boolean isFull() {
+        return count == WINDOW_SIZE;
+    }
+
     /** Bound for the next duration in nanoseconds. */
     double boundNanos() {
         double maximumNanos = 0;
--- a/figspan-policy/src/test/java/io/figspan/policy/drain/RequestDurationsEdgesTest.java
+++ b/figspan-policy/src/test/java/io/figspan/policy/drain/RequestDurationsEdgesTest.java
@@ -1,5 +1,6 @@
 package io.figspan.policy.drain;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.figspan.core.id.ServiceId;
@@ -73,6 +74,19 @@
         assertExpected(prompt(16_000), durations.expectedMs(prompt(4_000)));
     }
 
+    /** Guards against one slow request of a rare size that makes a host refuse all larger ones for good. */
+    @Test
+    void aSlowRequestOfARareSizeCountsNoLongerThanThousandsOfOthers() {
+        record(prompt(16_000), timing(100));
+        durations.recordUnfinished(prompt(8_000), timing(TIMEOUT_MS));
+        assertExpected(prompt(16_000), TIMEOUT_MS);
+
+        for (int answers = 0; answers < 2 * SizedDurations.MAX_AGE_ANSWERS; answers++) {
+            durations.recordAnswered(prompt(16_000), timing(100));
+        }
+        assertEquals(125, durations.expectedMs(prompt(16_000)));
+    }
+
     /** Guards against servers that stop writing after the first event of each stream. */
     @Test
     void aStreamThatStallsAfterItsFirstEventRaisesTheEstimate() {
