Pipelined requests beside a stop: the test waits until the server has the first one

Trace: the stop began before the first request's connection to its server was established, and what no server has is refused as not run since. The test means a request in progress, so it waits until the server has it; what it asserts is unchanged.

--- a/figspan-gateway/src/test/java/io/figspan/gateway/caller/PipelinedRequestsTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/caller/PipelinedRequestsTest.java
@@ -38,6 +38,7 @@
 
     private static final String LONG_HEADER = "long: " + "x".repeat(2_000) + "\r\n";
 
+    private final CountDownLatch received = new CountDownLatch(1);
     private final CountDownLatch released = new CountDownLatch(1);
     private GatewayHarness gateway;
     private Socket caller;
@@ -46,7 +47,8 @@
     void start() throws IOException {
         gateway = new GatewayHarness();
         gateway.add("s-1", (request, connection) -> {
-            awaitRelease();
+            received.countDown();
+            await(released);
             connection.answer(request, 200, "", bodyOf(request.target()) + "\n");
         });
         gateway.open();
@@ -63,9 +65,9 @@
         return target.equals(LONG_TARGET) ? "x".repeat(LONG_BODY_BYTES) : target;
     }
 
-    private void awaitRelease() throws IOException {
+    private static void await(CountDownLatch latch) throws IOException {
         try {
-            assertTrue(released.await(TIMEOUT_S, TimeUnit.SECONDS));
+            assertTrue(latch.await(TIMEOUT_S, TimeUnit.SECONDS));
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new InterruptedIOException("interrupted");
@@ -167,6 +169,7 @@
         gateway.apply(gateway.settings(LONG_TIMEOUT_MS));
         send("/read/1", "");
         send("/order/2", "");
+        await(received);
         gateway.awaitRead();
         gateway.stop(GRACE_MS, GRACE_MS - TOO_SHORT_FOR_AN_ORDER_MS);
         released.countDown();
