--- a/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/Accusation.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/Accusation.java
@@ -54,9 +54,9 @@
         return suspects.get(0).separateCrashes(explained, untilNanos);
     }
 
-    /** The earliest time after {@code untilNanos} at which one of the crashes was heard of; empty if there is none. */
-    OptionalLong firstCrashHeardAfter(long untilNanos) {
-        return suspects.get(0).firstCrashHeardAfter(untilNanos);
+    /** The earliest time after {@code untilNanos} at which one of the crashes was received; empty if there is none. */
+    OptionalLong firstCrashReceivedAfter(long untilNanos) {
+        return suspects.get(0).firstCrashReceivedAfter(untilNanos);
     }
 
     /**
--- a/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/CrashAttribution.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/CrashAttribution.java
@@ -59,11 +59,11 @@
         return verdicts;
     }
 
-    /** When the next crash that may change the verdicts was heard of; empty if all such crashes count already. */
+    /** When the next crash that may change the verdicts was received; empty if all such crashes count already. */
     OptionalLong nextCrashNanos() {
         return accusations.stream()
                 .filter(accusation -> accusation.crashes().size() >= MIN_CRASHES)
-                .flatMapToLong(accusation -> accusation.firstCrashHeardAfter(untilNanos).stream())
+                .flatMapToLong(accusation -> accusation.firstCrashReceivedAfter(untilNanos).stream())
                 .min();
     }
 
--- a/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/Suspect.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/quarantine/Suspect.java
@@ -21,7 +21,7 @@
     /** Bounds the size of the evidence; more crashes don't change a decision. */
     static final int MAX_CRASHES = 16;
 
-    /** Crashes that are heard of within this time count as one, since they may have one cause of their own. */
+    /** Crashes that are received within this time count as one, since they may have one cause of their own. */
     static final long SIMULTANEOUS_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
 
     /** Not fewer than the crashes, since older evidence of other hosts would bring back the rest. */
@@ -32,7 +32,7 @@
 
     private final SuspectId id;
     private final EvidenceVersion version;
-    private final Map<BackendIncarnation, Long> heardNanosByCrash = new LinkedHashMap<>();
+    private final Map<BackendIncarnation, Long> receivedNanosByCrash = new LinkedHashMap<>();
     private final Set<BackendIncarnation> refuted = new LinkedHashSet<>();
     private final TreeSet<RequestFingerprint> requests = new TreeSet<>();
     private long lastCrashNanos;
@@ -119,23 +119,23 @@
 
     /** The crashes that the suspect may have caused. */
     Set<BackendIncarnation> crashes() {
-        return Collections.unmodifiableSet(heardNanosByCrash.keySet());
+        return Collections.unmodifiableSet(receivedNanosByCrash.keySet());
     }
 
     int crashCount() {
-        return heardNanosByCrash.size();
+        return receivedNanosByCrash.size();
     }
 
     /** Number of crashes at different times up to {@code untilNanos} that none of the given ones explains. */
     int separateCrashes(Set<BackendIncarnation> explained, long untilNanos) {
-        List<Long> heardNanos = heardNanosByCrash.entrySet().stream()
+        List<Long> receivedNanos = receivedNanosByCrash.entrySet().stream()
                 .filter(crash -> !explained.contains(crash.getKey()) && crash.getValue() - untilNanos <= 0)
                 .map(Map.Entry::getValue)
                 .sorted()
                 .toList();
         int count = 0;
         long countedNanos = 0;
-        for (long atNanos : heardNanos) {
+        for (long atNanos : receivedNanos) {
             if (count == 0 || atNanos - countedNanos >= SIMULTANEOUS_NANOS) {
                 count++;
                 countedNanos = atNanos;
@@ -144,21 +144,21 @@
         return count;
     }
 
-    /** The earliest time after {@code untilNanos} at which a crash was heard of; empty if there is none. */
-    OptionalLong firstCrashHeardAfter(long untilNanos) {
-        return heardNanosByCrash.values().stream()
+    /** The earliest time after {@code untilNanos} at which a crash was received; empty if there is none. */
+    OptionalLong firstCrashReceivedAfter(long untilNanos) {
+        return receivedNanosByCrash.values().stream()
                 .mapToLong(Long::longValue)
-                .filter(heardNanos -> heardNanos - untilNanos > 0)
+                .filter(receivedNanos -> receivedNanos - untilNanos > 0)
                 .min();
     }
 
     /** Adds a crash, unless it is known already; returns whether anything has changed. */
     boolean addCrash(BackendIncarnation server, long crashedNanos, long nowNanos) {
-        boolean isKnown = heardNanosByCrash.containsKey(server) || refuted.contains(server);
-        if (isKnown || (heardNanosByCrash.size() >= MAX_CRASHES && !dropSimultaneousCrash())) {
+        boolean isKnown = receivedNanosByCrash.containsKey(server) || refuted.contains(server);
+        if (isKnown || (receivedNanosByCrash.size() >= MAX_CRASHES && !dropSimultaneousCrash())) {
             return false;
         }
-        heardNanosByCrash.put(server, nowNanos);
+        receivedNanosByCrash.put(server, nowNanos);
         version.changed();
         lastCrashNanos = Math.max(lastCrashNanos, crashedNanos);
         lastChangeNanos = nowNanos;
@@ -168,9 +168,9 @@
     /** Makes room by removing a crash that doesn't count beside an earlier one; returns whether there was one. */
     private boolean dropSimultaneousCrash() {
         Long countedNanos = null;
-        for (Map.Entry<BackendIncarnation, Long> crash : heardNanosByCrash.entrySet()) {
+        for (Map.Entry<BackendIncarnation, Long> crash : receivedNanosByCrash.entrySet()) {
             if (countedNanos != null && crash.getValue() - countedNanos < SIMULTANEOUS_NANOS) {
-                heardNanosByCrash.remove(crash.getKey());
+                receivedNanosByCrash.remove(crash.getKey());
                 return true;
             }
             countedNanos = crash.getValue();
@@ -183,7 +183,7 @@
         if (!refuted.add(server)) {
             return false;
         }
-        if (heardNanosByCrash.remove(server) != null) {
+        if (receivedNanosByCrash.remove(server) != null) {
             version.changed();
         }
         lastChangeNanos = nowNanos;
@@ -195,7 +195,7 @@
 
     /** Refutes all crashes so far; returns whether there were any. */
     boolean refuteAll(long nowNanos) {
-        boolean hadCrashes = !heardNanosByCrash.isEmpty();
+        boolean hadCrashes = !receivedNanosByCrash.isEmpty();
         List.copyOf(crashes()).forEach(server -> refute(server, nowNanos));
         requests.clear();
         return hadCrashes;
@@ -214,7 +214,7 @@
         for (BackendIncarnation server : received.crashes()) {
             hasChanged |= addCrash(server, crashedNanos, nowNanos);
         }
-        if (!heardNanosByCrash.isEmpty()) {
+        if (!receivedNanosByCrash.isEmpty()) {
             hasChanged |= addRequests(received.requests());
         }
         return hasChanged;
--- a/figspan-gateway/src/main/java/io/figspan/gateway/log/LogSetup.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/log/LogSetup.java
@@ -26,7 +26,7 @@
 
     /**
      * Writes the queued lines, those on the life of the process first. Nothing can be logged afterwards. Returns in
-     * time even if nobody reads standard output.
+     * time even if standard output is not read.
      *
      * @param maxMs longest time that it may take
      */
--- a/figspan-host/src/test/java/io/figspan/host/PlannedStopTest.java
+++ b/figspan-host/src/test/java/io/figspan/host/PlannedStopTest.java
@@ -28,7 +28,7 @@
     private static final int LONG_GRACE_SECONDS = 60;
     private static final int KEEP_SECONDS = 3_600;
     private static final long SHORT_DEADLINE_MS = 20_000;
-    /** Response that tells a caller that the host has the head of its request. */
+    /** Response that confirms that the host has received the head of a request. */
     private static final String CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n";
 
     private static final long BODY_MS = 20_000;
