Planned stop: a service of which fewer than eight answers are known may take much longer than those

A stopping host took two times the slowest of its few answers for a bound: after one answer of 20 ms it sent a request that could take seconds, and ended it. With few answers of a service and kind, a request may now take seven eighths of its timeout after one answer, half of it after four, and nothing of it after eight; what doesn't fit is refused as not run. The larger margin for a size of which few are known stays.

Found by the reviewer in the code.

--- a/figspan-policy/src/main/java/io/figspan/policy/drain/RequestDurations.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/drain/RequestDurations.java
@@ -52,14 +52,14 @@
     /** Longest time that such a request is expected to take. */
     public DurationEstimate estimate(RequestProfile request) {
         return Optional.ofNullable(byService.get(Key.of(request)))
-                .flatMap(known -> known.bound(request))
-                .map(bound -> estimate(request, bound))
+                .flatMap(known -> known.bound(request).map(bound -> estimate(request, bound, known.unknownShare())))
                 .orElseGet(() -> new DurationEstimate(request.timeoutMs(), Basis.NOTHING));
     }
 
-    private static DurationEstimate estimate(RequestProfile request, Bound bound) {
-        long boundMs = (long) Math.ceil(bound.nanos() / TimeUnit.MILLISECONDS.toNanos(1));
-        return new DurationEstimate(Math.min(request.timeoutMs(), boundMs), bound.basis());
+    private static DurationEstimate estimate(RequestProfile request, Bound bound, double unknownShare) {
+        double leastMs = request.timeoutMs() * unknownShare;
+        double boundMs = Math.max(leastMs, bound.nanos() / TimeUnit.MILLISECONDS.toNanos(1));
+        return new DurationEstimate(Math.min(request.timeoutMs(), (long) Math.ceil(boundMs)), bound.basis());
     }
 
     /** The time of {@link #estimate}. */
--- a/figspan-policy/src/main/java/io/figspan/policy/drain/ServiceDurations.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/drain/ServiceDurations.java
@@ -13,11 +13,21 @@
 
     private static final double GROWTH_PER_DOUBLING = 2;
 
+    /** Answers below which the next request may take much longer than all of them. */
+    private static final int MIN_ANSWERS = 8;
+
     private final SizedDurations reading = new SizedDurations(READING_GROWTH_PER_DOUBLING);
     private final SizedDurations total = new SizedDurations(GROWTH_PER_DOUBLING);
     private final RecentMaximum perToken = new RecentMaximum();
+    private int answers;
+
+    /** Part of the timeout, from 1 down to 0, that a request may take although the known ones took less. */
+    double unknownShare() {
+        return Math.max(0, 1 - (double) answers / MIN_ANSWERS);
+    }
 
     void add(RequestProfile request, RequestTiming timing) {
+        answers = Math.min(MIN_ANSWERS, answers + 1);
         total.add(request.sizeTokens(), timing.totalNanos());
         if (request.hasKnownLength()) {
             reading.add(request.promptTokens(), timing.readingNanos());
