--- a/figspan-host/src/main/java/io/figspan/host/entry/EntryServer.java
+++ b/figspan-host/src/main/java/io/figspan/host/entry/EntryServer.java
@@ -6,7 +6,6 @@
 import io.figspan.core.error.Problem;
 import io.figspan.core.error.ProblemKind;
 import io.figspan.core.error.Result;
-import io.figspan.core.error.RunState;
 import io.figspan.core.event.Part;
 import io.figspan.core.id.SettingsVersion;
 import io.figspan.core.time.Deadline;
@@ -69,7 +68,7 @@
     private final LimitGate limitGate;
     private final LimitGate.Lenders lenders;
     private final Dispatcher dispatcher;
-    private final LongPredicate admission;
+    private final EntryRefusals refusals;
     private HttpServer server;
     private int connections;
     private final RequestsInProgress inProgress = new RequestsInProgress();
@@ -94,7 +93,7 @@
         this.orders = orders;
         this.limitGate = limitGate;
         this.lenders = lenders;
-        this.admission = admission;
+        this.refusals = new EntryRefusals(context, admission);
         this.dispatcher = new Dispatcher(context);
         context.backends().setChangeListener(dispatcher::poll);
     }
@@ -150,7 +149,7 @@
 
     private void route(HttpServerRequest request) {
         if (refusing) {
-            refuse(
+            EntryRefusals.refuse(
                     request,
                     Problem.notRun(ProblemKind.SHUTTING_DOWN, "this host takes no new requests")
                             .withRetryAfterMs(1));
@@ -160,7 +159,7 @@
         boolean lacksSettings =
                 context.settings().version().equals(SettingsVersion.NONE) && !route.equals("GET /v1/hosts");
         if (lacksSettings) {
-            refuse(
+            EntryRefusals.refuse(
                     request,
                     Problem.notRun(ProblemKind.OVERLOADED, "this host has just started and has no settings yet")
                             .withRetryAfterMs(START_RETRY_AFTER_MS));
@@ -213,7 +212,7 @@
         Result<RequestHead> head =
                 RequestHead.parse(request.headers(), context.newStream().value());
         if (head instanceof Result.Failed<RequestHead> failed) {
-            refuse(request, failed.problem());
+            EntryRefusals.refuse(request, failed.problem());
             return;
         }
         action.accept(((Result.Ok<RequestHead>) head).value());
@@ -229,7 +228,7 @@
         Future<Result<Buffer>> body = BodyCollector.collect(context.vertx(), request, maxBytes, maxMs);
         withHead(request, head -> {
             ResolvedSettings settings = context.tree().resolve(head.organisation(), head.service());
-            if (!admits(request, head, head.deadlineMs().orElse(settings.integer(defaultDeadline)))) {
+            if (!refusals.admits(request, head, head.deadlineMs().orElse(settings.integer(defaultDeadline)))) {
                 return;
             }
             body.onSuccess(collected -> {
@@ -239,7 +238,7 @@
                 if (collected instanceof Result.Failed<Buffer> failed) {
                     // The rest of the body is not read, so the connection cannot carry another request.
                     request.response().putHeader("Connection", "close");
-                    refuse(request, failed.problem());
+                    EntryRefusals.refuse(request, failed.problem());
                     context.vertx()
                             .setTimer(CLOSE_DELAY_MS, id -> request.connection().close());
                     return;
@@ -249,37 +248,9 @@
         });
     }
 
-    /** Refuses a request whose deadline is later than this host can serve it, and returns whether it goes on. */
-    private boolean admits(HttpServerRequest request, RequestHead head, long deadlineMs) {
-        if (admission.test(deadlineMs)) {
-            return true;
-        }
-        LOG.info(
-                "{} request {} refused: it may take {} ms, and this host stops before that",
-                PREFIX,
-                head.request(),
-                deadlineMs);
-        context.count("requests.refused.shuttingDown");
-        refuse(
-                request,
-                Problem.notRun(ProblemKind.SHUTTING_DOWN, "this host stops before the deadline of the request")
-                        .withRetryAfterMs(1));
-        return false;
-    }
-
-    /**
-     * Refuses a request before its handler saw it. That says nothing about an order's ticket or a stream to resume,
-     * which an earlier call may have run, so {@code notRun} would be false there.
-     */
-    private static void refuse(HttpServerRequest request, Problem problem) {
-        boolean mayHaveRun =
-                request.path().startsWith("/v1/orders") || request.path().equals("/v1/completions/stream");
-        Problems.write(request.response(), mayHaveRun ? problem.withRun(RunState.UNKNOWN) : problem);
-    }
-
     /** Counts a request as in flight until its response ends or its connection closes. */
     private void track(HttpServerRequest request) {
-        inProgress.put(request, () -> refuseAsStopped(request));
+        inProgress.put(request, () -> refusals.refuseUnstarted(request));
         request.response().endHandler(nothing -> inProgress.remove(request));
         request.connection().closeHandler(nothing -> {
             connections--;
@@ -287,23 +258,6 @@
         });
     }
 
-    private void refuseAsStopped(HttpServerRequest request) {
-        LOG.info("{} request {} refused: the process exits before it has begun", PREFIX, nameOf(request));
-        context.count("requests.refused.shuttingDown");
-        request.response().putHeader("Connection", "close");
-        refuse(
-                request,
-                Problem.notRun(ProblemKind.SHUTTING_DOWN, "this host stops before the request has begun")
-                        .withRetryAfterMs(1));
-    }
-
-    /** The caller's id of a request, as far as it names one; else its path. */
-    private static String nameOf(HttpServerRequest request) {
-        return RequestHead.parse(request.headers(), request.path()) instanceof Result.Ok<RequestHead> head
-                ? head.value().request().value()
-                : request.path();
-    }
-
     // Entry list and prompts
 
     private void listHosts(HttpServerRequest request) {
@@ -338,7 +292,7 @@
             return;
         }
         long deadlineMs = deadlineMs(head, settings, prompt.promptTokens());
-        if (!admits(request, head, deadlineMs)) {
+        if (!refusals.admits(request, head, deadlineMs)) {
             return;
         }
         long workTokens = prompt.promptTokens() + (long) prompt.outputTokens();
@@ -376,7 +330,7 @@
         }
         ResolvedSettings settings = context.tree().resolve(head.organisation(), head.service());
         long deadlineMs = deadlineMs(head, settings, 0);
-        if (!admits(request, head, deadlineMs)) {
+        if (!refusals.admits(request, head, deadlineMs)) {
             return;
         }
         track(request);
