--- a/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
@@ -414,7 +414,10 @@
     /** Settings of the next version with the same routes under other names. */
     public GatewaySettings renamedSettings(long timeoutMs) {
         GatewaySettings same = settings(timeoutMs);
-        return withRoutes(same, route -> copy(route, "renamed-" + route.name(), route.services()));
+        return withRoutes(
+                same,
+                route -> copy(
+                        route, "renamed-" + route.name(), route.pathPrefix(), route.services(), route.timeoutMs()));
     }
 
     private static GatewaySettings withRoutes(GatewaySettings settings, UnaryOperator<Route> change) {
@@ -430,7 +433,7 @@
     public GatewaySettings settingsWithUnusedService(long timeoutMs) {
         GatewaySettings same = settings(timeoutMs);
         List<WeightedService> services = List.of(new WeightedService(PLAIN, 1), new WeightedService(SPARE, 0));
-        return withRoutes(same, route -> copy(route, route.name(), services));
+        return withRoutes(same, route -> copy(route, route.name(), route.pathPrefix(), services, route.timeoutMs()));
     }
 
     /** Settings of the next version without routes and keys. */
@@ -439,13 +442,15 @@
         return new GatewaySettings(same.version(), List.of(), same.services(), same.callerLimits(), List.of());
     }
 
-    private static Route copy(Route route, String name, List<WeightedService> services) {
+    /** A route that differs from another one in its name, path, services and timeout. */
+    public static Route copy(
+            Route route, String name, String pathPrefix, List<WeightedService> services, long timeoutMs) {
         return new Route(
                 name,
                 route.hostName(),
-                route.pathPrefix(),
+                pathPrefix,
                 route.kind(),
-                route.timeoutMs(),
+                timeoutMs,
                 route.targetLatencyMs(),
                 route.rank(),
                 services,
--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/ChangedSettingsTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/ChangedSettingsTest.java
@@ -123,20 +123,7 @@
     // Settings
 
     private static Route copy(Route route, String prefix, List<WeightedService> services, long timeoutMs) {
-        return new Route(
-                route.name() + prefix,
-                route.hostName(),
-                prefix,
-                route.kind(),
-                timeoutMs,
-                route.targetLatencyMs(),
-                route.rank(),
-                services,
-                route.maxAttempts(),
-                route.isPublic(),
-                route.describesPrompt(),
-                route.isResumable(),
-                route.maxGapMs());
+        return GatewayHarness.copy(route, route.name() + prefix, prefix, services, timeoutMs);
     }
 
     private static GatewaySettings withRoutes(GatewaySettings settings, UnaryOperator<List<Route>> change) {
