Settings: an empty list of organisations admits nobody, and an invalid entry costs only itself

Cause: a missing list and an empty one were decoded alike, and GatewaySettings.requiresKeys() read an empty list as 'no keys needed'. Who may send requests is a type now: open, or keyed with a set that may be empty. One tenant with an invalid name rejected the whole version, so that a key that it revoked stayed valid; invalid entries are now left out and logged (settingsEntryRejected).

--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
@@ -108,10 +108,16 @@
                 .number("version", newSettings.version().number())
                 .number("before", settingsVersion().number())
                 .number("routes", newSettings.routes().size())
+                .number("organisations", newSettings.access().organisations().size())
+                .text("keysRequired", newSettings.requiresKeys())
                 .write();
+        newSettings.rejectedEntries().forEach(entry -> log.warn(Part.SETTINGS, "settingsEntryRejected")
+                .number("version", newSettings.version().number())
+                .text("reason", entry)
+                .write());
         settings = newSettings;
         routes = new RouteTable(newSettings.routes());
-        keys = new ApiKeyIndex(newSettings.organisations());
+        keys = new ApiKeyIndex(newSettings.access().organisations());
         profiles = new RequestProfiles(newSettings.services());
         dispatchers.apply(newSettings);
         settingsListener.accept(newSettings);
--- a/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
@@ -23,6 +23,7 @@
 import io.figspan.gateway.log.DecisionLog;
 import io.figspan.gateway.log.UnexpectedErrors;
 import io.figspan.gateway.metrics.GatewayMetrics;
+import io.figspan.settings.gateway.CallerAccess;
 import io.figspan.settings.gateway.CallerLimits;
 import io.figspan.settings.gateway.EngineProfile;
 import io.figspan.settings.gateway.GatewaySettings;
@@ -408,7 +409,8 @@
                         onceOnly("/once/", timeoutMs)),
                 services,
                 CallerLimits.DEFAULT,
-                List.of(new OrganisationKeys(OrganisationId.of("house-1"), List.of(KEY), OptionalInt.empty())));
+                CallerAccess.keyed(List.of(
+                        new OrganisationKeys(OrganisationId.of("house-1"), List.of(KEY), OptionalInt.empty()))));
     }
 
     /** Settings of the next version with the same routes under other names. */
@@ -426,7 +428,7 @@
                 settings.routes().stream().map(change).toList(),
                 settings.services(),
                 settings.callerLimits(),
-                settings.organisations());
+                settings.access());
     }
 
     /** Settings of the next version in which each route also names a service that it does not choose. */
@@ -439,7 +441,7 @@
     /** Settings of the next version without routes and keys. */
     public GatewaySettings settingsWithoutRoutes() {
         GatewaySettings same = settings(1);
-        return new GatewaySettings(same.version(), List.of(), same.services(), same.callerLimits(), List.of());
+        return new GatewaySettings(same.version(), List.of(), same.services(), same.callerLimits(), CallerAccess.OPEN);
     }
 
     /** A route that differs from another one in its name, path, services and timeout. */
--- a/figspan-gateway/src/test/java/io/figspan/gateway/caller/ChangedLimitsTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/caller/ChangedLimitsTest.java
@@ -148,7 +148,7 @@
 
     private static GatewaySettings withLimits(GatewaySettings settings, CallerLimits limits) {
         return new GatewaySettings(
-                settings.version(), settings.routes(), settings.services(), limits, settings.organisations());
+                settings.version(), settings.routes(), settings.services(), limits, settings.access());
     }
 
     @Test
--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/ChangedSettingsTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/ChangedSettingsTest.java
@@ -7,6 +7,7 @@
 import io.figspan.gateway.GatewayHarness;
 import io.figspan.gateway.ScriptedServer.Connection;
 import io.figspan.gateway.ScriptedServer.Received;
+import io.figspan.settings.gateway.CallerAccess;
 import io.figspan.settings.gateway.CallerLimits;
 import io.figspan.settings.gateway.GatewaySettings;
 import io.figspan.settings.gateway.OrganisationKeys;
@@ -59,7 +60,7 @@
         LIMITS_HIGHER(settings -> withLimits(settings, new CallerLimits(32_768, 8_000_000, 60_000, 60_000))),
         KEYS_REMOVED(settings -> withKeys(settings, "k-2")),
         SERVICES_REMOVED(settings -> new GatewaySettings(
-                settings.version(), settings.routes(), Map.of(), settings.callerLimits(), settings.organisations()));
+                settings.version(), settings.routes(), Map.of(), settings.callerLimits(), settings.access()));
 
         @SuppressWarnings("ImmutableEnumChecker") // The functions have no state.
         private final UnaryOperator<GatewaySettings> change;
@@ -132,7 +133,7 @@
                 change.apply(settings.routes()),
                 settings.services(),
                 settings.callerLimits(),
-                settings.organisations());
+                settings.access());
     }
 
     private static GatewaySettings withServices(GatewaySettings settings, WeightedService... services) {
@@ -143,14 +144,18 @@
 
     private static GatewaySettings withLimits(GatewaySettings settings, CallerLimits limits) {
         return new GatewaySettings(
-                settings.version(), settings.routes(), settings.services(), limits, settings.organisations());
+                settings.version(), settings.routes(), settings.services(), limits, settings.access());
     }
 
     private static GatewaySettings withKeys(GatewaySettings settings, String key) {
         List<OrganisationKeys> organisations =
                 List.of(new OrganisationKeys(OrganisationId.of("house-2"), List.of(key), OptionalInt.empty()));
         return new GatewaySettings(
-                settings.version(), settings.routes(), settings.services(), settings.callerLimits(), organisations);
+                settings.version(),
+                settings.routes(),
+                settings.services(),
+                settings.callerLimits(),
+                CallerAccess.keyed(organisations));
     }
 
     private void change(Change change, Arrival arrival) {
--- a/figspan-settings/src/main/java/io/figspan/settings/gateway/GatewaySettings.java
+++ b/figspan-settings/src/main/java/io/figspan/settings/gateway/GatewaySettings.java
@@ -8,21 +8,33 @@
 /**
  * One version of the gateway's settings.
  *
- * @param organisations the organisations that may send requests; if empty, requests need no API key
+ * @param access which callers may send requests
+ * @param rejectedEntries descriptions of the entries that are not part of the settings because they are invalid
  */
 public record GatewaySettings(
         SettingsVersion version,
         List<Route> routes,
         Map<ServiceId, ServiceProfile> services,
         CallerLimits callerLimits,
-        List<OrganisationKeys> organisations) {
+        CallerAccess access,
+        List<String> rejectedEntries) {
     public GatewaySettings {
         routes = List.copyOf(routes);
         services = Map.copyOf(services);
-        organisations = List.copyOf(organisations);
+        rejectedEntries = List.copyOf(rejectedEntries);
+    }
+
+    /** Settings without invalid entries. */
+    public GatewaySettings(
+            SettingsVersion version,
+            List<Route> routes,
+            Map<ServiceId, ServiceProfile> services,
+            CallerLimits callerLimits,
+            CallerAccess access) {
+        this(version, routes, services, callerLimits, access, List.of());
     }
 
     public boolean requiresKeys() {
-        return !organisations.isEmpty();
+        return access.requiresKey();
     }
 }
