Store watch: too many changes are replaced by a listing

Cause: the response to a watch holds every version since the watched revision, longer than the 8 MiB that a host reads, and StoreWatcher took this for a lost store and repeated the same watch. A response that is too long now leads to a listing at once, and so do two failed watches from one revision, whatever their reason.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/store/PrefixWatcher.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/store/PrefixWatcher.java
@@ -26,6 +26,12 @@
      */
     static final long COALESCE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
+    /**
+     * Failed watches from one revision after which the items are listed. The response to a watch holds all changes
+     * since its revision, so a failure that they cause repeats until the store drops its history.
+     */
+    static final int MAX_FAILED_WATCHES = 2;
+
     static final long FIRST_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
     static final long MAX_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
 
@@ -34,6 +40,7 @@
     private long watchWaitMs = WATCH_WAIT_MS;
     private StoreRevision firstPageRevision = StoreRevision.NONE;
     private Optional<StoreRevision> watchedRevision = Optional.empty();
+    private int failedWatches;
     private long epoch;
     private long backoffNanos = FIRST_BACKOFF_NANOS;
 
@@ -92,7 +99,8 @@
 
     public List<Action> pageRead(Page page) {
         if (page.revision().epoch() < epoch) {
-            return failed();
+            listedItems.clear();
+            return List.of(pause());
         }
         if (page.revision().epoch() > epoch) {
             epoch = page.revision().epoch();
@@ -125,6 +133,7 @@
             return historyGone();
         }
         backoffNanos = FIRST_BACKOFF_NANOS;
+        failedWatches = 0;
         watchedRevision = watchedRevision.map(known -> StoreRevision.newest(known, page.revision()));
         Action next = page.items().isEmpty() ? resume() : new Action.Pause(COALESCE_NANOS);
         return List.of(new Action.Changed(page.items()), next);
@@ -132,16 +141,44 @@
 
     /** The store no longer has the changes after the watched revision. */
     public List<Action> historyGone() {
+        listAgain();
+        return List.of(resume());
+    }
+
+    /** The response was longer than this host can hold. A listing holds each item once, so it is shorter. */
+    public List<Action> responseTooLong() {
+        if (watchedRevision.isEmpty()) {
+            return failed();
+        }
+        listAgain();
+        return List.of(resume());
+    }
+
+    private void listAgain() {
         watchedRevision = Optional.empty();
+        failedWatches = 0;
         listedItems.clear();
-        return List.of(resume());
     }
 
     /** A call failed or timed out. */
     public List<Action> failed() {
         listedItems.clear();
+        if (watchedRevision.isPresent()) {
+            watchFailed();
+        }
+        return List.of(pause());
+    }
+
+    private void watchFailed() {
+        failedWatches++;
+        if (failedWatches >= MAX_FAILED_WATCHES) {
+            listAgain();
+        }
+    }
+
+    private Action pause() {
         long nanos = backoffNanos / 2 + random.nextLong(backoffNanos / 2);
         backoffNanos = Math.min(MAX_BACKOFF_NANOS, backoffNanos * 2);
-        return List.of(new Action.Pause(nanos));
+        return new Action.Pause(nanos);
     }
 }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/store/StoreWatcher.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/store/StoreWatcher.java
@@ -36,8 +36,11 @@
     /** Time for a large response over a slow link, while its bytes arrive. */
     private static final long TRANSFER_TIMEOUT_MS = 4_000;
 
-    /** Several versions of the largest settings; a watcher has one response at a time. */
-    private static final int MAX_RESPONSE_BYTES = 8 * 1_024 * 1_024;
+    /**
+     * Twice the longest page of a listing, which ends after 1 MB of items and is a third longer in base64. Decoding
+     * takes about four times as much memory. A watcher has one response at a time.
+     */
+    private static final int MAX_RESPONSE_BYTES = 3 * 1_024 * 1_024;
 
     private static final int OK = 200;
 
@@ -169,6 +172,11 @@
                 guarded(() -> responseReceived(watch, head, body));
             }
 
+            @Override
+            public void onTooLong(String reason) {
+                guarded(() -> responseTooLong(reason));
+            }
+
             @Override
             public void onFailure(String reason) {
                 failed(reason);
@@ -239,6 +247,15 @@
         }
     }
 
+    /** The store responds, so it is not lost; a watch of too many changes is replaced by a listing. */
+    private void responseTooLong(String reason) {
+        log.warn(Part.SETTINGS, "storeResponseTooLong")
+                .text("prefix", prefix)
+                .text("reason", reason)
+                .write();
+        execute(prefixWatcher.responseTooLong());
+    }
+
     private void failed(String reason) {
         if (reachable) {
             reachable = false;
--- a/figspan-gateway/src/test/java/io/figspan/gateway/store/StoreWatcherTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/store/StoreWatcherTest.java
@@ -35,12 +35,16 @@
 class StoreWatcherTest {
     private static final long LIMIT_S = 20;
 
+    /** Longer than twenty versions of the largest item. */
+    private static final int TOO_LONG_BYTES = 20 * 1_024 * 1_024;
+
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final EventLoop loop = group.next();
     private final BlockingQueue<String> calls = new LinkedBlockingQueue<>();
     private final BlockingQueue<List<StoreProtocol.Item>> changes = new LinkedBlockingQueue<>();
     private final AtomicInteger listenerFailures = new AtomicInteger();
     private StoreWatcher watcher;
+    private volatile String tooLongCall = "";
     private long revision = 10;
 
     /** Targets and bodies are plain text: the name of the call with its revision, and the revision of the store. */
@@ -120,6 +124,11 @@
 
     private FullHttpResponse answer(HttpRequest request) {
         calls.add(request.uri());
+        if (request.uri().equals(tooLongCall)) {
+            byte[] body = new byte[TOO_LONG_BYTES];
+            return new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.OK, Unpooled.wrappedBuffer(body));
+        }
         byte[] body = Long.toString(revision++).getBytes(StandardCharsets.US_ASCII);
         return new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, Unpooled.wrappedBuffer(body));
     }
@@ -132,6 +141,20 @@
         return calls.poll(LIMIT_S, TimeUnit.SECONDS);
     }
 
+    /** Guards against hosts that stay on old settings, since the changes since then are too long to be read. */
+    @Test
+    void changesThatAreTooLongAreReplacedByAListing() throws Exception {
+        tooLongCall = "/watch/10";
+        onLoop(watcher::start);
+
+        assertEquals("/range", nextCall());
+        assertEquals("/watch/10", nextCall());
+        assertEquals("/range", nextCall());
+        assertEquals("/watch/11", nextCall());
+        assertEquals(1, changes.take().size());
+        assertEquals(1, changes.take().size());
+    }
+
     @Test
     void aWatcherListsAllItemsAndThenWatchesForChanges() throws Exception {
         onLoop(watcher::start);
