--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/EndlessStreamTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/EndlessStreamTest.java
@@ -31,6 +31,10 @@
     private static final int MAX_FORWARDED_BYTES = StreamProgress.MAX_FILLER_BYTES + 64 * 1_024;
 
     private static final int MAX_SENT_BYTES = 64 * 1_024 * 1_024;
+
+    /** With the framing of the shortest chunks, this has more bytes of data than any limit of a stream. */
+    private static final int WRITE_BYTES = 1_024 * 1_024;
+
     private static final String CHUNKED = "transfer-encoding: chunked\r\n";
     private static final int LAST_EVENT = 4;
 
@@ -64,9 +68,11 @@
                 return;
             }
             c.begin(request, 200, isChunked ? CHUNKED : "");
-            c.write(isChunked ? chunk(event(1)) : event(1));
-            String repeated = filler.repeat(1 + 16 * 1_024 / filler.length());
+            String repeated = filler.repeat(1 + WRITE_BYTES / filler.length());
             try {
+                // The first write reaches each limit: a server whose thread is paused behind it is unbounded, not
+                // silent.
+                c.write((isChunked ? chunk(event(1)) : event(1)) + repeated);
                 for (int sent = 0; sent < MAX_SENT_BYTES; sent += repeated.length()) {
                     c.write(repeated);
                 }
