Store: one watch for settings and servers, and fewer takeovers at the start

Each host watched two prefixes with a call each, hosts that rely on others polled every 10 s, and in a cell of 18 hosts all 15 of these took over for 10 s at the start: the first watches of the hosts they rely on waited 2 s, longer than the 1.4 s for which a response counts as recent. Settings and servers share one watch now, resting hosts poll every 30 s, and the first watches wait 1 s.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
@@ -22,7 +22,7 @@
 import io.figspan.gateway.peer.CopyReader;
 import io.figspan.gateway.peer.PeerTracker;
 import io.figspan.gateway.protocol.ProtocolAdapter;
-import io.figspan.gateway.store.StoreListener;
+import io.figspan.gateway.store.PrefixListeners;
 import io.figspan.gateway.store.StoreWatcher;
 import io.figspan.settings.gateway.GatewaySettings;
 import io.netty.channel.EventLoop;
@@ -159,8 +159,7 @@
         peers.listen().syncUninterruptibly();
         endpoints.listen(loop);
         registerGauges();
-        watch(adapter.fleet().settingsPrefix(), fleet.settingsStoreListener());
-        watch(adapter.fleet().serversPrefix(), fleet.serversStoreListener());
+        watchStore();
         scheduleRepeatedly(TICK_MS, () -> metrics.processorTime().measure(Activity.TIMERS, this::tick));
         scheduleRepeatedly(SHUTDOWN_TICK_MS, () -> shutdown.tick(System.nanoTime()));
         scheduleRepeatedly(WATCH_UPDATE_INTERVAL_MS, this::updateWatching);
@@ -214,8 +213,12 @@
         return shutdown.graceMs();
     }
 
-    private void watch(String prefix, StoreListener listener) {
-        StoreWatcher watcher = new StoreWatcher(loop, config.store(), prefix, adapter.store(), listener, log, random);
+    private void watchStore() {
+        PrefixListeners listeners = new PrefixListeners();
+        listeners.add(adapter.fleet().settingsPrefix(), fleet.settingsStoreListener());
+        listeners.add(adapter.fleet().serversPrefix(), fleet.serversStoreListener());
+        StoreWatcher watcher = new StoreWatcher(
+                loop, config.store(), listeners.commonPrefix(), adapter.store(), listeners, log, random);
         storeWatchers.add(watcher);
         loop.execute(watcher::start);
     }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/store/PrefixWatcher.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/store/PrefixWatcher.java
@@ -20,6 +20,12 @@
 
     private static final long POLL_WAIT_MS = 1;
 
+    /**
+     * Wait of the watches before it is known which other hosts rely on this one. It is that of hosts on which others
+     * rely, since these would otherwise take over at the start because they receive no recent response.
+     */
+    static final long FIRST_WATCH_WAIT_MS = StoreWatchPolicy.SHARED_WATCH_WAIT_MS;
+
     /**
      * Delay of the next watch after changes, so that one call reads the changes of many servers that register or leave
      * together.
@@ -37,7 +43,7 @@
 
     private final RandomGenerator random;
     private final List<Item> listedItems = new ArrayList<>();
-    private long watchWaitMs = WATCH_WAIT_MS;
+    private long watchWaitMs = FIRST_WATCH_WAIT_MS;
     private StoreRevision firstPageRevision = StoreRevision.NONE;
     private Optional<StoreRevision> watchedRevision = Optional.empty();
     private int failedWatches;
--- a/figspan-gateway/src/main/java/io/figspan/gateway/store/StoreWatcher.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/store/StoreWatcher.java
@@ -44,8 +44,11 @@
 
     private static final int OK = 200;
 
-    /** Mean interval between the polls of a host that relies on the reports of others. */
-    private static final long IDLE_POLL_NANOS = TimeUnit.SECONDS.toNanos(10);
+    /**
+     * Mean interval between the polls of a host that relies on the reports of others. They only cover the case that no
+     * report names a change for this long, since each report names the sender's revision.
+     */
+    private static final long IDLE_POLL_NANOS = TimeUnit.SECONDS.toNanos(30);
 
     private final EventLoop loop;
     private final String prefix;
--- a/figspan-gateway/src/test/java/io/figspan/gateway/store/PrefixWatcherTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/store/PrefixWatcherTest.java
@@ -39,7 +39,7 @@
         assertEquals(
                 List.of("a", "b", "c"), snapshot.items().stream().map(Item::key).toList());
         assertEquals(at(10), snapshot.revision());
-        assertEquals(new Action.Watch(at(10), PrefixWatcher.WATCH_WAIT_MS), actions.get(1));
+        assertEquals(new Action.Watch(at(10), PrefixWatcher.FIRST_WATCH_WAIT_MS), actions.get(1));
     }
 
     @Test
@@ -49,14 +49,14 @@
         List<Action> actions = watcher.changesRead(new Page(changes, false, at(14)));
         assertEquals(new Action.Changed(changes), actions.get(0));
         assertEquals(new Action.Pause(PrefixWatcher.COALESCE_NANOS), actions.get(1));
-        assertEquals(new Action.Watch(at(14), PrefixWatcher.WATCH_WAIT_MS), watcher.resume());
+        assertEquals(new Action.Watch(at(14), PrefixWatcher.FIRST_WATCH_WAIT_MS), watcher.resume());
     }
 
     @Test
     void aWatchThatEndsWithoutChangesIsRepeatedAtOnce() {
         watcher.pageRead(new Page(List.of(), false, at(10)));
         List<Action> actions = watcher.changesRead(new Page(List.of(), false, at(14)));
-        assertEquals(new Action.Watch(at(14), PrefixWatcher.WATCH_WAIT_MS), actions.get(1));
+        assertEquals(new Action.Watch(at(14), PrefixWatcher.FIRST_WATCH_WAIT_MS), actions.get(1));
     }
 
     @Test
@@ -69,7 +69,7 @@
     void aFailedWatchIsContinued() {
         watcher.pageRead(new Page(List.of(), false, at(10)));
         assertInstanceOf(Action.Pause.class, watcher.failed().get(0));
-        assertEquals(new Action.Watch(at(10), PrefixWatcher.WATCH_WAIT_MS), watcher.resume());
+        assertEquals(new Action.Watch(at(10), PrefixWatcher.FIRST_WATCH_WAIT_MS), watcher.resume());
     }
 
     /** Guards against a watch that is repeated in vain, since its response holds too many changes. */
@@ -87,7 +87,7 @@
         watcher.failed();
         watcher.changesRead(new Page(List.of(), false, at(11)));
         watcher.failed();
-        assertEquals(new Action.Watch(at(11), PrefixWatcher.WATCH_WAIT_MS), watcher.resume());
+        assertEquals(new Action.Watch(at(11), PrefixWatcher.FIRST_WATCH_WAIT_MS), watcher.resume());
     }
 
     @Test
@@ -115,7 +115,8 @@
             assertTrue(pause.nanos() >= PrefixWatcher.FIRST_BACKOFF_NANOS / 2);
             assertTrue(pause.nanos() <= PrefixWatcher.MAX_BACKOFF_NANOS);
             longest = Math.max(longest, pause.nanos());
-            Action expected = i == 0 ? new Action.Watch(at(10), PrefixWatcher.WATCH_WAIT_MS) : new Action.ReadPage("");
+            Action expected =
+                    i == 0 ? new Action.Watch(at(10), PrefixWatcher.FIRST_WATCH_WAIT_MS) : new Action.ReadPage("");
             assertEquals(expected, watcher.resume());
         }
         assertTrue(longest > PrefixWatcher.FIRST_BACKOFF_NANOS);
@@ -141,7 +142,7 @@
                 List.of(new Action.ReadPage("")),
                 watcher.changesRead(new Page(List.of(item("a", 12)), false, inEpoch(2, 12))));
         List<Action> actions = watcher.pageRead(new Page(List.of(), false, inEpoch(2, 4)));
-        assertEquals(new Action.Watch(inEpoch(2, 4), PrefixWatcher.WATCH_WAIT_MS), actions.get(1));
+        assertEquals(new Action.Watch(inEpoch(2, 4), PrefixWatcher.FIRST_WATCH_WAIT_MS), actions.get(1));
     }
 
     @Test
@@ -165,6 +166,6 @@
                 Action.Pause.class,
                 watcher.pageRead(new Page(List.of(item("a", 50)), false, at(50)))
                         .get(0));
-        assertEquals(new Action.Watch(inEpoch(2, 4), PrefixWatcher.WATCH_WAIT_MS), watcher.resume());
+        assertEquals(new Action.Watch(inEpoch(2, 4), PrefixWatcher.FIRST_WATCH_WAIT_MS), watcher.resume());
     }
 }
