--- a/figspan-gateway/src/test/java/io/figspan/gateway/store/PrefixListenersTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/store/PrefixListenersTest.java
@@ -49,20 +49,20 @@
 
     @Test
     void eachListenerReceivesTheItemsUnderItsPrefix() {
-        listeners.add("op/", new Recorder("op"));
+        listeners.add("settings/", new Recorder("settings"));
         listeners.add("servers/", new Recorder("servers"));
 
-        listeners.onSnapshot(List.of(item("op/config"), item("other"), item("servers/i-1")), AS_OF);
+        listeners.onSnapshot(List.of(item("settings/current"), item("other"), item("servers/i-1")), AS_OF);
         listeners.onChanged(List.of(item("servers/i-2")));
         listeners.onLost();
 
         assertEquals(
                 List.of(
-                        "op snapshot [op/config] as of " + AS_OF,
+                        "settings snapshot [settings/current] as of " + AS_OF,
                         "servers snapshot [servers/i-1] as of " + AS_OF,
-                        "op changed []",
+                        "settings changed []",
                         "servers changed [servers/i-2]",
-                        "op lost",
+                        "settings lost",
                         "servers lost"),
                 received);
     }
@@ -74,7 +74,7 @@
         assertEquals("fleet/servers/", listeners.commonPrefix());
         listeners.add("fleet/settings/", new Recorder("settings"));
         assertEquals("fleet/se", listeners.commonPrefix());
-        listeners.add("op/", new Recorder("op"));
+        listeners.add("settings/", new Recorder("settings"));
         assertEquals("", listeners.commonPrefix());
     }
 }
