--- a/figspan-policy/src/main/java/io/figspan/policy/placing/EnginePlacer.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/EnginePlacer.java
@@ -322,6 +322,13 @@
         queue.removeIf(waiting -> waiting.job == job);
     }
 
+    @Override
+    public List<Job> takeWaiting() {
+        List<Job> waitingJobs = queue.stream().map(waiting -> waiting.job).toList();
+        queue.clear();
+        return waitingJobs;
+    }
+
     @Override
     public List<Placement> tick(long nowNanos) {
         backlogAverage.observe(meanBacklogMs(), Millis.of(nowNanos));
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/LeastBusyPlacer.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/LeastBusyPlacer.java
@@ -110,6 +110,13 @@
         queue.remove(job);
     }
 
+    @Override
+    public List<Job> takeWaiting() {
+        List<Job> waiting = List.copyOf(queue);
+        queue.clear();
+        return waiting;
+    }
+
     @Override
     public List<Placement> tick(long nowNanos) {
         List<Placement> placements = new ArrayList<>();
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/Placer.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/Placer.java
@@ -37,6 +37,9 @@
     /** Removes a job from the queue; does nothing when it isn't queued. */
     void withdrawn(Job job);
 
+    /** Removes all queued jobs and returns them in their order. */
+    List<Job> takeWaiting();
+
     /** Retries queued jobs whose retry is due. The driver calls this every few milliseconds while jobs are queued. */
     List<Placement> tick(long nowNanos);
 
