Gateway: no new request goes to an evacuated availability zone

Cause: an operator could not take a zone out of use; its servers would each have had to drain.

Change: FleetState reads the items op/evacuate/ZONE before the settings. BackendPools leaves the servers of these zones out of available() and acceptsRequests(), so placement, reservations, retries and the check before the write follow. Queued requests are placed again at once; a service without a server in another zone refuses with 503 and a spread Retry-After.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
@@ -282,9 +282,16 @@
         openWhenReady(System.nanoTime());
     }
 
+    @Override
+    public void onZonesChanged() {
+        dispatchers.zonesChanged();
+        peers.itemsChanged();
+    }
+
     private void registerGauges() {
         metrics.gauge("requests.waiting", dispatchers::waitingCount);
         metrics.gauge("connections.busy", callers::busy);
+        metrics.gauge("zones.evacuated", () -> pools.evacuations().size());
         metrics.gauge("settings.version", () -> forwarder.settingsVersion().number());
         metrics.gauge("settings.outdated", () -> settingsReader.isBehind() ? 1 : 0);
         metrics.gauge("settings.revision", () -> fleet.settings().revision().number());
--- a/figspan-gateway/src/main/java/io/figspan/gateway/backend/BackendPools.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/backend/BackendPools.java
@@ -8,6 +8,7 @@
 import io.figspan.gateway.http.HttpConnection;
 import io.figspan.gateway.log.DecisionLog;
 import io.figspan.gateway.protocol.BackendResponse;
+import io.figspan.policy.evacuation.ZoneEvacuations;
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -22,6 +23,7 @@
     private final EventLoop loop;
     private final DrainNotices drainNotices;
     private final ServerPauses pauses;
+    private final ZoneEvacuations evacuations = new ZoneEvacuations();
     private final Map<BackendServerId, Registration> registrations = new HashMap<>();
     private final Map<AvailabilityZoneId, AdaptiveConnectTimeout> connectTimeouts = new HashMap<>();
 
@@ -52,6 +54,11 @@
         return pauses;
     }
 
+    /** The zones whose servers get no new requests. */
+    public ZoneEvacuations evacuations() {
+        return evacuations;
+    }
+
     /** The servers among these, and earlier ones, that are known to drain. */
     public DrainNotices drainNotices() {
         return drainNotices;
@@ -110,22 +117,56 @@
         return isNewlyLeaving ? server.asLeaving() : server;
     }
 
-    /** Whether a server is registered, doesn't drain and has not asked for a pause, so that it may get new requests. */
+    /**
+     * Whether a server may get new requests: it is registered, doesn't drain, is not in an evacuated zone and has not
+     * asked for a pause.
+     */
     public boolean acceptsRequests(BackendServerId id) {
-        return find(id).filter(server -> !server.isLeaving()).isPresent() && pauses.admits(id, System.nanoTime());
+        return find(id).filter(this::mayBeChosen).isPresent() && pauses.admits(id, System.nanoTime());
+    }
+
+    private boolean mayBeChosen(BackendServer server) {
+        return !server.isLeaving() && !evacuations.isEvacuated(server.zone());
+    }
+
+    /** Whether a server is registered in an evacuated zone. */
+    public boolean isEvacuated(BackendServerId id) {
+        return !evacuations.isEmpty()
+                && find(id).filter(server -> evacuations.isEvacuated(server.zone()))
+                        .isPresent();
+    }
+
+    /** The services of which no server can be chosen, while the evacuated zones have servers that could be. */
+    public Set<ServiceId> evacuatedServices() {
+        if (evacuations.isEmpty()) {
+            return Set.of();
+        }
+        Set<ServiceId> evacuated = new HashSet<>();
+        for (Registration registration : registrations.values()) {
+            BackendServer server = current(registration);
+            if (!server.isLeaving() && evacuations.isEvacuated(server.zone())) {
+                evacuated.add(server.service());
+            }
+        }
+        available().forEach((service, servers) -> {
+            if (!servers.isEmpty()) {
+                evacuated.remove(service);
+            }
+        });
+        return evacuated;
     }
 
     /**
-     * The servers of each service that may be chosen for new requests; empty for a service whose servers all leave. If
-     * the entries of a few servers are missing, these have probably left. If those of most are, their leases have
-     * expired together and say nothing about the servers.
+     * The servers of each service that may be chosen for new requests; empty for a service whose servers all leave or
+     * are in evacuated zones. If the entries of a few servers are missing, these have probably left. If those of most
+     * are, their leases have expired together and say nothing about the servers.
      */
     public Map<ServiceId, List<BackendServer>> available() {
         Map<ServiceId, List<BackendServer>> byService = new HashMap<>();
         for (Registration registration : registrations.values()) {
             BackendServer server = current(registration);
             List<BackendServer> servers = byService.computeIfAbsent(server.service(), ignored -> new ArrayList<>());
-            if (!server.isLeaving()) {
+            if (mayBeChosen(server)) {
                 servers.add(server);
             }
         }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/backend/EngineClient.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/backend/EngineClient.java
@@ -14,7 +14,10 @@
     /** Whether the engine is registered, so that holds can be renewed and released there. */
     boolean isRegistered(BackendServerId engine);
 
-    /** Whether the engine is registered, doesn't drain and has asked for no pause, so that it may get new holds. */
+    /**
+     * Whether the engine may get new holds: it is registered, doesn't drain, is not in an evacuated zone and has asked
+     * for no pause.
+     */
     boolean acceptsRequests(BackendServerId engine);
 
     /** Whether the engine has asked for a pause that has not ended. */
--- a/figspan-gateway/src/main/java/io/figspan/gateway/fleet/FleetState.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/fleet/FleetState.java
@@ -32,16 +32,21 @@
     private final LongSupplier nanoClock;
     private final RestoredEntries restoredEntries = new RestoredEntries();
     private final DeferredRemovals deferredRemovals = new DeferredRemovals();
+    private final ZoneEvacuationTracker evacuations;
     private final ItemCopy settings = new ItemCopy();
     private final ItemCopy servers = new ItemCopy();
     private boolean serversLoaded;
     private boolean storeUnreachable;
+    private boolean settingsStoreUnreachable;
 
-    /** Receives new settings and notice of changed servers. */
+    /** Receives new settings and notice of changed servers and zones. */
     public interface FleetListener {
         void onSettings(GatewaySettings settings);
 
         void onServersChanged();
+
+        /** Other zones are evacuated than before. */
+        void onZonesChanged();
     }
 
     public FleetState(
@@ -55,6 +60,7 @@
         this.log = log;
         this.listener = listener;
         this.nanoClock = nanoClock;
+        this.evacuations = new ZoneEvacuationTracker(protocol, pools.evacuations(), log, listener::onZonesChanged);
     }
 
     public ItemCopy settings() {
@@ -74,17 +80,20 @@
         return new StoreListener() {
             @Override
             public void onSnapshot(List<Item> items, StoreRevision revision) {
+                settingsStoreUnreachable = false;
                 settingsChanged(settings.applySnapshot(items, revision));
             }
 
             @Override
             public void onChanged(List<Item> items) {
+                settingsStoreUnreachable = false;
                 settingsChanged(settings.apply(items));
             }
 
+            /** The settings and the evacuations stay in force until newer ones arrive. */
             @Override
             public void onLost() {
-                // The settings stay in force until newer ones arrive.
+                settingsStoreUnreachable = true;
             }
         };
     }
@@ -118,11 +127,21 @@
         serversChanged(() -> servers.applyChanges(changes));
     }
 
+    /**
+     * Updates the evacuated zones first, since the first settings let this host send requests. The settings are applied
+     * also after an unexpected error with a zone.
+     */
     private void settingsChanged(List<Item> changes) {
-        for (Item item : changes) {
-            if (protocol.isSettings(item.key()) && item.value().isPresent()) {
-                guarded(item, () -> applySettings(item));
-            }
+        try {
+            evacuations.update(settings, nanoClock.getAsLong());
+        } finally {
+            changes.forEach(this::settingsItemChanged);
+        }
+    }
+
+    private void settingsItemChanged(Item item) {
+        if (protocol.isSettings(item.key()) && item.value().isPresent()) {
+            guarded(item, () -> applySettings(item));
         }
     }
 
@@ -174,7 +193,10 @@
         }
     }
 
-    /** Removes the servers whose entries were not written again in time, and believes restored entries that stayed. */
+    /**
+     * Removes the servers whose entries were not written again in time, believes restored entries that stayed, and ends
+     * the evacuations whose items were not written again in time.
+     */
     public void tick() {
         long nowNanos = nanoClock.getAsLong();
         List<Item> missing = deferredRemovals.takeDue(nowNanos);
@@ -184,6 +206,9 @@
         if (!missing.isEmpty() || !restored.isEmpty()) {
             listener.onServersChanged();
         }
+        if (!settingsStoreUnreachable) {
+            evacuations.tick(nowNanos);
+        }
     }
 
     private void entryWritten(Item item, boolean isRestored) {
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Attempt.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Attempt.java
@@ -189,10 +189,18 @@
         discarded = true;
     }
 
-    /** The server may have begun to drain, and this host to stop, while the connection was being established. */
+    /**
+     * While the connection was being established, the server may have begun to drain, this host to stop, or the zone of
+     * the server or of a helper may have been evacuated.
+     */
     @Override
     public boolean mayWrite() {
-        return pools.acceptsRequests(server()) && listener.mayWrite();
+        return pools.acceptsRequests(server()) && readers.stream().noneMatch(pools::isEvacuated) && listener.mayWrite();
+    }
+
+    /** Whether the server or a helper is in an evacuated zone. */
+    boolean isEvacuated() {
+        return pools.isEvacuated(server()) || readers.stream().anyMatch(pools::isEvacuated);
     }
 
     /** Whether the server may have received the request. */
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/AttemptEnd.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/AttemptEnd.java
@@ -7,7 +7,10 @@
 enum AttemptEnd {
     /** The server was unreachable, so it has received nothing. */
     NOT_CONNECTED(false, AttemptOutcome.BROKEN),
-    /** The server began to drain, or this host to stop, before the request was written, so it has received nothing. */
+    /**
+     * The server began to drain, its zone was evacuated, or this host began to stop, before the request was written, so
+     * the server has received nothing.
+     */
     WITHDRAWN(false, AttemptOutcome.CANCELLED),
     /** The server, or another one at its address, stated that it did not run the request. */
     TURNED_AWAY(false, AttemptOutcome.TURNED_AWAY),
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
@@ -6,6 +6,7 @@
 import io.figspan.gateway.backend.BackendServer;
 import io.figspan.gateway.backend.HoldGroup;
 import io.figspan.gateway.http.EventBatch;
+import io.figspan.gateway.metrics.GatewayMetrics;
 import io.figspan.gateway.protocol.CallerRequest;
 import io.figspan.policy.drain.RequestProfile;
 import io.figspan.policy.placing.Job;
@@ -283,6 +284,9 @@
         history.recordFailure(end);
         log.attemptFailed(failed.server(), end, reason, failed.sentNanos(), response.forwardedEvents());
         crashObserver.attemptFailed(failed, end, nowNanos);
+        if (end == AttemptEnd.WITHDRAWN && failed.isEvacuated()) {
+            forwarder.metrics().count(GatewayMetrics.PLACED_AGAIN);
+        }
         if (end == AttemptEnd.HELPER_FAILED) {
             failed.faultyHelper().ifPresent(helper -> dispatcher.helperFailed(helper, nowNanos));
         }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/PlacementHandler.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/PlacementHandler.java
@@ -7,6 +7,7 @@
 import io.figspan.gateway.backend.BackendServer;
 import io.figspan.gateway.backend.HoldGroup;
 import io.figspan.gateway.backend.MemoryHolds.HoldRequest;
+import io.figspan.gateway.metrics.GatewayMetrics;
 import io.figspan.policy.placing.Job;
 import io.figspan.policy.placing.Placement;
 import io.figspan.policy.placing.Placer.AttemptOutcome;
@@ -163,6 +164,9 @@
                 state.transition(CallEvent.FAILED);
             }
             giveUpPlacement(group, nowNanos);
+            if (isEvacuated(placement)) {
+                forwarder.metrics().count(GatewayMetrics.PLACED_AGAIN);
+            }
             listener.onPlacementNeeded(nowNanos);
             return;
         }
@@ -170,7 +174,16 @@
         listener.onSendAllowed(placement, group, server, nowNanos);
     }
 
-    /** Whether neither the server nor one of its helpers has left or begun to drain since the placement. */
+    private boolean isEvacuated(Placement.Send placement) {
+        BackendPools pools = forwarder.pools();
+        return pools.isEvacuated(placement.server())
+                || placement.readers().stream().anyMatch(reader -> pools.isEvacuated(reader.server()));
+    }
+
+    /**
+     * Whether neither the server nor one of its helpers has left, has begun to drain or is in a zone that was evacuated
+     * since the placement.
+     */
     private boolean allAcceptRequests(Placement.Send placement) {
         BackendPools pools = forwarder.pools();
         return pools.acceptsRequests(placement.server())
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatcher.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatcher.java
@@ -35,23 +35,30 @@
 
     private final Placer placer;
     private final ServerSubset subset;
+    private final EvacuationRefusals refusals;
     private final ProcessorTime processorTime;
     private final Consumer<WorkChange> workListener;
     private final Map<Job, ForwardCall> calls = new HashMap<>();
     private final Map<BackendServerId, Set<HostId>> hostsUsing = new HashMap<>();
     private List<AvailableServer> servers = List.of();
     private Set<HostId> hosts = Set.of();
+
+    /** Whether all servers that could be chosen are in evacuated zones. */
+    private boolean isEvacuated;
+
     private WindowedRetryBudget budget;
     private OptionalLong lastTickNanos = OptionalLong.empty();
 
     ServiceDispatcher(
             Placer placer,
             ServerSubset subset,
+            EvacuationRefusals refusals,
             WindowedRetryBudget budget,
             ProcessorTime processorTime,
             Consumer<WorkChange> workListener) {
         this.placer = placer;
         this.subset = subset;
+        this.refusals = refusals;
         this.budget = budget;
         this.processorTime = processorTime;
         this.workListener = workListener;
@@ -69,9 +76,61 @@
         return placer.waiting();
     }
 
-    void serversChanged(List<AvailableServer> newServers, Set<HostId> newHosts, long nowNanos) {
+    void serversChanged(List<AvailableServer> newServers, Set<HostId> newHosts, boolean nowEvacuated, long nowNanos) {
         servers = newServers;
+        isEvacuated = nowEvacuated;
         hostsChanged(newHosts, nowNanos);
+        if (isEvacuated) {
+            placeWaiting(nowNanos);
+        }
+    }
+
+    /**
+     * Other zones are evacuated than before. Does nothing if the service has no servers there.
+     *
+     * @return number of queued requests that were placed again, or queued again
+     */
+    int zonesChanged(List<AvailableServer> newServers, Set<HostId> newHosts, boolean nowEvacuated, long nowNanos) {
+        if (newServers.equals(servers) && nowEvacuated == isEvacuated) {
+            return 0;
+        }
+        serversChanged(newServers, newHosts, nowEvacuated, nowNanos);
+        return isEvacuated ? 0 : placeWaiting(nowNanos);
+    }
+
+    /**
+     * Places the queued requests whenever they were last tried, and returns their number. All of them are tried before
+     * an unexpected error with one is thrown.
+     */
+    private int placeWaiting(long nowNanos) {
+        List<Job> waiting = placer.takeWaiting();
+        Optional<RuntimeException> error = Optional.empty();
+        for (Job job : waiting) {
+            try {
+                placeIfKnown(job, nowNanos);
+            } catch (RuntimeException e) {
+                error = Optional.of(e);
+            }
+        }
+        if (error.isPresent()) {
+            throw error.get();
+        }
+        return waiting.size();
+    }
+
+    /** The placement of another job may have ended the call of this one. */
+    private void placeIfKnown(Job job, long nowNanos) {
+        if (calls.containsKey(job)) {
+            placeOrRefuse(job, nowNanos);
+        }
+    }
+
+    private void placeOrRefuse(Job job, long nowNanos) {
+        if (isEvacuated) {
+            dispatch(refusals.refuse(job));
+        } else {
+            place(() -> placer.arrived(job, nowNanos));
+        }
     }
 
     void hostsChanged(Set<HostId> newHosts, long nowNanos) {
@@ -104,7 +163,7 @@
             return;
         }
         calls.put(job, call);
-        place(() -> placer.arrived(job, nowNanos));
+        placeOrRefuse(job, nowNanos);
     }
 
     /** This many pieces of the answer were received together; {@code pieceCount} have been received so far. */
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatchers.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatchers.java
@@ -87,6 +87,29 @@
         if (settings == null) {
             return;
         }
+        Set<ServiceId> evacuated = pools.evacuatedServices();
+        long nowNanos = System.nanoTime();
+        serversByService().forEach((service, servers) -> dispatcher(service)
+                .serversChanged(servers, hosts, evacuated.contains(service), nowNanos));
+    }
+
+    /**
+     * Places the queued requests again at once if other zones are evacuated than before and their services have servers
+     * there. The dispatchers of all other services are not called, so that their decisions stay the same.
+     */
+    public void zonesChanged() {
+        if (settings == null) {
+            return;
+        }
+        Set<ServiceId> evacuated = pools.evacuatedServices();
+        long nowNanos = System.nanoTime();
+        serversByService().forEach((service, servers) -> {
+            int placedAgain = dispatcher(service).zonesChanged(servers, hosts, evacuated.contains(service), nowNanos);
+            metrics.count(GatewayMetrics.PLACED_AGAIN, placedAgain);
+        });
+    }
+
+    private Map<ServiceId, List<AvailableServer>> serversByService() {
         Map<ServiceId, List<AvailableServer>> serversByService = new HashMap<>();
         pools.available()
                 .forEach((service, servers) -> serversByService.put(
@@ -95,8 +118,7 @@
                                 .map(server -> new AvailableServer(server.id(), server.slots()))
                                 .toList()));
         dispatchers.keySet().forEach(service -> serversByService.putIfAbsent(service, List.of()));
-        long nowNanos = System.nanoTime();
-        serversByService.forEach((service, servers) -> dispatcher(service).serversChanged(servers, hosts, nowNanos));
+        return serversByService;
     }
 
     ServiceDispatcher dispatcher(ServiceId service) {
@@ -111,7 +133,12 @@
                 .orElseGet(() -> new LeastBusyPlacer(random, gate));
         ServerSubset subset = engine.isPresent() ? new ServerSubset.OwnCell(self, hosts) : new ServerSubset.All();
         return new ServiceDispatcher(
-                placer, subset, retryBudget.newBudget(), metrics.processorTime(), news -> workListener.accept(news));
+                placer,
+                subset,
+                new EvacuationRefusals(random),
+                retryBudget.newBudget(),
+                metrics.processorTime(),
+                news -> workListener.accept(news));
     }
 
     /** All work that this host has placed at model engines. */
--- a/figspan-gateway/src/main/java/io/figspan/gateway/metrics/GatewayMetrics.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/metrics/GatewayMetrics.java
@@ -12,6 +12,9 @@
 
 /** Counters, gauges and latencies of the gateway. One thread writes; any thread may read the text. */
 public final class GatewayMetrics {
+    /** Counter of requests that were placed again because a zone was evacuated or restored. */
+    public static final String PLACED_AGAIN = "requests.placed.again";
+
     /** Number of latencies that a quantile is taken over: those of the last minute of a busy host. */
     private static final int RESERVOIR_SIZE = 512;
 
--- a/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
@@ -9,6 +9,7 @@
 import io.figspan.core.id.OrganisationId;
 import io.figspan.core.id.ServiceId;
 import io.figspan.core.id.SettingsVersion;
+import io.figspan.core.id.StoreRevision;
 import io.figspan.core.time.MonotonicClock;
 import io.figspan.core.work.PlacedRequest;
 import io.figspan.gateway.backend.BackendPools;
@@ -90,6 +91,7 @@
     private final Map<String, Long> incarnations = new HashMap<>();
     private final Map<String, ScriptedServer> addedServers = new HashMap<>();
     private long nextIncarnation = 1;
+    private long evacuationRevision = 1;
 
     public GatewayHarness() throws IOException {
         DecisionLog log = new DecisionLog();
@@ -273,7 +275,12 @@
 
     /** All work that the host has placed at engines. */
     public List<PlacedRequest> ownWork() {
-        return loop.submit(dispatchers::ownWork).syncUninterruptibly().getNow();
+        return loop.submit(this::ownWorkNow).syncUninterruptibly().getNow();
+    }
+
+    /** Like {@link #ownWork}, for callers on the event loop. */
+    public List<PlacedRequest> ownWorkNow() {
+        return dispatchers.ownWork();
     }
 
     /** Returns when the host has noticed that no caller waits any more. */
@@ -326,6 +333,22 @@
         onLoop(() -> pools.drainNotices().record(server, LeavingSource.GOSSIP, System.nanoTime()));
     }
 
+    /** Evacuates these zones and no others. A server whose name ends in {@code /ZONE} is in that zone. */
+    public void evacuate(String... zones) {
+        onLoop(() -> evacuateNow(zones));
+    }
+
+    /** Like {@link #evacuate}, for callers on the event loop. */
+    public void evacuateNow(String... zones) {
+        StoreRevision revision = new StoreRevision(1, evacuationRevision++);
+        Map<AvailabilityZoneId, StoreRevision> items = new HashMap<>();
+        for (String zone : zones) {
+            items.put(AvailabilityZoneId.of(zone), revision);
+        }
+        pools.evacuations().update(items, revision, System.nanoTime());
+        dispatchers.zonesChanged();
+    }
+
     /** Returns when this many attempts have ended so. */
     public void awaitAttemptsEnded(String end, int count) {
         String line = "figspan_attempts_" + end + "_total " + count;
@@ -373,7 +396,7 @@
                 BackendServerId.of(name),
                 serviceOf(name),
                 server.address(),
-                AvailabilityZoneId.of("zone"),
+                AvailabilityZoneId.of(name.contains("/") ? name.substring(name.indexOf('/') + 1) : "zone"),
                 SLOTS,
                 false,
                 0,
--- a/figspan-gateway/src/test/java/io/figspan/gateway/fleet/FleetStateTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/fleet/FleetStateTest.java
@@ -255,6 +255,9 @@
         public void onServersChanged() {
             changes++;
         }
+
+        @Override
+        public void onZonesChanged() {}
     }
 
     /** Decodes the value "server"; any other value is malformed. */
@@ -269,6 +272,11 @@
             return false;
         }
 
+        @Override
+        public Optional<AvailabilityZoneId> evacuatedZone(String key) {
+            return Optional.empty();
+        }
+
         @Override
         public Result<GatewaySettings> decodeSettings(byte[] value) {
             throw new UnsupportedOperationException("there are no settings in this test");
