Tests: an engine in an evacuated zone keeps its holds and gets no new ones

Cause: MemoryHoldsTest shows renewals at an engine that accepts no new holds, but not that an engine in an evacuated zone counts as one.

Change: HttpEngineClientTest asks the client for an engine in an evacuated zone, renews, releases and checks there.

--- a/figspan-gateway/src/test/java/io/figspan/gateway/backend/HttpEngineClientTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/backend/HttpEngineClientTest.java
@@ -12,11 +12,13 @@
 import io.figspan.core.id.HostId;
 import io.figspan.core.id.HostIncarnation;
 import io.figspan.core.id.ServiceId;
+import io.figspan.core.id.StoreRevision;
 import io.figspan.gateway.ScriptedServer;
 import io.figspan.gateway.TestProtocol;
 import io.figspan.gateway.log.DecisionLog;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -100,6 +102,24 @@
         }
     }
 
+    /** Guards against memory in use that is lost, or reserved anew, because the zone of its engine is evacuated. */
+    @Test
+    void anEngineInAnEvacuatedZoneGetsNoNewHoldsButRenewalsReleasesAndChecks() throws Exception {
+        try (ScriptedServer engine = answering(200)) {
+            register(engine);
+            StoreRevision revision = new StoreRevision(1, 1);
+            loop.submit(() -> pools.evacuations().update(Map.of(AvailabilityZoneId.of("zone"), revision), revision, 0))
+                    .syncUninterruptibly();
+
+            assertFalse(client.acceptsRequests(ENGINE));
+            assertTrue(client.isRegistered(ENGINE));
+            assertTrue(client.tryMessage(ENGINE));
+            assertTrue(reserve(LONG_TIMEOUT_MS).isDone());
+            assertTrue(release(LONG_TIMEOUT_MS).isDone());
+            assertTrue(probe(engine, LONG_TIMEOUT_MS).isDone());
+        }
+    }
+
     @Test
     void requestsThatAreRefusedReportTheStatus() throws Exception {
         try (ScriptedServer engine = answering(409)) {
