--- a/figspan-cluster/src/main/java/io/figspan/cluster/message/PeerMessage.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/message/PeerMessage.java
@@ -150,6 +150,17 @@
         }
     }
 
+    /**
+     * Cold backend servers, and how many requests the sender has sent to each. Merged by the receiver.
+     *
+     * @param hearsReceiver whether the sender has heard from the receiver lately
+     */
+    record ColdServerUses(boolean hearsReceiver, List<ColdServerUse> uses) implements PeerMessage {
+        public ColdServerUses {
+            uses = List.copyOf(uses);
+        }
+    }
+
     // Orders, whose fields are not interpreted in this module
 
     /** Forwards an order to the owner of its ticket, with the time left in milliseconds. */
--- a/figspan-wire/src/main/java/io/figspan/wire/MessageKind.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/MessageKind.java
@@ -28,7 +28,8 @@
     WORK_REPORT(17, PeerMessage.WorkReport.class),
     SETTINGS_BUSY(18, PeerMessage.SettingsBusy.class),
     CRASH_EVIDENCE(19, PeerMessage.CrashEvidence.class),
-    SERVER_LIMIT_USES(20, PeerMessage.ServerLimitUses.class);
+    SERVER_LIMIT_USES(20, PeerMessage.ServerLimitUses.class),
+    COLD_SERVER_USES(21, PeerMessage.ColdServerUses.class);
 
     /** Largest body of any message other than a settings part, as the design page specifies. */
     static final int MAX_CONTROL_BYTES = 65_536;
--- a/figspan-wire/src/main/java/io/figspan/wire/MessageReader.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/MessageReader.java
@@ -1,6 +1,7 @@
 package io.figspan.wire;
 
 import io.figspan.cluster.message.Bytes;
+import io.figspan.cluster.message.ColdServerUse;
 import io.figspan.cluster.message.MemberUpdate;
 import io.figspan.cluster.message.PartChange;
 import io.figspan.cluster.message.PartDigest;
@@ -75,6 +76,7 @@
             case WORK_REPORT -> readWorkReport();
             case CRASH_EVIDENCE -> new PeerMessage.CrashEvidence(readEvidence());
             case SERVER_LIMIT_USES -> new PeerMessage.ServerLimitUses(readLimitUses());
+            case COLD_SERVER_USES -> new PeerMessage.ColdServerUses(unpacker.unpackBoolean(), readColdUses());
             case FORWARD_ORDER ->
                 new PeerMessage.ForwardOrder(
                         unpacker.unpackLong(),
@@ -194,6 +196,19 @@
         return uses;
     }
 
+    private List<ColdServerUse> readColdUses() throws IOException {
+        int count = readCount();
+        List<ColdServerUse> uses = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            uses.add(new ColdServerUse(
+                    new BackendIncarnation(BackendServerId.of(readString()), unpacker.unpackLong()),
+                    unpacker.unpackLong(),
+                    unpacker.unpackLong(),
+                    unpacker.unpackLong()));
+        }
+        return uses;
+    }
+
     private BackendServerId readServer(List<BackendServerId> servers) throws IOException {
         int index = unpacker.unpackInt();
         if (index < 0 || index >= servers.size()) {
--- a/figspan-wire/src/main/java/io/figspan/wire/MessageWriter.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/MessageWriter.java
@@ -1,6 +1,7 @@
 package io.figspan.wire;
 
 import io.figspan.cluster.message.Bytes;
+import io.figspan.cluster.message.ColdServerUse;
 import io.figspan.cluster.message.MemberUpdate;
 import io.figspan.cluster.message.PartChange;
 import io.figspan.cluster.message.PartDigest;
@@ -48,6 +49,7 @@
             case WORK_REPORT -> writeWork((PeerMessage.WorkReport) message);
             case CRASH_EVIDENCE -> writeEvidence((PeerMessage.CrashEvidence) message);
             case SERVER_LIMIT_USES -> writeLimitUses((PeerMessage.ServerLimitUses) message);
+            case COLD_SERVER_USES -> writeColdUses((PeerMessage.ColdServerUses) message);
             case FORWARD_ORDER, OUTCOME_QUERY, ORDER_OUTCOME -> writeOrder(message);
             default -> throw new IOException("message kind has no encoding: " + message.getClass());
         }
@@ -214,6 +216,18 @@
         }
     }
 
+    private void writeColdUses(PeerMessage.ColdServerUses message) throws IOException {
+        packer.packBoolean(message.hearsReceiver());
+        packer.packArrayHeader(message.uses().size());
+        for (ColdServerUse use : message.uses()) {
+            packer.packString(use.server().server().value());
+            packer.packLong(use.server().number());
+            packer.packLong(use.remainingMs());
+            packer.packLong(use.ageMs());
+            packer.packLong(use.sentCount());
+        }
+    }
+
     private void writeOrder(PeerMessage message) throws IOException {
         if (message instanceof PeerMessage.ForwardOrder order) {
             packer.packLong(order.correlationId());
--- a/figspan-wire/src/test/java/io/figspan/wire/FrameCodecProperties.java
+++ b/figspan-wire/src/test/java/io/figspan/wire/FrameCodecProperties.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import io.figspan.cluster.message.Bytes;
+import io.figspan.cluster.message.ColdServerUse;
 import io.figspan.cluster.message.MemberUpdate;
 import io.figspan.cluster.message.PartChange;
 import io.figspan.cluster.message.PartDigest;
@@ -95,7 +96,9 @@
                             List.of(),
                             List.of()))),
             new PeerMessage.ServerLimitUses(
-                    List.of(new ServerLimitUse(PIGGYBACK.leaving().get(0), true, 1.3, 250, 17))));
+                    List.of(new ServerLimitUse(PIGGYBACK.leaving().get(0), true, 1.3, 250, 17))),
+            new PeerMessage.ColdServerUses(
+                    true, List.of(new ColdServerUse(PIGGYBACK.leaving().get(0), 2_900, 120, 17))));
 
     private static RequestFingerprint fingerprint(Optional<OrganisationId> organisation) {
         return RequestFingerprint.of(organisation, "POST", "/a?b");
