Cold servers: hosts limit their requests as the settings ask

Cause: cold_s, cold_per_s, cold_overrun, cold_slack and the header with the remaining cold time were not read, and cold_remaining_ms had no effect.

Change: they are decoded; ColdServerLimits drives ColdServers beside the limits that servers name, so the smaller rate applies. A request that was placed before its server became cold and is not written yet is placed again.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/GatewayConfig.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/GatewayConfig.java
@@ -1,5 +1,6 @@
 package io.figspan.gateway;
 
+import io.figspan.cluster.coldserver.ColdBound;
 import io.figspan.core.id.AvailabilityZoneId;
 import io.figspan.core.id.HostId;
 import java.net.InetSocketAddress;
@@ -20,6 +21,7 @@
  * @param retryFraction retry budget of all hosts per request
  * @param retryAllowance retries of all hosts per window in addition to the fraction
  * @param retryWindowMs length of the window
+ * @param coldBound bound of the requests to a cold backend server in any second
  */
 public record GatewayConfig(
         HostId host,
@@ -35,7 +37,8 @@
         long shutdownGraceMs,
         double retryFraction,
         double retryAllowance,
-        long retryWindowMs) {
+        long retryWindowMs,
+        ColdBound coldBound) {
     public GatewayConfig {
         seeds = List.copyOf(seeds);
     }
@@ -56,6 +59,7 @@
                 other.shutdownGraceMs,
                 other.retryFraction,
                 other.retryAllowance,
-                other.retryWindowMs);
+                other.retryWindowMs,
+                other.coldBound);
     }
 }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
@@ -116,6 +116,7 @@
         this.peers = new PeerTracker(loop, config, log, random, events, events, metrics.processorTime());
         this.requestCrashes.setSender(peers);
         this.requestLimits.setSender(peers);
+        this.requestLimits.coldServers().setBound(config.coldBound());
         this.dispatchers.onWorkChanged(peers::workChanged);
         this.forwarder.setWorkViewAge(() -> peers.oldestReportAgeMs(System.nanoTime()));
         this.settingsReader = new CopyReader(
@@ -186,6 +187,7 @@
     private void configChanged(GatewayConfig changed) {
         storeWatchers.setAddress(changed.store());
         dispatchers.setRetryBudget(retryAllowance(changed));
+        requestLimits.coldServers().setBound(changed.coldBound());
         shutdown.setGraceMs(changed.shutdownGraceMs());
     }
 
--- a/figspan-gateway/src/main/java/io/figspan/gateway/PeerEvents.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/PeerEvents.java
@@ -82,6 +82,7 @@
     public void onHostsChanged(Set<HostId> hosts) {
         dispatchers.hostsChanged(hosts);
         requestCrashes.hostsChanged(hosts);
+        requestLimits.coldServers().hostsChanged(hosts, peers.knowsMostSeeds());
     }
 
     @Override
@@ -99,6 +100,11 @@
         requestLimits.receive(from, uses);
     }
 
+    @Override
+    public void onColdServerUses(Peer from, PeerMessage.ColdServerUses uses) {
+        requestLimits.coldServers().receive(from, uses);
+    }
+
     @Override
     public void onServerLeaving(BackendIncarnation server) {
         pools.drainNotices().record(server, LeavingSource.GOSSIP, System.nanoTime());
--- a/figspan-gateway/src/main/java/io/figspan/gateway/backend/BackendPools.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/backend/BackendPools.java
@@ -1,5 +1,6 @@
 package io.figspan.gateway.backend;
 
+import io.figspan.cluster.coldserver.ColdSource;
 import io.figspan.control.leaving.LeavingSource;
 import io.figspan.core.id.AvailabilityZoneId;
 import io.figspan.core.id.BackendIncarnation;
@@ -25,9 +26,16 @@
     private final Map<BackendServerId, Registration> registrations = new HashMap<>();
     private final Map<AvailabilityZoneId, AdaptiveConnectTimeout> connectTimeouts = new HashMap<>();
 
+    private ColdTimeListener coldTimeListener = (server, remainingMs, source) -> {};
+
     /** Registered servers whose entries are missing, perhaps only because their leases have expired. */
     private final Set<BackendServerId> lapsed = new HashSet<>();
 
+    /** Receives how long a server stays cold; 0 if it is warm. */
+    public interface ColdTimeListener {
+        void stated(BackendIncarnation server, long remainingMs, ColdSource source);
+    }
+
     private record Registration(BackendServer server, ConnectionPool pool) {}
 
     public BackendPools(EventLoop loop, DecisionLog log) {
@@ -36,6 +44,10 @@
         this.pauses = new ServerPauses(log);
     }
 
+    public void setColdTimeListener(ColdTimeListener listener) {
+        coldTimeListener = listener;
+    }
+
     /** Reads what a server says of itself in the head of a response. */
     public void responded(BackendIncarnation server, BackendResponse response, long nowNanos) {
         if (response.wrongServer()) {
@@ -45,6 +57,7 @@
             drainNotices.record(server, LeavingSource.RESPONSE, nowNanos);
         }
         pauses.responded(server, response, nowNanos);
+        response.coldMs().ifPresent(remainingMs -> coldTimeListener.stated(server, remainingMs, ColdSource.RESPONSE));
     }
 
     /** The servers that have asked this host for a pause. */
@@ -71,6 +84,7 @@
         }
         registrations.put(server.id(), new Registration(server, pool));
         lapsed.remove(server.id());
+        coldTimeListener.stated(server.incarnation(), server.warmUpMs(), ColdSource.ENTRY);
         if (server.isLeaving()) {
             drainNotices.record(server.incarnation(), LeavingSource.LIST, System.nanoTime());
         }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/backend/BackendServer.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/backend/BackendServer.java
@@ -13,7 +13,7 @@
  * @param id usually changes with each start of the server
  * @param slots number of requests that it processes concurrently
  * @param isLeaving whether it is draining: it finishes its work and accepts no new requests
- * @param warmUpMs remaining time for which it is slow after its start
+ * @param warmUpMs remaining time for which it stays cold
  * @param incarnationNumber differs for each process that starts under the id
  */
 public record BackendServer(
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Attempt.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Attempt.java
@@ -58,7 +58,7 @@
      */
     interface Listener {
         /** Whether the request may still be written, after the connection has been established. */
-        boolean mayWrite();
+        boolean mayWrite(Attempt attempt);
 
         /** The head of the response has arrived, and belongs to the request. */
         void onHead(Attempt attempt);
@@ -192,7 +192,7 @@
     /** The server may have begun to drain, and this host to stop, while the connection was being established. */
     @Override
     public boolean mayWrite() {
-        return pools.acceptsRequests(server()) && listener.mayWrite();
+        return pools.acceptsRequests(server()) && listener.mayWrite(this);
     }
 
     /** Whether the server may have received the request. */
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
@@ -153,8 +153,9 @@
     // Response
 
     @Override
-    public boolean mayWrite() {
-        return endsBeforeStop(System.nanoTime());
+    public boolean mayWrite(Attempt attempt) {
+        return endsBeforeStop(System.nanoTime())
+                && forwarder.requestLimits().coldServers().mayWrite(attempt.server(), attempt.sentNanos());
     }
 
     @Override
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/PlacementHandler.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/PlacementHandler.java
@@ -30,6 +30,7 @@
     private final CallStateMachine state;
     private final Listener listener;
     private Optional<Placement.Send> reserving = Optional.empty();
+    private long placedNanos;
 
     /** Receives the result of a placement. */
     interface Listener {
@@ -72,6 +73,7 @@
         if (placement instanceof Placement.Refuse refuse) {
             listener.onPlacementRefused(refuse.problem(), refuse.reason());
         } else if (placement instanceof Placement.Send send) {
+            placedNanos = System.nanoTime();
             reserveOrSend(send);
         }
     }
@@ -170,10 +172,11 @@
         listener.onSendAllowed(placement, group, server, nowNanos);
     }
 
-    /** Whether neither the server nor one of its helpers has left or begun to drain since the placement. */
+    /** Whether the server and its helpers run, don't drain, and the server has not become cold since the placement. */
     private boolean allAcceptRequests(Placement.Send placement) {
         BackendPools pools = forwarder.pools();
         return pools.acceptsRequests(placement.server())
+                && forwarder.requestLimits().coldServers().mayWrite(placement.server(), placedNanos)
                 && placement.readers().stream().allMatch(reader -> pools.acceptsRequests(reader.server()));
     }
 
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/RequestLimits.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/RequestLimits.java
@@ -29,6 +29,7 @@
     private final BackendPools pools;
     private final DecisionLog log;
     private final ServerLimits limits;
+    private final ColdServerLimits coldServers;
     private Optional<PeerSender> sender = Optional.empty();
     private Function<BackendServerId, Set<HostId>> hostsUsing;
 
@@ -38,12 +39,19 @@
         this.log = log;
         this.hostsUsing = server -> Set.of(self);
         this.limits = new ServerLimits(self, server -> hostsUsing.apply(server.server()), random);
+        this.coldServers = new ColdServerLimits(self, pools, log, metrics, random);
         metrics.gauge("servers.limited", limits::limitedCount);
     }
 
+    /** The limits of cold servers. */
+    public ColdServerLimits coldServers() {
+        return coldServers;
+    }
+
     /** Sets the way to the other hosts; without one, this host uses the limits alone. */
     public void setSender(PeerSender newSender) {
         sender = Optional.of(newSender);
+        coldServers.setSender(newSender);
     }
 
     /** Sets the source of the live hosts that may send requests to a server. */
@@ -63,14 +71,21 @@
 
     @Override
     public boolean admits(BackendServerId server, long nowNanos) {
-        return limits.isEmpty()
-                || incarnation(server)
-                        .map(known -> limits.admits(known, nowNanos))
-                        .orElse(true);
+        return coldServers.admits(server, nowNanos)
+                && (limits.isEmpty()
+                        || incarnation(server)
+                                .map(known -> limits.admits(known, nowNanos))
+                                .orElse(true));
+    }
+
+    @Override
+    public long reopensNanos(BackendServerId server, long nowNanos) {
+        return coldServers.reopensNanos(server, nowNanos);
     }
 
     @Override
     public void sent(BackendServerId server, long nowNanos) {
+        coldServers.sent(server, nowNanos);
         if (!limits.isEmpty()) {
             incarnation(server).ifPresent(known -> execute(limits.sent(known, nowNanos)));
         }
@@ -104,6 +119,7 @@
 
     void tick(long nowNanos) {
         execute(limits.tick(nowNanos));
+        coldServers.tick(nowNanos);
     }
 
     private void execute(List<LimitAction> actions) {
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServerSubset.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServerSubset.java
@@ -23,6 +23,9 @@
     /** The live hosts that use a server while it limits its requests. */
     Set<HostId> hostsUsing(BackendServerId server, Set<HostId> hosts);
 
+    /** Those of the hosts, live or not, that may send requests to a server among {@code servers} of the service. */
+    Set<HostId> possibleUsers(BackendServerId server, List<AvailableServer> servers, Set<HostId> allHosts);
+
     /** All servers, and no reports: random choice balances short requests of similar length well enough. */
     record All() implements ServerSubset {
         /** Bounds the messages about each request; servers with a limit have few. */
@@ -47,16 +50,25 @@
                     .limit(MAX_HOSTS_OF_A_LIMITED_SERVER)
                     .collect(Collectors.toUnmodifiableSet());
         }
+
+        @Override
+        public Set<HostId> possibleUsers(BackendServerId server, List<AvailableServer> servers, Set<HostId> allHosts) {
+            return allHosts;
+        }
     }
 
     /** The engines of the cell to which this host belongs. */
     final class OwnCell implements ServerSubset {
         private final HostId self;
         private CellPlan plan;
+        private CellPlan planOfAllHosts;
+        private List<AvailableServer> plannedServers = List.of();
+        private Set<HostId> plannedHosts = Set.of();
 
         OwnCell(HostId self, Set<HostId> hosts) {
             this.self = self;
             this.plan = CellPlan.divide(hosts, List.of());
+            this.planOfAllHosts = plan;
         }
 
         @Override
@@ -73,6 +85,17 @@
             return plan.hostsUsing(server);
         }
 
+        @Override
+        public Set<HostId> possibleUsers(BackendServerId server, List<AvailableServer> servers, Set<HostId> allHosts) {
+            if (!servers.equals(plannedServers) || !allHosts.equals(plannedHosts)) {
+                plannedServers = servers;
+                plannedHosts = allHosts;
+                planOfAllHosts = CellPlan.divide(
+                        allHosts, servers.stream().map(AvailableServer::id).toList());
+            }
+            return planOfAllHosts.hostsUsing(server);
+        }
+
         @Override
         public Set<HostId> reportRecipients(List<PlacedRequest> work) {
             Set<HostId> recipients = plan.hostsInCellOf(self);
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatcher.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatcher.java
@@ -93,6 +93,11 @@
         return hostsUsing.computeIfAbsent(server, key -> subset.hostsUsing(key, hosts));
     }
 
+    /** Those of the hosts, live or not, that may send requests to a server. */
+    Set<HostId> possibleUsers(BackendServerId server, Set<HostId> allHosts) {
+        return subset.possibleUsers(server, servers, allHosts);
+    }
+
     /** The hosts to which this host must report this work. */
     Set<HostId> reportRecipients(List<PlacedRequest> work) {
         return subset.reportRecipients(work);
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatchers.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatchers.java
@@ -23,6 +23,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -65,6 +66,8 @@
         this.random = random;
         this.requestLimits = requestLimits;
         this.retryBudget = retryBudget;
+        requestLimits.coldServers().setPossibleUsers(this::possibleUsers);
+        metrics.gauge("requests.held.back", this::heldBackCount);
         pools.drainNotices().addListener(this::serverLeaves);
     }
 
@@ -78,6 +81,7 @@
     /** Applies settings, which say what kind of servers each service has. */
     void apply(GatewaySettings newSettings) {
         settings = newSettings;
+        requestLimits.coldServers().apply(newSettings.services());
         serversChanged();
     }
 
@@ -96,7 +100,10 @@
                                 .toList()));
         dispatchers.keySet().forEach(service -> serversByService.putIfAbsent(service, List.of()));
         long nowNanos = System.nanoTime();
+        requestLimits.coldServers().serversChanged();
         serversByService.forEach((service, servers) -> dispatcher(service).serversChanged(servers, hosts, nowNanos));
+        // The hosts that may use a server follow from the servers that the dispatchers know.
+        requestLimits.coldServers().serversChanged();
     }
 
     ServiceDispatcher dispatcher(ServiceId service) {
@@ -172,6 +179,15 @@
         dispatchers.values().forEach(dispatcher -> dispatcher.budget().setHostCount(hostCount));
     }
 
+    /** Number of requests that are queued for services with cold servers, whose requests are limited. */
+    private long heldBackCount() {
+        return requestLimits.coldServers().limitedServices().stream()
+                .map(dispatchers::get)
+                .filter(Objects::nonNull)
+                .mapToLong(ServiceDispatcher::waitingCount)
+                .sum();
+    }
+
     /** Sets the listener that is called when this host's work at model engines has changed. */
     public void onWorkChanged(Consumer<WorkChange> listener) {
         workListener = listener;
@@ -186,6 +202,12 @@
                 .orElse(Set.of(self));
     }
 
+    /** Those of the hosts, live or not, that may send requests to a server. */
+    private Set<HostId> possibleUsers(BackendServer server, Set<HostId> allHosts) {
+        ServiceDispatcher dispatcher = dispatchers.get(server.service());
+        return dispatcher == null ? Set.of() : dispatcher.possibleUsers(server.id(), allHosts);
+    }
+
     /** Ends the requests in progress that a quarantine concerns. */
     void quarantined() {
         dispatchers.values().forEach(ServiceDispatcher::quarantined);
--- a/figspan-gateway/src/main/java/io/figspan/gateway/peer/PeerListener.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/peer/PeerListener.java
@@ -29,6 +29,9 @@
     /** A host has sent how much of the limits of backend servers it has used. */
     void onServerLimitUses(Peer from, PeerMessage.ServerLimitUses uses);
 
+    /** A host has sent how long backend servers stay cold and how many requests it has sent them. */
+    void onColdServerUses(Peer from, PeerMessage.ColdServerUses uses);
+
     /** Another host knows that a backend server drains. */
     void onServerLeaving(BackendIncarnation server);
 
--- a/figspan-gateway/src/main/java/io/figspan/gateway/peer/PeerTracker.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/peer/PeerTracker.java
@@ -170,6 +170,14 @@
         return reports.storeAgesMs(hosts, nowNanos);
     }
 
+    /** Whether most of the seed hosts are known, this one included. One side of a partition at most knows most. */
+    public boolean knowsMostSeeds() {
+        Set<PeerAddress> known = new HashSet<>(Set.of(addressOf(config.peers())));
+        others().forEach(peer -> known.add(peer.address()));
+        long knownSeeds = seeds.stream().filter(known::contains).count();
+        return seeds.isEmpty() || 2 * knownSeeds > seeds.size();
+    }
+
     /** Number of hosts that share budgets, including this one. */
     public int hostCount() {
         return 1 + others().size();
@@ -278,6 +286,8 @@
             listener.onCrashEvidence(evidence);
         } else if (message instanceof PeerMessage.ServerLimitUses uses) {
             listener.onServerLimitUses(from, uses);
+        } else if (message instanceof PeerMessage.ColdServerUses uses) {
+            listener.onColdServerUses(from, uses);
         }
         if (membership != null) {
             execute(membership.receive(from, message, nowNanos), from, nowNanos);
--- a/figspan-gateway/src/main/java/io/figspan/gateway/protocol/BackendResponse.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/protocol/BackendResponse.java
@@ -15,6 +15,7 @@
  * @param requestsPerSecond the rate of requests that the server accepts from all hosts together, if it limits it
  * @param isLeaving whether the server says that it drains: it finishes its work and accepts no new requests
  * @param retryAfterMs time for which the server wants no further request from this host, if it names one
+ * @param coldMs time for which the server stays cold, if it says so; 0 if it is warm
  * @param faultyServer IP address and port of the server that caused the failure; it may be the responding server
  */
 public record BackendResponse(
@@ -27,6 +28,7 @@
         OptionalDouble requestsPerSecond,
         boolean isLeaving,
         OptionalLong retryAfterMs,
+        OptionalLong coldMs,
         Optional<String> faultyServer) {
 
     /** Load of a server, in requests. */
--- a/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
@@ -46,6 +46,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -67,6 +68,7 @@
 
     private static final String DEFAULT_ATTEMPT_ID = "a-1";
 
+    private static final long COLD_MS = 60_000;
     private static final long GRACE_MS = 8_000;
     private static final long TICK_MS = 20;
     private static final int READ_TIMEOUT_MS = 20_000;
@@ -90,6 +92,8 @@
     private final Map<String, Long> incarnations = new HashMap<>();
     private final Map<String, ScriptedServer> addedServers = new HashMap<>();
     private long nextIncarnation = 1;
+    private long coldMs;
+    private double coldRequestsPerSecond;
 
     public GatewayHarness() throws IOException {
         DecisionLog log = new DecisionLog();
@@ -356,6 +360,13 @@
         } while (waiting != count);
     }
 
+    /** Settings that are applied from now on limit the requests to cold servers; this host is the only one. */
+    public void limitColdServers(double requestsPerSecond) {
+        coldMs = COLD_MS;
+        coldRequestsPerSecond = requestsPerSecond;
+        onLoop(() -> requestLimits.coldServers().hostsChanged(Set.of(HostId.of("host")), true));
+    }
+
     private void register(Supplier<BackendServer> server) {
         onLoop(() -> {
             pools.put(server.get());
@@ -396,8 +407,8 @@
     public GatewaySettings settings(long timeoutMs) {
         EngineProfile engine = new EngineProfile(4, 100_000, 50, 1, 0, 0, 177, 0.1, 2_048, 200, 0);
         Map<ServiceId, ServiceProfile> services = new HashMap<>();
-        services.put(PLAIN, new ServiceProfile(PLAIN, "", 0, Optional.empty()));
-        services.put(ENGINES, new ServiceProfile(ENGINES, "", 0, Optional.of(engine)));
+        services.put(PLAIN, new ServiceProfile(PLAIN, "", 0, coldMs, coldRequestsPerSecond, Optional.empty()));
+        services.put(ENGINES, new ServiceProfile(ENGINES, "", 0, coldMs, coldRequestsPerSecond, Optional.of(engine)));
         return new GatewaySettings(
                 new SettingsVersion(version++),
                 List.of(
--- a/figspan-gateway/src/test/java/io/figspan/gateway/TestConfigs.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/TestConfigs.java
@@ -1,5 +1,6 @@
 package io.figspan.gateway;
 
+import io.figspan.cluster.coldserver.ColdBound;
 import io.figspan.core.id.AvailabilityZoneId;
 import io.figspan.core.id.HostId;
 import java.net.InetSocketAddress;
@@ -25,6 +26,7 @@
                 1_000,
                 retryFraction,
                 100,
-                10_000);
+                10_000,
+                ColdBound.DEFAULT);
     }
 }
--- a/figspan-gateway/src/test/java/io/figspan/gateway/TestProtocol.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/TestProtocol.java
@@ -97,6 +97,7 @@
                         : OptionalDouble.empty(),
                 headers.contains("leaving"),
                 retryAfterMs(headers.get("retry-after", "")),
+                headers.contains("cold-ms") ? OptionalLong.of(headers.getInt("cold-ms")) : OptionalLong.empty(),
                 Optional.ofNullable(headers.get("faulty-server")));
     }
 
--- a/figspan-gateway/src/test/java/io/figspan/gateway/backend/ServerPausesTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/backend/ServerPausesTest.java
@@ -36,6 +36,7 @@
                 OptionalDouble.empty(),
                 false,
                 retryAfterMs,
+                OptionalLong.empty(),
                 Optional.empty());
         pauses.responded(PROCESS, response, atMs(atMs));
     }
@@ -105,6 +106,7 @@
                     OptionalDouble.empty(),
                     false,
                     OptionalLong.of(1_000),
+                    OptionalLong.empty(),
                     Optional.empty());
             pauses.responded(new BackendIncarnation(BackendServerId.of("s-" + number), 1), response, atMs(0));
         }
--- a/figspan-gateway/src/test/java/io/figspan/gateway/peer/PeerTrackerTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/peer/PeerTrackerTest.java
@@ -134,6 +134,9 @@
         @Override
         public void onServerLimitUses(Peer from, PeerMessage.ServerLimitUses uses) {}
 
+        @Override
+        public void onColdServerUses(Peer from, PeerMessage.ColdServerUses uses) {}
+
         @Override
         public void onServerLeaving(BackendIncarnation server) {
             leavingServers.add(server);
