--- a/figspan-cluster/src/test/java/io/figspan/cluster/coldserver/ColdServersTest.java
+++ b/figspan-cluster/src/test/java/io/figspan/cluster/coldserver/ColdServersTest.java
@@ -195,6 +195,22 @@
         assertTrue(admitted <= 26 * 10 / 2 + 3, admitted + " requests in 10 s");
     }
 
+    /** Guards against a rate that stays lower for ever after a host was replaced by one with another id. */
+    @Test
+    void thePartOfAHostThatHasBeenGoneForLongIsUsedByTheOthers() {
+        servers.hostsChanged(Set.of(SELF, OTHER.host()), true, atMs(-4_000));
+        servers.hostsChanged(Set.of(SELF), true, atMs(-1_000));
+        long laterMs = TimeUnit.NANOSECONDS.toMillis(HostRoster.RETENTION_NANOS);
+        var unused = servers.tick(atMs(laterMs));
+        stated(10_000, ColdSource.ENTRY, laterMs);
+        int admitted = 0;
+        for (int ms = 0; ms < 10_000; ms += 40) {
+            admitted += admittedAt(laterMs + ms);
+        }
+
+        assertTrue(admitted >= 0.8 * 26 * 10, admitted + " requests in 10 s");
+    }
+
     /** Guards against a limit that nobody asked for, and against messages about it. */
     @Test
     void aServerWithoutARateIsNotLimited() {
--- a/figspan-gateway/src/test/java/io/figspan/gateway/peer/PeerTrackerTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/peer/PeerTrackerTest.java
@@ -1,6 +1,7 @@
 package io.figspan.gateway.peer;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.figspan.cluster.message.Peer;
@@ -197,6 +198,20 @@
         onLoop(() -> assertEquals(3, hosts.get(0).peers.hostCount()));
     }
 
+    /** Guards against a process that takes itself for the whole fleet before it has reached the seed hosts. */
+    @Test
+    void aHostKnowsMostSeedsOnceItHasReachedThem() throws Exception {
+        InetSocketAddress seed = freeAddress();
+        Host first = new Host("host-1", freeAddress(), seed);
+        onLoop(() -> assertFalse(first.peers.knowsMostSeeds()));
+
+        Host second = new Host("host-0", seed, seed);
+        awaitReport(first, second.id, 0);
+
+        onLoop(() -> assertTrue(first.peers.knowsMostSeeds()));
+        onLoop(() -> assertTrue(second.peers.knowsMostSeeds()));
+    }
+
     @Test
     void placedWorkIsReportedToAllRecipients() throws Exception {
         startHosts(3);
