--- a/figspan-cluster/src/main/java/io/figspan/cluster/coldserver/ColdServers.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/coldserver/ColdServers.java
@@ -73,36 +73,6 @@
         Set<HostId> hostsUsing(BackendIncarnation server, Set<HostId> hosts);
     }
 
-    /** What is known of one server. */
-    private static final class ColdServer {
-        final ColdBucket bucket;
-        ColdSource source;
-        long statedNanos;
-        long sinceNanos;
-        long untilNanos;
-        double requestsPerSecond;
-        Set<HostId> possibleUsers = Set.of();
-        long sentCount;
-        long toldNanos;
-        int firstMessagesLeft;
-        int broadcastsLeft;
-        boolean isAnnounced;
-
-        ColdServer(ColdBucket bucket, long nowNanos) {
-            this.bucket = bucket;
-            this.untilNanos = nowNanos;
-            this.toldNanos = nowNanos;
-        }
-
-        boolean isCold(long nowNanos) {
-            return untilNanos - nowNanos > 0;
-        }
-
-        boolean isLimited(long nowNanos) {
-            return requestsPerSecond > 0 && isCold(nowNanos);
-        }
-    }
-
     public ColdServers(HostId self, Fleet fleet, ColdBound bound, RandomGenerator random) {
         this.self = self;
         this.fleet = fleet;
@@ -176,7 +146,7 @@
     private static void broadcast(BackendIncarnation server, ColdServer cold, long nowNanos, List<ColdAction> actions) {
         if (cold.broadcastsLeft > 0 && cold.requestsPerSecond > 0) {
             cold.broadcastsLeft--;
-            List<ColdServerUse> uses = List.of(toUse(server, cold, nowNanos));
+            List<ColdServerUse> uses = List.of(cold.toUse(server, nowNanos));
             actions.add(new ColdAction.SendToAll(new PeerMessage.ColdServerUses(false, uses)));
         }
     }
@@ -270,7 +240,7 @@
         cold.bucket.sent(nowNanos);
         cold.sentCount++;
         cold.toldNanos = nowNanos;
-        List<ColdServerUse> uses = List.of(toUse(server, cold, nowNanos));
+        List<ColdServerUse> uses = List.of(cold.toUse(server, nowNanos));
         List<ColdAction> actions = new ArrayList<>();
         cold.bucket.users().stream()
                 .filter(user -> !user.equals(self))
@@ -284,14 +254,6 @@
         return new ColdAction.SendTo(host, new PeerMessage.ColdServerUses(hears, uses));
     }
 
-    private static ColdServerUse toUse(BackendIncarnation server, ColdServer cold, long nowNanos) {
-        long remainingNanos = Math.max(0, cold.untilNanos - nowNanos);
-        // Rounded up: a server must not count as warm elsewhere before its time.
-        long remainingMs = TimeUnit.NANOSECONDS.toMillis(remainingNanos + TimeUnit.MILLISECONDS.toNanos(1) - 1);
-        long ageMs = Math.max(0, TimeUnit.NANOSECONDS.toMillis(nowNanos - cold.statedNanos));
-        return new ColdServerUse(server, remainingMs, ageMs, cold.sentCount);
-    }
-
     // Other hosts
 
     /** Another host has sent what it knows. */
@@ -338,7 +300,7 @@
             if (!cold.isCold(nowNanos) || !cold.bucket.users().contains(self)) {
                 return;
             }
-            ColdServerUse use = toUse(server, cold, nowNanos);
+            ColdServerUse use = cold.toUse(server, nowNanos);
             cold.bucket.users().stream().filter(user -> !user.equals(self)).forEach(user -> usesByHost
                     .computeIfAbsent(user, key -> new ArrayList<>())
                     .add(use));
