--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Attempt.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Attempt.java
@@ -58,7 +58,7 @@
      */
     interface Listener {
         /** Whether the request may still be written, after the connection has been established. */
-        boolean mayWrite();
+        boolean mayWrite(Attempt attempt);
 
         /** The head of the response has arrived, and belongs to the request. */
         void onHead(Attempt attempt);
@@ -195,7 +195,7 @@
      */
     @Override
     public boolean mayWrite() {
-        return pools.acceptsRequests(server()) && readers.stream().noneMatch(pools::isEvacuated) && listener.mayWrite();
+        return pools.acceptsRequests(server()) && readers.stream().noneMatch(pools::isEvacuated) && listener.mayWrite(this);
     }
 
     /** Whether the server or a helper is in an evacuated zone. */
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/PlacementHandler.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/PlacementHandler.java
@@ -31,6 +31,7 @@
     private final CallStateMachine state;
     private final Listener listener;
     private Optional<Placement.Send> reserving = Optional.empty();
+    private long placedNanos;
 
     /** Receives the result of a placement. */
     interface Listener {
@@ -73,6 +74,7 @@
         if (placement instanceof Placement.Refuse refuse) {
             listener.onPlacementRefused(refuse.problem(), refuse.reason());
         } else if (placement instanceof Placement.Send send) {
+            placedNanos = System.nanoTime();
             reserveOrSend(send);
         }
     }
@@ -182,11 +184,12 @@
 
     /**
      * Whether neither the server nor one of its helpers has left, has begun to drain or is in a zone that was evacuated
-     * since the placement.
+     * since the placement, and the server has not become cold.
      */
     private boolean allAcceptRequests(Placement.Send placement) {
         BackendPools pools = forwarder.pools();
         return pools.acceptsRequests(placement.server())
+                && forwarder.requestLimits().coldServers().mayWrite(placement.server(), placedNanos)
                 && placement.readers().stream().allMatch(reader -> pools.acceptsRequests(reader.server()));
     }
 
