FairQueue: a large item pushes back neither later organisations nor single items

When the queue of an organisation became empty, the virtual time rose to the end of its service. After one item of 600,000 tokens, an organisation that arrived waited for 600,000 tokens of each one queued. The virtual time is now the service at which the latest item was served (start-time fair queueing); service ahead of it is remembered for as many organisations as the queue holds items, and until the queue is empty.

A full queue no longer displaces the only item of an organisation while another has several: one long prompt gave way to a flood of short ones.

New for EnginePlacer: serve() offers all items in fair order, charge() counts service that did not queue.

--- a/figspan-policy/src/main/java/io/figspan/policy/fair/FairQueue.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/fair/FairQueue.java
@@ -1,14 +1,14 @@
 package io.figspan.policy.fair;
 
 import io.figspan.core.id.OrganisationId;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Collection;
-import java.util.Deque;
+import java.util.Collections;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 
 /**
@@ -16,8 +16,10 @@
  * (weighted deficit). Within an organisation, items are ordered by priority class and then by arrival; for each ageing
  * interval that an item has waited, it counts as one class more urgent, which prevents starvation.
  *
- * <p>An organisation that becomes active again starts level with the active organisation that has received the least
- * service, so that it gets no credit for idle time.
+ * <p>Start-time fair queueing: an organisation that becomes active again resumes at the virtual time, the service at
+ * which the latest item was served, so that it gets no credit for idle time. If its own service ended later, it resumes
+ * there. Service ahead of the virtual time is remembered for {@code capacityItems} organisations at most, and until the
+ * queue is empty.
  *
  * <p>Not thread-safe; times are on the host's monotonic clock.
  *
@@ -27,7 +29,8 @@
     private final int capacityItems;
     private final long ageingNanos;
     private final ToDoubleFunction<OrganisationId> weightOf;
-    private final Map<OrganisationId, Flow<T>> flows = new HashMap<>();
+    private final Map<OrganisationId, FairFlow<T>> flows = new HashMap<>();
+    private final Map<OrganisationId, Double> idleService = new HashMap<>();
     private double virtualTime;
     private int size;
 
@@ -50,14 +53,17 @@
 
     /**
      * Adds an item. If the queue is full, the newest item of the organisation with the most queued tokens relative to
-     * its weight is removed.
+     * its weight is removed. The only item of an organisation is removed only if no organisation has two, so that a
+     * single large item doesn't give way to many small ones.
      *
      * @return the removed entry, which may be the offered one; empty if the queue was not full
      */
     public Optional<Entry<T>> offer(Entry<T> entry) {
-        Flow<T> flow = flows.get(entry.organisation());
+        FairFlow<T> flow = flows.get(entry.organisation());
         if (flow == null) {
-            flow = new Flow<>(entry.organisation(), weightOf.applyAsDouble(entry.organisation()), virtualTime);
+            double weight = weightOf.applyAsDouble(entry.organisation());
+            flow = new FairFlow<>(entry.organisation(), weight, resumedService(entry.organisation()));
+            idleService.remove(entry.organisation());
             flows.put(entry.organisation(), flow);
         }
         flow.add(entry);
@@ -65,9 +71,9 @@
         if (size <= capacityItems) {
             return Optional.empty();
         }
-        Flow<T> heaviest = flow;
-        for (Flow<T> other : flows.values()) {
-            if (other.queuedTokens / other.weight > heaviest.queuedTokens / heaviest.weight) {
+        FairFlow<T> heaviest = flow;
+        for (FairFlow<T> other : flows.values()) {
+            if (other.isHeavierThan(heaviest)) {
                 heaviest = other;
             }
         }
@@ -76,20 +82,72 @@
         return Optional.of(displaced);
     }
 
+    /** Service at which an organisation without queued items resumes. */
+    private double resumedService(OrganisationId organisation) {
+        return Math.max(virtualTime, idleService.getOrDefault(organisation, virtualTime));
+    }
+
+    /** Counts tokens that an organisation received without queueing. Has no effect while nothing is queued. */
+    public void charge(OrganisationId organisation, long tokens) {
+        FairFlow<T> flow = flows.get(organisation);
+        if (flow != null) {
+            flow.charge(tokens);
+        } else if (size > 0) {
+            double service = resumedService(organisation) + tokens / weightOf.applyAsDouble(organisation);
+            rememberIdle(organisation, service);
+        }
+    }
+
+    /** What to do with an entry that {@link #serve} offers. */
+    public enum Decision {
+        /** The entry stays queued. */
+        KEEP,
+        /** The entry is removed and counts as service. */
+        SERVE,
+        /** The entry is removed without counting as service. */
+        DROP
+    }
+
+    /**
+     * Offers each entry once, that of the organisation with the least service first; each service counts for the
+     * entries that follow. The function must not change this queue.
+     */
+    public void serve(long nowNanos, Function<Entry<T>, Decision> decide) {
+        PriorityQueue<FairFlow.Cursor<T>> cursors =
+                new PriorityQueue<>((one, other) -> one.flow().compareByService(other.flow()));
+        flows.values().forEach(flow -> cursors.add(new FairFlow.Cursor<>(flow)));
+        while (!cursors.isEmpty()) {
+            FairFlow.Cursor<T> cursor = cursors.poll();
+            FairFlow<T> flow = cursor.flow();
+            Entry<T> entry = cursor.next(nowNanos, ageingNanos);
+            Decision decision = decide.apply(entry);
+            if (decision == Decision.SERVE) {
+                virtualTime = Math.max(virtualTime, flow.virtualService());
+            }
+            cursor.decided(entry, decision);
+            if (decision != Decision.KEEP) {
+                afterRemoval(flow);
+            }
+            if (cursor.hasNext()) {
+                cursors.add(cursor);
+            }
+        }
+    }
+
     /** Returns the entry that {@link #poll(long)} would return, without removing it. */
     public Optional<Entry<T>> peek(long nowNanos) {
-        Flow<T> flow = nextFlow();
+        FairFlow<T> flow = nextFlow();
         return flow == null ? Optional.empty() : Optional.of(flow.head(nowNanos, ageingNanos));
     }
 
     /** Removes and returns the next entry of the organisation with the least service; empty if the queue is empty. */
     public Optional<Entry<T>> poll(long nowNanos) {
-        Flow<T> flow = nextFlow();
+        FairFlow<T> flow = nextFlow();
         if (flow == null) {
             return Optional.empty();
         }
         Entry<T> entry = flow.head(nowNanos, ageingNanos);
-        virtualTime = Math.max(virtualTime, flow.virtualService);
+        virtualTime = Math.max(virtualTime, flow.virtualService());
         flow.serve(entry);
         afterRemoval(flow);
         return Optional.of(entry);
@@ -97,8 +155,13 @@
 
     /** Removes an item without counting it as service; returns false if it is not queued. */
     public boolean remove(OrganisationId organisation, T item) {
-        Flow<T> flow = flows.get(organisation);
-        if (flow == null || !flow.removeItem(item)) {
+        return removeFirst(organisation, item::equals);
+    }
+
+    /** Removes the first item of an organisation that matches; returns false if there is none. */
+    public boolean removeFirst(OrganisationId organisation, Predicate<T> matches) {
+        FairFlow<T> flow = flows.get(organisation);
+        if (flow == null || !flow.removeFirst(matches)) {
             return false;
         }
         afterRemoval(flow);
@@ -112,8 +175,8 @@
     /** Sum of the tokens of all queued items. */
     public long queuedTokens() {
         long sum = 0;
-        for (Flow<T> flow : flows.values()) {
-            sum += flow.queuedTokens;
+        for (FairFlow<T> flow : flows.values()) {
+            sum += flow.queuedTokens();
         }
         return sum;
     }
@@ -123,108 +186,46 @@
         return flows.size();
     }
 
-    private Flow<T> nextFlow() {
-        Flow<T> next = null;
-        for (Flow<T> flow : flows.values()) {
-            if (next == null || flow.isBefore(next)) {
-                next = flow;
-            }
-        }
-        return next;
+    /** The organisations with queued items; a live view. */
+    public Set<OrganisationId> queuedOrganisations() {
+        return Collections.unmodifiableSet(flows.keySet());
     }
 
-    private void afterRemoval(Flow<T> flow) {
-        size--;
-        if (flow.items == 0) {
-            virtualTime = Math.max(virtualTime, flow.virtualService);
-            flows.remove(flow.organisation);
-        }
+    /** Number of queued items of one organisation. */
+    public int size(OrganisationId organisation) {
+        FairFlow<T> flow = flows.get(organisation);
+        return flow == null ? 0 : flow.items();
     }
 
-    /** Queued items of one organisation, with one FIFO queue per priority class. */
-    private static final class Flow<T> {
-        private final OrganisationId organisation;
-        private final double weight;
-        private final List<Deque<Entry<T>>> byPriority = new ArrayList<>();
-        private double virtualService;
-        private long queuedTokens;
-        private int items;
-
-        Flow(OrganisationId organisation, double weight, double virtualService) {
-            this.organisation = organisation;
-            this.weight = weight;
-            this.virtualService = virtualService;
-            for (int i = 0; i < PriorityClass.values().length; i++) {
-                byPriority.add(new ArrayDeque<>());
-            }
-        }
-
-        boolean isBefore(Flow<T> other) {
-            int byService = Double.compare(virtualService, other.virtualService);
-            return byService != 0 ? byService < 0 : organisation.compareTo(other.organisation) < 0;
-        }
-
-        void add(Entry<T> entry) {
-            byPriority.get(entry.priority().level()).addLast(entry);
-            queuedTokens += entry.tokens();
-            items++;
-        }
-
-        Entry<T> head(long nowNanos, long ageingNanos) {
-            Entry<T> best = null;
-            long bestLevel = 0;
-            for (Deque<Entry<T>> queue : byPriority) {
-                Entry<T> first = queue.peekFirst();
-                if (first == null) {
-                    continue;
-                }
-                long level = first.priority().level() - (nowNanos - first.arrivedNanos()) / ageingNanos;
-                if (best == null || level < bestLevel) {
-                    best = first;
-                    bestLevel = level;
-                }
+    private FairFlow<T> nextFlow() {
+        FairFlow<T> next = null;
+        for (FairFlow<T> flow : flows.values()) {
+            if (next == null || flow.compareByService(next) < 0) {
+                next = flow;
             }
-            return best;
-        }
-
-        void serve(Entry<T> entry) {
-            byPriority.get(entry.priority().level()).removeFirst();
-            subtract(entry);
-            virtualService += entry.tokens() / weight;
         }
+        return next;
+    }
 
-        Entry<T> removeNewest() {
-            Deque<Entry<T>> newest = null;
-            for (Deque<Entry<T>> queue : byPriority) {
-                boolean later = newest == null
-                        || (!queue.isEmpty()
-                                && newest.peekLast().arrivedNanos()
-                                        <= queue.peekLast().arrivedNanos());
-                if (!queue.isEmpty() && later) {
-                    newest = queue;
-                }
-            }
-            Entry<T> entry = newest.removeLast();
-            subtract(entry);
-            return entry;
+    private void afterRemoval(FairFlow<T> flow) {
+        size--;
+        if (flow.items() == 0) {
+            flows.remove(flow.organisation());
+            rememberIdle(flow.organisation(), flow.virtualService());
         }
-
-        boolean removeItem(T item) {
-            for (Collection<Entry<T>> queue : byPriority) {
-                for (Entry<T> entry : queue) {
-                    if (entry.item().equals(item)) {
-                        queue.remove(entry);
-                        subtract(entry);
-                        return true;
-                    }
-                }
-            }
-            return false;
+        if (size == 0) {
+            idleService.values().forEach(service -> virtualTime = Math.max(virtualTime, service));
+            idleService.clear();
         }
+    }
 
-        private void subtract(Entry<T> entry) {
-            queuedTokens -= entry.tokens();
-            items--;
+    /** Forgets services that the virtual time has reached, and the smallest one when there are too many. */
+    private void rememberIdle(OrganisationId organisation, double service) {
+        idleService.put(organisation, service);
+        idleService.values().removeIf(other -> other <= virtualTime);
+        if (idleService.size() > capacityItems) {
+            idleService.remove(Collections.min(idleService.entrySet(), Map.Entry.comparingByValue())
+                    .getKey());
         }
     }
 }
