EnginePlacer: fair shares between organisations while requests wait

Queued prompts were tried in order of arrival, and an arriving prompt took a free slot before any that waited, so an organisation was served in proportion to what it sent. Jobs now carry their organisation, the queue is tried in the order of weighted fair queueing by tokens, and PrefillAdmission holds back an organisation that has more than its share of this host's work at the engines while others with less wait. A full queue refuses the newest job of the heaviest organisation, with a Retry-After spread up to a third of its remaining time.

--- a/figspan-policy/src/main/java/io/figspan/policy/placing/EnginePlacer.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/EnginePlacer.java
@@ -11,66 +11,43 @@
 import io.figspan.policy.engine.PrefillShare;
 import io.figspan.policy.placing.PrefillPlan.Helper;
 import io.figspan.settings.gateway.EngineProfile;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Collections;
-import java.util.HashSet;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.Queue;
-import java.util.Random;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
 /**
  * Places prompts on model engines. A simulation tracks the load of each engine from the requests that this host sent
  * there and those that the other hosts report; each prompt is sent by the {@link PrefillPlan} with the lowest expected
- * loss. Designed for loads in which prompts of very different lengths come in bursts.
+ * loss. Designed for loads in which prompts of very different lengths come in bursts. While jobs are queued, the
+ * organisations that have work share the capacity (docs/design/fair-admission.md).
  */
 public final class EnginePlacer implements Placer {
-    /** Maximum queue length; each queued job occupies memory for its request body. */
-    static final int MAX_WAITING = 256;
-
     /** Retry delay sent to the caller of a prompt that found no engine. */
     static final long RETRY_AFTER_MS = 400;
 
-    private static final double PERCENT = 100;
+    /** Callers honour retry times up to this part of the time that they have left. */
+    private static final long RETRY_TIME_DIVISOR = 3;
 
-    /**
-     * When more than one in this many engines are silent, they are prefilling one prompt together or this host is
-     * partitioned, so none is reported as overdue.
-     */
-    private static final int MAX_SILENT_DIVISOR = 4;
+    private static final double PERCENT = 100;
 
     private final EngineProfile profile;
     private final PrefillPlanner planner = new PrefillPlanner(LatenessLoss.DEFAULT);
     private final RandomGenerator random;
     private final RequestGate gate;
-    private final Map<BackendServerId, EngineState> engines = new LinkedHashMap<>();
+    private final EngineFleet fleet;
     private final Map<Job, PlacedJob> placedJobs = new LinkedHashMap<>();
     private final SilentJobs silentJobs = new SilentJobs();
     private long nextKey = 1;
-    private final PeerJobs peerJobs = new PeerJobs(engines, this::takeKey);
+    private final PeerJobs peerJobs;
     private final BacklogAverage backlogAverage = new BacklogAverage();
-    private final Queue<WaitingJob> queue = new ArrayDeque<>();
-
-    /** A queued job, and when its placement was last tried. */
-    private static final class WaitingJob {
-        final Job job;
-        final long retryIntervalNanos;
-        long lastTriedNanos;
-
-        WaitingJob(Job job, long retryIntervalNanos, long lastTriedNanos) {
-            this.job = job;
-            this.retryIntervalNanos = retryIntervalNanos;
-            this.lastTriedNanos = lastTriedNanos;
-        }
-    }
+    private final WaitingJobs waiting = new WaitingJobs();
+    private final OrganisationWork work = new OrganisationWork();
+    private final ShareLimits shareLimits = new ShareLimits();
 
     /** Creates a placer without engines whose requests are not limited. */
     public EnginePlacer(EngineProfile profile, RandomGenerator random) {
@@ -87,6 +64,8 @@
         this.profile = profile;
         this.random = random;
         this.gate = gate;
+        this.fleet = new EngineFleet(profile, random, gate);
+        this.peerJobs = new PeerJobs(fleet.byId(), this::takeKey);
     }
 
     private long takeKey() {
@@ -97,20 +76,7 @@
 
     @Override
     public void serversChanged(List<AvailableServer> servers, long nowNanos) {
-        engines.values().forEach(engine -> engine.setAvailable(false));
-        for (AvailableServer server : shuffled(servers)) {
-            EngineState engine =
-                    engines.computeIfAbsent(server.id(), id -> new EngineState(id, profile, Millis.of(nowNanos)));
-            engine.setAvailable(true);
-            engine.setSlots(server.slots());
-        }
-        engines.values().removeIf(engine -> !engine.isAvailable() && engine.isIdle());
-    }
-
-    private List<AvailableServer> shuffled(List<AvailableServer> servers) {
-        List<AvailableServer> shuffled = new ArrayList<>(servers);
-        Collections.shuffle(shuffled, new Random(random.nextLong()));
-        return shuffled;
+        fleet.serversChanged(servers, nowNanos);
     }
 
     // Jobs
@@ -119,78 +85,71 @@
     public List<Placement> arrived(Job job, long nowNanos) {
         Optional<Placement> placement = place(job, nowNanos);
         if (placement.isPresent()) {
+            if (placement.get() instanceof Placement.Send) {
+                waiting.sentDirectly(job);
+            }
             return List.of(placement.get());
         }
-        if (queue.size() >= MAX_WAITING) {
-            return List.of(refuse(job, "too many requests wait"));
-        }
         double prefillMs = PrefillShare.of(promptTokens(job), 1).prefillMs(profile);
-        queue.add(new WaitingJob(job, PlacementRetryInterval.nanos(prefillMs), nowNanos));
-        return List.of();
+        return waiting.add(job, PlacementRetryInterval.nanos(prefillMs), nowNanos)
+                .map(displaced -> List.of(displace(displaced, nowNanos)))
+                .orElse(List.of());
+    }
+
+    private Placement displace(Job job, long nowNanos) {
+        String reason = "too many requests wait";
+        if (job.organisation().isEmpty()) {
+            return refuse(job, reason, RETRY_AFTER_MS);
+        }
+        shareLimits.refused(job, nowNanos);
+        long longestMs = job.deadline().leftMs(nowNanos) / RETRY_TIME_DIVISOR;
+        long spreadMs = longestMs > RETRY_AFTER_MS ? random.nextLong(longestMs - RETRY_AFTER_MS) : 0;
+        return refuse(job, reason + ", most of them from " + job.organisation().get(), RETRY_AFTER_MS + spreadMs);
     }
 
     private Optional<Placement> place(Job job, long nowNanos) {
-        double nowMs = Millis.of(nowNanos);
-        double promptTokens = promptTokens(job);
-        double memoryTokens = job.prompt().map(PromptLengths::maxMemoryTokens).orElse(0L);
-        if (engines.isEmpty()) {
+        if (fleet.size() == 0) {
             return Optional.of(refuse(job, "no engine is known"));
         }
-        Optional<Placement> refusal = ClosedServers.refusal(job, availableEngines(), gate, nowNanos);
+        Optional<Placement> refusal = ClosedServers.refusal(job, fleet.available(), gate, nowNanos);
         if (refusal.isPresent()) {
             return refusal;
         }
-        if (job.pinnedServer().filter(server -> !isAvailable(server)).isPresent()) {
+        if (job.pinnedServer().filter(server -> !fleet.isAvailable(server)).isPresent()) {
             job.unpin();
         }
-        List<EngineState> helperCandidates = new ArrayList<>();
-        List<EngineState> primaryCandidates = new ArrayList<>();
-        for (EngineState engine : engines.values()) {
-            if (!engine.isUsable(nowMs) || !engine.canHelp() || !gate.admits(engine.id(), nowNanos)) {
-                continue;
-            }
-            helperCandidates.add(engine);
-            if (engine.hasFreeSlot() && job.maySendTo(engine.id())) {
-                primaryCandidates.add(engine);
-            }
+        EngineFleet.Candidates candidates = fleet.candidatesFor(job, nowNanos);
+        FairShare share = waiting.shareOf(OrganisationWork.ownerOf(job), work);
+        if (PrefillAdmission.leavesSlotsToOthers(share, candidates.freeSlots())) {
+            return holdBack(job, nowNanos);
         }
+        return place(job, candidates, share, nowNanos);
+    }
+
+    private Optional<Placement> place(Job job, EngineFleet.Candidates candidates, FairShare share, long nowNanos) {
+        double nowMs = Millis.of(nowNanos);
         PrefillPlanner.PrefillRequest request = new PrefillPlanner.PrefillRequest(
-                promptTokens,
-                memoryTokens,
+                promptTokens(job),
+                job.prompt().map(PromptLengths::maxMemoryTokens).orElse(0L),
                 dueMs(job),
                 CallerPatience.abandonMs(job),
                 maxGapMs(job),
                 JobWeight.of(job.prompt()));
-        Optional<PrefillPlan> plan = planner.plan(request, primaryCandidates, helperCandidates, nowMs);
+        Optional<PrefillPlan> plan = planner.plan(request, candidates.primaries(), candidates.helpers(), nowMs);
         if (plan.isEmpty()) {
             return Optional.empty();
         }
-        return switch (PrefillAdmission.decide(plan.get(), request, backlogAverage.averageMs(), nowMs)) {
+        return switch (PrefillAdmission.decide(plan.get(), request, backlogAverage.averageMs(), share, nowMs)) {
             case SEND -> Optional.of(send(job, plan.get(), request, nowNanos));
             case REFUSE -> Optional.of(refuse(job, "it can't be read in time"));
             case WAIT -> Optional.empty();
+            case HOLD_BACK -> holdBack(job, nowNanos);
         };
     }
 
-    private List<BackendServerId> availableEngines() {
-        return engines.values().stream()
-                .filter(EngineState::isAvailable)
-                .map(EngineState::id)
-                .toList();
-    }
-
-    private boolean isAvailable(BackendServerId server) {
-        EngineState engine = engines.get(server);
-        return engine != null && engine.isAvailable();
-    }
-
-    /** Mean prefill backlog per engine. */
-    private double meanBacklogMs() {
-        double total = 0;
-        for (EngineState engine : engines.values()) {
-            total += engine.simulation().prefillBacklogMs();
-        }
-        return total / Math.max(1, engines.size());
+    private Optional<Placement> holdBack(Job job, long nowNanos) {
+        shareLimits.heldBack(job, nowNanos);
+        return Optional.empty();
     }
 
     private Placement send(Job job, PrefillPlan plan, PrefillPlanner.PrefillRequest request, long nowNanos) {
@@ -199,7 +158,7 @@
         RequestTraits traits = request.traits(request.promptTokens() - plan.heldElsewhereTokens());
         PlacedJob placedJob =
                 new PlacedJob(takeKey(), plan.primary(), plan.helpers(), nowNanos, outputTokens, traits, plan.doneMs());
-        placedJobs.put(job, placedJob);
+        started(job, placedJob);
         job.tried().add(plan.primary().id());
         recordSent(plan, nowNanos);
         SimulatedRequests.add(placedJob.key, plan.primary(), plan.helpers(), request.promptTokens(), traits, nowMs);
@@ -214,6 +173,12 @@
         return new Placement.Send(job, plan.primary().id(), OptionalInt.empty(), helpers, reason);
     }
 
+    private void started(Job job, PlacedJob placedJob) {
+        if (placedJobs.put(job, placedJob) == null) {
+            work.started(job);
+        }
+    }
+
     /** Counts the request, and those that reserve memory for it at other engines. */
     private void recordSent(PrefillPlan plan, long nowNanos) {
         gate.sent(plan.primary().id(), nowNanos);
@@ -245,41 +210,12 @@
 
     @Override
     public List<Job> overdue(long nowNanos) {
-        Map<Job, PlacedJob> silent = new LinkedHashMap<>();
-        Set<EngineState> silentEngines = new HashSet<>();
-        placedJobs.forEach((job, placedJob) -> {
-            if (placedJob.isOverdue(Millis.of(nowNanos))) {
-                silent.put(job, placedJob);
-                silentEngines.add(placedJob.primary);
-            }
-        });
-        if (silentEngines.size() > Math.max(1, engines.size() / MAX_SILENT_DIVISOR)) {
-            return List.of();
-        }
-        List<Job> overdue = new ArrayList<>();
-        silent.forEach((job, placedJob) -> {
-            if (!placedJob.reportedOverdue && hasOtherEngine(job, nowNanos)) {
-                placedJob.reportedOverdue = true;
-                overdue.add(job);
-            }
-        });
-        return overdue;
-    }
-
-    private boolean hasOtherEngine(Job job, long nowNanos) {
-        return engines.values().stream()
-                .anyMatch(engine -> engine.isUsable(Millis.of(nowNanos))
-                        && engine.hasFreeSlot()
-                        && job.maySendTo(engine.id())
-                        && gate.admits(engine.id(), nowNanos));
+        return OverdueJobs.find(placedJobs, fleet, nowNanos);
     }
 
     @Override
     public void helperFailed(BackendServerId server, long nowNanos) {
-        EngineState engine = engines.get(server);
-        if (engine != null) {
-            engine.failureBackoff().recordFailure(Millis.of(nowNanos));
-        }
+        fleet.find(server).ifPresent(engine -> engine.failureBackoff().recordFailure(Millis.of(nowNanos)));
     }
 
     @Override
@@ -288,6 +224,7 @@
         if (placedJob == null) {
             return List.of();
         }
+        work.ended(job);
         double nowMs = Millis.of(nowNanos);
         SimulatedRequests.remove(placedJob.key, placedJob.primary, placedJob.helpers, nowMs);
         if (outcome == AttemptOutcome.SILENT) {
@@ -307,7 +244,7 @@
         silentJobs.remove(job, server).ifPresent(placedJob -> {
             placedJob.reportedOverdue = false;
             placedJob.nextPieceDueMs = nowMs;
-            placedJobs.put(job, placedJob);
+            started(job, placedJob);
             SimulatedRequests.addResumed(placedJob, nowMs);
         });
     }
@@ -319,32 +256,24 @@
 
     @Override
     public void withdrawn(Job job) {
-        queue.removeIf(waiting -> waiting.job == job);
+        waiting.remove(job);
     }
 
     @Override
     public List<Placement> tick(long nowNanos) {
-        backlogAverage.observe(meanBacklogMs(), Millis.of(nowNanos));
-        if (queue.isEmpty()) {
+        backlogAverage.observe(fleet.meanBacklogMs(), Millis.of(nowNanos));
+        if (waiting.size() == 0) {
             return List.of();
         }
-        List<Placement> placements = new ArrayList<>();
-        for (Iterator<WaitingJob> waitingJobs = queue.iterator(); waitingJobs.hasNext(); ) {
-            WaitingJob waiting = waitingJobs.next();
-            if (nowNanos - waiting.lastTriedNanos < waiting.retryIntervalNanos) {
-                continue;
-            }
-            waiting.lastTriedNanos = nowNanos;
-            Optional<Placement> placement = place(waiting.job, nowNanos);
-            if (placement.isPresent()) {
-                waitingJobs.remove();
-                placements.add(placement.get());
-            } else if (isAbandoned(waiting.job, nowNanos)) {
-                waitingJobs.remove();
-                placements.add(refuse(waiting.job, "no engine became free in time"));
-            }
+        return waiting.retry(job -> retry(job, nowNanos), nowNanos);
+    }
+
+    private Optional<Placement> retry(Job job, long nowNanos) {
+        Optional<Placement> placement = place(job, nowNanos);
+        if (placement.isEmpty() && isAbandoned(job, nowNanos)) {
+            return Optional.of(refuse(job, "no engine became free in time"));
         }
-        return placements;
+        return placement;
     }
 
     private static boolean isAbandoned(Job job, long nowNanos) {
@@ -353,11 +282,20 @@
 
     @Override
     public int waiting() {
-        return queue.size();
+        return waiting.size();
+    }
+
+    @Override
+    public List<ShareChange> shareChanges(long nowNanos) {
+        return shareLimits.takeChanges(nowNanos);
     }
 
     private static Placement refuse(Job job, String reason) {
-        Problem problem = Problem.notRun(ProblemKind.OVERLOADED, reason).withRetryAfterMs(RETRY_AFTER_MS);
+        return refuse(job, reason, RETRY_AFTER_MS);
+    }
+
+    private static Placement refuse(Job job, String reason, long retryAfterMs) {
+        Problem problem = Problem.notRun(ProblemKind.OVERLOADED, reason).withRetryAfterMs(retryAfterMs);
         return new Placement.Refuse(job, problem, reason);
     }
 
@@ -371,8 +309,8 @@
 
     @Override
     public List<PlacedRequest> ownWork(long nowNanos) {
-        List<PlacedRequest> work = new ArrayList<>();
-        placedJobs.forEach((job, placedJob) -> work.add(new PlacedRequest(
+        List<PlacedRequest> placed = new ArrayList<>();
+        placedJobs.forEach((job, placedJob) -> placed.add(new PlacedRequest(
                 placedJob.key,
                 placedJob.primary.id(),
                 placedJob.prefillReaders(),
@@ -382,7 +320,7 @@
                 Math.max(0, TimeUnit.NANOSECONDS.toMillis(nowNanos - placedJob.sentNanos)),
                 (long) (dueMs(job) - Millis.of(nowNanos)),
                 (long) maxGapMs(job))));
-        return work;
+        return placed;
     }
 
     // Units
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/EngineState.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/EngineState.java
@@ -72,6 +72,10 @@
         return simulation.occupiedSlots() < slots;
     }
 
+    int freeSlots() {
+        return Math.max(0, slots - simulation.occupiedSlots());
+    }
+
     boolean hasFreeMemory(double tokens) {
         return tokens <= freeMemoryTokens();
     }
--- /dev/null
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/FairShare.java
@@ -0,0 +1,21 @@
+package io.figspan.policy.placing;
+
+/**
+ * What an organisation has of the engines' work while organisations with less wait.
+ *
+ * @param overuse its work relative to an equal share; above 1 when it has more than its share
+ * @param jobsWaitingWithLess queued jobs of organisations that have less work at the engines
+ */
+record FairShare(double overuse, int jobsWaitingWithLess) {
+    /** Without a limit, since nobody with less waits. */
+    static final FairShare UNLIMITED = new FairShare(0, 0);
+
+    boolean isExceeded() {
+        return overuse > 1 && jobsWaitingWithLess > 0;
+    }
+
+    /** Returns the factor by which a request counts less than those of organisations within their share. */
+    double penalty() {
+        return isExceeded() ? overuse : 1;
+    }
+}
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/Job.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/Job.java
@@ -1,6 +1,7 @@
 package io.figspan.policy.placing;
 
 import io.figspan.core.id.BackendServerId;
+import io.figspan.core.id.OrganisationId;
 import io.figspan.core.time.Deadline;
 import java.util.HashSet;
 import java.util.Optional;
@@ -15,11 +16,24 @@
     private final long maxGapNanos;
     private final int rank;
     private final Optional<PromptLengths> prompt;
+    private final Optional<OrganisationId> organisation;
     private final Set<BackendServerId> tried = new HashSet<>();
     private Optional<BackendServerId> pinnedServer = Optional.empty();
     private boolean answerStarted;
     private long lastPieceNanos;
 
+    /** Creates a job that belongs to no organisation. */
+    public Job(
+            String requestId,
+            long arrivedNanos,
+            Deadline deadline,
+            long targetLatencyNanos,
+            long maxGapNanos,
+            int rank,
+            Optional<PromptLengths> prompt) {
+        this(requestId, arrivedNanos, deadline, targetLatencyNanos, maxGapNanos, rank, prompt, Optional.empty());
+    }
+
     /**
      * Creates a job that has not been sent yet. Instants are monotonic time in nanoseconds.
      *
@@ -30,6 +44,7 @@
      * @param maxGapNanos longest gap between pieces of the answer that is on time; 0 when there is no limit
      * @param rank priority; 0 is the most urgent
      * @param prompt token counts of the prompt; empty when the request has none
+     * @param organisation the organisation whose key the request carries; empty when it carries none
      */
     public Job(
             String requestId,
@@ -38,7 +53,8 @@
             long targetLatencyNanos,
             long maxGapNanos,
             int rank,
-            Optional<PromptLengths> prompt) {
+            Optional<PromptLengths> prompt,
+            Optional<OrganisationId> organisation) {
         this.requestId = requestId;
         this.arrivedNanos = arrivedNanos;
         this.deadline = deadline;
@@ -46,6 +62,7 @@
         this.maxGapNanos = maxGapNanos;
         this.rank = rank;
         this.prompt = prompt;
+        this.organisation = organisation;
     }
 
     public String requestId() {
@@ -76,6 +93,10 @@
         return prompt;
     }
 
+    public Optional<OrganisationId> organisation() {
+        return organisation;
+    }
+
     /** Records that a piece of the answer has arrived. */
     public void pieceArrived(long nowNanos) {
         answerStarted = true;
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/Placer.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/Placer.java
@@ -53,6 +53,11 @@
         return List.of();
     }
 
+    /** Returns the organisations that are limited to their share, or no longer, since the last call. */
+    default List<ShareChange> shareChanges(long nowNanos) {
+        return List.of();
+    }
+
     /** Number of queued jobs. */
     int waiting();
 
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/PrefillAdmission.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/PrefillAdmission.java
@@ -35,17 +35,29 @@
     enum Decision {
         SEND,
         WAIT,
+        /** The request would be sent if its organisation had no more than its share of the engines' work. */
+        HOLD_BACK,
         /** The prefill can't finish before the caller gives up. */
         REFUSE
     }
 
+    /** Whether an organisation beyond its share must leave the free slots to others that wait with less. */
+    static boolean leavesSlotsToOthers(FairShare share, int freeSlots) {
+        return share.isExceeded() && freeSlots <= share.jobsWaitingWithLess();
+    }
+
     /**
      * Decides on a request, given the best plan for it.
      *
      * @param meanBacklogMs recent mean prefill backlog per engine
+     * @param share what the organisation of the request has of the engines' work
      */
     static Decision decide(
-            PrefillPlan plan, PrefillPlanner.PrefillRequest request, double meanBacklogMs, double nowMs) {
+            PrefillPlan plan,
+            PrefillPlanner.PrefillRequest request,
+            double meanBacklogMs,
+            FairShare share,
+            double nowMs) {
         if (plan.doneMs() >= request.abandonMs()) {
             return Decision.REFUSE;
         }
@@ -54,9 +66,11 @@
         double costPerSecond =
                 SATURATED_COST_PER_SECOND + SATURATED_COST_PER_SQUARE_SECOND * plan.prefillMs() / MS_PER_SECOND;
         double lossToOthers = plan.lossToOthers() + engineSeconds * costPerSecond * saturation;
-        return lossToOthers <= allowedLossRatio(plan, request, nowMs) * request.weight()
-                ? Decision.SEND
-                : Decision.WAIT;
+        double allowedLoss = allowedLossRatio(plan, request, nowMs) * request.weight();
+        if (lossToOthers > allowedLoss) {
+            return Decision.WAIT;
+        }
+        return lossToOthers * share.penalty() <= allowedLoss ? Decision.SEND : Decision.HOLD_BACK;
     }
 
     /** Returns the loss to others that is accepted, as a fraction of the request's weight. */
--- a/figspan-policy/src/test/java/io/figspan/policy/placing/PrefillAdmissionTest.java
+++ b/figspan-policy/src/test/java/io/figspan/policy/placing/PrefillAdmissionTest.java
@@ -1,6 +1,8 @@
 package io.figspan.policy.placing;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.figspan.policy.placing.PrefillAdmission.Decision;
 import io.figspan.policy.placing.PrefillPlanner.PrefillRequest;
@@ -16,7 +18,7 @@
     }
 
     private static Decision decide(double doneMs, double lossToOthers, double nowMs) {
-        return PrefillAdmission.decide(plan(doneMs, lossToOthers), REQUEST, 0, nowMs);
+        return PrefillAdmission.decide(plan(doneMs, lossToOthers), REQUEST, 0, FairShare.UNLIMITED, nowMs);
     }
 
     @Test
@@ -49,7 +51,30 @@
     @Test
     void prefillHasAnOpportunityCostWhenEnginesAreSaturated() {
         PrefillPlan longPrefill = new PrefillPlan(null, List.of(), 12_000, 12_000 - 1, 0, 0);
-        assertEquals(Decision.SEND, PrefillAdmission.decide(longPrefill, REQUEST, 0, 0));
-        assertEquals(Decision.WAIT, PrefillAdmission.decide(longPrefill, REQUEST, 400, 0));
+        assertEquals(Decision.SEND, PrefillAdmission.decide(longPrefill, REQUEST, 0, FairShare.UNLIMITED, 0));
+        assertEquals(Decision.WAIT, PrefillAdmission.decide(longPrefill, REQUEST, 400, FairShare.UNLIMITED, 0));
+    }
+
+    private static Decision decideWithShare(double lossToOthers, FairShare share) {
+        return PrefillAdmission.decide(plan(800, lossToOthers), REQUEST, 0, share, 0);
+    }
+
+    /** Guards against an organisation that takes the prefill of others, and against idle engines it may not use. */
+    @Test
+    void anOrganisationBeyondItsShareIsHeldBackWhileOthersWaitOnlyIfItDelaysSomeone() {
+        assertEquals(Decision.SEND, decideWithShare(1, new FairShare(4, 3)));
+        assertEquals(Decision.HOLD_BACK, decideWithShare(2, new FairShare(4, 3)));
+        assertEquals(Decision.SEND, decideWithShare(2, new FairShare(4, 0)), "nobody with less waits");
+        assertEquals(Decision.SEND, decideWithShare(4, new FairShare(0.9, 3)), "within its share");
+        assertEquals(Decision.WAIT, decideWithShare(7, new FairShare(4, 3)), "it would wait in any case");
+    }
+
+    /** Guards against slots that go to the organisation which already has most of them, and against idle slots. */
+    @Test
+    void anOrganisationBeyondItsShareTakesOnlySlotsThatTheWaitingOnesDoNotNeed() {
+        FairShare exceeded = new FairShare(1.5, 2);
+        assertTrue(PrefillAdmission.leavesSlotsToOthers(exceeded, 2));
+        assertFalse(PrefillAdmission.leavesSlotsToOthers(exceeded, 3));
+        assertFalse(PrefillAdmission.leavesSlotsToOthers(FairShare.UNLIMITED, 0));
     }
 }
