--- a/figspan-bench/src/main/java/io/figspan/bench/placing/PlacingCommand.java
+++ b/figspan-bench/src/main/java/io/figspan/bench/placing/PlacingCommand.java
@@ -24,6 +24,7 @@
 public final class PlacingCommand implements BenchCommand {
     private static final double LENGTH_MS = 34_000;
     private static final double BURST_MS = 9_500;
+    private static final int ORGANISATIONS = 10;
     private static final int LARGE_ENGINES = 172;
     private static final int LARGE_HOSTS = 95;
 
@@ -48,6 +49,11 @@
     @Parameter(names = "--cells", description = "Also plays hosts that use the engines of their own cell only")
     private boolean cells;
 
+    @Parameter(
+            names = "--greedy",
+            description = "Also plays ten organisations, one of which sends this many times its usual load")
+    private double greedy;
+
     @Parameter(names = "--naive", description = "Also plays the placer that takes the least busy engine")
     private boolean naive;
 
@@ -95,6 +101,10 @@
         if (cells) {
             plays.put("cells", seed -> newPlay(passes, seed).inCells().play(LENGTH_MS));
         }
+        if (greedy > 0) {
+            plays.put("unshared", seed -> newPlay(passes, seed).of(mix(false)).play(LENGTH_MS));
+            plays.put("shared", seed -> newPlay(passes, seed).of(mix(true)).play(LENGTH_MS));
+        }
         if (naive) {
             plays.put("least-busy", seed -> newPlay(profile -> new LeastBusyPlacer(new SplittableRandom(1)), seed)
                     .play(LENGTH_MS));
@@ -118,16 +128,35 @@
                     .average()
                     .orElse(0);
             out.printf(Locale.ROOT, "%-11s mean  %.3f  %.3f  played in %d ms%n", name, share, worst, tookMs);
+            if (name.endsWith("shared")) {
+                printOrganisations(out, name, tallies);
+            }
         });
         return true;
     }
 
+    private OrganisationMix mix(boolean areNamed) {
+        return new OrganisationMix(ORGANISATIONS, greedy, 1, 0, LENGTH_MS, areNamed);
+    }
+
     private PlacingPlay newPlay(Function<EngineProfile, Placer> placer, long seed) {
         EngineProfile engine = large ? largeEngine() : usersEngine();
         List<RequestClass> classes = large ? RequestClass.large(rate) : RequestClass.users(rate);
         return new PlacingPlay(engine, engines, hosts, classes, alternatingBursts(), placer, seed);
     }
 
+    private static void printOrganisations(PrintStream out, String name, List<PlacingTally> tallies) {
+        double greedyShare = tallies.stream()
+                .mapToDouble(tally -> tally.of(OrganisationMix.GREEDY).share())
+                .average()
+                .orElse(0);
+        double otherShare = tallies.stream()
+                .mapToDouble(tally -> tally.shareWithout(OrganisationMix.GREEDY))
+                .average()
+                .orElse(0);
+        out.printf(Locale.ROOT, "%-11s share of the greedy one %.3f, of others %.3f%n", name, greedyShare, otherShare);
+    }
+
     private static String line(String name, long seed, PlacingTally tally) {
         StringBuilder line = new StringBuilder(String.format(
                 Locale.ROOT,
--- a/figspan-bench/src/main/java/io/figspan/bench/placing/PlacingPlay.java
+++ b/figspan-bench/src/main/java/io/figspan/bench/placing/PlacingPlay.java
@@ -2,6 +2,7 @@
 
 import io.figspan.core.id.BackendServerId;
 import io.figspan.core.id.HostId;
+import io.figspan.core.id.OrganisationId;
 import io.figspan.core.time.Deadline;
 import io.figspan.core.work.PrefillReader;
 import io.figspan.core.work.WorkChange;
@@ -40,6 +41,7 @@
     private final List<Host> hosts = new ArrayList<>();
     private final PlacingTally tally = new PlacingTally();
     private CellPlan cells;
+    private Optional<OrganisationMix> organisations = Optional.empty();
     private long messages;
 
     PlacingPlay(
@@ -68,6 +70,12 @@
         return this;
     }
 
+    /** Attributes each request to an organisation; without it, requests have none. */
+    PlacingPlay of(OrganisationMix mix) {
+        organisations = Optional.of(mix);
+        return this;
+    }
+
     /** Plays for a time and returns what callers got. */
     PlacingTally play(double lengthMs) {
         for (Host host : hosts) {
@@ -95,7 +103,7 @@
     }
 
     private void scheduleArrival(RequestClass requestClass, double lengthMs) {
-        double factor = 1;
+        double factor = organisations.map(mix -> mix.rateFactor(events.nowMs())).orElse(1.0);
         for (Burst burst : bursts) {
             factor *= burst.isActive(requestClass.name(), events.nowMs()) ? burst.factor() : 1;
         }
@@ -179,6 +187,7 @@
         private final double arrivedMs = events.nowMs();
         private final double promptTokens;
         private final int pieces;
+        private final Optional<OrganisationId> organisation;
         private final Job job;
         private PassEngine.Work work;
         private double firstMs = -1;
@@ -192,6 +201,7 @@
             this.requestClass = requestClass;
             this.promptTokens = Math.floor(requestClass.drawPromptTokens(random));
             this.pieces = requestClass.drawPieces(random);
+            this.organisation = organisations.map(mix -> mix.draw(random, events.nowMs()));
             long maxOutputTokens = (long) (2.5 * requestClass.meanPieces() * profile.decodeStepsPerPass());
             this.job = new Job(
                     requestClass.name() + "-" + events.nowNanos(),
@@ -200,7 +210,8 @@
                     (long) (requestClass.targetMs() * 1e6),
                     (long) (requestClass.maxGapMs() * 1e6),
                     1,
-                    Optional.of(new PromptLengths((long) promptTokens, maxOutputTokens, OptionalInt.empty())));
+                    Optional.of(new PromptLengths((long) promptTokens, maxOutputTokens, OptionalInt.empty())),
+                    organisation.flatMap(id -> organisations.flatMap(mix -> mix.namedInJob(id))));
         }
 
         void onPlacement(Placement placement) {
@@ -308,6 +319,7 @@
             double factor = requestClass.sizeFactor(promptTokens, pieces, profile);
             double firstTokenMs = firstMs < 0 ? Double.NaN : firstMs - arrivedMs;
             tally.add(requestClass, outcome, factor, arrivedMs, firstTokenMs);
+            organisation.ifPresent(id -> tally.addTo(id, requestClass, outcome, factor, firstTokenMs));
         }
     }
 
--- a/figspan-bench/src/main/java/io/figspan/bench/placing/PlacingTally.java
+++ b/figspan-bench/src/main/java/io/figspan/bench/placing/PlacingTally.java
@@ -1,6 +1,7 @@
 package io.figspan.bench.placing;
 
 import io.figspan.bench.placing.PlacingPlay.Outcome;
+import io.figspan.core.id.OrganisationId;
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.List;
@@ -12,6 +13,7 @@
     private static final double WINDOW_MS = 2_000;
 
     private final Map<String, ClassTally> classes = new TreeMap<>();
+    private final Map<OrganisationId, ClassTally> organisations = new TreeMap<>();
     private final Map<Integer, double[]> windows = new TreeMap<>();
     private double engineBusy;
     private long messages;
@@ -23,6 +25,15 @@
         double earned;
         double owed;
 
+        private void add(double earnedWorth, double owedWorth, Outcome outcome, double msToFirstToken) {
+            counts.merge(outcome, 1, Integer::sum);
+            earned += earnedWorth;
+            owed += owedWorth;
+            if (!Double.isNaN(msToFirstToken)) {
+                firstTokenMs.add(msToFirstToken);
+            }
+        }
+
         int count(Outcome outcome) {
             return counts.getOrDefault(outcome, 0);
         }
@@ -47,24 +58,52 @@
 
     void add(RequestClass requestClass, Outcome outcome, double factor, double arrivedMs, double firstTokenMs) {
         ClassTally tally = classes.computeIfAbsent(requestClass.name(), ignored -> new ClassTally());
-        double earned = factor
-                * switch (outcome) {
-                    case ON_TIME -> requestClass.worth();
-                    case LATE -> requestClass.lateWorth();
-                    default -> 0;
-                };
+        double earned = factor * worth(requestClass, outcome);
         double owed = factor * requestClass.worth();
-        tally.counts.merge(outcome, 1, Integer::sum);
-        tally.earned += earned;
-        tally.owed += owed;
-        if (!Double.isNaN(firstTokenMs)) {
-            tally.firstTokenMs.add(firstTokenMs);
-        }
+        tally.add(earned, owed, outcome, firstTokenMs);
         double[] window = windows.computeIfAbsent((int) (arrivedMs / WINDOW_MS), ignored -> new double[2]);
         window[0] += earned;
         window[1] += owed;
     }
 
+    private static double worth(RequestClass requestClass, Outcome outcome) {
+        return switch (outcome) {
+            case ON_TIME -> requestClass.worth();
+            case LATE -> requestClass.lateWorth();
+            default -> 0;
+        };
+    }
+
+    /** Counts a request for its organisation too. */
+    void addTo(
+            OrganisationId organisation,
+            RequestClass requestClass,
+            Outcome outcome,
+            double factor,
+            double firstTokenMs) {
+        organisations
+                .computeIfAbsent(organisation, ignored -> new ClassTally())
+                .add(factor * worth(requestClass, outcome), factor * requestClass.worth(), outcome, firstTokenMs);
+    }
+
+    /** What one organisation got. */
+    ClassTally of(OrganisationId organisation) {
+        return organisations.getOrDefault(organisation, new ClassTally());
+    }
+
+    /** The part of the worth that all organisations but one earned together. */
+    double shareWithout(OrganisationId organisation) {
+        double earned = 0;
+        double owed = 0;
+        for (Map.Entry<OrganisationId, ClassTally> entry : organisations.entrySet()) {
+            if (!entry.getKey().equals(organisation)) {
+                earned += entry.getValue().earned;
+                owed += entry.getValue().owed;
+            }
+        }
+        return owed > 0 ? earned / owed : 1;
+    }
+
     void messages(long count) {
         messages = count;
     }
