Gateway: jobs carry the organisation of their key; log and metrics of limited organisations

Forwarder now passes the organisation to the placer, by JobFactory, which takes over the priority rule.

Measured: FairShareJobsTest (3) and 525 tests of the request path pass. LogEventsPageTest fails as before this change: settingsEntryRejected and storeResponseTooLong are not on the page.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
@@ -5,7 +5,6 @@
 import io.figspan.core.event.Part;
 import io.figspan.core.id.ServiceId;
 import io.figspan.core.id.SettingsVersion;
-import io.figspan.core.time.Deadline;
 import io.figspan.gateway.backend.BackendPools;
 import io.figspan.gateway.backend.MemoryHolds;
 import io.figspan.gateway.forward.StartupQueue.QueuedCall;
@@ -29,8 +28,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalInt;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -96,6 +93,7 @@
         requestCrashes.onQuarantined(dispatchers::quarantined);
         requestLimits.setHostsUsing(dispatchers::hostsUsing);
         this.dispatchers = dispatchers;
+        dispatchers.setShareLog(new ShareLog(log, metrics));
     }
 
     /** Applies settings, unless newer ones are in force. */
@@ -224,20 +222,7 @@
             ServiceId service,
             Optional<OrganisationKeys> organisation,
             long arrivedNanos) {
-        long timeoutMs = RequestProfiles.timeoutMs(route, request);
-        int rank = organisation
-                .map(OrganisationKeys::rank)
-                .filter(OptionalInt::isPresent)
-                .map(OptionalInt::getAsInt)
-                .orElse(route.rank());
-        Job job = new Job(
-                request.attemptId(),
-                arrivedNanos,
-                Deadline.after(arrivedNanos, timeoutMs),
-                TimeUnit.MILLISECONDS.toNanos(route.targetLatencyMs()),
-                TimeUnit.MILLISECONDS.toNanos(route.maxGapMs()),
-                rank,
-                request.prompt());
+        Job job = JobFactory.create(request, route, organisation, arrivedNanos);
         ServiceDispatcher dispatcher = dispatchers.dispatcher(service);
         long nowNanos = System.nanoTime();
         dispatcher.budget().recordRequest(nowNanos);
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatcher.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatcher.java
@@ -11,6 +11,7 @@
 import io.figspan.policy.placing.Placer;
 import io.figspan.policy.placing.Placer.AttemptOutcome;
 import io.figspan.policy.placing.Placer.AvailableServer;
+import io.figspan.policy.placing.ShareChange;
 import io.figspan.policy.retry.WindowedRetryBudget;
 import java.util.HashMap;
 import java.util.List;
@@ -159,6 +160,11 @@
         place(() -> placer.tick(nowNanos));
     }
 
+    /** Returns the organisations that are limited to their share, or no longer, since the last call. */
+    List<ShareChange> shareChanges(long nowNanos) {
+        return placer.shareChanges(nowNanos);
+    }
+
     private void detectSilentServers(long nowNanos) {
         for (Job job : placer.overdue(nowNanos)) {
             ForwardCall call = calls.get(job);
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatchers.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatchers.java
@@ -42,6 +42,7 @@
     private Set<HostId> hosts;
     private RetryBudgetConfig retryBudget;
     private Consumer<WorkChange> workListener = news -> {};
+    private ShareLog shareLog;
     private GatewaySettings settings;
 
     /** Parameters of the retry budget of one service, which all hosts share. */
@@ -172,6 +173,11 @@
         dispatchers.values().forEach(dispatcher -> dispatcher.budget().setHostCount(hostCount));
     }
 
+    /** Sets the log of organisations that are limited to their share; required before the first tick. */
+    void setShareLog(ShareLog newShareLog) {
+        shareLog = newShareLog;
+    }
+
     /** Sets the listener that is called when this host's work at model engines has changed. */
     public void onWorkChanged(Consumer<WorkChange> listener) {
         workListener = listener;
@@ -207,6 +213,9 @@
     }
 
     void tick(long nowNanos) {
-        dispatchers.values().forEach(dispatcher -> dispatcher.tick(nowNanos));
+        dispatchers.forEach((service, dispatcher) -> {
+            dispatcher.tick(nowNanos);
+            dispatcher.shareChanges(nowNanos).forEach(change -> shareLog.changed(service, change));
+        });
     }
 }
