Fair shares: only jobs that found no free slot keep slots from others

A slot was kept free for each queued job of an organisation with less work, also for prompts that wait for memory or for prefill and could not use it, so slots stayed idle. Each job now records whether its latest attempt found no free slot, and only those count.

--- a/figspan-policy/src/main/java/io/figspan/policy/fair/FairFlow.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/fair/FairFlow.java
@@ -110,6 +110,16 @@
         return false;
     }
 
+    int count(Predicate<T> matches) {
+        int count = 0;
+        for (Deque<Entry<T>> queue : byPriority) {
+            for (Entry<T> entry : queue) {
+                count += matches.test(entry.item()) ? 1 : 0;
+            }
+        }
+        return count;
+    }
+
     private void subtract(Entry<T> entry) {
         queuedTokens -= entry.tokens();
         items--;
--- a/figspan-policy/src/main/java/io/figspan/policy/fair/FairQueue.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/fair/FairQueue.java
@@ -172,6 +172,12 @@
         return size;
     }
 
+    /** Number of queued items of one organisation that match. */
+    public int count(OrganisationId organisation, Predicate<T> matches) {
+        FairFlow<T> flow = flows.get(organisation);
+        return flow == null ? 0 : flow.count(matches);
+    }
+
     /** Sum of the tokens of all queued items. */
     public long queuedTokens() {
         long sum = 0;
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/EnginePlacer.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/EnginePlacer.java
@@ -119,6 +119,7 @@
             job.unpin();
         }
         EngineFleet.Candidates candidates = fleet.candidatesFor(job, nowNanos);
+        job.setAwaitsSlot(candidates.freeSlots() == 0);
         FairShare share = waiting.shareOf(OrganisationWork.ownerOf(job), work);
         if (PrefillAdmission.leavesSlotsToOthers(share, candidates.freeSlots())) {
             return holdBack(job, nowNanos);
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/FairShare.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/FairShare.java
@@ -5,10 +5,11 @@
  *
  * @param overuse its work relative to an equal share; above 1 when it has more than its share
  * @param jobsWaitingWithLess queued jobs of organisations that have less work at the engines
+ * @param slotsAwaited how many of these jobs found no free slot; the others wait for memory or for prefill
  */
-record FairShare(double overuse, int jobsWaitingWithLess) {
+record FairShare(double overuse, int jobsWaitingWithLess, int slotsAwaited) {
     /** Without a limit, since nobody with less waits. */
-    static final FairShare UNLIMITED = new FairShare(0, 0);
+    static final FairShare UNLIMITED = new FairShare(0, 0, 0);
 
     boolean isExceeded() {
         return overuse > 1 && jobsWaitingWithLess > 0;
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/Job.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/Job.java
@@ -19,6 +19,7 @@
     private final Optional<OrganisationId> organisation;
     private final Set<BackendServerId> tried = new HashSet<>();
     private Optional<BackendServerId> pinnedServer = Optional.empty();
+    private boolean awaitsSlot;
     private boolean answerStarted;
     private long lastPieceNanos;
 
@@ -139,6 +140,15 @@
         return !tried.contains(server) && pinnedServer.map(server::equals).orElse(true);
     }
 
+    /** Records whether the latest attempt to place the job found no free slot. */
+    void setAwaitsSlot(boolean newAwaitsSlot) {
+        awaitsSlot = newAwaitsSlot;
+    }
+
+    boolean awaitsSlot() {
+        return awaitsSlot;
+    }
+
     @Override
     public String toString() {
         return requestId;
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/PrefillAdmission.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/PrefillAdmission.java
@@ -43,7 +43,7 @@
 
     /** Whether an organisation beyond its share must leave the free slots to others that wait with less. */
     static boolean leavesSlotsToOthers(FairShare share, int freeSlots) {
-        return share.isExceeded() && freeSlots <= share.jobsWaitingWithLess();
+        return share.isExceeded() && freeSlots > 0 && freeSlots <= share.slotsAwaited();
     }
 
     /**
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/WaitingJobs.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/WaitingJobs.java
@@ -100,12 +100,14 @@
             return FairShare.UNLIMITED;
         }
         int jobsWithLess = 0;
+        int slotsAwaited = 0;
         for (OrganisationId other : queue.queuedOrganisations()) {
             if (work.tokens(other) < work.tokens(organisation)) {
                 jobsWithLess += queue.size(other);
+                slotsAwaited += queue.count(other, waiting -> waiting.job.awaitsSlot());
             }
         }
         int organisations = queue.organisations() + work.count(other -> queue.size(other) == 0);
-        return new FairShare(work.overuse(organisation, organisations), jobsWithLess);
+        return new FairShare(work.overuse(organisation, organisations), jobsWithLess, slotsAwaited);
     }
 }
