Callers: what a connection holds is counted as it arrives, within budgets over all connections

Requests behind one in progress were decoded and kept too, and nothing bounded connections or complete answers that are not read.

Now each line is charged when it is decoded (MeteredHeadersFactory), to a budget of an eighth of the heap for each kind (ClientMemory): arriving heads, heads before bodies, heads before answers, undecoded bytes, unread answers. Over budget, the connection that holds most loses it; of unread answers the oldest; a request that may run is never given up for another's head. A complete head is kept as one array (HeaderBlock). Pipelined requests stay undecoded (PausableServerCodec instead of HttpServerCodec). A head has at most max_header_bytes / 4 lines, else 431. Callers use at most half of the descriptors; then the connection that is idle for longest is closed. A connection that closes behind an answer of which nothing is read for idle_timeout_ms is closed; this had no time limit (no test yet). header_timeout_ms already bounded the whole head.

Tests changed: TestProtocol and PlatformProtocolsTest read the headers of a CallerRequest through HeaderBlock.toHeaders(); ScriptedServer keeps the received lines. No assertion is removed.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
@@ -285,6 +285,8 @@
     private void registerGauges() {
         metrics.gauge("requests.waiting", dispatchers::waitingCount);
         metrics.gauge("connections.busy", callers::busy);
+        metrics.gauge("connections.open", callers::openConnections);
+        metrics.gauge("clients.evicted", callers::evictions);
         metrics.gauge("settings.version", () -> forwarder.settingsVersion().number());
         metrics.gauge("settings.outdated", () -> settingsReader.isBehind() ? 1 : 0);
         metrics.gauge("settings.revision", () -> fleet.settings().revision().number());
--- a/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerConnection.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerConnection.java
@@ -7,6 +7,9 @@
 import io.figspan.gateway.forward.ProblemResponses;
 import io.figspan.gateway.http.BufferedBody;
 import io.figspan.gateway.http.Channels;
+import io.figspan.gateway.http.ClientMemory;
+import io.figspan.gateway.http.ClientMemory.Kind;
+import io.figspan.gateway.http.PausableServerCodec;
 import io.figspan.settings.gateway.CallerLimits;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -31,26 +34,44 @@
     private final CallerServer server;
     private final Channel channel;
     private final ReceiveTimeouts timeouts;
-    private final PipelinedMessages pipelined;
+    private final HeldRequest request;
     private final ResponseWriter writer;
     private final Refusals refusals;
-    private HttpRequest head;
-    private BufferedBody body;
-    private int maxBodyBytes;
+    private PipelinedBytes pipelined;
     private InFlightCall call;
     private boolean responding;
-    private boolean handlingPipelined;
     private long requestCount;
 
     CallerConnection(CallerServer server, Channel channel, CallerLimits limits) {
         this.server = server;
         this.channel = channel;
         this.timeouts = new ReceiveTimeouts(limits, System.nanoTime());
-        this.pipelined = new PipelinedMessages(channel);
-        this.writer = new ResponseWriter(server, channel, limits.maxHeaderBytes(), pipelined);
+        this.request = new HeldRequest(server, this::evict);
+        this.writer = new ResponseWriter(server, channel, limits.maxHeaderBytes(), request.memory());
         this.refusals = new Refusals(server, limits.maxHeaderBytes());
     }
 
+    /** Sets the codec of the connection, before it is read. */
+    void setCodec(PausableServerCodec codec) {
+        pipelined = new PipelinedBytes(channel, codec, request.memory());
+        writer.setPipelined(pipelined);
+    }
+
+    /** The account of what this connection holds. */
+    ClientMemory.Account memory() {
+        return request.memory();
+    }
+
+    /** Gives up what this connection holds of a kind, because all connections hold too much. */
+    private void evict(Kind kind) {
+        boolean awaitsBody = kind == Kind.HEADS_BEFORE_BODIES && !responding && !writer.isClosing();
+        if (awaitsBody) {
+            refuse(refusals.headMemoryFull());
+        } else {
+            writer.close();
+        }
+    }
+
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         server.opened(this);
@@ -60,8 +81,7 @@
     public void channelInactive(ChannelHandlerContext ctx) {
         server.closed(this);
         writer.closed();
-        releaseBody();
-        pipelined.release();
+        request.close();
         InFlightCall abandoned = call;
         call = null;
         if (abandoned != null) {
@@ -99,47 +119,50 @@
         }
     }
 
-    @Override
-    public void channelRead(ChannelHandlerContext ctx, Object message) {
-        if (writer.isClosing()) {
-            ReferenceCountUtil.release(message);
-            return;
-        }
-        if (responding) {
-            pipelined.add((HttpObject) message);
-            return;
+    /** Counts what is not decoded, after bytes have arrived and been decoded as far as possible. */
+    void bytesDecoded() {
+        if (!writer.isClosing()) {
+            pipelined.update();
         }
-        handle((HttpObject) message);
     }
 
-    private void handle(HttpObject message) {
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
         try {
-            if (message.decoderResult().isFailure()) {
-                refuse(refusals.malformed(message.decoderResult().cause()));
-                return;
-            }
-            if (message instanceof HttpRequest request) {
-                begin(request);
-            }
-            if (!responding && message instanceof HttpContent content) {
-                appendBody(content);
+            if (writer.isClosing()) {
+                request.memory().release(Kind.ARRIVING_HEADS);
+            } else if (!responding) {
+                handle((HttpObject) message);
             }
         } finally {
             ReferenceCountUtil.release(message);
         }
     }
 
-    private void begin(HttpRequest request) {
+    private void handle(HttpObject message) {
+        if (message.decoderResult().isFailure()) {
+            refuse(refusals.malformed(message.decoderResult().cause()));
+            return;
+        }
+        if (message instanceof HttpRequest received) {
+            begin(received);
+        }
+        if (!responding && message instanceof HttpContent content) {
+            appendBody(content);
+        }
+    }
+
+    private void begin(HttpRequest received) {
         timeouts.headReceived(System.nanoTime());
-        head = request;
-        writer.setKeepAlive(HttpUtil.isKeepAlive(request));
-        maxBodyBytes = server.limits().maxBodyBytes();
-        body = new BufferedBody(server.bodies(), maxBodyBytes);
-        if (HttpUtil.getContentLength(request, 0L) > maxBodyBytes) {
-            refuse(refusals.bodyTooLong(maxBodyBytes));
+        writer.setKeepAlive(HttpUtil.isKeepAlive(received));
+        if (!keepHead(received)) {
+            return;
+        }
+        if (HttpUtil.getContentLength(received, 0L) > request.maxBodyBytes()) {
+            refuse(refusals.bodyTooLong(request.maxBodyBytes()));
             return;
         }
-        if (HttpUtil.is100ContinueExpected(request)) {
+        if (HttpUtil.is100ContinueExpected(received)) {
             refuseIfOutOfTime(System.nanoTime());
             if (writer.isClosing()) {
                 return;
@@ -148,10 +171,24 @@
         }
     }
 
+    /** Refuses the request if its head can't be kept. */
+    private boolean keepHead(HttpRequest received) {
+        try {
+            if (request.begin(received)) {
+                return true;
+            }
+            refuse(refusals.headMemoryFull());
+        } catch (RuntimeException e) {
+            server.errors().report(e);
+            refuse(ProblemResponses.of(Problem.unknown(ProblemKind.INTERNAL, "unexpected error")));
+        }
+        return false;
+    }
+
     private void appendBody(HttpContent content) {
-        BufferedBody.Outcome outcome = body.add(content.content());
+        BufferedBody.Outcome outcome = request.add(content.content());
         if (outcome == BufferedBody.Outcome.TOO_LONG) {
-            refuse(refusals.bodyTooLong(maxBodyBytes));
+            refuse(refusals.bodyTooLong(request.maxBodyBytes()));
         } else if (outcome == BufferedBody.Outcome.NO_ROOM) {
             refuse(refusals.bodyMemoryFull());
         } else if (content instanceof LastHttpContent) {
@@ -161,7 +198,12 @@
 
     private void requestComplete() {
         responding = true;
-        ByteBuf wholeBody = body.detachBytes();
+        pipelined.pause();
+        if (!request.complete()) {
+            respond(refusals.headMemoryFull());
+            return;
+        }
+        ByteBuf wholeBody = request.detachBody();
         long requestNumber = ++requestCount;
         Optional<InFlightCall> accepted = accept(wholeBody, requestNumber);
         boolean respondedDuringAccept = !responding || requestCount != requestNumber;
@@ -173,7 +215,7 @@
     /** Hands the request to the server. An unexpected error fails this request only. */
     private Optional<InFlightCall> accept(ByteBuf wholeBody, long requestNumber) {
         try {
-            return server.accept(head, wholeBody, this);
+            return server.accept(request.head(), wholeBody, this);
         } catch (RuntimeException e) {
             boolean isUnanswered = responding && requestCount == requestNumber;
             fail(e, isUnanswered);
@@ -205,13 +247,6 @@
         respond(response);
     }
 
-    private void releaseBody() {
-        if (body != null) {
-            body.release();
-            body = null;
-        }
-    }
-
     // Responses
 
     @Override
@@ -254,8 +289,7 @@
 
     private void finish(Object lastMessage) {
         call = null;
-        head = null;
-        releaseBody();
+        request.end();
         long nowNanos = System.nanoTime();
         timeouts.responseWritten(nowNanos);
         if (!writer.isKeepAlive()) {
@@ -264,23 +298,7 @@
         }
         writer.finish(lastMessage);
         responding = false;
-        handlePipelined();
-    }
-
-    /** Handles what has arrived behind a request. A request that is answered at once returns here before the next. */
-    private void handlePipelined() {
-        if (handlingPipelined) {
-            return;
-        }
-        handlingPipelined = true;
-        try {
-            while (!responding && !writer.isClosing() && !pipelined.isEmpty()) {
-                handle(pipelined.poll());
-            }
-        } finally {
-            handlingPipelined = false;
-        }
-        pipelined.resumeReading();
+        pipelined.resume();
     }
 
     // Time limits
@@ -290,7 +308,8 @@
      * reads first what the caller has sent in time.
      */
     void enforceTimeouts(long nowNanos) {
-        if (writer.hasLingeredTooLong(nowNanos)) {
+        long idleTimeoutMs = server.limits().idleTimeoutMs();
+        if (writer.hasLingeredTooLong(nowNanos) || writer.isUnreadTooLong(idleTimeoutMs, nowNanos)) {
             writer.close();
         } else if (exceededTimeout(nowNanos).isPresent()) {
             server.afterNextRead(() -> exceededTimeout(nowNanos).ifPresent(this::timedOut));
@@ -301,7 +320,7 @@
         if (responding || writer.isClosing()) {
             return Optional.empty();
         }
-        return timeouts.exceeded(body == null ? 0 : body.lengthBytes(), nowNanos);
+        return timeouts.exceeded(request.bodyBytes(), nowNanos);
     }
 
     private void timedOut(ReceiveTimeouts.Timeout timeout) {
@@ -316,14 +335,14 @@
 
     /** Refuses a request whose body is still arriving if it can't end before this host stops. */
     void refuseIfOutOfTime(long nowNanos) {
-        if (!responding && !writer.isClosing() && head != null) {
-            refusals.outOfTime(head, nowNanos).ifPresent(this::refuse);
+        if (!responding && !writer.isClosing() && request.hasHead()) {
+            refusals.outOfTime(request.head(), nowNanos).ifPresent(this::refuse);
         }
     }
 
     /** Refuses a request that has not arrived completely. */
     void refuseIncomplete() {
-        if (!responding && !writer.isClosing() && (head != null || timeouts.isReadingHead())) {
+        if (!responding && !writer.isClosing() && (request.hasHead() || timeouts.isReadingHead())) {
             refuse(refusals.shutdown());
         }
     }
@@ -337,8 +356,18 @@
         });
     }
 
+    /** Closes the connection, which has no request in progress, in favour of another one. */
+    void closeForAnother() {
+        writer.close();
+        server.closed(this);
+    }
+
+    long lastActivityNanos() {
+        return timeouts.lastActivityNanos();
+    }
+
     boolean isBusy() {
-        return responding || head != null;
+        return responding || request.hasHead();
     }
 
     /** Whether a part of a request has arrived or a response is not written yet. */
--- a/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerServer.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerServer.java
@@ -6,8 +6,13 @@
 import io.figspan.gateway.forward.InFlightCall;
 import io.figspan.gateway.http.ByteBudget;
 import io.figspan.gateway.http.Channels;
+import io.figspan.gateway.http.ClientMemory;
+import io.figspan.gateway.http.DescriptorLimit;
+import io.figspan.gateway.http.MeteredHeadersFactory;
+import io.figspan.gateway.http.PausableServerCodec;
 import io.figspan.gateway.log.UnexpectedErrors;
 import io.figspan.gateway.protocol.CallerProtocol;
+import io.figspan.gateway.protocol.CallerRequest;
 import io.figspan.settings.gateway.CallerLimits;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
@@ -21,14 +26,15 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeadersFactory;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpServerCodec;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -48,11 +54,16 @@
      */
     private static final int CONNECTIONS_PER_PASS = 512;
 
+    /** A request in progress has a connection to a server beside the one of its caller. */
+    private static final int DESCRIPTORS_PER_CONNECTION = 2;
+
     private final EventLoop loop;
     private final Forwarder forwarder;
     private final CallerProtocol protocol;
     private final UnexpectedErrors errors;
     private final ByteBudget bodies = new ByteBudget(MAX_BODIES_BYTES);
+    private final ClientMemory memory = ClientMemory.ofHeap();
+    private final int maxConnections = DescriptorLimit.ofProcess() / DESCRIPTORS_PER_CONNECTION;
     private final Set<CallerConnection> connections = new HashSet<>();
     private CallerLimits limits = CallerLimits.DEFAULT;
     private boolean draining;
@@ -96,18 +107,36 @@
     }
 
     private void initialize(Channel channel) {
-        HttpDecoderConfig config = new HttpDecoderConfig()
-                .setMaxInitialLineLength(limits.maxHeaderBytes())
-                .setMaxHeaderSize(limits.maxHeaderBytes());
+        if (connections.size() >= maxConnections && !closeLongestIdle()) {
+            Channels.close(channel);
+            return;
+        }
         CallerConnection connection = new CallerConnection(this, channel, limits);
+        HttpHeadersFactory lines = new MeteredHeadersFactory(connection.memory(), limits.maxHeaderLines());
+        PausableServerCodec codec = new PausableServerCodec(new HttpDecoderConfig()
+                .setMaxInitialLineLength(limits.maxHeaderBytes())
+                .setMaxHeaderSize(limits.maxHeaderBytes())
+                .setHeadersFactory(lines)
+                .setTrailersFactory(lines));
+        connection.setCodec(codec);
         channel.pipeline().addLast(new ChannelInboundHandlerAdapter() {
             @Override
             public void channelRead(ChannelHandlerContext ctx, Object bytes) {
                 connection.bytesReceived();
                 ctx.fireChannelRead(bytes);
+                connection.bytesDecoded();
             }
         });
-        channel.pipeline().addLast(new HttpServerCodec(config), connection);
+        channel.pipeline().addLast(codec, connection);
+    }
+
+    /** Closes the connection that has been without a request for longest, to make room for another one. */
+    private boolean closeLongestIdle() {
+        Optional<CallerConnection> longestIdle = connections.stream()
+                .filter(connection -> !connection.isBusy() && !connection.hasUnsentBytes())
+                .min(Comparator.comparingLong(CallerConnection::lastActivityNanos));
+        longestIdle.ifPresent(CallerConnection::closeForAnother);
+        return longestIdle.isPresent();
     }
 
     /** Sets the limits of all connections. A connection with another limit for heads is closed after its response. */
@@ -166,6 +195,11 @@
         return connections.size();
     }
 
+    /** Number of connections that have lost what they held, because all connections held too much. */
+    public long evictions() {
+        return memory.evictions();
+    }
+
     /** Number of connections with a request in progress. */
     public long busy() {
         return connections.stream().filter(CallerConnection::isBusy).count();
@@ -211,13 +245,22 @@
         return draining;
     }
 
-    Optional<InFlightCall> accept(HttpRequest head, ByteBuf body, CallerExchange exchange) {
-        return forwarder.accept(protocol.decode(head), body, exchange);
+    /** The memory budgets of all connections. */
+    ClientMemory memory() {
+        return memory;
+    }
+
+    CallerRequest decode(HttpRequest head) {
+        return protocol.decode(head);
+    }
+
+    Optional<InFlightCall> accept(CallerRequest request, ByteBuf body, CallerExchange exchange) {
+        return forwarder.accept(request, body, exchange);
     }
 
     /** The refusal of a request that is still arriving and that can't end before this host stops. */
-    Optional<Problem> refusalOfIncomplete(HttpRequest head, long nowNanos) {
-        return draining ? forwarder.refusalOfIncomplete(protocol.decode(head), nowNanos) : Optional.empty();
+    Optional<Problem> refusalOfIncomplete(CallerRequest request, long nowNanos) {
+        return draining ? forwarder.refusalOfIncomplete(request, nowNanos) : Optional.empty();
     }
 
     Problem shutdownRefusal() {
--- a/figspan-gateway/src/main/java/io/figspan/gateway/caller/ReceiveTimeouts.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/caller/ReceiveTimeouts.java
@@ -57,6 +57,11 @@
         headNanos = OptionalLong.empty();
     }
 
+    /** Time of the last bytes that were awaited. */
+    long lastActivityNanos() {
+        return lastActivityNanos;
+    }
+
     /** Whether a part of a request has been received, but not all of its head. */
     boolean isReadingHead() {
         return readingHead;
--- a/figspan-gateway/src/main/java/io/figspan/gateway/caller/Refusals.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/caller/Refusals.java
@@ -3,8 +3,9 @@
 import io.figspan.core.error.Problem;
 import io.figspan.core.error.ProblemKind;
 import io.figspan.gateway.forward.ProblemResponses;
+import io.figspan.gateway.http.MeteredHeadersFactory;
+import io.figspan.gateway.protocol.CallerRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
@@ -12,8 +13,8 @@
 
 /** The responses to requests that are refused before they have arrived completely. */
 final class Refusals {
-    /** Retry-After when the memory for bodies is full. */
-    private static final long BODY_MEMORY_RETRY_MS = 500;
+    /** Retry-After when the memory for heads or bodies is full. */
+    private static final long MEMORY_RETRY_MS = 500;
 
     /** Retry-After for callers that need a new connection. */
     private static final long NEW_CONNECTION_RETRY_MS = 20;
@@ -41,11 +42,21 @@
     FullHttpResponse bodyMemoryFull() {
         return ProblemResponses.of(
                 Problem.notRun(ProblemKind.OVERLOADED, "the bodies of requests in progress fill the memory")
-                        .withRetryAfterMs(BODY_MEMORY_RETRY_MS));
+                        .withRetryAfterMs(MEMORY_RETRY_MS));
+    }
+
+    /** The refusal of a request whose head would exceed the memory limit of all heads. */
+    FullHttpResponse headMemoryFull() {
+        return ProblemResponses.of(
+                Problem.notRun(ProblemKind.OVERLOADED, "the heads of requests in progress fill the memory")
+                        .withRetryAfterMs(MEMORY_RETRY_MS));
     }
 
     /** The refusal of a message that could not be decoded. */
     FullHttpResponse malformed(Throwable cause) {
+        if (cause instanceof MeteredHeadersFactory.NoRoomException) {
+            return headMemoryFull();
+        }
         if (cause instanceof TooLongHttpHeaderException) {
             return tooLong(cause, HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE);
         }
@@ -71,13 +82,13 @@
     }
 
     /** The refusal of a request whose body is still arriving, if it can't end before this host stops. */
-    Optional<FullHttpResponse> outOfTime(HttpRequest head, long nowNanos) {
-        return refusalOfIncomplete(head, nowNanos).map(ProblemResponses::of);
+    Optional<FullHttpResponse> outOfTime(CallerRequest request, long nowNanos) {
+        return refusalOfIncomplete(request, nowNanos).map(ProblemResponses::of);
     }
 
-    private Optional<Problem> refusalOfIncomplete(HttpRequest head, long nowNanos) {
+    private Optional<Problem> refusalOfIncomplete(CallerRequest request, long nowNanos) {
         try {
-            return server.refusalOfIncomplete(head, nowNanos);
+            return server.refusalOfIncomplete(request, nowNanos);
         } catch (RuntimeException e) {
             server.errors().report(e);
             return Optional.empty();
--- a/figspan-gateway/src/main/java/io/figspan/gateway/caller/ResponseWriter.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/caller/ResponseWriter.java
@@ -1,6 +1,8 @@
 package io.figspan.gateway.caller;
 
 import io.figspan.gateway.http.Channels;
+import io.figspan.gateway.http.ClientMemory;
+import io.figspan.gateway.http.ClientMemory.Kind;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -25,21 +27,28 @@
     private final CallerServer server;
     private final Channel channel;
     private final int maxHeaderBytes;
-    private final PipelinedMessages pipelined;
+    private final ClientMemory.Account memory;
+    private PipelinedBytes pipelined;
     private boolean keepAlive = true;
     private boolean closing;
     private long closingNanos;
     private boolean mayReceiveMore;
+    private long lastUnsentBytes;
+    private long lastReadNanos;
 
     /**
      * Creates the writer of one connection.
      *
      * @param maxHeaderBytes limit for heads under which the connection was accepted
      */
-    ResponseWriter(CallerServer server, Channel channel, int maxHeaderBytes, PipelinedMessages pipelined) {
+    ResponseWriter(CallerServer server, Channel channel, int maxHeaderBytes, ClientMemory.Account memory) {
         this.server = server;
         this.channel = channel;
         this.maxHeaderBytes = maxHeaderBytes;
+        this.memory = memory;
+    }
+
+    void setPipelined(PipelinedBytes pipelined) {
         this.pipelined = pipelined;
     }
 
@@ -98,7 +107,25 @@
 
     /** Writes the end of a response, after which the connection stays open. */
     void finish(Object lastMessage) {
-        Channels.writeAndFlush(channel, lastMessage);
+        ChannelFuture written = channel.writeAndFlush(lastMessage);
+        countUnread(written);
+    }
+
+    /** Counts what the caller has not read of a complete response, until all of it is written. */
+    private void countUnread(ChannelFuture written) {
+        ChannelOutboundBuffer unsent = channel.unsafe().outboundBuffer();
+        if (written.isDone() || unsent == null) {
+            return;
+        }
+        if (!memory.trySet(Kind.UNREAD_ANSWERS, unsent.totalPendingWriteBytes())) {
+            Channels.close(channel);
+            return;
+        }
+        written.addListener(ignored -> {
+            if (!hasUnsentBytes()) {
+                memory.release(Kind.UNREAD_ANSWERS);
+            }
+        });
     }
 
     /** Writes the end of the last response, and closes the connection. */
@@ -107,6 +134,7 @@
         closingNanos = nowNanos;
         mayReceiveMore |= !pipelined.isEmpty();
         ChannelFuture written = channel.writeAndFlush(lastMessage);
+        countUnread(written);
         if (mayReceiveMore) {
             written.addListener((ChannelFuture sent) -> shutdownOutput(sent));
         } else {
@@ -165,6 +193,17 @@
         closing = true;
     }
 
+    /** Whether the caller has read nothing of the last response for longer than a connection may be idle. */
+    boolean isUnreadTooLong(long idleTimeoutMs, long nowNanos) {
+        ChannelOutboundBuffer unsent = channel.unsafe().outboundBuffer();
+        long unsentBytes = closing && unsent != null ? unsent.totalPendingWriteBytes() : 0;
+        if (unsentBytes != lastUnsentBytes) {
+            lastUnsentBytes = unsentBytes;
+            lastReadNanos = nowNanos;
+        }
+        return unsentBytes > 0 && nowNanos - lastReadNanos > TimeUnit.MILLISECONDS.toNanos(idleTimeoutMs);
+    }
+
     /** Whether the caller has not closed the connection in time after the last response. */
     boolean hasLingeredTooLong(long nowNanos) {
         return mayReceiveMore && closing && nowNanos - closingNanos > MAX_LINGER_NANOS;
--- a/figspan-gateway/src/main/java/io/figspan/gateway/http/Channels.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/http/Channels.java
@@ -10,7 +10,8 @@
  * channel, and its handlers are notified of the close.
  */
 public final class Channels {
-    private static final int READ_BYTES = 16 * 1_024;
+    /** Size of the buffer that each read fills. */
+    public static final int READ_BYTES = 16 * 1_024;
 
     /** Enough for the longest head and a small body, which are then received at once. */
     private static final int MAX_READS_PER_TURN = 2;
--- a/figspan-gateway/src/main/java/io/figspan/gateway/protocol/CallerRequest.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/protocol/CallerRequest.java
@@ -2,7 +2,6 @@
 
 import io.figspan.core.id.PromptPartId;
 import io.figspan.policy.placing.PromptLengths;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import java.util.List;
 import java.util.Optional;
@@ -27,7 +26,7 @@
         HttpMethod method,
         String target,
         String hostName,
-        HttpHeaders headers,
+        HeaderBlock headers,
         String attemptId,
         OptionalLong waitMs,
         Optional<String> key,
@@ -37,10 +36,18 @@
     /** As many different parts as the longest head, of 16 KB, can name; further ones are ignored. */
     public static final int MAX_SHARED_PARTS = 4_096;
 
+    /** Objects of one part with a short id. */
+    private static final int PART_BYTES = 96;
+
     public CallerRequest {
         sharedParts = List.copyOf(sharedParts);
     }
 
+    /** Memory that this request takes, without its body. */
+    public long memoryBytes() {
+        return headers.lengthBytes() + target.length() + (long) PART_BYTES * sharedParts.size();
+    }
+
     /** The target without its query. */
     public String path() {
         int query = target.indexOf('?');
--- a/figspan-gateway/src/test/java/io/figspan/gateway/ScriptedServer.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/ScriptedServer.java
@@ -10,6 +10,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -28,8 +29,18 @@
         void answer(Received request, Connection connection) throws IOException;
     }
 
-    /** A received request; header names are in lower case. */
-    public record Received(String method, String target, Map<String, String> headers, String body, int connection) {
+    /**
+     * A received request; header names are in lower case.
+     *
+     * @param lines the header lines as they were received
+     */
+    public record Received(
+            String method,
+            String target,
+            Map<String, String> headers,
+            List<String> lines,
+            String body,
+            int connection) {
         public String header(String name) {
             return headers.getOrDefault(name, "");
         }
@@ -135,7 +146,9 @@
     private static Received read(InputStream in, int number) throws IOException {
         String[] requestLine = readLine(in).split(" ", -1);
         Map<String, String> headers = new TreeMap<>();
+        List<String> lines = new ArrayList<>();
         for (String line = readLine(in); !line.isEmpty(); line = readLine(in)) {
+            lines.add(line);
             int colon = line.indexOf(':');
             headers.put(
                     line.substring(0, colon).toLowerCase(Locale.ROOT),
@@ -143,7 +156,7 @@
         }
         int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
         String body = new String(in.readNBytes(length), StandardCharsets.ISO_8859_1);
-        return new Received(requestLine[0], requestLine[1], headers, body, number);
+        return new Received(requestLine[0], requestLine[1], headers, lines, body, number);
     }
 
     private static String readLine(InputStream in) throws IOException {
--- a/figspan-gateway/src/test/java/io/figspan/gateway/TestProtocol.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/TestProtocol.java
@@ -7,6 +7,7 @@
 import io.figspan.gateway.protocol.BackendResponse;
 import io.figspan.gateway.protocol.CallerProtocol;
 import io.figspan.gateway.protocol.CallerRequest;
+import io.figspan.gateway.protocol.HeaderBlock;
 import io.figspan.policy.placing.PromptLengths;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -49,7 +50,7 @@
                 head.method(),
                 head.uri(),
                 headers.get("host", ""),
-                forwarded,
+                HeaderBlock.of(forwarded),
                 headers.get("attempt", ""),
                 headers.contains("wait-ms") ? OptionalLong.of(headers.getInt("wait-ms")) : OptionalLong.empty(),
                 Optional.ofNullable(headers.get("key")),
@@ -69,10 +70,10 @@
 
     @Override
     public FullHttpRequest encode(CallerRequest request, ByteBuf body, AttemptParameters attempt) {
-        if (request.headers().contains(ENCODING_FAULT)) {
+        if (request.headers().toHeaders().contains(ENCODING_FAULT)) {
             throw new IllegalStateException("a fault of the program");
         }
-        HttpHeaders headers = request.headers().copy();
+        HttpHeaders headers = request.headers().toHeaders();
         headers.set("server", attempt.server().value());
         headers.set("wait-ms", Long.toString(attempt.waitMs()));
         attempt.organisation().ifPresent(organisation -> headers.set("organisation", organisation.value()));
--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/BrokenAnswerTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/BrokenAnswerTest.java
@@ -11,6 +11,7 @@
 import java.io.IOException;
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
@@ -126,7 +127,7 @@
     }
 
     private static Received anyRequest() {
-        return new Received("POST", "/", Map.of("attempt", "a-1"), "", 1);
+        return new Received("POST", "/", Map.of("attempt", "a-1"), List.of(), "", 1);
     }
 
     private static Stream<Arguments> cases() {
--- a/figspan-settings/src/main/java/io/figspan/settings/gateway/CallerLimits.java
+++ b/figspan-settings/src/main/java/io/figspan/settings/gateway/CallerLimits.java
@@ -11,4 +11,12 @@
 public record CallerLimits(int maxHeaderBytes, int maxBodyBytes, long headerTimeoutMs, long idleTimeoutMs) {
     /** Limits used until settings are available. */
     public static final CallerLimits DEFAULT = new CallerLimits(16_384, 4 * 1_024 * 1_024, 3_000, 15_000);
+
+    /** Length of the shortest ordinary line: a name of one character, a colon, and the end of the line. */
+    private static final int MIN_LINE_BYTES = 4;
+
+    /** Maximum number of lines of a head, or of the trailers of a body: as many short lines as its size admits. */
+    public int maxHeaderLines() {
+        return maxHeaderBytes / MIN_LINE_BYTES;
+    }
 }
