--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Attempt.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Attempt.java
@@ -195,7 +195,9 @@
      */
     @Override
     public boolean mayWrite() {
-        return pools.acceptsRequests(server()) && readers.stream().noneMatch(pools::isEvacuated) && listener.mayWrite(this);
+        return pools.acceptsRequests(server())
+                && readers.stream().noneMatch(pools::isEvacuated)
+                && listener.mayWrite(this);
     }
 
     /** Whether the server or a helper is in an evacuated zone. */
