--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/EvacuationDecisionsTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/EvacuationDecisionsTest.java
@@ -197,7 +197,7 @@
         dispatchers.apply(new GatewaySettings(
                 new SettingsVersion(1),
                 List.of(),
-                Map.of(ENGINES, new ServiceProfile(ENGINES, "", 0, Optional.of(ENGINE))),
+                Map.of(ENGINES, new ServiceProfile(ENGINES, "", 0, 0, 0, Optional.of(ENGINE))),
                 CallerLimits.DEFAULT,
                 CallerAccess.OPEN));
         long before = random.draws;
--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/FairShareJobsTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/FairShareJobsTest.java
@@ -8,6 +8,7 @@
 import io.figspan.gateway.log.DecisionLog;
 import io.figspan.gateway.metrics.GatewayMetrics;
 import io.figspan.gateway.protocol.CallerRequest;
+import io.figspan.gateway.protocol.HeaderBlock;
 import io.figspan.policy.placing.Job;
 import io.figspan.policy.placing.ShareChange;
 import io.figspan.settings.gateway.OrganisationKeys;
@@ -32,7 +33,7 @@
                 HttpMethod.POST,
                 "/",
                 "host",
-                EmptyHttpHeaders.INSTANCE,
+                HeaderBlock.of(EmptyHttpHeaders.INSTANCE),
                 "attempt",
                 OptionalLong.empty(),
                 Optional.empty(),
