--- a/figspan-policy/src/main/java/io/figspan/policy/placing/EnginePlacer.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/EnginePlacer.java
@@ -262,9 +262,7 @@
 
     @Override
     public List<Job> takeWaiting() {
-        List<Job> waitingJobs = queue.stream().map(waiting -> waiting.job).toList();
-        queue.clear();
-        return waitingJobs;
+        return waiting.takeAll();
     }
 
     @Override
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/WaitingJobs.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/WaitingJobs.java
@@ -67,6 +67,16 @@
         queue.removeFirst(OrganisationWork.ownerOf(job), waiting -> waiting.job == job);
     }
 
+    /** Removes and returns all jobs in the order of fair shares; none of them counts as served. */
+    List<Job> takeAll() {
+        List<Job> jobs = new ArrayList<>();
+        queue.serve(0, entry -> {
+            jobs.add(entry.item().job);
+            return Decision.DROP;
+        });
+        return jobs;
+    }
+
     /** Counts a job that was sent without queueing. */
     void sentDirectly(Job job) {
         queue.charge(OrganisationWork.ownerOf(job), OrganisationWork.tokensOf(job));
