--- a/figspan-policy/src/main/java/io/figspan/policy/affinity/package-info.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/affinity/package-info.java
@@ -1,2 +1,2 @@
-/** Prefix-cache affinity by rendezvous hashing with bounded loads. */
+/** Prefix-cache affinity: weighed for each request, and by rendezvous hashing with bounded loads. */
 package io.figspan.policy.affinity;
