EnginePlacer: the prefill that an engine saves competes with the wait

Jobs carry the leading parts of their prompt. A candidate's prefill is forecast from the tokens that it probably doesn't hold. Active only for services with prefix_retention_ms.

--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/JobFactory.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/JobFactory.java
@@ -28,6 +28,7 @@
                 TimeUnit.MILLISECONDS.toNanos(route.maxGapMs()),
                 rank,
                 request.prompt(),
-                organisation.map(OrganisationKeys::id));
+                organisation.map(OrganisationKeys::id),
+                request.prefix());
     }
 }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatchers.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ServiceDispatchers.java
@@ -18,6 +18,7 @@
 import io.figspan.policy.retry.WindowedRetryBudget;
 import io.figspan.settings.gateway.EngineProfile;
 import io.figspan.settings.gateway.GatewaySettings;
+import io.figspan.settings.gateway.PrefixRetention;
 import io.figspan.settings.gateway.ServiceProfile;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -116,7 +117,8 @@
                 .forEach((service, servers) -> serversByService.put(
                         service,
                         servers.stream()
-                                .map(server -> new AvailableServer(server.id(), server.slots()))
+                                .map(server ->
+                                        new AvailableServer(server.id(), server.slots(), server.incarnationNumber()))
                                 .toList()));
         dispatchers.keySet().forEach(service -> serversByService.putIfAbsent(service, List.of()));
         return serversByService;
@@ -128,9 +130,10 @@
 
     private ServiceDispatcher newDispatcher(ServiceId service) {
         RequestGate gate = requestLimits.and(pools.pauses());
-        Optional<EngineProfile> engine =
-                Optional.ofNullable(settings.services().get(service)).flatMap(ServiceProfile::engine);
-        Placer placer = engine.<Placer>map(profile -> new EnginePlacer(profile, random, gate))
+        Optional<ServiceProfile> known = Optional.ofNullable(settings.services().get(service));
+        Optional<EngineProfile> engine = known.flatMap(ServiceProfile::engine);
+        Optional<PrefixRetention> retention = known.flatMap(ServiceProfile::prefixRetention);
+        Placer placer = engine.<Placer>map(profile -> new EnginePlacer(profile, random, gate, retention))
                 .orElseGet(() -> new LeastBusyPlacer(random, gate));
         ServerSubset subset = engine.isPresent() ? new ServerSubset.OwnCell(self, hosts) : new ServerSubset.All();
         return new ServiceDispatcher(
--- a/figspan-gateway/src/main/java/io/figspan/gateway/protocol/CallerRequest.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/protocol/CallerRequest.java
@@ -1,6 +1,7 @@
 package io.figspan.gateway.protocol;
 
 import io.figspan.core.id.PromptPartId;
+import io.figspan.policy.affinity.PromptPrefix;
 import io.figspan.policy.placing.PromptLengths;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -21,6 +22,7 @@
  * @param prompt lengths of the prompt, if the request has one
  * @param sharedParts the different parts of the prompt that other prompts may share, in their order; at most {@link
  *     #MAX_SHARED_PARTS}
+ * @param prefix the leading shared parts whose ids and lengths can be read
  * @param lastEventId id of the last event that the caller received of a stream that it resumes
  */
 public record CallerRequest(
@@ -33,6 +35,7 @@
         Optional<String> key,
         Optional<PromptLengths> prompt,
         List<PromptPartId> sharedParts,
+        PromptPrefix prefix,
         OptionalLong lastEventId) {
     /** As many different parts as the longest head, of 16 KB, can name; further ones are ignored. */
     public static final int MAX_SHARED_PARTS = 4_096;
--- a/figspan-gateway/src/test/java/io/figspan/gateway/TestProtocol.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/TestProtocol.java
@@ -7,6 +7,7 @@
 import io.figspan.gateway.protocol.BackendResponse;
 import io.figspan.gateway.protocol.CallerProtocol;
 import io.figspan.gateway.protocol.CallerRequest;
+import io.figspan.policy.affinity.PromptPrefix;
 import io.figspan.policy.placing.PromptLengths;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -56,6 +57,7 @@
                 Optional.ofNullable(headers.getInt("prompt-tokens"))
                         .map(tokens -> new PromptLengths(tokens, 1_000, OptionalInt.empty())),
                 headers.getAll("shared-part").stream().map(PromptPartId::of).toList(),
+                PromptPrefix.EMPTY,
                 headers.contains("last-event-id")
                         ? OptionalLong.of(headers.getInt("last-event-id"))
                         : OptionalLong.empty());
--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/FairShareJobsTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/FairShareJobsTest.java
@@ -8,6 +8,7 @@
 import io.figspan.gateway.log.DecisionLog;
 import io.figspan.gateway.metrics.GatewayMetrics;
 import io.figspan.gateway.protocol.CallerRequest;
+import io.figspan.policy.affinity.PromptPrefix;
 import io.figspan.policy.placing.Job;
 import io.figspan.policy.placing.ShareChange;
 import io.figspan.settings.gateway.OrganisationKeys;
@@ -38,6 +39,7 @@
                 Optional.empty(),
                 Optional.empty(),
                 List.of(),
+                PromptPrefix.EMPTY,
                 OptionalLong.empty());
         return JobFactory.create(request, route, organisation, 0);
     }
--- a/figspan-policy/src/main/java/io/figspan/policy/engine/PrefillShare.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/engine/PrefillShare.java
@@ -18,6 +18,12 @@
         return new PrefillShare(promptTokens / engines, attentionPairs / engines, engines);
     }
 
+    /** Returns what one engine prefills of a prompt when it holds its first {@code prefixTokens} in memory. */
+    public static PrefillShare afterPrefix(double promptTokens, double prefixTokens) {
+        double attentionPairs = (promptTokens * promptTokens - prefixTokens * prefixTokens) / 2;
+        return new PrefillShare(promptTokens - prefixTokens, attentionPairs, 1);
+    }
+
     /** Whether the prompt is split among several engines; shares of split prompts go before whole prompts. */
     public boolean isSplit() {
         return engines > 1;
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/EnginePlacer.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/EnginePlacer.java
@@ -10,7 +10,9 @@
 import io.figspan.policy.engine.LatenessLoss;
 import io.figspan.policy.engine.PrefillShare;
 import io.figspan.policy.placing.PrefillPlan.Helper;
+import io.figspan.policy.placing.PrefillPlanner.PrefillRequest;
 import io.figspan.settings.gateway.EngineProfile;
+import io.figspan.settings.gateway.PrefixRetention;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -40,6 +42,7 @@
     private final RandomGenerator random;
     private final RequestGate gate;
     private final EngineFleet fleet;
+    private final CachedPrefill cachedPrefill;
     private final Map<Job, PlacedJob> placedJobs = new LinkedHashMap<>();
     private final SilentJobs silentJobs = new SilentJobs();
     private long nextKey = 1;
@@ -51,7 +54,7 @@
 
     /** Creates a placer without engines whose requests are not limited. */
     public EnginePlacer(EngineProfile profile, RandomGenerator random) {
-        this(profile, random, RequestGate.OPEN);
+        this(profile, random, RequestGate.OPEN, Optional.empty());
     }
 
     /**
@@ -59,12 +62,15 @@
      *
      * @param random breaks ties between equally good engines, so that hosts don't all start with the same one
      * @param gate tells which engines accept another request, or hold memory for one, now
+     * @param retention how long the engines keep prefixes; empty if placement takes no account of them
      */
-    public EnginePlacer(EngineProfile profile, RandomGenerator random, RequestGate gate) {
+    public EnginePlacer(
+            EngineProfile profile, RandomGenerator random, RequestGate gate, Optional<PrefixRetention> retention) {
         this.profile = profile;
         this.random = random;
         this.gate = gate;
         this.fleet = new EngineFleet(profile, random, gate);
+        this.cachedPrefill = new CachedPrefill(retention);
         this.peerJobs = new PeerJobs(fleet.byId(), this::takeKey);
     }
 
@@ -77,6 +83,7 @@
     @Override
     public void serversChanged(List<AvailableServer> servers, long nowNanos) {
         fleet.serversChanged(servers, nowNanos);
+        cachedPrefill.enginesChanged(servers, fleet.byId().keySet());
     }
 
     // Jobs
@@ -90,7 +97,7 @@
             }
             return List.of(placement.get());
         }
-        double prefillMs = PrefillShare.of(promptTokens(job), 1).prefillMs(profile);
+        double prefillMs = PrefillShare.of(job.promptTokens(), 1).prefillMs(profile);
         return waiting.add(job, PlacementRetryInterval.nanos(prefillMs), nowNanos)
                 .map(displaced -> List.of(displace(displaced, nowNanos)))
                 .orElse(List.of());
@@ -129,13 +136,8 @@
 
     private Optional<Placement> place(Job job, EngineFleet.Candidates candidates, FairShare share, long nowNanos) {
         double nowMs = Millis.of(nowNanos);
-        PrefillPlanner.PrefillRequest request = new PrefillPlanner.PrefillRequest(
-                promptTokens(job),
-                job.prompt().map(PromptLengths::maxMemoryTokens).orElse(0L),
-                dueMs(job),
-                CallerPatience.abandonMs(job),
-                maxGapMs(job),
-                JobWeight.of(job.prompt()));
+        SavedPrefill saved = cachedPrefill.of(job, candidates.primaries(), nowNanos);
+        PrefillRequest request = PrefillRequest.of(job, saved);
         Optional<PrefillPlan> plan = planner.plan(request, candidates.primaries(), candidates.helpers(), nowMs);
         if (plan.isEmpty()) {
             return Optional.empty();
@@ -153,12 +155,13 @@
         return Optional.empty();
     }
 
-    private Placement send(Job job, PrefillPlan plan, PrefillPlanner.PrefillRequest request, long nowNanos) {
+    private Placement send(Job job, PrefillPlan plan, PrefillRequest request, long nowNanos) {
         double nowMs = Millis.of(nowNanos);
         long outputTokens = job.prompt().map(PromptLengths::maxOutputTokens).orElse(0L);
         RequestTraits traits = request.traits(request.promptTokens() - plan.heldElsewhereTokens());
+        double latestDoneMs = request.latestDoneMs(plan);
         PlacedJob placedJob =
-                new PlacedJob(takeKey(), plan.primary(), plan.helpers(), nowNanos, outputTokens, traits, plan.doneMs());
+                new PlacedJob(takeKey(), plan.primary(), plan.helpers(), nowNanos, outputTokens, traits, latestDoneMs);
         started(job, placedJob);
         job.tried().add(plan.primary().id());
         recordSent(plan, nowNanos);
@@ -168,7 +171,8 @@
                 + " dueInMs=" + Math.round(request.dueMs() - nowMs)
                 + " readInMs=" + Math.round(plan.doneMs() - nowMs)
                 + " lossPercent=" + Math.round(plan.totalLoss() * PERCENT)
-                + " writers=" + plan.primary().simulation().decodingRequests();
+                + " writers=" + plan.primary().simulation().decodingRequests()
+                + request.saved().reason(plan);
         List<PrefillReader> helpers =
                 plan.helpers().stream().map(Helper::toPrefillReader).toList();
         return new Placement.Send(job, plan.primary().id(), OptionalInt.empty(), helpers, reason);
@@ -177,6 +181,7 @@
     private void started(Job job, PlacedJob placedJob) {
         if (placedJobs.put(job, placedJob) == null) {
             work.started(job);
+            cachedPrefill.started(job, placedJob.primary);
         }
     }
 
@@ -226,6 +231,7 @@
             return List.of();
         }
         work.ended(job);
+        cachedPrefill.ended(job, placedJob.primary, outcome, nowNanos);
         double nowMs = Millis.of(nowNanos);
         SimulatedRequests.remove(placedJob.key, placedJob.primary, placedJob.helpers, nowMs);
         if (outcome == AttemptOutcome.SILENT) {
@@ -320,7 +326,7 @@
                 placedJob.key,
                 placedJob.primary.id(),
                 placedJob.prefillReaders(),
-                (long) promptTokens(job),
+                (long) job.promptTokens(),
                 placedJob.outputTokens,
                 placedJob.generatedTokens,
                 Math.max(0, TimeUnit.NANOSECONDS.toMillis(nowNanos - placedJob.sentNanos)),
@@ -331,10 +337,6 @@
 
     // Units
 
-    private static double promptTokens(Job job) {
-        return job.prompt().map(PromptLengths::promptTokens).orElse(0L);
-    }
-
     private static double dueMs(Job job) {
         return Millis.of(job.waitingSinceNanos() + job.allowedWaitNanos());
     }
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/Job.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/Job.java
@@ -3,6 +3,7 @@
 import io.figspan.core.id.BackendServerId;
 import io.figspan.core.id.OrganisationId;
 import io.figspan.core.time.Deadline;
+import io.figspan.policy.affinity.PromptPrefix;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -17,6 +18,7 @@
     private final int rank;
     private final Optional<PromptLengths> prompt;
     private final Optional<OrganisationId> organisation;
+    private final PromptPrefix prefix;
     private final Set<BackendServerId> tried = new HashSet<>();
     private Optional<BackendServerId> pinnedServer = Optional.empty();
     private boolean awaitsSlot;
@@ -35,6 +37,28 @@
         this(requestId, arrivedNanos, deadline, targetLatencyNanos, maxGapNanos, rank, prompt, Optional.empty());
     }
 
+    /** Creates a job whose prompt has no parts in common with others. */
+    public Job(
+            String requestId,
+            long arrivedNanos,
+            Deadline deadline,
+            long targetLatencyNanos,
+            long maxGapNanos,
+            int rank,
+            Optional<PromptLengths> prompt,
+            Optional<OrganisationId> organisation) {
+        this(
+                requestId,
+                arrivedNanos,
+                deadline,
+                targetLatencyNanos,
+                maxGapNanos,
+                rank,
+                prompt,
+                organisation,
+                PromptPrefix.EMPTY);
+    }
+
     /**
      * Creates a job that has not been sent yet. Instants are monotonic time in nanoseconds.
      *
@@ -46,6 +70,7 @@
      * @param rank priority; 0 is the most urgent
      * @param prompt token counts of the prompt; empty when the request has none
      * @param organisation the organisation whose key the request carries; empty when it carries none
+     * @param prefix the parts of the prompt that other prompts may share
      */
     public Job(
             String requestId,
@@ -55,7 +80,8 @@
             long maxGapNanos,
             int rank,
             Optional<PromptLengths> prompt,
-            Optional<OrganisationId> organisation) {
+            Optional<OrganisationId> organisation,
+            PromptPrefix prefix) {
         this.requestId = requestId;
         this.arrivedNanos = arrivedNanos;
         this.deadline = deadline;
@@ -64,6 +90,7 @@
         this.rank = rank;
         this.prompt = prompt;
         this.organisation = organisation;
+        this.prefix = prefix;
     }
 
     public String requestId() {
@@ -98,12 +125,25 @@
         return organisation;
     }
 
+    PromptPrefix prefix() {
+        return prefix;
+    }
+
+    /** Length of the prompt; 0 when the request has none. */
+    double promptTokens() {
+        return prompt.map(PromptLengths::promptTokens).orElse(0L);
+    }
+
     /** Records that a piece of the answer has arrived. */
     public void pieceArrived(long nowNanos) {
         answerStarted = true;
         lastPieceNanos = nowNanos;
     }
 
+    boolean hasAnswerStarted() {
+        return answerStarted;
+    }
+
     /** Start of the caller's current wait: the arrival of the request, or of the latest piece. */
     long waitingSinceNanos() {
         return answerStarted ? lastPieceNanos : arrivedNanos;
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/Placer.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/Placer.java
@@ -64,8 +64,17 @@
     /** Number of queued jobs. */
     int waiting();
 
-    /** A server that accepts new work, at most {@code slots} jobs at once. */
-    record AvailableServer(BackendServerId id, int slots) {}
+    /**
+     * A server that accepts new work.
+     *
+     * @param slots maximum number of jobs at once
+     * @param incarnationNumber differs for each process that starts under the id
+     */
+    record AvailableServer(BackendServerId id, int slots, long incarnationNumber) {
+        public AvailableServer(BackendServerId id, int slots) {
+            this(id, slots, 0);
+        }
+    }
 
     /** How an attempt, one sending of a job to a server, ended. */
     enum AttemptOutcome {
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/PrefillPlanner.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/PrefillPlanner.java
@@ -68,9 +68,39 @@
      * @param abandonMs time at which the caller has given up
      * @param maxGapMs longest gap within the answer that is on time; 0 when there is no limit
      * @param weight value of an answer on time
+     * @param saved prefill that engines save because they hold a prefix of the prompt
      */
     record PrefillRequest(
-            double promptTokens, double memoryTokens, double dueMs, double abandonMs, double maxGapMs, double weight) {
+            double promptTokens,
+            double memoryTokens,
+            double dueMs,
+            double abandonMs,
+            double maxGapMs,
+            double weight,
+            SavedPrefill saved) {
+        static PrefillRequest of(Job job, SavedPrefill saved) {
+            return new PrefillRequest(
+                    job.promptTokens(),
+                    job.prompt().map(PromptLengths::maxMemoryTokens).orElse(0L),
+                    Millis.of(job.waitingSinceNanos() + job.allowedWaitNanos()),
+                    CallerPatience.abandonMs(job),
+                    Millis.of(job.maxGapNanos()),
+                    JobWeight.of(job.prompt()),
+                    saved);
+        }
+
+        /** Returns the share of an engine when {@code engines} engines prefill the prompt together. */
+        PrefillShare share(EngineState engine, int engines) {
+            return saved.share(promptTokens, engine, engines);
+        }
+
+        /** Returns when the prompt is prefilled even if the engine turns out not to hold the prefix. */
+        double latestDoneMs(PrefillPlan plan) {
+            return plan.helpers().isEmpty()
+                    ? plan.doneMs() + saved.savedMs(promptTokens, plan.primary())
+                    : plan.doneMs();
+        }
+
         /** The traits of the request on an engine that holds {@code contextTokens} of the prompt in memory. */
         RequestTraits traits(double contextTokens) {
             return new RequestTraits(contextTokens, dueMs, abandonMs, maxGapMs, weight);
@@ -152,7 +182,8 @@
         boolean useShortlist = memoryHelpers.isEmpty()
                 && isShort(request, primaryCandidates.iterator().next());
         for (EngineState engine : useShortlist
-                ? Shortlist.of(primaryCandidates, engine -> tighterGapLoss(request, engine))
+                ? Shortlist.of(primaryCandidates, engine -> tighterGapLoss(request, engine), engine -> request.saved()
+                        .savedMs(request.promptTokens(), engine))
                 : helperCandidates) {
             eligible.add(new EligibleEngine(
                     engine,
@@ -192,9 +223,9 @@
         if (eligible.size() < helperCount + 1) {
             return null;
         }
-        PrefillShare share = PrefillShare.of(request.promptTokens(), helperCount + 1);
         List<Candidate> candidates = new ArrayList<>();
         for (EligibleEngine engine : eligible) {
+            PrefillShare share = request.share(engine.engine(), helperCount + 1);
             candidates.add(candidate(engine, share, request, nowMs));
         }
         candidates.sort(Comparator.comparingDouble(Candidate::totalLoss));
@@ -211,7 +242,8 @@
                 lossToOthers += candidate.lossToOthers();
             }
         }
-        double prefillMs = share.prefillMs(primary.engine().profile());
+        double prefillMs = request.share(primary.engine(), helperCount + 1)
+                .prefillMs(primary.engine().profile());
         double seconds = prefillMs / MS_PER_SECOND;
         double totalLoss = lossToOthers
                 + tighterGapLoss(request, primary.engine())
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/Shortlist.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/Shortlist.java
@@ -32,10 +32,23 @@
      * @param tighterGapLoss loss charged when the request tightens the gap limit of an engine, 0 otherwise
      */
     static List<EngineState> of(Collection<EngineState> engines, ToDoubleFunction<EngineState> tighterGapLoss) {
+        return of(engines, tighterGapLoss, engine -> 0);
+    }
+
+    /**
+     * Returns up to {@link #MAX_ENGINES} engines with the least load, the best first.
+     *
+     * @param tighterGapLoss loss charged when the request tightens the gap limit of an engine, 0 otherwise
+     * @param savedMs prefill of the request that an engine is expected to save
+     */
+    static List<EngineState> of(
+            Collection<EngineState> engines,
+            ToDoubleFunction<EngineState> tighterGapLoss,
+            ToDoubleFunction<EngineState> savedMs) {
         List<RankedEngine> ranked = new ArrayList<>();
         for (EngineState engine : engines) {
             double lossMs = PREFILL_MS_PER_LOSS * tighterGapLoss.applyAsDouble(engine);
-            ranked.add(new RankedEngine(engine, loadMs(engine) + lossMs));
+            ranked.add(new RankedEngine(engine, loadMs(engine) + lossMs - savedMs.applyAsDouble(engine)));
         }
         ranked.sort(Comparator.comparingDouble(RankedEngine::loadMs));
         return ranked.stream().limit(MAX_ENGINES).map(RankedEngine::engine).toList();
--- a/figspan-policy/src/test/java/io/figspan/policy/placing/PrefillAdmissionTest.java
+++ b/figspan-policy/src/test/java/io/figspan/policy/placing/PrefillAdmissionTest.java
@@ -11,7 +11,8 @@
 
 /** Guards against long prompts that are sent under high load, and against waiting until it is too late. */
 class PrefillAdmissionTest {
-    private static final PrefillRequest REQUEST = new PrefillRequest(154_000, 155_000, 3_000, 12_000, 1_000, 20);
+    private static final PrefillRequest REQUEST =
+            new PrefillRequest(154_000, 155_000, 3_000, 12_000, 1_000, 20, SavedPrefill.NONE);
 
     private static PrefillPlan plan(double doneMs, double lossToOthers) {
         return new PrefillPlan(null, List.of(), 200, doneMs, lossToOthers, lossToOthers);
--- a/figspan-settings/src/main/java/io/figspan/settings/gateway/ServiceProfile.java
+++ b/figspan-settings/src/main/java/io/figspan/settings/gateway/ServiceProfile.java
@@ -9,5 +9,16 @@
  * @param healthPath path of the health check; empty if there is none
  * @param maxConnections maximum number of connections to one backend server from all hosts together; 0 for no limit
  * @param engine performance model of the servers; present only for model engines
+ * @param prefixRetention how long the engines keep prefixes of prompts; empty if requests are placed regardless of them
  */
-public record ServiceProfile(ServiceId id, String healthPath, int maxConnections, Optional<EngineProfile> engine) {}
+public record ServiceProfile(
+        ServiceId id,
+        String healthPath,
+        int maxConnections,
+        Optional<EngineProfile> engine,
+        Optional<PrefixRetention> prefixRetention) {
+    /** Creates the profile of a service whose requests are placed regardless of prefixes. */
+    public ServiceProfile(ServiceId id, String healthPath, int maxConnections, Optional<EngineProfile> engine) {
+        this(id, healthPath, maxConnections, engine, Optional.empty());
+    }
+}
