--- a/figspan-policy/src/test/java/io/figspan/policy/placing/CacheAffinityTest.java
+++ b/figspan-policy/src/test/java/io/figspan/policy/placing/CacheAffinityTest.java
@@ -1,6 +1,7 @@
 package io.figspan.policy.placing;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -313,12 +314,20 @@
         assertNotEquals(holder.engine, holder.next());
     }
 
-    @Test
-    void anEngineWhoseMemoryWasFullIsNotPreferred() {
+    /** Another prompt is placed while the memory is in use, and both have ended when the part is asked for again. */
+    private static boolean isPreferredAfterUseOf(long memoryTokens) {
         Holder holder = new Holder(AttemptOutcome.SERVED);
-        holder.peerWork(310_000);
-        holder.send(job(part(2, 20_000), 21_000, 1));
+        holder.peerWork(memoryTokens);
+        Job other = job(part(2, 20_000), 21_000, 1);
+        holder.send(other);
+        holder.placer.ended(other, AttemptOutcome.FAILED, 1);
         holder.peerWork(1_000);
-        assertNotEquals(holder.engine, holder.next());
+        return holder.next().equals(holder.engine);
+    }
+
+    @Test
+    void anEngineWhoseMemoryWasFullIsNotPreferred() {
+        assertTrue(isPreferredAfterUseOf(100_000));
+        assertFalse(isPreferredAfterUseOf(310_000));
     }
 }
