--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/FairShareJobsTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/FairShareJobsTest.java
@@ -4,10 +4,12 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.figspan.core.id.OrganisationId;
+import io.figspan.core.id.PromptPartId;
 import io.figspan.core.id.ServiceId;
 import io.figspan.gateway.log.DecisionLog;
 import io.figspan.gateway.metrics.GatewayMetrics;
 import io.figspan.gateway.protocol.CallerRequest;
+import io.figspan.policy.affinity.PromptPart;
 import io.figspan.policy.affinity.PromptPrefix;
 import io.figspan.policy.placing.Job;
 import io.figspan.policy.placing.ShareChange;
@@ -26,6 +28,9 @@
 class FairShareJobsTest {
     private static final OrganisationId ORGANISATION = OrganisationId.of("organisation");
 
+    private static final PromptPrefix PREFIX =
+            PromptPrefix.of(List.of(new PromptPart(PromptPartId.of("part"), 20_000)));
+
     private static Job job(Optional<OrganisationKeys> organisation) {
         Route route = new Route(
                 "route", "host", "/", RequestKind.IDEMPOTENT, 1_000, 300, 1, List.of(), 2, true, true, false, 0);
@@ -39,7 +44,7 @@
                 Optional.empty(),
                 Optional.empty(),
                 List.of(),
-                PromptPrefix.EMPTY,
+                PREFIX,
                 OptionalLong.empty());
         return JobFactory.create(request, route, organisation, 0);
     }
@@ -53,6 +58,12 @@
         assertEquals(1, without.rank());
     }
 
+    /** Guards against prefixes that are decoded and never reach placement. */
+    @Test
+    void aJobCarriesThePrefixOfItsRequest() {
+        assertEquals(PREFIX, job(Optional.empty()).prefix());
+    }
+
     @Test
     void aJobWithoutAKeyHasNoOrganisation() {
         assertEquals(Optional.empty(), job(Optional.empty()).organisation());
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/Job.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/Job.java
@@ -125,7 +125,7 @@
         return organisation;
     }
 
-    PromptPrefix prefix() {
+    public PromptPrefix prefix() {
         return prefix;
     }
 
