--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/ColdServersUnusedTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/ColdServersUnusedTest.java
@@ -89,7 +89,9 @@
 
     /** The decisions about a seeded load; the placer and the gate share one generator, as in the process. */
     private List<String> decisions(boolean areEngines, RequestGate gate, RandomGenerator random) {
-        Placer placer = areEngines ? new EnginePlacer(ENGINE, random, gate) : new LeastBusyPlacer(random, gate);
+        Placer placer = areEngines
+                ? new EnginePlacer(ENGINE, random, gate, Optional.empty())
+                : new LeastBusyPlacer(random, gate);
         SplittableRandom load = new SplittableRandom(7);
         List<String> decisions = new ArrayList<>();
         List<Job> running = new ArrayList<>();
