Read-through: terms of the field, and faults found by reading

- Cold servers whose entries lapse keep their counts while they are cold; a new count would let the hosts exceed the rate.
- A response of an auxiliary port that exceeds the budget is released and not written to the closed connection.
- A request whose head can't be kept is refused as not run.
- Log lines about invalid evacuation keys are bounded.

--- a/figspan-cluster/src/main/java/io/figspan/cluster/coldserver/ColdBound.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/coldserver/ColdBound.java
@@ -5,9 +5,9 @@
 import io.figspan.core.error.ProblemKind;
 
 /**
- * Bound of the requests that reach a cold server in any second: its rate times {@code overrun}, and {@code slack}. The
- * bound must hold even if no host hears another one, so the parts of the rate and the bursts of all hosts that use the
- * server add up to less.
+ * Bound of the requests that reach a cold server in any second: its rate times {@code overrun}, plus {@code slack}. The
+ * bound must hold even if no host receives messages from another one, so the parts of the rate and the bursts of all
+ * hosts that use the server add up to less.
  */
 public record ColdBound(double overrun, double slack) {
     public static final ColdBound DEFAULT = new ColdBound(1.5, 5);
--- a/figspan-cluster/src/main/java/io/figspan/cluster/coldserver/ColdBucket.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/coldserver/ColdBucket.java
@@ -11,8 +11,8 @@
 /**
  * The rate of one cold server as one host sees it: a token bucket that the requests of all its users drain. Each user
  * owns an equal part of the rate. This host adds its own part continuously, and that of another user up to the time at
- * which that user was heard from, together with the requests that it has sent until then. So the parts of users that
- * are not heard from are left to them, from the last message on.
+ * which a message of that user arrived, together with the requests that the user has sent until then. So the part of a
+ * user whose messages are lost stays reserved for that user, from its last message on.
  */
 final class ColdBucket {
     /** Bounds the part that is added for a user that was silent for longer. */
@@ -110,9 +110,9 @@
     /**
      * Another host has said how many requests it has sent in all.
      *
-     * @param hearsThisHost whether it counts the requests of this host, so that its part may be used here too
+     * @param receivesFromThisHost whether it counts the requests of this host, so that its part may be used here too
      */
-    void heardFrom(HostIncarnation peer, long sentCount, boolean hearsThisHost, long nowNanos) {
+    void messageReceived(HostIncarnation peer, long sentCount, boolean receivesFromThisHost, long nowNanos) {
         if (peers.size() >= MAX_PEERS) {
             peers.keySet().retainAll(users);
         }
@@ -129,7 +129,7 @@
             use.sentCount = 0;
         }
         refill(nowNanos);
-        if (hearsThisHost && users.contains(peer.host())) {
+        if (receivesFromThisHost && users.contains(peer.host())) {
             long creditNanos = Math.max(0, Math.min(MAX_CREDIT_NANOS, nowNanos - use.creditedNanos));
             use.creditedNanos = nowNanos;
             levelTokens += ratePerUser * creditNanos / NANOS_PER_SECOND;
--- a/figspan-cluster/src/main/java/io/figspan/cluster/coldserver/ColdServers.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/coldserver/ColdServers.java
@@ -20,8 +20,8 @@
 
 /**
  * Keeps for each incarnation of a backend server until when it is cold, and the requests that all hosts together send
- * to it meanwhile within {@link ColdBound}. A few hosts, the same ones in the view of all, use a cold server; they tell
- * each other of every request to it and share its rate as long as they hear each other ({@link ColdBucket}).
+ * to it meanwhile within {@link ColdBound}. A few hosts, the same ones in the view of all, use a cold server; they
+ * report every request to it to each other and share its rate while the reports arrive ({@link ColdBucket}).
  *
  * <p>Performs no I/O and is not thread-safe; times are monotonic, in nanoseconds.
  */
@@ -38,11 +38,11 @@
      */
     static final long REPEAT_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
-    /** Messages at the begin of a cold time that don't wait for the interval, until the users hear each other. */
+    /** Messages at the begin of a cold time that don't wait for the interval, so that all users are connected soon. */
     private static final int FIRST_MESSAGES = 3;
 
-    /** A user that was not heard from for this long may not hear this host either, so it gets no confirmation. */
-    static final long HEARD_NANOS = TimeUnit.MILLISECONDS.toNanos(350);
+    /** A user without a message for this long may not receive those of this host either, so it gets no confirmation. */
+    static final long RECENT_MESSAGE_NANOS = TimeUnit.MILLISECONDS.toNanos(350);
 
     /** Age up to which an entry may be when it is read; an older one must not end a cold time that a server named. */
     static final long MAX_ENTRY_AGE_NANOS = TimeUnit.SECONDS.toNanos(2);
@@ -61,7 +61,7 @@
     private final RandomGenerator random;
     private final HostRoster roster = new HostRoster();
     private final Map<BackendIncarnation, ColdServer> servers = new LinkedHashMap<>();
-    private final Map<HostId, Long> heardNanos = new HashMap<>();
+    private final Map<HostId, Long> lastMessageNanos = new HashMap<>();
     private ColdBound bound;
 
     /** What the settings and the placement say about a server. */
@@ -86,7 +86,7 @@
     public void setBound(ColdBound newBound) {
         bound = newBound;
         servers.values().forEach(cold -> cold.possibleUsers = Set.of());
-        serversChanged(server -> true);
+        updateRates();
     }
 
     /**
@@ -96,12 +96,20 @@
      */
     public void hostsChanged(Set<HostId> liveHosts, boolean isFleetKnown, long nowNanos) {
         roster.liveHostsChanged(liveHosts, isFleetKnown, nowNanos);
-        serversChanged(server -> true);
+        updateRates();
     }
 
-    /** Applies changed settings and servers; forgets those that no longer run. */
-    public void serversChanged(Predicate<BackendIncarnation> isRunning) {
-        servers.keySet().removeIf(server -> !isRunning.test(server));
+    /**
+     * Applies changed settings and servers, and removes the servers that no longer run. Those that are still cold are
+     * kept, since their entries may return and the other hosts continue from the requests counted so far.
+     */
+    public void serversChanged(Predicate<BackendIncarnation> isRunning, long nowNanos) {
+        servers.entrySet()
+                .removeIf(known -> !isRunning.test(known.getKey()) && known.getValue().untilNanos - nowNanos <= 0);
+        updateRates();
+    }
+
+    private void updateRates() {
         servers.forEach(this::updateRate);
     }
 
@@ -249,9 +257,9 @@
     }
 
     private ColdAction.SendTo message(HostId host, List<ColdServerUse> uses, long nowNanos) {
-        Long heard = heardNanos.get(host);
-        boolean hears = heard != null && nowNanos - heard < HEARD_NANOS;
-        return new ColdAction.SendTo(host, new PeerMessage.ColdServerUses(hears, uses));
+        Long lastNanos = lastMessageNanos.get(host);
+        boolean receives = lastNanos != null && nowNanos - lastNanos < RECENT_MESSAGE_NANOS;
+        return new ColdAction.SendTo(host, new PeerMessage.ColdServerUses(receives, uses));
     }
 
     // Other hosts
@@ -268,8 +276,8 @@
             }
             announce(use.server(), cold, nowNanos, actions);
             if (cold.isLimited(nowNanos)) {
-                heardNanos.put(from.host(), nowNanos);
-                cold.bucket.heardFrom(from, use.sentCount(), message.hearsReceiver(), nowNanos);
+                lastMessageNanos.put(from.host(), nowNanos);
+                cold.bucket.messageReceived(from, use.sentCount(), message.receivesFromReceiver(), nowNanos);
             }
         }
         return actions;
@@ -278,12 +286,12 @@
     /** Ends cold times, and repeats to the other users what they may have missed. To be called many times a second. */
     public List<ColdAction> tick(long nowNanos) {
         if (roster.expire(nowNanos)) {
-            serversChanged(server -> true);
+            updateRates();
         }
         List<ColdAction> actions = new ArrayList<>();
         servers.forEach((server, cold) -> announce(server, cold, nowNanos, actions));
         repeat(nowNanos, actions);
-        heardNanos.values().removeIf(heard -> nowNanos - heard >= HEARD_NANOS);
+        lastMessageNanos.values().removeIf(lastNanos -> nowNanos - lastNanos >= RECENT_MESSAGE_NANOS);
         return actions;
     }
 
--- a/figspan-cluster/src/main/java/io/figspan/cluster/coldserver/HostRoster.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/coldserver/HostRoster.java
@@ -8,11 +8,11 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * The hosts of the fleet, whether they can be heard or not. Hosts that are cut off from each other must agree on who
+ * The hosts of the fleet, whether they can be reached or not. Hosts that are cut off from each other must agree on who
  * may use a cold server, so a host that is no longer live stays listed for a while.
  */
 final class HostRoster {
-    /** Retention of hosts that are gone; longer than the partitions of some minutes that occur. */
+    /** Retention of hosts that have left or failed; longer than the partitions of some minutes that occur. */
     static final long RETENTION_NANOS = TimeUnit.MINUTES.toNanos(10);
 
     /** A host that has started knows the fleet when no further host has appeared for this long. */
@@ -57,7 +57,7 @@
         hosts = Set.copyOf(updated);
     }
 
-    /** Drops the hosts that have been gone for long; returns whether there were any. */
+    /** Removes the hosts whose retention has ended; returns whether there were any. */
     boolean expire(long nowNanos) {
         boolean hasExpired = goneSinceNanos.values().removeIf(since -> nowNanos - since >= RETENTION_NANOS);
         if (hasExpired) {
--- a/figspan-cluster/src/main/java/io/figspan/cluster/message/PeerMessage.java
+++ b/figspan-cluster/src/main/java/io/figspan/cluster/message/PeerMessage.java
@@ -153,9 +153,9 @@
     /**
      * Cold backend servers, and how many requests the sender has sent to each. Merged by the receiver.
      *
-     * @param hearsReceiver whether the sender has heard from the receiver lately
+     * @param receivesFromReceiver whether the sender has received a message of the receiver lately
      */
-    record ColdServerUses(boolean hearsReceiver, List<ColdServerUse> uses) implements PeerMessage {
+    record ColdServerUses(boolean receivesFromReceiver, List<ColdServerUse> uses) implements PeerMessage {
         public ColdServerUses {
             uses = List.copyOf(uses);
         }
--- a/figspan-cluster/src/test/java/io/figspan/cluster/coldserver/ColdServersFleetTest.java
+++ b/figspan-cluster/src/test/java/io/figspan/cluster/coldserver/ColdServersFleetTest.java
@@ -98,10 +98,10 @@
         }
     }
 
-    /** Guards against a host that hears the others but is not heard, and uses their parts. */
+    /** Guards against a host that receives messages while its own are lost, and uses their parts. */
     @ParameterizedTest
     @ValueSource(ints = {6, 88})
-    void aHostThatIsNotHeardKeepsTheBoundWithTheOthers(int hosts) {
+    void aHostWhoseMessagesAreLostKeepsTheBoundWithTheOthers(int hosts) {
         for (int seed = 0; seed < seeds(hosts); seed++) {
             SimulatedColdFleet fleet = joined(new Load(hosts, 3, hosts * FLOOD, 0, 5), seed);
             fleet.becomeCold(COLD_MS, 0);
--- a/figspan-cluster/src/test/java/io/figspan/cluster/coldserver/ColdServersTest.java
+++ b/figspan-cluster/src/test/java/io/figspan/cluster/coldserver/ColdServersTest.java
@@ -153,13 +153,23 @@
         assertTrue(servers.admits(SERVER, atMs(101)));
         assertFalse(servers.admits(restarted, atMs(101)));
 
-        servers.serversChanged(server -> !server.equals(restarted));
+        servers.serversChanged(server -> !server.equals(restarted), atMs(100 + COLD_MS));
         assertTrue(servers.isEmpty());
     }
 
+    /** Guards against a full rate for a cold server whose entry lapsed and returned. */
+    @Test
+    void aColdServerThatIsNotRegisteredForAWhileStaysLimited() {
+        stated(COLD_MS, ColdSource.ENTRY, 0);
+
+        servers.serversChanged(server -> false, atMs(100));
+
+        assertTrue(isCold(101));
+    }
+
     /** Guards against a process that takes the whole rate because it knows no other host. */
     @Test
-    void aHostThatHasStartedAndHearsNobodySendsNothing() {
+    void aHostThatHasStartedAndReachesNoOtherSendsNothing() {
         ColdServers started = new ColdServers(SELF, fleetOf(26), ColdBound.DEFAULT, new SplittableRandom(1));
         started.hostsChanged(Set.of(SELF), false, atMs(0));
         var unused = started.stated(SERVER, COLD_MS, ColdSource.ENTRY, atMs(0));
@@ -227,7 +237,7 @@
         requestsPerSecond = 0;
         stated(COLD_MS, ColdSource.ENTRY, 0);
         requestsPerSecond = 26;
-        servers.serversChanged(server -> true);
+        servers.serversChanged(server -> true, atMs(0));
 
         assertTrue(isCold(1));
         assertEquals(0, admittedAt(1));
--- a/figspan-cluster/src/test/java/io/figspan/cluster/coldserver/SimulatedColdFleet.java
+++ b/figspan-cluster/src/test/java/io/figspan/cluster/coldserver/SimulatedColdFleet.java
@@ -72,7 +72,7 @@
     private final List<Host> hosts = new ArrayList<>();
     private final List<BackendIncarnation> servers = new ArrayList<>();
     private final List<List<Long>> arrivalsNanos = new ArrayList<>();
-    private BiPredicate<Integer, Integer> hears = (from, to) -> true;
+    private BiPredicate<Integer, Integer> reaches = (from, to) -> true;
     private double warmTokensPerSecond;
     private double warmTokens;
     private long warmRefilledNanos;
@@ -113,7 +113,7 @@
     private Set<HostId> heardBy(int to) {
         Set<HostId> live = new HashSet<>();
         for (int from = 0; from < hosts.size(); from++) {
-            if (from == to || hears.test(from, to)) {
+            if (from == to || reaches.test(from, to)) {
                 live.add(hosts.get(from).id);
             }
         }
@@ -122,10 +122,10 @@
 
     /** From now on a message arrives only between these. */
     void connectOnly(BiPredicate<Integer, Integer> connection) {
-        hears = connection;
+        reaches = connection;
     }
 
-    /** A new process takes the place of a host; it knows the hosts that it hears. */
+    /** A new process takes the place of a host; it knows the hosts that it reaches. */
     void restart(int index) {
         Host old = hosts.get(index);
         old.isStopped = true;
@@ -182,7 +182,7 @@
     }
 
     private void send(Host from, int to, PeerMessage.ColdServerUses message) {
-        if (!hears.test(indexOf(from.id), to) || random.nextInt(100) < load.lossPercent()) {
+        if (!reaches.test(indexOf(from.id), to) || random.nextInt(100) < load.lossPercent()) {
             return;
         }
         time.after(random.nextLong(MS / 2, load.maxMessageMs() * MS), () -> {
--- a/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerConnection.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerConnection.java
@@ -180,7 +180,7 @@
             refuse(refusals.headMemoryFull());
         } catch (RuntimeException e) {
             server.errors().report(e);
-            refuse(ProblemResponses.of(Problem.unknown(ProblemKind.INTERNAL, "unexpected error")));
+            refuse(ProblemResponses.of(Problem.notRun(ProblemKind.INTERNAL, "unexpected error")));
         }
         return false;
     }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerServer.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerServer.java
@@ -63,7 +63,7 @@
     private final UnexpectedErrors errors;
     private final ByteBudget bodies = new ByteBudget(MAX_BODIES_BYTES);
     private final ClientMemory memory = ClientMemory.ofHeap();
-    private final int maxConnections = DescriptorLimit.ofProcess() / DESCRIPTORS_PER_CONNECTION;
+    private final int maxConnections = DescriptorLimit.ofCallers() / DESCRIPTORS_PER_CONNECTION;
     private final Set<CallerConnection> connections = new HashSet<>();
     private CallerLimits limits = CallerLimits.DEFAULT;
     private boolean draining;
--- a/figspan-gateway/src/main/java/io/figspan/gateway/fleet/ZoneEvacuationTracker.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/fleet/ZoneEvacuationTracker.java
@@ -18,6 +18,9 @@
 
 /** Reads the evacuated zones from the store's items, and logs and announces their changes. */
 final class ZoneEvacuationTracker {
+    /** Bounds the log lines about invalid keys. */
+    private static final int MAX_UNREADABLE_KEYS = 16;
+
     private final FleetProtocol protocol;
     private final ZoneEvacuations evacuations;
     private final DecisionLog log;
@@ -40,8 +43,10 @@
             try {
                 protocol.evacuatedZone(item.key()).ifPresent(zone -> zones.put(zone, item.revision()));
             } catch (FigspanException e) {
-                unreadable.add(item.key());
-                logUnreadable(item, e);
+                if (unreadable.size() < MAX_UNREADABLE_KEYS) {
+                    unreadable.add(item.key());
+                    logUnreadable(item, e);
+                }
             }
         }
         unreadableKeys = unreadable;
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ColdServerLimits.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ColdServerLimits.java
@@ -103,7 +103,7 @@
 
     /** Applies changed settings and servers, and forgets servers that are no longer registered. */
     void serversChanged() {
-        servers.serversChanged(server -> registration(server).isPresent());
+        servers.serversChanged(server -> registration(server).isPresent(), System.nanoTime());
     }
 
     private void stated(BackendIncarnation server, long remainingMs, ColdSource source) {
--- a/figspan-gateway/src/main/java/io/figspan/gateway/http/SimpleHttpServer.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/http/SimpleHttpServer.java
@@ -184,7 +184,10 @@
             }
             codec.pause();
             if (!account.trySet(Kind.UNREAD_ANSWERS, response.content().readableBytes())) {
+                response.release();
+                reply.writtenListener().run();
                 Channels.close(ctx.channel());
+                return;
             }
             ChannelFuture written = ctx.writeAndFlush(response);
             written.addListener(ignored -> reply.writtenListener().run());
--- a/figspan-policy/src/main/java/io/figspan/policy/affinity/CachedPrefixes.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/affinity/CachedPrefixes.java
@@ -7,8 +7,8 @@
 import java.util.Map;
 
 /**
- * Which parts of prompts the engines of one service probably hold in memory, as far as the sends of this host tell. A
- * wrong estimate costs the prefill that was expected to be saved (docs/design/cache-affinity.md).
+ * Estimates from the sends of this host which parts of prompts the engines of one service hold in memory. A wrong
+ * estimate costs the prefill that was expected to be saved (docs/design/cache-affinity.md).
  *
  * <p>Not thread-safe; times are on the host's monotonic clock.
  */
--- a/figspan-policy/src/main/java/io/figspan/policy/placing/FairShare.java
+++ b/figspan-policy/src/main/java/io/figspan/policy/placing/FairShare.java
@@ -8,7 +8,7 @@
  * @param slotsAwaited how many of these jobs found no free slot; the others wait for memory or for prefill
  */
 record FairShare(double overuse, int jobsWaitingWithLess, int slotsAwaited) {
-    /** Without a limit, since nobody with less waits. */
+    /** Without a limit: no organisation with less work waits. */
     static final FairShare UNLIMITED = new FairShare(0, 0, 0);
 
     boolean isExceeded() {
--- a/figspan-wire/src/main/java/io/figspan/wire/MessageWriter.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/MessageWriter.java
@@ -217,7 +217,7 @@
     }
 
     private void writeColdUses(PeerMessage.ColdServerUses message) throws IOException {
-        packer.packBoolean(message.hearsReceiver());
+        packer.packBoolean(message.receivesFromReceiver());
         packer.packArrayHeader(message.uses().size());
         for (ColdServerUse use : message.uses()) {
             packer.packString(use.server().server().value());
