--- a/figspan-gateway/src/main/java/io/figspan/gateway/GatewayConfig.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/GatewayConfig.java
@@ -22,6 +22,7 @@
  * @param retryAllowance retries of all hosts per window in addition to the fraction
  * @param retryWindowMs length of the window
  * @param coldBound bound of the requests to a cold backend server in any second
+ * @param isFairBetweenOrganisations whether organisations share scarce model engines fairly
  */
 public record GatewayConfig(
         HostId host,
@@ -38,7 +39,8 @@
         double retryFraction,
         double retryAllowance,
         long retryWindowMs,
-        ColdBound coldBound) {
+        ColdBound coldBound,
+        boolean isFairBetweenOrganisations) {
     public GatewayConfig {
         seeds = List.copyOf(seeds);
     }
@@ -60,6 +62,7 @@
                 other.retryFraction,
                 other.retryAllowance,
                 other.retryWindowMs,
-                other.coldBound);
+                other.coldBound,
+                other.isFairBetweenOrganisations);
     }
 }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
@@ -117,6 +117,7 @@
         this.requestCrashes.setSender(peers);
         this.requestLimits.setSender(peers);
         this.requestLimits.coldServers().setBound(config.coldBound());
+        this.forwarder.setFairBetweenOrganisations(config.isFairBetweenOrganisations());
         this.dispatchers.onWorkChanged(peers::workChanged);
         this.forwarder.setWorkViewAge(() -> peers.oldestReportAgeMs(System.nanoTime()));
         this.settingsReader = new CopyReader(
@@ -187,6 +188,7 @@
         storeWatchers.setAddress(changed.store());
         dispatchers.setRetryBudget(retryAllowance(changed));
         requestLimits.coldServers().setBound(changed.coldBound());
+        forwarder.setFairBetweenOrganisations(changed.isFairBetweenOrganisations());
         shutdown.setGraceMs(changed.shutdownGraceMs());
     }
 
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
@@ -59,6 +59,7 @@
     private final StartupQueue startupQueue = new StartupQueue();
     private final ByteBudget responseBodyBudget = new ByteBudget(MAX_BUFFERED_RESPONSE_BYTES);
     private boolean isOpen;
+    private boolean isFairBetweenOrganisations;
     private LongSupplier workViewAgeMs = () -> 0;
     private BooleanSupplier areSettingsOutdated = () -> false;
     private Consumer<GatewaySettings> settingsListener = applied -> {};
@@ -121,6 +122,11 @@
         settingsListener.accept(newSettings);
     }
 
+    /** Sets whether organisations share scarce model engines fairly, for the requests that come from now on. */
+    public void setFairBetweenOrganisations(boolean isFair) {
+        isFairBetweenOrganisations = isFair;
+    }
+
     /** Sets the listener that is called with the settings that have come into force. */
     public void onSettingsApplied(Consumer<GatewaySettings> listener) {
         settingsListener = listener;
@@ -222,7 +228,7 @@
             ServiceId service,
             Optional<OrganisationKeys> organisation,
             long arrivedNanos) {
-        Job job = JobFactory.create(request, route, organisation, arrivedNanos);
+        Job job = JobFactory.create(request, route, organisation, isFairBetweenOrganisations, arrivedNanos);
         ServiceDispatcher dispatcher = dispatchers.dispatcher(service);
         long nowNanos = System.nanoTime();
         dispatcher.budget().recordRequest(nowNanos);
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/JobFactory.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/JobFactory.java
@@ -13,8 +13,17 @@
 final class JobFactory {
     private JobFactory() {}
 
-    /** Returns the job of a request; the priority of the organisation takes precedence over that of the route. */
-    static Job create(CallerRequest request, Route route, Optional<OrganisationKeys> organisation, long arrivedNanos) {
+    /**
+     * Returns the job of a request; the priority of the organisation takes precedence over that of the route.
+     *
+     * @param isFairBetweenOrganisations whether the placers take the organisation into account
+     */
+    static Job create(
+            CallerRequest request,
+            Route route,
+            Optional<OrganisationKeys> organisation,
+            boolean isFairBetweenOrganisations,
+            long arrivedNanos) {
         int rank = organisation
                 .map(OrganisationKeys::rank)
                 .filter(OptionalInt::isPresent)
@@ -28,7 +37,7 @@
                 TimeUnit.MILLISECONDS.toNanos(route.maxGapMs()),
                 rank,
                 request.prompt(),
-                organisation.map(OrganisationKeys::id),
+                organisation.filter(known -> isFairBetweenOrganisations).map(OrganisationKeys::id),
                 request.prefix());
     }
 }
--- a/figspan-gateway/src/test/java/io/figspan/gateway/TestConfigs.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/TestConfigs.java
@@ -27,6 +27,7 @@
                 retryFraction,
                 100,
                 10_000,
-                ColdBound.DEFAULT);
+                ColdBound.DEFAULT,
+                true);
     }
 }
--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/FairShareJobsTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/FairShareJobsTest.java
@@ -33,6 +33,10 @@
             PromptPrefix.of(List.of(new PromptPart(PromptPartId.of("part"), 20_000)));
 
     private static Job job(Optional<OrganisationKeys> organisation) {
+        return job(organisation, true);
+    }
+
+    private static Job job(Optional<OrganisationKeys> organisation, boolean isFair) {
         Route route = new Route(
                 "route", "host", "/", RequestKind.IDEMPOTENT, 1_000, 300, 1, List.of(), 2, true, true, false, 0);
         CallerRequest request = new CallerRequest(
@@ -47,7 +51,7 @@
                 List.of(),
                 PREFIX,
                 OptionalLong.empty());
-        return JobFactory.create(request, route, organisation, 0);
+        return JobFactory.create(request, route, organisation, isFair, 0);
     }
 
     @Test
@@ -59,6 +63,14 @@
         assertEquals(1, without.rank());
     }
 
+    /** Guards against fair shares where the settings don't ask for them. */
+    @Test
+    void aJobCarriesNoOrganisationUnlessOrganisationsShareFairly() {
+        Job job = job(Optional.of(new OrganisationKeys(ORGANISATION, List.of("key"), OptionalInt.of(2))), false);
+        assertEquals(Optional.empty(), job.organisation());
+        assertEquals(2, job.rank());
+    }
+
     /** Guards against prefixes that are decoded and never reach placement. */
     @Test
     void aJobCarriesThePrefixOfItsRequest() {
