review: case 6, a reset while the request is still being written passes half an answer on as whole

A runner begins its answer, which has no length, before it has read a long request, and is killed. The client gets a 200 with the runner's stamp and half of the body as complete.

--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Builds the stand-ins and clients of the cases in review/6 and later into target/review-2, with the JDK alone.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mkdir -p target/review-2
+javac -Xlint:all,-try -Werror --release 17 -d target/review-2 review/6/*.java
