--- a/review/6/TruncatedAnswer.java
+++ b/review/6/TruncatedAnswer.java
@@ -48,8 +48,7 @@
         String address = "127.0.0.1";
         try (Store store = new Store()) {
             store.put("op/config", config());
-            try (Host host =
-                    Host.start(address, Host.freePorts(address), List.of(), store.address(), directory)) {
+            try (Host host = Host.start(address, Host.freePorts(address), List.of(), store.address(), directory)) {
                 host.awaitReady();
                 for (int number = 1; number <= REQUESTS; number++) {
                     request(number, store, host);
@@ -130,10 +129,12 @@
             InputStream in = new BufferedInputStream(socket.getInputStream());
             Http.Head head = Http.readHead(in);
             byte[] body = Http.readBody(in, head);
-            boolean isWhole = body.length == EarlyAnswerRunner.FIRST_HALF.length() + EarlyAnswerRunner.SECOND_HALF.length();
+            boolean isWhole =
+                    body.length == EarlyAnswerRunner.FIRST_HALF.length() + EarlyAnswerRunner.SECOND_HALF.length();
             boolean isSuccess = head.status() / 100 == 2;
             record.line("client gets for " + attempt + ": " + head.startLine() + ", content-length "
-                    + head.header("content-length") + ", stamp '" + head.header("figspan-response-stamp") + "', complete with "
+                    + head.header("content-length") + ", stamp '" + head.header("figspan-response-stamp")
+                    + "', complete with "
                     + body.length + " bytes" + (isSuccess && !isWhole ? ", not the runner's whole body" : ""));
             if (isSuccess && !isWhole) {
                 broken++;
