--- a/review/6/TruncatedAnswer.java
+++ b/review/6/TruncatedAnswer.java
@@ -4,19 +4,26 @@
 import java.io.InputStream;
 import java.net.Socket;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 
 /**
- * Sends orders and prompts one after the other, each to a runner of its own that is killed in the middle of its answer,
- * and checks that no client gets the half answer as a whole one.
+ * Sends orders and prompts one after the other. The runner that has the request is killed in the middle of its answer. It
+ * checks that no client gets the half answer as a whole one.
  */
 public final class TruncatedAnswer {
     private static final int REQUESTS = 4;
+
+    /** One of them is down at a time. */
+    private static final int RUNNERS = 6;
+
     private static final String CLIENT_HOST = "ficu95.example";
 
     private final boolean isTrouble;
     private final RunRecord record;
     private final int bodyBytes;
+    private final List<Runner> runners = new ArrayList<>();
+    private int startedRunners;
     private int broken;
 
     private TruncatedAnswer(boolean isTrouble, RunRecord record, int bodyBytes) {
@@ -45,14 +52,22 @@
     }
 
     private void execute(Path directory) throws IOException, InterruptedException {
-        String address = "127.0.0.1";
+        String address = "127.0.6.1";
         try (Store store = new Store()) {
             store.put("op/config", config());
             try (Host host = Host.start(address, Host.freePorts(address), List.of(), store.address(), directory)) {
                 host.awaitReady();
+                for (int number = 0; number < RUNNERS; number++) {
+                    runners.add(startRunner(store));
+                }
+                Thread.sleep(500);
                 for (int number = 1; number <= REQUESTS; number++) {
                     request(number, store, host);
                 }
+            } finally {
+                for (Runner runner : runners) {
+                    runner.process().destroyForcibly().waitFor();
+                }
             }
         }
     }
@@ -69,8 +84,12 @@
                 .formatted(CLIENT_HOST, CLIENT_HOST);
     }
 
-    private void request(int number, Store store, Host host) throws IOException, InterruptedException {
-        Process runner = new ProcessBuilder(
+    /** A runner that is a process of its own, with its entry in the store. */
+    private record Runner(String id, Process process) {}
+
+    private Runner startRunner(Store store) throws IOException {
+        String id = "i-" + ++startedRunners;
+        Process process = new ProcessBuilder(
                         Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                         "-Xmx64m",
                         "-cp",
@@ -78,39 +97,46 @@
                         EarlyAnswerRunner.class.getName())
                 .redirectErrorStream(true)
                 .start();
-        try (BufferedReader events = runner.inputReader()) {
-            String key = "servers/i-" + number;
-            store.put(
-                    key,
-                    "{\"service\":\"order-desk\",\"address\":\"127.0.0.1:" + events.readLine()
-                            + "\",\"zone\":\"qld-south-a\",\"version\":\"v1\",\"slots\":6,\"state\":\"ready\","
-                            + "\"cold_remaining_ms\":0,\"sequence\":0,\"born\":" + System.currentTimeMillis() + "}");
-            Thread.sleep(500);
-            Thread crash = new Thread(() -> follow(number, events, runner));
-            crash.start();
-            send("a-" + number, number % 2 == 1 ? "/puxa403/2f" : "/lohu930/2f", host);
-            store.put(key, null);
-            Thread.sleep(300);
-            runner.destroyForcibly();
-            crash.join();
-        } finally {
-            runner.destroyForcibly().waitFor();
+        BufferedReader events = process.inputReader();
+        store.put(
+                "servers/" + id,
+                "{\"service\":\"order-desk\",\"address\":\"127.0.0.1:" + events.readLine()
+                        + "\",\"zone\":\"qld-south-a\",\"version\":\"v1\",\"slots\":6,\"state\":\"ready\","
+                        + "\"cold_remaining_ms\":0,\"sequence\":0,\"born\":" + System.currentTimeMillis() + "}");
+        Runner runner = new Runner(id, process);
+        Thread follower = new Thread(() -> follow(runner, events));
+        follower.setDaemon(true);
+        follower.start();
+        return runner;
+    }
+
+    /** Sends a request. The runner that was killed under it is replaced by another one. */
+    private void request(int number, Store store, Host host) throws IOException, InterruptedException {
+        send("a-" + number, number % 2 == 1 ? "/puxa403/2f" : "/lohu930/2f", host);
+        Thread.sleep(1_000);
+        for (Runner runner : List.copyOf(runners)) {
+            if (!runner.process().isAlive()) {
+                runners.remove(runner);
+                store.put("servers/" + runner.id(), null);
+                runners.add(startRunner(store));
+            }
         }
+        Thread.sleep(500);
     }
 
     /** Records what the runner does, and kills it once it has sent half of its answer. */
-    private void follow(int number, BufferedReader events, Process runner) {
+    private void follow(Runner runner, BufferedReader events) {
         try {
             for (String event = events.readLine(); event != null; event = events.readLine()) {
-                record.line("runner i-" + number + " " + event);
+                record.line("runner " + runner.id() + " " + event);
                 if (isTrouble && event.startsWith("has sent the first half")) {
                     Thread.sleep(200);
-                    runner.destroyForcibly();
-                    record.line("runner i-" + number + " is killed");
+                    runner.process().destroyForcibly();
+                    record.line("runner " + runner.id() + " is killed, one of " + RUNNERS);
                 }
             }
         } catch (IOException e) {
-            record.line("runner i-" + number + " has ended");
+            // The runner has ended.
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
