--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Attempt.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Attempt.java
@@ -4,6 +4,7 @@
 import io.figspan.core.id.BackendServerId;
 import io.figspan.gateway.backend.BackendPools;
 import io.figspan.gateway.backend.HoldGroup;
+import io.figspan.gateway.http.BodyFraming;
 import io.figspan.gateway.http.BufferedBody;
 import io.figspan.gateway.http.ByteBudget;
 import io.figspan.gateway.http.ConnectionFailure;
@@ -16,7 +17,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpUtil;
 import java.util.List;
 import java.util.Optional;
 
@@ -311,12 +311,12 @@
     private void endStream() {
         if (events.hasPartialEvent()) {
             lostConnection = isEndedByClose();
-            fail(AttemptEnd.BROKEN, "stream ended within an event");
+            fail(AttemptEnd.CLOSED_IN_ANSWER, "stream ended within an event");
             return;
         }
         if (eventCount == 0 && isEndedByClose()) {
             lostConnection = true;
-            fail(AttemptEnd.BROKEN, "the connection ended before the first event");
+            fail(AttemptEnd.CLOSED_IN_ANSWER, "the connection ended before the first event");
             return;
         }
         end();
@@ -325,7 +325,7 @@
 
     /** Whether only the end of the connection marks the end of the response. */
     boolean isEndedByClose() {
-        return !HttpUtil.isContentLengthSet(head) && !HttpUtil.isTransferEncodingChunked(head);
+        return !BodyFraming.of(head).isSelfDelimiting();
     }
 
     @Override
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/CallLog.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/CallLog.java
@@ -89,14 +89,15 @@
                 .write();
     }
 
-    void attemptFailed(BackendServerId server, AttemptEnd end, String reason, long sentNanos, long events) {
+    void attemptFailed(BackendServerId server, AttemptEnd end, String reason, long sentNanos, CallResponse forwarded) {
         metrics.attemptFailed(end.name());
         line("attemptFailed")
                 .text("server", server)
                 .text("end", end)
                 .text("reason", reason)
                 .number("afterMs", TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentNanos))
-                .number("events", events)
+                .number("events", forwarded.forwardedEvents())
+                .number("bytes", forwarded.forwardedBytes())
                 .write();
     }
 
@@ -146,12 +147,13 @@
                 .write();
     }
 
-    void brokenOff(String reason, long events) {
+    void brokenOff(String reason, CallResponse forwarded) {
         metrics.requestEnded(RequestEnd.BROKEN_OFF, elapsedNanos());
         line("brokenOff")
                 .text("route", route.name())
                 .text("reason", reason)
-                .number("events", events)
+                .number("events", forwarded.forwardedEvents())
+                .number("bytes", forwarded.forwardedBytes())
                 .number("afterMs", elapsedMs())
                 .write();
     }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/CallResponse.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/CallResponse.java
@@ -18,6 +18,7 @@
     private final CallerExchange caller;
     private OptionalLong lastEventId;
     private long forwardedEvents;
+    private long forwardedBytes;
 
     /**
      * Creates a response.
@@ -39,6 +40,11 @@
         return forwardedEvents;
     }
 
+    /** Length of the events that were forwarded, in bytes. */
+    long forwardedBytes() {
+        return forwardedBytes;
+    }
+
     /** Sends the head of a streamed response. */
     void beginStream(HttpResponse backendHead) {
         HttpResponse head = protocol.responseHead(backendHead);
@@ -53,6 +59,7 @@
             lastEventId = events.lastId();
         }
         forwardedEvents += events.progressEvents();
+        forwardedBytes += events.bytes().readableBytes();
         caller.write(events.bytes());
     }
 
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
@@ -283,7 +283,7 @@
     private void recordFailure(Attempt failed, AttemptEnd end, String reason, long nowNanos) {
         attempts.remove(failed);
         history.recordFailure(end);
-        log.attemptFailed(failed.server(), end, reason, failed.sentNanos(), response.forwardedEvents());
+        log.attemptFailed(failed.server(), end, reason, failed.sentNanos(), response);
         crashObserver.attemptFailed(failed, end, nowNanos);
         if (end == AttemptEnd.WITHDRAWN && failed.isEvacuated()) {
             forwarder.metrics().count(GatewayMetrics.PLACED_AGAIN);
@@ -397,7 +397,7 @@
         observeDuration(System.nanoTime());
         finish();
         if (responseBegan) {
-            log.brokenOff(reason, response.forwardedEvents());
+            log.brokenOff(reason, response);
             response.abort();
         } else {
             Problem reported = history.withTrueRunState(problem);
--- a/figspan-gateway/src/main/java/io/figspan/gateway/http/ConnectionFailure.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/http/ConnectionFailure.java
@@ -8,14 +8,16 @@
     WITHDRAWN,
     /** The connection broke before the head of the response was received. */
     BROKEN_BEFORE_ANSWER,
-    /** The connection broke or was closed within the response. */
-    BROKEN_IN_ANSWER,
+    /** The server closed the connection within the response, as its framing shows. */
+    CLOSED_IN_ANSWER,
+    /** The connection was reset within the response, while it was read or while the request was still written. */
+    RESET_IN_ANSWER,
     /** The server sent bytes that are no HTTP response, or a response that belongs to another request. */
     MALFORMED;
 
     /** Whether the server closed the connection, or is gone, without a complete response. */
     public boolean isBreak() {
-        return this == BROKEN_BEFORE_ANSWER || this == BROKEN_IN_ANSWER;
+        return this == BROKEN_BEFORE_ANSWER || this == CLOSED_IN_ANSWER || this == RESET_IN_ANSWER;
     }
 
     /** Whether the server may have received the request. */
--- a/figspan-gateway/src/main/java/io/figspan/gateway/http/HttpConnection.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/http/HttpConnection.java
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -42,7 +43,8 @@
     private boolean headReceived;
     private long headBytes;
     private boolean keepAlive;
-    private boolean hasError;
+    private InputState input = InputState.OPEN;
+    private boolean awaitsRequestWrite;
     private boolean closed;
     private boolean hasCarriedRequest;
     private long idleSinceNanos;
@@ -63,6 +65,7 @@
                 .group(loop)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs)
                 .option(ChannelOption.RCVBUF_ALLOCATOR, Channels.boundedReads())
                 .handler(new ChannelInitializer<>() {
@@ -175,8 +178,8 @@
     // Inbound
 
     /**
-     * Sees the bytes before they are decoded. Closes the connection if a server sends any while no exchange is in
-     * progress, and fails the exchange if they come without end before a complete response head.
+     * Sees the bytes and the end of the connection before they are decoded. Closes the connection if a server sends
+     * bytes while no exchange is in progress, and fails the exchange if they come without end before a complete head.
      */
     private final class InboundGuard extends ChannelInboundHandlerAdapter {
         @Override
@@ -196,6 +199,20 @@
             ReferenceCountUtil.release(bytes);
             fail(ConnectionFailure.MALFORMED);
         }
+
+        @Override
+        public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+            if (event == ChannelInputShutdownEvent.INSTANCE) {
+                input = InputState.SHUT_DOWN;
+            }
+            ctx.fireUserEventTriggered(event);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            input = InputState.LOST;
+            ctx.fireChannelInactive();
+        }
     }
 
     @Override
@@ -239,31 +256,58 @@
             return;
         }
         headReceived = true;
-        keepAlive = HttpUtil.isKeepAlive(head) && isSelfDelimiting(head);
+        keepAlive = HttpUtil.isKeepAlive(head) && BodyFraming.of(head).isSelfDelimiting();
         keepAliveNanos = KeepAliveHeader.timeoutNanos(head.headers());
         activeListener.onHead(head);
     }
 
-    /** Whether the end of the body is known from the headers, without waiting for the connection to close. */
-    private static boolean isSelfDelimiting(HttpResponse head) {
-        return HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
-    }
-
     private void readContent(HttpContent content) {
         if (content.content().isReadable()) {
             activeListener.onContent(content.content());
         }
-        if (activeListener != null && content instanceof LastHttpContent && !hasError) {
+        if (activeListener != null && content instanceof LastHttpContent) {
+            endResponse();
+        }
+    }
+
+    /** The decoder has reported the end of the response. If it is incomplete, the end of the connection follows. */
+    private void endResponse() {
+        InputState.Completeness completeness = input.completenessOfResponse(requestWrite());
+        if (completeness == InputState.Completeness.COMPLETE) {
             complete();
+        } else if (completeness == InputState.Completeness.UNDECIDED) {
+            awaitRequestWrite();
         }
     }
 
+    private InputState.RequestWrite requestWrite() {
+        if (writeFuture == null || !writeFuture.isDone()) {
+            return InputState.RequestWrite.PENDING;
+        }
+        return writeFuture.isSuccess() ? InputState.RequestWrite.WRITTEN : InputState.RequestWrite.FAILED;
+    }
+
+    /** A server that is alive reads the rest of the request; one that has crashed resets the connection. */
+    private void awaitRequestWrite() {
+        awaitsRequestWrite = true;
+        writeFuture.addListener(written -> {
+            if (activeListener == null) {
+                return;
+            }
+            if (written.isSuccess()) {
+                complete();
+            } else {
+                fail(ConnectionFailure.RESET_IN_ANSWER);
+            }
+        });
+    }
+
     private void complete() {
         ExchangeListener finished = activeListener;
         activeListener = null;
         idleSinceNanos = System.nanoTime();
-        boolean requestSent = writeFuture != null && writeFuture.isSuccess();
-        if (!keepAlive || !requestSent || decoder.hasUnreadBytes()) {
+        boolean isRequestWritten = requestWrite() == InputState.RequestWrite.WRITTEN;
+        if (!keepAlive || !isRequestWritten || decoder.hasUnreadBytes()) {
             close();
         } else {
             setReading(true);
@@ -273,13 +317,20 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        hasError = true;
         Channels.close(ctx.channel());
     }
 
+    /** Closes the connection when the server has shut it down, unless the rest of the request is to be written. */
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+        if (event == ChannelInputShutdownEvent.INSTANCE && !awaitsRequestWrite) {
+            fail(headReceived ? ConnectionFailure.CLOSED_IN_ANSWER : ConnectionFailure.BROKEN_BEFORE_ANSWER);
+        }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-        fail(headReceived ? ConnectionFailure.BROKEN_IN_ANSWER : ConnectionFailure.BROKEN_BEFORE_ANSWER);
+        fail(headReceived ? ConnectionFailure.RESET_IN_ANSWER : ConnectionFailure.BROKEN_BEFORE_ANSWER);
     }
 
     private void fail(ConnectionFailure failure) {
--- a/figspan-gateway/src/test/java/io/figspan/gateway/ScriptedServer.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/ScriptedServer.java
@@ -19,8 +19,14 @@
 
 /** A backend server whose responses are bytes written by a test. Each connection has a thread. */
 public final class ScriptedServer implements AutoCloseable {
+    private static final int BACKLOG = 50;
+
+    /** Little enough that a long request is still being written while it is answered. */
+    private static final int EARLY_RECEIVE_BUFFER_BYTES = 8 * 1_024;
+
     private final ServerSocket listener;
     private final Script script;
+    private final boolean answersEarly;
     private final List<Received> received = new CopyOnWriteArrayList<>();
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
 
@@ -49,9 +55,16 @@
     /** The server's end of a connection. */
     public static final class Connection {
         private final Socket socket;
+        private final InputStream in;
 
-        private Connection(Socket socket) {
+        private Connection(Socket socket, InputStream in) {
             this.socket = socket;
+            this.in = in;
+        }
+
+        /** Reads bytes of the request; only if the server answers early. */
+        public byte[] readBody(int length) throws IOException {
+            return in.readNBytes(length);
         }
 
         public void write(String text) throws IOException {
@@ -85,6 +98,11 @@
             socket.close();
         }
 
+        /** Sends no more, but may read on. */
+        public void shutdownOutput() throws IOException {
+            socket.shutdownOutput();
+        }
+
         public void reset() throws IOException {
             socket.setSoLinger(true, 0);
             socket.close();
@@ -100,8 +118,22 @@
     }
 
     public ScriptedServer(Script script) throws IOException {
+        this(script, false);
+    }
+
+    /** A server whose script is called before the body of the request is read, for one request on each connection. */
+    public static ScriptedServer answeringEarly(Script script) throws IOException {
+        return new ScriptedServer(script, true);
+    }
+
+    private ScriptedServer(Script script, boolean answersEarly) throws IOException {
         this.script = script;
-        this.listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        this.answersEarly = answersEarly;
+        this.listener = new ServerSocket();
+        if (answersEarly) {
+            listener.setReceiveBufferSize(EARLY_RECEIVE_BUFFER_BYTES);
+        }
+        listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), BACKLOG);
         Thread acceptor = new Thread(this::accept, "scripted-server");
         acceptor.setDaemon(true);
         acceptor.start();
@@ -133,17 +165,17 @@
     private void serve(Socket socket, int number) {
         try {
             InputStream in = new BufferedInputStream(socket.getInputStream());
-            while (true) {
+            do {
                 Received request = read(in, number);
                 received.add(request);
-                script.answer(request, new Connection(socket));
-            }
+                script.answer(request, new Connection(socket, in));
+            } while (!answersEarly);
         } catch (IOException e) {
             // One side closed the connection, which is part of many scripts.
         }
     }
 
-    private static Received read(InputStream in, int number) throws IOException {
+    private Received read(InputStream in, int number) throws IOException {
         String[] requestLine = readLine(in).split(" ", -1);
         Map<String, String> headers = new TreeMap<>();
         List<String> lines = new ArrayList<>();
@@ -154,7 +186,7 @@
                     line.substring(0, colon).toLowerCase(Locale.ROOT),
                     line.substring(colon + 1).strip());
         }
-        int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
+        int length = answersEarly ? 0 : Integer.parseInt(headers.getOrDefault("content-length", "0"));
         String body = new String(in.readNBytes(length), StandardCharsets.ISO_8859_1);
         return new Received(requestLine[0], requestLine[1], headers, lines, body, number);
     }
