--- a/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerConnection.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/caller/CallerConnection.java
@@ -155,6 +155,7 @@
     private void begin(HttpRequest received) {
         timeouts.headReceived(System.nanoTime());
         writer.setKeepAlive(HttpUtil.isKeepAlive(received));
+        writer.setRequestVersion(received.protocolVersion());
         if (!keepHead(received)) {
             return;
         }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/caller/ResponseWriter.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/caller/ResponseWriter.java
@@ -8,6 +8,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -30,6 +31,8 @@
     private final ClientMemory.Account memory;
     private PipelinedBytes pipelined;
     private boolean keepAlive = true;
+    private boolean understandsChunks = true;
+    private boolean isCloseDelimited;
     private boolean closing;
     private long closingNanos;
     private boolean mayReceiveMore;
@@ -57,6 +60,11 @@
         this.keepAlive = keepAlive;
     }
 
+    /** Sets the version of the current request: callers before HTTP/1.1 don't understand chunks (RFC 9112, 6.1). */
+    void setRequestVersion(HttpVersion version) {
+        understandsChunks = version.compareTo(HttpVersion.HTTP_1_1) >= 0;
+    }
+
     boolean isKeepAlive() {
         return keepAlive;
     }
@@ -94,8 +102,13 @@
         }
     }
 
-    /** Writes the head of a streamed response. */
+    /** Writes the head of a streamed response, which is chunked, or ends with the connection. */
     void begin(HttpResponse response) {
+        if (!understandsChunks) {
+            isCloseDelimited = true;
+            keepAlive = false;
+            response.headers().remove(HttpHeaderNames.TRANSFER_ENCODING);
+        }
         setConnectionHeader(response);
         Channels.write(channel, response);
     }
@@ -167,9 +180,15 @@
 
     // Closing
 
-    /** Closes the connection within a response. */
+    /**
+     * Closes the connection within a response. A response that ends with the connection is cut by a reset, since it
+     * would look complete otherwise.
+     */
     void abort() {
         closing = true;
+        if (isCloseDelimited) {
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        }
         if (server.isDraining() && hasUnsentBytes()) {
             closeAfterWrites();
         } else {
