--- a/figspan-host/src/main/java/io/figspan/host/BoundedResponse.java
+++ b/figspan-host/src/main/java/io/figspan/host/BoundedResponse.java
@@ -7,6 +7,7 @@
 import io.vertx.core.Promise;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpHeaders;
 
 /** Reads the body of a response with a bound, since a faulty server may send without end. */
 public final class BoundedResponse {
@@ -34,6 +35,23 @@
         return reader.done.future();
     }
 
+    /**
+     * Reads the whole body of the response to a request that may still be written. If only the end of the connection
+     * marks the end of the body, the body counts as whole only if the request was written: a server that crashes with a
+     * part of the request unread resets the connection, and the write may be all that is notified of it.
+     *
+     * @param written completes when the request is written
+     */
+    public static Future<Buffer> body(HttpClientResponse response, Future<Void> written, int maxBytes) {
+        return body(response, maxBytes)
+                .compose(read -> isSelfDelimiting(response) ? Future.succeededFuture(read) : written.map(read));
+    }
+
+    private static boolean isSelfDelimiting(HttpClientResponse response) {
+        return response.headers().contains(HttpHeaders.CONTENT_LENGTH)
+                || response.headers().contains(HttpHeaders.TRANSFER_ENCODING);
+    }
+
     private void append(Buffer chunk) {
         if (done.future().isComplete()) {
             return;
--- a/figspan-host/src/main/java/io/figspan/host/order/ServiceWriter.java
+++ b/figspan-host/src/main/java/io/figspan/host/order/ServiceWriter.java
@@ -5,16 +5,17 @@
 import io.figspan.host.BoundedResponse;
 import io.figspan.host.backend.BackendTable;
 import io.reactivex.rxjava3.core.Single;
+import io.vertx.core.Future;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonObject;
 import io.vertx.rxjava3.core.Vertx;
-import io.vertx.rxjava3.core.buffer.Buffer;
 import io.vertx.rxjava3.core.http.HttpClient;
 import io.vertx.rxjava3.core.http.HttpClientRequest;
-import io.vertx.rxjava3.core.http.HttpClientResponse;
 
 /**
  * Connects to plain services and writes orders. Each order gets a fresh connection: on a kept one, a write to a server
@@ -53,14 +54,15 @@
     /** Writes the order once and reads the answer; the client follows no redirects and never writes again. */
     Single<ServiceAnswer> write(HttpClientRequest connected, String key, byte[] body) {
         connected.putHeader("Content-Type", "application/json").putHeader(KEY_HEADER, key);
-        return connected.rxSend(Buffer.buffer(body)).flatMap(response -> body(response)
-                .map(answer -> toAnswer(response, answer)));
-    }
-
-    private static Single<Buffer> body(HttpClientResponse response) {
-        return Single.create(emitter -> BoundedResponse.body(response.getDelegate(), MAX_ANSWER_BYTES)
-                .onSuccess(body -> emitter.onSuccess(Buffer.newInstance(body)))
-                .onFailure(emitter::tryOnError));
+        var request = connected.getDelegate();
+        return Single.create(emitter -> {
+            Future<Void> written = request.end(Buffer.buffer(body));
+            request.response()
+                    .compose(response -> BoundedResponse.body(response, written, MAX_ANSWER_BYTES)
+                            .map(answer -> toAnswer(response, answer)))
+                    .onSuccess(emitter::onSuccess)
+                    .onFailure(emitter::tryOnError);
+        });
     }
 
     private static ServiceAnswer toAnswer(HttpClientResponse response, Buffer body) {
--- a/figspan-host/src/test/java/io/figspan/host/order/BrokenServiceAnswerTest.java
+++ b/figspan-host/src/test/java/io/figspan/host/order/BrokenServiceAnswerTest.java
@@ -20,15 +20,21 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
 /** Guards against an order whose service ends within its answer and that is reported as run with a whole answer. */
 class BrokenServiceAnswerTest {
     private static final int LIMIT_S = 20;
+
+    /** More than the socket buffers of both sides hold. */
+    private static final int LONG_ORDER_BYTES = 32 * 1_024 * 1_024;
+
     private static final String BODY = "{\"order\":1}";
 
     private Vertx vertx;
@@ -90,6 +96,56 @@
                 .blockingGet();
     }
 
+    /** Accepts one connection, reads the head of the order, writes these bytes, and resets it once they are read. */
+    private void resetBeforeReading(String bytes, CountDownLatch headReceived) {
+        Thread thread = new Thread(() -> {
+            try (Socket socket = service.accept()) {
+                BufferedReader in = new BufferedReader(
+                        new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1), 1_024);
+                String line = in.readLine();
+                while (!line.isEmpty()) {
+                    line = in.readLine();
+                }
+                socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+                headReceived.await();
+                socket.setSoLinger(true, 0);
+            } catch (IOException | InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** The service answers early without a length, and only the write of the order meets the reset. */
+    @Test
+    void anAnswerThatIsResetWhileTheOrderIsWrittenIsNoAnswer() {
+        CountDownLatch headReceived = new CountDownLatch(1);
+        resetBeforeReading("HTTP/1.1 200 x\r\ncontent-type: text/plain\r\n\r\nhalf of the", headReceived);
+        ServiceWriter writer = new ServiceWriter(vertx);
+        Notification<ServiceAnswer> end = writer.connect(server)
+                .flatMap(connected -> {
+                    connected.getDelegate().response().onComplete(head -> headReceived.countDown());
+                    return writer.write(connected, "key", new byte[LONG_ORDER_BYTES]);
+                })
+                .timeout(LIMIT_S, TimeUnit.SECONDS)
+                .materialize()
+                .blockingGet();
+        assertTrue(end.isOnError(), String.valueOf(end));
+    }
+
+    /** Without a length, only a close in order marks the end. */
+    @Test
+    void anAnswerWithoutLengthIsWholeOnlyIfItsServiceClosesInOrder() {
+        String answer = "HTTP/1.1 200 x\r\ncontent-type: text/plain\r\n\r\nanswer done";
+        ServiceWriter writer = new ServiceWriter(vertx);
+        answerOnce(answer, true);
+        assertTrue(write(writer).isOnError());
+        answerOnce(answer, false);
+        byte[] whole = write(writer).getValue().body().toBytes();
+        assertEquals("answer done", new String(whole, StandardCharsets.ISO_8859_1));
+    }
+
     @ParameterizedTest
     @CsvSource({
         "'', 'content-length: 11', 'answer done'",
