--- a/figspan-gateway/src/main/java/io/figspan/gateway/GatewayConfig.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/GatewayConfig.java
@@ -23,6 +23,7 @@
  * @param retryWindowMs length of the window
  * @param coldBound bound of the requests to a cold backend server in any second
  * @param isFairBetweenOrganisations whether organisations share scarce model engines fairly
+ * @param requiresKeys whether callers need API keys even if the settings name none
  */
 public record GatewayConfig(
         HostId host,
@@ -40,7 +41,8 @@
         double retryAllowance,
         long retryWindowMs,
         ColdBound coldBound,
-        boolean isFairBetweenOrganisations) {
+        boolean isFairBetweenOrganisations,
+        boolean requiresKeys) {
     public GatewayConfig {
         seeds = List.copyOf(seeds);
     }
@@ -63,6 +65,7 @@
                 other.retryAllowance,
                 other.retryWindowMs,
                 other.coldBound,
-                other.isFairBetweenOrganisations);
+                other.isFairBetweenOrganisations,
+                other.requiresKeys);
     }
 }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/GatewayProcess.java
@@ -118,6 +118,7 @@
         this.requestLimits.setSender(peers);
         this.requestLimits.coldServers().setBound(config.coldBound());
         this.forwarder.setFairBetweenOrganisations(config.isFairBetweenOrganisations());
+        requireKeysIf(config.requiresKeys());
         this.dispatchers.onWorkChanged(peers::workChanged);
         this.forwarder.setWorkViewAge(() -> peers.oldestReportAgeMs(System.nanoTime()));
         this.settingsReader = new CopyReader(
@@ -189,9 +190,16 @@
         dispatchers.setRetryBudget(retryAllowance(changed));
         requestLimits.coldServers().setBound(changed.coldBound());
         forwarder.setFairBetweenOrganisations(changed.isFairBetweenOrganisations());
+        requireKeysIf(changed.requiresKeys());
         shutdown.setGraceMs(changed.shutdownGraceMs());
     }
 
+    private void requireKeysIf(boolean requiresKeys) {
+        if (requiresKeys) {
+            forwarder.requireKeys();
+        }
+    }
+
     private static ServiceDispatchers.RetryBudgetConfig retryAllowance(GatewayConfig config) {
         return new ServiceDispatchers.RetryBudgetConfig(
                 config.retryFraction(), config.retryAllowance(), config.retryWindowMs());
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
@@ -20,6 +20,7 @@
 import io.figspan.policy.route.ApiKeyIndex;
 import io.figspan.policy.route.RouteTable;
 import io.figspan.policy.route.ServiceSelector;
+import io.figspan.settings.gateway.CallerAccess;
 import io.figspan.settings.gateway.GatewaySettings;
 import io.figspan.settings.gateway.OrganisationKeys;
 import io.figspan.settings.gateway.Route;
@@ -64,6 +65,7 @@
     private BooleanSupplier areSettingsOutdated = () -> false;
     private Consumer<GatewaySettings> settingsListener = applied -> {};
     private GatewaySettings settings;
+    private CallerAccess access = CallerAccess.OPEN;
     private RouteTable routes = new RouteTable(List.of());
     private RequestProfiles profiles = new RequestProfiles(Map.of());
     private ApiKeyIndex keys = new ApiKeyIndex(List.of());
@@ -97,26 +99,39 @@
         dispatchers.setShareLog(new ShareLog(log, metrics));
     }
 
+    /** From now on each request on a route that is not public needs a valid key, whatever the settings say. */
+    public void requireKeys() {
+        access = CallerAccess.keyed(List.of()).succeeding(access);
+    }
+
     /** Applies settings, unless newer ones are in force. */
     public void apply(GatewaySettings newSettings) {
         if (settings != null && !newSettings.version().isNewerThan(settings.version())) {
             return;
         }
+        CallerAccess newAccess = newSettings.access().succeeding(access);
         metrics.count("settings.applied");
         log.info(Part.SETTINGS, "settingsInForce")
                 .number("version", newSettings.version().number())
                 .number("before", settingsVersion().number())
                 .number("routes", newSettings.routes().size())
-                .number("organisations", newSettings.access().organisations().size())
-                .text("keysRequired", newSettings.requiresKeys())
+                .number("organisations", newAccess.organisations().size())
+                .text("keysRequired", newAccess.requiresKey())
+                .number("keys", newAccess.keyCount())
                 .write();
+        if (newAccess.requiresKey() && !newSettings.access().requiresKey()) {
+            log.warn(Part.SETTINGS, "keysMissing")
+                    .number("version", newSettings.version().number())
+                    .write();
+        }
         newSettings.rejectedEntries().forEach(entry -> log.warn(Part.SETTINGS, "settingsEntryRejected")
                 .number("version", newSettings.version().number())
                 .text("reason", entry)
                 .write());
         settings = newSettings;
+        access = newAccess;
         routes = new RouteTable(newSettings.routes());
-        keys = new ApiKeyIndex(newSettings.access().organisations());
+        keys = new ApiKeyIndex(newAccess.organisations());
         profiles = new RequestProfiles(newSettings.services());
         dispatchers.apply(newSettings);
         settingsListener.accept(newSettings);
@@ -196,7 +211,7 @@
             return refuse(request, body, caller, unlessOutdated(problem));
         }
         Optional<OrganisationKeys> organisation = request.key().flatMap(keys::find);
-        if (organisation.isEmpty() && settings.requiresKeys() && !route.get().isPublic()) {
+        if (organisation.isEmpty() && access.requiresKey() && !route.get().isPublic()) {
             problem = Problem.notRun(ProblemKind.UNAUTHENTICATED, "the key is unknown");
             return refuse(request, body, caller, unlessOutdated(problem));
         }
--- a/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/GatewayHarness.java
@@ -30,7 +30,6 @@
 import io.figspan.settings.gateway.GatewaySettings;
 import io.figspan.settings.gateway.OrganisationKeys;
 import io.figspan.settings.gateway.RequestKind;
-import io.figspan.settings.gateway.Route;
 import io.figspan.settings.gateway.ServiceProfile;
 import io.figspan.settings.gateway.WeightedService;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -52,7 +51,6 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
-import java.util.function.UnaryOperator;
 
 /** The forwarding path of one host on loopback: the port for callers, with scripted backend servers behind it. */
 public final class GatewayHarness implements AutoCloseable {
@@ -313,9 +311,18 @@
 
     /** Registers servers, applies settings with the usual routes, and opens the forwarder. */
     public void open(Map<String, ScriptedServer> servers) {
+        open(servers, settings(2_000));
+    }
+
+    /** Opens the forwarder before the added servers with these settings. */
+    public void open(GatewaySettings first) {
+        open(addedServers, first);
+    }
+
+    private void open(Map<String, ScriptedServer> servers, GatewaySettings first) {
         onLoop(() -> {
             servers.forEach((name, server) -> pools.put(serverOf(name, server)));
-            forwarder.apply(settings(2_000));
+            forwarder.apply(first);
             dispatchers.serversChanged();
             forwarder.open();
         });
@@ -435,12 +442,12 @@
         return new GatewaySettings(
                 new SettingsVersion(version++),
                 List.of(
-                        route("read", "/read/", RequestKind.IDEMPOTENT, PLAIN, timeoutMs, false),
-                        route("order", "/order/", RequestKind.NON_IDEMPOTENT, PLAIN, timeoutMs, false),
-                        route("open", "/open/", RequestKind.IDEMPOTENT, PLAIN, timeoutMs, true),
-                        route("ask", "/ask/", RequestKind.IDEMPOTENT, ENGINES, timeoutMs, false),
-                        route("stream", "/stream/", RequestKind.STREAM, ENGINES, timeoutMs, false),
-                        onceOnly("/once/", timeoutMs)),
+                        TestRoutes.route("read", "/read/", RequestKind.IDEMPOTENT, PLAIN, timeoutMs, false),
+                        TestRoutes.route("order", "/order/", RequestKind.NON_IDEMPOTENT, PLAIN, timeoutMs, false),
+                        TestRoutes.route("open", "/open/", RequestKind.IDEMPOTENT, PLAIN, timeoutMs, true),
+                        TestRoutes.route("ask", "/ask/", RequestKind.IDEMPOTENT, ENGINES, timeoutMs, false),
+                        TestRoutes.route("stream", "/stream/", RequestKind.STREAM, ENGINES, timeoutMs, false),
+                        TestRoutes.onceOnly("/once/", timeoutMs)),
                 services,
                 CallerLimits.DEFAULT,
                 CallerAccess.keyed(List.of(
@@ -450,26 +457,18 @@
     /** Settings of the next version with the same routes under other names. */
     public GatewaySettings renamedSettings(long timeoutMs) {
         GatewaySettings same = settings(timeoutMs);
-        return withRoutes(
+        return TestRoutes.withRoutes(
                 same,
-                route -> copy(
+                route -> TestRoutes.copy(
                         route, "renamed-" + route.name(), route.pathPrefix(), route.services(), route.timeoutMs()));
     }
 
-    private static GatewaySettings withRoutes(GatewaySettings settings, UnaryOperator<Route> change) {
-        return new GatewaySettings(
-                settings.version(),
-                settings.routes().stream().map(change).toList(),
-                settings.services(),
-                settings.callerLimits(),
-                settings.access());
-    }
-
     /** Settings of the next version in which each route also names a service that it does not choose. */
     public GatewaySettings settingsWithUnusedService(long timeoutMs) {
         GatewaySettings same = settings(timeoutMs);
         List<WeightedService> services = List.of(new WeightedService(PLAIN, 1), new WeightedService(SPARE, 0));
-        return withRoutes(same, route -> copy(route, route.name(), route.pathPrefix(), services, route.timeoutMs()));
+        return TestRoutes.withRoutes(
+                same, route -> TestRoutes.copy(route, route.name(), route.pathPrefix(), services, route.timeoutMs()));
     }
 
     /** Settings of the next version without routes and keys. */
@@ -478,62 +477,6 @@
         return new GatewaySettings(same.version(), List.of(), same.services(), same.callerLimits(), CallerAccess.OPEN);
     }
 
-    /** A route that differs from another one in its name, path, services and timeout. */
-    public static Route copy(
-            Route route, String name, String pathPrefix, List<WeightedService> services, long timeoutMs) {
-        return new Route(
-                name,
-                route.hostName(),
-                pathPrefix,
-                route.kind(),
-                timeoutMs,
-                route.targetLatencyMs(),
-                route.rank(),
-                services,
-                route.maxAttempts(),
-                route.isPublic(),
-                route.describesPrompt(),
-                route.isResumable(),
-                route.maxGapMs());
-    }
-
-    /** A route for streams that may not be resumed. */
-    private static Route onceOnly(String prefix, long timeoutMs) {
-        List<WeightedService> services = List.of(new WeightedService(ENGINES, 1));
-        return new Route(
-                "once",
-                "a.example",
-                prefix,
-                RequestKind.STREAM,
-                timeoutMs,
-                300,
-                1,
-                services,
-                2,
-                false,
-                true,
-                false,
-                250);
-    }
-
-    private static Route route(
-            String name, String prefix, RequestKind kind, ServiceId service, long timeoutMs, boolean isPublic) {
-        return new Route(
-                name,
-                "a.example",
-                prefix,
-                kind,
-                timeoutMs,
-                300,
-                1,
-                List.of(new WeightedService(service, 1)),
-                2,
-                isPublic,
-                kind.isStreaming(),
-                kind.isStreaming(),
-                kind.isStreaming() ? 250 : 0);
-    }
-
     /** Opens a connection to the port for callers. */
     public Socket connect() throws IOException {
         Socket socket = new Socket(address.getAddress(), address.getPort());
--- a/figspan-gateway/src/test/java/io/figspan/gateway/TestConfigs.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/TestConfigs.java
@@ -28,6 +28,7 @@
                 100,
                 10_000,
                 ColdBound.DEFAULT,
-                true);
+                true,
+                false);
     }
 }
--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/ChangedSettingsTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/ChangedSettingsTest.java
@@ -7,6 +7,7 @@
 import io.figspan.gateway.GatewayHarness;
 import io.figspan.gateway.ScriptedServer.Connection;
 import io.figspan.gateway.ScriptedServer.Received;
+import io.figspan.gateway.TestRoutes;
 import io.figspan.settings.gateway.CallerAccess;
 import io.figspan.settings.gateway.CallerLimits;
 import io.figspan.settings.gateway.GatewaySettings;
@@ -124,7 +125,7 @@
     // Settings
 
     private static Route copy(Route route, String prefix, List<WeightedService> services, long timeoutMs) {
-        return GatewayHarness.copy(route, route.name() + prefix, prefix, services, timeoutMs);
+        return TestRoutes.copy(route, route.name() + prefix, prefix, services, timeoutMs);
     }
 
     private static GatewaySettings withRoutes(GatewaySettings settings, UnaryOperator<List<Route>> change) {
--- a/figspan-settings/src/main/java/io/figspan/settings/gateway/CallerAccess.java
+++ b/figspan-settings/src/main/java/io/figspan/settings/gateway/CallerAccess.java
@@ -18,9 +18,18 @@
     /** Whether a request on a route that is not public needs a valid API key. */
     boolean requiresKey();
 
+    /**
+     * The access by this version of the settings after an earlier one. Access with keys never becomes open: a version
+     * in which the keys are missing has no valid key.
+     */
+    CallerAccess succeeding(CallerAccess earlier);
+
     /** The organisations with API keys. */
     List<OrganisationKeys> organisations();
 
+    /** Number of API keys. */
+    int keyCount();
+
     /** Requests need no API key. */
     record Open() implements CallerAccess {
         @Override
@@ -28,10 +37,20 @@
             return false;
         }
 
+        @Override
+        public CallerAccess succeeding(CallerAccess earlier) {
+            return earlier.requiresKey() ? keyed(List.of()) : this;
+        }
+
         @Override
         public List<OrganisationKeys> organisations() {
             return List.of();
         }
+
+        @Override
+        public int keyCount() {
+            return 0;
+        }
     }
 
     /** Requests need an API key. If there are no organisations, no key is valid. */
@@ -44,5 +63,17 @@
         public boolean requiresKey() {
             return true;
         }
+
+        @Override
+        public CallerAccess succeeding(CallerAccess earlier) {
+            return this;
+        }
+
+        @Override
+        public int keyCount() {
+            return organisations.stream()
+                    .mapToInt(organisation -> organisation.keys().size())
+                    .sum();
+        }
     }
 }
