--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Forwarder.java
@@ -17,7 +17,6 @@
 import io.figspan.gateway.protocol.CallerRequest;
 import io.figspan.policy.drain.DrainPlan;
 import io.figspan.policy.placing.Job;
-import io.figspan.policy.route.ApiKeyIndex;
 import io.figspan.policy.route.RouteTable;
 import io.figspan.policy.route.ServiceSelector;
 import io.figspan.settings.gateway.CallerAccess;
@@ -59,16 +58,16 @@
     private final DrainControl drain;
     private final StartupQueue startupQueue = new StartupQueue();
     private final ByteBudget responseBodyBudget = new ByteBudget(MAX_BUFFERED_RESPONSE_BYTES);
+    private final CallerAuthentication authentication = new CallerAuthentication();
+    private final SettingsLog settingsLog;
     private boolean isOpen;
     private boolean isFairBetweenOrganisations;
     private LongSupplier workViewAgeMs = () -> 0;
     private BooleanSupplier areSettingsOutdated = () -> false;
     private Consumer<GatewaySettings> settingsListener = applied -> {};
     private GatewaySettings settings;
-    private CallerAccess access = CallerAccess.OPEN;
     private RouteTable routes = new RouteTable(List.of());
     private RequestProfiles profiles = new RequestProfiles(Map.of());
-    private ApiKeyIndex keys = new ApiKeyIndex(List.of());
 
     public Forwarder(
             EventLoop loop,
@@ -96,12 +95,13 @@
         requestCrashes.onQuarantined(dispatchers::quarantined);
         requestLimits.setHostsUsing(dispatchers::hostsUsing);
         this.dispatchers = dispatchers;
+        this.settingsLog = new SettingsLog(log, metrics);
         dispatchers.setShareLog(new ShareLog(log, metrics));
     }
 
     /** From now on each request on a route that is not public needs a valid key, whatever the settings say. */
     public void requireKeys() {
-        access = CallerAccess.keyed(List.of()).succeeding(access);
+        authentication.requireKeys();
     }
 
     /** Applies settings, unless newer ones are in force. */
@@ -109,29 +109,10 @@
         if (settings != null && !newSettings.version().isNewerThan(settings.version())) {
             return;
         }
-        CallerAccess newAccess = newSettings.access().succeeding(access);
-        metrics.count("settings.applied");
-        log.info(Part.SETTINGS, "settingsInForce")
-                .number("version", newSettings.version().number())
-                .number("before", settingsVersion().number())
-                .number("routes", newSettings.routes().size())
-                .number("organisations", newAccess.organisations().size())
-                .text("keysRequired", newAccess.requiresKey())
-                .number("keys", newAccess.keyCount())
-                .write();
-        if (newAccess.requiresKey() && !newSettings.access().requiresKey()) {
-            log.warn(Part.SETTINGS, "keysMissing")
-                    .number("version", newSettings.version().number())
-                    .write();
-        }
-        newSettings.rejectedEntries().forEach(entry -> log.warn(Part.SETTINGS, "settingsEntryRejected")
-                .number("version", newSettings.version().number())
-                .text("reason", entry)
-                .write());
+        CallerAccess access = authentication.apply(newSettings.access());
+        settingsLog.applied(newSettings, settingsVersion(), access);
         settings = newSettings;
-        access = newAccess;
         routes = new RouteTable(newSettings.routes());
-        keys = new ApiKeyIndex(newAccess.organisations());
         profiles = new RequestProfiles(newSettings.services());
         dispatchers.apply(newSettings);
         settingsListener.accept(newSettings);
@@ -210,8 +191,8 @@
             problem = Problem.notRun(ProblemKind.NOT_FOUND, "no route for " + request.path());
             return refuse(request, body, caller, unlessOutdated(problem));
         }
-        Optional<OrganisationKeys> organisation = request.key().flatMap(keys::find);
-        if (organisation.isEmpty() && access.requiresKey() && !route.get().isPublic()) {
+        Optional<OrganisationKeys> organisation = authentication.organisationOf(request);
+        if (!authentication.admits(organisation, route.get())) {
             problem = Problem.notRun(ProblemKind.UNAUTHENTICATED, "the key is unknown");
             return refuse(request, body, caller, unlessOutdated(problem));
         }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/http/HttpConnection.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/http/HttpConnection.java
@@ -35,8 +35,7 @@
     private final ResponseDecoder decoder = new ResponseDecoder();
     private Channel channel;
     private ExchangeListener activeListener;
-    private FullHttpRequest pendingRequest;
-    private ChannelFuture writeFuture;
+    private final RequestWriter request = new RequestWriter();
     private final long connectStartNanos = System.nanoTime();
     private long connectNanos = Long.MAX_VALUE;
     private boolean connected;
@@ -114,19 +113,19 @@
      *
      * @throws IllegalStateException if the connection is not idle
      */
-    public void send(FullHttpRequest request, ExchangeListener listener) {
+    public void send(FullHttpRequest message, ExchangeListener listener) {
         if (!isIdle()) {
             throw new IllegalStateException("can't send a request on a connection that is closed or busy");
         }
         activeListener = listener;
-        decoder.expectResponseTo(request.method());
+        decoder.expectResponseTo(message.method());
         hasCarriedRequest = true;
         headReceived = false;
         headBytes = 0;
         if (connected) {
-            write(request);
+            request.write(channel, message);
         } else {
-            pendingRequest = request;
+            request.defer(message);
         }
     }
 
@@ -144,13 +143,13 @@
     /** Closes a connection on which no exchange is in progress. */
     public void close() {
         closed = true;
-        releasePendingRequest();
+        request.releaseDeferred();
         Channels.close(channel);
     }
 
     /** Whether the current request has not been written, since the connection is not established yet. */
     public boolean isRequestPending() {
-        return pendingRequest != null;
+        return request.isDeferred();
     }
 
     private void onConnected(boolean success) {
@@ -160,19 +159,14 @@
             return;
         }
         connectNanos = System.nanoTime() - connectStartNanos;
-        if (pendingRequest != null && activeListener != null) {
-            if (!activeListener.mayWrite()) {
-                fail(ConnectionFailure.WITHDRAWN);
-                return;
-            }
-            FullHttpRequest request = pendingRequest;
-            pendingRequest = null;
-            write(request);
+        if (!request.isDeferred() || activeListener == null) {
+            return;
+        }
+        if (activeListener.mayWrite()) {
+            request.writeDeferred(channel);
+        } else {
+            fail(ConnectionFailure.WITHDRAWN);
         }
-    }
-
-    private void write(FullHttpRequest request) {
-        writeFuture = channel.writeAndFlush(request);
     }
 
     // Inbound
@@ -272,7 +266,7 @@
 
     /** The decoder has reported the end of the response. If it is incomplete, the end of the connection follows. */
     private void endResponse() {
-        InputState.Completeness completeness = input.completenessOfResponse(requestWrite());
+        InputState.Completeness completeness = input.completenessOfResponse(request.state());
         if (completeness == InputState.Completeness.COMPLETE) {
             complete();
         } else if (completeness == InputState.Completeness.UNDECIDED) {
@@ -280,17 +274,10 @@
         }
     }
 
-    private InputState.RequestWrite requestWrite() {
-        if (writeFuture == null || !writeFuture.isDone()) {
-            return InputState.RequestWrite.PENDING;
-        }
-        return writeFuture.isSuccess() ? InputState.RequestWrite.WRITTEN : InputState.RequestWrite.FAILED;
-    }
-
     /** A server that is alive reads the rest of the request; one that has crashed resets the connection. */
     private void awaitRequestWrite() {
         awaitsRequestWrite = true;
-        writeFuture.addListener(written -> {
+        request.onEnd(written -> {
             if (activeListener == null) {
                 return;
             }
@@ -306,8 +293,7 @@
         ExchangeListener finished = activeListener;
         activeListener = null;
         idleSinceNanos = System.nanoTime();
-        boolean isRequestWritten = requestWrite() == InputState.RequestWrite.WRITTEN;
-        if (!keepAlive || !isRequestWritten || decoder.hasUnreadBytes()) {
+        if (!keepAlive || !request.isWritten() || decoder.hasUnreadBytes()) {
             close();
         } else {
             setReading(true);
@@ -343,11 +329,4 @@
             failed.onFailure(failure);
         }
     }
-
-    private void releasePendingRequest() {
-        if (pendingRequest != null) {
-            pendingRequest.release();
-            pendingRequest = null;
-        }
-    }
 }
