--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Attempt.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Attempt.java
@@ -14,6 +14,7 @@
 import io.figspan.gateway.http.HttpConnection;
 import io.figspan.gateway.protocol.BackendProtocol;
 import io.figspan.gateway.protocol.BackendResponse;
+import io.figspan.wire.http.ResponseVerdict;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -50,6 +51,7 @@
     private boolean discarded;
     private boolean complete;
     private Optional<ConnectionFailure> connectionFailure = Optional.empty();
+    private Optional<ResponseVerdict.Invalid> invalidResponse = Optional.empty();
     private boolean ended;
 
     /**
@@ -122,6 +124,11 @@
         return connectionFailure;
     }
 
+    /** Why the server's bytes are no response; empty if that is not the reason for which the attempt ended. */
+    Optional<ResponseVerdict.Invalid> invalidResponse() {
+        return invalidResponse;
+    }
+
     /** Whether the server's response was received to its end, also if it is discarded. */
     boolean isComplete() {
         return complete;
@@ -336,6 +343,16 @@
 
     @Override
     public void onFailure(ConnectionFailure failure) {
+        connectionEnded(failure, failure.toString());
+    }
+
+    @Override
+    public void onInvalid(ResponseVerdict.Invalid invalid) {
+        invalidResponse = Optional.of(invalid);
+        connectionEnded(ConnectionFailure.MALFORMED, invalid.toString());
+    }
+
+    private void connectionEnded(ConnectionFailure failure, String reason) {
         events.takeComplete().ifPresent(this::forward);
         connectionFailure = Optional.of(failure);
         if (discarded) {
@@ -343,7 +360,7 @@
             listener.onDiscardedEnd(this);
             return;
         }
-        fail(AttemptEnd.of(failure), failure.toString());
+        fail(AttemptEnd.of(failure), reason);
     }
 
     private void abort(AttemptEnd end, String reason) {
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/CallLog.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/CallLog.java
@@ -95,6 +95,7 @@
         failed.connectionFailure()
                 .filter(ConnectionFailure::isWithinResponse)
                 .ifPresent(failure -> metrics.incompleteResponse(failure.name()));
+        failed.invalidResponse().ifPresent(invalid -> metrics.invalidResponse(invalid.part()));
         line("attemptFailed")
                 .text("server", failed.server())
                 .text("end", end)
--- a/figspan-gateway/src/main/java/io/figspan/gateway/http/BufferedExchange.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/http/BufferedExchange.java
@@ -1,5 +1,6 @@
 package io.figspan.gateway.http;
 
+import io.figspan.wire.http.ResponseVerdict;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -181,6 +182,11 @@
         fail(failure.toString());
     }
 
+    @Override
+    public void onInvalid(ResponseVerdict.Invalid invalid) {
+        fail(invalid.toString());
+    }
+
     private void failTooLong() {
         if (markFinished()) {
             body.release();
--- a/figspan-gateway/src/main/java/io/figspan/gateway/http/ExchangeListener.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/http/ExchangeListener.java
@@ -1,11 +1,12 @@
 package io.figspan.gateway.http;
 
+import io.figspan.wire.http.ResponseVerdict;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
 
 /**
  * Receives the response of one exchange, on the event loop of its connection. Unless the exchange is aborted, exactly
- * one of {@link #onComplete} and {@link #onFailure} is called, as the last method.
+ * one of {@link #onComplete}, {@link #onFailure} and {@link #onInvalid} is called, as the last method.
  */
 public interface ExchangeListener {
     /**
@@ -30,4 +31,9 @@
 
     /** The exchange failed before the response was complete. */
     void onFailure(ConnectionFailure failure);
+
+    /** The server has sent bytes that are no HTTP response; those of the same read were not passed on. */
+    default void onInvalid(ResponseVerdict.Invalid invalid) {
+        onFailure(ConnectionFailure.MALFORMED);
+    }
 }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/http/HttpConnection.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/http/HttpConnection.java
@@ -1,5 +1,8 @@
 package io.figspan.gateway.http;
 
+import io.figspan.wire.http.InvalidResponseException;
+import io.figspan.wire.http.ResponseSyntaxHandler;
+import io.figspan.wire.http.ResponseVerdict;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -22,6 +25,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
+import java.util.Optional;
 
 /**
  * An HTTP client connection that carries one exchange at a time. It closes itself if the server sends bytes while no
@@ -32,6 +36,7 @@
     private static final long MAX_HEAD_BYTES = 64 * 1_024;
 
     private final InetSocketAddress address;
+    private final ResponseSyntaxHandler syntax = new ResponseSyntaxHandler();
     private final ResponseDecoder decoder = new ResponseDecoder();
     private Channel channel;
     private ExchangeListener activeListener;
@@ -73,6 +78,7 @@
                         ch.pipeline()
                                 .addLast(
                                         connection.new InboundGuard(),
+                                        connection.syntax,
                                         connection.decoder,
                                         new HttpRequestEncoder(),
                                         connection);
@@ -118,6 +124,7 @@
             throw new IllegalStateException("can't send a request on a connection that is closed or busy");
         }
         activeListener = listener;
+        syntax.expectResponse();
         decoder.expectResponseTo(message.method());
         hasCarriedRequest = true;
         headReceived = false;
@@ -303,7 +310,11 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        Channels.close(ctx.channel());
+        if (cause instanceof InvalidResponseException invalid) {
+            failInvalid(invalid.verdict());
+        } else {
+            Channels.close(ctx.channel());
+        }
     }
 
     /** Closes the connection when the server has shut it down, unless the rest of the request is to be written. */
@@ -320,13 +331,20 @@
     }
 
     private void fail(ConnectionFailure failure) {
-        ExchangeListener failed = activeListener;
+        endExchange().ifPresent(failed -> failed.onFailure(failure));
+    }
+
+    private void failInvalid(ResponseVerdict.Invalid invalid) {
+        endExchange().ifPresent(failed -> failed.onInvalid(invalid));
+    }
+
+    /** Closes the connection, and returns the listener of the exchange that was in progress. */
+    private Optional<ExchangeListener> endExchange() {
+        Optional<ExchangeListener> failed = Optional.ofNullable(activeListener);
         activeListener = null;
         if (!closed) {
             close();
         }
-        if (failed != null) {
-            failed.onFailure(failure);
-        }
+        return failed;
     }
 }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/metrics/GatewayMetrics.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/metrics/GatewayMetrics.java
@@ -6,6 +6,7 @@
 import com.codahale.metrics.SlidingWindowReservoir;
 import com.codahale.metrics.Timer;
 import io.figspan.core.metrics.PrometheusText;
+import io.figspan.wire.http.MessagePart;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -71,6 +72,11 @@
         counter("responses.incomplete." + reason.toLowerCase(Locale.ROOT)).inc();
     }
 
+    /** Records bytes of a backend server that are no HTTP response, by the part that shows it. */
+    public void invalidResponse(MessagePart part) {
+        counter("responses.invalid." + part.name().toLowerCase(Locale.ROOT)).inc();
+    }
+
     /** Increments a counter. */
     public void count(String name) {
         counter(name).inc();
--- /dev/null
+++ b/figspan-wire/src/main/java/io/figspan/wire/http/MessagePart.java
@@ -0,0 +1,17 @@
+package io.figspan.wire.http;
+
+/** Part of an HTTP response whose syntax can be invalid. */
+public enum MessagePart {
+    STATUS_LINE("status line");
+
+    private final String label;
+
+    MessagePart(String label) {
+        this.label = label;
+    }
+
+    /** Name in ordinary English, for log lines. */
+    public String label() {
+        return label;
+    }
+}
