--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/InvalidAnswerTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/InvalidAnswerTest.java
@@ -57,6 +57,36 @@
         "|HTTP/1.1 200 OK",
     };
 
+    /** Lines in a head that are no field. */
+    private static final String[] FIELD_LINES = {
+        "x y: z",
+        "x-a : z",
+        "x-a\t: z",
+        "x\ta: z",
+        " x-a: z",
+        "\tx-a: z",
+        ": z",
+        "x-a",
+        "x\u0000a: z",
+        "x\u0001a: z",
+        "x\u007fa: z",
+        "x\u00e9a: z",
+        "x(a: z",
+        "x\"a: z",
+        "x-a: y\u0000z",
+        "x-a: y\u0001z",
+        "x-a: y\rz",
+        "x-a: y\u007fz",
+        "x-a:\u000bz",
+        "x-a: z\ny-a: z",
+        "content-length : 3",
+        "content-length\t: 3",
+        "content-length 3: 3",
+        "content length: 3",
+        "transfer-encoding : chunked",
+        "transfer-encoding x: chunked",
+    };
+
     private final AtomicInteger answers = new AtomicInteger();
     private GatewayHarness gateway;
     private ScriptedServer server;
@@ -172,6 +202,32 @@
         assertNoAnswer(kind);
     }
 
+    private static Stream<Arguments> fieldLines() {
+        return ofEachKind(FIELD_LINES);
+    }
+
+    @ParameterizedTest
+    @MethodSource("fieldLines")
+    void anAnswerWithALineThatIsNoFieldIsNoAnswer(Kind kind, String line) throws IOException {
+        open("HTTP/1.1 200 OK|$FIELDS|" + line + "|content-length: $LENGTH||$BODY");
+        assertNoAnswer(kind);
+    }
+
+    /** The line would otherwise be passed over, and the body would end with its connection. */
+    @ParameterizedTest
+    @MethodSource("fieldLines")
+    void anAnswerWithALineThatIsNoFieldAndWithoutLengthIsNoAnswer(Kind kind, String line) throws IOException {
+        open("HTTP/1.1 200 OK|$FIELDS|" + line + "||$BODY");
+        assertNoAnswer(kind);
+    }
+
+    @ParameterizedTest
+    @MethodSource("fieldLines")
+    void anAnswerAfterAnInterimOneWithALineThatIsNoFieldIsNoAnswer(Kind kind, String line) throws IOException {
+        open("HTTP/1.1 103 x|" + line + "||HTTP/1.1 200 OK|$FIELDS|content-length: $LENGTH||$BODY");
+        assertNoAnswer(kind);
+    }
+
     /** A promise that the request has not run, a drain notice, a limit, a pause: none of it holds. */
     @ParameterizedTest
     @ValueSource(strings = {"000", "099", "600"})
@@ -203,6 +259,7 @@
     @ParameterizedTest
     @CsvSource({
         "status_line, HTTP/1.1 000 OK|$FIELDS|content-length: $LENGTH||$BODY",
+        "field_line, HTTP/1.1 200 OK|$FIELDS|content length: $LENGTH||$BODY",
     })
     void aCounterTellsWhichPartWasInvalid(String part, String answer) throws IOException {
         open(answer);
--- a/figspan-wire/src/main/java/io/figspan/wire/http/LineBuffer.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/http/LineBuffer.java
@@ -52,11 +52,6 @@
         return true;
     }
 
-    /** Whether the line is empty but for a line feed, before which a carriage return may be missing. */
-    boolean isEmptyLine() {
-        return length == 1 || (length == LINE_BREAK_BYTES && bytes[0] == '\r');
-    }
-
     /** Removes and returns the line without its line break. */
     byte[] detachLine() {
         return detach(length - LINE_BREAK_BYTES);
--- a/figspan-wire/src/main/java/io/figspan/wire/http/MessagePart.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/http/MessagePart.java
@@ -2,7 +2,8 @@
 
 /** Part of an HTTP response whose syntax can be invalid. */
 public enum MessagePart {
-    STATUS_LINE("status line");
+    STATUS_LINE("status line"),
+    FIELD_LINE("field line");
 
     private final String label;
 
--- a/figspan-wire/src/main/java/io/figspan/wire/http/ResponseSyntax.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/http/ResponseSyntax.java
@@ -4,9 +4,9 @@
 import java.util.Optional;
 
 /**
- * Decides whether the bytes that a server sends are an HTTP/1 response, by the status lines of the response and of
- * informational ones before it (RFC 9112, section 4). Reads each byte once, keeps one line at most, and has no clock or
- * input of its own.
+ * Decides whether the bytes that a server sends are an HTTP/1 response, by the heads of the response and of
+ * informational ones before it (RFC 9112, sections 4 and 5). Reads each byte once, keeps one line at most, and has no
+ * clock or input of its own.
  */
 public final class ResponseSyntax {
     /** As long as the longest head that the decoders behind take. */
@@ -45,30 +45,43 @@
         if (!buffer.take(bytes)) {
             return;
         }
-        if (phase == Phase.STATUS_LINE) {
-            readStatusLine();
+        if (!buffer.hasLineBreak()) {
+            reject(partOfLine(), "the line must end with CR and LF, and in time", buffer.detachAll());
             return;
         }
-        if (buffer.isEmptyLine()) {
-            phase = statusLine.isInformational() ? Phase.STATUS_LINE : Phase.BODY;
+        byte[] line = buffer.detachLine();
+        if (phase == Phase.STATUS_LINE) {
+            readStatusLine(line);
+        } else {
+            readField(line);
         }
-        buffer.detachAll();
     }
 
-    private void readStatusLine() {
-        if (!buffer.hasLineBreak()) {
-            reject("the line must end with CR and LF, and in time", buffer.detachAll());
-            return;
-        }
-        byte[] line = buffer.detachLine();
-        StatusLine.violation(line).ifPresent(rule -> reject(rule, line));
-        if (invalid.isEmpty()) {
+    private MessagePart partOfLine() {
+        return phase == Phase.STATUS_LINE ? MessagePart.STATUS_LINE : MessagePart.FIELD_LINE;
+    }
+
+    private void readStatusLine(byte[] line) {
+        if (accept(MessagePart.STATUS_LINE, StatusLine.violation(line), line)) {
             statusLine = StatusLine.of(line);
             phase = Phase.FIELDS;
         }
     }
 
-    private void reject(String rule, byte[] line) {
-        invalid = Optional.of(ResponseVerdict.Invalid.of(MessagePart.STATUS_LINE, rule, line));
+    private void readField(byte[] line) {
+        if (line.length > 0) {
+            accept(MessagePart.FIELD_LINE, FieldLine.violation(line), line);
+            return;
+        }
+        phase = statusLine.isInformational() ? Phase.STATUS_LINE : Phase.BODY;
+    }
+
+    private boolean accept(MessagePart part, Optional<String> violation, byte[] line) {
+        violation.ifPresent(rule -> reject(part, rule, line));
+        return violation.isEmpty();
+    }
+
+    private void reject(MessagePart part, String rule, byte[] line) {
+        invalid = Optional.of(ResponseVerdict.Invalid.of(part, rule, line));
     }
 }
