--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/InvalidAnswerTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/InvalidAnswerTest.java
@@ -18,6 +18,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -87,6 +88,38 @@
         "transfer-encoding x: chunked",
     };
 
+    /** Fields that leave the end of the body open to more than one reading, or codings that nothing decodes. */
+    private static final String[] FRAMINGS = {
+        "content-length: $LENGTH|content-length: 3",
+        "content-length: $LENGTH, 3",
+        "content-length: +$LENGTH",
+        "content-length: -1",
+        "content-length: 0x10",
+        "content-length:",
+        "content-length: $LENGTH,",
+        "content-length: $LENGTH $LENGTH",
+        "content-length: 99999999999999999999",
+        "transfer-encoding: gzip",
+        "transfer-encoding: gzip|content-length: $LENGTH",
+        "transfer-encoding: identity|content-length: $LENGTH",
+        "transfer-encoding:|content-length: $LENGTH",
+        "transfer-encoding: chunked|content-length: $LENGTH",
+    };
+
+    /** Codings of a body in chunks of which not all are chunked, once. */
+    private static final String[] CHUNKED_FRAMINGS = {
+        "transfer-encoding: gzip, chunked",
+        "transfer-encoding: gzip|transfer-encoding: chunked",
+        "transfer-encoding: chunked, gzip",
+        "transfer-encoding: chunked, chunked",
+        "transfer-encoding: chunked|transfer-encoding: chunked",
+        "transfer-encoding: identity, chunked",
+        "transfer-encoding: x-chunked",
+        "transfer-encoding: \"chunked\"",
+        "transfer-encoding: chunked;q=1",
+        "transfer-encoding: chunked,",
+    };
+
     private final AtomicInteger answers = new AtomicInteger();
     private GatewayHarness gateway;
     private ScriptedServer server;
@@ -155,6 +188,7 @@
         return answer.replace("|", "\r\n")
                 .replace("$FIELDS", "attempt: " + request.header("attempt") + "\r\nsignature: s")
                 .replace("$LENGTH", Integer.toString(body.length()))
+                .replace("$HEX", Integer.toHexString(body.length()))
                 .replace("$BODY", body);
     }
 
@@ -228,6 +262,35 @@
         assertNoAnswer(kind);
     }
 
+    private static Stream<Arguments> framings() {
+        return ofEachKind(FRAMINGS);
+    }
+
+    @ParameterizedTest
+    @MethodSource("framings")
+    void anAnswerWhoseEndHasNoSingleReadingIsNoAnswer(Kind kind, String framing) throws IOException {
+        open("HTTP/1.1 200 OK|$FIELDS|" + framing + "||$BODY");
+        assertNoAnswer(kind);
+    }
+
+    private static Stream<Arguments> chunkedFramings() {
+        return ofEachKind(CHUNKED_FRAMINGS);
+    }
+
+    @ParameterizedTest
+    @MethodSource("chunkedFramings")
+    void anAnswerInACodingThatNothingDecodesIsNoAnswer(Kind kind, String framing) throws IOException {
+        open("HTTP/1.1 200 OK|$FIELDS|" + framing + "||$HEX|$BODY|0||");
+        assertNoAnswer(kind);
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void anAnswerOfHttp10InChunksIsNoAnswer(Kind kind) throws IOException {
+        open("HTTP/1.0 200 OK|$FIELDS|transfer-encoding: chunked||$HEX|$BODY|0||");
+        assertNoAnswer(kind);
+    }
+
     /** A promise that the request has not run, a drain notice, a limit, a pause: none of it holds. */
     @ParameterizedTest
     @ValueSource(strings = {"000", "099", "600"})
@@ -260,6 +323,7 @@
     @CsvSource({
         "status_line, HTTP/1.1 000 OK|$FIELDS|content-length: $LENGTH||$BODY",
         "field_line, HTTP/1.1 200 OK|$FIELDS|content length: $LENGTH||$BODY",
+        "framing, HTTP/1.1 200 OK|$FIELDS|transfer-encoding: gzip||$BODY",
     })
     void aCounterTellsWhichPartWasInvalid(String part, String answer) throws IOException {
         open(answer);
--- a/figspan-wire/src/main/java/io/figspan/wire/http/MessagePart.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/http/MessagePart.java
@@ -3,7 +3,9 @@
 /** Part of an HTTP response whose syntax can be invalid. */
 public enum MessagePart {
     STATUS_LINE("status line"),
-    FIELD_LINE("field line");
+    FIELD_LINE("field line"),
+    /** The fields that determine where the body ends. */
+    FRAMING("framing");
 
     private final String label;
 
--- a/figspan-wire/src/main/java/io/figspan/wire/http/ResponseSyntax.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/http/ResponseSyntax.java
@@ -1,11 +1,12 @@
 package io.figspan.wire.http;
 
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 
 /**
  * Decides whether the bytes that a server sends are an HTTP/1 response, by the heads of the response and of
- * informational ones before it (RFC 9112, sections 4 and 5). Reads each byte once, keeps one line at most, and has no
+ * informational ones before it (RFC 9112, sections 4 to 6). Reads each byte once, keeps one line at most, and has no
  * clock or input of its own.
  */
 public final class ResponseSyntax {
@@ -22,6 +23,7 @@
     private final LineBuffer buffer = new LineBuffer(MAX_LINE_BYTES);
     private Phase phase = Phase.STATUS_LINE;
     private StatusLine statusLine;
+    private FramingFields framing;
     private Optional<ResponseVerdict.Invalid> invalid = Optional.empty();
 
     /** Begins the response to a request. */
@@ -64,16 +66,24 @@
     private void readStatusLine(byte[] line) {
         if (accept(MessagePart.STATUS_LINE, StatusLine.violation(line), line)) {
             statusLine = StatusLine.of(line);
+            framing = new FramingFields();
             phase = Phase.FIELDS;
         }
     }
 
     private void readField(byte[] line) {
-        if (line.length > 0) {
-            accept(MessagePart.FIELD_LINE, FieldLine.violation(line), line);
-            return;
+        if (line.length == 0) {
+            endHead();
+        } else if (accept(MessagePart.FIELD_LINE, FieldLine.violation(line), line)) {
+            framing.add(FieldLine.of(line));
+        }
+    }
+
+    private void endHead() {
+        byte[] excerpt = framing.excerpt().getBytes(StandardCharsets.ISO_8859_1);
+        if (accept(MessagePart.FRAMING, framing.violation(statusLine), excerpt)) {
+            phase = statusLine.isInformational() ? Phase.STATUS_LINE : Phase.BODY;
         }
-        phase = statusLine.isInformational() ? Phase.STATUS_LINE : Phase.BODY;
     }
 
     private boolean accept(MessagePart part, Optional<String> violation, byte[] line) {
--- a/figspan-wire/src/main/java/io/figspan/wire/http/StatusLine.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/http/StatusLine.java
@@ -8,7 +8,7 @@
  * The first line of a response (RFC 9112, section 4): version, status and an optional reason phrase. The blank before a
  * missing reason phrase may be missing too, as many servers omit it.
  */
-record StatusLine(int status) {
+record StatusLine(int minorVersion, int status) {
     private static final byte[] VERSION = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
     private static final int STATUS_START = VERSION.length + 2;
     private static final int STATUS_END = STATUS_START + 3;
@@ -40,7 +40,7 @@
 
     /** Parses a line without {@linkplain #violation violations}. */
     static StatusLine of(byte[] line) {
-        return new StatusLine(statusOf(line));
+        return new StatusLine(line[VERSION.length] - '0', statusOf(line));
     }
 
     private static boolean hasVersion(byte[] line) {
