--- a/figspan-gateway/src/main/java/io/figspan/gateway/http/ResponseDecoder.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/http/ResponseDecoder.java
@@ -1,18 +1,19 @@
 package io.figspan.gateway.http;
 
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpStatusClass;
 
-/** Decodes the responses of one connection, and tells whether a server has sent more than the responses due. */
+/** Decodes the responses of one connection, whose syntax has been checked. */
 final class ResponseDecoder extends HttpResponseDecoder {
     private boolean isHeadRequest;
 
-    /** A request is sent; the response to a HEAD request has no body whatever its headers say. */
-    void expectResponseTo(HttpMethod method) {
-        isHeadRequest = HttpMethod.HEAD.equals(method);
+    /** A length that is repeated with the same value has one reading (RFC 9110, section 8.6). */
+    ResponseDecoder() {
+        super(new HttpDecoderConfig().setAllowDuplicateContentLengths(true));
     }
 
     /** Whether bytes have arrived that belong to no decoded message. */
@@ -20,6 +21,11 @@
         return actualReadableBytes() > 0;
     }
 
+    /** A request is sent; the response to a HEAD request has no body whatever its headers say. */
+    void expectResponseTo(HttpMethod method) {
+        isHeadRequest = HttpMethod.HEAD.equals(method);
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         return (isHeadRequest && !isInformational(message)) || super.isContentAlwaysEmpty(message);
--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/UnusualAnswerTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/UnusualAnswerTest.java
@@ -102,6 +102,12 @@
         assertServed("HTTP/1.1 200 OK|$FIELDS|" + framing + "||" + BODY);
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {LENGTH + "|" + LENGTH, "content-length: 11, 11", "content-length: 11,11|" + LENGTH})
+    void anAnswerThatRepeatsItsLengthIsServed(String framing) throws IOException {
+        assertServed("HTTP/1.1 200 OK|$FIELDS|" + framing + "||" + BODY);
+    }
+
     @ParameterizedTest
     @ValueSource(
             strings = {
