--- a/figspan-gateway/src/main/java/io/figspan/gateway/http/HttpConnection.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/http/HttpConnection.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
@@ -124,7 +125,7 @@
             throw new IllegalStateException("can't send a request on a connection that is closed or busy");
         }
         activeListener = listener;
-        syntax.expectResponse();
+        syntax.expectResponse(HttpMethod.HEAD.equals(message.method()));
         decoder.expectResponseTo(message.method());
         hasCarriedRequest = true;
         headReceived = false;
@@ -300,7 +301,7 @@
         ExchangeListener finished = activeListener;
         activeListener = null;
         idleSinceNanos = System.nanoTime();
-        if (!keepAlive || !request.isWritten() || decoder.hasUnreadBytes()) {
+        if (!keepAlive || !request.isWritten() || syntax.hasExcess()) {
             close();
         } else {
             setReading(true);
--- a/figspan-gateway/src/main/java/io/figspan/gateway/http/ResponseDecoder.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/http/ResponseDecoder.java
@@ -16,11 +16,6 @@
         super(new HttpDecoderConfig().setAllowDuplicateContentLengths(true));
     }
 
-    /** Whether bytes have arrived that belong to no decoded message. */
-    boolean hasUnreadBytes() {
-        return actualReadableBytes() > 0;
-    }
-
     /** A request is sent; the response to a HEAD request has no body whatever its headers say. */
     void expectResponseTo(HttpMethod method) {
         isHeadRequest = HttpMethod.HEAD.equals(method);
--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/InvalidAnswerTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/InvalidAnswerTest.java
@@ -120,6 +120,38 @@
         "transfer-encoding: chunked,",
     };
 
+    /** Bodies that are no chunks. */
+    private static final String[] CHUNKS = {
+        "$HEX |$BODY|0||",
+        " $HEX|$BODY|0||",
+        "$HEX\t|$BODY|0||",
+        "0x$HEX|$BODY|0||",
+        "+$HEX|$BODY|0||",
+        "|$BODY|0||",
+        "$HEX x|$BODY|0||",
+        "$HEX,x|$BODY|0||",
+        "$HEX;|$BODY|0||",
+        "$HEX;=x|$BODY|0||",
+        "$HEX;x=|$BODY|0||",
+        "$HEX;x=\"y|$BODY|0||",
+        "$HEX;x=\u0001|$BODY|0||",
+        "$HEX\n$BODY|0||",
+        "$HEX\r$BODY|0||",
+        "$HEX|$BODYxy|0||",
+        "$HEX|$BODY\n0||",
+        "$HEX|$BODY|0 ||",
+        "$HEX|$BODY|-0||",
+        "$HEX|$BODY|||",
+        "$HEX|$BODY|10000000000000000||",
+        "$HEX|$BODY|0|x y: z||",
+        "$HEX|$BODY|0|x : z||",
+        "$HEX|$BODY|0| x: z||",
+        "$HEX|$BODY|0|x||",
+        "$HEX|$BODY|0|: z||",
+        "$HEX|$BODY|0|x: y\u0000z||",
+        "$HEX|$BODY|0|x: z\n\n",
+    };
+
     private final AtomicInteger answers = new AtomicInteger();
     private GatewayHarness gateway;
     private ScriptedServer server;
@@ -291,6 +323,17 @@
         assertNoAnswer(kind);
     }
 
+    private static Stream<Arguments> chunks() {
+        return ofEachKind(CHUNKS);
+    }
+
+    @ParameterizedTest
+    @MethodSource("chunks")
+    void anAnswerWithoutValidChunksIsNoAnswer(Kind kind, String chunks) throws IOException {
+        open("HTTP/1.1 200 OK|$FIELDS|transfer-encoding: chunked||" + chunks);
+        assertNoAnswer(kind);
+    }
+
     /** A promise that the request has not run, a drain notice, a limit, a pause: none of it holds. */
     @ParameterizedTest
     @ValueSource(strings = {"000", "099", "600"})
@@ -324,6 +367,8 @@
         "status_line, HTTP/1.1 000 OK|$FIELDS|content-length: $LENGTH||$BODY",
         "field_line, HTTP/1.1 200 OK|$FIELDS|content length: $LENGTH||$BODY",
         "framing, HTTP/1.1 200 OK|$FIELDS|transfer-encoding: gzip||$BODY",
+        "chunk, HTTP/1.1 200 OK|$FIELDS|transfer-encoding: chunked||$HEX |$BODY|0||",
+        "trailer, HTTP/1.1 200 OK|$FIELDS|transfer-encoding: chunked||$HEX|$BODY|0|x y: z||",
     })
     void aCounterTellsWhichPartWasInvalid(String part, String answer) throws IOException {
         open(answer);
--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/UnusualAnswerTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/UnusualAnswerTest.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -150,6 +151,17 @@
         assertTrue(response.endsWith("\r\n\r\n"), response);
     }
 
+    @Test
+    void anAnswerToAHeadRequestIsServedWithItsLengthAndWithoutBody() throws IOException {
+        server = new ScriptedServer((request, connection) -> connection.begin(request, 200, LENGTH + "\r\n"));
+        gateway.open(Map.of("plain-1", server));
+        for (int number = 1; number <= 2; number++) {
+            String response = gateway.call("HEAD", "/order/" + number, "", "");
+            assertTrue(response.startsWith("HTTP/1.1 200 "), response);
+            assertTrue(response.endsWith("\r\n\r\n"), response);
+        }
+    }
+
     /** Bytes after a complete answer belong to no request. */
     @ParameterizedTest
     @ValueSource(strings = {"more", "HTTP/1.1 000 x||", "HTTP/1.1 200 OK|$FIELDS|" + LENGTH + "||other bytes"})
--- a/figspan-wire/src/main/java/io/figspan/wire/http/FramingFields.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/http/FramingFields.java
@@ -56,6 +56,15 @@
         return areNumbers ? Optional.empty() : Optional.of("the length must be a decimal number");
     }
 
+    boolean isChunked() {
+        return !codings.isEmpty();
+    }
+
+    /** Length of the body in bytes; empty if the fields name none. */
+    Optional<Long> contentLength() {
+        return lengths.stream().findFirst().map(Long::parseLong);
+    }
+
     /** The values, for messages. */
     String excerpt() {
         return "content-length " + lengths + " transfer-encoding " + codings;
--- a/figspan-wire/src/main/java/io/figspan/wire/http/LineBuffer.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/http/LineBuffer.java
@@ -39,6 +39,10 @@
         bytes[length++] = octet;
     }
 
+    int length() {
+        return length;
+    }
+
     /** Whether the line ends with a carriage return and a line feed, and has no other carriage return. */
     boolean hasLineBreak() {
         if (length < LINE_BREAK_BYTES || bytes[length - 1] != '\n' || bytes[length - 2] != '\r') {
@@ -52,6 +56,11 @@
         return true;
     }
 
+    /** Whether the line is empty but for its line break. */
+    boolean isEmptyLine() {
+        return length == LINE_BREAK_BYTES && hasLineBreak();
+    }
+
     /** Removes and returns the line without its line break. */
     byte[] detachLine() {
         return detach(length - LINE_BREAK_BYTES);
--- a/figspan-wire/src/main/java/io/figspan/wire/http/MessagePart.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/http/MessagePart.java
@@ -5,7 +5,9 @@
     STATUS_LINE("status line"),
     FIELD_LINE("field line"),
     /** The fields that determine where the body ends. */
-    FRAMING("framing");
+    FRAMING("framing"),
+    CHUNK("chunk"),
+    TRAILER("trailer");
 
     private final String label;
 
--- a/figspan-wire/src/main/java/io/figspan/wire/http/Octets.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/http/Octets.java
@@ -23,6 +23,10 @@
         return octet < 0 || octet == '\t' || (octet >= ' ' && octet != 0x7F);
     }
 
+    static boolean isBlank(byte octet) {
+        return octet == ' ' || octet == '\t';
+    }
+
     /** Whether all octets from {@code first} are {@linkplain #isText text}. */
     static boolean isText(byte[] octets, int first) {
         for (int index = first; index < octets.length; index++) {
--- a/figspan-wire/src/main/java/io/figspan/wire/http/ResponseVerdict.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/http/ResponseVerdict.java
@@ -8,6 +8,9 @@
     /** The beginning of a response; more bytes, or the end of the connection, are due. */
     record Partial() implements ResponseVerdict {}
 
+    /** A response that has marked its own end. */
+    record Complete() implements ResponseVerdict {}
+
     /**
      * No response, whatever follows.
      *
--- a/figspan-wire/src/main/java/io/figspan/wire/http/StatusLine.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/http/StatusLine.java
@@ -19,6 +19,8 @@
 
     private static final int MIN_FINAL_STATUS = 200;
     private static final int SWITCHING_PROTOCOLS = 101;
+    private static final int NO_CONTENT = 204;
+    private static final int NOT_MODIFIED = 304;
 
     /** Why a line without its line break is no status line; empty if it is one. */
     static Optional<String> violation(byte[] line) {
@@ -65,4 +67,9 @@
     boolean isInformational() {
         return status < MIN_FINAL_STATUS;
     }
+
+    /** Whether the response has no body, whatever its fields say. */
+    boolean excludesBody() {
+        return isInformational() || status == NO_CONTENT || status == NOT_MODIFIED;
+    }
 }
