--- a/figspan-host/src/main/java/io/figspan/host/HostProcess.java
+++ b/figspan-host/src/main/java/io/figspan/host/HostProcess.java
@@ -96,7 +96,8 @@
         Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(2));
         HostIncarnation incarnation = new HostIncarnation(config.hostId(), System.currentTimeMillis());
         BackendTable backends = new BackendTable(config.hostId(), DEFAULT_SPEED);
-        EngineClient engines = new EngineClient(vertx, backends);
+        MetricRegistry metrics = new MetricRegistry();
+        EngineClient engines = new EngineClient(vertx, backends, metrics);
         Timeline timeline = new Timeline(config.hostId(), new HybridClock(System::currentTimeMillis));
         HostContext context = new HostContext(
                 config,
@@ -106,7 +107,7 @@
                 RandomGenerator.getDefault(),
                 new SettingsHolder(),
                 timeline,
-                new MetricRegistry(),
+                metrics,
                 backends,
                 engines,
                 new HoldDriver(incarnation, backends, engines, timeline),
--- a/figspan-host/src/main/java/io/figspan/host/backend/EngineClient.java
+++ b/figspan-host/src/main/java/io/figspan/host/backend/EngineClient.java
@@ -1,11 +1,13 @@
 package io.figspan.host.backend;
 
+import com.codahale.metrics.MetricRegistry;
 import io.figspan.core.error.FigspanException;
 import io.figspan.core.error.Location;
 import io.figspan.core.error.ProblemKind;
 import io.figspan.core.id.HoldHandle;
 import io.figspan.core.id.StreamId;
 import io.figspan.host.BoundedResponse;
+import io.figspan.host.StrictHttpClients;
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Single;
 import io.vertx.core.Future;
@@ -45,15 +47,17 @@
     private final HttpClient client;
     private final BackendTable table;
 
-    public EngineClient(Vertx vertx, BackendTable table) {
+    public EngineClient(Vertx vertx, BackendTable table, MetricRegistry metrics) {
         this.vertx = vertx;
         this.table = table;
-        this.client = vertx.createHttpClient(
+        this.client = StrictHttpClients.create(
+                vertx,
                 new HttpClientOptions()
                         .setConnectTimeout(CONNECT_TIMEOUT_MS)
                         .setTcpNoDelay(true)
                         .setMaxWaitQueueSize(MAX_WAITING_CALLS_PER_ENGINE),
-                new io.vertx.core.http.PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS_PER_ENGINE));
+                new io.vertx.core.http.PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS_PER_ENGINE),
+                metrics);
     }
 
     /** Sends a prompt and returns its answer stream. Disposing the subscription closes the connection. */
--- a/figspan-host/src/main/java/io/figspan/host/order/OrderWrites.java
+++ b/figspan-host/src/main/java/io/figspan/host/order/OrderWrites.java
@@ -40,7 +40,7 @@
         this.context = context;
         this.owner = owner;
         this.perform = perform;
-        this.writer = new ServiceWriter(Vertx.newInstance(context.vertx()));
+        this.writer = new ServiceWriter(Vertx.newInstance(context.vertx()), context.metrics());
         this.choice = new ServerChoice(context.backends(), context.random());
     }
 
--- a/figspan-host/src/main/java/io/figspan/host/order/ServiceWriter.java
+++ b/figspan-host/src/main/java/io/figspan/host/order/ServiceWriter.java
@@ -1,8 +1,10 @@
 package io.figspan.host.order;
 
+import com.codahale.metrics.MetricRegistry;
 import io.figspan.control.ticket.AnswerBody;
 import io.figspan.control.ticket.ServiceAnswer;
 import io.figspan.host.BoundedResponse;
+import io.figspan.host.StrictHttpClients;
 import io.figspan.host.backend.BackendTable;
 import io.reactivex.rxjava3.core.Single;
 import io.vertx.core.Future;
@@ -33,12 +35,15 @@
 
     private final HttpClient client;
 
-    ServiceWriter(Vertx vertx) {
-        this.client = vertx.createHttpClient(new HttpClientOptions()
-                .setConnectTimeout(CONNECT_TIMEOUT_MS)
-                .setKeepAlive(false)
-                .setMaxPoolSize(MAX_CONNECTIONS_PER_SERVER)
-                .setMaxWaitQueueSize(MAX_WAITING_FOR_CONNECTION));
+    ServiceWriter(Vertx vertx, MetricRegistry metrics) {
+        this.client = HttpClient.newInstance(StrictHttpClients.create(
+                vertx.getDelegate(),
+                new HttpClientOptions()
+                        .setConnectTimeout(CONNECT_TIMEOUT_MS)
+                        .setKeepAlive(false)
+                        .setMaxPoolSize(MAX_CONNECTIONS_PER_SERVER)
+                        .setMaxWaitQueueSize(MAX_WAITING_FOR_CONNECTION),
+                metrics));
     }
 
     /** Connects; no byte is written yet. */
--- a/figspan-host/src/main/java/io/figspan/host/platform/ConfigurationServiceReader.java
+++ b/figspan-host/src/main/java/io/figspan/host/platform/ConfigurationServiceReader.java
@@ -1,5 +1,6 @@
 package io.figspan.host.platform;
 
+import com.codahale.metrics.MetricRegistry;
 import io.figspan.cluster.message.Bytes;
 import io.figspan.cluster.spread.SettingsContent;
 import io.figspan.core.error.FigspanException;
@@ -56,9 +57,10 @@
     private volatile Map<String, SettingsPart> lastParts = Map.of();
 
     /** {@code refusals} is told of a version that cannot be read whole. */
-    public ConfigurationServiceReader(Vertx vertx, PeerAddress service, BiConsumer<SettingsVersion, Problem> refusals) {
+    public ConfigurationServiceReader(
+            Vertx vertx, PeerAddress service, BiConsumer<SettingsVersion, Problem> refusals, MetricRegistry metrics) {
         this.refusals = refusals;
-        this.client = new PlatformClient(vertx, service);
+        this.client = new PlatformClient(vertx, service, metrics);
     }
 
     @Override
--- a/figspan-host/src/main/java/io/figspan/host/platform/FleetListPoller.java
+++ b/figspan-host/src/main/java/io/figspan/host/platform/FleetListPoller.java
@@ -29,7 +29,7 @@
     public FleetListPoller(HostContext context, PeerAddress platform, Consumer<FleetList> listener) {
         this.context = context;
         this.listener = listener;
-        this.client = new PlatformClient(context.vertx(), platform);
+        this.client = new PlatformClient(context.vertx(), platform, context.metrics());
     }
 
     public void start() {
--- a/figspan-host/src/main/java/io/figspan/host/platform/PeerDriver.java
+++ b/figspan-host/src/main/java/io/figspan/host/platform/PeerDriver.java
@@ -140,8 +140,8 @@
     private ConfigurationSource configuration() {
         return context.config()
                 .configurationService()
-                .<ConfigurationSource>map(address ->
-                        new ConfigurationServiceReader(context.vertx(), address, context.settings()::recordRefusal))
+                .<ConfigurationSource>map(address -> new ConfigurationServiceReader(
+                        context.vertx(), address, context.settings()::recordRefusal, context.metrics()))
                 .orElse(new NoConfigurationService());
     }
 
--- a/figspan-host/src/main/java/io/figspan/host/platform/PlatformClient.java
+++ b/figspan-host/src/main/java/io/figspan/host/platform/PlatformClient.java
@@ -1,5 +1,7 @@
 package io.figspan.host.platform;
 
+import com.codahale.metrics.MetricRegistry;
+import io.figspan.host.StrictHttpClients;
 import io.figspan.settings.cfg.PeerAddress;
 import io.vertx.core.Context;
 import io.vertx.core.Future;
@@ -26,11 +28,12 @@
     private final PeerAddress service;
     private final HttpClient client;
 
-    PlatformClient(Vertx vertx, PeerAddress service) {
+    PlatformClient(Vertx vertx, PeerAddress service, MetricRegistry metrics) {
         this.vertx = vertx;
         this.context = vertx.getOrCreateContext();
         this.service = service;
-        this.client = vertx.createHttpClient(new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MS));
+        this.client =
+                StrictHttpClients.create(vertx, new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MS), metrics);
     }
 
     /**
--- a/figspan-host/src/main/java/io/figspan/host/steward/StewardDriver.java
+++ b/figspan-host/src/main/java/io/figspan/host/steward/StewardDriver.java
@@ -16,6 +16,7 @@
 import io.figspan.core.id.HostId;
 import io.figspan.core.id.ModelId;
 import io.figspan.host.HostContext;
+import io.figspan.host.StrictHttpClients;
 import io.figspan.host.backend.BackendTable;
 import io.figspan.host.backend.EngineMessages;
 import io.figspan.settings.ModelSetting;
@@ -25,7 +26,6 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.json.Json;
-import io.vertx.rxjava3.core.Vertx;
 import io.vertx.rxjava3.core.buffer.Buffer;
 import io.vertx.rxjava3.core.http.HttpClient;
 import io.vertx.rxjava3.core.http.HttpClientRequest;
@@ -74,8 +74,8 @@
     public StewardDriver(HostContext context, Supplier<Membership> membership) {
         this.context = context;
         this.membership = membership;
-        this.client = Vertx.newInstance(context.vertx())
-                .createHttpClient(new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MS));
+        this.client = HttpClient.newInstance(StrictHttpClients.create(
+                context.vertx(), new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MS), context.metrics()));
         this.steward = new ModelReconciler(context.config().hostId(), config);
     }
 
--- a/figspan-host/src/test/java/io/figspan/host/order/BrokenServiceAnswerTest.java
+++ b/figspan-host/src/test/java/io/figspan/host/order/BrokenServiceAnswerTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.codahale.metrics.MetricRegistry;
 import io.figspan.control.ticket.ServiceAnswer;
 import io.figspan.core.id.AvailabilityZoneId;
 import io.figspan.core.id.BackendServerId;
@@ -122,7 +123,7 @@
     void anAnswerThatIsResetWhileTheOrderIsWrittenIsNoAnswer() {
         CountDownLatch headReceived = new CountDownLatch(1);
         resetBeforeReading("HTTP/1.1 200 x\r\ncontent-type: text/plain\r\n\r\nhalf of the", headReceived);
-        ServiceWriter writer = new ServiceWriter(vertx);
+        ServiceWriter writer = new ServiceWriter(vertx, new MetricRegistry());
         Notification<ServiceAnswer> end = writer.connect(server)
                 .flatMap(connected -> {
                     connected.getDelegate().response().onComplete(head -> headReceived.countDown());
@@ -138,7 +139,7 @@
     @Test
     void anAnswerWithoutLengthIsWholeOnlyIfItsServiceClosesInOrder() {
         String answer = "HTTP/1.1 200 x\r\ncontent-type: text/plain\r\n\r\nanswer done";
-        ServiceWriter writer = new ServiceWriter(vertx);
+        ServiceWriter writer = new ServiceWriter(vertx, new MetricRegistry());
         answerOnce(answer, true);
         assertTrue(write(writer).isOnError());
         answerOnce(answer, false);
@@ -154,7 +155,7 @@
         "'HTTP/1.1 103 x|link: y||', 'content-length: 11', 'answer done'",
     })
     void anAnswerThatEndsWithinItIsNoAnswer(String interim, String framing, String body) {
-        ServiceWriter writer = new ServiceWriter(vertx);
+        ServiceWriter writer = new ServiceWriter(vertx, new MetricRegistry());
         String whole =
                 (interim + "HTTP/1.1 200 x|content-type: text/plain|" + framing + "||" + body).replace("|", "\r\n");
         for (boolean reset : new boolean[] {false, true}) {
--- a/figspan-host/src/test/java/io/figspan/host/platform/ConfigurationServiceReaderTest.java
+++ b/figspan-host/src/test/java/io/figspan/host/platform/ConfigurationServiceReaderTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import com.codahale.metrics.MetricRegistry;
 import io.figspan.cluster.spread.SettingsContent;
 import io.figspan.core.error.FigspanException;
 import io.figspan.core.id.SettingsVersion;
@@ -38,7 +39,10 @@
                 .get(LIMIT_SECONDS, TimeUnit.SECONDS);
         store = platform.configuration();
         reader = new ConfigurationServiceReader(
-                vertx, new PeerAddress(ADDRESS, platform.port()), (version, problem) -> refused.add(version));
+                vertx,
+                new PeerAddress(ADDRESS, platform.port()),
+                (version, problem) -> refused.add(version),
+                new MetricRegistry());
     }
 
     @AfterEach
@@ -75,7 +79,10 @@
                         request.response().putHeader("Content-Length", "1000").write("begun"));
         stalling.listen(0, ADDRESS).toCompletionStage().toCompletableFuture().get(LIMIT_SECONDS, TimeUnit.SECONDS);
         ConfigurationServiceReader stalled = new ConfigurationServiceReader(
-                vertx, new PeerAddress(ADDRESS, stalling.actualPort()), (version, problem) -> refused.add(version));
+                vertx,
+                new PeerAddress(ADDRESS, stalling.actualPort()),
+                (version, problem) -> refused.add(version),
+                new MetricRegistry());
         stalled.read().test().awaitDone(LIMIT_SECONDS, TimeUnit.SECONDS).assertError(Throwable.class);
     }
 
