--- a/figspan-host/src/main/java/io/figspan/host/StrictHttpClients.java
+++ b/figspan-host/src/main/java/io/figspan/host/StrictHttpClients.java
@@ -4,6 +4,7 @@
 import io.figspan.core.event.Part;
 import io.figspan.wire.http.InvalidResponseException;
 import io.figspan.wire.http.ResponseSyntaxHandler;
+import io.netty.channel.ChannelHandlerContext;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
@@ -21,7 +22,8 @@
 public final class StrictHttpClients {
     private static final Logger LOG = LoggerFactory.getLogger(StrictHttpClients.class);
     private static final String PREFIX = Part.WIRE.logPrefix();
-    private static final String HANDLER_NAME = "responseSyntax";
+    private static final String SYNTAX_HANDLER = "responseSyntax";
+    private static final String INFORMATIONAL_HANDLER = "informationalResponses";
 
     private StrictHttpClients() {}
 
@@ -39,7 +41,10 @@
 
     /** The public interface of the client has no access to the bytes of a connection. */
     private static void checkResponses(HttpConnection connection, MetricRegistry metrics) {
-        ((ConnectionBase) connection).channel().pipeline().addFirst(HANDLER_NAME, new ResponseSyntaxHandler());
+        ChannelHandlerContext client = ((ConnectionBase) connection).channelHandlerContext();
+        client.pipeline()
+                .addFirst(SYNTAX_HANDLER, new ResponseSyntaxHandler())
+                .addBefore(client.name(), INFORMATIONAL_HANDLER, new InformationalResponseFilter());
         connection.exceptionHandler(cause -> failed(connection, cause, metrics));
     }
 
--- a/figspan-host/src/test/java/io/figspan/host/AnswerScripts.java
+++ b/figspan-host/src/test/java/io/figspan/host/AnswerScripts.java
@@ -48,7 +48,8 @@
         return Stream.of(
                 "HTTP/1.1 200 |$FIELDScontent-length: $LENGTH||$BODY",
                 "HTTP/1.1 200|$FIELDScontent-length: $LENGTH||$BODY",
-                "HTTP/1.1 100 x||HTTP/1.1 103 x|l: m||" + OK + "content-length: $LENGTH||$BODY",
+                "HTTP/1.1 100 x||HTTP/1.1 102 x||HTTP/1.1 103 x|l: m||HTTP/1.1 199 x||" + OK
+                        + "content-length: $LENGTH||$BODY",
                 OK + "!#$%&'*+-.^_`~: a|x-empty:|content-length: $LENGTH||$BODY",
                 OK + "x-a: \u0080\u00ff|content-length: $LENGTH||$BODY",
                 OK + "connection: close||$BODY",
