--- a/figspan-gateway/src/test/java/io/figspan/gateway/backend/HttpEngineClientTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/backend/HttpEngineClientTest.java
@@ -13,11 +13,13 @@
 import io.figspan.core.id.HostIncarnation;
 import io.figspan.core.id.ServiceId;
 import io.figspan.core.id.StoreRevision;
+import io.figspan.gateway.InvalidAnswers;
 import io.figspan.gateway.ScriptedServer;
 import io.figspan.gateway.TestProtocol;
 import io.figspan.gateway.log.DecisionLog;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -25,6 +27,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against an outcome that differs from what an engine did, over real connections. */
@@ -155,6 +158,26 @@
         }
     }
 
+    static List<String> invalidAnswers() {
+        return InvalidAnswers.withBody("ok");
+    }
+
+    /** Guards against memory that counts as held, or an engine as healthy, by bytes that are no response (issue 59). */
+    @ParameterizedTest
+    @MethodSource("invalidAnswers")
+    void requestsWhoseAnswerIsInvalidHaveNoResponse(String answer) throws Exception {
+        try (ScriptedServer engine = new ScriptedServer((request, connection) -> {
+            connection.write(answer);
+            connection.close();
+        })) {
+            register(engine);
+
+            assertNoResponse(reserve(LONG_TIMEOUT_MS));
+            assertNoResponse(release(LONG_TIMEOUT_MS));
+            assertNoResponse(probe(engine, LONG_TIMEOUT_MS));
+        }
+    }
+
     @Test
     void requestsThatAreNeverAnsweredHaveNoResponse() throws Exception {
         try (ScriptedServer engine = new ScriptedServer((request, connection) -> connection.awaitClose())) {
--- a/figspan-gateway/src/test/java/io/figspan/gateway/peer/CopyReaderTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/peer/CopyReaderTest.java
@@ -11,6 +11,8 @@
 import io.figspan.core.id.HostIncarnation;
 import io.figspan.core.id.StoreRevision;
 import io.figspan.core.util.FreePorts;
+import io.figspan.gateway.InvalidAnswers;
+import io.figspan.gateway.ScriptedServer;
 import io.figspan.gateway.http.SimpleHttpServer;
 import io.figspan.gateway.log.DecisionLog;
 import io.figspan.gateway.metrics.GatewayMetrics;
@@ -38,6 +40,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 
 /** Reads copies from hosts on loopback. All hosts serve their copies on the same port. */
 class CopyReaderTest {
@@ -61,7 +65,11 @@
     void start() throws IOException {
         port = FreePorts.pick(ONE, 1).get(0);
         complete.apply(List.of(new Item("key", Optional.of(ROUTES), FIVE)));
-        reader = new CopyReader(
+        reader = reader();
+    }
+
+    private CopyReader reader() {
+        return new CopyReader(
                 loop,
                 new DecisionLog(),
                 new GatewayMetrics(),
@@ -149,6 +157,31 @@
         assertEquals(FIVE, nextChanges().revision());
     }
 
+    static List<String> invalidAnswers() {
+        Item wrong = new Item("key", Optional.of("no route".getBytes(StandardCharsets.UTF_8)), FIVE);
+        byte[] encoded = new ItemChanges(FIVE, StoreRevision.NONE, List.of(wrong)).encode();
+        return InvalidAnswers.withBody(new String(encoded, StandardCharsets.ISO_8859_1));
+    }
+
+    /** Guards against items that no host has, taken from bytes that are no response (issue 59). */
+    @ParameterizedTest
+    @MethodSource("invalidAnswers")
+    void bytesThatAreNoResponseAreNoCopy(String answer) throws Exception {
+        try (ScriptedServer host = new ScriptedServer((request, connection) -> {
+            connection.write(answer);
+            connection.close();
+        })) {
+            port = host.address().getPort();
+            reader = reader();
+            serveCopies(TWO);
+
+            announce(host.address().getAddress().getHostAddress(), TWO);
+
+            assertArrayEquals(ROUTES, nextChanges().items().get(0).value().orElseThrow());
+            assertEquals(1, host.received().size());
+        }
+    }
+
     /** Guards against a reader that never reads again after an unexpected error. */
     @Test
     void anErrorOfTheListenerDoesNotStopLaterReads() throws Exception {
--- a/figspan-gateway/src/test/java/io/figspan/gateway/store/StoreWatcherTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/store/StoreWatcherTest.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.figspan.core.id.StoreRevision;
+import io.figspan.gateway.InvalidAnswers;
+import io.figspan.gateway.ScriptedServer;
 import io.figspan.gateway.http.SimpleHttpServer;
 import io.figspan.gateway.log.DecisionLog;
 import io.figspan.gateway.protocol.StoreProtocol;
@@ -30,6 +32,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 
 /** Runs a watcher that is paused and continued, against a store on loopback that records its calls. */
 class StoreWatcherTest {
@@ -182,6 +186,66 @@
         assertEquals("/watch/10", nextCall());
     }
 
+    static List<String> invalidAnswers() {
+        return InvalidAnswers.withBody("99");
+    }
+
+    private void watch(ScriptedServer store) {
+        StoreWatcher other = new StoreWatcher(
+                loop,
+                store.address(),
+                "",
+                new TextProtocol(),
+                new Listener(),
+                new DecisionLog(),
+                new SplittableRandom(1));
+        onLoop(other::start);
+    }
+
+    private String nextChange() throws InterruptedException {
+        List<StoreProtocol.Item> next = changes.poll(LIMIT_S, TimeUnit.SECONDS);
+        return next.isEmpty() ? "lost" : new String(next.get(0).value().orElseThrow(), StandardCharsets.US_ASCII);
+    }
+
+    /** Guards against items that were never in the store, and others that count as gone (issue 59). */
+    @ParameterizedTest
+    @MethodSource("invalidAnswers")
+    void bytesThatAreNoResponseAreNoListing(String answer) throws Exception {
+        try (ScriptedServer store = new ScriptedServer((request, connection) -> {
+            calls.add(request.target());
+            if (calls.size() == 1) {
+                connection.write(answer);
+                connection.close();
+            } else {
+                connection.answer(request, 200, "", "10");
+            }
+        })) {
+            watch(store);
+            assertEquals("lost", nextChange());
+            assertEquals("10", nextChange());
+        }
+    }
+
+    /** Guards against changes that the store has never sent (issue 59). */
+    @ParameterizedTest
+    @MethodSource("invalidAnswers")
+    void bytesThatAreNoResponseAreNoChange(String answer) throws Exception {
+        try (ScriptedServer store = new ScriptedServer((request, connection) -> {
+            calls.add(request.target());
+            if (calls.size() == 2) {
+                connection.write(answer);
+                connection.close();
+            } else {
+                connection.answer(request, 200, "", "1" + calls.size());
+            }
+        })) {
+            watch(store);
+            assertEquals("11", nextChange());
+            assertEquals("lost", nextChange());
+            assertEquals("13", nextChange());
+        }
+    }
+
     /** Guards against a host that stops following the store after an unexpected error. */
     @Test
     void theWatchGoesOnAfterAnUnexpectedErrorOfTheListener() throws Exception {
