--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/Attempt.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/Attempt.java
@@ -62,8 +62,11 @@
         /** Whether the request may still be written, after the connection has been established. */
         boolean mayWrite(Attempt attempt);
 
-        /** The head of the response has arrived, and belongs to the request. */
-        void onHead(Attempt attempt);
+        /**
+         * What the head of the response says of the server may be used: it belongs to the request, and the response is
+         * a stream, or has ended without invalid bytes.
+         */
+        void onValidHead(Attempt attempt);
 
         /** Complete events of a stream, owned by the callee; {@link #eventCount} includes them. */
         void onEvents(Attempt attempt, EventBatch events);
@@ -234,7 +237,9 @@
             abort(AttemptEnd.BROKEN, "success without signature");
         } else {
             events.restart(System.nanoTime());
-            listener.onHead(this);
+            if (isStream()) {
+                listener.onValidHead(this);
+            }
         }
     }
 
@@ -291,6 +296,7 @@
     @Override
     public void onComplete() {
         complete = true;
+        bufferedHeadIsValid();
         events.takeComplete().ifPresent(this::forward);
         pools.release(server(), connection);
         if (ended) {
@@ -311,6 +317,13 @@
         }
     }
 
+    /** Until its body has ended, a response that is not passed on in pieces may still turn out to be invalid. */
+    private void bufferedHeadIsValid() {
+        if (!isStream()) {
+            listener.onValidHead(this);
+        }
+    }
+
     private boolean isHelperFault() {
         String own = HostPort.of(connection.address());
         return response.faultyServer().filter(address -> !address.equals(own)).isPresent();
@@ -343,6 +356,9 @@
 
     @Override
     public void onFailure(ConnectionFailure failure) {
+        if (failure.isWithinResponse()) {
+            bufferedHeadIsValid();
+        }
         connectionEnded(failure, failure.toString());
     }
 
--- a/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/forward/ForwardCall.java
@@ -160,7 +160,7 @@
     }
 
     @Override
-    public void onHead(Attempt from) {
+    public void onValidHead(Attempt from) {
         forwarder.requestLimits().answered(from.incarnation(), from.response());
         forwarder.pools().responded(from.incarnation(), from.response(), System.nanoTime());
     }
--- a/figspan-gateway/src/main/java/io/figspan/gateway/http/HttpConnection.java
+++ b/figspan-gateway/src/main/java/io/figspan/gateway/http/HttpConnection.java
@@ -2,7 +2,6 @@
 
 import io.figspan.wire.http.InvalidResponseException;
 import io.figspan.wire.http.ResponseSyntaxHandler;
-import io.figspan.wire.http.ResponseVerdict;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -312,7 +311,7 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         if (cause instanceof InvalidResponseException invalid) {
-            failInvalid(invalid.verdict());
+            endExchange().ifPresent(failed -> failed.onInvalid(invalid.verdict()));
         } else {
             Channels.close(ctx.channel());
         }
@@ -335,10 +334,6 @@
         endExchange().ifPresent(failed -> failed.onFailure(failure));
     }
 
-    private void failInvalid(ResponseVerdict.Invalid invalid) {
-        endExchange().ifPresent(failed -> failed.onInvalid(invalid));
-    }
-
     /** Closes the connection, and returns the listener of the exchange that was in progress. */
     private Optional<ExchangeListener> endExchange() {
         Optional<ExchangeListener> failed = Optional.ofNullable(activeListener);
--- a/figspan-gateway/src/test/java/io/figspan/gateway/forward/InvalidAnswerTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/forward/InvalidAnswerTest.java
@@ -348,6 +348,26 @@
         assertEquals(11, answers.get());
     }
 
+    /** The head is valid, and comes in a read of its own. */
+    @Test
+    void noFieldOfAnAnswerWhoseBodyIsInvalidIsBelieved() throws IOException {
+        server = new ScriptedServer((request, connection) -> {
+            if (answers.getAndIncrement() > 0) {
+                connection.answer(request, 200, "", Kind.ORDER.body);
+                return;
+            }
+            connection.write(expand("HTTP/1.1 200 OK|$FIELDS|" + CLAIMS + "|transfer-encoding: chunked||", request));
+            gateway.awaitRead();
+            connection.write("5 \r\nhello\r\n0\r\n\r\n");
+            connection.close();
+        });
+        gateway.open(Map.of("plain-1", server));
+        String first = call(Kind.ORDER);
+        assertTrue(first.startsWith("HTTP/1.1 502 "), first);
+        String next = call(Kind.ORDER);
+        assertTrue(next.startsWith("HTTP/1.1 200 "), next);
+    }
+
     /** The rest of the bytes belongs to no request. */
     @Test
     void theConnectionOfABrokenAnswerIsNotUsedAgain() throws IOException {
