--- a/figspan-wire/src/main/java/io/figspan/wire/http/FramingFields.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/http/FramingFields.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
-import java.util.regex.Pattern;
 
 /** The fields of one head that determine where its body ends; they may have one reading only (RFC 9112, section 6). */
 final class FramingFields {
@@ -13,7 +12,7 @@
     private static final String CHUNKED = "chunked";
 
     /** Longer ones don't fit into a long. */
-    private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}");
+    private static final int MAX_LENGTH_DIGITS = 18;
 
     private final List<String> lengths = new ArrayList<>();
     private final List<String> codings = new ArrayList<>();
@@ -51,9 +50,15 @@
         if (lengths.stream().distinct().count() > 1) {
             return Optional.of("repeated lengths must be the same");
         }
-        boolean areNumbers =
-                lengths.stream().allMatch(length -> LENGTH.matcher(length).matches());
-        return areNumbers ? Optional.empty() : Optional.of("the length must be a decimal number");
+        return lengths.stream().allMatch(FramingFields::isNumber)
+                ? Optional.empty()
+                : Optional.of("the length must be a decimal number");
+    }
+
+    private static boolean isNumber(String length) {
+        return !length.isEmpty()
+                && length.length() <= MAX_LENGTH_DIGITS
+                && length.chars().allMatch(digit -> digit >= '0' && digit <= '9');
     }
 
     boolean isChunked() {
--- a/figspan-wire/src/main/java/io/figspan/wire/http/ResponseSyntax.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/http/ResponseSyntax.java
@@ -94,7 +94,10 @@
             return;
         }
         if (!buffer.hasLineBreak()) {
-            reject(partOfLine(), "the line must end with CR and LF, and in time", buffer.detachAll());
+            reject(
+                    partOfLine(),
+                    "the line must end with CR and LF, within " + MAX_LINE_BYTES + " bytes",
+                    buffer.detachAll());
             return;
         }
         byte[] line = buffer.detachLine();
@@ -133,8 +136,9 @@
     }
 
     private void endHead() {
-        byte[] excerpt = framing.excerpt().getBytes(StandardCharsets.ISO_8859_1);
-        if (!accept(MessagePart.FRAMING, framing.violation(statusLine), excerpt)) {
+        Optional<String> violation = framing.violation(statusLine);
+        if (violation.isPresent()) {
+            reject(MessagePart.FRAMING, violation.get(), framing.excerpt().getBytes(StandardCharsets.ISO_8859_1));
             return;
         }
         dataLeft = framing.contentLength().orElse(0L);
