--- a/figspan-gateway/src/test/java/io/figspan/gateway/store/StoreWatcherTest.java
+++ b/figspan-gateway/src/test/java/io/figspan/gateway/store/StoreWatcherTest.java
@@ -207,7 +207,7 @@
         return next.isEmpty() ? "lost" : new String(next.get(0).value().orElseThrow(), StandardCharsets.US_ASCII);
     }
 
-    /** Guards against items that were never in the store, and others that count as gone (issue 59). */
+    /** Guards against items that were never in the store, and others that count as removed (issue 59). */
     @ParameterizedTest
     @MethodSource("invalidAnswers")
     void bytesThatAreNoResponseAreNoListing(String answer) throws Exception {
--- a/figspan-host/src/test/java/io/figspan/host/AnsweringServer.java
+++ b/figspan-host/src/test/java/io/figspan/host/AnsweringServer.java
@@ -1,5 +1,11 @@
 package io.figspan.host;
 
+import io.figspan.core.id.AvailabilityZoneId;
+import io.figspan.core.id.BackendServerId;
+import io.figspan.core.id.HostId;
+import io.figspan.host.backend.BackendTable;
+import io.figspan.policy.placement.EngineSpeed;
+import io.figspan.settings.FleetList;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
@@ -7,6 +13,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -31,6 +38,15 @@
         return listener.getLocalPort();
     }
 
+    /** A table that holds this server alone. */
+    public BackendTable table(BackendServerId id, FleetList.BackendKind kind) {
+        BackendTable table = new BackendTable(HostId.of("host-1"), new EngineSpeed(40_000, 512, 20_000_000, 400_000));
+        AvailabilityZoneId zone = AvailabilityZoneId.of("az-1");
+        table.update(List.of(new FleetList.BackendServer(
+                id, kind, List.of(), "127.0.0.1", port(), zone, 1, FleetList.LiveState.LIVE)));
+        return table;
+    }
+
     /** Number of requests that were read. */
     public int requests() {
         return requests.get();
--- a/figspan-host/src/test/java/io/figspan/host/backend/InvalidEngineAnswerTest.java
+++ b/figspan-host/src/test/java/io/figspan/host/backend/InvalidEngineAnswerTest.java
@@ -5,14 +5,11 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.codahale.metrics.MetricRegistry;
-import io.figspan.core.id.AvailabilityZoneId;
 import io.figspan.core.id.BackendServerId;
 import io.figspan.core.id.HoldHandle;
-import io.figspan.core.id.HostId;
 import io.figspan.core.id.StreamId;
 import io.figspan.host.AnswerScripts;
 import io.figspan.host.AnsweringServer;
-import io.figspan.policy.placement.EngineSpeed;
 import io.figspan.settings.FleetList;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -42,16 +39,7 @@
     void start() throws IOException {
         engine = new AnsweringServer();
         BackendServerId id = BackendServerId.of("engine-1");
-        BackendTable table = new BackendTable(HostId.of("host-1"), new EngineSpeed(40_000, 512, 20_000_000, 400_000));
-        table.update(List.of(new FleetList.BackendServer(
-                id,
-                FleetList.BackendKind.MODEL_ENGINE,
-                List.of(),
-                "127.0.0.1",
-                engine.port(),
-                AvailabilityZoneId.of("az-1"),
-                1,
-                FleetList.LiveState.LIVE)));
+        BackendTable table = engine.table(id, FleetList.BackendKind.MODEL_ENGINE);
         server = table.find(id).orElseThrow();
         client = new EngineClient(vertx, table, new MetricRegistry());
     }
--- a/figspan-host/src/test/java/io/figspan/host/order/InvalidServiceAnswerTest.java
+++ b/figspan-host/src/test/java/io/figspan/host/order/InvalidServiceAnswerTest.java
@@ -6,13 +6,10 @@
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
 import io.figspan.control.ticket.ServiceAnswer;
-import io.figspan.core.id.AvailabilityZoneId;
 import io.figspan.core.id.BackendServerId;
-import io.figspan.core.id.HostId;
 import io.figspan.host.AnswerScripts;
 import io.figspan.host.AnsweringServer;
 import io.figspan.host.backend.BackendTable;
-import io.figspan.policy.placement.EngineSpeed;
 import io.figspan.settings.FleetList;
 import io.reactivex.rxjava3.core.Notification;
 import io.vertx.rxjava3.core.Vertx;
@@ -40,16 +37,7 @@
     void start() throws IOException {
         service = new AnsweringServer();
         BackendServerId id = BackendServerId.of("orders-1");
-        BackendTable table = new BackendTable(HostId.of("host-1"), new EngineSpeed(40_000, 512, 20_000_000, 400_000));
-        table.update(List.of(new FleetList.BackendServer(
-                id,
-                FleetList.BackendKind.PLAIN_SERVICE,
-                List.of(),
-                "127.0.0.1",
-                service.port(),
-                AvailabilityZoneId.of("az-1"),
-                1,
-                FleetList.LiveState.LIVE)));
+        BackendTable table = service.table(id, FleetList.BackendKind.PLAIN_SERVICE);
         server = table.find(id).orElseThrow();
     }
 
--- a/figspan-wire/src/main/java/io/figspan/wire/http/FramingFields.java
+++ b/figspan-wire/src/main/java/io/figspan/wire/http/FramingFields.java
@@ -33,7 +33,7 @@
         return elements;
     }
 
-    /** Why the end of the body can't be told for certain; empty if it can. */
+    /** Why the end of the body is ambiguous; empty if it isn't. */
     Optional<String> violation(StatusLine statusLine) {
         if (!codings.isEmpty() && !lengths.isEmpty()) {
             return Optional.of("a body must not have both a length and a transfer coding");
