--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-javac --release 17 -Xlint:all -d target/review-3 review/standins-3/*.java review/1[1-5]/*.java
+javac -encoding UTF-8 --release 17 -Xlint:all -d target/review-3 review/standins-3/*.java review/1[1-5]/*.java
