--- a/review/standins-3/Node.java
+++ b/review/standins-3/Node.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -151,6 +152,19 @@
         }
     }
 
+    /** Changes the settings file, and says so with a signal. */
+    void settingsChanged() throws IOException, InterruptedException {
+        Path changed = Path.of(settings + ".new");
+        Files.writeString(changed, Files.readString(settings).replace("budget_slack = 102", "budget_slack = 103"));
+        Files.move(changed, settings, StandardCopyOption.ATOMIC_MOVE);
+        new ProcessBuilder("kill", "-HUP", Long.toString(pid())).start().waitFor();
+    }
+
+    /** Waits for the process to end; returns whether it did. */
+    boolean awaitEnd(long maxMs) throws InterruptedException {
+        return process.waitFor(maxMs, TimeUnit.MILLISECONDS);
+    }
+
     List<String> logLines() throws IOException {
         return Files.readAllLines(log, StandardCharsets.ISO_8859_1);
     }
