--- a/review/14/Case14.java
+++ b/review/14/Case14.java
@@ -163,7 +163,7 @@
         }
         boolean isBroken = haveEnded(machines);
         record.add(isBroken ? "Fault: the day counts 0" : "no fault by the rule");
-        System.exit(isBroken ? 1 : 0);
+        System.exit(isBroken ? Record.BROKEN : 0);
     }
 
     private static boolean haveEnded(List<Machine> machines) {
--- a/review/15/Case15.java
+++ b/review/15/Case15.java
@@ -53,7 +53,7 @@
         record.add("ends by themselves of each machine's process: " + ends);
         boolean isBroken = ends.stream().allMatch(count -> count.get() >= ENDS);
         record.add(isBroken ? "Fault: the day counts 0" : "no fault by the rule");
-        System.exit(isBroken ? 1 : 0);
+        System.exit(isBroken ? Record.BROKEN : 0);
     }
 
     private static void changeSettings(
