--- a/review/15/Case15.java
+++ b/review/15/Case15.java
@@ -13,7 +13,7 @@
  */
 public final class Case15 {
     private static final int MACHINES = 2;
-    private static final int CHANGES = 3;
+    private static final int CHANGES = 4;
     private static final int RUNNERS = 3;
     private static final int SLOTS = 6;
     private static final int RESTART_MS = 500;
@@ -69,9 +69,12 @@
                     }
                     node.settingsChanged();
                     boolean hasEnded = node.awaitEnd(END_MS);
-                    ends.addAndGet(hasEnded ? 1 : 0);
+                    // The first start is the platform's; the others follow ends that count as running all the while.
+                    boolean isCounted = hasEnded && change > 1;
+                    ends.addAndGet(isCounted ? 1 : 0);
                     record.add("machine " + machine + ", start " + change + ": SIGHUP; "
-                            + (hasEnded ? "the process ended with status " + node.exitStatus() : "the process runs"));
+                            + (hasEnded ? "the process ended with status " + node.exitStatus() : "the process runs")
+                            + (hasEnded && !isCounted ? "  (not counted)" : ""));
                 }
                 Fleet.sleep(RESTART_MS);
             }
